--- /dev/null
+++ b/packages/cli/bin/umberspar.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/node/main.js'
--- /dev/null
+++ b/packages/cli/src/common/drainTarget.ts
@@ -0,0 +1,88 @@
+/** What can be drained, and the patch that adds it to or removes it from `drains`. */
+import { isJsonObject, toText, toTexts } from './jsonValue.js'
+import type { JsonObject } from './jsonValue.js'
+
+/** What kind of thing is drained; the values are those of the wire. */
+export enum DrainKind {
+  FailureDomain = 'failure-domain',
+  Region = 'region',
+  /** One service in one failure domain. */
+  Place = 'place'
+}
+
+/** Whether traffic is to leave or to come back. */
+export enum DrainDirection {
+  Drain = 'drain',
+  Undrain = 'undrain'
+}
+
+/** A failure domain, a region, or one service in one failure domain. */
+export type DrainTarget =
+  | { readonly kind: DrainKind.FailureDomain, readonly name: string }
+  | { readonly kind: DrainKind.Region, readonly name: string }
+  | { readonly kind: DrainKind.Place, readonly service: string, readonly failureDomain: string }
+
+type DrainElement = string | { readonly service: string, readonly failureDomain: string }
+
+/** The field of `drains` that lists targets of a kind. */
+const FIELD_BY_KIND: Readonly<Record<DrainKind, string>> = {
+  [DrainKind.FailureDomain]: 'failureDomains',
+  [DrainKind.Region]: 'regions',
+  [DrainKind.Place]: 'places'
+}
+
+function decodePlaces (value: unknown): readonly DrainElement[] {
+  if (!Array.isArray(value)) return []
+  return value.filter(isJsonObject).map((item) => ({
+    service: toText(item.service) ?? '',
+    failureDomain: toText(item.failureDomain) ?? ''
+  }))
+}
+
+const DECODE_BY_KIND: Readonly<Record<DrainKind, (value: unknown) => readonly DrainElement[]>> = {
+  [DrainKind.FailureDomain]: toTexts,
+  [DrainKind.Region]: toTexts,
+  [DrainKind.Place]: decodePlaces
+}
+
+function getElement (target: DrainTarget): DrainElement {
+  if (target.kind !== DrainKind.Place) return target.name
+  return { service: target.service, failureDomain: target.failureDomain }
+}
+
+function getElementName (element: DrainElement): string {
+  return typeof element === 'string' ? element : `${element.service}/${element.failureDomain}`
+}
+
+/**
+ * @param target what is drained
+ * @returns its name as `/v1/drains` gives it: a place is `SERVICE/FAILURE-DOMAIN`
+ */
+export function getTargetName (target: DrainTarget): string {
+  return getElementName(getElement(target))
+}
+
+const BUILD_BY_DIRECTION: Readonly<Record<DrainDirection, (others: readonly DrainElement[], element: DrainElement) => readonly DrainElement[]>> = {
+  [DrainDirection.Drain]: (others, element) => [...others, element],
+  [DrainDirection.Undrain]: (others) => others
+}
+
+/**
+ * Builds the JSON Merge Patch for one target. RFC 7396 replaces an array as a
+ * whole, so the patch holds the whole new array of the target's kind; it is
+ * right only against the version whose body is given.
+ * @param body the configuration that the patch is made against
+ * @param target what to drain or undrain
+ * @param direction which of the two
+ * @returns the patch, or undefined if the configuration already says so
+ */
+export function buildDrainPatch (body: JsonObject, target: DrainTarget, direction: DrainDirection): JsonObject | undefined {
+  const drains = isJsonObject(body.drains) ? body.drains : {}
+  const field = FIELD_BY_KIND[target.kind]
+  const present = DECODE_BY_KIND[target.kind](drains[field])
+  const name = getTargetName(target)
+  const others = present.filter((element) => getElementName(element) !== name)
+  const isDrained = others.length < present.length
+  if (isDrained === (direction === DrainDirection.Drain)) return undefined
+  return { drains: { [field]: BUILD_BY_DIRECTION[direction](others, getElement(target)) } }
+}
--- /dev/null
+++ b/packages/cli/src/common/errorFormat.ts
@@ -0,0 +1,77 @@
+/** Errors as operators read them, and as scripts do. */
+import type { StepError } from '@umberspar/base/common/errors'
+import type { ExitCode } from './exitCode.js'
+import { OperatorError } from './operatorError.js'
+import type { FieldProblem, OperatorProblem } from './operatorMessages.js'
+
+/** The code of a usage error in the JSON error document. */
+export const USAGE_CODE = 'usage'
+
+/** The `error` member of the JSON error document. */
+export interface ErrorDocument {
+  /** An ErrorCode of base, or `usage`. */
+  readonly code: string
+  readonly exitCode: ExitCode
+  readonly step: string
+  readonly peer: string
+  readonly message: string
+  /** Only where the daemon refused a patch made against a stale version. */
+  readonly baseVersion?: number
+  readonly currentVersion?: number
+  readonly conflictingPaths?: readonly string[]
+  /** Only where a configuration broke rules. */
+  readonly problems?: readonly FieldProblem[]
+}
+
+/**
+ * @param problems fields that break rules
+ * @returns one line each
+ */
+export function formatProblems (problems: readonly FieldProblem[]): readonly string[] {
+  return problems.map((problem) => {
+    const path = problem.path === '' ? '(whole document)' : problem.path
+    const expected = problem.expected === '' ? '' : ` (expected ${problem.expected})`
+    return `  ${path}: ${problem.message}${expected}`
+  })
+}
+
+function getProblem (error: StepError): OperatorProblem | undefined {
+  return error instanceof OperatorError ? error.problem : undefined
+}
+
+function formatVersions (problem: OperatorProblem): readonly string[] {
+  if (problem.currentVersion === undefined) return []
+  const lines = [`  made against version: ${problem.baseVersion ?? 'not stated'}`, `  present version:      ${problem.currentVersion}`]
+  if (problem.conflictingPaths.length === 0) return lines
+  return [...lines, `  conflicting paths:    ${problem.conflictingPaths.join(', ')}`]
+}
+
+/**
+ * @param error what failed
+ * @returns lines for standard error
+ */
+export function formatError (error: StepError): string {
+  const first = `umberspar: ${error.message} (step ${error.step}, peer ${error.peer})`
+  const problem = getProblem(error)
+  if (problem === undefined) return first
+  return [first, ...formatVersions(problem), ...formatProblems(problem.problems)].join('\n')
+}
+
+/**
+ * @param error what failed
+ * @param exitCode how the process ends
+ * @returns the `error` member of the JSON error document
+ */
+export function buildErrorDocument (error: StepError, exitCode: ExitCode): ErrorDocument {
+  const problem = getProblem(error)
+  const { code, step, peer, message } = error
+  const base = { code, exitCode, step, peer, message }
+  if (problem === undefined) return base
+  return {
+    ...base,
+    ...(problem.currentVersion === undefined
+      ? {}
+      : { baseVersion: problem.baseVersion, currentVersion: problem.currentVersion, conflictingPaths: problem.conflictingPaths }),
+    ...(problem.problems.length === 0 ? {} : { problems: problem.problems })
+  }
+}
--- /dev/null
+++ b/packages/cli/src/common/fleetFormat.ts
@@ -0,0 +1,28 @@
+/** Text of `status` and `lookup`. */
+import type { FleetNode, LookupAnswer } from './operatorMessages.js'
+import { Align, formatTable } from './tableFormat.js'
+
+/**
+ * @param nodes the fleet
+ * @returns a table
+ */
+export function formatFleet (nodes: readonly FleetNode[]): string {
+  const rows = nodes.map((node) => [
+    node.nodeId, node.region, node.failureDomain, node.state, node.callersAddress, node.operatorAddress, String(node.configurationVersion)
+  ])
+  const columns = [
+    { title: 'NODE' }, { title: 'REGION' }, { title: 'FAILURE DOMAIN' }, { title: 'STATE' },
+    { title: 'CALLERS' }, { title: 'OPERATORS' }, { title: 'VERSION', align: Align.Right }
+  ]
+  return formatTable(columns, rows)
+}
+
+/**
+ * @param answer a look-up's answer
+ * @returns a line and a table
+ */
+export function formatLookup (answer: LookupAnswer): string {
+  const first = `${answer.service} from region ${answer.region}, configuration version ${answer.configurationVersion}, may be cached for ${answer.cacheForMs} ms`
+  const rows = answer.entries.map((entry) => [entry.nodeId, entry.address, entry.weight.toFixed(3)])
+  return `${first}\n${formatTable([{ title: 'NODE' }, { title: 'ADDRESS' }, { title: 'WEIGHT', align: Align.Right }], rows)}`
+}
--- /dev/null
+++ b/packages/cli/src/common/operatorMessages.ts
@@ -0,0 +1,223 @@
+/**
+ * What the daemons' operators' listener answers. A decoder gives undefined for a
+ * value without the fields that the commands rely on; further fields pass, so
+ * that an older client works with a newer daemon.
+ */
+import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
+import { decodeItems, isJsonObject, toNumber, toText, toTexts } from './jsonValue.js'
+import type { JsonObject } from './jsonValue.js'
+
+/** A numbered configuration; the body stays JSON as the daemon sent it. */
+export interface ConfigurationAnswer {
+  readonly head: ConfigurationHead
+  readonly body: JsonObject
+}
+
+/** One accepted change. */
+export interface HistoryEntry {
+  readonly version: number
+  readonly changeId: string
+  readonly baseVersion: number
+  readonly note: string
+  /** Milliseconds since 1970 by the clock of the daemon that wrote it. */
+  readonly atWallMs: number
+}
+
+/** A field of a configuration that breaks a rule. */
+export interface FieldProblem {
+  readonly path: string
+  readonly expected: string
+  readonly message: string
+}
+
+/** A daemon's opinion of a patch. */
+export interface ValidationAnswer {
+  readonly valid: boolean
+  readonly problems: readonly FieldProblem[]
+}
+
+/** An entry VM as the asked daemon sees it. */
+export interface FleetNode {
+  readonly nodeId: string
+  readonly region: string
+  readonly failureDomain: string
+  readonly state: string
+  readonly callersAddress: string
+  readonly operatorAddress: string
+  readonly configurationVersion: number
+}
+
+/** How far one node is with one drain. */
+export interface NodeDrain {
+  readonly target: string
+  readonly kind: string
+  /** The part of traffic that this node still plans to send there, 0 to 1. */
+  readonly weight: number
+  readonly inFlight: number
+  readonly isSafeToStop: boolean
+}
+
+/** One entry VM of a look-up's answer. */
+export interface LookupEntry {
+  readonly nodeId: string
+  readonly address: string
+  readonly weight: number
+}
+
+/** The answer of a look-up. */
+export interface LookupAnswer {
+  readonly service: string
+  readonly region: string
+  readonly configurationVersion: number
+  readonly cacheForMs: number
+  readonly entries: readonly LookupEntry[]
+}
+
+/** A daemon's error, RFC 9457 with this project's members. */
+export interface OperatorProblem {
+  readonly title: string
+  readonly detail: string
+  readonly step?: string
+  readonly peer?: string
+  /** `not-run` or `unknown`. */
+  readonly outcome?: string
+  readonly baseVersion?: number
+  readonly currentVersion?: number
+  readonly conflictingPaths: readonly string[]
+  readonly problems: readonly FieldProblem[]
+}
+
+function decodeHead (value: unknown): ConfigurationHead | undefined {
+  if (!isJsonObject(value)) return undefined
+  const version = toNumber(value.version)
+  const changeId = toText(value.changeId)
+  const digest = toText(value.digest)
+  if (version === undefined || changeId === undefined || digest === undefined) return undefined
+  return { version, changeId, digest }
+}
+
+/** Decodes the answer to a patch. */
+export function decodePatchAnswer (value: unknown): ConfigurationHead | undefined {
+  return isJsonObject(value) ? decodeHead(value.head) : undefined
+}
+
+/** Decodes a numbered configuration. */
+export function decodeConfiguration (value: unknown): ConfigurationAnswer | undefined {
+  if (!isJsonObject(value) || !isJsonObject(value.body)) return undefined
+  const head = decodeHead(value.head)
+  return head === undefined ? undefined : { head, body: value.body }
+}
+
+function decodeHistoryEntry (value: unknown): HistoryEntry | undefined {
+  if (!isJsonObject(value)) return undefined
+  const version = toNumber(value.version)
+  const changeId = toText(value.changeId)
+  if (version === undefined || changeId === undefined) return undefined
+  return {
+    version,
+    changeId,
+    baseVersion: toNumber(value.baseVersion) ?? version - 1,
+    note: toText(value.note) ?? '',
+    atWallMs: toNumber(value.atWallMs) ?? 0
+  }
+}
+
+/** Decodes the list of accepted changes. */
+export function decodeHistory (value: unknown): readonly HistoryEntry[] | undefined {
+  return isJsonObject(value) ? decodeItems(value.entries, decodeHistoryEntry) : undefined
+}
+
+function decodeFieldProblem (value: unknown): FieldProblem | undefined {
+  if (!isJsonObject(value)) return undefined
+  return {
+    path: toText(value.path) ?? '',
+    expected: toText(value.expected) ?? '',
+    message: toText(value.message) ?? ''
+  }
+}
+
+/** Decodes a daemon's opinion of a patch. */
+export function decodeValidation (value: unknown): ValidationAnswer | undefined {
+  if (!isJsonObject(value) || typeof value.valid !== 'boolean') return undefined
+  return { valid: value.valid, problems: decodeItems(value.problems, decodeFieldProblem) ?? [] }
+}
+
+function decodeFleetNode (value: unknown): FleetNode | undefined {
+  if (!isJsonObject(value)) return undefined
+  const nodeId = toText(value.nodeId)
+  const operatorAddress = toText(value.operatorAddress)
+  if (nodeId === undefined || operatorAddress === undefined) return undefined
+  return {
+    nodeId,
+    operatorAddress,
+    region: toText(value.region) ?? '',
+    failureDomain: toText(value.failureDomain) ?? '',
+    state: toText(value.state) ?? '',
+    callersAddress: toText(value.callersAddress) ?? '',
+    configurationVersion: toNumber(value.configurationVersion) ?? 0
+  }
+}
+
+/** Decodes the fleet. */
+export function decodeFleet (value: unknown): readonly FleetNode[] | undefined {
+  return isJsonObject(value) ? decodeItems(value.nodes, decodeFleetNode) : undefined
+}
+
+/** Decodes the version that a daemon says is in force at itself. */
+export function decodeVersionInForce (value: unknown): number | undefined {
+  return isJsonObject(value) ? toNumber(value.configurationVersion) : undefined
+}
+
+function decodeDrain (value: unknown): NodeDrain | undefined {
+  if (!isJsonObject(value)) return undefined
+  const target = toText(value.target)
+  const kind = toText(value.kind)
+  const weight = toNumber(value.weight)
+  const inFlight = toNumber(value.inFlight)
+  const isSafeToStop = value.isSafeToStop
+  if (target === undefined || kind === undefined || typeof isSafeToStop !== 'boolean') return undefined
+  if (weight === undefined || inFlight === undefined) return undefined
+  return { target, kind, weight, inFlight, isSafeToStop }
+}
+
+/** Decodes a node's drains. */
+export function decodeDrains (value: unknown): readonly NodeDrain[] | undefined {
+  return isJsonObject(value) ? decodeItems(value.drains, decodeDrain) : undefined
+}
+
+function decodeLookupEntry (value: unknown): LookupEntry | undefined {
+  if (!isJsonObject(value)) return undefined
+  const nodeId = toText(value.nodeId)
+  const address = toText(value.address)
+  const weight = toNumber(value.weight)
+  if (nodeId === undefined || address === undefined || weight === undefined) return undefined
+  return { nodeId, address, weight }
+}
+
+/** Decodes the answer of a look-up. */
+export function decodeLookup (value: unknown): LookupAnswer | undefined {
+  if (!isJsonObject(value)) return undefined
+  const service = toText(value.service)
+  const configurationVersion = toNumber(value.configurationVersion)
+  const cacheForMs = toNumber(value.cacheForMs)
+  const entries = decodeItems(value.entries, decodeLookupEntry)
+  if (service === undefined || configurationVersion === undefined) return undefined
+  if (cacheForMs === undefined || entries === undefined) return undefined
+  return { service, region: toText(value.region) ?? '', configurationVersion, cacheForMs, entries }
+}
+
+/** Decodes a daemon's error; members that are missing stay empty. */
+export function decodeProblem (value: unknown): OperatorProblem | undefined {
+  if (!isJsonObject(value)) return undefined
+  return {
+    title: toText(value.title) ?? '',
+    detail: toText(value.detail) ?? '',
+    step: toText(value.step),
+    peer: toText(value.peer),
+    outcome: toText(value.outcome),
+    baseVersion: toNumber(value.baseVersion),
+    currentVersion: toNumber(value.currentVersion),
+    conflictingPaths: toTexts(value.conflictingPaths),
+    problems: decodeItems(value.problems, decodeFieldProblem) ?? []
+  }
+}
--- /dev/null
+++ b/packages/cli/src/common/patchSettlement.ts
@@ -0,0 +1,39 @@
+/** Whether a change whose answer was lost took effect. */
+import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
+import type { HistoryEntry } from './operatorMessages.js'
+
+/** What is known of a change. */
+export enum Settlement {
+  Applied = 'applied',
+  /** Another change stands where this one would have to. */
+  NotApplied = 'not-applied',
+  /** The store has nothing newer than the base, or the daemon asked does not know it yet. */
+  Undecided = 'undecided'
+}
+
+/** A verdict and the version it rests on. */
+export interface SettledPatch {
+  readonly settlement: Settlement
+  /** Applied: the change's version. Otherwise the highest version seen. */
+  readonly version: number
+}
+
+/**
+ * A change against base N can only become version N + 1. If that version
+ * carries this changeId, the change took effect; if it carries another, the
+ * compare-and-swap refuses the change now and for ever. A daemon that lags
+ * shows neither, so its silence decides nothing.
+ * @param changeId the change
+ * @param baseVersion the version it was made against
+ * @param head the head that a daemon shows
+ * @param history the accepted changes that a daemon shows
+ * @returns the verdict
+ */
+export function decideSettlement (changeId: string, baseVersion: number, head: ConfigurationHead, history: readonly HistoryEntry[]): SettledPatch {
+  const known = [head, ...history]
+  const own = known.find((entry) => entry.changeId === changeId)
+  if (own !== undefined) return { settlement: Settlement.Applied, version: own.version }
+  const version = Math.max(...known.map((entry) => entry.version))
+  const isTaken = known.some((entry) => entry.version === baseVersion + 1)
+  return { settlement: isTaken ? Settlement.NotApplied : Settlement.Undecided, version }
+}
--- /dev/null
+++ b/packages/cli/src/common/tableFormat.ts
@@ -0,0 +1,34 @@
+/** Plain-text tables: columns padded to their widest cell, two spaces between. */
+
+/** Which side a column's cells stand at. */
+export enum Align {
+  Left = 'left',
+  Right = 'right'
+}
+
+/** A column's heading and alignment. */
+export interface Column {
+  readonly title: string
+  readonly align?: Align
+}
+
+const GAP = '  '
+
+const PAD_BY_ALIGN: Readonly<Record<Align, (cell: string, width: number) => string>> = {
+  [Align.Left]: (cell, width) => cell.padEnd(width),
+  [Align.Right]: (cell, width) => cell.padStart(width)
+}
+
+/**
+ * @param columns the headings
+ * @param rows the cells, one per column
+ * @returns lines without trailing spaces
+ */
+export function formatTable (columns: readonly Column[], rows: ReadonlyArray<readonly string[]>): string {
+  const widths = columns.map((column, index) => Math.max(column.title.length, ...rows.map((row) => row[index]?.length ?? 0)))
+  const formatRow = (cells: readonly string[]): string => columns
+    .map((column, index) => PAD_BY_ALIGN[column.align ?? Align.Left](cells[index] ?? '', widths[index] ?? 0))
+    .join(GAP)
+    .trimEnd()
+  return [columns.map((column) => column.title), ...rows].map(formatRow).join('\n')
+}
--- /dev/null
+++ b/packages/cli/src/node/commandArguments.ts
@@ -0,0 +1,97 @@
+/** Typed reading of parsed arguments; a wrong one is a UsageError. */
+import { isIPv4, isIPv6 } from 'node:net'
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { UsageError } from '../common/operatorError.js'
+import { toText, toTexts } from '../common/jsonValue.js'
+
+/** Options that every command takes. */
+export interface GlobalOptions {
+  readonly daemons: readonly string[]
+  readonly isJson: boolean
+  /** Undefined: the command's own default. */
+  readonly limitSeconds: number | undefined
+}
+
+/** The environment variable that names daemons, joined by commas. */
+export const DAEMONS_VARIABLE = 'UMBERSPAR_DAEMONS'
+
+const ADDRESS = /^(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):(\d{1,5})$/
+const MAX_PORT = 65_535
+const MAX_LIMIT_SECONDS = 86_400
+
+/** Declares the options that every command takes. */
+export function addGlobalOptions (parser: ArgumentParser): ArgumentParser {
+  return parser
+    .option('daemon', { type: 'string', array: true, nargs: 1, global: true, describe: `host:port of a daemon's operators' listener; may be repeated, tried in turn [env ${DAEMONS_VARIABLE}, joined by commas]` })
+    .option('json', { type: 'boolean', global: true, describe: 'Print one JSON document, errors as well' })
+    .option('timeout', { type: 'number', nargs: 1, global: true, describe: 'Seconds that the whole command may take (10; 600 with --wait)' })
+}
+
+/** @returns the text of an option or positional, if given */
+export function getOptionalText (args: ParsedArguments, name: string): string | undefined {
+  const value = args[name]
+  if (Array.isArray(value)) throw new UsageError(`--${name} may be given only once`)
+  return toText(value)
+}
+
+/** @returns the text of an option or positional that must be given */
+export function getText (args: ParsedArguments, name: string): string {
+  const value = getOptionalText(args, name)
+  if (value === undefined || value === '') throw new UsageError(`${name}: expected a value`)
+  return value
+}
+
+/** @returns all values of an option that may be repeated */
+export function listTexts (args: ParsedArguments, name: string): readonly string[] {
+  return toTexts(args[name])
+}
+
+/** @returns a whole number of 0 or more, if given */
+export function getOptionalVersion (args: ParsedArguments, name: string): number | undefined {
+  const value = args[name]
+  if (value === undefined) return undefined
+  if (typeof value !== 'number' || !Number.isSafeInteger(value) || value < 0) {
+    throw new UsageError(`--${name}: expected the number of a version`)
+  }
+  return value
+}
+
+/** @returns whether a switch is on */
+export function isSet (args: ParsedArguments, name: string): boolean {
+  return args[name] === true
+}
+
+/** @returns the `host:port`, checked */
+export function parseAddress (text: string): string {
+  const match = ADDRESS.exec(text)
+  if (match === null || Number(match[2]) > MAX_PORT) throw new UsageError(`'${text}' is no address: expected host:port`)
+  return text
+}
+
+/** @returns the IP number, checked, if given */
+export function getOptionalIp (args: ParsedArguments, name: string): string | undefined {
+  const text = getOptionalText(args, name)
+  if (text === undefined || isIPv4(text) || isIPv6(text)) return text
+  throw new UsageError(`--${name}: expected an IP number, got ${text}`)
+}
+
+function readLimitSeconds (args: ParsedArguments): number | undefined {
+  const value = args.timeout
+  if (value === undefined) return undefined
+  if (typeof value !== 'number' || !(value > 0 && value <= MAX_LIMIT_SECONDS)) {
+    throw new UsageError(`--timeout: expected seconds above 0 and at most ${MAX_LIMIT_SECONDS}`)
+  }
+  return value
+}
+
+/**
+ * @param args the parsed arguments
+ * @param environment the environment's variables
+ * @returns the global options; options go before the environment
+ */
+export function readGlobalOptions (args: ParsedArguments, environment: Readonly<Record<string, string | undefined>>): GlobalOptions {
+  const named = listTexts(args, 'daemon')
+  const fromEnvironment = (environment[DAEMONS_VARIABLE] ?? '').split(',').map((text) => text.trim()).filter((text) => text !== '')
+  const daemons = named.length > 0 ? named : fromEnvironment
+  return { daemons: daemons.map(parseAddress), isJson: isSet(args, 'json'), limitSeconds: readLimitSeconds(args) }
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/config.ts
@@ -0,0 +1,76 @@
+/** `umberspar config`: reading and changing the steering configuration. */
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { Ok } from '@umberspar/base/common/result'
+import { buildConfigurationStatus, formatConfigurationStatus, formatHistory } from '../../common/configFormat.js'
+import { ExitCode } from '../../common/exitCode.js'
+import { getOptionalVersion } from '../commandArguments.js'
+import { printNote, printResult } from '../commandContext.js'
+import type { CommandRun, RegisterCommand } from '../commandContext.js'
+import { listAnswers } from '../fleetQuery.js'
+import { addPatchCommand, addValidateCommand } from './configChange.js'
+
+/** How long one node may take to answer. */
+const NODE_LIMIT_MS = 3000
+
+function buildGet (args: ParsedArguments): CommandRun {
+  const version = getOptionalVersion(args, 'version')
+  return async (context) => {
+    const answer = version === undefined
+      ? await context.client.readConfiguration()
+      : await context.client.readConfigurationVersion(version)
+    if (!answer.ok) return answer
+    const { head, body } = answer.val
+    printNote(context, `version ${head.version}, change ${head.changeId}, digest ${head.digest}`)
+    printResult(context, { head, body }, () => JSON.stringify(body, null, 2))
+    return Ok(ExitCode.Ok)
+  }
+}
+
+const runHistory: CommandRun = async (context) => {
+  const history = await context.client.listHistory()
+  if (!history.ok) return history
+  const entries = history.val.toSorted((left, right) => right.version - left.version)
+  printResult(context, { entries }, () => formatHistory(entries))
+  return Ok(ExitCode.Ok)
+}
+
+const runStatus: CommandRun = async (context) => {
+  const { client } = context
+  const fleet = await client.listFleet()
+  if (!fleet.ok) return fleet
+  const until = createDeadline(client.getNow(), NODE_LIMIT_MS)
+  const answers = await listAnswers(fleet.val, async (node) => {
+    const version = await client.readVersionInForce(node.operatorAddress, until)
+    return version.ok ? version.val : undefined
+  })
+  const status = buildConfigurationStatus(answers.map(({ node, answer }) => ({ node, version: answer })))
+  printResult(context, status, () => formatConfigurationStatus(status))
+  return Ok(ExitCode.Ok)
+}
+
+/**
+ * @param parser the parser to extend
+ * @param register notes the chosen command
+ */
+export function addConfigCommands (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command('config', 'Read and change the steering configuration', (own) => {
+    own
+      .command('get', 'Print the configuration in force, or an earlier one', (get) => get
+        // Here --version is an option of the command and not a question for the client's own version.
+        .version(false)
+        .option('version', { type: 'number', nargs: 1, describe: 'An earlier version that the history still holds' })
+        .example('umberspar config get > configuration.json', 'Save the configuration in force')
+        .example('umberspar config get --version 41', 'Print version 41'), (args) => register(args, buildGet(args)))
+      .command('history', 'List accepted changes, the newest first', (history) => history
+        .example('umberspar config history --json', 'For scripts'), (args) => register(args, runHistory))
+      .command('status', 'Show the version in force at every node', (status) => status
+        .example('umberspar config status', 'Ask every node of the fleet'), (args) => register(args, runStatus))
+    addValidateCommand(own, register)
+    addPatchCommand(own, register)
+    return own
+      .demandCommand(1, 'expected get, validate, patch, history or status')
+      .example('umberspar config get', 'Print the configuration in force')
+      .example('umberspar config patch --base 41 --set lookupCacheMs=3000', 'Change one field')
+  })
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/configChange.ts
@@ -0,0 +1,117 @@
+/** `umberspar config validate` and `umberspar config patch`. */
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { Result } from '@umberspar/base/common/result'
+import { ExitCode } from '../../common/exitCode.js'
+import { formatProblems } from '../../common/errorFormat.js'
+import { isJsonObject } from '../../common/jsonValue.js'
+import type { JsonObject } from '../../common/jsonValue.js'
+import { checkWholeConfiguration } from '../../common/localValidation.js'
+import type { ValidationAnswer } from '../../common/operatorMessages.js'
+import { UsageError } from '../../common/operatorError.js'
+import { parseSetOptions } from '../../common/setOption.js'
+import { getOptionalText, getOptionalVersion, getText, isSet, listTexts } from '../commandArguments.js'
+import { printResult } from '../commandContext.js'
+import type { CommandContext, CommandRun, RegisterCommand } from '../commandContext.js'
+import { readJsonFile } from '../jsonFile.js'
+import { PatchSubmitter } from '../patchSubmitter.js'
+import type { AppliedPatch } from '../patchSubmitter.js'
+
+/** Makes the patch when the command runs. */
+type ReadPatch = () => Promise<Result<JsonObject, StepError>>
+
+async function readPatchFile (path: string): Promise<Result<JsonObject, StepError>> {
+  const value = await readJsonFile(path)
+  if (!value.ok) return value
+  if (isJsonObject(value.val)) return Ok(value.val)
+  return Err(new StepError({ code: ErrorCode.Invalid, step: 'read-file', peer: path, message: 'a patch of a configuration is a JSON object' }))
+}
+
+async function readBase (context: CommandContext, named: number | undefined): Promise<Result<number, StepError>> {
+  if (named !== undefined) return Ok(named)
+  const present = await context.client.readConfiguration()
+  return present.ok ? Ok(present.val.head.version) : present
+}
+
+function printValidation (context: CommandContext, answer: ValidationAnswer): Result<ExitCode, StepError> {
+  printResult(context, answer, () => answer.valid ? 'valid' : ['not valid:', ...formatProblems(answer.problems)].join('\n'))
+  return Ok(answer.valid ? ExitCode.Ok : ExitCode.Refused)
+}
+
+function buildValidate (args: ParsedArguments): CommandRun {
+  const file = getText(args, 'file')
+  const baseVersion = getOptionalVersion(args, 'base')
+  const isPatch = isSet(args, 'patch')
+  if (baseVersion !== undefined && !isPatch) throw new UsageError('--base belongs to --patch')
+  return async (context) => {
+    if (!isPatch) {
+      const whole = await readJsonFile(file)
+      return whole.ok ? printValidation(context, checkWholeConfiguration(whole.val)) : whole
+    }
+    const patch = await readPatchFile(file)
+    if (!patch.ok) return patch
+    const base = await readBase(context, baseVersion)
+    if (!base.ok) return base
+    const answer = await context.client.validatePatch({ baseVersion: base.val, patch: patch.val })
+    return answer.ok ? printValidation(context, answer.val) : answer
+  }
+}
+
+function chooseReadPatch (args: ParsedArguments): ReadPatch {
+  const file = getOptionalText(args, 'file')
+  const settings = listTexts(args, 'set')
+  if ((file === undefined) === (settings.length === 0)) throw new UsageError('give either --file or --set')
+  if (file !== undefined) return async () => await readPatchFile(file)
+  const patch = parseSetOptions(settings)
+  return async () => Ok(patch)
+}
+
+function formatApplied (applied: AppliedPatch): string {
+  const later = applied.isSettledLater ? ' (the answer was lost; the change did take effect)' : ''
+  return `accepted as version ${applied.version}, change ${applied.changeId}${later}`
+}
+
+function buildPatch (args: ParsedArguments): CommandRun {
+  const baseVersion = getOptionalVersion(args, 'base')
+  if (baseVersion === undefined) throw new UsageError('--base: expected the version that the patch is made against')
+  const note = getOptionalText(args, 'note') ?? ''
+  const readPatch = chooseReadPatch(args)
+  return async (context) => {
+    const patch = await readPatch()
+    if (!patch.ok) return patch
+    const applied = await new PatchSubmitter(context.client, context.io).send({ baseVersion, patch: patch.val, note })
+    if (!applied.ok) return applied
+    printResult(context, applied.val, () => formatApplied(applied.val))
+    return Ok(ExitCode.Ok)
+  }
+}
+
+/**
+ * @param parser the parser of `config`
+ * @param register notes the chosen command
+ */
+export function addValidateCommand (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command('validate', 'Check a whole configuration here, or a patch at a daemon', (own) => own
+    .option('file', { type: 'string', demandOption: true, nargs: 1, describe: 'The JSON file' })
+    .option('patch', { type: 'boolean', describe: 'The file is a JSON Merge Patch; a daemon checks it' })
+    .option('base', { type: 'number', nargs: 1, describe: 'With --patch: the version it is made against; the present one by default' })
+    .example('umberspar config validate --file configuration.json', 'Check a whole configuration without a daemon')
+    .example('umberspar config validate --file change.json --patch', 'Let a daemon check a patch'),
+  (args) => register(args, buildValidate(args), { needsDaemon: isSet(args, 'patch') }))
+}
+
+/**
+ * @param parser the parser of `config`
+ * @param register notes the chosen command
+ */
+export function addPatchCommand (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command('patch', 'Change the configuration against a numbered version', (own) => own
+    .option('base', { type: 'number', demandOption: true, nargs: 1, describe: 'The version that the patch is made against; refused if it is not the present one' })
+    .option('file', { type: 'string', nargs: 1, conflicts: 'set', describe: 'A JSON Merge Patch (RFC 7396)' })
+    .option('set', { type: 'string', array: true, nargs: 1, describe: 'path=json, may be repeated; null removes the field' })
+    .option('note', { type: 'string', nargs: 1, describe: 'Kept in the history' })
+    .example('umberspar config patch --base 41 --file change.json --note "new workers"', 'Apply a file')
+    .example('umberspar config patch --base 41 --set shiftCaps.planned=0.1 --set lookupCacheMs=3000', 'Set two fields'),
+  (args) => register(args, buildPatch(args)))
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/drain.ts
@@ -0,0 +1,142 @@
+/** `umberspar drain` and `umberspar undrain`: patches of the configuration's `drains`. */
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { StepError } from '@umberspar/base/common/errors'
+import { Ok } from '@umberspar/base/common/result'
+import type { Result } from '@umberspar/base/common/result'
+import { ExitCode } from '../../common/exitCode.js'
+import { DrainDirection, DrainKind, getTargetName } from '../../common/drainTarget.js'
+import type { DrainTarget } from '../../common/drainTarget.js'
+import type { DrainProgress, DrainWait } from '../../common/drainProgress.js'
+import { formatProblems } from '../../common/errorFormat.js'
+import type { FieldProblem } from '../../common/operatorMessages.js'
+import { getOptionalText, getText, isSet } from '../commandArguments.js'
+import { printNote, printResult } from '../commandContext.js'
+import type { CommandContext, CommandRun, RegisterCommand } from '../commandContext.js'
+import { checkDrain, applyDrain } from '../drainSubmitter.js'
+import type { DrainOrder, SubmittedDrain } from '../drainSubmitter.js'
+import { DrainWatcher } from '../drainWatcher.js'
+
+/** The JSON document of `drain` and `undrain`. */
+interface DrainDocument {
+  readonly direction: DrainDirection
+  readonly kind: DrainKind
+  readonly target: string
+  /** The version that holds the drain. */
+  readonly version: number
+  /** False: the configuration already said so. */
+  readonly isChanged: boolean
+  readonly changeId?: string
+  readonly isSettledLater?: boolean
+  /** Only with --wait. */
+  readonly progress?: DrainProgress
+}
+
+/** The JSON document of `drain --dry-run`. */
+interface DryRunDocument {
+  readonly isDryRun: true
+  readonly baseVersion: number
+  readonly isChanged: boolean
+  readonly patch?: object
+  readonly isValid: boolean
+  readonly problems: readonly FieldProblem[]
+}
+
+const DONE_TEXT: Readonly<Record<DrainDirection, string>> = {
+  [DrainDirection.Drain]: 'no traffic is planned or in flight there: it is safe to stop the machines',
+  [DrainDirection.Undrain]: 'every node has taken the drain back; traffic returns in capped steps'
+}
+
+const BUILD_TARGET: Readonly<Record<DrainKind, (args: ParsedArguments) => DrainTarget>> = {
+  [DrainKind.FailureDomain]: (args) => ({ kind: DrainKind.FailureDomain, name: getText(args, 'name') }),
+  [DrainKind.Region]: (args) => ({ kind: DrainKind.Region, name: getText(args, 'name') }),
+  [DrainKind.Place]: (args) => ({ kind: DrainKind.Place, service: getText(args, 'service'), failureDomain: getText(args, 'failure-domain') })
+}
+
+function formatDrain (document: DrainDocument): string {
+  const what = `${document.direction} ${document.kind} ${document.target}`
+  if (!document.isChanged) return `${what}: already so in version ${document.version}, nothing changed`
+  const later = document.isSettledLater === true ? ' (the answer was lost; the change did take effect)' : ''
+  return `${what}: accepted as version ${document.version}${later}`
+}
+
+function formatDryRun (document: DryRunDocument): string {
+  if (!document.isChanged) return `already so in version ${document.baseVersion}, nothing would change`
+  const verdict = document.isValid ? 'the daemon would accept it' : 'the daemon would refuse it:'
+  const patch = JSON.stringify(document.patch)
+  return [`patch against version ${document.baseVersion}: ${patch}`, verdict, ...formatProblems(document.problems)].join('\n')
+}
+
+async function runDryRun (context: CommandContext, order: DrainOrder): Promise<Result<ExitCode, StepError>> {
+  const checked = await checkDrain(context.client, order)
+  if (!checked.ok) return checked
+  const document: DryRunDocument = { isDryRun: true, ...checked.val }
+  printResult(context, document, () => formatDryRun(document))
+  return Ok(document.isValid ? ExitCode.Ok : ExitCode.Refused)
+}
+
+function buildDocument (order: DrainOrder, submitted: SubmittedDrain): DrainDocument {
+  const { direction, target } = order
+  return { direction, kind: target.kind, target: getTargetName(target), ...submitted }
+}
+
+async function runWait (context: CommandContext, wait: DrainWait, document: DrainDocument): Promise<Result<ExitCode, StepError>> {
+  printNote(context, formatDrain(document))
+  const watcher = new DrainWatcher(context.client, context.io, (line) => printNote(context, line))
+  const progress = await watcher.waitUntilDone(wait)
+  if (!progress.ok) return progress
+  const whole = { ...document, progress: progress.val }
+  printResult(context, whole, () => `${document.kind} ${document.target}: ${DONE_TEXT[wait.direction]}`)
+  return Ok(ExitCode.Ok)
+}
+
+function buildRun (direction: DrainDirection, kind: DrainKind, args: ParsedArguments): CommandRun {
+  const target = BUILD_TARGET[kind](args)
+  const note = getOptionalText(args, 'note') ?? `${direction} ${kind} ${getTargetName(target)}`
+  const order: DrainOrder = { target, direction, note }
+  const isDryRun = isSet(args, 'dry-run')
+  const isWaiting = isSet(args, 'wait')
+  const mayLackNodes = isSet(args, 'allow-unreachable')
+  return async (context) => {
+    if (isDryRun) return await runDryRun(context, order)
+    const submitted = await applyDrain(context.client, context.io, order)
+    if (!submitted.ok) return submitted
+    const document = buildDocument(order, submitted.val)
+    if (isWaiting) return await runWait(context, { target, direction, mayLackNodes }, document)
+    printResult(context, document, () => formatDrain(document))
+    return Ok(ExitCode.Ok)
+  }
+}
+
+function addTargetCommands (parser: ArgumentParser, direction: DrainDirection, register: RegisterCommand): ArgumentParser {
+  const handle = (kind: DrainKind) => (args: ParsedArguments): void => {
+    register(args, buildRun(direction, kind, args), { isWaiting: isSet(args, 'wait') })
+  }
+  const verb = `umberspar ${direction}`
+  return parser
+    .option('wait', { type: 'boolean', describe: 'Wait until every node is done, and show progress' })
+    .option('allow-unreachable', { type: 'boolean', describe: 'With --wait: do not wait for nodes that give no answer; only if they are known to be stopped' })
+    .option('dry-run', { type: 'boolean', conflicts: 'wait', describe: 'Let a daemon check the change; change nothing' })
+    .option('note', { type: 'string', nargs: 1, describe: 'Kept in the history' })
+    .command('failure-domain <name>', `${direction} a failure domain`, (own) => own
+      .positional('name', { type: 'string', describe: 'The failure domain' })
+      .example(`${verb} failure-domain klang-a --wait`, 'Wait until it is done'), handle(DrainKind.FailureDomain))
+    .command('region <name>', `${direction} a region`, (own) => own
+      .positional('name', { type: 'string', describe: 'The region' })
+      .example(`${verb} region klang --dry-run`, 'Check without changing anything'), handle(DrainKind.Region))
+    .command('place <service> <failure-domain>', `${direction} one service in one failure domain`, (own) => own
+      .positional('service', { type: 'string', describe: 'The service' })
+      .positional('failure-domain', { type: 'string', describe: 'The failure domain' })
+      .example(`${verb} place billing-svc klang-a`, 'Only this service, only there'), handle(DrainKind.Place))
+    .demandCommand(1, 'expected failure-domain, region or place')
+    .example(`${verb} failure-domain klang-a --wait`, 'Wait until it is done')
+    .example(`${verb} place billing-svc klang-a --json`, 'For scripts')
+}
+
+/**
+ * @param parser the parser to extend
+ * @param register notes the chosen command
+ */
+export function addDrainCommands (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command('drain', 'Take a failure domain, a region or a place out of use', (own) => addTargetCommands(own, DrainDirection.Drain, register))
+  parser.command('undrain', 'Take it back into use', (own) => addTargetCommands(own, DrainDirection.Undrain, register))
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/lookup.ts
@@ -0,0 +1,55 @@
+/** `umberspar lookup`: what a caller is told. */
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { Result } from '@umberspar/base/common/result'
+import { ExitCode } from '../../common/exitCode.js'
+import { formatLookup } from '../../common/fleetFormat.js'
+import { getOptionalIp, getOptionalText, getText, parseAddress } from '../commandArguments.js'
+import { printResult } from '../commandContext.js'
+import type { CommandContext, CommandRun, RegisterCommand } from '../commandContext.js'
+
+const LIVE_STATE = 'live'
+
+async function findCallersAddress (context: CommandContext): Promise<Result<string, StepError>> {
+  const fleet = await context.client.listFleet()
+  if (!fleet.ok) return fleet
+  const known = fleet.val.filter((node) => node.callersAddress !== '')
+  const chosen = known.find((node) => node.state === LIVE_STATE) ?? known[0]
+  if (chosen !== undefined) return Ok(chosen.callersAddress)
+  const message = 'the fleet names no callers\' listener; give --address'
+  return Err(new StepError({ code: ErrorCode.Unavailable, step: 'choose-entry', peer: 'local', message }))
+}
+
+function buildLookup (args: ParsedArguments): CommandRun {
+  const service = getText(args, 'service')
+  const named = getOptionalText(args, 'address')
+  const address = named === undefined ? undefined : parseAddress(named)
+  const clientAddress = getOptionalIp(args, 'client-address')
+  return async (context) => {
+    const peer: Result<string, StepError> = address === undefined ? await findCallersAddress(context) : Ok(address)
+    if (!peer.ok) return peer
+    const answer = await context.client.lookUp(peer.val, service, clientAddress)
+    if (!answer.ok) return answer
+    printResult(context, answer.val, () => formatLookup(answer.val))
+    return Ok(ExitCode.Ok)
+  }
+}
+
+/**
+ * @param parser the parser to extend
+ * @param register notes the chosen command
+ */
+export function addLookupCommand (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command(
+    'lookup',
+    'Show which entry VMs a caller of a service is sent to',
+    (own) => own
+      .option('service', { type: 'string', demandOption: true, nargs: 1, describe: 'The service' })
+      .option('address', { type: 'string', nargs: 1, describe: 'host:port of a callers\' listener; by default one of the fleet' })
+      .option('client-address', { type: 'string', nargs: 1, describe: 'Look up on behalf of this IP number; believed only if the daemon trusts this machine as a forwarder' })
+      .example('umberspar lookup --service billing-svc', 'Ask an entry VM of the fleet')
+      .example('umberspar lookup --service billing-svc --address 10.0.0.1:8080 --client-address 198.51.100.7', 'Ask one entry VM for one client'),
+    (args) => register(args, buildLookup(args), { needsDaemon: getOptionalText(args, 'address') === undefined })
+  )
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/report.ts
@@ -0,0 +1,55 @@
+/** `umberspar report`: reports over the whole fleet. */
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { Err, Ok } from '@umberspar/base/common/result'
+import { buildBurnDocument, decodeNodeBurn, formatBurn } from '../../common/burnFormat.js'
+import { ExitCode } from '../../common/exitCode.js'
+import { getOptionalText } from '../commandArguments.js'
+import { printResult } from '../commandContext.js'
+import type { CommandRun, RegisterCommand } from '../commandContext.js'
+import { listAnswers } from '../fleetQuery.js'
+
+/** How long one node may take to answer. */
+const NODE_LIMIT_MS = 3000
+const STEP = 'report-burn'
+
+function buildBurnRun (args: ParsedArguments): CommandRun {
+  const service = getOptionalText(args, 'service')
+  return async (context) => {
+    const { client } = context
+    const fleet = await client.listFleet()
+    if (!fleet.ok) return fleet
+    const answers = await listAnswers(fleet.val, async (node) => {
+      const until = createDeadline(client.getNow(), NODE_LIMIT_MS)
+      const burn = await client.readBurn(node.operatorAddress, until, decodeNodeBurn)
+      return burn.ok ? burn.val : undefined
+    })
+    const document = buildBurnDocument(answers.map(({ node, answer }) => ({ nodeId: node.nodeId, burn: answer })), service)
+    if (document.nodesAnswered === 0) {
+      const message = `none of the fleet's ${document.nodesAsked} nodes answered`
+      return Err(new StepError({ code: ErrorCode.Unavailable, step: STEP, peer: 'fleet', message }))
+    }
+    if (service !== undefined && document.services[service] === undefined) {
+      const message = `no node that answered knows a service '${service}'`
+      return Err(new StepError({ code: ErrorCode.NotFound, step: STEP, peer: 'fleet', message }))
+    }
+    printResult(context, document, () => formatBurn(document))
+    return Ok(ExitCode.Ok)
+  }
+}
+
+/**
+ * @param parser the parser to extend
+ * @param register notes the chosen command
+ */
+export function addReportCommands (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command('report', 'Reports over the whole fleet', (own) => own
+    .command('burn', 'Service-level burn: error rates against the objectives, error budget left', (burn) => burn
+      .option('service', { type: 'string', nargs: 1, describe: 'Only this service' })
+      .example('umberspar report burn', 'All services')
+      .example('umberspar report burn --service billing-svc --json', 'One service, for scripts'),
+    (args) => register(args, buildBurnRun(args)))
+    .demandCommand(1, 'expected burn')
+    .example('umberspar report burn', 'All services'))
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/status.ts
@@ -0,0 +1,29 @@
+/** `umberspar status`: the fleet as a daemon sees it. */
+import type { ArgumentParser } from 'yargs'
+import { Ok } from '@umberspar/base/common/result'
+import { ExitCode } from '../../common/exitCode.js'
+import { formatFleet } from '../../common/fleetFormat.js'
+import { printResult } from '../commandContext.js'
+import type { CommandRun, RegisterCommand } from '../commandContext.js'
+
+const runStatus: CommandRun = async (context) => {
+  const fleet = await context.client.listFleet()
+  if (!fleet.ok) return fleet
+  printResult(context, { nodes: fleet.val }, () => formatFleet(fleet.val))
+  return Ok(ExitCode.Ok)
+}
+
+/**
+ * @param parser the parser to extend
+ * @param register notes the chosen command
+ */
+export function addStatusCommand (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command(
+    'status',
+    'Show the entry VMs of the fleet',
+    (own) => own
+      .example('umberspar status --daemon 10.0.0.1:9100', 'Ask one daemon')
+      .example('umberspar status --json', 'The same for scripts'),
+    (args) => register(args, runStatus)
+  )
+}
--- /dev/null
+++ b/packages/cli/src/node/httpTransport.ts
@@ -0,0 +1,162 @@
+/** One HTTP call to one daemon by undici, with every way it can end told apart. */
+import { Agent, request } from 'undici'
+import type { IClock } from '@umberspar/base/common/clock'
+import { hasPassed } from '@umberspar/base/common/deadline'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import type { IClosable } from '@umberspar/base/common/closing'
+import { ErrorCode } from '@umberspar/base/common/errors'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { Result } from '@umberspar/base/common/result'
+import { OperatorError } from '../common/operatorError.js'
+import { decodeProblem } from '../common/operatorMessages.js'
+import type { OperatorProblem } from '../common/operatorMessages.js'
+
+/** Whether repeating a call can do harm. */
+export enum CallKind {
+  Read = 'read',
+  /** May change the configuration. */
+  Write = 'write'
+}
+
+/** One call. */
+export interface HttpCall {
+  readonly kind: CallKind
+  /** For errors, for example `read-configuration`. */
+  readonly step: string
+  /** `host:port` */
+  readonly peer: string
+  /** Path and query, beginning with `/`. */
+  readonly path: string
+  /** Sent as JSON; a call with a body is a POST. */
+  readonly body?: unknown
+  readonly headers?: Readonly<Record<string, string>>
+  readonly deadline: Deadline
+}
+
+/** How long a TCP connection may take before the next daemon is tried. */
+const CONNECT_LIMIT_MS = 3000
+/** An answer larger than this is refused, so that a wrong peer can't fill the memory. */
+const MAX_ANSWER_BYTES = 256 * 1024 * 1024
+const FIRST_ERROR_STATUS = 400
+const FIRST_SERVER_ERROR_STATUS = 500
+
+/** Errors that arise before a byte of the request can have left. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN', 'EADDRNOTAVAIL', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+const CODE_BY_STATUS: ReadonlyMap<number, ErrorCode> = new Map([
+  [400, ErrorCode.Invalid],
+  [401, ErrorCode.Refused],
+  [403, ErrorCode.Refused],
+  [404, ErrorCode.NotFound],
+  [409, ErrorCode.Conflict],
+  [422, ErrorCode.Invalid],
+  [429, ErrorCode.Unavailable]
+])
+
+/** The code for a lost answer: a read may be asked again, a write is settled first. */
+const CODE_OF_LOST_ANSWER: Readonly<Record<CallKind, ErrorCode>> = {
+  [CallKind.Read]: ErrorCode.Unavailable,
+  [CallKind.Write]: ErrorCode.EffectUnknown
+}
+
+/** The code for a call whose time ran out after it was handed to the socket. */
+const CODE_OF_TIMEOUT: Readonly<Record<CallKind, ErrorCode>> = {
+  [CallKind.Read]: ErrorCode.DeadlinePassed,
+  [CallKind.Write]: ErrorCode.EffectUnknown
+}
+
+function getErrorCode (failure: unknown): string {
+  if (!(failure instanceof Error)) return ''
+  // A host name with several addresses fails with one error for each of them.
+  const inner: unknown = failure instanceof AggregateError ? failure.errors[0] : failure
+  return inner instanceof Error && 'code' in inner ? String(inner.code) : ''
+}
+
+function classifyStatus (kind: CallKind, status: number, problem: OperatorProblem | undefined): ErrorCode {
+  const known = CODE_BY_STATUS.get(status)
+  if (known !== undefined) return known
+  if (status < FIRST_SERVER_ERROR_STATUS) return ErrorCode.Refused
+  // Only the daemon's explicit word excludes an effect of a write; a bare 5xx does not.
+  return problem?.outcome === 'not-run' ? ErrorCode.Unavailable : CODE_OF_LOST_ANSWER[kind]
+}
+
+function parseBody (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+/** Sends calls; owns the connections. */
+export class HttpTransport implements IClosable {
+  private readonly agent = new Agent({ connect: { timeout: CONNECT_LIMIT_MS }, maxResponseSize: MAX_ANSWER_BYTES })
+
+  constructor (private readonly clock: IClock) {}
+
+  /**
+   * @param call what to send
+   * @param decode gives undefined for an answer without the expected fields
+   * @returns the decoded answer. Errors: `Unavailable` had no effect, `EffectUnknown` may have had one
+   */
+  async call<T> (call: HttpCall, decode: (value: unknown) => T | undefined): Promise<Result<T, OperatorError>> {
+    if (hasPassed(call.deadline, this.clock.now())) {
+      return Err(new OperatorError({ code: ErrorCode.DeadlinePassed, step: call.step, peer: call.peer, message: 'no time left to ask' }))
+    }
+    const abort = new AbortController()
+    const timer = this.clock.schedule(call.deadline, () => abort.abort())
+    try {
+      const { status, text } = await this.send(call, abort.signal)
+      return this.decodeAnswer(call, status, text, decode)
+    } catch (failure) {
+      return Err(this.classifyFailure(call, failure, abort.signal.aborted))
+    } finally {
+      timer.close()
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async send (call: HttpCall, signal: AbortSignal): Promise<{ status: number, text: string }> {
+    const hasBody = call.body !== undefined
+    const answer = await request(`http://${call.peer}${call.path}`, {
+      dispatcher: this.agent,
+      method: hasBody ? 'POST' : 'GET',
+      headers: { accept: 'application/json', ...(hasBody ? { 'content-type': 'application/json' } : {}), ...call.headers },
+      body: hasBody ? JSON.stringify(call.body) : null,
+      signal
+    })
+    return { status: answer.statusCode, text: await answer.body.text() }
+  }
+
+  private decodeAnswer<T> (call: HttpCall, status: number, text: string, decode: (value: unknown) => T | undefined): Result<T, OperatorError> {
+    const { step, peer } = call
+    const value = parseBody(text)
+    if (status >= FIRST_ERROR_STATUS) {
+      const problem = decodeProblem(value)
+      const code = classifyStatus(call.kind, status, problem)
+      const reason = [problem?.title, problem?.detail].filter((part) => part !== undefined && part !== '').join(': ')
+      const message = reason === '' ? `the daemon answered with status ${status}` : reason
+      return Err(new OperatorError({ code, step, peer, message }, problem))
+    }
+    const decoded = decode(value)
+    if (decoded !== undefined) return Ok(decoded)
+    const code = call.kind === CallKind.Write ? ErrorCode.EffectUnknown : ErrorCode.Internal
+    return Err(new OperatorError({ code, step, peer, message: 'the answer lacks fields that this client needs' }))
+  }
+
+  private classifyFailure (call: HttpCall, failure: unknown, isTimedOut: boolean): OperatorError {
+    const { step, peer, kind } = call
+    if (isTimedOut) {
+      return new OperatorError({ code: CODE_OF_TIMEOUT[kind], step, peer, message: 'no answer in time', cause: failure })
+    }
+    const errorCode = getErrorCode(failure)
+    const reason = failure instanceof Error && failure.message !== '' ? failure.message : errorCode
+    const code = NOT_SENT_CODES.has(errorCode) ? ErrorCode.Unavailable : CODE_OF_LOST_ANSWER[kind]
+    return new OperatorError({ code, step, peer, message: reason, cause: failure })
+  }
+}
--- /dev/null
+++ b/packages/cli/src/node/runCli.ts
@@ -0,0 +1,133 @@
+/** One run of the client: arguments in, exit code out. */
+import createParser from 'yargs'
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { StepError, toStepError } from '@umberspar/base/common/errors'
+import { ExitCode, getExitCode } from '../common/exitCode.js'
+import { buildErrorDocument, formatError, USAGE_CODE } from '../common/errorFormat.js'
+import { UsageError } from '../common/operatorError.js'
+import { addConfigCommands } from './commands/config.js'
+import { addDrainCommands } from './commands/drain.js'
+import { addLookupCommand } from './commands/lookup.js'
+import { addReportCommands } from './commands/report.js'
+import { addStatusCommand } from './commands/status.js'
+import { addGlobalOptions, DAEMONS_VARIABLE, readGlobalOptions } from './commandArguments.js'
+import type { GlobalOptions } from './commandArguments.js'
+import type { CliIo } from './cliIo.js'
+import type { CommandRun, CommandSettings, RegisterCommand } from './commandContext.js'
+import { OperatorClient } from './operatorClient.js'
+
+/** The version that `--version` prints. */
+const CLIENT_VERSION = '0.1.0'
+const HELP_COLUMNS = 100
+const DEFAULT_LIMIT_SECONDS = 10
+const DEFAULT_WAITING_LIMIT_SECONDS = 600
+const MS_PER_SECOND = 1000
+
+/** The command that the arguments chose. */
+interface ChosenCommand {
+  readonly run: CommandRun
+  readonly settings: CommandSettings
+  readonly options: GlobalOptions
+}
+
+/** What parsing gave: a command, or text (help, version, completion script). */
+interface ParsedLine {
+  readonly chosen: ChosenCommand | undefined
+  readonly output: string
+}
+
+function buildParser (argv: readonly string[], register: RegisterCommand): ArgumentParser {
+  const parser = addGlobalOptions(createParser(argv))
+    .scriptName('umberspar')
+    .usage('umberspar COMMAND\n\nOperates a fleet of umberspard daemons.')
+    // Steering names contain hyphens and JSON paths contain dots: both stay as written.
+    .parserConfiguration({ 'camel-case-expansion': false, 'dot-notation': false, 'parse-positional-numbers': false })
+    .detectLocale(false)
+    .wrap(HELP_COLUMNS)
+    .exitProcess(false)
+    .fail(false)
+    .strict()
+    .help()
+    .version(CLIENT_VERSION)
+    .demandCommand(1, 'expected a command')
+    .completion('completion', 'Print a completion script for the shell')
+    .example('umberspar status --daemon 10.0.0.1:9100', 'Show the fleet')
+    .example('umberspar completion >> ~/.bashrc', 'Complete commands by the tabulator key')
+  addConfigCommands(parser, register)
+  addDrainCommands(parser, register)
+  addStatusCommand(parser, register)
+  addLookupCommand(parser, register)
+  addReportCommands(parser, register)
+  return parser
+}
+
+async function parseLine (argv: readonly string[], io: CliIo): Promise<ParsedLine> {
+  let chosen: ChosenCommand | undefined
+  let output = ''
+  const register: RegisterCommand = (args: ParsedArguments, run, settings = {}) => {
+    chosen = { run, settings, options: readGlobalOptions(args, io.environment) }
+  }
+  let failure: Error | null = null
+  // For completions yargs calls back once for each level of commands; the last call holds the text.
+  await buildParser(argv, register).parse(argv, {}, (error, _args, text) => {
+    failure = error ?? null
+    output = text
+  })
+  if (failure !== null) throw failure
+  return { chosen, output }
+}
+
+function computeLimitSeconds (chosen: ChosenCommand): number {
+  const byCommand = chosen.settings.isWaiting === true ? DEFAULT_WAITING_LIMIT_SECONDS : DEFAULT_LIMIT_SECONDS
+  return chosen.options.limitSeconds ?? byCommand
+}
+
+function printFailure (io: CliIo, isJson: boolean, error: StepError): ExitCode {
+  const exitCode = getExitCode(error.code)
+  io.terminal.printError(isJson ? JSON.stringify({ error: buildErrorDocument(error, exitCode) }, null, 2) : formatError(error))
+  return exitCode
+}
+
+function printUsageFailure (io: CliIo, isJson: boolean, message: string): ExitCode {
+  const error = { code: USAGE_CODE, exitCode: ExitCode.Usage, step: 'parse-arguments', peer: 'local', message }
+  const text = `umberspar: ${message} (step ${error.step}, peer ${error.peer})\nSee: umberspar --help`
+  io.terminal.printError(isJson ? JSON.stringify({ error }, null, 2) : text)
+  return ExitCode.Usage
+}
+
+async function runCommand (chosen: ChosenCommand, io: CliIo): Promise<ExitCode> {
+  const { daemons, isJson } = chosen.options
+  if (daemons.length === 0 && chosen.settings.needsDaemon !== false) {
+    return printUsageFailure(io, isJson, `no daemon named: give --daemon host:port or set ${DAEMONS_VARIABLE}`)
+  }
+  const deadline = createDeadline(io.clock.now(), computeLimitSeconds(chosen) * MS_PER_SECOND)
+  const client = new OperatorClient(daemons, io.clock, deadline)
+  try {
+    const result = await chosen.run({ io, isJson, client })
+    return result.ok ? result.val : printFailure(io, isJson, result.val)
+  } catch (thrown) {
+    if (thrown instanceof UsageError) return printUsageFailure(io, isJson, thrown.message)
+    return printFailure(io, isJson, toStepError(thrown, 'run-command', 'local'))
+  } finally {
+    await client.close()
+  }
+}
+
+/**
+ * Runs one command line within this process.
+ * @param argv the arguments after the program's name
+ * @param io the surroundings
+ * @returns how the process should end
+ */
+export async function runCli (argv: readonly string[], io: CliIo): Promise<ExitCode> {
+  let line: ParsedLine
+  try {
+    line = await parseLine(argv, io)
+  } catch (thrown) {
+    return printUsageFailure(io, argv.includes('--json'), thrown instanceof Error ? thrown.message : String(thrown))
+  }
+  if (line.chosen !== undefined) return await runCommand(line.chosen, io)
+  if (line.output !== '') io.terminal.print(line.output)
+  return ExitCode.Ok
+}
--- /dev/null
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -0,0 +1,174 @@
+/** Handles `ANY /v1/services/S/...`: the caller's request, streamed both ways. */
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { IClock } from '@umberspar/base/common/clock'
+import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
+import type { IMetrics } from '@umberspar/base/common/metrics'
+import { removeHopByHop } from '@umberspar/steering/common/request/headers'
+import { findRoute, isIdempotent } from '@umberspar/steering/common/request/route'
+import { Outcome } from '@umberspar/steering/common/state/outcome'
+import type { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { pipeline } from 'node:stream/promises'
+import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
+import { type RequestBody, readBody } from '../request/requestBody.js'
+import type { RequestContext } from '../request/requestContext.js'
+import type { RequestRunner, RunningAnswer } from '../request/requestRunner.js'
+import type { ClientRegions } from './clientRegions.js'
+import { answerProblem } from './problem.js'
+
+const SERVICES_PREFIX = '/v1/services/'
+const SERVER_ERROR = 500
+
+/** What the handler works with. */
+export interface RequestHandlerParts {
+  readonly keeper: ConfigurationKeeper
+  readonly runner: RequestRunner
+  readonly regions: ClientRegions
+  readonly burn: BurnCounter
+  readonly clock: IClock
+  readonly logger: ILogger
+  readonly metrics: IMetrics
+}
+
+/** Where a request goes, read from its URL. */
+interface Target {
+  readonly service: string
+  readonly path: string
+}
+
+/** Turns HTTP requests into runs and runs into HTTP answers. */
+export class RequestHandler {
+  private open = 0
+
+  constructor (private readonly parts: RequestHandlerParts) {}
+
+  /** @returns requests that are being served now */
+  get inFlight (): number {
+    return this.open
+  }
+
+  /**
+   * Serves one request to its end.
+   * @param request the caller's request
+   * @param response its response
+   */
+  async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const startedAt = this.parts.clock.now()
+    const requestId = getHeader(request, 'umberspar-request-id') ?? randomUUID()
+    const gone = new AbortController()
+    response.once('close', () => { if (!response.writableFinished) gone.abort() })
+    const context = this.createContext(request, requestId, gone.signal)
+    if (context instanceof StepError) {
+      answerProblem(response, context, Outcome.NotRun, requestId)
+      return
+    }
+    this.open++
+    try {
+      const isGood = await this.serve(context, request, response)
+      this.record(context, isGood, startedAt)
+    } finally {
+      this.open--
+    }
+  }
+
+  private async serve (context: RequestContext, request: IncomingMessage, response: ServerResponse): Promise<boolean> {
+    let body: RequestBody
+    try {
+      body = await readBody(request)
+    } catch (cause) {
+      const error = new StepError({ code: ErrorCode.Cancelled, step: 'read-body', peer: request.socket.remoteAddress ?? 'caller', message: 'the caller broke off', cause })
+      answerProblem(response, error, Outcome.NotRun, context.requestId)
+      return true
+    }
+    const headers = removeHopByHop(request.headers)
+    delete headers.host
+    const ran = await this.parts.runner.run(context, headers, body)
+    if (ran.ok) return await this.answer(context, ran.val, response)
+    const { error, outcome } = ran.val
+    this.parts.logger.log(LogLevel.Warn, { step: error.step, peer: error.peer, code: error.code, outcome, requestId: context.requestId, service: context.service }, error.message)
+    this.parts.metrics.count('request.failed', 1, { service: context.service, outcome, code: error.code })
+    answerProblem(response, error, outcome, context.requestId)
+    return error.code === ErrorCode.Cancelled
+  }
+
+  private async answer (context: RequestContext, running: RunningAnswer, response: ServerResponse): Promise<boolean> {
+    const { status, headers, body } = running.response
+    response.statusCode = status
+    for (const [name, value] of Object.entries(removeHopByHop(headers))) response.setHeader(name, value)
+    try {
+      await pipeline(body, response)
+      running.finish(true)
+      return status < SERVER_ERROR
+    } catch (cause) {
+      // The upstream's body ended early or the caller left. pipeline has
+      // destroyed the response, so the caller sees a broken connection and never
+      // a short answer that looks whole.
+      response.destroy()
+      running.finish(context.signal.aborted)
+      this.parts.logger.log(LogLevel.Warn, { step: 'pipe-answer', peer: running.workerId, requestId: context.requestId }, cause instanceof Error ? cause.message : 'the answer broke off')
+      return context.signal.aborted
+    }
+  }
+
+  private createContext (request: IncomingMessage, requestId: string, signal: AbortSignal): RequestContext | StepError {
+    const current = this.parts.keeper.current
+    if (current === undefined) return createLocalError(ErrorCode.Unavailable, 'no configuration is in force yet')
+    const target = parseTarget(request.url ?? '/')
+    const settings = target === undefined ? undefined : current.body.services[target.service]
+    if (target === undefined || settings === undefined) return createLocalError(ErrorCode.NotFound, `no service stands behind ${request.url}`)
+    const spanMs = parseSpan(getHeader(request, 'umberspar-timeout-ms'), settings.answerWithinMs)
+    if (spanMs === undefined) return createLocalError(ErrorCode.Invalid, 'umberspar-timeout-ms: expected a whole number of milliseconds above 0')
+    const method = request.method ?? 'GET'
+    const route = findRoute(settings, target.path)
+    return {
+      requestId,
+      service: target.service,
+      settings,
+      route,
+      isIdempotent: isIdempotent(route, method),
+      method,
+      path: target.path,
+      clientRegion: this.parts.regions.find(request),
+      deadline: createDeadline(this.parts.clock.now(), spanMs),
+      signal
+    }
+  }
+
+  private record (context: RequestContext, isServed: boolean, startedAt: number): void {
+    const now = this.parts.clock.now()
+    const elapsed = now - startedAt
+    const isGood = isServed && elapsed <= context.settings.objective.latencyMs
+    this.parts.burn.record(context.service, isGood, now)
+    this.parts.metrics.observe('request.latency', elapsed, { service: context.service })
+  }
+}
+
+/**
+ * @param url path and query of a request
+ * @returns the service and what stands below it, or undefined
+ */
+export function parseTarget (url: string): Target | undefined {
+  if (!url.startsWith(SERVICES_PREFIX)) return undefined
+  const rest = url.slice(SERVICES_PREFIX.length)
+  const end = rest.search(/[/?]/)
+  const service = end === -1 ? rest : rest.slice(0, end)
+  const below = end === -1 ? '' : rest.slice(end)
+  return { service, path: below.startsWith('/') ? below : `/${below}` }
+}
+
+function parseSpan (text: string | undefined, otherwise: number): number | undefined {
+  if (text === undefined) return otherwise
+  const span = Number(text)
+  return Number.isInteger(span) && span > 0 ? span : undefined
+}
+
+function getHeader (request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+function createLocalError (code: ErrorCode, message: string): StepError {
+  return new StepError({ code, step: 'accept-request', peer: 'local', message })
+}
--- /dev/null
+++ b/packages/daemon/src/node/daemon.ts
@@ -0,0 +1,192 @@
+/** One `umberspard`: puts its parts together, starts them, and stops them in order. */
+import type { IClock } from '@umberspar/base/common/clock'
+import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import type { StepError } from '@umberspar/base/common/errors'
+import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
+import { type IMetrics, NULL_METRICS } from '@umberspar/base/common/metrics'
+import type { IRandomSource } from '@umberspar/base/common/random'
+import { Ok, type Result } from '@umberspar/base/common/result'
+import { SystemClock } from '@umberspar/base/node/systemClock'
+import { createSystemRandom } from '@umberspar/base/node/systemRandom'
+import { StatsdMetrics } from '@umberspar/platform/node/metrics/statsdMetrics'
+import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import { createDigester } from '@umberspar/steering/common/configuration/canonicalJson'
+import { LookupIndex, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
+import { VmState } from '@umberspar/steering/common/ports/vmList'
+import { createDaemonParts, type DaemonParts } from './daemonParts.js'
+import { buildViews } from './operators/operatorViews.js'
+import { buildOperatorApp } from './operators/operatorServer.js'
+import { HttpListener, splitAddress } from './httpListener.js'
+import { buildCallerApp } from './callers/callerServer.js'
+
+const DRAIN_POLL_MS = 20
+/** Callers may hold a look-up for its lifetime; the stop waits so much longer. */
+const LOOKUP_GRACE_MS = 500
+const MAX_STOP_SPAN_MS = 600_000
+
+/** What a daemon takes from outside. */
+export interface DaemonDependencies {
+  readonly logger: ILogger
+  readonly clock?: IClock
+  readonly random?: IRandomSource
+}
+
+/** Addresses on which a daemon listens. */
+export interface DaemonAddresses {
+  readonly callers: string
+  readonly peers: string
+  readonly operators: string
+}
+
+/** A running daemon. */
+export class Daemon implements IClosable {
+  private readonly owned = new CloseStack()
+  private parts: DaemonParts | undefined
+  private callers: HttpListener | undefined
+  private listening: DaemonAddresses | undefined
+  private stopping: Promise<void> | undefined
+
+  constructor (
+    private readonly settings: DaemonSettings,
+    private readonly logger: ILogger,
+    private readonly clock: IClock,
+    private readonly random: IRandomSource
+  ) {}
+
+  /** @returns where it listens, once started */
+  get addresses (): DaemonAddresses | undefined {
+    return this.listening
+  }
+
+  /** @returns whether it has a configuration and serves callers */
+  isReady (): boolean {
+    return this.parts?.keeper.current !== undefined && this.parts.peerService.state === NodeState.Live
+  }
+
+  /**
+   * Opens the listeners, then learns members and configuration. It listens
+   * before it is ready: probes and operators can see why it is not.
+   * @returns once it listens and has asked the platform for the first time
+   */
+  async start (): Promise<Result<void, StepError>> {
+    const digester = await createDigester()
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random }, this.owned)
+    this.parts = parts
+    parts.keeper.onDidAdopt(() => this.applyState())
+    parts.members.onDidChange(() => this.applyState())
+    const opened = await this.openListeners(parts)
+    if (!opened.ok) {
+      await this.close()
+      return opened
+    }
+    await parts.members.start()
+    await parts.watcher.start()
+    await parts.heartbeats.start()
+    parts.prober.start()
+    this.applyState()
+    return new Ok(undefined)
+  }
+
+  /**
+   * Stops without harm to callers: out of look-ups first, then it serves until
+   * cached look-ups have run out and the last open request has ended.
+   */
+  stop (): Promise<void> {
+    this.stopping ??= this.runStop()
+    return this.stopping
+  }
+
+  /** Ends everything at once, open requests too. */
+  async close (): Promise<void> {
+    await this.owned.close()
+  }
+
+  private async runStop (): Promise<void> {
+    const parts = this.parts
+    if (parts === undefined) return
+    this.logger.log(LogLevel.Info, { step: 'stop', inFlight: parts.requests.inFlight }, 'leaving')
+    parts.peerService.state = NodeState.Leaving
+    this.applyState()
+    await parts.heartbeats.sendRound()
+    const cacheForMs = parts.keeper.current?.body.lookupCacheMs ?? 0
+    await this.waitUntil(createDeadline(this.clock.now(), cacheForMs + LOOKUP_GRACE_MS), () => false)
+    this.callers?.stop()
+    await this.waitUntil(createDeadline(this.clock.now(), MAX_STOP_SPAN_MS), () => parts.requests.inFlight === 0)
+    await this.close()
+    this.logger.log(LogLevel.Info, { step: 'stop' }, 'stopped')
+  }
+
+  private async waitUntil (deadline: Deadline, isDone: () => boolean): Promise<void> {
+    while (!isDone() && !hasPassed(deadline, this.clock.now())) {
+      const next = Math.min(deadline, createDeadline(this.clock.now(), DRAIN_POLL_MS))
+      await new Promise<void>((resolve) => { this.clock.schedule(next, resolve) })
+    }
+  }
+
+  private createMetrics (): IMetrics {
+    const { statsd } = this.settings
+    if (statsd === undefined) return NULL_METRICS
+    return new StatsdMetrics({ ...statsd, tags: { node: this.settings.nodeId }, logger: this.logger })
+  }
+
+  private async openListeners (parts: DaemonParts): Promise<Result<void, StepError>> {
+    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests)))
+    this.callers = callers
+    const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
+    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never))
+    const peerAddress = await parts.peerServer.listen()
+    if (!peerAddress.ok) return peerAddress
+    const operatorAddress = await operators.listen(this.settings.operators.address)
+    if (!operatorAddress.ok) return operatorAddress
+    const callerAddress = await callers.listen(this.settings.callers.address)
+    if (!callerAddress.ok) return callerAddress
+    this.listening = { callers: callerAddress.val, peers: `${splitAddress(this.settings.peers.address).host}:${peerAddress.val}`, operators: operatorAddress.val }
+    this.logger.log(LogLevel.Info, { step: 'listen', ...this.listening }, 'listening')
+    return new Ok(undefined)
+  }
+
+  /** Brings look-ups, places, plans and probes in line with what is in force now. */
+  private applyState (): void {
+    const parts = this.parts
+    const current = parts?.keeper.current
+    if (parts === undefined || current === undefined) return
+    if (parts.peerService.state === NodeState.Joining) parts.peerService.state = NodeState.Live
+    const nodes = this.listNodes(parts)
+    const roster = nodes.map((node) => ({ ...node, state: NodeState.Live }))
+    const workers = parts.places.update(current.body, roster)
+    parts.transport.setWorkers(workers.map(({ address, connections }) => ({ address, connections })))
+    parts.prober.update(workers, nodes.map((node) => node.nodeId))
+    parts.plans.update(current.body)
+    parts.regions.update(current.body)
+    parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
+  }
+
+  private listNodes (parts: DaemonParts): LookupNode[] {
+    const now = this.clock.now()
+    return parts.members.list().map((member) => ({
+      nodeId: member.vm.vmId,
+      region: member.vm.region,
+      failureDomain: member.vm.failureDomain,
+      address: member.vm.address,
+      state: this.getNodeState(parts, member.vm.vmId, parts.members.canServe(member, now), member.vm.state)
+    }))
+  }
+
+  private getNodeState (parts: DaemonParts, vmId: string, canServe: boolean, listed: VmState): NodeState {
+    const isSelfLeaving = vmId === this.settings.nodeId && parts.peerService.state === NodeState.Leaving
+    if (isSelfLeaving || listed === VmState.Leaving) return NodeState.Leaving
+    return canServe ? NodeState.Live : NodeState.Joining
+  }
+}
+
+/**
+ * @param settings checked settings
+ * @param dependencies logger, and clock and randomness for tests
+ * @returns a daemon that is not started yet
+ */
+export function createDaemon (settings: DaemonSettings, dependencies: DaemonDependencies): Daemon {
+  const logger = dependencies.logger.createChild({ node: settings.nodeId })
+  return new Daemon(settings, logger, dependencies.clock ?? new SystemClock(), dependencies.random ?? createSystemRandom())
+}
--- /dev/null
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -0,0 +1,112 @@
+/** Creates the parts of a daemon and hands their ownership to one stack. */
+import type { IClock } from '@umberspar/base/common/clock'
+import type { CloseStack } from '@umberspar/base/common/closing'
+import type { ILogger } from '@umberspar/base/common/logger'
+import type { IMetrics } from '@umberspar/base/common/metrics'
+import type { IRandomSource } from '@umberspar/base/common/random'
+import { PeerClient } from '@umberspar/platform/node/peers/peerClient'
+import { PeerServer } from '@umberspar/platform/node/peers/peerServer'
+import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import { createEtcdStore } from '@umberspar/platform/node/store/etcdStore'
+import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
+import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
+import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
+import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
+import { ClientRegions } from './callers/clientRegions.js'
+import { LookupHandler } from './callers/lookupHandler.js'
+import { RequestHandler } from './callers/requestHandler.js'
+import { ConfigurationKeeper } from './configuration/configurationKeeper.js'
+import { ConfigurationStore } from './configuration/configurationStore.js'
+import { ConfigurationWatcher } from './configuration/configurationWatcher.js'
+import { PatchService } from './configuration/patchService.js'
+import { MemberDirectory } from './members/memberDirectory.js'
+import { Heartbeats } from './peers/heartbeats.js'
+import { PeerService } from './peers/peerService.js'
+import { PlaceDirectory } from './places/placeDirectory.js'
+import { PlanKeeper } from './places/planKeeper.js'
+import { WorkerProber } from './places/workerProber.js'
+import { RequestRunner } from './request/requestRunner.js'
+
+/** What the parts are made from. */
+export interface PartInputs {
+  readonly settings: DaemonSettings
+  readonly digester: Digester
+  readonly logger: ILogger
+  readonly metrics: IMetrics
+  readonly clock: IClock
+  readonly random: IRandomSource
+}
+
+/** The parts of one daemon. */
+export interface DaemonParts {
+  readonly keeper: ConfigurationKeeper
+  readonly configurations: ConfigurationStore
+  readonly watcher: ConfigurationWatcher
+  readonly patches: PatchService
+  readonly members: MemberDirectory
+  readonly peerService: PeerService
+  readonly peerServer: PeerServer
+  readonly heartbeats: Heartbeats
+  readonly places: PlaceDirectory
+  readonly plans: PlanKeeper
+  readonly prober: WorkerProber
+  readonly transport: UndiciTransport
+  readonly regions: ClientRegions
+  readonly burn: BurnCounter
+  readonly lookups: LookupHandler
+  readonly requests: RequestHandler
+}
+
+/**
+ * @param inputs settings and ports
+ * @param owned closes the parts, the last created first
+ * @returns the parts, nothing started yet
+ */
+export function createDaemonParts (inputs: PartInputs, owned: CloseStack): DaemonParts {
+  const control = createControlParts(inputs, owned)
+  const traffic = createTrafficParts(inputs, owned)
+  const peers = createPeerParts(inputs, control, traffic, owned)
+  const burn = new BurnCounter()
+  const regions = new ClientRegions(inputs.settings.trustedForwarders, inputs.settings.region)
+  const { clock, logger, metrics, random, settings } = inputs
+  const runner = new RequestRunner(settings.nodeId, traffic.transport, traffic.places, traffic.plans, clock, random)
+  const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, clock, logger, metrics })
+  return { ...control, ...traffic, ...peers, burn, regions, lookups: new LookupHandler(regions), requests }
+}
+
+type ControlParts = Pick<DaemonParts, 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
+type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
+type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats'>
+
+function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
+  const { settings, digester, logger, metrics, clock, random } = inputs
+  owned.add(metrics)
+  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics }))
+  const keeper = owned.add(new ConfigurationKeeper(digester, logger))
+  const configurations = new ConfigurationStore(store, settings.store.keyPrefix)
+  const watcher = owned.add(new ConfigurationWatcher(store, configurations, keeper, clock, random, logger))
+  const patches = new PatchService(configurations, keeper, digester, clock, logger)
+  const vmList = owned.add(new HttpVmList({ url: settings.vmList.url, clock }))
+  const members = owned.add(new MemberDirectory(vmList, settings.nodeId, clock, random, logger))
+  return { keeper, configurations, watcher, patches, members }
+}
+
+function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
+  const { settings, clock, random, logger } = inputs
+  const transport = owned.add(new UndiciTransport({ clock }))
+  const places = owned.add(new PlaceDirectory(settings.nodeId, clock, random))
+  const plans = owned.add(new PlanKeeper(clock))
+  const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
+  return { places, plans, prober, transport }
+}
+
+function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, owned: CloseStack): PeerParts {
+  const { settings, clock, random, logger } = inputs
+  const { nodeId, region, failureDomain } = settings
+  const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, clock)
+  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
+  const client = owned.add(new PeerClient({ clock }))
+  const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, clock, random, logger))
+  return { peerService, peerServer, heartbeats }
+}
--- /dev/null
+++ b/packages/daemon/src/node/operators/operatorServer.ts
@@ -0,0 +1,158 @@
+/** The operators' listener: health, status, configuration, drains and burn counts, all JSON. */
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import polka, { type Polka } from 'polka'
+import { z } from 'zod'
+import type { PatchFailure, PatchService } from '../configuration/patchService.js'
+import { REFUSAL_STATUS } from '../configuration/patchService.js'
+
+/** A patch is at most as large as a configuration; more is refused unread. */
+const MAX_BODY_BYTES = 32 * 1024 * 1024
+
+const patchSchema = z.strictObject({
+  baseVersion: z.number().int().min(0),
+  changeId: z.string().min(1).max(128),
+  patch: z.unknown(),
+  note: z.string().max(1000).default('')
+})
+const validateSchema = z.strictObject({ baseVersion: z.number().int().min(0), patch: z.unknown() })
+
+/** What the listener shows; each call answers with what is so now. */
+export interface OperatorViews {
+  isReady(): { isReady: boolean, reason: string }
+  getStatus(): object
+  getFleet(): object
+  getConfiguration(): object | undefined
+  listHistory(): Promise<object | StepError>
+  readVersion(version: number): Promise<object | StepError>
+  listDrains(): object
+  getBurn(): object
+}
+
+const STATUS_BY_CODE: Readonly<Partial<Record<ErrorCode, number>>> = {
+  [ErrorCode.Invalid]: 400,
+  [ErrorCode.NotFound]: 404,
+  [ErrorCode.Conflict]: 409,
+  [ErrorCode.EffectUnknown]: 504,
+  [ErrorCode.Internal]: 500
+}
+const DEFAULT_ERROR_STATUS = 503
+
+/**
+ * Builds the operators' routes.
+ * @param views what to show
+ * @param patches who applies patches
+ * @returns an application to put on a listener
+ */
+export function buildOperatorApp (views: OperatorViews, patches: PatchService): Polka {
+  const app = polka({ onError: (error, _request, response) => answerError(response as ServerResponse, toInternal(error)) })
+  app.get('/healthz', (_request, response) => answerJson(response, 200, { status: 'ok' }))
+  app.get('/readyz', (_request, response) => {
+    const ready = views.isReady()
+    answerJson(response, ready.isReady ? 200 : 503, ready)
+  })
+  app.get('/v1/status', (_request, response) => answerJson(response, 200, views.getStatus()))
+  app.get('/v1/fleet', (_request, response) => answerJson(response, 200, views.getFleet()))
+  app.get('/v1/drains', (_request, response) => answerJson(response, 200, views.listDrains()))
+  app.get('/v1/burn', (_request, response) => answerJson(response, 200, views.getBurn()))
+  addConfigurationRoutes(app, views, patches)
+  return app
+}
+
+function addConfigurationRoutes (app: Polka, views: OperatorViews, patches: PatchService): void {
+  app.get('/v1/config', (_request, response) => {
+    const current = views.getConfiguration()
+    if (current !== undefined) answerJson(response, 200, current)
+    else answerError(response, createError(ErrorCode.Unavailable, 'no configuration is in force yet'))
+  })
+  app.get('/v1/config/history', async (_request, response) => answerResult(response, await views.listHistory()))
+  app.get('/v1/config/versions/:version', async (request, response) => {
+    const version = Number(request.params.version)
+    if (!Number.isInteger(version)) answerError(response, createError(ErrorCode.Invalid, 'expected a whole number as version'))
+    else answerResult(response, await views.readVersion(version))
+  })
+  app.post('/v1/config/validate', async (request, response) => {
+    const input = await readJson(request, validateSchema)
+    if (input instanceof StepError) {
+      answerError(response, input)
+      return
+    }
+    const checked = await patches.validate(input)
+    if (checked.ok) answerJson(response, 200, { valid: true, problems: [] })
+    else answerFailure(response, checked.val, input.baseVersion)
+  })
+  app.post('/v1/config/patches', async (request, response) => {
+    const input = await readJson(request, patchSchema)
+    if (input instanceof StepError) {
+      answerError(response, input)
+      return
+    }
+    const patched = await patches.patch(input)
+    if (patched.ok) answerJson(response, 200, { head: patched.val })
+    else answerFailure(response, patched.val, input.baseVersion)
+  })
+}
+
+function answerFailure (response: ServerResponse, failure: PatchFailure, baseVersion: number): void {
+  if (failure.kind === 'failed') {
+    answerError(response, failure.error)
+    return
+  }
+  const { refusal, currentVersion } = failure
+  const status = REFUSAL_STATUS[refusal.kind]
+  answerProblemJson(response, status, { title: refusal.kind, detail: refusal.message, step: 'patch-configuration', peer: 'local', outcome: 'not-run', baseVersion, currentVersion, conflictingPaths: refusal.conflictingPaths, problems: refusal.problems })
+}
+
+function answerResult (response: ServerResponse, result: object | StepError): void {
+  if (result instanceof StepError) answerError(response, result)
+  else answerJson(response, 200, result)
+}
+
+function answerError (response: ServerResponse, error: StepError): void {
+  const status = STATUS_BY_CODE[error.code] ?? DEFAULT_ERROR_STATUS
+  const outcome = error.code === ErrorCode.EffectUnknown ? 'unknown' : 'not-run'
+  answerProblemJson(response, status, { title: error.code, detail: error.message, step: error.step, peer: error.peer, outcome })
+}
+
+function answerProblemJson (response: ServerResponse, status: number, fields: object): void {
+  writeBody(response, status, 'application/problem+json', { type: 'about:blank', status, ...fields })
+}
+
+function answerJson (response: ServerResponse, status: number, body: object): void {
+  writeBody(response, status, 'application/json', body)
+}
+
+function writeBody (response: ServerResponse, status: number, contentType: string, body: object): void {
+  const text = JSON.stringify(body)
+  response.statusCode = status
+  response.setHeader('Content-Type', contentType)
+  response.setHeader('Content-Length', Buffer.byteLength(text))
+  response.end(text)
+}
+
+async function readJson<T> (request: IncomingMessage, schema: z.ZodType<T>): Promise<T | StepError> {
+  const parts: Buffer[] = []
+  let length = 0
+  for await (const part of request) {
+    length += (part as Buffer).length
+    if (length > MAX_BODY_BYTES) return createError(ErrorCode.Invalid, 'the body is too large')
+    parts.push(part as Buffer)
+  }
+  try {
+    const parsed = schema.safeParse(JSON.parse(Buffer.concat(parts).toString('utf8')))
+    if (parsed.success) return parsed.data
+    const problems = parsed.error.issues.map((issue) => `${issue.path.join('.') || '(body)'}: ${issue.message}`)
+    return createError(ErrorCode.Invalid, problems.join('; '))
+  } catch (cause) {
+    return createError(ErrorCode.Invalid, cause instanceof Error ? cause.message : String(cause))
+  }
+}
+
+function createError (code: ErrorCode, message: string): StepError {
+  return new StepError({ code, step: 'answer-operator', peer: 'local', message })
+}
+
+function toInternal (thrown: unknown): StepError {
+  const message = thrown instanceof Error ? thrown.message : String(thrown)
+  return createError(ErrorCode.Internal, message)
+}
--- /dev/null
+++ b/packages/daemon/src/node/operators/operatorViews.ts
@@ -0,0 +1,94 @@
+/** What the operators' listener shows, read from the daemon's parts. */
+import type { IClock, Instant } from '@umberspar/base/common/clock'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
+import type { DaemonParts } from '../daemonParts.js'
+import { computeMemberState, type Member } from '../members/memberDirectory.js'
+import { listDrains } from './drainStatus.js'
+import type { OperatorViews } from './operatorServer.js'
+
+const READ_SPAN_MS = 3000
+
+/**
+ * @param settings this daemon's settings
+ * @param parts its parts
+ * @param clock the time
+ * @returns the views of the operators' listener
+ */
+export function buildViews (settings: DaemonSettings, parts: DaemonParts, clock: IClock): OperatorViews {
+  const createReadDeadline = (): number => createDeadline(clock.now(), READ_SPAN_MS)
+  return {
+    isReady: () => getReadiness(parts),
+    getStatus: () => getStatus(settings, parts),
+    getFleet: () => ({ nodes: parts.members.list().map((member) => getFleetNode(settings, parts, member, clock.now())) }),
+    getConfiguration: () => parts.keeper.current,
+    listHistory: async () => {
+      const history = await parts.configurations.listHistory(createReadDeadline())
+      return history.ok ? { entries: history.val } : history.val
+    },
+    readVersion: (version) => readVersion(parts, version, createReadDeadline()),
+    listDrains: () => {
+      const current = parts.keeper.current
+      return { drains: current === undefined ? [] : listDrains(current.body, parts.places, parts.plans) }
+    },
+    getBurn: () => getBurn(parts, clock)
+  }
+}
+
+function getReadiness (parts: DaemonParts): { isReady: boolean, reason: string } {
+  if (parts.keeper.current === undefined) return { isReady: false, reason: 'no configuration from the store or a peer yet' }
+  if (parts.peerService.state !== NodeState.Live) return { isReady: false, reason: `this node is ${parts.peerService.state}` }
+  return { isReady: true, reason: 'serving' }
+}
+
+function getStatus (settings: DaemonSettings, parts: DaemonParts): object {
+  return {
+    nodeId: settings.nodeId,
+    region: settings.region,
+    failureDomain: settings.failureDomain,
+    state: parts.peerService.state,
+    configurationVersion: parts.keeper.version,
+    inFlight: parts.requests.inFlight,
+    isPlanSettled: parts.plans.isSettled,
+    places: parts.places.list().map((pool) => ({
+      ...pool.key,
+      slots: pool.slots,
+      inFlight: pool.inFlight,
+      waiting: pool.waiting,
+      weight: parts.plans.computeWeight(pool.key.service, pool.key.failureDomain)
+    }))
+  }
+}
+
+function getFleetNode (settings: DaemonSettings, parts: DaemonParts, member: Member, now: Instant): object {
+  const isSelf = member.vm.vmId === settings.nodeId
+  return {
+    nodeId: member.vm.vmId,
+    region: member.vm.region,
+    failureDomain: member.vm.failureDomain,
+    state: isSelf ? parts.peerService.state : computeMemberState(member, now),
+    callersAddress: member.vm.address,
+    operatorAddress: member.vm.operatorAddress ?? '',
+    configurationVersion: isSelf ? parts.keeper.version : member.configurationVersion
+  }
+}
+
+async function readVersion (parts: DaemonParts, version: number, deadline: number): Promise<object | StepError> {
+  const history = await parts.configurations.listHistory(deadline)
+  if (!history.ok) return history.val
+  const entry = history.val.find((one) => one.version === version)
+  if (entry === undefined) return new StepError({ code: ErrorCode.NotFound, step: 'read-version', peer: 'store', message: `version ${version} is not kept` })
+  const read = await parts.patches.readVersion(entry, deadline)
+  return read.val
+}
+
+function getBurn (parts: DaemonParts, clock: IClock): object {
+  const services = parts.keeper.current?.body.services ?? {}
+  const now = clock.now()
+  return {
+    services: Object.fromEntries(Object.entries(services).map(([name, service]) =>
+      [name, { objective: service.objective, ...parts.burn.getCounts(name, now) }]))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -0,0 +1,102 @@
+/**
+ * This node's side of the conversation between daemons: heartbeats with the
+ * versions each has, and the configuration handed on to whoever is behind.
+ */
+import type { IClock } from '@umberspar/base/common/clock'
+import type { AnnouncedState, Digest, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
+import type { ConfigurationKeeper, ConfigurationText } from '../configuration/configurationKeeper.js'
+import type { MemberDirectory } from '../members/memberDirectory.js'
+import type { WorkerProber } from '../places/workerProber.js'
+
+/** The name under which the configuration travels between daemons. */
+export const CONFIGURATION_DOCUMENT = 'configuration'
+
+/** Who this node is. */
+export interface NodeIdentity {
+  readonly nodeId: string
+  readonly region: string
+  readonly failureDomain: string
+  /** Grows with every start, so that an old process's messages are told apart. */
+  readonly incarnation: number
+}
+
+/** Answers peers. */
+export class PeerService implements IPeerService {
+  /** This node's state as peers are told it. */
+  state: AnnouncedState = NodeState.Joining
+
+  constructor (
+    private readonly identity: NodeIdentity,
+    private readonly keeper: ConfigurationKeeper,
+    private readonly members: MemberDirectory,
+    private readonly prober: WorkerProber,
+    private readonly clock: IClock
+  ) {}
+
+  /** @returns this node's heartbeat */
+  buildDigest (): Digest {
+    const head = this.keeper.current?.head
+    return {
+      ...this.identity,
+      state: this.state,
+      documents: head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }],
+      workers: this.prober.listReports(),
+      demand: []
+    }
+  }
+
+  /**
+   * Takes in a peer's heartbeat.
+   * @param digest what the peer said
+   * @returns the configuration version that the peer has
+   */
+  observe (digest: Digest): number {
+    const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
+    this.members.observeHeartbeat({ nodeId: digest.nodeId, state: digest.state, configurationVersion: version })
+    this.prober.observeReports(digest.workers)
+    return version
+  }
+
+  exchange (digest: Digest): Digest {
+    this.observe(digest)
+    return this.buildDigest()
+  }
+
+  fetch (name: string, aboveVersion: number): PeerDocument | undefined {
+    const current = this.keeper.currentText
+    if (name !== CONFIGURATION_DOCUMENT || current === undefined) return undefined
+    return current.head.version > aboveVersion ? encodeDocument(current) : undefined
+  }
+
+  async push (document: PeerDocument): Promise<number> {
+    if (document.document.name === CONFIGURATION_DOCUMENT) this.keeper.apply(decodeDocument(document), 'peer')
+    return this.keeper.version
+  }
+
+  borrow (request: LoanRequest): LoanAnswer {
+    return { loanId: request.loanId, slots: 0, connections: 0, deadline: this.clock.now() }
+  }
+
+  returnLoan (_loan: LoanReturn): void {}
+}
+
+/**
+ * @param configuration head and text
+ * @returns the form in which it travels
+ */
+export function encodeDocument (configuration: ConfigurationText): PeerDocument {
+  return {
+    document: { name: CONFIGURATION_DOCUMENT, ...configuration.head },
+    body: new TextEncoder().encode(configuration.text)
+  }
+}
+
+/**
+ * @param document a configuration as it travelled
+ * @returns head and text, not yet checked
+ */
+export function decodeDocument (document: PeerDocument): ConfigurationText {
+  const { version, changeId, digest } = document.document
+  return { head: { version, changeId, digest }, text: new TextDecoder().decode(document.body) }
+}
--- /dev/null
+++ b/packages/platform/src/node/metrics/statsdMetrics.ts
@@ -0,0 +1,82 @@
+/** Metrics by StatsD over UDP. */
+import { StatsD } from 'hot-shots'
+import type { ILogger } from '@umberspar/base/common/logger'
+import { LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
+import type { IMetrics, MetricTags } from '@umberspar/base/common/metrics'
+
+const PREFIX = 'umberspar.'
+/** Fits one Ethernet frame with its headers. */
+const MAX_PACKET_BYTES = 1400
+const FLUSH_EVERY_MS = 1000
+
+/** Where measurements go. */
+export interface StatsdMetricsOptions {
+  readonly host: string
+  readonly port: number
+  /** On every measurement, for example the node's id. */
+  readonly tags?: MetricTags
+  readonly logger?: ILogger
+}
+
+/** An IMetrics over hot-shots; a failure to send is logged once and never thrown. */
+export class StatsdMetrics implements IMetrics {
+  private readonly client: StatsD
+  private readonly logger: ILogger
+  private readonly peer: string
+  private hasFailed = false
+  private closing: Promise<void> | undefined
+
+  constructor (options: StatsdMetricsOptions) {
+    this.logger = options.logger ?? NULL_LOGGER
+    this.peer = `${options.host}:${options.port}`
+    this.client = new StatsD({
+      host: options.host,
+      port: options.port,
+      prefix: PREFIX,
+      globalTags: { ...options.tags },
+      includeDataDogTags: false,
+      maxBufferSize: MAX_PACKET_BYTES,
+      bufferFlushInterval: FLUSH_EVERY_MS,
+      errorHandler: (error) => { this.reportFailure(error) }
+    })
+  }
+
+  count (name: string, value: number, tags?: MetricTags): void {
+    this.record(() => this.client.increment(name, value, { ...tags }))
+  }
+
+  set (name: string, value: number, tags?: MetricTags): void {
+    this.record(() => this.client.gauge(name, value, { ...tags }))
+  }
+
+  observe (name: string, spanMs: number, tags?: MetricTags): void {
+    this.record(() => this.client.timing(name, spanMs, { ...tags }))
+  }
+
+  /** Sends what is buffered, then closes the socket. */
+  close (): Promise<void> {
+    this.closing ??= new Promise((resolve) => {
+      this.client.close((error) => {
+        if (error) this.reportFailure(error)
+        resolve()
+      })
+    })
+    return this.closing
+  }
+
+  private record (send: () => void): void {
+    if (this.closing !== undefined) return
+    try {
+      send()
+    } catch (thrown) {
+      this.reportFailure(thrown)
+    }
+  }
+
+  private reportFailure (failure: unknown): void {
+    if (this.hasFailed) return
+    this.hasFailed = true
+    const message = failure instanceof Error ? failure.message : String(failure)
+    this.logger.log(LogLevel.Warn, { step: 'send-metrics', peer: this.peer }, message)
+  }
+}
--- /dev/null
+++ b/packages/platform/src/node/peers/documentChunks.ts
@@ -0,0 +1,70 @@
+/** Documents on the wire: cut into chunks, and put together again under a bound. */
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { PeerDocument } from '@umberspar/steering/common/ports/peers'
+import type { DocumentChunk, DocumentVersion } from '../generated/peer/peer.js'
+import { decodeVersion, encodeVersion } from './peerMessages.js'
+
+/** Small enough to let other calls on the connection through between two chunks. */
+export const CHUNK_BYTES = 65_536
+/** A larger document is refused; a faulty peer must not fill the memory. */
+export const MAX_DOCUMENT_BYTES = 16_777_216
+
+const ASSEMBLE_STEP = 'assemble-document'
+
+/**
+ * @param source the document
+ * @returns its chunks in order, at least one; made one at a time
+ */
+export function * splitDocument (source: PeerDocument): Generator<DocumentChunk> {
+  const document = encodeVersion(source.document)
+  const bytes = Buffer.from(source.body.buffer, source.body.byteOffset, source.body.byteLength)
+  const count = Math.max(1, Math.ceil(bytes.byteLength / CHUNK_BYTES))
+  for (let index = 0; index < count; index++) {
+    const data = bytes.subarray(index * CHUNK_BYTES, (index + 1) * CHUNK_BYTES)
+    yield { document, index, data, isLast: index === count - 1 }
+  }
+}
+
+/** Puts the chunks of one document together. */
+export class DocumentAssembler {
+  private readonly parts: Buffer[] = []
+  private size = 0
+  private document: DocumentVersion | undefined
+  private isWhole = false
+
+  constructor (private readonly peer: string) {}
+
+  /**
+   * @param chunk the next chunk
+   * @throws StepError `Invalid` out of order or of another document, `Exhausted` beyond the bound
+   */
+  add (chunk: DocumentChunk): void {
+    this.document ??= chunk.document
+    if (!this.isNext(chunk)) throw this.createError(ErrorCode.Invalid, `chunk ${chunk.index} is out of order`)
+    this.size += chunk.data.byteLength
+    if (this.size > MAX_DOCUMENT_BYTES) throw this.createError(ErrorCode.Exhausted, `the document exceeds ${MAX_DOCUMENT_BYTES} bytes`)
+    this.parts.push(chunk.data)
+    this.isWhole = chunk.isLast
+  }
+
+  /**
+   * @returns the document; undefined if no chunk came
+   * @throws StepError `Invalid` if the last chunk is missing
+   */
+  build (): PeerDocument | undefined {
+    if (this.document === undefined) return undefined
+    if (!this.isWhole) throw this.createError(ErrorCode.Invalid, 'the last chunk is missing')
+    return { document: decodeVersion(this.document), body: Buffer.concat(this.parts) }
+  }
+
+  private isNext (chunk: DocumentChunk): boolean {
+    const isSame = chunk.document !== undefined &&
+      chunk.document.name === this.document?.name &&
+      chunk.document.version === this.document.version
+    return isSame && !this.isWhole && chunk.index === this.parts.length
+  }
+
+  private createError (code: ErrorCode, message: string): StepError {
+    return new StepError({ code, step: ASSEMBLE_STEP, peer: this.peer, message })
+  }
+}
--- /dev/null
+++ b/packages/platform/src/node/peers/peerClient.ts
@@ -0,0 +1,159 @@
+/** Calls to peers: one channel per peer, kept until closed. */
+import { Readable } from 'node:stream'
+import type { Writable } from 'node:stream'
+import { pipeline } from 'node:stream/promises'
+import type { CallOptions, Channel, ChannelCredentials, ServiceError } from '@grpc/grpc-js'
+import { credentials, Metadata } from '@grpc/grpc-js'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import { hasPassed } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError, toStepError } from '@umberspar/base/common/errors'
+import type { Result } from '@umberspar/base/common/result'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { Digest, IPeerClient, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import { PeerClient as WireClient } from '../generated/peer/peer.js'
+import type { DocumentChunk, PushAnswer } from '../generated/peer/peer.js'
+import { CallEffect, callUnary, createCallOptions, createChannel, createUnsentError, toCallError, waitForChannel } from '../grpc/grpcCalls.js'
+import { DocumentAssembler, MAX_DOCUMENT_BYTES, splitDocument } from './documentChunks.js'
+import { decodeDigest, decodeLoanAnswer, encodeDigest, encodeLoanRequest } from './peerMessages.js'
+
+/** The calls to peers, as named in errors. */
+enum PeerCall {
+  Exchange = 'peer-exchange',
+  Fetch = 'peer-fetch',
+  Push = 'peer-push',
+  Borrow = 'peer-borrow',
+  ReturnLoan = 'peer-return-loan'
+}
+
+const EFFECT_BY_CALL: Readonly<Record<PeerCall, CallEffect>> = {
+  [PeerCall.Exchange]: CallEffect.None,
+  [PeerCall.Fetch]: CallEffect.None,
+  [PeerCall.Push]: CallEffect.Write,
+  [PeerCall.Borrow]: CallEffect.Write,
+  [PeerCall.ReturnLoan]: CallEffect.Write
+}
+
+/** What a PeerClient needs. */
+export interface PeerClientOptions {
+  readonly clock: IClock
+  /** For mutual TLS; plain text if left out. */
+  readonly credentials?: ChannelCredentials
+}
+
+interface PeerConnection {
+  readonly channel: Channel
+  readonly client: WireClient
+}
+
+type Invoke<S> = (client: WireClient, options: Partial<CallOptions>, sentAt: Instant) => Promise<Result<S, ServiceError | StepError>>
+
+/** An IPeerClient over gRPC. */
+export class PeerClient implements IPeerClient {
+  private readonly connections = new Map<string, PeerConnection>()
+  private readonly clock: IClock
+  private readonly credentials: ChannelCredentials
+  private isClosed = false
+
+  constructor (options: PeerClientOptions) {
+    this.clock = options.clock
+    this.credentials = options.credentials ?? credentials.createInsecure()
+  }
+
+  exchange (address: string, digest: Digest, deadline: Deadline): Promise<Result<Digest, StepError>> {
+    return this.callPeer(PeerCall.Exchange, address, deadline, async (client, options, sentAt) => {
+      const answer = await callUnary(client.exchange.bind(client), encodeDigest(digest, sentAt), options)
+      // Ages in the answer count from when it was sent; taking the instant of our
+      // own request makes a measurement look older, never newer.
+      return answer.map((received) => decodeDigest(received, sentAt, address))
+    })
+  }
+
+  fetch (address: string, name: string, aboveVersion: number, deadline: Deadline): Promise<Result<PeerDocument | undefined, StepError>> {
+    return this.callPeer(PeerCall.Fetch, address, deadline, async (client, options) => {
+      const stream = client.fetch({ name, aboveVersion: BigInt(aboveVersion) }, options)
+      // The loop below sees the errors; one that comes after it has left (a refused
+      // chunk cancels the call) would end the process without a listener.
+      stream.on('error', () => {})
+      const assembler = new DocumentAssembler(address)
+      try {
+        for await (const chunk of stream) assembler.add(chunk as DocumentChunk)
+      } finally {
+        stream.cancel()
+      }
+      return Ok(assembler.build())
+    })
+  }
+
+  async push (address: string, document: PeerDocument, deadline: Deadline): Promise<Result<number, StepError>> {
+    if (document.body.byteLength > MAX_DOCUMENT_BYTES) {
+      return Err(new StepError({ code: ErrorCode.Invalid, step: PeerCall.Push, peer: address, message: `the document exceeds ${MAX_DOCUMENT_BYTES} bytes` }))
+    }
+    return this.callPeer(PeerCall.Push, address, deadline, (client, options) => pushChunks(client, document, options))
+  }
+
+  borrow (address: string, request: LoanRequest, deadline: Deadline): Promise<Result<LoanAnswer, StepError>> {
+    return this.callPeer(PeerCall.Borrow, address, deadline, async (client, options, sentAt) => {
+      const answer = await callUnary(client.borrow.bind(client), encodeLoanRequest(request, sentAt), options)
+      return answer.map((received) => decodeLoanAnswer(received, sentAt))
+    })
+  }
+
+  returnLoan (address: string, loan: LoanReturn, deadline: Deadline): Promise<Result<void, StepError>> {
+    return this.callPeer(PeerCall.ReturnLoan, address, deadline, async (client, options) => {
+      const answer = await callUnary(client.return.bind(client), { ...loan }, options)
+      return answer.map(() => undefined)
+    })
+  }
+
+  closePeer (address: string): void {
+    this.connections.get(address)?.channel.close()
+    this.connections.delete(address)
+  }
+
+  close (): void {
+    this.isClosed = true
+    for (const address of [...this.connections.keys()]) this.closePeer(address)
+  }
+
+  private async callPeer<S> (call: PeerCall, address: string, deadline: Deadline, invoke: Invoke<S>): Promise<Result<S, StepError>> {
+    const site = { step: call, peer: address, effect: EFFECT_BY_CALL[call] }
+    if (this.isClosed) return Err(new StepError({ code: ErrorCode.Cancelled, step: call, peer: address, message: 'the peer client is closed' }))
+    const { channel, client } = this.openConnection(address)
+    const isConnected = await waitForChannel(channel, this.clock, deadline)
+    const sentAt = this.clock.now()
+    if (!isConnected || hasPassed(deadline, sentAt)) return Err(createUnsentError(site, isConnected))
+    try {
+      const answer = await invoke(client, createCallOptions(this.clock, deadline), sentAt)
+      if (answer.ok) return answer
+      throw answer.val
+    } catch (thrown) {
+      return Err(isServiceError(thrown) ? toCallError(thrown, site) : toStepError(thrown, call, address))
+    }
+  }
+
+  private openConnection (address: string): PeerConnection {
+    const known = this.connections.get(address)
+    if (known !== undefined) return known
+    const channel = createChannel(address, this.credentials)
+    const client = new WireClient(address, this.credentials, { channelOverride: channel })
+    const connection = { channel, client }
+    this.connections.set(address, connection)
+    return connection
+  }
+}
+
+function isServiceError (thrown: unknown): thrown is ServiceError {
+  return thrown instanceof Error && !(thrown instanceof StepError) && typeof Reflect.get(thrown, 'code') === 'number'
+}
+
+function pushChunks (client: WireClient, document: PeerDocument, options: Partial<CallOptions>): Promise<Result<number, ServiceError>> {
+  return new Promise((resolve) => {
+    const stream = client.push(new Metadata(), options, (error: ServiceError | null, answer: PushAnswer) => {
+      resolve(error === null ? Ok(Number(answer.version)) : Err(error))
+    })
+    // The callback reports every failure of the call; a refusal in the middle of
+    // the document also breaks the pipe, which says nothing more.
+    pipeline(Readable.from(splitDocument(document)), stream as unknown as Writable).catch(() => { stream.cancel() })
+  })
+}
--- /dev/null
+++ b/packages/platform/src/node/peers/peerMessages.ts
@@ -0,0 +1,113 @@
+/** Between the port's types and the peers' wire messages; ages and spans become instants here. */
+import type { Instant } from '@umberspar/base/common/clock'
+import { createDeadline, getRemainingMs } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { Digest, DocumentVersion, LoanAnswer, LoanRequest } from '@umberspar/steering/common/ports/peers'
+import type { AnnouncedState } from '@umberspar/steering/common/ports/peers'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
+import type * as wire from '../generated/peer/peer.js'
+import { NodeState as WireState } from '../generated/peer/peer.js'
+
+const MAX_UINT32 = 0xffff_ffff
+
+const WIRE_BY_STATE: Readonly<Record<AnnouncedState, WireState>> = {
+  [NodeState.Joining]: WireState.NODE_STATE_JOINING,
+  [NodeState.Live]: WireState.NODE_STATE_LIVE,
+  [NodeState.Leaving]: WireState.NODE_STATE_LEAVING
+}
+
+const STATE_BY_WIRE: ReadonlyMap<WireState, AnnouncedState> = new Map([
+  [WireState.NODE_STATE_JOINING, NodeState.Joining],
+  [WireState.NODE_STATE_LIVE, NodeState.Live],
+  [WireState.NODE_STATE_LEAVING, NodeState.Leaving]
+])
+
+/** Ages round up: a measurement must not look newer than it is. */
+function encodeAge (measuredAt: Instant, now: Instant): number {
+  return Math.min(MAX_UINT32, Math.ceil(getRemainingMs(now, measuredAt)))
+}
+
+/** Spans round down: a deadline must not move away on the wire. */
+function encodeSpan (deadline: Instant, now: Instant): number {
+  return Math.min(MAX_UINT32, Math.floor(getRemainingMs(deadline, now)))
+}
+
+/** @returns a document's version for the wire */
+export function encodeVersion (document: DocumentVersion): wire.DocumentVersion {
+  return { ...document, version: BigInt(document.version) }
+}
+
+/** @returns a document's version from the wire */
+export function decodeVersion (document: wire.DocumentVersion): DocumentVersion {
+  return { ...document, version: Number(document.version) }
+}
+
+function encodeReport<R extends { readonly measuredAt: Instant }> (report: R, now: Instant): Omit<R, 'measuredAt'> & { ageMs: number } {
+  const { measuredAt, ...rest } = report
+  return { ...rest, ageMs: encodeAge(measuredAt, now) }
+}
+
+function decodeReport<R extends { ageMs: number }> (report: R, now: Instant): Omit<R, 'ageMs'> & { measuredAt: Instant } {
+  const { ageMs, ...rest } = report
+  return { ...rest, measuredAt: now - ageMs }
+}
+
+/**
+ * @param digest the own digest
+ * @param now the present, to which ages refer
+ * @returns the digest for the wire
+ */
+export function encodeDigest (digest: Digest, now: Instant): wire.Digest {
+  return {
+    ...digest,
+    state: WIRE_BY_STATE[digest.state],
+    incarnation: BigInt(digest.incarnation),
+    documents: digest.documents.map(encodeVersion),
+    workers: digest.workers.map((report) => encodeReport(report, now)),
+    demand: digest.demand.map((report) => encodeReport(report, now))
+  }
+}
+
+/**
+ * @param digest a peer's digest
+ * @param now the instant of its receipt
+ * @param peer whose it is, for the error
+ * @returns the digest on the own clock
+ * @throws StepError `Invalid` if its state is unknown
+ */
+export function decodeDigest (digest: wire.Digest, now: Instant, peer: string): Digest {
+  const state = STATE_BY_WIRE.get(digest.state)
+  if (state === undefined) throw new StepError({ code: ErrorCode.Invalid, step: 'decode-digest', peer, message: `unknown node state ${digest.state}` })
+  return {
+    ...digest,
+    state,
+    incarnation: Number(digest.incarnation),
+    documents: digest.documents.map(decodeVersion),
+    workers: digest.workers.map((report) => decodeReport(report, now)),
+    demand: digest.demand.map((report) => decodeReport(report, now))
+  }
+}
+
+/** @returns a loan's request for the wire; its span counts from `now` */
+export function encodeLoanRequest (request: LoanRequest, now: Instant): wire.LoanRequest {
+  const { deadline, ...rest } = request
+  return { ...rest, spanMs: encodeSpan(deadline, now) }
+}
+
+/** @returns a loan's request on the lender's clock, received at `now` */
+export function decodeLoanRequest (request: wire.LoanRequest, now: Instant): LoanRequest {
+  const { spanMs, ...rest } = request
+  return { ...rest, deadline: createDeadline(now, spanMs) }
+}
+
+/** @returns a loan's answer for the wire; its span counts from the receipt of the request */
+export function encodeLoanAnswer (answer: LoanAnswer, receivedAt: Instant): wire.LoanAnswer {
+  const { deadline, ...rest } = answer
+  return { ...rest, spanMs: encodeSpan(deadline, receivedAt) }
+}
+
+/** @returns a loan's answer on the borrower's clock, for a request sent at `sentAt` */
+export function decodeLoanAnswer (answer: wire.LoanAnswer, sentAt: Instant): LoanAnswer {
+  const { spanMs, ...rest } = answer
+  return { ...rest, deadline: createDeadline(sentAt, spanMs) }
+}
--- /dev/null
+++ b/packages/platform/src/node/peers/peerServer.ts
@@ -0,0 +1,145 @@
+/** The peers' listener of a daemon: the Peer service over gRPC. */
+import { Readable } from 'node:stream'
+import type { Writable } from 'node:stream'
+import { Metadata, Server, ServerCredentials, status } from '@grpc/grpc-js'
+import type { sendUnaryData, ServerReadableStream, ServerUnaryCall, ServerWritableStream, ServiceError } from '@grpc/grpc-js'
+import type { IClock } from '@umberspar/base/common/clock'
+import type { IClosable } from '@umberspar/base/common/closing'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError, toStepError } from '@umberspar/base/common/errors'
+import type { ILogger } from '@umberspar/base/common/logger'
+import { LogLevel, logError } from '@umberspar/base/common/logger'
+import type { Result } from '@umberspar/base/common/result'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { IPeerService } from '@umberspar/steering/common/ports/peers'
+import type * as wire from '../generated/peer/peer.js'
+import { PeerService } from '../generated/peer/peer.js'
+import { DocumentAssembler, splitDocument } from './documentChunks.js'
+import { decodeDigest, decodeLoanRequest, encodeDigest, encodeLoanAnswer } from './peerMessages.js'
+
+const LISTEN_STEP = 'listen-for-peers'
+const ANSWER_STEP = 'answer-peer'
+/** How long calls may go on after `close`; then they are cut. */
+const CLOSE_SPAN_MS = 1000
+
+const STATUS_BY_CODE: Readonly<Record<ErrorCode, status>> = {
+  [ErrorCode.Invalid]: status.INVALID_ARGUMENT,
+  [ErrorCode.NotFound]: status.NOT_FOUND,
+  [ErrorCode.Conflict]: status.ALREADY_EXISTS,
+  [ErrorCode.Exhausted]: status.RESOURCE_EXHAUSTED,
+  [ErrorCode.Unavailable]: status.UNAVAILABLE,
+  [ErrorCode.EffectUnknown]: status.UNKNOWN,
+  [ErrorCode.DeadlinePassed]: status.DEADLINE_EXCEEDED,
+  [ErrorCode.Cancelled]: status.CANCELLED,
+  [ErrorCode.Refused]: status.FAILED_PRECONDITION,
+  [ErrorCode.Internal]: status.INTERNAL
+}
+
+/** What a PeerServer needs. */
+export interface PeerServerOptions {
+  /** `host:port`; port 0 takes a free one. */
+  readonly address: string
+  readonly service: IPeerService
+  readonly clock: IClock
+  readonly logger: ILogger
+  /** For mutual TLS; plain text if left out. */
+  readonly credentials?: ServerCredentials
+}
+
+/** Answers peers by an IPeerService. */
+export class PeerServer implements IClosable {
+  private readonly server = new Server()
+  private readonly service: IPeerService
+  private readonly clock: IClock
+  private closing: Promise<void> | undefined
+
+  constructor (private readonly options: PeerServerOptions) {
+    this.service = options.service
+    this.clock = options.clock
+    this.server.addService(PeerService, this.buildHandlers())
+  }
+
+  /** @returns the bound port, once peers can connect */
+  listen (): Promise<Result<number, StepError>> {
+    const { address, credentials } = this.options
+    return new Promise((resolve) => {
+      this.server.bindAsync(address, credentials ?? ServerCredentials.createInsecure(), (error, port) => {
+        if (error === null) resolve(Ok(port))
+        else resolve(Err(toStepError(error, LISTEN_STEP, address)))
+      })
+    })
+  }
+
+  /** Lets running calls finish for a second, then cuts them. */
+  close (): Promise<void> {
+    this.closing ??= new Promise((resolve) => {
+      const timer = this.clock.schedule(createDeadline(this.clock.now(), CLOSE_SPAN_MS), () => { this.server.forceShutdown() })
+      this.server.tryShutdown(() => {
+        timer.close()
+        resolve()
+      })
+    })
+    return this.closing
+  }
+
+  private buildHandlers (): wire.PeerServer {
+    return {
+      exchange: (call: ServerUnaryCall<wire.Digest, wire.Digest>, callback: sendUnaryData<wire.Digest>) => {
+        this.answerUnary(call, callback, (request, now) => encodeDigest(this.service.exchange(decodeDigest(request, now, call.getPeer())), now))
+      },
+      fetch: (call: ServerWritableStream<wire.DocumentRequest, wire.DocumentChunk>) => { this.answerFetch(call) },
+      push: (call: ServerReadableStream<wire.DocumentChunk, wire.PushAnswer>, callback: sendUnaryData<wire.PushAnswer>) => {
+        this.answerPush(call, callback)
+      },
+      borrow: (call: ServerUnaryCall<wire.LoanRequest, wire.LoanAnswer>, callback: sendUnaryData<wire.LoanAnswer>) => {
+        this.answerUnary(call, callback, (request, now) => encodeLoanAnswer(this.service.borrow(decodeLoanRequest(request, now)), now))
+      },
+      return: (call: ServerUnaryCall<wire.LoanReturn, wire.LoanReturnAnswer>, callback: sendUnaryData<wire.LoanReturnAnswer>) => {
+        this.answerUnary(call, callback, (request) => {
+          this.service.returnLoan(request)
+          return {}
+        })
+      }
+    }
+  }
+
+  private answerUnary<Q, S> (call: ServerUnaryCall<Q, S>, callback: sendUnaryData<S>, answer: (request: Q, now: number) => S): void {
+    try {
+      callback(null, answer(call.request, this.clock.now()))
+    } catch (thrown) {
+      callback(this.toStatus(thrown, call.getPeer()))
+    }
+  }
+
+  private answerFetch (call: ServerWritableStream<wire.DocumentRequest, wire.DocumentChunk>): void {
+    const { name, aboveVersion } = call.request
+    try {
+      const document = this.service.fetch(name, Number(aboveVersion))
+      const chunks = Readable.from(document === undefined ? [] : splitDocument(document))
+      // A peer that leaves in the middle must not leave the rest of the document waiting.
+      call.on('cancelled', () => { chunks.destroy() })
+      chunks.pipe(call as unknown as Writable)
+    } catch (thrown) {
+      call.emit('error', this.toStatus(thrown, call.getPeer()))
+    }
+  }
+
+  private async answerPush (call: ServerReadableStream<wire.DocumentChunk, wire.PushAnswer>, callback: sendUnaryData<wire.PushAnswer>): Promise<void> {
+    const peer = call.getPeer()
+    try {
+      const assembler = new DocumentAssembler(peer)
+      for await (const chunk of call) assembler.add(chunk as wire.DocumentChunk)
+      const document = assembler.build()
+      if (document === undefined) throw new StepError({ code: ErrorCode.Invalid, step: ANSWER_STEP, peer, message: 'no chunk came' })
+      callback(null, { version: BigInt(await this.service.push(document)) })
+    } catch (thrown) {
+      callback(this.toStatus(thrown, peer))
+    }
+  }
+
+  private toStatus (thrown: unknown, peer: string): ServiceError {
+    const error = toStepError(thrown, ANSWER_STEP, peer)
+    logError(this.options.logger, LogLevel.Warn, error)
+    return Object.assign(new Error(error.message), { code: STATUS_BY_CODE[error.code], details: error.message, metadata: new Metadata() })
+  }
+}
--- /dev/null
+++ b/packages/platform/src/node/settings/daemonSettings.ts
@@ -0,0 +1,75 @@
+/** One daemon's settings: its addresses, its failure domain, and where the platform is. */
+import { z } from 'zod'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { LogLevel } from '@umberspar/base/common/logger'
+import { Err, Ok, type Result } from '@umberspar/base/common/result'
+import { readFile } from 'node:fs/promises'
+
+const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'expected an IP number and port, like 10.0.0.1:8080 or [::1]:8080')
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens, at most 63')
+const listener = z.strictObject({ address })
+
+/** The settings file of `umberspard`. */
+export const daemonSettingsSchema = z.strictObject({
+  /** Unique among all entry VMs; the platform's VM list names the VM by it. */
+  nodeId: name,
+  region: name,
+  failureDomain: name,
+  /** Look-ups and requests. */
+  callers: listener,
+  /** Other daemons, by gRPC. */
+  peers: listener,
+  /** Operators, probes and status. */
+  operators: listener,
+  store: z.strictObject({
+    endpoints: z.array(address).min(1),
+    keyPrefix: z.string().regex(/^\/.*\/$/, 'expected a prefix that begins and ends with /')
+  }),
+  vmList: z.strictObject({ url: z.url({ protocol: /^https?$/ }) }),
+  /** Where StatsD listens; without it no metrics are sent. */
+  statsd: z.strictObject({ host: z.string().min(1), port: z.number().int().min(1).max(65_535) }).optional(),
+  /** Whose X-Forwarded-For is believed. */
+  trustedForwarders: z.array(z.union([z.cidrv4(), z.cidrv6()])).default([]),
+  logLevel: z.enum(LogLevel).default(LogLevel.Info)
+})
+
+/** A daemon's settings, checked. */
+export type DaemonSettings = z.output<typeof daemonSettingsSchema>
+
+/** One reason why settings are refused. */
+export interface SettingsProblem {
+  /** Dotted path of the field; empty for the whole file. */
+  readonly path: string
+  readonly message: string
+}
+
+/**
+ * Checks settings.
+ * @param input parsed JSON
+ * @returns the settings, or every problem found
+ */
+export function validateDaemonSettings (input: unknown): Result<DaemonSettings, SettingsProblem[]> {
+  const parsed = daemonSettingsSchema.safeParse(input)
+  if (parsed.success) return new Ok(parsed.data)
+  return new Err(parsed.error.issues.map((issue) => ({ path: issue.path.join('.'), message: issue.message })))
+}
+
+/**
+ * Reads and checks a settings file.
+ * @param file path of a JSON file
+ * @returns the settings, or an error whose message lists every problem with its path
+ */
+export async function loadDaemonSettings (file: string): Promise<Result<DaemonSettings, StepError>> {
+  const step = 'load-settings'
+  let input: unknown
+  try {
+    input = JSON.parse(await readFile(file, 'utf8'))
+  } catch (cause) {
+    const message = cause instanceof Error ? cause.message : String(cause)
+    return new Err(new StepError({ code: ErrorCode.Invalid, step, peer: file, message, cause }))
+  }
+  const checked = validateDaemonSettings(input)
+  if (checked.ok) return new Ok(checked.val)
+  const message = checked.val.map((problem) => `${problem.path || '(file)'}: ${problem.message}`).join('; ')
+  return new Err(new StepError({ code: ErrorCode.Invalid, step, peer: file, message }))
+}
--- /dev/null
+++ b/packages/platform/src/node/store/etcdMessages.ts
@@ -0,0 +1,101 @@
+/** Between the port's types and the store's wire messages. */
+import type { StoreChange, StoreCondition, StoredValue, StoreTransaction, StoreWrite } from '@umberspar/steering/common/ports/keyValueStore'
+import type { Compare, Event as WireEvent, KeyValue, RangeRequest, RequestOp, TxnRequest, WatchRequest } from '../generated/etcd/rpc.js'
+import { Compare_CompareResult as CompareResult, Compare_CompareTarget as CompareTarget, Event_EventType as EventType } from '../generated/etcd/rpc.js'
+
+const MAX_BYTE = 0xff
+/** As a range end it means "all keys from the first on". */
+const NO_UPPER_END = Buffer.from([0])
+const ONE_KEY = Buffer.alloc(0)
+
+/**
+ * @param prefix what the keys begin with
+ * @returns the least key that is greater than all keys with that prefix
+ */
+export function computeRangeEnd (prefix: Uint8Array): Buffer {
+  const end = Buffer.from(prefix)
+  for (let index = end.length - 1; index >= 0; index--) {
+    const byte = end[index] ?? MAX_BYTE
+    if (byte === MAX_BYTE) continue
+    end[index] = byte + 1
+    return end.subarray(0, index + 1)
+  }
+  return NO_UPPER_END
+}
+
+function createRange (key: Buffer, rangeEnd: Buffer): RangeRequest {
+  return { key, rangeEnd, limit: 0n, revision: 0n, serializable: false, keysOnly: false, countOnly: false }
+}
+
+/** @returns a read of one key */
+export function encodeGet (key: string): RangeRequest {
+  return createRange(Buffer.from(key), ONE_KEY)
+}
+
+/** An empty prefix stands for all keys, whose first possible one is a zero byte. */
+function encodePrefix (prefix: string): Buffer {
+  return prefix === '' ? Buffer.from([0]) : Buffer.from(prefix)
+}
+
+/** @returns a read of all keys with a prefix */
+export function encodeList (prefix: string): RangeRequest {
+  return createRange(encodePrefix(prefix), computeRangeEnd(Buffer.from(prefix)))
+}
+
+/** @returns a watch of all keys with a prefix */
+export function encodeWatch (prefix: string, fromRevision: number): WatchRequest {
+  return {
+    createRequest: {
+      key: encodePrefix(prefix),
+      rangeEnd: computeRangeEnd(Buffer.from(prefix)),
+      startRevision: BigInt(fromRevision),
+      progressNotify: false,
+      prevKv: false,
+      watchId: 0n
+    }
+  }
+}
+
+function encodeCondition (condition: StoreCondition): Compare {
+  return {
+    result: CompareResult.EQUAL,
+    target: CompareTarget.MOD,
+    key: Buffer.from(condition.key),
+    modRevision: BigInt(condition.modRevision)
+  }
+}
+
+type WriteEncoders = { readonly [K in StoreWrite['kind']]: (write: Extract<StoreWrite, { kind: K }>) => RequestOp }
+
+const ENCODER_BY_KIND: WriteEncoders = {
+  put: (write) => ({
+    requestPut: { key: Buffer.from(write.key), value: Buffer.from(write.value), lease: BigInt(write.leaseId ?? 0), prevKv: false }
+  }),
+  delete: (write) => ({ requestDeleteRange: { key: Buffer.from(write.key), rangeEnd: ONE_KEY, prevKv: false } })
+}
+
+function encodeWrite (write: StoreWrite): RequestOp {
+  const encode = ENCODER_BY_KIND[write.kind] as (write: StoreWrite) => RequestOp
+  return encode(write)
+}
+
+/** @returns the transaction; if a condition does not hold, nothing is done */
+export function encodeTransaction (transaction: StoreTransaction): TxnRequest {
+  return {
+    compare: transaction.conditions.map(encodeCondition),
+    success: transaction.writes.map(encodeWrite),
+    failure: []
+  }
+}
+
+/** @returns a value that was read */
+export function decodeValue (pair: KeyValue): StoredValue {
+  return { key: pair.key.toString('utf8'), value: pair.value, modRevision: Number(pair.modRevision) }
+}
+
+/** @returns a change that was watched; undefined if the event names no key */
+export function decodeChange (event: WireEvent): StoreChange | undefined {
+  if (event.kv === undefined) return undefined
+  const { key, value, modRevision } = decodeValue(event.kv)
+  return { key, value: event.type === EventType.PUT ? value : undefined, modRevision }
+}
--- /dev/null
+++ b/packages/platform/src/node/store/etcdStore.ts
@@ -0,0 +1,238 @@
+/**
+ * The platform's key-value service over etcd's published v3 API.
+ *
+ * A write is given to one connected endpoint and never sent again from here: if
+ * no endpoint could be connected it is `Unavailable`; once handed to a connection,
+ * only the server's own refusal says that it had no effect, and anything else is
+ * `EffectUnknown`. Reads go to each endpoint in turn, with an equal part of the
+ * time left for each, so that one that is silent leaves time for the others.
+ */
+import type { CallOptions, ChannelCredentials, ServiceError } from '@grpc/grpc-js'
+import { credentials } from '@grpc/grpc-js'
+import type { IClock } from '@umberspar/base/common/clock'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import { createDeadline, getRemainingMs, hasPassed } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { ILogger } from '@umberspar/base/common/logger'
+import { LogLevel, logError } from '@umberspar/base/common/logger'
+import type { IMetrics } from '@umberspar/base/common/metrics'
+import { NULL_METRICS } from '@umberspar/base/common/metrics'
+import type { Result } from '@umberspar/base/common/result'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { GrantedLease, IKeyValueStore, IStoreWatch, StoredValue, StoreSnapshot, StoreTransaction, TransactionResult } from '@umberspar/steering/common/ports/keyValueStore'
+import type { CallSite } from '../grpc/grpcCalls.js'
+import { CallEffect, callUnary, createCallOptions, createUnsentError, isEndpointFailure, toCallError, waitForChannel } from '../grpc/grpcCalls.js'
+import type { LeaseGrantResponse, RangeRequest, RangeResponse } from '../generated/etcd/rpc.js'
+import type { EtcdEndpoint } from './etcdEndpoint.js'
+import { EndpointRing } from './etcdEndpoint.js'
+import { decodeValue, encodeGet, encodeList, encodeTransaction } from './etcdMessages.js'
+import { EtcdWatch } from './etcdWatch.js'
+import { renewLeaseOnce } from './leaseRenewal.js'
+
+const MS_PER_SECOND = 1000
+const ANY_ENDPOINT = 'store'
+const CALLS_METRIC = 'store.calls'
+const FAILURES_METRIC = 'store.failures'
+
+/** The kinds of calls, as named in errors, logs and metrics. */
+enum StoreCall {
+  Get = 'store-get',
+  List = 'store-list',
+  Transact = 'store-transact',
+  OpenLease = 'store-open-lease',
+  RenewLease = 'store-renew-lease',
+  CloseLease = 'store-close-lease',
+  Watch = 'store-watch'
+}
+
+/** What a store adapter needs. */
+export interface EtcdStoreOptions {
+  /** `host:port` of each member. */
+  readonly endpoints: readonly string[]
+  readonly clock: IClock
+  readonly logger: ILogger
+  /** Credentials of the connections; plain text if left out. */
+  readonly tls?: ChannelCredentials
+  /** Counts calls as `store.calls` and failures as `store.failures`, by `kind`. */
+  readonly metrics?: IMetrics
+}
+
+type Invoke<S> = (endpoint: EtcdEndpoint, options: Partial<CallOptions>) => Promise<Result<S, ServiceError>>
+
+/** An answer and the instant just before its call was sent. */
+interface TimedAnswer<S> {
+  readonly answer: S
+  readonly sentAt: number
+}
+
+/** An IKeyValueStore over gRPC. */
+export class EtcdStore implements IKeyValueStore {
+  private readonly ring: EndpointRing
+  private readonly clock: IClock
+  private readonly logger: ILogger
+  private readonly metrics: IMetrics
+  private readonly watches = new Set<EtcdWatch>()
+  private isClosed = false
+
+  constructor (options: EtcdStoreOptions) {
+    this.ring = new EndpointRing(options.endpoints, options.tls ?? credentials.createInsecure())
+    this.clock = options.clock
+    this.logger = options.logger
+    this.metrics = options.metrics ?? NULL_METRICS
+  }
+
+  async get (key: string, deadline: Deadline): Promise<Result<StoredValue | undefined, StepError>> {
+    const read = await this.callRange(StoreCall.Get, encodeGet(key), deadline)
+    return read.map((response) => response.kvs.map(decodeValue)[0])
+  }
+
+  async list (prefix: string, deadline: Deadline): Promise<Result<StoreSnapshot, StepError>> {
+    const read = await this.callRange(StoreCall.List, encodeList(prefix), deadline)
+    return read.map((response) => ({
+      values: response.kvs.map(decodeValue),
+      revision: Number(response.header?.revision ?? 0n)
+    }))
+  }
+
+  async transact (transaction: StoreTransaction, deadline: Deadline): Promise<Result<TransactionResult, StepError>> {
+    const request = encodeTransaction(transaction)
+    const written = await this.callWrite(StoreCall.Transact, deadline, (endpoint, options) =>
+      callUnary(endpoint.keyValues.txn.bind(endpoint.keyValues), request, options))
+    return written.map(({ answer }) => ({ isApplied: answer.succeeded, revision: Number(answer.header?.revision ?? 0n) }))
+  }
+
+  async openLease (ttlSeconds: number, deadline: Deadline): Promise<Result<GrantedLease, StepError>> {
+    const request = { TTL: BigInt(ttlSeconds), ID: 0n }
+    const granted = await this.callWrite(StoreCall.OpenLease, deadline, (endpoint, options) =>
+      callUnary(endpoint.leases.leaseGrant.bind(endpoint.leases), request, options))
+    return granted.andThen((timed) => this.checkLease(timed))
+  }
+
+  async renewLease (leaseId: string, deadline: Deadline): Promise<Result<GrantedLease, StepError>> {
+    const renewed = await this.callWrite(StoreCall.RenewLease, deadline, (endpoint, options) =>
+      renewLeaseOnce(endpoint.leases, BigInt(leaseId), options))
+    return renewed.map(buildLease)
+  }
+
+  async closeLease (leaseId: string, deadline: Deadline): Promise<Result<void, StepError>> {
+    const request = { ID: BigInt(leaseId) }
+    const revoked = await this.callWrite(StoreCall.CloseLease, deadline, (endpoint, options) =>
+      callUnary(endpoint.leases.leaseRevoke.bind(endpoint.leases), request, options))
+    return revoked.map(() => undefined)
+  }
+
+  watch (prefix: string, fromRevision: number): IStoreWatch {
+    const endpoint = this.ring.list()[0]
+    if (this.isClosed || endpoint === undefined) throw this.createClosedError(StoreCall.Watch)
+    this.metrics.count(CALLS_METRIC, 1, { kind: StoreCall.Watch })
+    const watch: EtcdWatch = new EtcdWatch(endpoint.watches.watch(), prefix, fromRevision, (isBroken) => {
+      this.watches.delete(watch)
+      if (isBroken) this.reportCut(endpoint)
+    })
+    this.watches.add(watch)
+    return watch
+  }
+
+  close (): void {
+    if (this.isClosed) return
+    this.isClosed = true
+    for (const watch of [...this.watches]) watch.close()
+    this.ring.close()
+  }
+
+  /** A lease with the number 0 stands for "no lease": keys bound to it would never vanish. */
+  private checkLease (timed: TimedAnswer<LeaseGrantResponse>): Result<GrantedLease, StepError> {
+    const { ID, error } = timed.answer
+    if (ID !== 0n && error === '') return Ok(buildLease(timed))
+    return Err(new StepError({ code: ErrorCode.Refused, step: StoreCall.OpenLease, peer: ANY_ENDPOINT, message: error || 'no lease was granted' }))
+  }
+
+  private callRange (call: StoreCall, request: RangeRequest, deadline: Deadline): Promise<Result<RangeResponse, StepError>> {
+    return this.callRead(call, deadline, (endpoint, options) =>
+      callUnary(endpoint.keyValues.range.bind(endpoint.keyValues), request, options))
+  }
+
+  private async callRead<S> (call: StoreCall, deadline: Deadline, invoke: Invoke<S>): Promise<Result<S, StepError>> {
+    if (this.isClosed) return Err(this.createClosedError(call))
+    const endpoints = this.ring.list()
+    let failure = createUnsentError({ step: call, peer: ANY_ENDPOINT, effect: CallEffect.None }, true)
+    for (const [index, endpoint] of endpoints.entries()) {
+      if (hasPassed(deadline, this.clock.now())) break
+      const site = { step: call, peer: endpoint.address, effect: CallEffect.None }
+      const part = this.computePart(deadline, endpoints.length - index)
+      if (!await waitForChannel(endpoint.channel, this.clock, part)) {
+        failure = this.reportFailure(endpoint, createUnsentError(site, false))
+        continue
+      }
+      const answer = await this.callOnce(call, endpoint, part, invoke)
+      if (answer.ok) return answer
+      failure = toCallError(answer.val, site)
+      if (!isEndpointFailure(answer.val)) return Err(failure)
+      this.reportFailure(endpoint, failure)
+    }
+    return Err(failure)
+  }
+
+  private async callWrite<S> (call: StoreCall, deadline: Deadline, invoke: Invoke<S>): Promise<Result<TimedAnswer<S>, StepError>> {
+    if (this.isClosed) return Err(this.createClosedError(call))
+    const endpoint = await this.findConnected(call, deadline)
+    const site: CallSite = { step: call, peer: endpoint?.address ?? ANY_ENDPOINT, effect: CallEffect.Write }
+    const isLate = hasPassed(deadline, this.clock.now())
+    if (endpoint === undefined || isLate) return Err(createUnsentError(site, isLate))
+    const sentAt = this.clock.now()
+    const answer = await this.callOnce(call, endpoint, deadline, invoke)
+    if (answer.ok) return Ok({ answer: answer.val, sentAt })
+    const failure = toCallError(answer.val, site)
+    if (isEndpointFailure(answer.val)) this.reportFailure(endpoint, failure)
+    return Err(failure)
+  }
+
+  private callOnce<S> (call: StoreCall, endpoint: EtcdEndpoint, deadline: Deadline, invoke: Invoke<S>): Promise<Result<S, ServiceError>> {
+    this.metrics.count(CALLS_METRIC, 1, { kind: call })
+    return invoke(endpoint, createCallOptions(this.clock, deadline))
+  }
+
+  /** Looks for an endpoint that is connected, so that a write is sent only where it can arrive. */
+  private async findConnected (call: StoreCall, deadline: Deadline): Promise<EtcdEndpoint | undefined> {
+    const endpoints = this.ring.list()
+    for (const [index, endpoint] of endpoints.entries()) {
+      const part = this.computePart(deadline, endpoints.length - index)
+      if (await waitForChannel(endpoint.channel, this.clock, part)) return endpoint
+      this.reportFailure(endpoint, createUnsentError({ step: call, peer: endpoint.address, effect: CallEffect.Write }, false))
+    }
+    return undefined
+  }
+
+  private computePart (deadline: Deadline, endpointsLeft: number): Deadline {
+    const now = this.clock.now()
+    return createDeadline(now, getRemainingMs(deadline, now) / endpointsLeft)
+  }
+
+  private reportFailure (endpoint: EtcdEndpoint, failure: StepError): StepError {
+    this.ring.markFailed(endpoint)
+    this.metrics.count(FAILURES_METRIC, 1, { kind: failure.step })
+    logError(this.logger, LogLevel.Warn, failure)
+    return failure
+  }
+
+  private reportCut (endpoint: EtcdEndpoint): void {
+    const site = { step: StoreCall.Watch, peer: endpoint.address, effect: CallEffect.None }
+    this.reportFailure(endpoint, new StepError({ code: ErrorCode.Unavailable, step: site.step, peer: site.peer, message: 'the watch was cut' }))
+  }
+
+  private createClosedError (call: StoreCall): StepError {
+    return new StepError({ code: ErrorCode.Cancelled, step: call, peer: ANY_ENDPOINT, message: 'the store adapter is closed' })
+  }
+}
+
+function buildLease ({ answer, sentAt }: TimedAnswer<{ ID: bigint, TTL: bigint }>): GrantedLease {
+  return { leaseId: answer.ID.toString(), deadline: createDeadline(sentAt, Number(answer.TTL) * MS_PER_SECOND) }
+}
+
+/**
+ * @param options endpoints, clock and what else the adapter needs
+ * @returns a store adapter, closed by its owner; connects on its first call
+ */
+export function createEtcdStore (options: EtcdStoreOptions): IKeyValueStore {
+  return new EtcdStore(options)
+}
--- /dev/null
+++ b/packages/platform/src/node/upstream/orca.ts
@@ -0,0 +1,76 @@
+/** The load that a worker reports in its answers, by ORCA's endpoint-load-metrics header. */
+
+/** The header's name. */
+export const LOAD_HEADER = 'endpoint-load-metrics'
+
+/** A worker's load at the time it answered. */
+export interface OrcaLoad {
+  /** 0 is idle, 1 is full; may exceed 1. */
+  readonly utilization: number
+  /** Requests it was running. */
+  readonly inFlight?: number
+}
+
+type LoadFields = ReadonlyMap<string, number>
+
+/** Flat names of the fields in use, in the order of preference. */
+const UTILIZATION_FIELDS = ['application_utilization', 'cpu_utilization']
+const IN_FLIGHT_FIELD = 'named_metrics.in_flight'
+const NESTED_FIELD = 'named_metrics'
+
+function addNumber (fields: Map<string, number>, name: string, value: unknown): void {
+  if (typeof value === 'number' && Number.isFinite(value) && value >= 0) fields.set(name, value)
+}
+
+function parseJsonForm (text: string): LoadFields {
+  const fields = new Map<string, number>()
+  const parsed: unknown = JSON.parse(text)
+  if (typeof parsed !== 'object' || parsed === null) return fields
+  for (const [name, value] of Object.entries(parsed)) {
+    addNumber(fields, name, value)
+    if (name !== NESTED_FIELD || typeof value !== 'object' || value === null) continue
+    for (const [inner, innerValue] of Object.entries(value)) addNumber(fields, `${NESTED_FIELD}.${inner}`, innerValue)
+  }
+  return fields
+}
+
+function parseTextForm (text: string): LoadFields {
+  const fields = new Map<string, number>()
+  for (const pair of text.split(',')) {
+    const separator = pair.search(/[=:]/)
+    if (separator < 0) continue
+    const value = pair.slice(separator + 1).trim()
+    if (value !== '') addNumber(fields, pair.slice(0, separator).trim(), Number(value))
+  }
+  return fields
+}
+
+const PARSER_BY_FORM: ReadonlyMap<string, (text: string) => LoadFields> = new Map([
+  ['JSON', parseJsonForm],
+  ['TEXT', parseTextForm]
+])
+
+function parseFields (header: string): LoadFields | undefined {
+  const separator = header.indexOf(' ')
+  if (separator < 0) return undefined
+  const parse = PARSER_BY_FORM.get(header.slice(0, separator))
+  try {
+    return parse?.(header.slice(separator + 1))
+  } catch {
+    // A worker that writes broken JSON here must not cost the caller its answer.
+    return undefined
+  }
+}
+
+/**
+ * @param headers a response's headers, names in lower case
+ * @returns the reported load; undefined if there is none that can be used
+ */
+export function parseOrcaLoad (headers: Readonly<Record<string, string | string[] | undefined>>): OrcaLoad | undefined {
+  const header = [headers[LOAD_HEADER] ?? []].flat()[0]
+  if (header === undefined) return undefined
+  const fields = parseFields(header)
+  const used = UTILIZATION_FIELDS.find((name) => fields?.has(name))
+  if (fields === undefined || used === undefined) return undefined
+  return { utilization: fields.get(used) ?? 0, inFlight: fields.get(IN_FLIGHT_FIELD) }
+}
--- /dev/null
+++ b/packages/platform/src/node/upstream/workerProbe.ts
@@ -0,0 +1,86 @@
+/** Reads a worker's health and load endpoints. */
+import type { Readable } from 'node:stream'
+import { z } from 'zod'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import type { Result } from '@umberspar/base/common/result'
+import { Err, Ok } from '@umberspar/base/common/result'
+import type { AttemptResponse, IUpstreamTransport, WorkerProbe } from './attempt.js'
+
+const PROBE_STEP = 'probe-worker'
+const HEALTH_PATH = '/health'
+const LOAD_PATH = '/load'
+const STATUS_OK = 200
+/** More than any probe's answer needs; a worker that sends more is not believed. */
+const MAX_BODY_BYTES = 65_536
+
+/** What a worker says of its state. */
+enum WorkerState {
+  Ready = 'ready',
+  Starting = 'starting',
+  Draining = 'draining'
+}
+
+const healthSchema = z.object({ state: z.enum(WorkerState) })
+const loadSchema = z.object({ utilization: z.number().min(0), inFlight: z.number().int().min(0) })
+
+async function readBody (body: Readable): Promise<string> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of body) {
+    const bytes = chunk as Buffer
+    size += bytes.byteLength
+    if (size > MAX_BODY_BYTES) throw new Error(`the answer exceeds ${MAX_BODY_BYTES} bytes`)
+    chunks.push(bytes)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+async function parseBody<T> (response: AttemptResponse, schema: z.ZodType<T>, peer: string): Promise<Result<T, StepError>> {
+  try {
+    return Ok(schema.parse(JSON.parse(await readBody(response.body))))
+  } catch (thrown) {
+    if (thrown instanceof StepError) return Err(thrown)
+    const message = thrown instanceof Error ? thrown.message : String(thrown)
+    return Err(new StepError({ code: ErrorCode.Invalid, step: PROBE_STEP, peer, message, cause: thrown }))
+  }
+}
+
+interface ProbeAnswer<T> {
+  readonly status: number
+  readonly value: T
+}
+
+/** Probes one worker over a transport. */
+export class WorkerProber {
+  constructor (private readonly transport: Pick<IUpstreamTransport, 'send'>) {}
+
+  /**
+   * @param address the worker
+   * @param deadline by when both answers must have come
+   * @returns what the worker says of itself
+   */
+  async fetch (address: string, deadline: Deadline): Promise<Result<WorkerProbe, StepError>> {
+    const health = await this.fetchAnswer(address, HEALTH_PATH, healthSchema, deadline)
+    if (health.err) return health
+    const load = await this.fetchAnswer(address, LOAD_PATH, loadSchema, deadline)
+    if (load.err) return load
+    const { status, value } = health.val
+    return Ok({
+      isHealthy: status === STATUS_OK && value.state !== WorkerState.Draining,
+      isDraining: value.state === WorkerState.Draining,
+      isStarting: value.state === WorkerState.Starting,
+      utilization: load.val.value.utilization,
+      inFlight: load.val.value.inFlight
+    })
+  }
+
+  private async fetchAnswer<T> (address: string, path: string, schema: z.ZodType<T>, deadline: Deadline): Promise<Result<ProbeAnswer<T>, StepError>> {
+    const signal = new AbortController().signal
+    const sent = await this.transport.send({ workerId: address, address, method: 'GET', path, headers: {}, body: null, deadline, signal })
+    if (sent.err) return sent
+    const parsed = await parseBody(sent.val, schema, address)
+    if (parsed.err) return parsed
+    return Ok({ status: sent.val.status, value: parsed.val })
+  }
+}
--- /dev/null
+++ b/packages/platform/test/node/peers/peers.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { NULL_LOGGER } from '@umberspar/base/common/logger'
+import { SystemClock } from '@umberspar/base/node/systemClock'
+import type { Digest, IPeerService, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
+import { CHUNK_BYTES, DocumentAssembler, MAX_DOCUMENT_BYTES, splitDocument } from '../../../src/node/peers/documentChunks.js'
+import { PeerClient } from '../../../src/node/peers/peerClient.js'
+import { PeerServer } from '../../../src/node/peers/peerServer.js'
+
+const GENEROUS_SPAN_MS = 60_000
+const clock = new SystemClock()
+const document = { name: 'configuration', version: 5, digest: 'ab', changeId: 'c' }
+const cleanUps: Array<() => Promise<void> | void> = []
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp()
+})
+
+/** Keeps what it was sent. */
+class FakeService implements IPeerService {
+  stored: PeerDocument | undefined
+  readonly digests: Digest[] = []
+  readonly loans: LoanRequest[] = []
+  readonly returns: LoanReturn[] = []
+
+  exchange (digest: Digest): Digest {
+    this.digests.push(digest)
+    return { ...digest, nodeId: 'answering' }
+  }
+
+  fetch (name: string, aboveVersion: number): PeerDocument | undefined {
+    if (name === 'broken') throw new StepError({ code: ErrorCode.NotFound, step: 'find-document', peer: 'local', message: 'no such document' })
+    return this.stored !== undefined && this.stored.document.version > aboveVersion ? this.stored : undefined
+  }
+
+  async push (pushed: PeerDocument): Promise<number> {
+    this.stored = pushed
+    return pushed.document.version
+  }
+
+  borrow (request: LoanRequest): { loanId: string, slots: number, connections: number, deadline: number } {
+    this.loans.push(request)
+    return { loanId: request.loanId, slots: 1, connections: 2, deadline: request.deadline }
+  }
+
+  returnLoan (loan: LoanReturn): void {
+    this.returns.push(loan)
+  }
+}
+
+async function openPair (service: IPeerService): Promise<{ client: PeerClient, server: PeerServer, address: string }> {
+  const server = new PeerServer({ address: '127.0.0.1:0', service, clock, logger: NULL_LOGGER })
+  const port = await server.listen()
+  assert.ok(port.ok)
+  const client = new PeerClient({ clock })
+  cleanUps.push(() => server.close(), () => { client.close() })
+  return { client, server, address: `127.0.0.1:${port.val}` }
+}
+
+function createFar (): number {
+  return createDeadline(clock.now(), GENEROUS_SPAN_MS)
+}
+
+function createDocument (size: number): PeerDocument {
+  return { document, body: Uint8Array.from({ length: size }, (_value, index) => index % 251) }
+}
+
+describe('peers over gRPC', () => {
+  it('carries a document of several chunks both ways, and none where the peer has no higher version', async () => {
+    const { client, address } = await openPair(new FakeService())
+    for (const size of [0, 1, CHUNK_BYTES, 5 * CHUNK_BYTES + 17]) {
+      const sent = createDocument(size)
+      const pushed = await client.push(address, sent, createFar())
+      assert.equal(pushed.val, 5)
+      const fetched = await client.fetch(address, 'configuration', 4, createFar())
+      assert.ok(fetched.ok)
+      assert.deepEqual(fetched.val?.document, document)
+      assert.ok(Buffer.from(fetched.val?.body ?? []).equals(Buffer.from(sent.body)))
+    }
+    const none = await client.fetch(address, 'configuration', 5, createFar())
+    assert.ok(none.ok)
+    assert.equal(none.val, undefined)
+  })
+
+  it('carries digests, with ages that never make a measurement newer', async () => {
+    const service = new FakeService()
+    const { client, address } = await openPair(service)
+    const measuredAt = clock.now()
+    const report = { workerId: 'w', utilization: 0.5, inFlight: 3, measuredAt, isDraining: false, isHealthy: true }
+    const digest: Digest = { nodeId: 'asking', state: NodeState.Leaving, incarnation: 2, documents: [document], demand: [], workers: [report], region: 'r', failureDomain: 'd' }
+    const answer = await client.exchange(address, digest, createFar())
+    assert.ok(answer.ok)
+    const [seen] = service.digests
+    assert.deepEqual([seen?.nodeId, seen?.state, seen?.incarnation, seen?.documents], ['asking', NodeState.Leaving, 2, [document]])
+    assert.equal(answer.val.nodeId, 'answering')
+    const returned = answer.val.workers[0]
+    assert.ok(returned !== undefined && returned.measuredAt <= measuredAt + 1)
+    assert.deepEqual({ ...returned, measuredAt }, report)
+  })
+
+  it('gives the borrower a deadline that does not lie after the lender’s', async () => {
+    // Both sides of a loan count it by their own clocks. If the borrower's ended
+    // later, both would use the same slots for a moment and overload the worker.
+    const service = new FakeService()
+    const { client, address } = await openPair(service)
+    const request = { borrowerId: 'b', loanId: 'l', workerId: 'w', slots: 2, connections: 2, deadline: createFar() }
+    const answer = await client.borrow(address, request, createFar())
+    assert.ok(answer.ok)
+    const lenders = service.loans[0]?.deadline ?? 0
+    assert.ok(answer.val.deadline <= lenders)
+    assert.ok((await client.returnLoan(address, { borrowerId: 'b', loanId: 'l' }, createFar())).ok)
+    assert.deepEqual(service.returns, [{ borrowerId: 'b', loanId: 'l' }])
+  })
+
+  it('reports errors with step and peer: refused, unreachable, lost', async () => {
+    const service = new FakeService()
+    const { client, server, address } = await openPair(service)
+    const refused = await client.fetch(address, 'broken', 0, createFar())
+    assert.ok(refused.err)
+    assert.deepEqual([refused.val.code, refused.val.step, refused.val.peer], [ErrorCode.NotFound, 'peer-fetch', address])
+    service.push = () => Promise.reject(new Error('fault'))
+    const lost = await client.push(address, createDocument(3 * CHUNK_BYTES), createFar())
+    assert.ok(lost.err)
+    assert.equal(lost.val.code, ErrorCode.EffectUnknown)
+    client.closePeer(address)
+    await server.close()
+    const unreachable = await client.push(address, createDocument(1), createFar())
+    assert.ok(unreachable.err)
+    assert.equal(unreachable.val.code, ErrorCode.Unavailable)
+  })
+})
+
+describe('DocumentAssembler', () => {
+  it('refuses what is out of order, not whole or too large', () => {
+    const [first, second] = [...splitDocument(createDocument(2 * CHUNK_BYTES))]
+    assert.ok(first !== undefined && second !== undefined)
+    const assertRefused = (code: ErrorCode, step: () => void): void => {
+      assert.throws(step, (error: unknown) => error instanceof StepError && error.code === code)
+    }
+    assertRefused(ErrorCode.Invalid, () => { new DocumentAssembler('p').add(second) })
+    const half = new DocumentAssembler('p')
+    half.add(first)
+    assertRefused(ErrorCode.Invalid, () => { half.build() })
+    assertRefused(ErrorCode.Invalid, () => { half.add({ ...second, document: { ...document, version: 6n } }) })
+    assertRefused(ErrorCode.Exhausted, () => { half.add({ ...second, data: Buffer.alloc(MAX_DOCUMENT_BYTES) }) })
+  })
+})
--- /dev/null
+++ b/packages/platform/test/node/upstream/upstreamTransport.test.ts
@@ -0,0 +1,246 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer as createHttpServer } from 'node:http'
+import type { RequestListener } from 'node:http'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { createServer } from 'node:net'
+import { text } from 'node:stream/consumers'
+import { afterEach, describe, it } from 'node:test'
+import type { IClock } from '@umberspar/base/common/clock'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { ErrorCode } from '@umberspar/base/common/errors'
+import { SystemClock } from '@umberspar/base/node/systemClock'
+import type { AttemptRequest } from '../../../src/node/upstream/upstreamTransport.js'
+import { AttemptError, UndiciTransport } from '../../../src/node/upstream/upstreamTransport.js'
+
+const GENEROUS_SPAN_MS = 60_000
+const clock = new SystemClock()
+const cleanUps: Array<() => Promise<unknown> | void> = []
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp()
+})
+
+async function openServer (server: Server): Promise<string> {
+  const sockets = new Set<Socket>()
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  cleanUps.push(async () => {
+    for (const socket of sockets) socket.destroy()
+    await new Promise((resolve) => { server.close(resolve) })
+  })
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function openRaw (onRequest: (socket: Socket) => void): Promise<string> {
+  return openServer(createServer((socket) => { socket.once('data', () => { onRequest(socket) }) }))
+}
+
+function openHttp (listener: RequestListener): Promise<string> {
+  return openServer(createHttpServer(listener))
+}
+
+function createTransport (address: string, connections = 2, attemptClock: IClock = clock): UndiciTransport {
+  const transport = new UndiciTransport({ clock: attemptClock })
+  transport.setWorkers([{ address, connections }])
+  cleanUps.push(() => transport.close())
+  return transport
+}
+
+function createRequest (address: string, changes: Partial<AttemptRequest> = {}): AttemptRequest {
+  return {
+    workerId: 'worker-1',
+    address,
+    method: 'POST',
+    path: '/work',
+    headers: {},
+    body: Buffer.from('payload'),
+    deadline: createDeadline(clock.now(), GENEROUS_SPAN_MS),
+    signal: new AbortController().signal,
+    ...changes
+  }
+}
+
+async function expectBodyError (transport: UndiciTransport, address: string): Promise<AttemptError> {
+  const sent = await transport.send(createRequest(address))
+  assert.ok(sent.ok)
+  const failure = await text(sent.val.body).then(() => assert.fail('the body ended as whole'), (error: unknown) => error)
+  assert.ok(failure instanceof AttemptError)
+  return failure
+}
+
+describe('UndiciTransport, whether a request may have left', () => {
+  it('says unsent when the worker refuses the connection', async () => {
+    // A caller pays; the worker's process is gone and its port answers with a reset.
+    // Nothing can have run, so the caller may be told so and the payment tried elsewhere.
+    const server = createServer()
+    const address = await openServer(server)
+    await new Promise((resolve) => { server.close(resolve) })
+    const transport = createTransport(address)
+    const body = Buffer.from('payload')
+    const sent = await transport.send(createRequest(address, { body }))
+    assert.ok(sent.err)
+    assert.deepEqual([sent.val.code, sent.val.mayHaveSent, sent.val.peer], [ErrorCode.Unavailable, false, address])
+  })
+
+  it('says possibly sent when the worker resets after the request came', async () => {
+    // A caller pays; the worker reads the request and dies before it answers.
+    // The payment may have run, so nobody may say that it did not.
+    const address = await openRaw((socket) => { socket.resetAndDestroy() })
+    const sent = await createTransport(address).send(createRequest(address))
+    assert.ok(sent.err)
+    assert.deepEqual([sent.val.code, sent.val.mayHaveSent, sent.val.hasHeaders], [ErrorCode.EffectUnknown, true, false])
+  })
+
+  it('refuses at once, unsent, what finds no free connection, and serves it after a limit has grown', async () => {
+    const held: Array<() => void> = []
+    const arrivals: Array<() => void> = []
+    const address = await openHttp((_request, response) => {
+      held.push(() => { response.end('done') })
+      arrivals.shift()?.()
+    })
+    const transport = createTransport(address, 1)
+    const hasArrived = new Promise<void>((resolve) => { arrivals.push(resolve) })
+    const first = transport.send(createRequest(address))
+    await hasArrived
+    const second = await transport.send(createRequest(address))
+    assert.ok(second.err)
+    assert.deepEqual([second.val.code, second.val.mayHaveSent], [ErrorCode.Exhausted, false])
+    transport.setWorkers([{ address, connections: 2 }])
+    const hasThird = new Promise<void>((resolve) => { arrivals.push(resolve) })
+    const third = transport.send(createRequest(address))
+    await hasThird
+    transport.setWorkers([])
+    for (const finish of held) finish()
+    for (const sent of await Promise.all([first, third])) {
+      assert.ok(sent.ok)
+      assert.equal(await text(sent.val.body), 'done', 'a removed worker finishes its open requests')
+    }
+    const removed = await transport.send(createRequest(address))
+    assert.ok(removed.err)
+    assert.equal(removed.val.mayHaveSent, false)
+  })
+})
+
+describe('UndiciTransport, answers that are not whole', () => {
+  it('fails the body that ends before its Content-Length', async () => {
+    // A caller reads a consent letter; the worker dies in the middle of its answer.
+    // The connection closes without an error of its own; ending the stream cleanly
+    // would hand half a letter on as a whole one.
+    const address = await openRaw((socket) => { socket.end('HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf') })
+    const failure = await expectBodyError(createTransport(address), address)
+    assert.deepEqual([failure.code, failure.hasHeaders], [ErrorCode.EffectUnknown, true])
+  })
+
+  it('fails the chunked body without its last chunk, and the one with broken chunking', async () => {
+    const head = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'
+    for (const rest of ['', 'zz\r\n']) {
+      const address = await openRaw((socket) => { socket.end(head + rest) })
+      const failure = await expectBodyError(createTransport(address), address)
+      assert.equal(failure.hasHeaders, true)
+    }
+  })
+})
+
+describe('UndiciTransport, ending early', () => {
+  it('cancels the call at the worker when the signal aborts, before and after the headers', async () => {
+    for (const hasHeaders of [false, true]) {
+      const aborter = new AbortController()
+      let onArrival = (): void => {}
+      const hasArrived = new Promise<void>((resolve) => { onArrival = resolve })
+      let onClose = (): void => {}
+      const hasClosed = new Promise<void>((resolve) => { onClose = resolve })
+      const address = await openHttp((_request, response) => {
+        response.on('close', onClose)
+        if (hasHeaders) response.write('part')
+        onArrival()
+      })
+      const sending = createTransport(address).send(createRequest(address, { signal: aborter.signal }))
+      await hasArrived
+      if (!hasHeaders) aborter.abort()
+      const sent = await sending
+      assert.equal(sent.ok, hasHeaders)
+      if (sent.ok) {
+        aborter.abort()
+        await assert.rejects(text(sent.val.body), (error: unknown) => error instanceof AttemptError && error.code === ErrorCode.Cancelled)
+      } else {
+        assert.deepEqual([sent.val.code, sent.val.mayHaveSent], [ErrorCode.Cancelled, true])
+      }
+      await hasClosed
+    }
+  })
+
+  it('ends a call whose deadline passes as possibly sent, and does not begin one that is late', async () => {
+    let fireDeadline = (): void => {}
+    const stillClock: IClock = {
+      now: () => 0,
+      getWallTime: () => 0,
+      schedule: (_at, callback) => {
+        fireDeadline = callback
+        return { close: () => {} }
+      }
+    }
+    let onClose = (): void => {}
+    const hasClosed = new Promise<void>((resolve) => { onClose = resolve })
+    const address = await openHttp((_request, response) => {
+      response.on('close', onClose)
+      fireDeadline()
+    })
+    const transport = createTransport(address, 1, stillClock)
+    const late = await transport.send(createRequest(address, { deadline: 0 }))
+    assert.ok(late.err)
+    assert.deepEqual([late.val.code, late.val.mayHaveSent], [ErrorCode.DeadlinePassed, false])
+    const passing = await transport.send(createRequest(address, { deadline: 1 }))
+    assert.ok(passing.err)
+    assert.deepEqual([passing.val.code, passing.val.mayHaveSent, passing.val.hasHeaders], [ErrorCode.EffectUnknown, true, false])
+    await hasClosed
+  })
+})
+
+describe('UndiciTransport, whole answers', () => {
+  it('keeps repeated headers, drops hop-by-hop ones and passes HEAD, 103, 204 and 304', async () => {
+    const statuses: Readonly<Record<string, number>> = { '/204': 204, '/304': 304 }
+    const address = await openHttp((request, response) => {
+      response.writeEarlyHints({ link: '</style.css>; rel=preload' })
+      response.setHeader('set-cookie', ['a=1', 'b=2'])
+      response.setHeader('x-hop', String(request.headers['x-hop']))
+      response.statusCode = statuses[request.url ?? ''] ?? 200
+      response.end(response.statusCode === 200 ? 'body' : undefined)
+    })
+    const transport = createTransport(address)
+    const expectations = [['GET', '/', 200, 'body'], ['HEAD', '/', 200, ''], ['GET', '/204', 204, ''], ['GET', '/304', 304, '']] as const
+    for (const [method, path, status, body] of expectations) {
+      const headers = { Connection: 'x-hop', 'X-Hop': 'no' }
+      const sent = await transport.send(createRequest(address, { method, path, headers, body: null }))
+      assert.ok(sent.ok)
+      assert.equal(sent.val.status, status)
+      assert.deepEqual(sent.val.headers['set-cookie'], ['a=1', 'b=2'])
+      assert.equal(sent.val.headers['x-hop'], 'undefined')
+      assert.equal(sent.val.headers['connection'], undefined)
+      assert.equal(await text(sent.val.body), body)
+    }
+  })
+
+  it('probes health and load, and reports nonsense as an error', async () => {
+    const answers: Record<string, [number, string]> = {
+      '/health': [503, '{"state":"draining"}'],
+      '/load': [200, '{"utilization":0.5,"inFlight":2}']
+    }
+    const address = await openHttp((request, response) => {
+      const [status, body] = answers[request.url ?? ''] ?? [404, '']
+      response.writeHead(status).end(body)
+    })
+    const transport = createTransport(address)
+    const deadline = createDeadline(clock.now(), GENEROUS_SPAN_MS)
+    const probe = await transport.probe(address, deadline)
+    assert.deepEqual(probe.val, { isHealthy: false, isDraining: true, isStarting: false, utilization: 0.5, inFlight: 2 })
+    answers['/load'] = [200, '{"utilization":"much"}']
+    const nonsense = await transport.probe(address, deadline)
+    assert.ok(nonsense.err)
+    assert.equal(nonsense.val.code, ErrorCode.Invalid)
+  })
+})
--- /dev/null
+++ b/packages/steering/src/common/configuration/json-merge-patch.d.ts
@@ -0,0 +1,9 @@
+/** Types of the untyped library json-merge-patch, as far as it is used. */
+declare module 'json-merge-patch' {
+  interface JsonMergePatch {
+    /** Applies a patch; writes into the target and returns the result. */
+    apply (target: unknown, patch: unknown): unknown
+  }
+  const jsonMergePatch: JsonMergePatch
+  export default jsonMergePatch
+}
--- /dev/null
+++ b/packages/steering/src/common/ports/peers.ts
@@ -0,0 +1,118 @@
+/** The ports between daemons: what a node answers its peers, and what it asks of them. */
+import type { Instant } from '@umberspar/base/common/clock'
+import type { IClosable } from '@umberspar/base/common/closing'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import type { StepError } from '@umberspar/base/common/errors'
+import type { Result } from '@umberspar/base/common/result'
+import type { NodeState } from '../state/nodeState.js'
+
+/** What a node says of itself; that it is suspected or gone only others can find. */
+export type AnnouncedState = NodeState.Joining | NodeState.Live | NodeState.Leaving
+
+/** A document (the configuration, one service's plan) and the version a node has of it. */
+export interface DocumentVersion {
+  readonly name: string
+  readonly version: number
+  /** xxHash64 of the body, in hexadecimal. */
+  readonly digest: string
+  readonly changeId: string
+}
+
+/** A whole document. */
+export interface PeerDocument {
+  readonly document: DocumentVersion
+  readonly body: Uint8Array
+}
+
+/** The newest load that a node knows of one worker. */
+export interface WorkerReport {
+  readonly workerId: string
+  /** 0 is idle, 1 is full; may exceed 1. */
+  readonly utilization: number
+  readonly inFlight: number
+  /** On the own clock; the adapter carries the age over the wire. */
+  readonly measuredAt: Instant
+  readonly isDraining: boolean
+  readonly isHealthy: boolean
+}
+
+/** What one node carried lately of one service for one client region. */
+export interface DemandReport {
+  readonly service: string
+  readonly clientRegion: string
+  /** Mean number of requests held or waiting at a time. */
+  readonly concurrency: number
+  /** When the measurement ended, on the own clock. */
+  readonly measuredAt: Instant
+}
+
+/** A heartbeat: who is there, in which state, with which versions. */
+export interface Digest {
+  readonly nodeId: string
+  readonly state: AnnouncedState
+  /** Grows with every start of the node. */
+  readonly incarnation: number
+  readonly documents: readonly DocumentVersion[]
+  readonly workers: readonly WorkerReport[]
+  readonly demand: readonly DemandReport[]
+  readonly region: string
+  readonly failureDomain: string
+}
+
+/** Asks to use some of a peer's slots and connections at a worker until a deadline. */
+export interface LoanRequest {
+  readonly borrowerId: string
+  /** The same for a repeated request, so that a loan is not given twice. */
+  readonly loanId: string
+  readonly workerId: string
+  readonly slots: number
+  readonly connections: number
+  /** On the own clock of whoever holds the request. */
+  readonly deadline: Deadline
+}
+
+/** What was lent; zero slots and connections are a refusal. */
+export interface LoanAnswer {
+  readonly loanId: string
+  readonly slots: number
+  readonly connections: number
+  /**
+   * On the own clock. The borrower's is counted from before its request was sent,
+   * the lender's from the receipt: the borrower's never lies after the lender's.
+   */
+  readonly deadline: Deadline
+}
+
+/** Gives a loan back before its deadline. */
+export interface LoanReturn {
+  readonly borrowerId: string
+  readonly loanId: string
+}
+
+/** What a node answers its peers. A StepError thrown reaches the caller with its code. */
+export interface IPeerService {
+  /** @returns the own digest */
+  exchange(digest: Digest): Digest
+  /** @returns the document, if the own version is higher than `aboveVersion` */
+  fetch(name: string, aboveVersion: number): PeerDocument | undefined
+  /** @returns the version in force here afterwards */
+  push(document: PeerDocument): Promise<number>
+  borrow(request: LoanRequest): LoanAnswer
+  returnLoan(loan: LoanReturn): void
+}
+
+/**
+ * Calls to peers by the `host:port` of their listeners. Errors: `Unavailable` says
+ * that a call had no effect, `EffectUnknown` that the answer to a push, a loan or a
+ * return was lost.
+ */
+export interface IPeerClient extends IClosable {
+  exchange(address: string, digest: Digest, deadline: Deadline): Promise<Result<Digest, StepError>>
+  /** @returns undefined if the peer has no higher version */
+  fetch(address: string, name: string, aboveVersion: number, deadline: Deadline): Promise<Result<PeerDocument | undefined, StepError>>
+  push(address: string, document: PeerDocument, deadline: Deadline): Promise<Result<number, StepError>>
+  borrow(address: string, request: LoanRequest, deadline: Deadline): Promise<Result<LoanAnswer, StepError>>
+  returnLoan(address: string, loan: LoanReturn, deadline: Deadline): Promise<Result<void, StepError>>
+  /** Gives up the connection to a peer that is gone. */
+  closePeer(address: string): void
+}
--- /dev/null
+++ b/packages/steering/src/common/request/route.ts
@@ -0,0 +1,72 @@
+/** Which route of a service a request falls under, and whether it may be repeated. */
+import type { RouteConfiguration, ServiceConfiguration } from '../configuration/configurationSchema.js'
+import { RepeatRule, RequestKind } from '../configuration/configurationSchema.js'
+
+/** What applies where no configured prefix matches. */
+export const DEFAULT_ROUTE: RouteConfiguration = {
+  prefix: '/',
+  repeat: RepeatRule.ByMethod,
+  kind: RequestKind.Call,
+  priority: 5
+}
+
+/** RFC 9110, section 9.2.1; CONNECT, PUT and DELETE are not among them. */
+const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE'])
+
+const IDEMPOTENCE: Readonly<Record<RepeatRule, (method: string) => boolean>> = {
+  [RepeatRule.ByMethod]: (method) => SAFE_METHODS.has(method.toUpperCase()),
+  [RepeatRule.Idempotent]: () => true,
+  [RepeatRule.NotIdempotent]: () => false
+}
+
+/** Spellings of a path that an upstream may read as another path. */
+const NEEDS_NORMALIZING = /%|\\|\/\/|\/\.{1,2}(\/|$)/
+
+function decodePath (path: string): string {
+  try {
+    return decodeURIComponent(path)
+  } catch {
+    return path
+  }
+}
+
+/**
+ * Resolves escapes, empty and dot segments. Without it `/x/../assign` or
+ * `/%61ssign` would slip past a route that forbids repeating `/assign`, and a
+ * request that must run at most once would be retried.
+ */
+function parsePath (target: string): string {
+  const path = target.split(/[?#]/, 1)[0] ?? ''
+  if (!NEEDS_NORMALIZING.test(path)) return path
+  const segments: string[] = []
+  for (const segment of decodePath(path).split(/[/\\]/)) {
+    if (segment === '..') segments.pop()
+    else if (segment !== '' && segment !== '.') segments.push(segment)
+  }
+  return `/${segments.join('/')}`
+}
+
+/**
+ * Finds the route with the longest prefix.
+ * @param service the service's configuration
+ * @param path the path below `/v1/services/S`, with or without query
+ * @returns the route, or `DEFAULT_ROUTE` if no prefix matches
+ */
+export function findRoute (service: ServiceConfiguration, path: string): RouteConfiguration {
+  if (service.routes.length === 0) return DEFAULT_ROUTE
+  const normalized = parsePath(path)
+  let best: RouteConfiguration | undefined
+  for (const route of service.routes) {
+    if (normalized.startsWith(route.prefix) && route.prefix.length > (best?.prefix.length ?? 0)) best = route
+  }
+  return best ?? DEFAULT_ROUTE
+}
+
+/**
+ * @param route the request's route
+ * @param method the HTTP method
+ * @returns whether the request may run more than once without harm
+ */
+export function isIdempotent (route: RouteConfiguration, method: string): boolean {
+  return IDEMPOTENCE[route.repeat](method)
+}
--- /dev/null
+++ b/packages/testing/src/node/measure/childDaemon.ts
@@ -0,0 +1,62 @@
+/** One `umberspard` in a process of its own, and the settings file it reads. */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { IClosable } from '@umberspar/base/common/closing'
+import type { IClock } from '@umberspar/base/common/clock'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import { request } from 'undici'
+import { waitForCondition } from '../load/polling.js'
+import { ChildProgram } from './childProgram.js'
+
+const DAEMON_PROGRAM = new URL('../../../../../daemon/bin/umberspard.js', import.meta.url)
+const READY_WITHIN_MS = 20_000
+const POLL_MS = 50
+const OK_STATUS = 200
+
+/** A running daemon process. */
+export class ChildDaemon implements IClosable {
+  private constructor (
+    readonly settings: DaemonSettings,
+    readonly program: ChildProgram,
+    private readonly directory: string
+  ) {}
+
+  /**
+   * @param settings the daemon's settings; written to a temporary file
+   * @returns the daemon, not necessarily ready
+   */
+  static async spawn (settings: DaemonSettings): Promise<ChildDaemon> {
+    const directory = await mkdtemp(join(tmpdir(), 'umberspar-'))
+    const file = join(directory, `${settings.nodeId}.json`)
+    await writeFile(file, JSON.stringify(settings))
+    return new ChildDaemon(settings, ChildProgram.spawn(DAEMON_PROGRAM, ['--settings', file]), directory)
+  }
+
+  /**
+   * @param clock the source of time
+   * @returns when the daemon says that it is ready; rejects after twenty seconds
+   */
+  async waitUntilReady (clock: IClock): Promise<void> {
+    const deadline = createDeadline(clock.now(), READY_WITHIN_MS)
+    if (await waitForCondition(clock, deadline, POLL_MS, () => this.isReady())) return
+    throw new Error(`${this.settings.nodeId} is not ready: ${this.program.listLastErrors().join('\n')}`)
+  }
+
+  /** Stops the process and removes its settings file. */
+  async close (): Promise<void> {
+    await this.program.close()
+    await rm(this.directory, { recursive: true, force: true })
+  }
+
+  private async isReady (): Promise<boolean> {
+    try {
+      const response = await request(`http://${this.settings.operators.address}/readyz`)
+      await response.body.dump()
+      return response.statusCode === OK_STATUS
+    } catch {
+      return false
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/src/node/measure/main.ts
@@ -0,0 +1,55 @@
+/** `npm run measure -- NAME`: JSON lines on standard output, tables on standard error. */
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { DeploymentName } from '../../common/load/mixes.js'
+import { printLine } from '../terminal.js'
+import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
+import type { Measurement, MeasureOptions } from './measurement.js'
+import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
+
+/** The measurements, by the name on the command line. */
+enum MeasurementName {
+  Lookup = 'lookup',
+  Request = 'request'
+}
+
+const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
+  [MeasurementName.Request]: REQUEST_MEASUREMENT
+}
+
+const DEFAULT_SECONDS = 10
+const DEFAULT_RATE = 200
+const EXIT_NOT_VALID = 1
+
+interface MeasureCall {
+  readonly measurement: Measurement
+  readonly options: MeasureOptions
+}
+
+function parseCall (words: readonly string[]): MeasureCall {
+  const names = Object.values(MeasurementName)
+  const summaries = names.map((name) => `  ${name}  ${MEASUREMENTS[name].summary}`).join('\n')
+  const parsed = yargs(words)
+    .scriptName('npm run measure --')
+    .usage(`$0 <name> [options]\n\n${summaries}`)
+    .command('$0 <name>', false, (command) => command.positional('name', { choices: names, demandOption: true, describe: 'what to measure' }))
+    .option('deployment', { choices: Object.values(DeploymentName), default: DeploymentName.Teratai, describe: 'which example deployment' })
+    .option('seconds', { type: 'number', default: DEFAULT_SECONDS, describe: 'how long each part measures' })
+    .option('rate', { type: 'number', default: DEFAULT_RATE, describe: 'requests a second, where the load is fixed' })
+    .option('seed', { type: 'number', default: 1, describe: 'seed of all that is random' })
+    .strict()
+    .parseSync()
+  const { deployment, seconds, rate, seed } = parsed
+  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed } }
+}
+
+async function main (): Promise<void> {
+  const { measurement, options } = parseCall(hideBin(process.argv))
+  const reason = await measurement.run(options)
+  if (reason === undefined) return
+  printLine(`not valid: ${reason}`)
+  process.exitCode = EXIT_NOT_VALID
+}
+
+await main()
--- /dev/null
+++ b/packages/testing/test/common/history/historyChecker.test.ts
@@ -0,0 +1,210 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import {
+  AnswerKind, ExecutionEnd, HistoryEventKind
+} from '../../../src/common/history/historyEvent.js'
+import type { HistoryEvent, PlannedEvent } from '../../../src/common/history/historyEvent.js'
+import { checkHistory, countViolations, ViolationKind } from '../../../src/common/history/historyChecker.js'
+
+const WORKER = 'w1'
+const OTHER_WORKER = 'w2'
+const ENTRY = '127.0.0.1:7001'
+const SERVICE = 'escort-svc'
+const SLOTS = 2
+const CONNECTIONS = 3
+
+interface ExchangePlan {
+  readonly id: string
+  readonly sentAt: number
+  readonly worker?: string
+  readonly isIdempotent?: boolean
+  readonly key?: string
+  readonly answer?: AnswerKind
+  readonly end?: ExecutionEnd
+}
+
+let nextExecutionId = 1
+
+/** Declares what both workers bear. */
+function buildLimits (): HistoryEvent[] {
+  return [WORKER, OTHER_WORKER].map((workerId) => ({
+    kind: HistoryEventKind.LimitDeclared, at: 0, workerId, slots: SLOTS, connections: CONNECTIONS
+  }))
+}
+
+/** One execution of a request, 10 ms long. */
+function buildExecution (plan: ExchangePlan, startedAt = plan.sentAt + 1): HistoryEvent[] {
+  const executionId = nextExecutionId++
+  const workerId = plan.worker ?? WORKER
+  return [
+    { kind: HistoryEventKind.ExecutionStarted, at: startedAt, executionId, workerId, requestId: plan.id, service: SERVICE, idempotencyKey: plan.key },
+    { kind: HistoryEventKind.ExecutionEnded, at: startedAt + 10, executionId, workerId, end: plan.end ?? ExecutionEnd.Answered }
+  ]
+}
+
+/** A caller's attempt without what happens at a worker. */
+function buildAttempt (plan: ExchangePlan): HistoryEvent[] {
+  return [
+    {
+      kind: HistoryEventKind.Sent,
+      at: plan.sentAt,
+      requestId: plan.id,
+      operationId: plan.id.split('.')[0] ?? plan.id,
+      service: SERVICE,
+      isIdempotent: plan.isIdempotent ?? false,
+      idempotencyKey: plan.key,
+      entry: ENTRY
+    },
+    { kind: HistoryEventKind.Answered, at: plan.sentAt + 12, requestId: plan.id, answer: plan.answer ?? AnswerKind.Whole }
+  ]
+}
+
+function buildExchange (plan: ExchangePlan): HistoryEvent[] {
+  return [...buildAttempt(plan), ...buildExecution(plan)]
+}
+
+function buildPlanned (kind: PlannedEvent['kind'], at: number, target = WORKER): PlannedEvent {
+  return { kind, at, targets: [target] }
+}
+
+function buildCleanHistory (): HistoryEvent[] {
+  return [
+    ...buildLimits(),
+    ...buildExchange({ id: 'a.1', sentAt: 0 }),
+    ...buildExchange({ id: 'b.1', sentAt: 1, key: 'k-b' }),
+    // Refused before it ran, then repeated and run once.
+    ...buildAttempt({ id: 'c.1', sentAt: 20, answer: AnswerKind.NotRun }),
+    ...buildExchange({ id: 'c.2', sentAt: 40 }),
+    // An idempotent request may run twice.
+    ...buildExchange({ id: 'd.1', sentAt: 60, isIdempotent: true }),
+    ...buildExecution({ id: 'd.1', sentAt: 60, worker: OTHER_WORKER }),
+    { kind: HistoryEventKind.ConnectionsCounted, at: 80, workerId: WORKER, open: CONNECTIONS },
+    // The last work of a draining worker begins within its grace.
+    buildPlanned(HistoryEventKind.DrainAnnounced, 100),
+    ...buildExchange({ id: 'e.1', sentAt: 2000 }),
+    buildPlanned(HistoryEventKind.SafeToStop, 2200),
+    buildPlanned(HistoryEventKind.StopBegan, 2210),
+    // Cut while another worker is being stopped: no planned stop caused it.
+    ...buildExchange({ id: 'f.1', sentAt: 2220, worker: OTHER_WORKER, end: ExecutionEnd.Cut, answer: AnswerKind.Unknown }),
+    buildPlanned(HistoryEventKind.StopEnded, 2300),
+    buildPlanned(HistoryEventKind.DrainWithdrawn, 2400),
+    ...buildExchange({ id: 'g.1', sentAt: 9000 })
+  ]
+}
+
+/** Events that break one promise when added to the clean history. */
+const PLANTED_FAULTS: ReadonlyArray<{ readonly title: string, readonly kind: ViolationKind, readonly events: () => HistoryEvent[] }> = [
+  {
+    title: 'a non-idempotent request runs at two workers',
+    kind: ViolationKind.DoubledExecution,
+    events: () => [...buildExchange({ id: 'x.1', sentAt: 5000 }), ...buildExecution({ id: 'x.1', sentAt: 5000, worker: OTHER_WORKER })]
+  },
+  {
+    title: 'a repeat runs after an attempt that had run',
+    kind: ViolationKind.DoubledExecution,
+    events: () => [
+      ...buildExchange({ id: 'x.1', sentAt: 5000, answer: AnswerKind.Unknown }),
+      ...buildExchange({ id: 'x.2', sentAt: 5100 })
+    ]
+  },
+  {
+    title: 'two operations with one idempotency key both run',
+    kind: ViolationKind.DoubledExecution,
+    events: () => [...buildExchange({ id: 'x.1', sentAt: 5000, key: 'k' }), ...buildExchange({ id: 'y.1', sentAt: 5100, key: 'k' })]
+  },
+  {
+    title: 'a worker runs what the caller was told is not run, later',
+    kind: ViolationKind.RanThoughNotRun,
+    events: () => [
+      ...buildAttempt({ id: 'x.1', sentAt: 5000, answer: AnswerKind.NotRun }),
+      ...buildExecution({ id: 'x.1', sentAt: 5000 }, 5900)
+    ]
+  },
+  {
+    title: 'an answer is short and looks complete',
+    kind: ViolationKind.TruncatedAnswer,
+    events: () => buildExchange({ id: 'x.1', sentAt: 5000, answer: AnswerKind.Truncated })
+  },
+  {
+    title: 'a caller gets the answer to another request',
+    kind: ViolationKind.CrossedAnswer,
+    events: () => buildExchange({ id: 'x.1', sentAt: 5000, answer: AnswerKind.Crossed })
+  },
+  {
+    title: 'three requests run in two slots',
+    kind: ViolationKind.LimitExceeded,
+    events: () => ['x.1', 'y.1', 'z.1'].flatMap((id) => buildExchange({ id, sentAt: 5000 }))
+  },
+  {
+    title: 'a worker has more connections than it bears',
+    kind: ViolationKind.LimitExceeded,
+    events: () => [{ kind: HistoryEventKind.ConnectionsCounted, at: 5000, workerId: WORKER, open: CONNECTIONS + 1 }]
+  },
+  {
+    title: 'a worker gets work more than 2 s after its drain was announced',
+    kind: ViolationKind.WorkAfterDrain,
+    events: () => [
+      buildPlanned(HistoryEventKind.DrainAnnounced, 5000),
+      ...buildExchange({ id: 'x.1', sentAt: 7001 }),
+      buildPlanned(HistoryEventKind.DrainWithdrawn, 8000)
+    ]
+  },
+  {
+    title: 'a worker has to refuse work more than 2 s after its drain was announced',
+    kind: ViolationKind.WorkAfterDrain,
+    events: () => [
+      buildPlanned(HistoryEventKind.DrainAnnounced, 5000),
+      { kind: HistoryEventKind.Offered, at: 7001, workerId: WORKER, requestId: 'x.1' },
+      buildPlanned(HistoryEventKind.DrainWithdrawn, 8000)
+    ]
+  },
+  {
+    title: 'a worker gets work right after it was safe to stop',
+    kind: ViolationKind.WorkAfterDrain,
+    events: () => [
+      buildPlanned(HistoryEventKind.SafeToStop, 5000),
+      ...buildExchange({ id: 'x.1', sentAt: 5001 }),
+      buildPlanned(HistoryEventKind.DrainWithdrawn, 8000)
+    ]
+  },
+  {
+    title: 'a planned stop of a worker cuts an execution',
+    kind: ViolationKind.CutAtPlannedStop,
+    events: () => [
+      ...buildExchange({ id: 'x.1', sentAt: 5000, end: ExecutionEnd.Cut, answer: AnswerKind.Unknown }),
+      buildPlanned(HistoryEventKind.StopBegan, 5005)
+    ]
+  },
+  {
+    title: 'a planned stop of an entry VM cuts an answer',
+    kind: ViolationKind.CutAtPlannedStop,
+    events: () => [
+      ...buildExchange({ id: 'x.1', sentAt: 5000, answer: AnswerKind.Failed }),
+      buildPlanned(HistoryEventKind.StopBegan, 5005, ENTRY)
+    ]
+  }
+]
+
+describe('checkHistory', () => {
+  it('finds nothing in a clean history', () => {
+    assert.deepEqual(checkHistory(buildCleanHistory()), [])
+  })
+
+  for (const { title, kind, events } of PLANTED_FAULTS) {
+    it(`finds, and finds only: ${title}`, () => {
+      const found = checkHistory([...buildCleanHistory(), ...events()])
+      assert.deepEqual(found.map((violation) => violation.kind), [kind])
+    })
+  }
+
+  it('gives the same verdict in whatever order the recorders are merged', () => {
+    // Workers and callers record apart; only the instants put their events in order.
+    const planted = PLANTED_FAULTS.flatMap(({ events }, index) => events().map((event) => ({ ...event, at: event.at + index * 20_000 })))
+    const expected = countViolations(checkHistory(planted))
+    const order = fc.shuffledSubarray(planted, { minLength: planted.length })
+    fc.assert(fc.property(order, (shuffled) => {
+      assert.deepEqual(countViolations(checkHistory(shuffled)), expected)
+    }), { seed: 7, numRuns: 50 })
+  })
+})
--- a/scripts/lint/verbs.mjs
+++ b/scripts/lint/verbs.mjs
@@ -5,15 +5,16 @@
   // reading and finding
   'get', 'find', 'list', 'read', 'fetch', 'peek', 'count', 'look',
   // deciding
-  'choose', 'compare', 'compute', 'decide', 'plan', 'rank', 'classify', 'estimate', 'predict',
+  'choose', 'compare', 'compute', 'decide', 'divide', 'plan', 'rank', 'classify', 'estimate', 'predict',
   // making and changing values
   'add', 'apply', 'build', 'clear', 'create', 'decode', 'encode', 'format', 'map', 'mark', 'merge', 'parse', 'remove',
   'set', 'sort', 'split', 'to', 'update',
   // checking
   'assert', 'check', 'expect', 'validate', 'verify',
   // acting
-  'accept', 'acquire', 'admit', 'answer', 'borrow', 'call', 'cancel', 'claim', 'close', 'delete', 'drain', 'fire', 'handle',
-  'join', 'leave', 'lend', 'listen', 'load', 'log', 'measure', 'observe', 'on', 'open', 'patch', 'pipe', 'print', 'publish',
+  'accept', 'acquire', 'admit', 'answer', 'borrow', 'call', 'cancel', 'claim', 'close', 'delete', 'drain', 'exchange',
+  'finish', 'fire', 'handle', 'hold',
+  'join', 'leave', 'lend', 'listen', 'load', 'log', 'measure', 'observe', 'on', 'open', 'patch', 'pipe', 'print', 'probe', 'publish',
   'push', 'put', 'record', 'refuse', 'register', 'release', 'renew', 'report', 'reserve', 'retry', 'return', 'run', 'save',
-  'schedule', 'send', 'settle', 'spawn', 'start', 'step', 'stop', 'subscribe', 'take', 'throw', 'transact', 'wait', 'watch', 'write'
+  'schedule', 'send', 'serve', 'settle', 'spawn', 'start', 'step', 'stop', 'subscribe', 'take', 'throw', 'transact', 'wait', 'watch', 'write'
 ]
