--- a/packages/testing/src/node/demo/main.ts
+++ b/packages/testing/src/node/demo/main.ts
@@ -3,6 +3,7 @@
  * service from every region while operators patch the configuration and drain a
  * failure domain, then checks every promise against the history of the run.
  */
+import { performance } from 'node:perf_hooks'
 import { hideBin } from 'yargs/helpers'
 import type { Instant } from '@umberspar/base/common/clock'
 import { CloseStack } from '@umberspar/base/common/closing'
@@ -22,7 +23,12 @@
 const READY_WITHIN_MS = 20_000
 const PROGRESS_EVERY_MS = 2000
 const MS_PER_SECOND = 1000
+const PERCENT = 100
 const EXIT_BROKEN = 1
+/** Of every service from every region: opens connections and lets the program be compiled. */
+const WARM_UP_REQUESTS = 50
+/** Keeps the ids of the warm-up apart from those of any run. */
+const WARM_UP_SEED_OFFSET = 1_000_000
 const PATCHED_LOOKUP_CACHE_MS = 1500
 
 /** When each change begins, as a part of the time that the load takes. */
@@ -96,10 +102,13 @@
   const loadSpanMs = load.countPlanned() / options.rate * MS_PER_SECOND
   const schedule = new ChangeSchedule(deployment, new PlannedChanges(deployment, options.seed), deployment.clock.now(), loadSpanMs)
   const ended = new AbortController()
+  const loopBefore = performance.eventLoopUtilization()
   const progress = printProgress(deployment, load, ended.signal)
   const [totals, changes] = await Promise.all([load.run(), schedule.run()])
   ended.abort()
+  const { utilization } = performance.eventLoopUtilization(loopBefore)
   const broken = reportDemo(deployment, load.report, totals, changes)
+  writeLine(`one thread ran all of this and was busy ${(utilization * PERCENT).toFixed(0)} % of the time; latencies include the waits for it`)
   await progress
   return broken
 }
@@ -109,21 +118,28 @@
   const workers = deployment.platform.fleet.listWorkers().length
   writeLine(`${options.deployment}: ${deployment.entries.length} entry VMs and ${workers} workers on loopback`)
   if (!await deployment.waitUntilReady(READY_WITHIN_MS)) return [`the entry VMs are not ready within ${READY_WITHIN_MS} ms`]
-  const mixes = MIX_BY_DEPLOYMENT[options.deployment]
-  const load = closing.add(new RegionalLoad({
+  const warmUp = closing.add(createLoad(options, deployment, { requests: WARM_UP_REQUESTS, seed: options.seed + WARM_UP_SEED_OFFSET }))
+  writeLine(`warming up: ${warmUp.countPlanned()} requests that are checked but not in the table`)
+  await warmUp.run()
+  const load = closing.add(createLoad(options, deployment, options))
+  const services = MIX_BY_DEPLOYMENT[options.deployment].length
+  const regions = Object.keys(deployment.configuration.regions).length
+  writeLine(`${load.countPlanned()} requests: ${options.requests} of each of ${services} services from each of ${regions} regions, ${options.rate} a second, seed ${options.seed}`)
+  return runLoad(options, deployment, load)
+}
+
+function createLoad (options: DemoOptions, deployment: LocalDeployment, amount: Pick<DemoOptions, 'requests' | 'seed'>): RegionalLoad {
+  return new RegionalLoad({
     clock: deployment.clock,
-    seed: options.seed,
+    seed: amount.seed,
     configuration: deployment.configuration,
-    mixes,
+    mixes: MIX_BY_DEPLOYMENT[options.deployment],
     bootstrapAddresses: deployment.listCallerAddresses(),
     ratePerSecond: options.rate,
-    quota: options.requests,
+    quota: amount.requests,
     startUntil: Infinity,
     history: deployment.history
-  }))
-  const regions = Object.keys(deployment.configuration.regions).length
-  writeLine(`${load.countPlanned()} requests: ${options.requests} of each of ${mixes.length} services from each of ${regions} regions, ${options.rate} a second, seed ${options.seed}`)
-  return runLoad(options, deployment, load)
+  })
 }
 
 async function main (): Promise<void> {
--- a/packages/testing/src/node/demo/plannedChanges.ts
+++ b/packages/testing/src/node/demo/plannedChanges.ts
@@ -22,7 +22,8 @@
   readonly workers: number
 }
 
-const POLL_MS = 10
+/** Seldom enough that the questions do not delay the callers of a run in one process. */
+const POLL_MS = 50
 const IN_FORCE_WITHIN_MS = 16_000
 const DRAIN_WITHIN_MS = 40_000
 /** How long a worker that leaves stays away; longer than the grace in which it may still get work. */
@@ -57,9 +58,13 @@
     const answer = await operators.patch(first, { baseVersion, changeId: this.createChangeId(), patch, note })
     const { version } = answer
     if (version === undefined) throw new Error(`the patch '${note}' was refused with ${answer.status}: ${answer.text}`)
+    // A version never goes back, so an entry VM that has it need not be asked again.
+    const behind = new Set(addresses)
     const isInForce = async (): Promise<boolean> => {
-      const versions = await Promise.all(addresses.map((address) => operators.readVersion(address)))
-      return versions.every((each) => each >= version)
+      await Promise.all([...behind].map(async (address) => {
+        if (await operators.readVersion(address) >= version) behind.delete(address)
+      }))
+      return behind.size === 0
     }
     const isDone = await waitForCondition(clock, createDeadline(startedAt, IN_FORCE_WITHIN_MS), POLL_MS, isInForce)
     if (!isDone) throw new Error(`version ${version} is not in force everywhere within ${IN_FORCE_WITHIN_MS} ms`)
--- a/packages/testing/src/node/deployment/localDeployment.ts
+++ b/packages/testing/src/node/deployment/localDeployment.ts
@@ -113,11 +113,18 @@
     return waitForCondition(this.clock, createDeadline(this.clock.now(), spanMs), POLL_MS, isReady)
   }
 
-  /** Adds the peaks of connections to the history, for the check of limits. */
+  /**
+   * Adds the peaks of connections to the history, for the check of limits. A
+   * worker stand-in closes connections beyond its limit at once, so its peak
+   * never shows the excess: what it turned away while full is added.
+   */
   recordConnectionPeaks (): void {
     const at = this.clock.now()
     for (const { workerId, worker } of this.platform.fleet.listWorkers()) {
-      this.history.record({ kind: HistoryEventKind.ConnectionsCounted, at, workerId, open: worker.getGauges().peakConnections })
+      const { peakConnections, refusedConnections } = worker.getGauges()
+      const isFull = peakConnections >= (this.findLimits(workerId)?.connections ?? Infinity)
+      const open = isFull ? peakConnections + refusedConnections : peakConnections
+      this.history.record({ kind: HistoryEventKind.ConnectionsCounted, at, workerId, open })
     }
   }
 
--- a/packages/testing/src/node/measure/childPlatform.ts
+++ b/packages/testing/src/node/measure/childPlatform.ts
@@ -2,6 +2,7 @@
  * The platform's stand-ins in a process of their own, so that what they spend
  * is not spent by the load or by the daemon that is measured.
  */
+import { fileURLToPath } from 'node:url'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { LogLevel } from '@umberspar/base/common/logger'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
@@ -74,4 +75,4 @@
   })
 }
 
-if (process.send !== undefined && process.argv[1] === new URL(import.meta.url).pathname) main()
+if (process.send !== undefined && process.argv[1] === fileURLToPath(import.meta.url)) main()
--- a/packages/testing/src/node/measure/lookupLoad.ts
+++ b/packages/testing/src/node/measure/lookupLoad.ts
@@ -2,6 +2,7 @@
  * One process of the load on look-ups: told over its channel where to send,
  * for how long and how, it answers with what it saw.
  */
+import { fileURLToPath } from 'node:url'
 import { Agent } from 'undici'
 import { SeededRandom } from '@umberspar/base/common/random'
 import { SystemClock } from '@umberspar/base/node/systemClock'
@@ -107,4 +108,4 @@
   process.on('disconnect', () => process.exit(0))
 }
 
-if (process.send !== undefined && process.argv[1] === new URL(import.meta.url).pathname) main()
+if (process.send !== undefined && process.argv[1] === fileURLToPath(import.meta.url)) main()
--- a/packages/testing/src/node/measure/lookupMeasurement.ts
+++ b/packages/testing/src/node/measure/lookupMeasurement.ts
@@ -18,8 +18,8 @@
 
 const NAME = 'lookup'
 const LOAD_PROGRAM = new URL('./lookupLoad.js', import.meta.url)
-const LOAD_PROCESSES = 3
-const CONNECTIONS_PER_PROCESS = 16
+const LOAD_PROCESSES = 6
+const CONNECTIONS_PER_PROCESS = 8
 const WARM_UP_SECONDS = 2
 /** The part of the capacity at which latency is measured. */
 const LATENCY_AT = 0.5
