--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -15,6 +15,7 @@
 import { LookupIndex, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { VmState } from '@umberspar/steering/common/ports/vmList'
+import type { AdmissionPolicy } from './places/admissionQueue.js'
 import { createDaemonParts, type DaemonParts } from './daemonParts.js'
 import { buildViews } from './operators/operatorViews.js'
 import { buildOperatorApp } from './operators/operatorServer.js'
@@ -31,6 +32,8 @@
   readonly logger: ILogger
   readonly clock?: IClock
   readonly random?: IRandomSource
+  /** How long requests may wait for a slot; for measurements. */
+  readonly admission?: AdmissionPolicy
 }
 
 /** Addresses on which a daemon listens. */
@@ -52,7 +55,8 @@
     private readonly settings: DaemonSettings,
     private readonly logger: ILogger,
     private readonly clock: IClock,
-    private readonly random: IRandomSource
+    private readonly random: IRandomSource,
+    private readonly admission?: AdmissionPolicy
   ) {}
 
   /** @returns where it listens, once started */
@@ -73,7 +77,7 @@
    */
   async start (): Promise<Result<void, StepError>> {
     const digester = await createDigester()
-    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random }, this.owned)
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random, admission: this.admission }, this.owned)
     this.parts = parts
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
@@ -190,5 +194,5 @@
  */
 export function createDaemon (settings: DaemonSettings, dependencies: DaemonDependencies): Daemon {
   const logger = dependencies.logger.createChild({ node: settings.nodeId })
-  return new Daemon(settings, logger, dependencies.clock ?? new SystemClock(), dependencies.random ?? createSystemRandom())
+  return new Daemon(settings, logger, dependencies.clock ?? new SystemClock(), dependencies.random ?? createSystemRandom(), dependencies.admission)
 }
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -23,6 +23,7 @@
 import { LimitKeeper } from './limits/limitKeeper.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
+import type { AdmissionPolicy } from './places/admissionQueue.js'
 import { PlaceDirectory } from './places/placeDirectory.js'
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
@@ -36,6 +37,7 @@
   readonly metrics: IMetrics
   readonly clock: IClock
   readonly random: IRandomSource
+  readonly admission?: AdmissionPolicy | undefined
 }
 
 /** The parts of one daemon. */
@@ -96,7 +98,7 @@
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
   const { settings, clock, random, logger } = inputs
   const transport = owned.add(new UndiciTransport({ clock }))
-  const places = owned.add(new PlaceDirectory(clock, random))
+  const places = owned.add(new PlaceDirectory(clock, random, inputs.admission))
   const plans = owned.add(new PlanKeeper(clock))
   const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
   return { places, plans, prober, transport }
--- a/packages/daemon/src/node/limits/limitKeeper.ts
+++ b/packages/daemon/src/node/limits/limitKeeper.ts
@@ -23,13 +23,12 @@
 import type { WorkerProber } from '../places/workerProber.js'
 import { buildLimitDocuments, findMemory, findStamp } from './limitDocuments.js'
 import { LenderDirectory } from './lenderDirectory.js'
+import { lendIdle } from './lendIdle.js'
 import { LoanKeeper } from './loanKeeper.js'
 
 const STEP_SPAN_MS = 200
 const JITTER = 0.2
 const CALL_SPAN_MS = 1000
-/** A place that got no request for so long lends its last slot as well. */
-const QUIET_SPAN_MS = 5000
 /** How long readiness waits for parts; later they may come from peers. */
 const PARTS_WITHIN_MS = 5000
 const NOTHING: SlotShare = { slots: 0, connections: 0 }
@@ -146,9 +145,7 @@
     const now = this.parts.clock.now()
     const pool = this.findPool(request.workerId)
     if (pool === undefined || request.borrowerId === this.parts.selfId) return { loanId: request.loanId, slots: 0, connections: 0, deadline: now }
-    const answer = pool.ledger.lend(request, now, this.computeKept(pool, now))
-    if (answer.slots > 0) pool.applyLedger()
-    return answer
+    return lendIdle(pool, request, now, this.isLeaving)
   }
 
   /** @param loan a loan that comes back early */
@@ -261,12 +258,6 @@
     return { slots, places }
   }
 
-  private computeKept (pool: PlacePool, now: Instant): number {
-    if (this.isLeaving) return 0
-    if (pool.waiting > 0) return Infinity
-    return hasPassed(createDeadline(pool.askedAt, QUIET_SPAN_MS), now) ? 0 : 1
-  }
-
   private findPool (slotKey: string): PlacePool | undefined {
     const [service = '', failureDomain = ''] = findPlaceKey(slotKey).split('/')
     return this.parts.places.find(service, failureDomain)
--- a/packages/daemon/src/node/places/admissionQueue.ts
+++ b/packages/daemon/src/node/places/admissionQueue.ts
@@ -12,10 +12,17 @@
 import { WaitEstimate } from '@umberspar/steering/common/limits/waitEstimate'
 import PQueue from 'p-queue'
 
-/** No request waits longer, whatever its deadline, in milliseconds. */
-const LONGEST_WAIT_MS = 1000
-/** The part of the bound on its wait that a request's estimated wait may take; the rest is for estimates that are too low. */
-const ESTIMATE_PART = 0.5
+/** How long requests may wait. */
+export interface AdmissionPolicy {
+  /** No request waits longer, whatever its deadline, in milliseconds. */
+  readonly longestWaitMs: number
+  /** The part of the bound on its wait that a request's estimated wait may take; the rest is for estimates that are too low. */
+  readonly estimatePart: number
+}
+
+/** Used where nothing else is given. */
+export const DEFAULT_ADMISSION_POLICY: AdmissionPolicy = { longestWaitMs: 1000, estimatePart: 0.5 }
+
 /** What is said of the wait where nothing is known, in milliseconds. */
 const UNKNOWN_WAIT_MS = 1000
 const KINDS = Object.values(RequestKind)
@@ -53,7 +60,8 @@
   constructor (
     private readonly place: string,
     private readonly clock: IClock,
-    private readonly limits: QueueLimits
+    private readonly limits: QueueLimits,
+    private readonly policy = DEFAULT_ADMISSION_POLICY
   ) {
     this.updateLimits()
   }
@@ -80,7 +88,8 @@
     if (this.waiting >= this.maxQueue) return this.createError(`${this.waiting} requests wait already`, waitMs)
     const meanMs = this.estimate.getMeanSpanMs(request.kind)
     const leftMs = getRemainingMs(request.deadline, this.clock.now()) - meanMs
-    if (waitMs <= ESTIMATE_PART * Math.min(LONGEST_WAIT_MS, leftMs)) return undefined
+    const { estimatePart, longestWaitMs } = this.policy
+    if (waitMs <= estimatePart * Math.min(longestWaitMs, leftMs)) return undefined
     return this.createError('no slot is expected to come free in time', waitMs)
   }
 
@@ -94,7 +103,7 @@
     const { kind, priority, signal } = request
     const waiting = new AbortController()
     const cancel = (): void => waiting.abort()
-    const bound = Math.min(request.deadline, createDeadline(this.clock.now(), LONGEST_WAIT_MS))
+    const bound = Math.min(request.deadline, createDeadline(this.clock.now(), this.policy.longestWaitMs))
     const timer = this.clock.schedule(bound, cancel)
     signal.addEventListener('abort', cancel, { once: true })
     this.countWaiting(kind, priority, 1)
--- a/packages/daemon/src/node/places/placeDirectory.ts
+++ b/packages/daemon/src/node/places/placeDirectory.ts
@@ -9,6 +9,7 @@
 import type { SlotShare } from '@umberspar/steering/common/limits/divideSlots'
 import { computeProbeConnections } from '@umberspar/steering/common/limits/probeConnections'
 import { buildPlaceKey } from '@umberspar/steering/common/limits/slotKey'
+import type { AdmissionPolicy } from './admissionQueue.js'
 import { PlacePool } from './placePool.js'
 
 /** A worker of any place, for probes. */
@@ -51,7 +52,8 @@
 
   constructor (
     private readonly clock: IClock,
-    private readonly random: IRandomSource
+    private readonly random: IRandomSource,
+    private readonly admission?: AdmissionPolicy
   ) {}
 
   /**
@@ -137,7 +139,7 @@
     const name = buildPlaceKey(service, failureDomain)
     const known = this.pools.get(name)
     if (known !== undefined) return known
-    const pool = new PlacePool({ service, failureDomain }, this.clock, this.random, warmUpSpanMs)
+    const pool = new PlacePool({ service, failureDomain }, this.clock, this.random, warmUpSpanMs, this.admission)
     pool.onDidLack((lacking) => this.didLack.fire(lacking))
     this.pools.set(name, pool)
     return pool
--- a/packages/daemon/src/node/places/placePool.ts
+++ b/packages/daemon/src/node/places/placePool.ts
@@ -19,7 +19,7 @@
 import { buildPlaceKey, buildSlotKey } from '@umberspar/steering/common/limits/slotKey'
 import { chooseWorker } from '@umberspar/steering/common/workers/chooseWorker'
 import { DEFAULT_WORKER_POLICY, type WorkerState, WorkerTable } from '@umberspar/steering/common/workers/workerTable'
-import { AdmissionQueue, type QueuedRequest } from './admissionQueue.js'
+import { type AdmissionPolicy, AdmissionQueue, type QueuedRequest } from './admissionQueue.js'
 
 /** A request on a loan must have ended so long before the loan does, in milliseconds. */
 const LOAN_END_MARGIN_MS = 500
@@ -82,13 +82,14 @@
     readonly key: PlaceKey,
     private readonly clock: IClock,
     private readonly random: IRandomSource,
-    warmUpSpanMs: number
+    warmUpSpanMs: number,
+    admission?: AdmissionPolicy
   ) {
     this.table = new WorkerTable({ ...DEFAULT_WORKER_POLICY, warmUpSpanMs })
     this.queue = new AdmissionQueue(buildPlaceKey(key.service, key.failureDomain), clock, {
       countSlots: () => this.countUsable(),
       mayBorrow: () => this.borrowState === BorrowState.Possible
-    })
+    }, admission)
   }
 
   /** @returns requests that hold a slot here now */
