Speak TLS on every side by settings and bound what callers may send

Cause: all listeners and connections were plain text; the callers' listener had no limits; an upstream's header field with a character outside latin1 made setHeader throw in an async handler, which ends the process. Change: tls sections (callers, peers mutual, operators, store, upstreams), checked at load with the field named, renewed from their files at jittered intervals and on SIGHUP, a broken renewal keeps the old. gRPC takes the keeper as certificate provider. Listener limits (header, target, connections, slow headers, stalled bodies), a gate for ambiguous requests, X-Forwarded-For walked over trusted hops only and rewritten towards upstreams, guarded handlers.

--- a/packages/daemon/src/node/callers/clientRegions.ts
+++ b/packages/daemon/src/node/callers/clientRegions.ts
@@ -2,11 +2,11 @@
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import { ClientBlockTable } from '@umberspar/steering/common/lookup/clientBlocks'
 import type { IncomingMessage } from 'node:http'
-import { BlockList, isIP } from 'node:net'
+import { toPlainAddress, TrustedForwarders } from './forwardedFor.js'
 
 /** Client addresses and their regions. */
 export class ClientRegions {
-  private readonly trusted = new BlockList()
+  private readonly trusted: TrustedForwarders
   private table = ClientBlockTable.build([])
 
   /**
@@ -17,10 +17,7 @@
     trustedForwarders: readonly string[],
     private readonly ownRegion: string
   ) {
-    for (const block of trustedForwarders) {
-      const [address, bits] = block.split('/')
-      this.trusted.addSubnet(address!, Number(bits), address!.includes(':') ? 'ipv6' : 'ipv4')
-    }
+    this.trusted = new TrustedForwarders(trustedForwarders)
   }
 
   /**
@@ -38,13 +35,23 @@
    * @returns the caller's address
    */
   getAddress (request: IncomingMessage): string {
-    const direct = request.socket.remoteAddress ?? ''
-    const forwarded = request.headers['x-forwarded-for']
-    // Anyone can write the header; believed from anyone, it would let a caller
-    // choose its region and escape limits by address.
-    if (forwarded === undefined || !this.isTrusted(direct)) return direct
-    const last = String(forwarded).split(',').at(-1)!.trim()
-    return isIP(last) === 0 ? direct : last
+    return this.trusted.findClient(request.socket.remoteAddress ?? '', getForwarded(request))
+  }
+
+  /**
+   * @param request a caller's request
+   * @returns X-Forwarded-For as the upstream is to see it
+   */
+  buildForwardedFor (request: IncomingMessage): string {
+    return this.trusted.buildHeader(request.socket.remoteAddress ?? '', getForwarded(request))
+  }
+
+  /**
+   * @param address of a socket
+   * @returns whether it is a configured forwarder, which carries many clients
+   */
+  isForwarder (address: string): boolean {
+    return this.trusted.has(toPlainAddress(address))
   }
 
   /**
@@ -54,9 +61,9 @@
   find (request: IncomingMessage): string {
     return this.table.find(this.getAddress(request)) ?? this.ownRegion
   }
+}
 
-  private isTrusted (address: string): boolean {
-    const family = isIP(address)
-    return family !== 0 && this.trusted.check(address, family === 6 ? 'ipv6' : 'ipv4')
-  }
+function getForwarded (request: IncomingMessage): string | undefined {
+  const value = request.headers['x-forwarded-for']
+  return Array.isArray(value) ? value.join(', ') : value
 }
--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -16,6 +16,7 @@
 import type { RequestContext } from '../request/requestContext.js'
 import type { RequestRunner, RunningAnswer } from '../request/requestRunner.js'
 import type { ClientRegions } from './clientRegions.js'
+import { setAnswerHeaders } from './answerHeaders.js'
 import { answerProblem } from './problem.js'
 
 const SERVICES_PREFIX = '/v1/services/'
@@ -84,6 +85,7 @@
     }
     const headers = removeHopByHop(request.headers)
     delete headers.host
+    headers['x-forwarded-for'] = this.parts.regions.buildForwardedFor(request)
     const ran = await this.parts.runner.run(context, headers, body)
     if (ran.ok) return await this.answer(context, ran.val, response)
     const { error, outcome } = ran.val
@@ -96,7 +98,7 @@
   private async answer (context: RequestContext, running: RunningAnswer, response: ServerResponse): Promise<boolean> {
     const { status, headers, body } = running.response
     response.statusCode = status
-    for (const [name, value] of Object.entries(removeHopByHop(headers))) response.setHeader(name, value)
+    setAnswerHeaders(response, headers)
     try {
       await pipeline(body, response)
       running.finish(true)
@@ -116,7 +118,8 @@
     const current = this.parts.keeper.current
     if (current === undefined) return createLocalError(ErrorCode.Unavailable, 'no configuration is in force yet')
     const target = parseTarget(request.url ?? '/')
-    const settings = target === undefined ? undefined : current.body.services[target.service]
+    // A service named like a member of every object (`constructor`) must not be found.
+    const settings = target !== undefined && Object.hasOwn(current.body.services, target.service) ? current.body.services[target.service] : undefined
     if (target === undefined || settings === undefined) return createLocalError(ErrorCode.NotFound, `no service stands behind ${request.url}`)
     const spanMs = parseSpan(getHeader(request, 'umberspar-timeout-ms'), settings.answerWithinMs)
     if (spanMs === undefined) return createLocalError(ErrorCode.Invalid, 'umberspar-timeout-ms: expected a whole number of milliseconds above 0')
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -20,6 +20,7 @@
 import { buildOperatorApp } from './operators/operatorServer.js'
 import { HttpListener, splitAddress } from './httpListener.js'
 import { buildCallerApp } from './callers/callerServer.js'
+import { DaemonTls, TlsSide } from './tls/daemonTls.js'
 
 const DRAIN_POLL_MS = 20
 /** Callers may hold a look-up for its lifetime; the stop waits so much longer. */
@@ -44,6 +45,7 @@
 export class Daemon implements IClosable {
   private readonly owned = new CloseStack()
   private parts: DaemonParts | undefined
+  private tls: DaemonTls | undefined
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
   private stopping: Promise<void> | undefined
@@ -72,11 +74,15 @@
    */
   async start (): Promise<Result<void, StepError>> {
     const digester = await createDigester()
-    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random }, this.owned)
+    const loaded = await DaemonTls.load({ settings: this.settings, clock: this.clock, random: this.random, logger: this.logger })
+    if (!loaded.ok) return loaded
+    const tls = this.owned.add(loaded.val)
+    this.tls = tls
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random, tls }, this.owned)
     this.parts = parts
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
-    const opened = await this.openListeners(parts)
+    const opened = await this.openListeners(parts, tls)
     if (!opened.ok) {
       await this.close()
       return opened
@@ -98,6 +104,11 @@
     return this.stopping
   }
 
+  /** Reads all certificates again, as after SIGHUP; broken ones are logged and the old ones stay. */
+  async renewCertificates (): Promise<void> {
+    await this.tls?.renew()
+  }
+
   /** Ends everything at once, open requests too. */
   async close (): Promise<void> {
     await this.owned.close()
@@ -131,11 +142,13 @@
     return new StatsdMetrics({ ...statsd, tags: { node: this.settings.nodeId }, logger: this.logger })
   }
 
-  private async openListeners (parts: DaemonParts): Promise<Result<void, StepError>> {
-    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests)))
+  private async openListeners (parts: DaemonParts, tls: DaemonTls): Promise<Result<void, StepError>> {
+    const { clock, logger, settings } = this
+    const isForwarder = (address: string): boolean => parts.regions.isForwarder(address)
+    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests), { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger }))
     this.callers = callers
     const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
-    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never))
+    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never, { limits: settings.operators.limits, tls: tls.get(TlsSide.Operators), clock, logger }))
     const peerAddress = await parts.peerServer.listen()
     if (!peerAddress.ok) return peerAddress
     const operatorAddress = await operators.listen(this.settings.operators.address)
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -8,6 +8,7 @@
 import { PeerServer } from '@umberspar/platform/node/peers/peerServer'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { createEtcdStore } from '@umberspar/platform/node/store/etcdStore'
+import { createChannelSecurity, createServerCredentials } from '@umberspar/platform/node/tls/tlsOptions'
 import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
 import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
@@ -26,6 +27,7 @@
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
 import { RequestRunner } from './request/requestRunner.js'
+import { type DaemonTls, TlsSide } from './tls/daemonTls.js'
 
 /** What the parts are made from. */
 export interface PartInputs {
@@ -35,6 +37,8 @@
   readonly metrics: IMetrics
   readonly clock: IClock
   readonly random: IRandomSource
+  /** Certificates of the sides that speak TLS. */
+  readonly tls: DaemonTls
 }
 
 /** The parts of one daemon. */
@@ -81,7 +85,9 @@
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
   const { settings, digester, logger, metrics, clock, random } = inputs
   owned.add(metrics)
-  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics }))
+  const tls = inputs.tls.get(TlsSide.Store)
+  const security = tls === undefined ? undefined : createChannelSecurity(tls)
+  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics, security }))
   const keeper = owned.add(new ConfigurationKeeper(digester, logger))
   const configurations = new ConfigurationStore(store, settings.store.keyPrefix)
   const watcher = owned.add(new ConfigurationWatcher(store, configurations, keeper, clock, random, logger))
@@ -93,7 +99,7 @@
 
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
   const { settings, clock, random, logger } = inputs
-  const transport = owned.add(new UndiciTransport({ clock }))
+  const transport = owned.add(new UndiciTransport({ clock, tls: inputs.tls.get(TlsSide.Upstreams) }))
   const places = owned.add(new PlaceDirectory(settings.nodeId, clock, random))
   const plans = owned.add(new PlanKeeper(clock))
   const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
@@ -105,8 +111,11 @@
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
   const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, clock)
-  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
-  const client = owned.add(new PeerClient({ clock }))
+  const tls = inputs.tls.get(TlsSide.Peers)
+  const credentials = tls === undefined ? undefined : createServerCredentials(tls)
+  const security = tls === undefined ? undefined : createChannelSecurity(tls)
+  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
+  const client = owned.add(new PeerClient({ clock, security }))
   const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, clock, random, logger))
   return { peerService, peerServer, heartbeats }
 }
--- a/packages/daemon/src/node/main.ts
+++ b/packages/daemon/src/node/main.ts
@@ -1,5 +1,6 @@
 /** The `umberspard` program: reads its settings, runs one daemon, stops it on a signal. */
 import { runDetached } from '@umberspar/base/common/detached'
+import { ErrorCode } from '@umberspar/base/common/errors'
 import { LogLevel, logError } from '@umberspar/base/common/logger'
 import { createRoarrLogger } from '@umberspar/base/node/roarrLogger'
 import { loadDaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
@@ -13,7 +14,7 @@
   Stopped = 0,
   /** A listener could not be opened. */
   CouldNotStart = 1,
-  /** Arguments or settings are wrong. */
+  /** Arguments, settings or the certificates they name are wrong. */
   BadSettings = 2
 }
 
@@ -41,7 +42,7 @@
   const started = await daemon.start()
   if (!started.ok) {
     logError(logger, LogLevel.Error, started.val)
-    process.exitCode = DaemonExitCode.CouldNotStart
+    process.exitCode = started.val.code === ErrorCode.Invalid ? DaemonExitCode.BadSettings : DaemonExitCode.CouldNotStart
     return
   }
   const stop = (): void => {
@@ -49,4 +50,5 @@
   }
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
+  process.on('SIGHUP', () => { runDetached(() => daemon.renewCertificates(), logger, 'renew-tls') })
 }
--- a/packages/platform/src/node/grpc/grpcCalls.ts
+++ b/packages/platform/src/node/grpc/grpcCalls.ts
@@ -2,7 +2,7 @@
  * What the gRPC adapters share: channels without hidden repeats, a check that a
  * channel is connected before a call is made, and what a failed call means.
  */
-import { connectivityState, Channel, status } from '@grpc/grpc-js'
+import { connectivityState, Channel, credentials, status } from '@grpc/grpc-js'
 import type { CallOptions, ChannelCredentials, ChannelOptions, ClientUnaryCall, Metadata, ServiceError } from '@grpc/grpc-js'
 import { Metadata as EmptyMetadata } from '@grpc/grpc-js'
 import type { IClock } from '@umberspar/base/common/clock'
@@ -67,13 +67,25 @@
 /** The statuses after which another endpoint may do better. */
 const ENDPOINT_FAILURES: ReadonlySet<status> = new Set([status.UNAVAILABLE, status.DEADLINE_EXCEEDED, status.CANCELLED, status.UNKNOWN, status.INTERNAL])
 
+/** How one channel is secured. */
+export interface ChannelSecurity {
+  readonly credentials: ChannelCredentials
+  readonly options: ChannelOptions
+}
+
+/** Gives the security of the channel to an address. */
+export type ChannelSecurityFactory = (address: string) => ChannelSecurity
+
+/** Plain text. */
+export const INSECURE_CHANNELS: ChannelSecurityFactory = () => ({ credentials: credentials.createInsecure(), options: {} })
+
 /**
  * @param address `host:port`
- * @param credentials of the connection
+ * @param security of the connection
  * @returns a channel whose owner closes it
  */
-export function createChannel (address: string, credentials: ChannelCredentials): Channel {
-  return new Channel(address, credentials, CHANNEL_OPTIONS)
+export function createChannel (address: string, security: ChannelSecurity): Channel {
+  return new Channel(address, security.credentials, { ...CHANNEL_OPTIONS, ...security.options })
 }
 
 /**
--- a/packages/platform/src/node/peers/peerClient.ts
+++ b/packages/platform/src/node/peers/peerClient.ts
@@ -2,8 +2,8 @@
 import { Readable } from 'node:stream'
 import type { Writable } from 'node:stream'
 import { pipeline } from 'node:stream/promises'
-import type { CallOptions, Channel, ChannelCredentials, ServiceError } from '@grpc/grpc-js'
-import { credentials, Metadata } from '@grpc/grpc-js'
+import type { CallOptions, Channel, ServiceError } from '@grpc/grpc-js'
+import { Metadata } from '@grpc/grpc-js'
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { hasPassed } from '@umberspar/base/common/deadline'
@@ -13,7 +13,8 @@
 import type { Digest, IPeerClient, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { PeerClient as WireClient } from '../generated/peer/peer.js'
 import type { DocumentChunk, PushAnswer } from '../generated/peer/peer.js'
-import { CallEffect, callUnary, createCallOptions, createChannel, createUnsentError, toCallError, waitForChannel } from '../grpc/grpcCalls.js'
+import { CallEffect, callUnary, createCallOptions, createChannel, createUnsentError, INSECURE_CHANNELS, toCallError, waitForChannel } from '../grpc/grpcCalls.js'
+import type { ChannelSecurityFactory } from '../grpc/grpcCalls.js'
 import { DocumentAssembler, MAX_DOCUMENT_BYTES, splitDocument } from './documentChunks.js'
 import { decodeDigest, decodeLoanAnswer, encodeDigest, encodeLoanRequest } from './peerMessages.js'
 
@@ -38,7 +39,7 @@
 export interface PeerClientOptions {
   readonly clock: IClock
   /** For mutual TLS; plain text if left out. */
-  readonly credentials?: ChannelCredentials
+  readonly security?: ChannelSecurityFactory | undefined
 }
 
 interface PeerConnection {
@@ -52,12 +53,12 @@
 export class PeerClient implements IPeerClient {
   private readonly connections = new Map<string, PeerConnection>()
   private readonly clock: IClock
-  private readonly credentials: ChannelCredentials
+  private readonly security: ChannelSecurityFactory
   private isClosed = false
 
   constructor (options: PeerClientOptions) {
     this.clock = options.clock
-    this.credentials = options.credentials ?? credentials.createInsecure()
+    this.security = options.security ?? INSECURE_CHANNELS
   }
 
   exchange (address: string, digest: Digest, deadline: Deadline): Promise<Result<Digest, StepError>> {
@@ -135,8 +136,9 @@
   private openConnection (address: string): PeerConnection {
     const known = this.connections.get(address)
     if (known !== undefined) return known
-    const channel = createChannel(address, this.credentials)
-    const client = new WireClient(address, this.credentials, { channelOverride: channel })
+    const security = this.security(address)
+    const channel = createChannel(address, security)
+    const client = new WireClient(address, security.credentials, { channelOverride: channel })
     const connection = { channel, client }
     this.connections.set(address, connection)
     return connection
--- a/packages/platform/src/node/peers/peerServer.ts
+++ b/packages/platform/src/node/peers/peerServer.ts
@@ -43,7 +43,7 @@
   readonly clock: IClock
   readonly logger: ILogger
   /** For mutual TLS; plain text if left out. */
-  readonly credentials?: ServerCredentials
+  readonly credentials?: ServerCredentials | undefined
 }
 
 /** Answers peers by an IPeerService. */
--- a/packages/platform/src/node/settings/daemonSettings.ts
+++ b/packages/platform/src/node/settings/daemonSettings.ts
@@ -4,10 +4,14 @@
 import { LogLevel } from '@umberspar/base/common/logger'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
 import { readFile } from 'node:fs/promises'
+import { callersTlsSchema, clientTlsSchema, listenerLimitsSchema, operatorsTlsSchema, peersTlsSchema } from './listenerSettings.js'
 
 const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'expected an IP number and port, like 10.0.0.1:8080 or [::1]:8080')
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens, at most 63')
-const listener = z.strictObject({ address })
+/** How often certificate files are read again, in milliseconds. */
+const DEFAULT_REREAD_MS = 60_000
+const MIN_REREAD_MS = 100
+const MAX_REREAD_MS = 86_400_000
 
 /** The settings file of `umberspard`. */
 export const daemonSettingsSchema = z.strictObject({
@@ -16,18 +20,23 @@
   region: name,
   failureDomain: name,
   /** Look-ups and requests. */
-  callers: listener,
+  callers: z.strictObject({ address, tls: callersTlsSchema.optional(), limits: listenerLimitsSchema.optional() }),
   /** Other daemons, by gRPC. */
-  peers: listener,
+  peers: z.strictObject({ address, tls: peersTlsSchema.optional() }),
   /** Operators, probes and status. */
-  operators: listener,
+  operators: z.strictObject({ address, tls: operatorsTlsSchema.optional(), limits: listenerLimitsSchema.optional() }),
+  /** How workers are spoken to; without `tls` in plain text. */
+  upstreams: z.strictObject({ tls: clientTlsSchema.optional() }).optional(),
   store: z.strictObject({
     endpoints: z.array(address).min(1),
-    keyPrefix: z.string().regex(/^\/.*\/$/, 'expected a prefix that begins and ends with /')
+    keyPrefix: z.string().regex(/^\/.*\/$/, 'expected a prefix that begins and ends with /'),
+    tls: clientTlsSchema.optional()
   }),
   vmList: z.strictObject({ url: z.url({ protocol: /^https?$/ }) }),
   /** Where StatsD listens; without it no metrics are sent. */
   statsd: z.strictObject({ host: z.string().min(1), port: z.number().int().min(1).max(65_535) }).optional(),
+  /** How often the files of all `tls` sections are read again; SIGHUP does so at once. */
+  certificateRereadMs: z.number().int().min(MIN_REREAD_MS).max(MAX_REREAD_MS).default(DEFAULT_REREAD_MS).optional(),
   /** Whose X-Forwarded-For is believed. */
   trustedForwarders: z.array(z.union([z.cidrv4(), z.cidrv6()])).default([]),
   logLevel: z.enum(LogLevel).default(LogLevel.Info)
--- a/packages/platform/src/node/store/etcdEndpoint.ts
+++ b/packages/platform/src/node/store/etcdEndpoint.ts
@@ -1,7 +1,7 @@
 /** The members of the store that can be asked, and which of them to ask first. */
-import type { Channel, ChannelCredentials } from '@grpc/grpc-js'
+import type { Channel } from '@grpc/grpc-js'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { createChannel } from '../grpc/grpcCalls.js'
+import { createChannel, type ChannelSecurityFactory } from '../grpc/grpcCalls.js'
 import { KVClient, LeaseClient, WatchClient } from '../generated/etcd/rpc.js'
 
 /** One member of the store and the clients that share its connection. */
@@ -11,8 +11,10 @@
   readonly leases: LeaseClient
   readonly watches: WatchClient
 
-  constructor (readonly address: string, credentials: ChannelCredentials) {
-    this.channel = createChannel(address, credentials)
+  constructor (readonly address: string, createSecurity: ChannelSecurityFactory) {
+    const security = createSecurity(address)
+    const { credentials } = security
+    this.channel = createChannel(address, security)
     const options = { channelOverride: this.channel }
     this.keyValues = new KVClient(address, credentials, options)
     this.leases = new LeaseClient(address, credentials, options)
@@ -29,9 +31,9 @@
   private readonly endpoints: readonly EtcdEndpoint[]
   private first = 0
 
-  constructor (addresses: readonly string[], credentials: ChannelCredentials) {
+  constructor (addresses: readonly string[], createSecurity: ChannelSecurityFactory) {
     if (addresses.length === 0) throw new RangeError('the store needs at least one endpoint')
-    this.endpoints = addresses.map((address) => new EtcdEndpoint(address, credentials))
+    this.endpoints = addresses.map((address) => new EtcdEndpoint(address, createSecurity))
   }
 
   /** @returns all endpoints in the order in which to ask them */
--- a/packages/platform/src/node/store/etcdStore.ts
+++ b/packages/platform/src/node/store/etcdStore.ts
@@ -7,8 +7,7 @@
  * `EffectUnknown`. Reads go to each endpoint in turn, with an equal part of the
  * time left for each, so that one that is silent leaves time for the others.
  */
-import type { CallOptions, ChannelCredentials, ServiceError } from '@grpc/grpc-js'
-import { credentials } from '@grpc/grpc-js'
+import type { CallOptions, ServiceError } from '@grpc/grpc-js'
 import type { IClock } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { createDeadline, getRemainingMs, hasPassed } from '@umberspar/base/common/deadline'
@@ -20,8 +19,8 @@
 import type { Result } from '@umberspar/base/common/result'
 import { Err, Ok } from '@umberspar/base/common/result'
 import type { GrantedLease, IKeyValueStore, IStoreWatch, StoredValue, StoreSnapshot, StoreTransaction, TransactionResult } from '@umberspar/steering/common/ports/keyValueStore'
-import type { CallSite } from '../grpc/grpcCalls.js'
-import { CallEffect, callUnary, createCallOptions, createUnsentError, isEndpointFailure, toCallError, waitForChannel } from '../grpc/grpcCalls.js'
+import type { CallSite, ChannelSecurityFactory } from '../grpc/grpcCalls.js'
+import { CallEffect, callUnary, createCallOptions, createUnsentError, INSECURE_CHANNELS, isEndpointFailure, toCallError, waitForChannel } from '../grpc/grpcCalls.js'
 import type { LeaseGrantResponse, RangeRequest, RangeResponse } from '../generated/etcd/rpc.js'
 import type { EtcdEndpoint } from './etcdEndpoint.js'
 import { EndpointRing } from './etcdEndpoint.js'
@@ -51,8 +50,8 @@
   readonly endpoints: readonly string[]
   readonly clock: IClock
   readonly logger: ILogger
-  /** Credentials of the connections; plain text if left out. */
-  readonly tls?: ChannelCredentials
+  /** Security of the connections; plain text if left out. */
+  readonly security?: ChannelSecurityFactory | undefined
   /** Counts calls as `store.calls` and failures as `store.failures`, by `kind`. */
   readonly metrics?: IMetrics
 }
@@ -75,7 +74,7 @@
   private isClosed = false
 
   constructor (options: EtcdStoreOptions) {
-    this.ring = new EndpointRing(options.endpoints, options.tls ?? credentials.createInsecure())
+    this.ring = new EndpointRing(options.endpoints, options.security ?? INSECURE_CHANNELS)
     this.clock = options.clock
     this.logger = options.logger
     this.metrics = options.metrics ?? NULL_METRICS
--- /dev/null
+++ b/packages/platform/src/node/tls/tlsOptions.ts
@@ -0,0 +1,51 @@
+/** What the libraries take in place of plain text: credentials for gRPC, connect options for undici. */
+import { experimental, type ServerCredentials } from '@grpc/grpc-js'
+import { checkServerIdentity } from 'node:tls'
+import type { ChannelSecurityFactory } from '../grpc/grpcCalls.js'
+import type { TlsKeeper } from './tlsKeeper.js'
+import { toContextOptions } from './tlsMaterial.js'
+
+/** Sent where the other side is known by its IP number only (RFC 6761: never a real name). */
+const NO_SERVER_NAME = 'umberspar.invalid'
+
+/** TLS options for one new connection to a worker. */
+export interface ConnectTls {
+  readonly ca?: Buffer
+  readonly cert?: Buffer
+  readonly key?: Buffer
+  readonly servername?: string
+}
+
+/**
+ * @param keeper with certificate, key and CA
+ * @returns credentials of a gRPC server that takes only clients with a certificate of the CA
+ */
+export function createServerCredentials (keeper: TlsKeeper): ServerCredentials {
+  return experimental.createCertificateProviderServerCredentials(keeper, keeper, true)
+}
+
+/**
+ * @param keeper with a CA, and with certificate and key where the server asks for them
+ * @returns the security of gRPC channels; each new connection uses the current certificates
+ */
+export function createChannelSecurity (keeper: TlsKeeper): ChannelSecurityFactory {
+  const identity = keeper.current.certificate === undefined ? null : keeper
+  return (address) => {
+    const name = keeper.serverName ?? new URL(`https://${address}`).hostname.replace(/^\[|\]$/g, '')
+    // gRPC would send the address as server name, which TLS does not allow for IP
+    // numbers; so another name is sent, and the certificate is checked against the address.
+    const credentials = experimental.createCertificateProviderChannelCredentials(keeper, identity, {
+      checkServerIdentity: (_sentName, certificate) => checkServerIdentity(name, certificate)
+    })
+    return { credentials, options: { 'grpc.ssl_target_name_override': keeper.serverName ?? NO_SERVER_NAME } }
+  }
+}
+
+/**
+ * @param keeper with a CA, and with certificate and key where the worker asks for them
+ * @returns what a new connection uses now
+ */
+export function buildConnectTls (keeper: TlsKeeper): ConnectTls {
+  const { serverName } = keeper
+  return { ...toContextOptions(keeper.current), ...(serverName === undefined ? {} : { servername: serverName }) }
+}
--- a/packages/platform/src/node/upstream/upstreamTransport.ts
+++ b/packages/platform/src/node/upstream/upstreamTransport.ts
@@ -19,6 +19,7 @@
 import type { AttemptRequest, AttemptResponse, IUpstreamTransport, WorkerLimit, WorkerProbe } from './attempt.js'
 import { AttemptError } from './attempt.js'
 import { ATTEMPT_STEP, AttemptHandler } from './attemptHandler.js'
+import type { TlsKeeper } from '../tls/tlsKeeper.js'
 import { removeHopByHop } from './hopByHop.js'
 import { WorkerConnections } from './workerConnections.js'
 import { WorkerProber } from './workerProbe.js'
@@ -29,17 +30,21 @@
 /** What an UndiciTransport needs. */
 export interface UndiciTransportOptions {
   readonly clock: IClock
+  /** CA and client certificate for the workers; plain text if left out. */
+  readonly tls?: TlsKeeper | undefined
 }
 
 /** An IUpstreamTransport over undici, HTTP/1.1, one request at a time per connection. */
 export class UndiciTransport implements IUpstreamTransport {
   private readonly workers = new Map<string, WorkerConnections>()
   private readonly clock: IClock
+  private readonly tls: TlsKeeper | undefined
   private readonly prober = new WorkerProber(this)
   private isClosed = false
 
   constructor (options: UndiciTransportOptions) {
     this.clock = options.clock
+    this.tls = options.tls
   }
 
   setWorkers (workers: ReadonlyArray<WorkerLimit>): void {
@@ -52,7 +57,7 @@
     }
     for (const [address, limit] of limits) {
       if (this.workers.has(address)) continue
-      const connections = new WorkerConnections(address)
+      const connections = new WorkerConnections(address, this.tls)
       connections.setLimit(limit)
       this.workers.set(address, connections)
     }
--- a/packages/platform/src/node/upstream/workerConnections.ts
+++ b/packages/platform/src/node/upstream/workerConnections.ts
@@ -1,6 +1,8 @@
 /** The connections of this process to one worker, never more than the limit. */
 import { Client } from 'undici'
 import type { IClosable } from '@umberspar/base/common/closing'
+import type { TlsKeeper } from '../tls/tlsKeeper.js'
+import { buildConnectTls } from '../tls/tlsOptions.js'
 
 /**
  * An idle connection is closed after 2 s. Servers usually close theirs after 5 s;
@@ -27,7 +29,14 @@
   private readonly idle: Client[] = []
   private limit = 0
 
-  constructor (private readonly address: string) {}
+  /**
+   * @param address `host:port`
+   * @param tls certificates; plain text without
+   */
+  constructor (
+    private readonly address: string,
+    private readonly tls?: TlsKeeper
+  ) {}
 
   /** @returns whether no connection is left */
   isEmpty (): boolean {
@@ -71,7 +80,9 @@
   }
 
   private openClient (): Client {
-    const client = new Client(`http://${this.address}`, {
+    const { tls } = this
+    const client = new Client(`${tls === undefined ? 'http' : 'https'}://${this.address}`, {
+      ...(tls === undefined ? {} : { connect: buildConnectTls(tls) }),
       pipelining: 1,
       keepAliveTimeout: IDLE_SPAN_MS,
       keepAliveMaxTimeout: IDLE_SPAN_MS,
