Let nothing run behind a refused request on its connection

Cause: raw-socket tests showed that Node.js hands over a request pipelined in the same packet although the one before it was refused with Connection: close, so a smuggled request ran; Node's own refusal of a missing Host has the same gap. Change: the gate also checks Host, and what follows a refusal is dropped.

--- a/packages/daemon/src/node/httpListener.ts
+++ b/packages/daemon/src/node/httpListener.ts
@@ -40,6 +40,8 @@
   private readonly bodies: BodyProgress
   private readonly connections: ConnectionLimits
   private readonly logger: ILogger
+  /** Connections that end with the answer to a refused request. */
+  private readonly refused = new WeakSet<Socket>()
   private readonly renewal: IClosable | undefined
 
   constructor (
@@ -98,7 +100,8 @@
     const { headersWithinMs, idleWithinMs, maxHeaderBytes } = this.limits
     const options: ServerOptions = {
       insecureHTTPParser: false,
-      requireHostHeader: true,
+      // The gate does it; Node.js would go on with the requests that follow on the connection.
+      requireHostHeader: false,
       maxHeaderSize: maxHeaderBytes,
       headersTimeout: headersWithinMs,
       connectionsCheckingInterval: Math.min(headersWithinMs, MAX_CHECK_SPAN_MS),
@@ -115,8 +118,12 @@
   }
 
   private handle (request: IncomingMessage, response: ServerResponse): void {
+    // Node.js has parsed what came in the same packet and hands it over although the
+    // connection is to be closed: a smuggled request would run. Nothing runs after a refusal.
+    if (this.refused.has(request.socket)) return
     const refusal = checkRequest(request, this.limits)
     if (refusal !== undefined) {
+      this.refused.add(request.socket)
       answerRefusal(response, refusal)
       return
     }
--- a/packages/daemon/src/node/listener/requestGate.ts
+++ b/packages/daemon/src/node/listener/requestGate.ts
@@ -58,7 +58,9 @@
 }
 
 function checkHost (request: IncomingMessage): GateRefusal | undefined {
-  return countFields(request, 'host') > 1 ? { status: 400, detail: 'Host stands more than once' } : undefined
+  const count = countFields(request, 'host')
+  if (count > 1) return { status: 400, detail: 'Host stands more than once' }
+  return count === 0 && request.httpVersion === '1.1' ? { status: 400, detail: 'Host is missing' } : undefined
 }
 
 /**
@@ -69,7 +71,9 @@
   const encoding = request.headers['transfer-encoding']
   if (encoding === undefined) return undefined
   if (request.httpVersion !== '1.1') return { status: 400, detail: 'Transfer-Encoding needs HTTP/1.1' }
-  return encoding.trim().toLowerCase() === 'chunked' ? undefined : { status: 501, detail: 'expected chunked as the only transfer coding' }
+  const codings = encoding.split(',').map((coding) => coding.trim().toLowerCase())
+  if (codings.at(-1) !== 'chunked') return { status: 400, detail: 'expected chunked as the last transfer coding' }
+  return codings.length === 1 ? undefined : { status: 501, detail: 'expected chunked as the only transfer coding' }
 }
 
 function checkUpgrade ({ headers }: IncomingMessage): GateRefusal | undefined {
--- /dev/null
+++ b/packages/daemon/test/node/listener/bodyProgress.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict'
+import { EventEmitter } from 'node:events'
+import type { IncomingMessage } from 'node:http'
+import { test } from 'node:test'
+import type { IClock, ITimer } from '@umberspar/base/common/clock'
+import { BodyProgress } from '../../../src/node/listener/bodyProgress.js'
+
+/** Time that moves only when told to. */
+class StepClock implements IClock {
+  private present = 0
+  private timers: Array<{ at: number, callback: () => void }> = []
+
+  now (): number {
+    return this.present
+  }
+
+  getWallTime (): number {
+    return this.present
+  }
+
+  schedule (at: number, callback: () => void): ITimer {
+    const timer = { at, callback }
+    this.timers.push(timer)
+    return { close: () => { this.timers = this.timers.filter((each) => each !== timer) } }
+  }
+
+  stepTo (instant: number): void {
+    for (;;) {
+      const [next] = this.timers.filter(({ at }) => at <= instant).sort((one, other) => one.at - other.at)
+      if (next === undefined) break
+      this.timers = this.timers.filter((each) => each !== next)
+      this.present = Math.max(this.present, next.at)
+      next.callback()
+    }
+    this.present = instant
+  }
+}
+
+class FakeRequest extends EventEmitter {
+  readonly headers = { 'content-length': '1000000' }
+  readonly socket = { bytesRead: 0 }
+  readableLength = 0
+  readonly readableHighWaterMark = 16_384
+  isDestroyed = false
+
+  destroy (): void {
+    this.isDestroyed = true
+    this.emit('close')
+  }
+}
+
+// A phone in a basement uploads photos at a crawl, a worker takes its time with
+// another upload, and somebody drips one byte a minute to hold a slot. Only the
+// last may be ended.
+test('a body that drips is ended; a slow one, and one that the upstream holds back, go on', () => {
+  const clock = new StepClock()
+  const progress = new BodyProgress(clock, 1000, 100)
+  const [slow, held, dripping, done] = [new FakeRequest(), new FakeRequest(), new FakeRequest(), new FakeRequest()]
+  for (const request of [slow, held, dripping, done]) progress.watch(request as unknown as IncomingMessage)
+  held.readableLength = held.readableHighWaterMark
+  done.emit('end')
+  for (let at = 250; at <= 10_000; at += 250) {
+    slow.socket.bytesRead += 30
+    dripping.socket.bytesRead += 1
+    clock.stepTo(at)
+  }
+  assert.deepEqual([slow, held, dripping, done].map((request) => request.isDestroyed), [false, false, true, false])
+  assert.equal(progress.stalled, 1)
+  held.readableLength = 0
+  clock.stepTo(13_000)
+  assert.equal(held.isDestroyed, true)
+  progress.close()
+})
