--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -16,7 +16,6 @@
 import type { RequestContext } from '../request/requestContext.js'
 import type { RequestRunner, RunningAnswer } from '../request/requestRunner.js'
 import type { ClientRegions } from './clientRegions.js'
-import { setAnswerHeaders } from './answerHeaders.js'
 import { answerProblem } from './problem.js'
 
 const SERVICES_PREFIX = '/v1/services/'
@@ -98,7 +97,7 @@
   private async answer (context: RequestContext, running: RunningAnswer, response: ServerResponse): Promise<boolean> {
     const { status, headers, body } = running.response
     response.statusCode = status
-    setAnswerHeaders(response, headers)
+    for (const [name, value] of Object.entries(removeHopByHop(headers))) response.setHeader(name, value)
     try {
       await pipeline(body, response)
       running.finish(true)
--- a/packages/platform/src/node/peers/peerMessages.ts
+++ b/packages/platform/src/node/peers/peerMessages.ts
@@ -73,9 +73,15 @@
  * @param now the instant of its receipt
  * @param peer whose it is, for the error
  * @returns the digest on the own clock
- * @throws StepError `Invalid` if its state is unknown
+ * @throws StepError `Invalid` if its state is unknown or a figure is no number of 0 or more
  */
 export function decodeDigest (digest: wire.Digest, now: Instant, peer: string): Digest {
+  // NaN passes through every comparison and sum: one such report would upset the
+  // choice among all workers of a place.
+  const figures = [...digest.workers.map((report) => report.utilization), ...digest.demand.map((report) => report.concurrency)]
+  if (!figures.every((figure) => Number.isFinite(figure) && figure >= 0)) {
+    throw new StepError({ code: ErrorCode.Invalid, step: 'decode-digest', peer, message: 'a reported figure is negative or no number' })
+  }
   const state = STATE_BY_WIRE.get(digest.state)
   if (state === undefined) throw new StepError({ code: ErrorCode.Invalid, step: 'decode-digest', peer, message: `unknown node state ${digest.state}` })
   return {
