Spread by two watchers a region, a push tree and bounded neighbours

Cause: every node watched the store and spoke with every peer each half second; both grow with the square or the product of the fleet. The VM list was believed as it came: an empty answer emptied the roster. A patch whose swap answer was lost and arrived late could take effect after it had been reported as failed; bodies of dead writers stayed for ever.

Change: pure modules steering/common/spread (watchers, push tree, neighbours, store reads) and steering/common/membership (reports ordered by incarnation and beat, believed list with holds). Digests carry relayed member and worker reports and the age of the last confirmation by the store. Every write of a patch is conditional on the head's revision; a lost answer is settled by the history and, if not there, by rewriting the head. A store restored from an old state is written back by a watcher. A node is ready only after it has asked neighbours and store.

--- a/packages/daemon/src/node/configuration/configurationStore.ts
+++ b/packages/daemon/src/node/configuration/configurationStore.ts
@@ -1,34 +1,30 @@
 /**
  * The configuration's keys in the store. The body is written first, under the
  * change's own id, then the head by compare-and-swap: whoever reads a head finds
- * its whole body, and two racing writers never mix their chunks.
+ * its whole body, and two racing writers never mix their chunks. Every write is
+ * conditional on the head that the change is made against, so that a write which
+ * arrives late, after another change, has no effect.
  */
-import { ErrorCode, StepError, toStepError } from '@umberspar/base/common/errors'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
 import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
-import type { IKeyValueStore, StoredValue } from '@umberspar/steering/common/ports/keyValueStore'
-import { z } from 'zod'
+import type { IKeyValueStore, StoreCondition, StoreWrite } from '@umberspar/steering/common/ports/keyValueStore'
+import { headSchema, type HistoryEntry, historySchema, parseStored, type PendingBody, pendingSchema } from './configurationRecords.js'
 import type { ConfigurationText } from './configurationKeeper.js'
 
 /** Half of what the store takes as one value, so that keys and framing fit beside it. */
 export const CHUNK_BYTES = 512 * 1024
 /** Versions kept besides the one in force. */
 export const HISTORY_LIMIT = 100
+/** As many as a document between peers may have bytes; far below a transaction's limit of 128 operations. */
+export const MAX_CHUNKS = 32
+/** Operations of one clean-up transaction; the store takes 128. */
+const MAX_DELETES = 100
+const CHUNK_ATTEMPTS = 2
 const VERSION_DIGITS = 12
 const PEER = 'store'
 
-const headSchema = z.object({ version: z.number().int().min(1), changeId: z.string(), digest: z.string() })
-const historySchema = headSchema.extend({
-  baseVersion: z.number().int().min(0),
-  note: z.string(),
-  atWallMs: z.number(),
-  chunks: z.number().int().min(1)
-})
-
-/** One accepted change. */
-export type HistoryEntry = z.output<typeof historySchema>
-
 /** A head and the store's revision of its key. */
 export interface StoredHead {
   readonly head: ConfigurationHead
@@ -43,6 +39,12 @@
   readonly atWallMs: number
 }
 
+interface BodyChunk {
+  readonly index: number
+  readonly chunks: number
+  readonly part: Uint8Array
+}
+
 /** Reads and writes the configuration's keys. */
 export class ConfigurationStore {
   private readonly encoder = new TextEncoder()
@@ -105,6 +107,19 @@
     return new Ok(entries.sort((a, b) => b.version - a.version))
   }
 
+  /**
+   * @param changeId a change's id
+   * @param deadline when to give up
+   * @returns the head that the change made, or undefined if the history has none of that id
+   */
+  async findChange (changeId: string, deadline: Deadline): Promise<Result<ConfigurationHead | undefined, StepError>> {
+    const history = await this.listHistory(deadline)
+    if (!history.ok) return history
+    const entry = history.val.find((one) => one.changeId === changeId)
+    if (entry === undefined) return new Ok(undefined)
+    return new Ok({ version: entry.version, changeId: entry.changeId, digest: entry.digest })
+  }
+
   /**
    * Writes the body's chunks, then swaps the head.
    * @param change what to write and the head it replaces
@@ -112,27 +127,33 @@
    * @returns whether the swap took effect; `EffectUnknown` if its answer was lost
    */
   async write (change: ConfigurationChange, deadline: Deadline): Promise<Result<boolean, StepError>> {
-    const { head, text } = change.next
-    const bytes = this.encoder.encode(text)
+    const bytes = this.encoder.encode(change.next.text)
     const chunks = Math.max(1, Math.ceil(bytes.length / CHUNK_BYTES))
+    if (chunks > MAX_CHUNKS) return new Err(new StepError({ code: ErrorCode.Invalid, step: 'write-body', peer: PEER, message: `the configuration has ${bytes.length} bytes, more than ${MAX_CHUNKS * CHUNK_BYTES}` }))
+    const written: StoreCondition[] = []
     for (let index = 0; index < chunks; index++) {
       const part = bytes.subarray(index * CHUNK_BYTES, (index + 1) * CHUNK_BYTES)
-      const written = await this.store.transact({
-        conditions: [],
-        writes: [{ kind: 'put', key: `${this.getBodyPrefix(head)}${index}`, value: part }]
-      }, deadline)
-      // A chunk whose answer was lost harms nothing: no head names it yet.
-      if (!written.ok) return new Err(new StepError({ code: ErrorCode.Unavailable, step: 'write-body', peer: PEER, message: written.val.message, cause: written.val }))
+      const chunk = await this.writeChunk(change, { index, chunks, part }, deadline)
+      if (!chunk.ok) return chunk
+      if (chunk.val === undefined) return new Ok(false)
+      written.push(chunk.val)
     }
-    const entry: HistoryEntry = { ...head, baseVersion: change.base?.head.version ?? 0, note: change.note, atWallMs: change.atWallMs, chunks }
-    const swapped = await this.store.transact({
-      conditions: [{ key: this.headKey, modRevision: change.base?.modRevision ?? 0 }],
-      writes: [
-        { kind: 'put', key: this.headKey, value: this.encodeJson(head) },
-        { kind: 'put', key: this.getHistoryKey(head.version), value: this.encodeJson(entry) }
-      ]
+    return await this.transactHead(change, written, deadline)
+  }
+
+  /**
+   * Rewrites the head as it is. Its revision grows, so that a swap which was sent
+   * earlier and whose answer was lost can no longer take effect.
+   * @param base the head as it was read
+   * @param deadline when to give up
+   * @returns whether the head was still the same
+   */
+  async updateHeadRevision (base: StoredHead, deadline: Deadline): Promise<Result<boolean, StepError>> {
+    const rewritten = await this.store.transact({
+      conditions: [{ key: this.headKey, modRevision: base.modRevision }],
+      writes: [{ kind: 'put', key: this.headKey, value: this.encodeJson(base.head) }]
     }, deadline)
-    return swapped.ok ? new Ok(swapped.val.isApplied) : swapped
+    return rewritten.ok ? new Ok(rewritten.val.isApplied) : rewritten
   }
 
   /**
@@ -145,15 +166,101 @@
     if (!history.ok) return history
     const old = history.val.slice(HISTORY_LIMIT)
     for (const entry of old) {
-      const bodyKeys = Array.from({ length: entry.chunks }, (_, index) => `${this.getBodyPrefix(entry)}${index}`)
-      const keys = [...bodyKeys, this.getHistoryKey(entry.version)]
-      const removed = await this.store.transact({ conditions: [], writes: keys.map((key) => ({ kind: 'delete' as const, key })) }, deadline)
+      const removed = await this.deleteKeys([...this.listBodyKeys(entry, entry.chunks), this.getHistoryKey(entry.version)], deadline)
       if (!removed.ok) return removed
     }
     return new Ok(old.length)
   }
 
-  private getBodyPrefix (head: ConfigurationHead): string {
+  /**
+   * Removes bodies whose writer died, or lost the race, before it swapped the head.
+   * A body for a version that the head has reached can't be written any more.
+   * @param deadline when to give up
+   * @returns how many bodies were removed
+   */
+  async removeOrphans (deadline: Deadline): Promise<Result<number, StepError>> {
+    const listed = await this.store.list(this.pendingPrefix, deadline)
+    if (!listed.ok) return listed
+    const stored = await this.readHead(deadline)
+    if (!stored.ok) return stored
+    let removed = 0
+    for (const value of listed.val.values) {
+      const pending = parseStored(value, pendingSchema, 'read-pending')
+      if (!pending.ok) return pending
+      if (pending.val.version > (stored.val?.head.version ?? 0)) continue
+      const keys = [...this.listBodyKeys(pending.val, pending.val.chunks), value.key]
+      const deleted = await this.deleteKeys(keys, deadline)
+      if (!deleted.ok) return deleted
+      removed += 1
+    }
+    return new Ok(removed)
+  }
+
+  /** @returns the chunk's key and revision, or undefined if the head has changed */
+  private async writeChunk (change: ConfigurationChange, chunk: BodyChunk, deadline: Deadline): Promise<Result<StoreCondition | undefined, StepError>> {
+    const { head } = change.next
+    const key = `${this.getBodyPrefix(head)}${chunk.index}`
+    const pending: PendingBody = { version: head.version, changeId: head.changeId, chunks: chunk.chunks }
+    const writes: StoreWrite[] = [{ kind: 'put', key, value: chunk.part }]
+    // Before the first chunk stands a note of the body: if the writer dies before
+    // the swap, the note tells the next one what to remove.
+    if (chunk.index === 0) writes.push({ kind: 'put', key: this.getPendingKey(head), value: this.encodeJson(pending) })
+    let failure: StepError | undefined
+    for (let attempt = 0; attempt < CHUNK_ATTEMPTS; attempt++) {
+      const written = await this.store.transact({ conditions: [this.createHeadCondition(change.base)], writes }, deadline)
+      if (written.ok) return new Ok(written.val.isApplied ? { key, modRevision: written.val.revision } : undefined)
+      failure = written.val
+      if (failure.code !== ErrorCode.EffectUnknown) break
+    }
+    // A chunk whose answer was lost harms nothing: no head names it yet.
+    return new Err(new StepError({ code: ErrorCode.Unavailable, step: 'write-body', peer: PEER, message: failure?.message ?? '', cause: failure }))
+  }
+
+  /**
+   * The swap also asks for the chunks as this writer wrote them: another daemon
+   * that was sent the same change id, perhaps with another patch, writes to the
+   * same keys, and a head must never name a mixed body.
+   */
+  private async transactHead (change: ConfigurationChange, chunks: readonly StoreCondition[], deadline: Deadline): Promise<Result<boolean, StepError>> {
+    const { base, next: { head }, note, atWallMs } = change
+    const entry: HistoryEntry = { ...head, baseVersion: base?.head.version ?? 0, note, atWallMs, chunks: chunks.length }
+    const swapped = await this.store.transact({
+      conditions: [this.createHeadCondition(base), ...chunks],
+      writes: [
+        { kind: 'put', key: this.headKey, value: this.encodeJson(head) },
+        { kind: 'put', key: this.getHistoryKey(head.version), value: this.encodeJson(entry) },
+        { kind: 'delete', key: this.getPendingKey(head) }
+      ]
+    }, deadline)
+    return swapped.ok ? new Ok(swapped.val.isApplied) : swapped
+  }
+
+  private async deleteKeys (keys: readonly string[], deadline: Deadline): Promise<Result<void, StepError>> {
+    for (let start = 0; start < keys.length; start += MAX_DELETES) {
+      const writes = keys.slice(start, start + MAX_DELETES).map((key) => ({ kind: 'delete' as const, key }))
+      const deleted = await this.store.transact({ conditions: [], writes }, deadline)
+      if (!deleted.ok) return deleted
+    }
+    return new Ok(undefined)
+  }
+
+  private createHeadCondition (base: StoredHead | undefined): StoreCondition {
+    return { key: this.headKey, modRevision: base?.modRevision ?? 0 }
+  }
+
+  private listBodyKeys (head: Pick<ConfigurationHead, 'version' | 'changeId'>, chunks: number): string[] {
+    return Array.from({ length: chunks }, (_, index) => `${this.getBodyPrefix(head)}${index}`)
+  }
+
+  private get pendingPrefix (): string {
+    return `${this.keyPrefix}config/pending/`
+  }
+
+  private getPendingKey (head: ConfigurationHead): string {
+    return `${this.pendingPrefix}${head.version}/${head.changeId}`
+  }
+
+  private getBodyPrefix (head: Pick<ConfigurationHead, 'version' | 'changeId'>): string {
     return `${this.keyPrefix}config/body/${head.version}/${head.changeId}/`
   }
 
@@ -165,18 +272,3 @@
     return this.encoder.encode(JSON.stringify(value))
   }
 }
-
-/**
- * Reads a stored JSON value.
- * @param stored the value
- * @param schema what it must look like
- * @param step the step named in an error
- * @returns the parsed value
- */
-function parseStored<T> (stored: StoredValue, schema: z.ZodType<T>, step: string): Result<T, StepError> {
-  try {
-    return new Ok(schema.parse(JSON.parse(new TextDecoder().decode(stored.value))))
-  } catch (cause) {
-    return new Err(toStepError(cause, step, PEER))
-  }
-}
--- a/packages/daemon/src/node/configuration/patchService.ts
+++ b/packages/daemon/src/node/configuration/patchService.ts
@@ -6,18 +6,20 @@
 import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { runDetached } from '@umberspar/base/common/detached'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
-import type { ILogger } from '@umberspar/base/common/logger'
+import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
 import { type Digester, encodeCanonical } from '@umberspar/steering/common/configuration/canonicalJson'
 import { applyPatch, type PatchRefusal, PatchRefusalKind } from '@umberspar/steering/common/configuration/patchConfiguration'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import type { ConfigurationHead, VersionedConfiguration } from '@umberspar/steering/common/configuration/versionedConfiguration'
 import { validateConfiguration } from '@umberspar/steering/common/configuration/validateConfiguration'
-import type { ConfigurationKeeper } from './configurationKeeper.js'
+import { type ConfigurationKeeper, LearnSource } from './configurationKeeper.js'
+import { PatchSettler } from './patchSettler.js'
 import type { ConfigurationStore, StoredHead } from './configurationStore.js'
 
 const WRITE_SPAN_MS = 4000
-const SETTLE_ATTEMPTS = 3
+/** A patch is judged anew when the head changes while it is written; a new head makes it stale at the latest then. */
+const PATCH_ATTEMPTS = 4
 
 /** An operator's patch. */
 export interface PatchRequest {
@@ -33,6 +35,8 @@
   | { readonly kind: 'refused', readonly refusal: PatchRefusal, readonly currentVersion: number }
   | { readonly kind: 'failed', readonly error: StepError }
 
+type PatchOutcome = Result<ConfigurationHead, PatchFailure>
+
 /** What the store holds before the first patch, which is made against version 0. */
 const NO_CONFIGURATION: VersionedConfiguration = {
   head: { version: 0, changeId: '', digest: '' },
@@ -47,13 +51,17 @@
 
 /** Applies patches to the configuration in the store. */
 export class PatchService {
+  private readonly settler: PatchSettler
+
   constructor (
     private readonly configurations: ConfigurationStore,
     private readonly keeper: ConfigurationKeeper,
     private readonly digester: Digester,
     private readonly clock: IClock,
     private readonly logger: ILogger
-  ) {}
+  ) {
+    this.settler = new PatchSettler(configurations, clock)
+  }
 
   /**
    * Checks a patch without writing.
@@ -74,6 +82,17 @@
    */
   async patch (request: PatchRequest): Promise<Result<ConfigurationHead, PatchFailure>> {
     const deadline = createDeadline(this.clock.now(), WRITE_SPAN_MS)
+    for (let attempt = 0; attempt < PATCH_ATTEMPTS; attempt++) {
+      const outcome = await this.runAttempt(request, deadline)
+      if (outcome !== undefined) return outcome
+    }
+    return this.createFailure(ErrorCode.Conflict, 'other changes came first again and again')
+  }
+
+  /** @returns undefined if the head changed meanwhile and the patch is to be judged anew */
+  private async runAttempt (request: PatchRequest, deadline: Deadline): Promise<PatchOutcome | undefined> {
+    // The head is read before the history: whatever the head already holds, the
+    // history shows, so that a change in force is not taken for a stale one.
     const current = await this.readCurrent(deadline)
     if (!current.ok) return new Err({ kind: 'failed', error: current.val })
     const earlier = await this.findChange(request.changeId, deadline)
@@ -81,58 +100,58 @@
     if (earlier.val !== undefined) return new Ok(earlier.val)
     const merged = await this.merge(current.val.configuration, request, deadline)
     if (!merged.ok) return merged
-    return await this.write(current.val.stored, merged.val, request, deadline)
+    return await this.write(current.val, merged.val, request, deadline)
   }
 
-  private async write (base: StoredHead | undefined, body: SteeringConfiguration, request: PatchRequest, deadline: Deadline): Promise<Result<ConfigurationHead, PatchFailure>> {
+  private async write (current: CurrentState, body: SteeringConfiguration, request: PatchRequest, deadline: Deadline): Promise<PatchOutcome | undefined> {
     const text = encodeCanonical(body)
     const head: ConfigurationHead = {
-      version: (base?.head.version ?? 0) + 1,
+      version: current.configuration.head.version + 1,
       changeId: request.changeId,
       digest: this.digester.computeDigest(text)
     }
     const next = { head, text }
-    const written = await this.configurations.write({ base, next, note: request.note, atWallMs: this.clock.getWallTime() }, deadline)
-    const settled = written.ok ? written : await this.settle(written.val, head)
+    const written = await this.configurations.write({ base: current.stored, next, note: request.note, atWallMs: this.clock.getWallTime() }, deadline)
+    const settled = written.ok ? written : await this.settler.settle(written.val, head, current.stored)
     if (!settled.ok) return new Err({ kind: 'failed', error: settled.val })
-    if (!settled.val) return await this.refuseStale(request, deadline)
-    this.keeper.apply(next, 'operator')
-    runDetached(() => this.configurations.removeOld(createDeadline(this.clock.now(), WRITE_SPAN_MS)), this.logger, 'remove-history')
+    if (!settled.val) return undefined
+    this.keeper.apply(next, 'operator', { source: LearnSource.Operator })
+    runDetached(() => this.removeUnused(), this.logger, 'remove-history')
     return new Ok(head)
   }
 
-  /**
-   * The swap's answer was lost: the operator would see an error for a change
-   * that is in force. The change's id in the history says which it was, since
-   * the history entry is written in the head's own transaction.
-   */
-  private async settle (lost: StepError, head: ConfigurationHead): Promise<Result<boolean, StepError>> {
-    if (lost.code !== ErrorCode.EffectUnknown) return new Err(lost)
-    for (let attempt = 0; attempt < SETTLE_ATTEMPTS; attempt++) {
-      const found = await this.findChange(head.changeId, createDeadline(this.clock.now(), WRITE_SPAN_MS))
-      if (found.ok && found.val !== undefined) return new Ok(true)
-      if (found.ok && await this.hasMovedPast(head)) return new Ok(false)
+  private async removeUnused (): Promise<void> {
+    const old = await this.configurations.removeOld(createDeadline(this.clock.now(), WRITE_SPAN_MS))
+    const orphans = await this.configurations.removeOrphans(createDeadline(this.clock.now(), WRITE_SPAN_MS))
+    // What is left over is removed after the next patch.
+    for (const result of [old, orphans]) {
+      if (!result.ok) logError(this.logger, LogLevel.Warn, result.val)
     }
-    return new Err(lost)
   }
 
-  /** Once another change holds this version, a late write of ours can no longer take effect. */
-  private async hasMovedPast (head: ConfigurationHead): Promise<boolean> {
-    const stored = await this.configurations.readHead(createDeadline(this.clock.now(), WRITE_SPAN_MS))
-    return stored.ok && stored.val !== undefined && stored.val.head.version >= head.version && stored.val.head.changeId !== head.changeId
+  private createFailure (code: ErrorCode, message: string): PatchOutcome {
+    return new Err({ kind: 'failed', error: new StepError({ code, step: 'patch-configuration', peer: 'store', message }) })
   }
 
-  private async findChange (changeId: string, deadline: Deadline): Promise<Result<ConfigurationHead | undefined, StepError>> {
-    const history = await this.configurations.listHistory(deadline)
-    if (!history.ok) return history
-    const entry = history.val.find((one) => one.changeId === changeId)
-    if (entry === undefined) return new Ok(undefined)
-    return new Ok({ version: entry.version, changeId: entry.changeId, digest: entry.digest })
+  private findChange (changeId: string, deadline: Deadline): Promise<Result<ConfigurationHead | undefined, StepError>> {
+    return this.configurations.findChange(changeId, deadline)
   }
 
+  /**
+   * The newest configuration: the store's, or the one in force here if the store
+   * was restored from an older state. A number above both, seen at a peer, must
+   * not be given out a second time, so this daemon waits until it has that version.
+   */
   private async readCurrent (deadline: Deadline): Promise<Result<CurrentState, StepError>> {
     const stored = await this.configurations.readHead(deadline)
     if (!stored.ok) return stored
+    const storedVersion = stored.val?.head.version ?? 0
+    const newest = Math.max(storedVersion, this.keeper.version)
+    if (this.keeper.highestSeen > newest) {
+      return new Err(new StepError({ code: ErrorCode.Unavailable, step: 'read-current', peer: 'local', message: `a peer has version ${this.keeper.highestSeen}, this daemon only ${newest}; try again` }))
+    }
+    const inForce = this.keeper.current
+    if (inForce !== undefined && inForce.head.version > storedVersion) return new Ok({ stored: stored.val, configuration: inForce })
     if (stored.val === undefined) return new Ok({ stored: undefined, configuration: NO_CONFIGURATION })
     const body = await this.readVersion(stored.val.head, deadline)
     return body.ok ? new Ok({ stored: stored.val, configuration: body.val }) : body
@@ -169,15 +188,6 @@
     const body = await this.readVersion(entry, deadline)
     return body.ok ? body.val.body : undefined
   }
-
-  private async refuseStale (request: PatchRequest, deadline: Deadline): Promise<Result<ConfigurationHead, PatchFailure>> {
-    const current = await this.readCurrent(deadline)
-    if (!current.ok) return new Err({ kind: 'failed', error: current.val })
-    const refused = await this.merge(current.val.configuration, request, deadline)
-    if (!refused.ok) return refused
-    const error = new StepError({ code: ErrorCode.Conflict, step: 'swap-head', peer: 'store', message: 'the head changed and changed back while the patch was written' })
-    return new Err({ kind: 'failed', error })
-  }
 }
 
 /** Reason a refusal maps to in problem documents. */
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -47,6 +47,7 @@
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
   private stopping: Promise<void> | undefined
+  private hasAskedAll = false
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -82,8 +83,11 @@
       return opened
     }
     await parts.members.start()
-    await parts.watcher.start()
+    // Peers before the store: they show a version that a restored store no longer
+    // has, and spare the store a read for each node when all start at once.
     await parts.heartbeats.start()
+    await parts.watcher.start()
+    this.hasAskedAll = true
     parts.prober.start()
     this.applyState()
     return new Ok(undefined)
@@ -152,7 +156,7 @@
     const parts = this.parts
     const current = parts?.keeper.current
     if (parts === undefined || current === undefined) return
-    if (parts.peerService.state === NodeState.Joining) parts.peerService.state = NodeState.Live
+    if (parts.peerService.state === NodeState.Joining && this.canGoLive(parts)) parts.peerService.state = NodeState.Live
     const nodes = this.listNodes(parts)
     const roster = nodes.map((node) => ({ ...node, state: NodeState.Live }))
     const workers = parts.places.update(current.body, roster)
@@ -163,6 +167,15 @@
     parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
   }
 
+  /**
+   * A node that served with the first version it meets could serve an older one
+   * than before its restart; so it asks its neighbours and the store first.
+   * Without the VM list it would take itself for the only node.
+   */
+  private canGoLive (parts: DaemonParts): boolean {
+    return this.hasAskedAll && parts.members.isListed
+  }
+
   private listNodes (parts: DaemonParts): LookupNode[] {
     const now = this.clock.now()
     return parts.members.list().map((member) => ({
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -20,6 +20,7 @@
 import { ConfigurationWatcher } from './configuration/configurationWatcher.js'
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
+import { DocumentSpreader } from './peers/documentSpreader.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
 import { PlaceDirectory } from './places/placeDirectory.js'
@@ -84,10 +85,10 @@
   const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics }))
   const keeper = owned.add(new ConfigurationKeeper(digester, logger))
   const configurations = new ConfigurationStore(store, settings.store.keyPrefix)
-  const watcher = owned.add(new ConfigurationWatcher(store, configurations, keeper, clock, random, logger))
   const patches = new PatchService(configurations, keeper, digester, clock, logger)
   const vmList = owned.add(new HttpVmList({ url: settings.vmList.url, clock }))
   const members = owned.add(new MemberDirectory(vmList, settings.nodeId, clock, random, logger))
+  const watcher = owned.add(new ConfigurationWatcher({ store, configurations, keeper, members, self: settings, clock, random, logger }))
   return { keeper, configurations, watcher, patches, members }
 }
 
@@ -107,6 +108,7 @@
   const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, clock)
   const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
   const client = owned.add(new PeerClient({ clock }))
-  const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, clock, random, logger))
+  const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, clock, random, logger))
+  owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
   return { peerService, peerServer, heartbeats }
 }
--- a/packages/daemon/src/node/operators/operatorViews.ts
+++ b/packages/daemon/src/node/operators/operatorViews.ts
@@ -1,5 +1,5 @@
 /** What the operators' listener shows, read from the daemon's parts. */
-import type { IClock, Instant } from '@umberspar/base/common/clock'
+import type { IClock } from '@umberspar/base/common/clock'
 import { createDeadline } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
@@ -22,7 +22,7 @@
   return {
     isReady: () => getReadiness(parts),
     getStatus: () => getStatus(settings, parts),
-    getFleet: () => ({ nodes: parts.members.list().map((member) => getFleetNode(settings, parts, member, clock.now())) }),
+    getFleet: () => ({ nodes: parts.members.list().map((member) => getFleetNode(settings, parts, member)) }),
     getConfiguration: () => parts.keeper.current,
     listHistory: async () => {
       const history = await parts.configurations.listHistory(createReadDeadline())
@@ -38,7 +38,8 @@
 }
 
 function getReadiness (parts: DaemonParts): { isReady: boolean, reason: string } {
-  if (parts.keeper.current === undefined) return { isReady: false, reason: 'no configuration from the store or a peer yet' }
+  if (parts.keeper.current === undefined) return { isReady: false, reason: `no configuration yet: ${parts.watcher.getFailureReason()}` }
+  if (!parts.members.isListed) return { isReady: false, reason: 'the VM list has not answered yet' }
   if (parts.peerService.state !== NodeState.Live) return { isReady: false, reason: `this node is ${parts.peerService.state}` }
   return { isReady: true, reason: 'serving' }
 }
@@ -50,6 +51,8 @@
     failureDomain: settings.failureDomain,
     state: parts.peerService.state,
     configurationVersion: parts.keeper.version,
+    highestVersionSeen: parts.keeper.highestSeen,
+    spread: parts.watcher.getStatus(),
     inFlight: parts.requests.inFlight,
     isPlanSettled: parts.plans.isSettled,
     places: parts.places.list().map((pool) => ({
@@ -62,13 +65,13 @@
   }
 }
 
-function getFleetNode (settings: DaemonSettings, parts: DaemonParts, member: Member, now: Instant): object {
+function getFleetNode (settings: DaemonSettings, parts: DaemonParts, member: Member): object {
   const isSelf = member.vm.vmId === settings.nodeId
   return {
     nodeId: member.vm.vmId,
     region: member.vm.region,
     failureDomain: member.vm.failureDomain,
-    state: isSelf ? parts.peerService.state : computeMemberState(member, now),
+    state: isSelf ? parts.peerService.state : computeMemberState(member),
     callersAddress: member.vm.address,
     operatorAddress: member.vm.operatorAddress ?? '',
     configurationVersion: isSelf ? parts.keeper.version : member.configurationVersion
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -3,11 +3,13 @@
  * versions each has, and the configuration handed on to whoever is behind.
  */
 import type { IClock } from '@umberspar/base/common/clock'
-import type { AnnouncedState, Digest, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
+import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
-import type { ConfigurationKeeper, ConfigurationText } from '../configuration/configurationKeeper.js'
+import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerProber } from '../places/workerProber.js'
+import { WorkerReportRelay } from './workerReportRelay.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -25,6 +27,8 @@
 export class PeerService implements IPeerService {
   /** This node's state as peers are told it. */
   state: AnnouncedState = NodeState.Joining
+  private readonly relay: WorkerReportRelay
+  private beat = 0
 
   constructor (
     private readonly identity: NodeIdentity,
@@ -32,17 +36,32 @@
     private readonly members: MemberDirectory,
     private readonly prober: WorkerProber,
     private readonly clock: IClock
-  ) {}
+  ) {
+    this.relay = new WorkerReportRelay(clock)
+  }
+
+  /** Begins a round: the next digest is a new sign of life. */
+  startRound (): void {
+    this.beat += 1
+  }
+
+  /** @returns the documents that this node has, with its versions of them */
+  listDocuments (): DocumentVersion[] {
+    const head = this.keeper.current?.head
+    return head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
+  }
 
   /** @returns this node's heartbeat */
   buildDigest (): Digest {
-    const head = this.keeper.current?.head
     return {
       ...this.identity,
+      beat: this.beat,
       state: this.state,
-      documents: head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }],
-      workers: this.prober.listReports(),
-      demand: []
+      documents: this.listDocuments(),
+      workers: this.relay.list(this.prober.listReports()),
+      demand: [],
+      members: this.members.listRelayed(),
+      confirmedAt: this.keeper.confirmedAt
     }
   }
 
@@ -53,7 +72,9 @@
    */
   observe (digest: Digest): number {
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
-    this.members.observeHeartbeat({ nodeId: digest.nodeId, state: digest.state, configurationVersion: version })
+    this.members.observeReports([toReport(digest), ...digest.members])
+    this.keeper.observePeer(version, digest.confirmedAt)
+    this.relay.observe(digest.workers)
     this.prober.observeReports(digest.workers)
     return version
   }
@@ -70,7 +91,9 @@
   }
 
   async push (document: PeerDocument): Promise<number> {
-    if (document.document.name === CONFIGURATION_DOCUMENT) this.keeper.apply(decodeDocument(document), 'peer')
+    if (document.document.name === CONFIGURATION_DOCUMENT) {
+      this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
+    }
     return this.keeper.version
   }
 
@@ -81,6 +104,11 @@
   returnLoan (_loan: LoanReturn): void {}
 }
 
+function toReport (digest: Digest): MemberReport {
+  const { nodeId, incarnation, beat, state, documents, demand } = digest
+  return { nodeId, incarnation, beat, state, documents, demand, isSuspected: false }
+}
+
 /**
  * @param configuration head and text
  * @returns the form in which it travels
--- a/packages/platform/src/node/peers/documentChunks.ts
+++ b/packages/platform/src/node/peers/documentChunks.ts
@@ -1,5 +1,6 @@
 /** Documents on the wire: cut into chunks, and put together again under a bound. */
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { PushScope, type PushRoute } from '@umberspar/steering/common/spread/pushTree'
 import type { PeerDocument } from '@umberspar/steering/common/ports/peers'
 import type { DocumentChunk, DocumentVersion } from '../generated/peer/peer.js'
 import { decodeVersion, encodeVersion } from './peerMessages.js'
@@ -21,15 +22,25 @@
   const count = Math.max(1, Math.ceil(bytes.byteLength / CHUNK_BYTES))
   for (let index = 0; index < count; index++) {
     const data = bytes.subarray(index * CHUNK_BYTES, (index + 1) * CHUNK_BYTES)
-    yield { document, index, data, isLast: index === count - 1 }
+    yield { document, index, data, isLast: index === count - 1, ...encodeRoute(source.route) }
   }
 }
 
+function encodeRoute (route: PushRoute | undefined): Pick<DocumentChunk, 'originId' | 'isRegional'> {
+  return { originId: route?.originId ?? '', isRegional: route?.scope === PushScope.Region }
+}
+
+function decodeRoute (chunk: DocumentChunk): PushRoute | undefined {
+  if (chunk.originId === '') return undefined
+  return { originId: chunk.originId, scope: chunk.isRegional ? PushScope.Region : PushScope.Global }
+}
+
 /** Puts the chunks of one document together. */
 export class DocumentAssembler {
   private readonly parts: Buffer[] = []
   private size = 0
   private document: DocumentVersion | undefined
+  private route: PushRoute | undefined
   private isWhole = false
 
   constructor (private readonly peer: string) {}
@@ -40,6 +51,7 @@
    */
   add (chunk: DocumentChunk): void {
     this.document ??= chunk.document
+    this.route ??= decodeRoute(chunk)
     if (!this.isNext(chunk)) throw this.createError(ErrorCode.Invalid, `chunk ${chunk.index} is out of order`)
     this.size += chunk.data.byteLength
     if (this.size > MAX_DOCUMENT_BYTES) throw this.createError(ErrorCode.Exhausted, `the document exceeds ${MAX_DOCUMENT_BYTES} bytes`)
@@ -54,7 +66,8 @@
   build (): PeerDocument | undefined {
     if (this.document === undefined) return undefined
     if (!this.isWhole) throw this.createError(ErrorCode.Invalid, 'the last chunk is missing')
-    return { document: decodeVersion(this.document), body: Buffer.concat(this.parts) }
+    const whole = { document: decodeVersion(this.document), body: Buffer.concat(this.parts) }
+    return this.route === undefined ? whole : { ...whole, route: this.route }
   }
 
   private isNext (chunk: DocumentChunk): boolean {
--- a/packages/platform/src/node/peers/peerMessages.ts
+++ b/packages/platform/src/node/peers/peerMessages.ts
@@ -3,6 +3,7 @@
 import { createDeadline, getRemainingMs } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { Digest, DocumentVersion, LoanAnswer, LoanRequest } from '@umberspar/steering/common/ports/peers'
+import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
 import type { AnnouncedState } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import type * as wire from '../generated/peer/peer.js'
@@ -52,14 +53,55 @@
   return { ...rest, measuredAt: now - ageMs }
 }
 
+/** Zero on the wire says that there is no instant; a known age is sent one larger. */
+function encodeOptionalAge (at: Instant | undefined, now: Instant): number {
+  return at === undefined ? 0 : Math.min(MAX_UINT32, encodeAge(at, now) + 1)
+}
+
+function decodeOptionalAge (age: number, now: Instant): Instant | undefined {
+  return age === 0 ? undefined : now - (age - 1)
+}
+
+function encodeMember (report: MemberReport, now: Instant): wire.MemberReport {
+  return {
+    ...report,
+    incarnation: BigInt(report.incarnation),
+    beat: BigInt(report.beat),
+    state: WIRE_BY_STATE[report.state],
+    documents: report.documents.map(encodeVersion),
+    demand: report.demand.map((demand) => encodeReport(demand, now))
+  }
+}
+
+function decodeState (state: WireState, peer: string): AnnouncedState {
+  const decoded = STATE_BY_WIRE.get(state)
+  if (decoded === undefined) throw new StepError({ code: ErrorCode.Invalid, step: 'decode-digest', peer, message: `unknown node state ${state}` })
+  return decoded
+}
+
+function decodeMember (report: wire.MemberReport, now: Instant, peer: string): MemberReport {
+  return {
+    ...report,
+    incarnation: Number(report.incarnation),
+    beat: Number(report.beat),
+    state: decodeState(report.state, peer),
+    documents: report.documents.map(decodeVersion),
+    demand: report.demand.map((demand) => decodeReport(demand, now))
+  }
+}
+
 /**
  * @param digest the own digest
  * @param now the present, to which ages refer
  * @returns the digest for the wire
  */
 export function encodeDigest (digest: Digest, now: Instant): wire.Digest {
+  const { confirmedAt, ...rest } = digest
   return {
-    ...digest,
+    ...rest,
+    beat: BigInt(digest.beat),
+    members: digest.members.map((report) => encodeMember(report, now)),
+    confirmedAgeMs: encodeOptionalAge(confirmedAt, now),
     state: WIRE_BY_STATE[digest.state],
     incarnation: BigInt(digest.incarnation),
     documents: digest.documents.map(encodeVersion),
@@ -76,11 +118,13 @@
  * @throws StepError `Invalid` if its state is unknown
  */
 export function decodeDigest (digest: wire.Digest, now: Instant, peer: string): Digest {
-  const state = STATE_BY_WIRE.get(digest.state)
-  if (state === undefined) throw new StepError({ code: ErrorCode.Invalid, step: 'decode-digest', peer, message: `unknown node state ${digest.state}` })
+  const { confirmedAgeMs, ...rest } = digest
   return {
-    ...digest,
-    state,
+    ...rest,
+    beat: Number(digest.beat),
+    members: digest.members.map((report) => decodeMember(report, now, peer)),
+    confirmedAt: decodeOptionalAge(confirmedAgeMs, now),
+    state: decodeState(digest.state, peer),
     incarnation: Number(digest.incarnation),
     documents: digest.documents.map(decodeVersion),
     workers: digest.workers.map((report) => decodeReport(report, now)),
--- a/packages/platform/test/node/peers/peers.test.ts
+++ b/packages/platform/test/node/peers/peers.test.ts
@@ -90,12 +90,15 @@
     const { client, address } = await openPair(service)
     const measuredAt = clock.now()
     const report = { workerId: 'w', utilization: 0.5, inFlight: 3, measuredAt, isDraining: false, isHealthy: true }
-    const digest: Digest = { nodeId: 'asking', state: NodeState.Leaving, incarnation: 2, documents: [document], demand: [], workers: [report], region: 'r', failureDomain: 'd' }
+    const member = { nodeId: 'third', incarnation: 4, beat: 7, state: NodeState.Live as const, documents: [document], demand: [], isSuspected: true }
+    const digest: Digest = { nodeId: 'asking', state: NodeState.Leaving, incarnation: 2, documents: [document], demand: [], workers: [report], region: 'r', failureDomain: 'd', beat: 9, members: [member], confirmedAt: measuredAt }
     const answer = await client.exchange(address, digest, createFar())
     assert.ok(answer.ok)
     const [seen] = service.digests
     assert.deepEqual([seen?.nodeId, seen?.state, seen?.incarnation, seen?.documents], ['asking', NodeState.Leaving, 2, [document]])
     assert.equal(answer.val.nodeId, 'answering')
+    assert.deepEqual([seen?.beat, seen?.members], [9, [member]])
+    assert.ok(seen?.confirmedAt !== undefined && seen.confirmedAt <= clock.now())
     const returned = answer.val.workers[0]
     assert.ok(returned !== undefined && returned.measuredAt <= measuredAt + 1)
     assert.deepEqual({ ...returned, measuredAt }, report)
--- a/packages/steering/src/common/ports/peers.ts
+++ b/packages/steering/src/common/ports/peers.ts
@@ -4,6 +4,8 @@
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { StepError } from '@umberspar/base/common/errors'
 import type { Result } from '@umberspar/base/common/result'
+import type { MemberReport } from '../membership/memberReport.js'
+import type { PushRoute } from '../spread/pushTree.js'
 import type { NodeState } from '../state/nodeState.js'
 
 /** What a node says of itself; that it is suspected or gone only others can find. */
@@ -22,6 +24,8 @@
 export interface PeerDocument {
   readonly document: DocumentVersion
   readonly body: Uint8Array
+  /** How a pushed document goes on; left out, it is not handed on. */
+  readonly route?: PushRoute
 }
 
 /** The newest load that a node knows of one worker. */
@@ -57,6 +61,12 @@
   readonly demand: readonly DemandReport[]
   readonly region: string
   readonly failureDomain: string
+  /** Grows with every round of the node; a digest without a newer one is no sign of life. */
+  readonly beat: number
+  /** What the node has heard of others. */
+  readonly members: readonly MemberReport[]
+  /** When a read of the store, by whichever node, last confirmed the sender's configuration; undefined if not lately. */
+  readonly confirmedAt: Instant | undefined
 }
 
 /** Asks to use some of a peer's slots and connections at a worker until a deadline. */
