--- a/packages/cli/src/node/commands/config.ts
+++ b/packages/cli/src/node/commands/config.ts
@@ -9,6 +9,7 @@
 import type { CommandRun, RegisterCommand } from '../commandContext.js'
 import { listAnswers } from '../fleetQuery.js'
 import { addPatchCommand, addValidateCommand } from './configChange.js'
+import { addRollbackCommand } from './configRollback.js'
 
 /** How long one node may take to answer. */
 const NODE_LIMIT_MS = 3000
@@ -68,8 +69,9 @@
         .example('umberspar config status', 'Ask every node of the fleet'), (args) => register(args, runStatus))
     addValidateCommand(own, register)
     addPatchCommand(own, register)
+    addRollbackCommand(own, register)
     return own
-      .demandCommand(1, 'expected get, validate, patch, history or status')
+      .demandCommand(1, 'expected get, validate, patch, rollback, history or status')
       .example('umberspar config get', 'Print the configuration in force')
       .example('umberspar config patch --base 41 --set lookupCacheMs=3000', 'Change one field')
   })
--- /dev/null
+++ b/packages/cli/src/node/commands/configRollback.ts
@@ -0,0 +1,51 @@
+/** `umberspar config rollback`: an earlier body becomes a new version. */
+import type { ArgumentParser, ParsedArguments } from 'yargs'
+import { Ok } from '@umberspar/base/common/result'
+import { computeRollbackPatch } from '@umberspar/steering/common/configuration/rollbackPatch'
+import { ExitCode } from '../../common/exitCode.js'
+import type { JsonObject } from '../../common/jsonValue.js'
+import { UsageError } from '../../common/operatorError.js'
+import { getOptionalText, getOptionalVersion, isSet } from '../commandArguments.js'
+import { printResult } from '../commandContext.js'
+import type { CommandRun, RegisterCommand } from '../commandContext.js'
+import { PatchSubmitter } from '../patchSubmitter.js'
+
+function buildRollback (args: ParsedArguments): CommandRun {
+  const target = getOptionalVersion(args, 'to')
+  if (target === undefined) throw new UsageError('--to: expected the version to come back to')
+  const note = getOptionalText(args, 'note') ?? `rollback to version ${target}`
+  const isDryRun = isSet(args, 'dry-run')
+  return async (context) => {
+    const present = await context.client.readConfiguration()
+    if (!present.ok) return present
+    const earlier = await context.client.readConfigurationVersion(target)
+    if (!earlier.ok) return earlier
+    const baseVersion = present.val.head.version
+    const patch = computeRollbackPatch(present.val.body, earlier.val.body) as JsonObject
+    if (isDryRun || Object.keys(patch).length === 0) {
+      const title = Object.keys(patch).length === 0 ? `version ${baseVersion} is the same as version ${target}` : `against version ${baseVersion}:`
+      printResult(context, { baseVersion, target, patch }, () => `${title}\n${JSON.stringify(patch, null, 2)}`)
+      return Ok(ExitCode.Ok)
+    }
+    // The patch names the version that it was computed against: a change that
+    // comes between makes it stale, and nothing of that change is undone unseen.
+    const applied = await new PatchSubmitter(context.client, context.io).send({ baseVersion, patch, note })
+    if (!applied.ok) return applied
+    printResult(context, { ...applied.val, target }, () => `version ${target} is back as version ${applied.val.version}, change ${applied.val.changeId}`)
+    return Ok(ExitCode.Ok)
+  }
+}
+
+/**
+ * @param parser the parser of `config`
+ * @param register notes the chosen command
+ */
+export function addRollbackCommand (parser: ArgumentParser, register: RegisterCommand): void {
+  parser.command('rollback', 'Bring an earlier version back as a new one', (own) => own
+    .option('to', { type: 'number', demandOption: true, nargs: 1, describe: 'The version to come back to; the history must still hold it' })
+    .option('dry-run', { type: 'boolean', describe: 'Print the patch; nothing changes' })
+    .option('note', { type: 'string', nargs: 1, describe: 'Kept in the history' })
+    .example('umberspar config rollback --to 39 --dry-run', 'See what would change')
+    .example('umberspar config rollback --to 39', 'Make version 39 the newest again, under a new number'),
+  (args) => register(args, buildRollback(args)))
+}
--- a/packages/steering/src/common/configuration/configurationRules.ts
+++ b/packages/steering/src/common/configuration/configurationRules.ts
@@ -188,8 +188,36 @@
   return problems
 }
 
+/** The regions of the places of a service that are in use, with room for at least one request. */
+function listServingRegions (configuration: SteeringConfiguration, name: string): string[] {
+  const places = Object.entries(configuration.services[name]?.places ?? {})
+  return places.flatMap(([domain, place]) => {
+    const region = findRegionOf(configuration, domain)
+    const isServing = region !== undefined && computePlaceCapacity(place) > 0 && !isPlaceDrained(configuration, name, region, domain)
+    return isServing ? [region] : []
+  })
+}
+
+/** A region whose clients can reach no place of a service any more has all their requests refused. */
+const checkReachablePlaces: Rule = (configuration) => {
+  const { regions, links, services } = configuration
+  const problems: ConfigurationProblem[] = []
+  for (const name of Object.keys(services)) {
+    const serving = listServingRegions(configuration, name)
+    if (serving.length === 0) continue
+    for (const [region, { clientBlocks }] of Object.entries(regions)) {
+      const isReachable = serving.includes(region) || links.some((link) => link.from === region && serving.includes(link.to))
+      if (clientBlocks.length === 0 || isReachable) continue
+      const found = `clients of '${region}' have neither a place nor a link to one (${[...new Set(serving)].join(', ')})`
+      problems.push(createProblem(`services.${name}.places`, `a place or a link to one for clients of '${region}'`, found))
+    }
+  }
+  return problems
+}
+
 const RULES: readonly Rule[] = [
-  checkNames, checkDomains, checkLinks, checkClientBlocks, checkWorkers, checkServices, checkDrainNames, checkRemainingPlaces
+  checkNames, checkDomains, checkLinks, checkClientBlocks, checkWorkers, checkServices, checkDrainNames, checkRemainingPlaces,
+  checkReachablePlaces
 ]
 
 /**
--- a/packages/steering/test/common/configuration/validateConfiguration.test.ts
+++ b/packages/steering/test/common/configuration/validateConfiguration.test.ts
@@ -40,6 +40,8 @@
   { name: 'drain of no domain', patch: { drains: { failureDomains: ['ipoh'] } }, path: 'drains.failureDomains.0', expected: /failure domain/ },
   { name: 'drain of no place', patch: { drains: { places: [{ service: 'docs-svc', failureDomain: 'klang-a' }] } }, path: 'drains.places.0.service', expected: /name of a service/ },
   { name: 'nothing left', patch: { drains: { regions: ['klang', 'penang'], failureDomains: ['kuching-a'], places: [{ service: 'escort-svc', failureDomain: 'kuching-b' }] } }, path: 'drains', expected: /left for service 'escort-svc'/ },
+  { name: 'cap of zero with a drain', patch: { shiftCaps: { planned: 0 }, drains: { failureDomains: ['klang-a'] } }, path: 'shiftCaps.planned', expected: /fraction above 0/ },
+  { name: 'clients cut off by a drain', patch: { links: [{ from: 'klang', to: 'penang', oneWayMs: 1, maxConcurrency: 1 }], drains: { regions: ['kuching'] } }, path: `${ESCORT_PLACES}`, expected: /clients of 'kuching'/ },
   { name: 'service without workers', patch: { services: { 'docs-svc': { places: {} } } }, path: 'services.docs-svc.places', expected: /one place with a worker/ }
 ]
 
