Test patches under a scheduler's orders with lost, late and refused writes

Cause: the orders in which two operators, lost answers, late writes and dying daemons meet were not tested. Change: PatchService over an in-memory store with the published limits, calls put in order by fast-check's scheduler.

--- /dev/null
+++ b/packages/daemon/test/node/configuration/memoryStore.ts
@@ -0,0 +1,122 @@
+/** An in-memory store whose calls a scheduler puts in order, and whose answers may be lost. */
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
+import { ErrorCode, StepError } from '@umberspar/base/common/errors'
+import { Emitter } from '@umberspar/base/common/event'
+import { Err, Ok, type Result } from '@umberspar/base/common/result'
+import type { GrantedLease, IKeyValueStore, IStoreWatch, StoreChange, StoredValue, StoreSnapshot, StoreTransaction, TransactionResult, WatchEnd } from '@umberspar/steering/common/ports/keyValueStore'
+
+/** What becomes of one write. */
+export enum WriteFault {
+  None = 'none',
+  /** It takes effect; the answer is lost. */
+  LostAnswer = 'lost-answer',
+  /** It is reported as lost first and takes effect later, or never if its condition fails by then. */
+  Late = 'late',
+  /** It never arrives, which the client can't know. */
+  LostRequest = 'lost-request',
+  /** The store refuses it: too many calls. */
+  OverRate = 'over-rate'
+}
+
+/** The published server's limits. */
+const MAX_OPERATIONS = 128
+const MAX_VALUE_BYTES = 1_048_576
+
+/** Waits until the scheduler lets the named step go on. */
+export type Turn = (label: string) => Promise<void>
+
+/** What several daemons share. */
+export class MemoryStore implements IKeyValueStore {
+  readonly late: Array<Promise<void>> = []
+  private values = new Map<string, StoredValue>()
+  private revision = 0
+
+  /**
+   * @param turn puts calls in order
+   * @param faults what becomes of the next writes; none once they have run out
+   */
+  constructor (private readonly turn: Turn = async () => {}, readonly faults: WriteFault[] = []) {}
+
+  /** @returns the keys that begin with a prefix */
+  listKeys (prefix: string): string[] {
+    return [...this.values.keys()].filter((key) => key.startsWith(prefix)).sort()
+  }
+
+  /** @returns what is stored, for a restore */
+  saveState (): Map<string, StoredValue> {
+    return new Map(this.values)
+  }
+
+  /** Goes back to an old state. */
+  loadState (saved: ReadonlyMap<string, StoredValue>): void {
+    this.values = new Map(saved)
+  }
+
+  async get (key: string): Promise<Result<StoredValue | undefined, StepError>> {
+    await this.turn('get')
+    return new Ok(this.values.get(key))
+  }
+
+  async list (prefix: string): Promise<Result<StoreSnapshot, StepError>> {
+    await this.turn('list')
+    const values = this.listKeys(prefix).flatMap((key) => this.values.get(key) ?? [])
+    return new Ok({ values, revision: this.revision })
+  }
+
+  async transact (transaction: StoreTransaction): Promise<Result<TransactionResult, StepError>> {
+    checkLimits(transaction)
+    const fault = this.faults.shift() ?? WriteFault.None
+    if (fault === WriteFault.Late) this.late.push(this.applyLater(transaction))
+    await this.turn('arrive')
+    if (fault === WriteFault.OverRate) return new Err(createError(ErrorCode.Exhausted))
+    const isApplied = fault === WriteFault.None || fault === WriteFault.LostAnswer
+    const result = isApplied ? this.applyNow(transaction) : undefined
+    await this.turn('answer')
+    if (result === undefined || fault === WriteFault.LostAnswer) return new Err(createError(ErrorCode.EffectUnknown))
+    return new Ok(result)
+  }
+
+  async openLease (ttlSeconds: number, deadline: Deadline): Promise<Result<GrantedLease, StepError>> {
+    return new Ok({ leaseId: '1', deadline: createDeadline(deadline, ttlSeconds) })
+  }
+
+  async renewLease (leaseId: string, deadline: Deadline): Promise<Result<GrantedLease, StepError>> {
+    return new Ok({ leaseId, deadline })
+  }
+
+  async closeLease (): Promise<Result<void, StepError>> {
+    return new Ok(undefined)
+  }
+
+  watch (): IStoreWatch {
+    return { onDidChange: new Emitter<StoreChange>().event, onDidEnd: new Emitter<WatchEnd>().event, close: () => {} }
+  }
+
+  close (): void {}
+
+  private async applyLater (transaction: StoreTransaction): Promise<void> {
+    // Several turns: between them the client may settle, and others may write.
+    for (const label of ['late 1', 'late 2', 'late 3', 'late 4', 'late 5', 'late 6']) await this.turn(label)
+    this.applyNow(transaction)
+  }
+
+  private applyNow ({ conditions, writes }: StoreTransaction): TransactionResult {
+    const isApplied = conditions.every(({ key, modRevision }) => (this.values.get(key)?.modRevision ?? 0) === modRevision)
+    if (!isApplied) return { isApplied, revision: this.revision }
+    this.revision += 1
+    for (const write of writes) {
+      if (write.kind === 'delete') this.values.delete(write.key)
+      else this.values.set(write.key, { key: write.key, value: write.value, modRevision: this.revision })
+    }
+    return { isApplied, revision: this.revision }
+  }
+}
+
+function checkLimits ({ conditions, writes }: StoreTransaction): void {
+  if (conditions.length > MAX_OPERATIONS || writes.length > MAX_OPERATIONS) throw new Error('too many operations in transaction')
+  if (writes.some((write) => write.kind === 'put' && write.value.length >= MAX_VALUE_BYTES)) throw new Error('value is too large')
+}
+
+function createError (code: ErrorCode): StepError {
+  return new StepError({ code, step: 'transact', peer: 'store', message: code })
+}
