Make the test of late writes catch a missing rewrite of the head

Change: the test also lets the second attempt be refused before it writes. Conclusion: the rewrite is needed where no second attempt reaches the store.

--- a/packages/daemon/test/node/configuration/patchService.test.ts
+++ b/packages/daemon/test/node/configuration/patchService.test.ts
@@ -163,14 +163,15 @@
     // The swap is slow under way; the daemon gives it up, tries again, and the store
     // is too busy. The operator reads "not run" and goes home. The first write
     // must not land afterwards.
-    await fc.assert(fc.asyncProperty(fc.scheduler(), async (scheduler) => {
+    const busy = fc.constantFrom([WriteFault.OverRate], [WriteFault.None, WriteFault.OverRate], [WriteFault.OverRate, WriteFault.None, WriteFault.OverRate])
+    await fc.assert(fc.asyncProperty(fc.scheduler(), busy, async (scheduler, faults) => {
       let isFree = true
       const waitTurn: Turn = async (label) => { if (!isFree) await scheduler.schedule(Promise.resolve(), label) }
       const store = new MemoryStore(waitTurn)
       await writeInitial(store)
       await settleDetached()
       isFree = false
-      store.faults.push(WriteFault.None, WriteFault.Late, WriteFault.None, WriteFault.OverRate, WriteFault.OverRate)
+      store.faults.push(WriteFault.None, WriteFault.Late, ...faults)
       const outcome = await scheduler.waitFor(createTestDaemon(store, waitTurn).patches.patch(createRequest('a', 1000)))
       await scheduler.waitFor(Promise.all(store.late))
       isFree = true
