Build client blocks between other work of the daemon's loop

Cause: ClientRegions.update built the table at one go in the adoption of a configuration; at 150,000 blocks the loop stood for about two seconds. Change: ClientBlockBuilder runs the sliced build in stretches of 3 ms with the loop in between; the whole table before serves meanwhile, the newest wanted groups are built last, and a node is not ready before its first table. A region that the configuration no longer has is not named by a table not yet replaced.

--- a/packages/daemon/src/node/callers/clientRegions.ts
+++ b/packages/daemon/src/node/callers/clientRegions.ts
@@ -1,21 +1,23 @@
 /** Finds the region a caller belongs to by its address. */
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
-import { ClientBlockTable } from '@umberspar/steering/common/lookup/clientBlocks'
 import type { IncomingMessage } from 'node:http'
 import { BlockList, isIP } from 'node:net'
+import type { ClientBlockBuilder } from './clientBlockBuilder.js'
 
 /** Client addresses and their regions. */
 export class ClientRegions {
   private readonly trusted = new BlockList()
-  private table = ClientBlockTable.build([])
+  private regions: ReadonlySet<string> = new Set()
 
   /**
    * @param trustedForwarders CIDR blocks whose X-Forwarded-For is believed
    * @param ownRegion the region of callers that stand in no block
+   * @param blocks builds the table of client blocks
    */
   constructor (
     trustedForwarders: readonly string[],
-    private readonly ownRegion: string
+    private readonly ownRegion: string,
+    private readonly blocks: ClientBlockBuilder
   ) {
     for (const block of trustedForwarders) {
       const [address, bits] = block.split('/')
@@ -23,14 +25,19 @@
     }
   }
 
+  /** @returns whether the client blocks in use are those of the configuration in force */
+  get isCurrent (): boolean {
+    return this.blocks.isCurrent
+  }
+
   /**
-   * Takes over the client blocks of a configuration.
+   * Takes over the client blocks of a configuration. Until the table of many
+   * blocks is built, callers are found by the one before.
    * @param configuration the configuration in force
    */
   update (configuration: SteeringConfiguration): void {
-    const blocks = Object.entries(configuration.regions).flatMap(([group, region]) =>
-      region.clientBlocks.map((prefix) => ({ prefix, group })))
-    this.table = ClientBlockTable.build(blocks)
+    this.regions = new Set(Object.keys(configuration.regions))
+    this.blocks.update(Object.entries(configuration.regions).map(([group, { clientBlocks }]) => ({ group, prefixes: clientBlocks })))
   }
 
   /**
@@ -52,7 +59,10 @@
    * @returns the caller's region
    */
   find (request: IncomingMessage): string {
-    return this.table.find(this.getAddress(request)) ?? this.ownRegion
+    const region = this.blocks.table.find(this.getAddress(request))
+    // A table that is not replaced yet may name a region that the configuration
+    // in force no longer has; look-ups know nothing of it and would answer 404.
+    return region !== undefined && this.regions.has(region) ? region : this.ownRegion
   }
 
   private isTrusted (address: string): boolean {
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -47,6 +47,8 @@
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
   private stopping: Promise<void> | undefined
+  /** Once the first table of client blocks is built; later ones replace a whole one. */
+  private hasClientBlocks = false
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -62,7 +64,10 @@
 
   /** @returns whether it has a configuration and serves callers */
   isReady (): boolean {
-    return this.parts?.keeper.current !== undefined && this.parts.peerService.state === NodeState.Live
+    const parts = this.parts
+    if (parts?.keeper.current === undefined || parts.peerService.state !== NodeState.Live) return false
+    this.hasClientBlocks ||= parts.regions.isCurrent
+    return this.hasClientBlocks
   }
 
   /**
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -12,6 +12,7 @@
 import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
+import { ClientBlockBuilder } from './callers/clientBlockBuilder.js'
 import { ClientRegions } from './callers/clientRegions.js'
 import { LookupHandler } from './callers/lookupHandler.js'
 import { RequestHandler } from './callers/requestHandler.js'
@@ -67,8 +68,9 @@
   const traffic = createTrafficParts(inputs, owned)
   const peers = createPeerParts(inputs, control, traffic, owned)
   const burn = new BurnCounter()
-  const regions = new ClientRegions(inputs.settings.trustedForwarders, inputs.settings.region)
   const { clock, logger, metrics, random, settings } = inputs
+  const blocks = owned.add(new ClientBlockBuilder(clock, logger))
+  const regions = new ClientRegions(settings.trustedForwarders, settings.region, blocks)
   const runner = new RequestRunner(settings.nodeId, traffic.transport, traffic.places, traffic.plans, clock, random)
   const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, clock, logger, metrics })
   return { ...control, ...traffic, ...peers, burn, regions, lookups: new LookupHandler(regions), requests }
