Measure look-ups and changes against blocks, sites and nodes; decide look-ups when asked

Cause: LookupIndex decided every service for every region at each change of a member: 903 rankings over up to 4,600 nodes at the target size, on the loop. Change: live nodes are grouped by region once and a look-up is decided when it is first asked for.

--- a/packages/steering/src/common/lookup/decideLookup.ts
+++ b/packages/steering/src/common/lookup/decideLookup.ts
@@ -81,6 +81,20 @@
   return placed.slice(0, entriesPerRegion).map((entry) => entry.nodeId)
 }
 
+/** The live entry VMs of each region; grouped once, since there may be thousands. */
+type LiveNodes = ReadonlyMap<string, readonly LookupNode[]>
+
+function listLiveByRegion (nodes: readonly LookupNode[]): LiveNodes {
+  const byRegion = new Map<string, LookupNode[]>()
+  for (const node of nodes) {
+    if (node.state !== NodeState.Live) continue
+    const known = byRegion.get(node.region)
+    if (known === undefined) byRegion.set(node.region, [node])
+    else known.push(node)
+  }
+  return byRegion
+}
+
 /**
  * Decides a look-up: live entry VMs of the caller's region, or, if there is
  * none, those of the nearest region that has one.
@@ -88,8 +102,11 @@
  * @returns the answer; without entries if no entry VM is live anywhere
  */
 export function decideLookup (input: LookupInput): LookupAnswer {
+  return decideFrom(input, listLiveByRegion(input.nodes))
+}
+
+function decideFrom (input: Omit<LookupInput, 'nodes'>, live: LiveNodes): LookupAnswer {
   const { service, region, configuration, version } = input
-  const live = input.nodes.filter((node) => node.state === NodeState.Live)
   return {
     service,
     region,
@@ -99,21 +116,31 @@
   }
 }
 
-function decideEntries (
-  service: string, from: string, live: readonly LookupNode[], configuration: SteeringConfiguration
-): LookupEntry[] {
-  const addressById = new Map(live.map((node) => [node.nodeId, node.address]))
+function decideEntries (service: string, from: string, live: LiveNodes, configuration: SteeringConfiguration): LookupEntry[] {
   for (const { region } of rankRegionsByDelay(configuration, from)) {
-    const ids = listServiceEntries(service, region, live, configuration.entriesPerRegion)
+    const nodes = live.get(region) ?? []
+    const ids = listServiceEntries(service, region, nodes, configuration.entriesPerRegion)
     if (ids.length === 0) continue
+    const addressById = new Map(nodes.map((node) => [node.nodeId, node.address]))
     return ids.map((nodeId) => ({ nodeId, address: addressById.get(nodeId) ?? '', weight: 1 / ids.length }))
   }
   return []
 }
 
-/** All look-ups of one configuration and one set of nodes, decided beforehand. */
+/**
+ * The look-ups of one configuration and one set of nodes. Each is decided when
+ * it is first asked for: with dozens of services and regions and thousands of
+ * nodes, deciding all of them would hold the loop at every change of a member,
+ * while a node is mostly asked for its own region.
+ */
 export class LookupIndex {
-  private constructor (private readonly answers: ReadonlyMap<string, ReadonlyMap<string, LookupAnswer>>) {}
+  private readonly answers = new Map<string, Map<string, LookupAnswer>>()
+
+  private constructor (
+    private readonly configuration: SteeringConfiguration,
+    private readonly version: number,
+    private readonly live: LiveNodes
+  ) {}
 
   /**
    * @param configuration the configuration in force
@@ -122,15 +149,7 @@
    * @returns an index to be replaced when any of these changes
    */
   static build (configuration: SteeringConfiguration, version: number, nodes: readonly LookupNode[]): LookupIndex {
-    const answers = new Map<string, Map<string, LookupAnswer>>()
-    for (const service of Object.keys(configuration.services)) {
-      const byRegion = new Map<string, LookupAnswer>()
-      for (const region of Object.keys(configuration.regions)) {
-        byRegion.set(region, decideLookup({ service, region, nodes, configuration, version }))
-      }
-      answers.set(service, byRegion)
-    }
-    return new LookupIndex(answers)
+    return new LookupIndex(configuration, version, listLiveByRegion(nodes))
   }
 
   /**
@@ -139,6 +158,17 @@
    * @returns the answer, or undefined if the configuration knows no such service or region
    */
   find (service: string, region: string): LookupAnswer | undefined {
-    return this.answers.get(service)?.get(region)
+    return this.answers.get(service)?.get(region) ?? this.decide(service, region)
+  }
+
+  private decide (service: string, region: string): LookupAnswer | undefined {
+    const { configuration, version } = this
+    // Names come from callers: only own fields are services, never those of Object.prototype.
+    if (!Object.hasOwn(configuration.services, service) || !Object.hasOwn(configuration.regions, region)) return undefined
+    const answer = decideFrom({ service, region, configuration, version }, this.live)
+    const byRegion = this.answers.get(service)
+    if (byRegion === undefined) this.answers.set(service, new Map([[region, answer]]))
+    else byRegion.set(region, answer)
+    return answer
   }
 }
--- a/packages/steering/src/common/lookup/prefixIntervals.ts
+++ b/packages/steering/src/common/lookup/prefixIntervals.ts
@@ -14,15 +14,35 @@
 /** The key of an address: its first 52 bits, which a double holds exactly. */
 const KEY_FACTOR = 2 ** 20
 const KEY_SHIFT = 12
+const KEYS_PER_TOP = 64
 
 function computeKey (words: Uint32Array, at: number): number {
   return (words[at] as number) * KEY_FACTOR + ((words[at + 1] as number) >>> KEY_SHIFT)
 }
 
+/** IPv4 searches begin within the intervals that start with the same 16 bits. */
+const HIGH_VALUES = 0x1_0000
+const HIGH_SHIFT = 16
+
+/** For each value of the high half of an IPv4 address, how many intervals start below it. */
+function buildHighIndex (starts: Uint32Array): Uint32Array {
+  const below = new Uint32Array(HIGH_VALUES + 1)
+  let at = 0
+  for (let high = 0; high < HIGH_VALUES; high++) {
+    while (at < starts.length && ((starts[at] as number) >>> HIGH_SHIFT) < high) at++
+    below[high] = at
+  }
+  below[HIGH_VALUES] = starts.length
+  return below
+}
+
 /** Disjoint intervals of one address family. */
 export class PrefixIntervals {
   /** For IPv6: comparing keys decides nearly every step of a search with one load. */
   private readonly keys: Float64Array
+  /** Every 64th key: small enough to stay in the processor's nearest cache. */
+  private readonly topKeys: Float64Array
+  private readonly highIndex: Uint32Array
 
   constructor (
     private readonly width: number,
@@ -32,6 +52,8 @@
   ) {
     this.keys = new Float64Array(width > 1 ? groups.length : 0)
     for (let index = 0; index < this.keys.length; index++) this.keys[index] = computeKey(starts, index * width)
+    this.topKeys = this.keys.filter((_, index) => index % KEYS_PER_TOP === 0)
+    this.highIndex = buildHighIndex(width === 1 ? starts : new Uint32Array(0))
   }
 
   /**
@@ -39,9 +61,10 @@
    * @returns its group
    */
   findNumber (value: number): number {
-    const { starts, groups } = this
-    let low = 0
-    let high = groups.length
+    const { starts, groups, highIndex } = this
+    const half = value >>> HIGH_SHIFT
+    let low = highIndex[half] as number
+    let high = highIndex[half + 1] as number
     while (low < high) {
       const middle = (low + high) >>> 1
       if ((starts[middle] as number) <= value) low = middle + 1
@@ -55,10 +78,14 @@
    * @returns its group
    */
   findWords (words: Uint32Array): number {
-    const { keys, groups } = this
+    const { keys, groups, topKeys } = this
     const key = computeKey(words, 0)
-    let low = 0
-    let high = groups.length
+    const below = this.countTopKeysBelow(key)
+    let upTo = below
+    // Intervals of equal keys, longer prefixes than a key tells apart, may begin anywhere among these.
+    while (upTo < topKeys.length && topKeys[upTo] === key) upTo++
+    let low = Math.max(0, (below - 1) * KEYS_PER_TOP)
+    let high = Math.min(groups.length, upTo * KEYS_PER_TOP)
     while (low < high) {
       const middle = (low + high) >>> 1
       const difference = (keys[middle] as number) - key
@@ -68,6 +95,18 @@
     return low === 0 ? NO_GROUP : groups[low - 1] as number
   }
 
+  private countTopKeysBelow (key: number): number {
+    const { topKeys } = this
+    let low = 0
+    let high = topKeys.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if ((topKeys[middle] as number) < key) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+
   private compareStart (interval: number, words: Uint32Array): number {
     const { width, starts } = this
     for (let word = 0; word < width; word++) {
--- a/packages/steering/test/common/lookup/clientBlocks.test.ts
+++ b/packages/steering/test/common/lookup/clientBlocks.test.ts
@@ -62,6 +62,17 @@
     }), { seed: SEED, numRuns: 100 })
   })
 
+  it('finds the right one of many that differ only behind their first 52 bits, and of many that do not', () => {
+    const buildBlock = (index: number): ClientBlock => ({ prefix: `2001:db8:0:${(index >> 12).toString(16)}::${(index & 0xfff).toString(16)}/128`, group: String(index % 7) })
+    const table = ClientBlockTable.build(Array.from({ length: 20_000 }, (_, index) => buildBlock(index)))
+    fc.assert(fc.property(fc.integer({ min: 0, max: 19_999 }), (index) => {
+      const { prefix, group } = buildBlock(index)
+      assert.equal(table.find(prefix.replace('/128', '')), group)
+    }), { seed: SEED, numRuns: 1000 })
+    assert.equal(table.find('2001:db8:0:4::fff'), undefined)
+    assert.equal(table.find('2001:db7:ffff::'), undefined)
+  })
+
   it('yields at least once in a few thousand steps', () => {
     const prefixes = Array.from({ length: 20_000 }, (_, index) => `10.${index >> 8}.${index & 255}.0/24`)
     const work = ClientBlockTable.buildInSlices([{ group: 'a', prefixes }])
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -6,16 +6,22 @@
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
+import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
+import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
   Lookup = 'lookup',
-  Request = 'request'
+  Request = 'request',
+  ScaleLookup = 'scale-lookup',
+  ScaleChange = 'scale-change'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
-  [MeasurementName.Request]: REQUEST_MEASUREMENT
+  [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT
 }
 
 const DEFAULT_SECONDS = 10
