--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -21,6 +21,7 @@
 import { buildOperatorApp } from './operators/operatorServer.js'
 import { HttpListener, splitAddress } from './httpListener.js'
 import { buildCallerApp } from './callers/callerServer.js'
+import { DaemonTls, TlsSide } from './tls/daemonTls.js'
 
 const DRAIN_POLL_MS = 20
 /** Callers may hold a look-up for its lifetime; the stop waits so much longer. */
@@ -47,9 +48,13 @@
 export class Daemon implements IClosable {
   private readonly owned = new CloseStack()
   private parts: DaemonParts | undefined
+  private tls: DaemonTls | undefined
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
   private stopping: Promise<void> | undefined
+  private hasAskedAll = false
+  /** Once the first table of client blocks is built; later ones replace a whole one. */
+  private hasClientBlocks = false
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -67,7 +72,9 @@
   /** @returns whether it has a configuration and serves callers */
   isReady (): boolean {
     const parts = this.parts
-    return parts?.keeper.current !== undefined && parts.peerService.state === NodeState.Live && parts.limits.isReady
+    if (parts?.keeper.current === undefined || parts.peerService.state !== NodeState.Live) return false
+    this.hasClientBlocks ||= parts.regions.isCurrent
+    return this.hasClientBlocks && parts.limits.isReady
   }
 
   /**
@@ -77,18 +84,25 @@
    */
   async start (): Promise<Result<void, StepError>> {
     const digester = await createDigester()
-    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random, admission: this.admission }, this.owned)
+    const loaded = await DaemonTls.load({ settings: this.settings, clock: this.clock, random: this.random, logger: this.logger })
+    if (!loaded.ok) return loaded
+    const tls = this.owned.add(loaded.val)
+    this.tls = tls
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random, tls, admission: this.admission }, this.owned)
     this.parts = parts
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
-    const opened = await this.openListeners(parts)
+    const opened = await this.openListeners(parts, tls)
     if (!opened.ok) {
       await this.close()
       return opened
     }
     await parts.members.start()
-    await parts.watcher.start()
+    // Peers before the store: they show a version that a restored store no longer
+    // has, and spare the store a read for each node when all start at once.
     await parts.heartbeats.start()
+    await parts.watcher.start()
+    this.hasAskedAll = true
     parts.limits.start(() => parts.peerService.buildDigest())
     parts.prober.start()
     this.applyState()
@@ -104,6 +118,11 @@
     return this.stopping
   }
 
+  /** Reads all certificates again, as after SIGHUP; broken ones are logged and the old ones stay. */
+  async renewCertificates (): Promise<void> {
+    await this.tls?.renew()
+  }
+
   /** Ends everything at once, open requests too. */
   async close (): Promise<void> {
     await this.owned.close()
@@ -138,11 +157,13 @@
     return new StatsdMetrics({ ...statsd, tags: { node: this.settings.nodeId }, logger: this.logger })
   }
 
-  private async openListeners (parts: DaemonParts): Promise<Result<void, StepError>> {
-    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests)))
+  private async openListeners (parts: DaemonParts, tls: DaemonTls): Promise<Result<void, StepError>> {
+    const { clock, logger, settings } = this
+    const isForwarder = (address: string): boolean => parts.regions.isForwarder(address)
+    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests), { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger }))
     this.callers = callers
     const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
-    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never))
+    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never, { limits: settings.operators.limits, tls: tls.get(TlsSide.Operators), clock, logger }))
     const peerAddress = await parts.peerServer.listen()
     if (!peerAddress.ok) return peerAddress
     const operatorAddress = await operators.listen(this.settings.operators.address)
@@ -159,7 +180,7 @@
     const parts = this.parts
     const current = parts?.keeper.current
     if (parts === undefined || current === undefined) return
-    if (parts.peerService.state === NodeState.Joining) parts.peerService.state = NodeState.Live
+    if (parts.peerService.state === NodeState.Joining && this.canGoLive(parts)) parts.peerService.state = NodeState.Live
     const nodes = this.listNodes(parts)
     const workers = parts.places.update(current.body, parts.limits)
     parts.prober.update(workers, nodes.map((node) => node.nodeId))
@@ -169,6 +190,15 @@
     parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
   }
 
+  /**
+   * A node that served with the first version it meets could serve an older one
+   * than before its restart; so it asks its neighbours and the store first.
+   * Without the VM list it would take itself for the only node.
+   */
+  private canGoLive (parts: DaemonParts): boolean {
+    return this.hasAskedAll && parts.members.isListed
+  }
+
   private listNodes (parts: DaemonParts): LookupNode[] {
     const now = this.clock.now()
     return parts.members.list().map((member) => ({
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -8,10 +8,12 @@
 import { PeerServer } from '@umberspar/platform/node/peers/peerServer'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { createEtcdStore } from '@umberspar/platform/node/store/etcdStore'
+import { createChannelSecurity, createServerCredentials } from '@umberspar/platform/node/tls/tlsOptions'
 import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
 import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
+import { ClientBlockBuilder } from './callers/clientBlockBuilder.js'
 import { ClientRegions } from './callers/clientRegions.js'
 import { LookupHandler } from './callers/lookupHandler.js'
 import { RequestHandler } from './callers/requestHandler.js'
@@ -21,6 +23,7 @@
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
 import { LimitKeeper } from './limits/limitKeeper.js'
+import { DocumentSpreader } from './peers/documentSpreader.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
 import type { AdmissionPolicy } from './places/admissionQueue.js'
@@ -28,6 +31,7 @@
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
 import { RequestRunner } from './request/requestRunner.js'
+import { type DaemonTls, TlsSide } from './tls/daemonTls.js'
 
 /** What the parts are made from. */
 export interface PartInputs {
@@ -38,6 +42,8 @@
   readonly clock: IClock
   readonly random: IRandomSource
   readonly admission?: AdmissionPolicy | undefined
+  /** Certificates of the sides that speak TLS. */
+  readonly tls: DaemonTls
 }
 
 /** The parts of one daemon. */
@@ -71,8 +77,9 @@
   const traffic = createTrafficParts(inputs, owned)
   const peers = createPeerParts(inputs, control, traffic, owned)
   const burn = new BurnCounter()
-  const regions = new ClientRegions(inputs.settings.trustedForwarders, inputs.settings.region)
   const { clock, logger, metrics, random, settings } = inputs
+  const blocks = owned.add(new ClientBlockBuilder(clock, logger))
+  const regions = new ClientRegions(settings.trustedForwarders, settings.region, blocks)
   const runner = new RequestRunner(settings.nodeId, traffic.transport, traffic.places, traffic.plans, clock, random)
   const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, clock, logger, metrics })
   return { ...control, ...traffic, ...peers, burn, regions, lookups: new LookupHandler(regions), requests }
@@ -85,19 +92,21 @@
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
   const { settings, digester, logger, metrics, clock, random } = inputs
   owned.add(metrics)
-  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics }))
+  const tls = inputs.tls.get(TlsSide.Store)
+  const security = tls === undefined ? undefined : createChannelSecurity(tls)
+  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics, security }))
   const keeper = owned.add(new ConfigurationKeeper(digester, logger))
   const configurations = new ConfigurationStore(store, settings.store.keyPrefix)
-  const watcher = owned.add(new ConfigurationWatcher(store, configurations, keeper, clock, random, logger))
   const patches = new PatchService(configurations, keeper, digester, clock, logger)
   const vmList = owned.add(new HttpVmList({ url: settings.vmList.url, clock }))
   const members = owned.add(new MemberDirectory(vmList, settings.nodeId, clock, random, logger))
+  const watcher = owned.add(new ConfigurationWatcher({ store, configurations, keeper, members, self: settings, clock, random, logger }))
   return { keeper, configurations, watcher, patches, members }
 }
 
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
   const { settings, clock, random, logger } = inputs
-  const transport = owned.add(new UndiciTransport({ clock }))
+  const transport = owned.add(new UndiciTransport({ clock, tls: inputs.tls.get(TlsSide.Upstreams) }))
   const places = owned.add(new PlaceDirectory(clock, random, inputs.admission))
   const plans = owned.add(new PlanKeeper(clock))
   const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
@@ -108,10 +117,14 @@
   const { settings, clock, random, logger } = inputs
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
-  const client = owned.add(new PeerClient({ clock }))
+  const tls = inputs.tls.get(TlsSide.Peers)
+  const credentials = tls === undefined ? undefined : createServerCredentials(tls)
+  const security = tls === undefined ? undefined : createChannelSecurity(tls)
+  const client = owned.add(new PeerClient({ clock, security }))
   const limits = owned.add(new LimitKeeper({ selfId: nodeId, region, ...traffic, ...control, client, clock, random, logger }))
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, limits)
-  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
-  const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, clock, random, logger))
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, limits, clock)
+  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
+  const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, clock, random, logger))
+  owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
   return { peerService, peerServer, heartbeats, limits }
 }
--- a/packages/daemon/src/node/limits/limitKeeper.ts
+++ b/packages/daemon/src/node/limits/limitKeeper.ts
@@ -220,7 +220,7 @@
   private updateBarrier (now: Instant): void {
     const listed = this.parts.members.listPeers().map(({ vm }) => vm.vmId)
     const peers = [...listed, ...this.roster.listGone().map(({ nodeId }) => nodeId)].filter((nodeId) => nodeId !== this.parts.selfId)
-    this.barrier.step(this.roster.listVersion, peers, now)
+    this.barrier.step(this.roster.listVersion, peers, now, this.roster.policy.holdSpanMs)
   }
 
   private applyEndedLoans (now: Instant): void {
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -2,12 +2,15 @@
  * This node's side of the conversation between daemons: heartbeats with the
  * versions each has, and the configuration handed on to whoever is behind.
  */
-import type { AnnouncedState, Digest, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import type { IClock } from '@umberspar/base/common/clock'
+import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
+import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
-import type { ConfigurationKeeper, ConfigurationText } from '../configuration/configurationKeeper.js'
+import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
 import type { LimitKeeper } from '../limits/limitKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerProber } from '../places/workerProber.js'
+import { WorkerReportRelay } from './workerReportRelay.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -25,24 +28,43 @@
 export class PeerService implements IPeerService {
   /** This node's state as peers are told it. */
   state: AnnouncedState = NodeState.Joining
+  private readonly relay: WorkerReportRelay
+  private beat = 0
 
   constructor (
     private readonly identity: NodeIdentity,
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
     private readonly prober: WorkerProber,
-    private readonly limits: LimitKeeper
-  ) {}
+    private readonly limits: LimitKeeper,
+    clock: IClock
+  ) {
+    this.relay = new WorkerReportRelay(clock)
+  }
+
+  /** Begins a round: the next digest is a new sign of life. */
+  startRound (): void {
+    this.beat += 1
+  }
+
+  /** @returns the documents that this node has, with its versions of them */
+  listDocuments (): DocumentVersion[] {
+    const head = this.keeper.current?.head
+    const configuration = head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
+    return [...configuration, ...this.limits.listDocuments()]
+  }
 
   /** @returns this node's heartbeat */
   buildDigest (): Digest {
-    const head = this.keeper.current?.head
     return {
       ...this.identity,
+      beat: this.beat,
       state: this.state,
-      documents: [...(head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]), ...this.limits.listDocuments()],
-      workers: this.prober.listReports(),
-      demand: []
+      documents: this.listDocuments(),
+      workers: this.relay.list(this.prober.listReports()),
+      demand: [],
+      members: this.members.listRelayed(),
+      confirmedAt: this.keeper.confirmedAt
     }
   }
 
@@ -55,7 +77,9 @@
   observe (digest: Digest, isAnswer: boolean): number {
     this.limits.observe(digest, isAnswer)
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
-    this.members.observeHeartbeat({ nodeId: digest.nodeId, state: digest.state, configurationVersion: version })
+    this.members.observeReports([toReport(digest), ...digest.members])
+    this.keeper.observePeer(version, digest.confirmedAt)
+    this.relay.observe(digest.workers)
     this.prober.observeReports(digest.workers)
     return version
   }
@@ -72,7 +96,9 @@
   }
 
   async push (document: PeerDocument): Promise<number> {
-    if (document.document.name === CONFIGURATION_DOCUMENT) this.keeper.apply(decodeDocument(document), 'peer')
+    if (document.document.name === CONFIGURATION_DOCUMENT) {
+      this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
+    }
     return this.keeper.version
   }
 
@@ -85,6 +111,11 @@
   }
 }
 
+function toReport (digest: Digest): MemberReport {
+  const { nodeId, incarnation, beat, state, documents, demand } = digest
+  return { nodeId, incarnation, beat, state, documents, demand, isSuspected: false }
+}
+
 /**
  * @param configuration head and text
  * @returns the form in which it travels
--- a/packages/steering/src/common/limits/roster.ts
+++ b/packages/steering/src/common/limits/roster.ts
@@ -20,8 +20,25 @@
   readonly staleSpanMs: number
 }
 
-/** Used where nothing else is configured. */
-export const DEFAULT_ROSTER_POLICY: RosterPolicy = { holdSpanMs: 60_000, staleSpanMs: 10_000 }
+const SMALL_FLEET = 32
+const SHORTEST_STALE_SPAN_MS = 10_000
+const LONGEST_STALE_SPAN_MS = 75_000
+/** Beyond the stale span: the list's lag and the longest request. */
+const HOLD_MARGIN_MS = 50_000
+/** A list that shows only older versions for so long has begun to count anew. */
+const RESET_SPAN_MS = 60_000
+
+/**
+ * A large fleet reads the list less often (from 1 s to 30 s), so it takes longer
+ * to find out that a list is too old.
+ * @param fleetSize entry VMs on the list
+ * @returns the spans to go by
+ */
+export function computeRosterPolicy (fleetSize: number): RosterPolicy {
+  const spread = Math.max(1, fleetSize / SMALL_FLEET)
+  const staleSpanMs = Math.min(LONGEST_STALE_SPAN_MS, Math.max(SHORTEST_STALE_SPAN_MS, 2.5 * 1000 * spread))
+  return { staleSpanMs, holdSpanMs: staleSpanMs + HOLD_MARGIN_MS }
+}
 
 interface HeldMember {
   readonly candidate: EntryCandidate
@@ -35,8 +52,16 @@
   private confirmedUntil: Deadline = -Infinity
   private seenVersion = -1
 
-  /** @param policy how long things last */
-  constructor (private readonly policy: RosterPolicy = DEFAULT_ROSTER_POLICY) {}
+  private fleetSize = 0
+  private olderSince: Instant | undefined
+
+  /** @param computePolicy how long things last in a fleet of a size */
+  constructor (private readonly computePolicy: (fleetSize: number) => RosterPolicy = computeRosterPolicy) {}
+
+  /** @returns how long things last */
+  get policy (): RosterPolicy {
+    return this.computePolicy(this.fleetSize)
+  }
 
   /** @returns the version of the VM list that this roster acts on, -1 before the first */
   get listVersion (): number {
@@ -51,7 +76,9 @@
    * @param now the present
    */
   observeList (snapshot: VmListSnapshot, askedAt: Instant, now: Instant): void {
-    if (snapshot.version < this.seenVersion) return
+    if (snapshot.version < this.seenVersion && !this.isReset(now)) return
+    this.olderSince = undefined
+    this.fleetSize = snapshot.vms.filter((vm) => vm.role === VmRole.Entry).length
     this.confirmedUntil = Math.max(this.confirmedUntil, createDeadline(askedAt, this.policy.staleSpanMs))
     if (snapshot.version === this.seenVersion) return
     this.seenVersion = snapshot.version
@@ -67,6 +94,12 @@
     }
   }
 
+  /** A list that was set up anew would otherwise be refused for ever, and this node with it. */
+  private isReset (now: Instant): boolean {
+    this.olderSince ??= now
+    return hasPassed(createDeadline(this.olderSince, RESET_SPAN_MS), now)
+  }
+
   /**
    * Takes over what a peer remembers. A process that has just started has not
    * seen who left the list before it, and would divide what they still use.
--- a/packages/steering/src/common/limits/startBarrier.ts
+++ b/packages/steering/src/common/limits/startBarrier.ts
@@ -6,9 +6,8 @@
  * hold on VMs must pass.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { createDeadline, hasPassed } from '@umberspar/base/common/deadline'
 import { LONGEST_LOAN_SPAN_MS } from './loans.js'
-import { DEFAULT_ROSTER_POLICY } from './roster.js'
 
 /** What a peer's answer said. */
 export interface PeerMemory {
@@ -22,17 +21,11 @@
 /** Opens once nothing of an earlier process can be in use. */
 export class StartBarrier {
   private readonly listVersionById = new Map<string, number>()
-  private readonly opensAt: Deadline
   private firstListVersion: number | undefined
   private hasOpened = false
 
-  /**
-   * @param startedAt when this process started
-   * @param longestSpanMs the longest loan or hold, in milliseconds
-   */
-  constructor (startedAt: Instant, longestSpanMs = Math.max(LONGEST_LOAN_SPAN_MS, DEFAULT_ROSTER_POLICY.holdSpanMs)) {
-    this.opensAt = createDeadline(startedAt, longestSpanMs)
-  }
+  /** @param startedAt when this process started */
+  constructor (private readonly startedAt: Instant) {}
 
   /** @returns whether own parts may be used */
   get isOpen (): boolean {
@@ -56,11 +49,13 @@
    * @param listVersion of the VM list that this node acts on; below 0 before the first
    * @param peers all entry VMs but this one: on the list, or held although the list has lost them, since these may hold loans as well
    * @param now the present
+   * @param holdSpanMs how long a VM that left the list is held, in milliseconds
    */
-  step (listVersion: number, peers: readonly string[], now: Instant): void {
+  step (listVersion: number, peers: readonly string[], now: Instant, holdSpanMs: number): void {
     if (listVersion >= 0) this.firstListVersion ??= listVersion
     const isAnswered = this.firstListVersion !== undefined && peers.every((nodeId) => this.isAnswered(nodeId))
-    if (isAnswered || hasPassed(this.opensAt, now)) this.hasOpened = true
+    const opensAt = createDeadline(this.startedAt, Math.max(LONGEST_LOAN_SPAN_MS, holdSpanMs))
+    if (isAnswered || hasPassed(opensAt, now)) this.hasOpened = true
   }
 
   /** A peer that acts on an older list than this node's first does not know yet who has left it. */
--- a/packages/steering/test/common/limits/limitWorld.ts
+++ b/packages/steering/test/common/limits/limitWorld.ts
@@ -67,7 +67,7 @@
 
 /** One entry VM's process. */
 export class WorldNode {
-  roster = new Roster(POLICY)
+  roster = new Roster(() => POLICY)
   division: PartKeeper
   ledger = new PlaceLedger()
   barrier: StartBarrier
@@ -76,7 +76,7 @@
 
   constructor (private readonly world: LimitWorld, readonly nodeId: string, private readonly offset: number, private readonly rate: number, public incarnation: number) {
     this.division = new PartKeeper(nodeId)
-    this.barrier = new StartBarrier(this.now(), POLICY.holdSpanMs)
+    this.barrier = new StartBarrier(this.now())
   }
 
   /** The node's own clock. */
@@ -93,17 +93,17 @@
   clearState (): void {
     this.incarnation++
     this.viewKey = ''
-    this.roster = new Roster(POLICY)
+    this.roster = new Roster(() => POLICY)
     this.division = new PartKeeper(this.nodeId)
     this.ledger = new PlaceLedger()
-    this.barrier = new StartBarrier(this.now(), POLICY.holdSpanMs)
+    this.barrier = new StartBarrier(this.now())
     this.version = 0
   }
 
   update (): void {
     const now = this.now()
     this.roster.step(now)
-    this.barrier.step(this.roster.listVersion, this.listPeers(), now)
+    this.barrier.step(this.roster.listVersion, this.listPeers(), now, POLICY.holdSpanMs)
     const version = this.world.versions[this.version]
     if (version !== undefined && this.barrier.isOpen) {
       const input = { selfId: this.nodeId, region: REGION, configuration: version.configuration, configurationVersion: this.version, configurationDigest: '', listVersion: this.roster.listVersion, members: this.roster.list(REGION) }
