--- a/packages/daemon/src/node/limits/lendIdle.ts
+++ b/packages/daemon/src/node/limits/lendIdle.ts
@@ -1,16 +1,18 @@
 /** The lender's side: what of a place may go to a peer. */
 import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { LoanAnswer, LoanRequest } from '@umberspar/steering/common/ports/peers'
 import type { PlacePool } from '../places/placePool.js'
 
-/** A place that got no request for so long lends its last slot as well. */
-const QUIET_SPAN_MS = 5000
-
+/**
+ * Keeps what the place needs itself: its mean demand and one standard deviation
+ * of a Poisson number with that mean. A loan comes back only when it falls idle
+ * at the borrower, so what is lent too freely is missed here for long.
+ */
 function computeKept (pool: PlacePool, now: Instant, isLeaving: boolean): number {
   if (isLeaving) return 0
   if (pool.waiting > 0) return Infinity
-  return hasPassed(createDeadline(pool.askedAt, QUIET_SPAN_MS), now) ? 0 : 1
+  const mean = pool.getMeanDemand(now)
+  return Math.max(0, Math.round(mean + Math.sqrt(mean)) - pool.inFlight)
 }
 
 /**
--- a/packages/daemon/src/node/limits/loanKeeper.ts
+++ b/packages/daemon/src/node/limits/loanKeeper.ts
@@ -31,11 +31,11 @@
 
 const CALL_SPAN_MS = 1000
 /** Between two rounds for one place: after slots came, and after all refused. */
-const ROUND_SPAN_MS = 50
-const REFUSED_SPAN_MS = 300
+const ROUND_SPAN_MS = 25
+const REFUSED_SPAN_MS = 100
 const JITTER = 0.3
 const MAX_WANTED = 8
-const MAX_CALLS = 4
+const MAX_CALLS = 6
 /** Borrow calls of this node a second, for all places. */
 const MAX_CALLS_PER_SECOND = 100
 const MS_PER_SECOND = 1000
@@ -43,7 +43,7 @@
 const SHORTEST_LOAN_SPAN_MS = 10_000
 /** The loan outlasts the longest request that waits for it by so much. */
 const LOAN_MARGIN_MS = 1000
-const IDLE_SPAN_MS = 1000
+const IDLE_SPAN_MS = 300
 /** A place of whose slots this part is in use asks ahead of need. */
 const AHEAD_PART = 0.75
 
--- a/packages/daemon/src/node/places/placePool.ts
+++ b/packages/daemon/src/node/places/placePool.ts
@@ -15,6 +15,7 @@
 import { AdmissionError } from '@umberspar/steering/common/limits/admissionError'
 import type { SlotShare } from '@umberspar/steering/common/limits/divideSlots'
 import type { TakenSlot } from '@umberspar/steering/common/limits/loans'
+import { DemandMean } from '@umberspar/steering/common/limits/demandMean'
 import { PlaceLedger } from '@umberspar/steering/common/limits/placeLedger'
 import { buildPlaceKey, buildSlotKey } from '@umberspar/steering/common/limits/slotKey'
 import { chooseWorker } from '@umberspar/steering/common/workers/chooseWorker'
@@ -68,8 +69,7 @@
   private readonly didLack = new Emitter<PlacePool>()
   private workers: Readonly<Record<string, WorkerConfiguration>> = {}
   private refusals = 0
-  /** When a request last asked for a slot. */
-  askedAt: Instant = -Infinity
+  private readonly demand = new DemandMean()
   /** The latest deadline of a request that asked. */
   neededUntil: Deadline = -Infinity
   /** Set by whoever asks peers for slots. */
@@ -107,6 +107,14 @@
     return this.countUsable()
   }
 
+  /**
+   * @param now the present
+   * @returns the mean number of requests that held a slot or waited lately
+   */
+  getMeanDemand (now: Instant): number {
+    return this.demand.getMean(now)
+  }
+
   /** @returns workers of the place, by id */
   get configuredWorkers (): Readonly<Record<string, WorkerConfiguration>> {
     return this.workers
@@ -166,7 +174,7 @@
   async acquire (request: SlotRequest): Promise<Result<SlotGrant, StepError>> {
     if (request.signal.aborted) return new Err(this.createError(ErrorCode.Cancelled, 'the caller has gone'))
     if (hasPassed(request.deadline, this.clock.now())) return new Err(this.createError(ErrorCode.DeadlinePassed, 'the deadline has passed'))
-    this.askedAt = this.clock.now()
+    this.updateDemand(1)
     this.neededUntil = Math.max(this.neededUntil, request.deadline)
     if (this.queue.running >= this.countUsable()) this.didLack.fire(this)
     const refused = this.queue.checkRoom(request)
@@ -241,6 +249,7 @@
     const releaseSlot = (): void => {
       this.table.release(workerId)
       this.ledger.release(slot)
+      this.updateDemand(-1)
       release()
     }
     return {
@@ -256,6 +265,11 @@
     }
   }
 
+  /** @param change what is about to be added to, or taken from, the requests here */
+  private updateDemand (change: number): void {
+    this.demand.update(Math.max(0, this.inFlight + this.waiting + change), this.clock.now())
+  }
+
   private get placeName (): string {
     return buildPlaceKey(this.key.service, this.key.failureDomain)
   }
