--- a/packages/daemon/src/node/places/admissionQueue.ts
+++ b/packages/daemon/src/node/places/admissionQueue.ts
@@ -18,6 +18,8 @@
   readonly longestWaitMs: number
   /** The part of the bound on its wait that a request's estimated wait may take; the rest is for estimates that are too low. */
   readonly estimatePart: number
+  /** In place of the configured length of the queue. */
+  readonly maxQueue?: number
 }
 
 /** Used where nothing else is given. */
@@ -61,7 +63,7 @@
     private readonly place: string,
     private readonly clock: IClock,
     private readonly limits: QueueLimits,
-    private readonly policy = DEFAULT_ADMISSION_POLICY
+    private readonly policy: AdmissionPolicy = DEFAULT_ADMISSION_POLICY
   ) {
     this.updateLimits()
   }
@@ -85,7 +87,7 @@
     if (slots <= 0 && !this.limits.mayBorrow()) return this.createError('this entry VM has no slot here', UNKNOWN_WAIT_MS)
     if (slots > this.running && this.waiting === 0) return undefined
     const waitMs = slots <= 0 ? 0 : this.estimateWaitMs(request)
-    if (this.waiting >= this.maxQueue) return this.createError(`${this.waiting} requests wait already`, waitMs)
+    if (this.waiting >= (this.policy.maxQueue ?? this.maxQueue)) return this.createError(`${this.waiting} requests wait already`, waitMs)
     const meanMs = this.estimate.getMeanSpanMs(request.kind)
     const leftMs = getRemainingMs(request.deadline, this.clock.now()) - meanMs
     const { estimatePart, longestWaitMs } = this.policy
--- a/packages/testing/src/node/measure/childPlatform.ts
+++ b/packages/testing/src/node/measure/childPlatform.ts
@@ -10,6 +10,8 @@
 import type { DeploymentName } from '../../common/load/mixes.js'
 import { addPlatform, loadDeploymentFiles } from '../deployment/deploymentFiles.js'
 import { buildEntryVm } from '../standIns/entrySettings.js'
+import { getWorkerProfile } from '../standIns/deploymentProfiles.js'
+import type { WorkerOptions } from '../standIns/upstream/workerOptions.js'
 import { PlatformStandIns } from '../standIns/platformStandIns.js'
 import { ChildProgram } from './childProgram.js'
 
@@ -18,6 +20,8 @@
   readonly deployment: DeploymentName
   readonly entries: number
   readonly seed: number
+  /** Mean service time of all workers, in milliseconds; the deployment's profile if left out. */
+  readonly meanSpanMs?: number
 }
 
 /** What was started. */
@@ -53,13 +57,18 @@
   }
 }
 
+function buildWorkerOptions (meanSpanMs: number): (service: string) => Partial<WorkerOptions> {
+  return (service) => ({ ...getWorkerProfile('', service), meanSpanMs })
+}
+
 async function startPlatform (order: ChildPlatformOrder): Promise<ChildPlatformAnswer> {
   const files = await loadDeploymentFiles(order.deployment, order.entries, LogLevel.Error)
   const platform = await PlatformStandIns.start({
     configurationInput: files.configurationInput,
     keyPrefix: files.settings[0]?.store.keyPrefix ?? `/umberspar/${order.deployment}/`,
     entryVms: files.settings.map(buildEntryVm),
-    seed: order.seed
+    seed: order.seed,
+    ...(order.meanSpanMs === undefined ? {} : { getWorkerOptions: buildWorkerOptions(order.meanSpanMs) })
   })
   return {
     configuration: platform.configuration,
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -6,6 +6,7 @@
 import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
+import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
@@ -14,6 +15,7 @@
 enum MeasurementName {
   Limits = 'limits',
   Lookup = 'lookup',
+  Overload = 'overload',
   Request = 'request',
   ScaleLookup = 'scale-lookup',
   ScaleChange = 'scale-change'
@@ -22,6 +24,7 @@
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
+  [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT
