Decide requests by a pure flow, an outcome table and claims in the store

Cause: outcomes were judged in several places of the request path, there were no hedges, no retry budget and no deduplication, and a cancelled attempt's slot was free before its worker could have heard of the cancellation.

Change: steering/common/request has the outcome table, the retry budget, the latency estimate and the flow (step(state, event, view)); the daemon's RequestRun executes its effects. steering/common/dedup claims Idempotency-Keys by create-if-absent and records their ends; the daemon's Deduplicator tells callers. release() of a slot takes the instant until which it stays taken.

--- a/packages/daemon/src/node/callers/problem.ts
+++ b/packages/daemon/src/node/callers/problem.ts
@@ -23,6 +23,28 @@
 /** Codes after which the same request may find room or a healthy upstream. */
 const RETRY_LATER: ReadonlySet<ErrorCode> = new Set([ErrorCode.Exhausted, ErrorCode.Unavailable, ErrorCode.Refused, ErrorCode.DeadlinePassed])
 
+/** What an error answer may carry beside the error. */
+export interface ProblemExtras {
+  /** Instead of the kind that the error's code stands for. */
+  readonly kind?: ProblemKind
+  /** When the caller may come back. */
+  readonly retryAfterSeconds?: number
+  /** Members of the problem document beside the standard ones. */
+  readonly members?: Readonly<Record<string, unknown>>
+}
+
+function getKind (error: StepError, outcome: Outcome): ProblemKind {
+  const isLost = outcome === Outcome.Unknown && error.code !== ErrorCode.DeadlinePassed
+  return isLost ? ProblemKind.UpstreamFailed : KIND_BY_CODE[error.code]
+}
+
+/** A caller that may not repeat its request is not told when to. */
+function findRetryAfter (error: StepError, outcome: Outcome, extras: ProblemExtras): number | undefined {
+  if (extras.kind !== undefined) return extras.retryAfterSeconds
+  const mayComeBack = outcome === Outcome.NotRun && RETRY_LATER.has(error.code)
+  return mayComeBack ? extras.retryAfterSeconds ?? RETRY_AFTER_SECONDS : undefined
+}
+
 /**
  * Ends a response with a problem document. Nothing is written once headers have
  * left: the connection is destroyed instead, so that a broken answer can never
@@ -31,19 +53,20 @@
  * @param error what failed, with step and peer
  * @param outcome whether the request may have run
  * @param requestId the request's id
+ * @param extras another kind, the time to come back, further members
  */
-export function answerProblem (response: ServerResponse, error: StepError, outcome: Outcome.NotRun | Outcome.Unknown, requestId: string): void {
+export function answerProblem (response: ServerResponse, error: StepError, outcome: Outcome, requestId: string, extras: ProblemExtras = {}): void {
   if (response.headersSent) {
     response.destroy()
     return
   }
-  const isUnknown = outcome === Outcome.Unknown
-  const kind = isUnknown && error.code !== ErrorCode.DeadlinePassed ? ProblemKind.UpstreamFailed : KIND_BY_CODE[error.code]
+  const kind = extras.kind ?? getKind(error, outcome)
   const problem = buildProblem({ kind, detail: error.message, step: error.step, peer: error.peer, outcome, requestId })
-  const body = JSON.stringify(problem)
+  const body = JSON.stringify({ ...problem, ...extras.members })
+  const retryAfter = findRetryAfter(error, outcome, extras)
   response.statusCode = problem.status
   response.setHeader('Content-Type', PROBLEM_MEDIA_TYPE)
   response.setHeader('Content-Length', Buffer.byteLength(body))
-  if (!isUnknown && RETRY_LATER.has(error.code)) response.setHeader('Retry-After', RETRY_AFTER_SECONDS)
+  if (retryAfter !== undefined) response.setHeader('Retry-After', retryAfter)
   response.end(body)
 }
--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -6,25 +6,42 @@
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import { removeHopByHop } from '@umberspar/steering/common/request/headers'
 import { findRoute, isIdempotent } from '@umberspar/steering/common/request/route'
-import { Outcome } from '@umberspar/steering/common/state/outcome'
+import type { Outcome } from '@umberspar/steering/common/state/outcome'
 import type { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
+import { AnswerState, classifyExchange, SentState } from '@umberspar/steering/common/request/outcomeTable'
+import { MAX_ATTEMPTS } from '@umberspar/steering/common/request/requestFlow'
+import { AttemptError } from '@umberspar/platform/node/upstream/upstreamTransport'
+import type { HeldClaim } from '@umberspar/steering/common/dedup/claimKeeper'
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pipeline } from 'node:stream/promises'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
-import { type RequestBody, readBody } from '../request/requestBody.js'
+import { type Deduplicator, KEY_HEADER } from '../dedup/deduplicator.js'
+import { readBody } from '../request/requestBody.js'
 import type { RequestContext } from '../request/requestContext.js'
-import type { RequestRunner, RunningAnswer } from '../request/requestRunner.js'
+import { AnswerEnd, type RequestFailure, type RunningAnswer } from '../request/requestEnds.js'
+import type { RequestRunner } from '../request/requestRunner.js'
 import type { ClientRegions } from './clientRegions.js'
 import { answerProblem } from './problem.js'
 
 const SERVICES_PREFIX = '/v1/services/'
 const SERVER_ERROR = 500
 
+/** What the outcome table says where nothing was sent to any upstream. */
+const UNSENT = classifyExchange(SentState.Nothing, AnswerState.Nothing)
+
+/** The column of the outcome table for each way an answer's body can end. */
+const STATE_BY_END: Readonly<Record<AnswerEnd, AnswerState>> = {
+  [AnswerEnd.Whole]: AnswerState.Whole,
+  [AnswerEnd.Broken]: AnswerState.Broken,
+  [AnswerEnd.CallerLeft]: AnswerState.Abandoned
+}
+
 /** What the handler works with. */
 export interface RequestHandlerParts {
   readonly keeper: ConfigurationKeeper
   readonly runner: RequestRunner
+  readonly deduplicator: Deduplicator
   readonly regions: ClientRegions
   readonly burn: BurnCounter
   readonly clock: IClock
@@ -61,7 +78,7 @@
     response.once('close', () => { if (!response.writableFinished) gone.abort() })
     const context = this.createContext(request, requestId, gone.signal)
     if (context instanceof StepError) {
-      answerProblem(response, context, Outcome.NotRun, requestId)
+      answerProblem(response, context, UNSENT, requestId)
       return
     }
     this.open++
@@ -74,41 +91,69 @@
   }
 
   private async serve (context: RequestContext, request: IncomingMessage, response: ServerResponse): Promise<boolean> {
-    let body: RequestBody
-    try {
-      body = await readBody(request)
-    } catch (cause) {
-      const error = new StepError({ code: ErrorCode.Cancelled, step: 'read-body', peer: request.socket.remoteAddress ?? 'caller', message: 'the caller broke off', cause })
-      answerProblem(response, error, Outcome.NotRun, context.requestId)
+    const body = await readBody(request, context.deadline, this.parts.clock)
+    if (!body.ok) {
+      // The rest of the body may still come; it must not be read as a next request.
+      response.setHeader('Connection', 'close')
+      answerProblem(response, body.val, UNSENT, context.requestId)
       return true
     }
+    const claimed = await this.parts.deduplicator.claim(context, getHeader(request, KEY_HEADER))
+    if (!claimed.ok) {
+      const { error, outcome, ...extras } = claimed.val
+      this.logRefusal(context, error, outcome)
+      answerProblem(response, error, outcome, context.requestId, extras)
+      return error.code !== ErrorCode.Unavailable && error.code !== ErrorCode.Exhausted
+    }
+    const claim = claimed.val
     const headers = removeHopByHop(request.headers)
     delete headers.host
-    const ran = await this.parts.runner.run(context, headers, body)
-    if (ran.ok) return await this.answer(context, ran.val, response)
-    const { error, outcome } = ran.val
-    this.parts.logger.log(LogLevel.Warn, { step: error.step, peer: error.peer, code: error.code, outcome, requestId: context.requestId, service: context.service }, error.message)
-    this.parts.metrics.count('request.failed', 1, { service: context.service, outcome, code: error.code })
-    answerProblem(response, error, outcome, context.requestId)
+    const bounded = claim === undefined ? context : { ...context, deadline: claim.deadline }
+    const ran = await this.parts.runner.run(bounded, headers, body.val)
+    if (ran.ok) return await this.answer(context, ran.val, claim, response)
+    return this.refuse(context, ran.val, claim, response)
+  }
+
+  private refuse (context: RequestContext, failure: RequestFailure, claim: HeldClaim | undefined, response: ServerResponse): boolean {
+    const { error, outcome, retryAfterSeconds } = failure
+    if (claim !== undefined) this.parts.deduplicator.finish(claim, outcome)
+    this.logRefusal(context, error, outcome)
+    answerProblem(response, error, outcome, context.requestId, { retryAfterSeconds })
     return error.code === ErrorCode.Cancelled
   }
 
-  private async answer (context: RequestContext, running: RunningAnswer, response: ServerResponse): Promise<boolean> {
+  private logRefusal (context: RequestContext, error: StepError, outcome: Outcome): void {
+    const { service, requestId } = context
+    this.parts.logger.log(LogLevel.Warn, { step: error.step, peer: error.peer, code: error.code, outcome, requestId, service }, error.message)
+    this.parts.metrics.count('request.failed', 1, { service, outcome, code: error.code })
+  }
+
+  private async answer (context: RequestContext, running: RunningAnswer, claim: HeldClaim | undefined, response: ServerResponse): Promise<boolean> {
+    const { status } = running.response
+    const end = await this.pipeAnswer(context, running, response)
+    running.finish(end)
+    const outcome = classifyExchange(SentState.MayHaveLeft, STATE_BY_END[end])
+    if (claim !== undefined) this.parts.deduplicator.finish(claim, outcome, status)
+    return end === AnswerEnd.Whole ? status < SERVER_ERROR : end === AnswerEnd.CallerLeft
+  }
+
+  private async pipeAnswer (context: RequestContext, running: RunningAnswer, response: ServerResponse): Promise<AnswerEnd> {
     const { status, headers, body } = running.response
-    response.statusCode = status
-    for (const [name, value] of Object.entries(removeHopByHop(headers))) response.setHeader(name, value)
     try {
+      response.statusCode = status
+      for (const [name, value] of Object.entries(removeHopByHop(headers))) response.setHeader(name, value)
       await pipeline(body, response)
-      running.finish(true)
-      return status < SERVER_ERROR
+      return AnswerEnd.Whole
     } catch (cause) {
-      // The upstream's body ended early or the caller left. pipeline has
-      // destroyed the response, so the caller sees a broken connection and never
-      // a short answer that looks whole.
+      // The upstream's body ended early or the caller left. The connection is
+      // destroyed, so that the caller sees it break and never takes a short
+      // answer for a whole one.
       response.destroy()
-      running.finish(context.signal.aborted)
-      this.parts.logger.log(LogLevel.Warn, { step: 'pipe-answer', peer: running.workerId, requestId: context.requestId }, cause instanceof Error ? cause.message : 'the answer broke off')
-      return context.signal.aborted
+      body.destroy()
+      const message = cause instanceof Error ? cause.message : 'the answer broke off'
+      this.parts.logger.log(LogLevel.Warn, { step: 'pipe-answer', peer: running.workerId, requestId: context.requestId }, message)
+      const isUpstreams = cause instanceof AttemptError && cause.code !== ErrorCode.Cancelled
+      return !isUpstreams && context.signal.aborted ? AnswerEnd.CallerLeft : AnswerEnd.Broken
     }
   }
 
@@ -122,12 +167,17 @@
     if (spanMs === undefined) return createLocalError(ErrorCode.Invalid, 'umberspar-timeout-ms: expected a whole number of milliseconds above 0')
     const method = request.method ?? 'GET'
     const route = findRoute(settings, target.path)
+    const mayRepeat = isIdempotent(route, method)
+    // Where keys are expected, a request without one is tried once only: neither
+    // we nor its caller could tell a second run from the first.
+    const isOnce = settings.deduplicate && !mayRepeat && getHeader(request, KEY_HEADER) === undefined
     return {
       requestId,
       service: target.service,
       settings,
       route,
-      isIdempotent: isIdempotent(route, method),
+      isIdempotent: mayRepeat,
+      maxAttempts: isOnce ? 1 : MAX_ATTEMPTS,
       method,
       path: target.path,
       clientRegion: this.parts.regions.find(request),
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -11,6 +11,7 @@
 import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
 import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
+import type { IKeyValueStore } from '@umberspar/steering/common/ports/keyValueStore'
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
 import { ClientRegions } from './callers/clientRegions.js'
 import { LookupHandler } from './callers/lookupHandler.js'
@@ -18,6 +19,7 @@
 import { ConfigurationKeeper } from './configuration/configurationKeeper.js'
 import { ConfigurationStore } from './configuration/configurationStore.js'
 import { ConfigurationWatcher } from './configuration/configurationWatcher.js'
+import { Deduplicator } from './dedup/deduplicator.js'
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
 import { Heartbeats } from './peers/heartbeats.js'
@@ -26,6 +28,7 @@
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
 import { RequestRunner } from './request/requestRunner.js'
+import { SlotFinder } from './request/slotFinder.js'
 
 /** What the parts are made from. */
 export interface PartInputs {
@@ -39,6 +42,7 @@
 
 /** The parts of one daemon. */
 export interface DaemonParts {
+  readonly store: IKeyValueStore
   readonly keeper: ConfigurationKeeper
   readonly configurations: ConfigurationStore
   readonly watcher: ConfigurationWatcher
@@ -69,12 +73,20 @@
   const burn = new BurnCounter()
   const regions = new ClientRegions(inputs.settings.trustedForwarders, inputs.settings.region)
   const { clock, logger, metrics, random, settings } = inputs
-  const runner = new RequestRunner(settings.nodeId, traffic.transport, traffic.places, traffic.plans, clock, random)
-  const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, clock, logger, metrics })
+  const slots = new SlotFinder(traffic.places, traffic.plans, random)
+  const runner = new RequestRunner({ selfId: settings.nodeId, transport: traffic.transport, slots, clock, random, metrics })
+  const deduplicator = owned.add(createDeduplicator(inputs, control))
+  const requests = new RequestHandler({ keeper: control.keeper, runner, deduplicator, regions, burn, clock, logger, metrics })
   return { ...control, ...traffic, ...peers, burn, regions, lookups: new LookupHandler(regions), requests }
 }
 
-type ControlParts = Pick<DaemonParts, 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
+function createDeduplicator (inputs: PartInputs, control: ControlParts): Deduplicator {
+  const { settings, clock, random, metrics } = inputs
+  const countNodes = (): number => control.members.list().length
+  return new Deduplicator({ store: control.store, clock, random, metrics, keyPrefix: settings.store.keyPrefix, nodeId: settings.nodeId, incarnation: clock.getWallTime(), countNodes })
+}
+
+type ControlParts = Pick<DaemonParts, 'store' | 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
 type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
 type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats'>
 
@@ -88,7 +100,7 @@
   const patches = new PatchService(configurations, keeper, digester, clock, logger)
   const vmList = owned.add(new HttpVmList({ url: settings.vmList.url, clock }))
   const members = owned.add(new MemberDirectory(vmList, settings.nodeId, clock, random, logger))
-  return { keeper, configurations, watcher, patches, members }
+  return { store, keeper, configurations, watcher, patches, members }
 }
 
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
--- a/packages/daemon/src/node/places/placePool.ts
+++ b/packages/daemon/src/node/places/placePool.ts
@@ -41,8 +41,11 @@
   readonly workerId: string
   readonly worker: WorkerConfiguration
   readonly table: WorkerTable
-  /** Gives the slot back; a second call does nothing. */
-  release(): void
+  /**
+   * Gives the slot back; a second call does nothing.
+   * @param heldUntil when nothing new may start on it earlier: the worker may still run what was cancelled
+   */
+  release(heldUntil?: Instant): void
 }
 
 /** Slots and waiting requests of one place at this entry VM. */
@@ -171,11 +174,15 @@
       workerId,
       worker,
       table: this.table,
-      release: () => {
+      release: (heldUntil) => {
         if (!isHeld) return
         isHeld = false
-        this.table.release(workerId)
-        release()
+        const returnSlot = (): void => {
+          this.table.release(workerId)
+          release()
+        }
+        if (heldUntil === undefined || hasPassed(heldUntil, this.clock.now())) returnSlot()
+        else this.clock.schedule(heldUntil, returnSlot)
       }
     }
   }
--- a/packages/daemon/src/node/request/classifyAnswer.ts
+++ b/packages/daemon/src/node/request/classifyAnswer.ts
@@ -1,9 +1,18 @@
-/** Tells an upstream's explicit refusal from an answer that has to be passed on. */
+/** Maps what the transport reports to the rows and columns of the outcome table. */
+import { type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { ErrorCode } from '@umberspar/base/common/errors'
+import type { Instant } from '@umberspar/base/common/clock'
+import type { AttemptError } from '@umberspar/platform/node/upstream/upstreamTransport'
 import type { RefusalConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
+import { AnswerState, classifyExchange, SentState } from '@umberspar/steering/common/request/outcomeTable'
+import type { Outcome } from '@umberspar/steering/common/state/outcome'
 
 /** Header by which a worker says that it drains. */
 export const DRAINING_HEADER = 'umberspar-draining'
 
+/** Failures that say nothing of the worker's health: our own limits, the caller's leaving, a malformed request. */
+const NOT_THE_WORKERS_FAULT: ReadonlySet<ErrorCode> = new Set([ErrorCode.Exhausted, ErrorCode.Cancelled, ErrorCode.Invalid, ErrorCode.NotFound])
+
 /**
  * @param status the answer's status
  * @param headers the answer's headers, names in lower case
@@ -13,3 +22,42 @@
 export function isRefusal (status: number, headers: Readonly<Record<string, string | string[]>>, refusal: RefusalConfiguration): boolean {
   return status === refusal.status && headers[refusal.header.toLowerCase()] === refusal.value
 }
+
+function findAnswerState (error: AttemptError, deadline: Deadline, now: Instant): AnswerState {
+  if (error.code === ErrorCode.Cancelled) return AnswerState.Abandoned
+  if (error.code === ErrorCode.DeadlinePassed || hasPassed(deadline, now)) return AnswerState.Late
+  return error.hasHeaders ? AnswerState.Broken : AnswerState.Nothing
+}
+
+/**
+ * @param error how an attempt failed, before or after the head of its answer
+ * @param deadline of the attempt
+ * @param now the present
+ * @returns what the attempt says of the request
+ */
+export function classifyAttemptError (error: AttemptError, deadline: Deadline, now: Instant): Outcome {
+  const sent = error.mayHaveSent ? SentState.MayHaveLeft : SentState.Nothing
+  return classifyExchange(sent, findAnswerState(error, deadline, now))
+}
+
+/** What decides whether a failure counts against a worker. */
+export interface BlameView {
+  readonly sentAt: Instant
+  readonly deadline: Deadline
+  readonly now: Instant
+  /** What the worker may be expected to answer within, in milliseconds. */
+  readonly expectedSpan: number
+}
+
+/**
+ * A caller that allows too little time must not get workers ejected: a deadline
+ * counts against the worker only if it had the time that the objective grants.
+ * @param error how an attempt failed
+ * @param view when it was sent and how long it was given
+ * @returns whether the failure counts against the worker
+ */
+export function isWorkersFault (error: AttemptError, view: BlameView): boolean {
+  if (NOT_THE_WORKERS_FAULT.has(error.code)) return false
+  const isLate = hasPassed(view.deadline, view.now)
+  return !isLate || view.now - view.sentAt >= view.expectedSpan
+}
--- a/packages/daemon/src/node/request/requestContext.ts
+++ b/packages/daemon/src/node/request/requestContext.ts
@@ -9,6 +9,8 @@
   readonly settings: ServiceConfiguration
   readonly route: RouteConfiguration
   readonly isIdempotent: boolean
+  /** Attempts that may be sent, the first included. */
+  readonly maxAttempts: number
   readonly method: string
   /** Path and query below the service, beginning with `/`. */
   readonly path: string
--- a/packages/steering/src/common/request/requestProblem.ts
+++ b/packages/steering/src/common/request/requestProblem.ts
@@ -10,8 +10,14 @@
   BadRequest = 'bad-request',
   /** The configuration knows no such service. */
   UnknownService = 'unknown-service',
-  /** A second request with the same Idempotency-Key. */
+  /** A second request with the same Idempotency-Key; the first may have run. */
   DuplicateRequest = 'duplicate-request',
+  /** A second request with the same Idempotency-Key while the first may still be running. */
+  RequestRunning = 'request-running',
+  /** A second request with the same Idempotency-Key; the first ran and was answered. */
+  AlreadyRan = 'already-ran',
+  /** The Idempotency-Key belongs to a request with another method or path. */
+  KeyReused = 'key-reused',
   /** No slot, connection or queue place in time. */
   NoRoom = 'no-room',
   /** This daemon has no configuration yet, or is stopping. */
@@ -37,6 +43,9 @@
   [ProblemKind.BadRequest]: { status: 400, title: 'The request is malformed' },
   [ProblemKind.UnknownService]: { status: 404, title: 'No such service' },
   [ProblemKind.DuplicateRequest]: { status: 409, title: 'A request with this key was claimed before' },
+  [ProblemKind.RequestRunning]: { status: 409, title: 'The first request with this key has not ended' },
+  [ProblemKind.AlreadyRan]: { status: 409, title: 'The request with this key has run' },
+  [ProblemKind.KeyReused]: { status: 422, title: 'The key belongs to another request' },
   [ProblemKind.NoRoom]: { status: 503, title: 'No room for the request' },
   [ProblemKind.NotReady]: { status: 503, title: 'This entry VM is not ready' },
   [ProblemKind.ClaimUnavailable]: { status: 503, title: 'The request could not be claimed' },
@@ -48,8 +57,8 @@
 
 const TYPE_PREFIX = 'urn:umberspar:problem:'
 
-/** What a caller that got an error may conclude. */
-export type ProblemOutcome = Outcome.NotRun | Outcome.Unknown
+/** What a caller that got an error may conclude; `done` only from `already-ran`. */
+export type ProblemOutcome = Outcome
 
 /** The JSON body of an error answer. */
 export interface RequestProblem {
