--- a/packages/daemon/src/node/request/requestRun.ts
+++ b/packages/daemon/src/node/request/requestRun.ts
@@ -3,7 +3,7 @@
  * feeds what happens back into it. All decisions are in `requestFlow`.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import type { IRandomSource } from '@umberspar/base/common/random'
@@ -175,7 +175,7 @@
     }
     grant.release(error.mayHaveSent ? this.getHoldEnd() : undefined)
     const outcome = classifyAttemptError(error, context.deadline, now)
-    if (error.code !== ErrorCode.Cancelled) this.lastError = error
+    if (error.code !== ErrorCode.Cancelled) this.lastError = hasPassed(context.deadline, now) ? createLateError(error) : error
     this.apply({ kind: FlowEventKind.AttemptFailed, attemptId, outcome })
   }
 
@@ -268,3 +268,8 @@
     }
   }
 }
+
+/** The transport says of a late answer that its effect is unknown; callers are told that the time ran out. */
+function createLateError (error: StepError): StepError {
+  return new StepError({ code: ErrorCode.DeadlinePassed, step: error.step, peer: error.peer, message: error.message, cause: error })
+}
