Plan by pure steps: planner, node's own steps, prediction of drains

Cause: each node computed a target from the configuration alone and stepped to it by itself; a node that restarted jumped, nothing looked at demand, capacity, links, warm-up or overload, and no step waited for measurements.

Change: steering/common/plan gains a planner (step(state, event, now)), the node's own capped steps, bounded region steps and the prediction of drains. The configuration gains shiftCaps.staleAfterMs and whenStale.

Conclusion: the daemon can be put on these decisions next.

--- a/packages/steering/src/common/configuration/configurationSchema.ts
+++ b/packages/steering/src/common/configuration/configurationSchema.ts
@@ -14,6 +14,14 @@
   NotIdempotent = 'not-idempotent'
 }
 
+/** What the plan does while measurements are missing. */
+export enum StaleRule {
+  /** It stays as it is. */
+  Hold = 'hold',
+  /** It goes to the nearest region by capacity, without any measurement, one planned step per `staleAfterMs`. */
+  ByCapacity = 'by-capacity'
+}
+
 /** What a request mainly occupies at an upstream. */
 export enum RequestKind {
   /** A short call: a slot for a moment. */
@@ -112,7 +120,11 @@
   /** The same for moves away from what failed. */
   emergency: cap,
   /** The least time between two steps, beside the wait for new measurements. */
-  settleMs: spanMs.default(1000)
+  settleMs: spanMs.default(1000),
+  /** Measurements older than this count for nothing. */
+  staleAfterMs: spanMs.default(5000),
+  /** The safe state once measurements have been missing for `staleAfterMs`. */
+  whenStale: z.enum(StaleRule).default(StaleRule.Hold)
 })
 
 /** What operators have taken out of use. */
--- a/packages/steering/src/common/plan/placeCapacity.ts
+++ b/packages/steering/src/common/plan/placeCapacity.ts
@@ -37,10 +37,11 @@
  * @param configuration places and drains
  * @param service the service
  * @param unavailable failure domains that must not be used
+ * @param loadLimit the part of each place's capacity that counts, above 0 to 1
  * @returns the usable capacity of every region, by region name
  */
 export function computeRegionCapacities (
-  configuration: SteeringConfiguration, service: string, unavailable: ReadonlySet<string>
+  configuration: SteeringConfiguration, service: string, unavailable: ReadonlySet<string>, loadLimit = 1
 ): Map<string, RegionCapacity> {
   const places = new Map(Object.entries(configuration.services[service]?.places ?? {}))
   const capacities = new Map<string, RegionCapacity>()
@@ -50,7 +51,7 @@
       const place = places.get(domain)
       if (place === undefined || unavailable.has(domain)) continue
       if (isPlaceDrained(configuration, service, region, domain)) continue
-      const capacity = computePlaceCapacity(place)
+      const capacity = computePlaceCapacity(place) * loadLimit
       if (capacity > 0) domains[domain] = capacity
     }
     capacities.set(region, { total: Object.values(domains).reduce((sum, value) => sum + value, 0), domains })
--- a/packages/steering/src/common/plan/placement.ts
+++ b/packages/steering/src/common/plan/placement.ts
@@ -19,6 +19,8 @@
   readonly demand: Readonly<Record<string, number>>
   /** What other services place on links. */
   readonly linkUse: LinkUse
+  /** The part of each link's capacity that may be filled; 1 if left out. */
+  readonly linkLimit?: number
 }
 
 /** Demand on regions, never above the capacity of a region or link. */
@@ -52,7 +54,7 @@
 }
 
 function createState (input: PlacementInput): PlacementState {
-  const { configuration, capacities, demand, linkUse } = input
+  const { configuration, capacities, demand, linkUse, linkLimit = 1 } = input
   const room = new Map([...capacities].map(([region, capacity]) => [region, capacity.total]))
   const left = new Map<string, number>()
   const pairs: Pair[] = []
@@ -61,7 +63,7 @@
     if (!(wanted > 0)) continue
     left.set(client, wanted)
     for (const { region, oneWayMs, maxConcurrency } of rankRegionsByDelay(configuration, client)) {
-      const linkRoom = maxConcurrency - (linkUse[client]?.[region] ?? 0)
+      const linkRoom = maxConcurrency * linkLimit - (linkUse[client]?.[region] ?? 0)
       if (linkRoom > 0) pairs.push({ client, server: region, oneWayMs, amount: 0, linkRoom })
     }
   }
--- a/packages/steering/src/common/plan/servicePlan.ts
+++ b/packages/steering/src/common/plan/servicePlan.ts
@@ -71,6 +71,7 @@
  * @param unavailable failure domains that must not be used
  * @param demand expected requests at a time by client region
  * @param linkUse what other services already place on links
+ * @param loadLimit the part of the capacity of domains and links that may be filled
  * @returns the target, with version 0; a client region with nowhere to go has no weights
  */
 export function computeTargetPlan (
@@ -78,10 +79,11 @@
   service: string,
   unavailable: ReadonlySet<string>,
   demand: Demand = {},
-  linkUse: LinkUse = {}
+  linkUse: LinkUse = {},
+  loadLimit = 1
 ): ServicePlan {
-  const capacities = computeRegionCapacities(configuration, service, unavailable)
-  const placement = computePlacement({ configuration, capacities, demand, linkUse })
+  const capacities = computeRegionCapacities(configuration, service, unavailable, loadLimit)
+  const placement = computePlacement({ configuration, capacities, demand, linkUse, linkLimit: loadLimit })
   const weights: Record<string, DomainWeights> = {}
   for (const clientRegion of Object.keys(configuration.regions)) {
     weights[clientRegion] = (demand[clientRegion] ?? 0) > 0
@@ -90,3 +92,24 @@
   }
   return { service, version: 0, weights }
 }
+
+/**
+ * @param configuration capacities, links and drains
+ * @param service the service
+ * @param unavailable failure domains that must not be used
+ * @param demand expected requests at a time by client region
+ * @param linkUse what other services place on links
+ * @param loadLimit the part of capacities that may be filled
+ * @returns requests at a time by client region for which there is no room; empty if all fits
+ */
+export function findUnplaced (
+  configuration: SteeringConfiguration,
+  service: string,
+  unavailable: ReadonlySet<string>,
+  demand: Demand,
+  linkUse: LinkUse,
+  loadLimit: number
+): Readonly<Record<string, number>> {
+  const capacities = computeRegionCapacities(configuration, service, unavailable, loadLimit)
+  return computePlacement({ configuration, capacities, demand, linkUse, linkLimit: loadLimit }).unplaced
+}
--- /dev/null
+++ b/packages/steering/test/common/plan/planCluster.ts
@@ -0,0 +1,237 @@
+/**
+ * Planners, nodes and a store with a holder's key, driven by random operations:
+ * messages lag, holders are paused, answers are lost, measurements are old.
+ * After every operation the invariants of the plan are checked.
+ */
+import assert from 'node:assert/strict'
+import type { SteeringConfiguration } from '../../../src/common/configuration/configurationSchema.js'
+import type { NodeMeasurement } from '../../../src/common/plan/measurements.js'
+import { addMeasurement, NO_MEASUREMENTS, setMembers } from '../../../src/common/plan/measurements.js'
+import { acceptPlan, createNodeService, type NodeService, stepNodeService } from '../../../src/common/plan/nodePlan.js'
+import { updateFailures } from '../../../src/common/plan/placeFailures.js'
+import type { PlanDocument } from '../../../src/common/plan/planDocument.js'
+import { stepPlanner } from '../../../src/common/plan/planner.js'
+import { INITIAL_PLANNER, type PlannerEffect, PlannerEffectKind, type PlannerEvent, PlannerEventKind, type PlannerState } from '../../../src/common/plan/plannerState.js'
+import { computeTargetPlan } from '../../../src/common/plan/servicePlan.js'
+import { computeShift } from '../../../src/common/plan/stepPlan.js'
+import { buildDrained, DOMAINS, EPSILON, REGIONS, SERVICE } from './planArbitraries.js'
+
+/** A write on its way to the store. */
+interface WriteInFlight {
+  readonly planner: number
+  readonly holderToken: number
+  readonly document: PlanDocument
+  readonly sentAt: number
+}
+
+/** One node: what it uses and what it is asked to carry. */
+interface ClusterNode {
+  service: NodeService
+  readonly nodeId: string
+}
+
+export const PLANNERS = 2
+export const NODES = 3
+const LEASE_SPAN_MS = 5000
+
+/** The cluster; `now` is the same for all, as relative ages are what travels. */
+export class PlanCluster {
+  now = 0
+  /** Steps of the safe state rest on no measurement. */
+  areMeasurementsLost = false
+  configuration: SteeringConfiguration
+  demand: Record<string, number>
+  readonly stored: PlanDocument[] = []
+  readonly storedAt: number[] = []
+  readonly refused: PlanDocument[] = []
+  readonly planners: PlannerState[]
+  readonly nodes: ClusterNode[]
+  readonly writes: WriteInFlight[] = []
+  readonly lagging: NodeMeasurement[] = []
+  private configurationVersion = 1
+  private epoch = 0
+  private holderToken = 0
+  private readonly tokenOf: number[] = []
+  private failed: string | undefined
+
+  constructor (configuration: SteeringConfiguration, demand: Record<string, number>) {
+    this.configuration = configuration
+    this.demand = demand
+    const members = Array.from({ length: NODES }, (_, index) => ({ nodeId: `n${index}`, isHeard: true }))
+    this.planners = Array.from({ length: PLANNERS }, () => INITIAL_PLANNER)
+    const weights = computeTargetPlan(configuration, SERVICE, new Set()).weights
+    this.nodes = members.map(({ nodeId }) => ({ nodeId, service: createNodeService(weights, undefined, 0) }))
+    this.planners.forEach((_, index) => {
+      this.apply(index, { kind: PlannerEventKind.Members, members })
+      this.sendConfiguration(index)
+    })
+  }
+
+  get newest (): PlanDocument | undefined {
+    return this.stored.at(-1)
+  }
+
+  stepTime (spanMs: number): void {
+    this.now += spanMs
+  }
+
+  runTick (planner: number): void {
+    this.apply(planner, { kind: PlannerEventKind.Tick })
+  }
+
+  /** The store gives the lease to a planner; one that held it before is not told. */
+  putLease (planner: number): void {
+    this.epoch += 1
+    this.holderToken += 1
+    this.tokenOf[planner] = this.holderToken
+    this.writes.splice(0, this.writes.length, ...this.writes.filter((write) => write.planner !== planner))
+    const documents = this.newest === undefined ? [] : [this.newest]
+    this.apply(planner, { kind: PlannerEventKind.LeaseGained, epoch: this.epoch, deadline: this.now + LEASE_SPAN_MS, documents, wallOffsetMs: planner * 1000 })
+  }
+
+  /** A holder that is alive renews; one that lost its key learns that. */
+  renewLease (planner: number): void {
+    if (this.tokenOf[planner] === undefined) return
+    if (this.tokenOf[planner] === this.holderToken) this.apply(planner, { kind: PlannerEventKind.LeaseRenewed, deadline: this.now + LEASE_SPAN_MS })
+    else this.apply(planner, { kind: PlannerEventKind.LeaseLost })
+  }
+
+  /** A write reaches the store, in any order and as late as it likes. */
+  acceptWrite (index: number, isAnswerLost: boolean): void {
+    const [write] = this.writes.splice(index % Math.max(1, this.writes.length), 1)
+    if (write === undefined) return
+    const isHolder = write.holderToken === this.holderToken
+    const isNext = write.document.version === (this.newest?.version ?? 0) + 1
+    const isApplied = isHolder && isNext
+    if (isApplied) this.put(write)
+    else this.refused.push(write.document)
+    const { service } = write.document
+    if (isApplied && !isAnswerLost) this.apply(write.planner, { kind: PlannerEventKind.PlanSeen, document: write.document })
+    else this.apply(write.planner, { kind: PlannerEventKind.WriteFailed, service })
+  }
+
+  /** The newest plan reaches a node, or an older one does again. */
+  pushPlan (node: number, versionsBack: number): void {
+    const document = this.stored.at(-1 - versionsBack)
+    const target = this.nodes[node]
+    if (document === undefined || target === undefined) return
+    const before = target.service.agreed?.version ?? 0
+    target.service = acceptPlan(target.service, document, this.now)
+    assert.ok((target.service.agreed?.version ?? 0) >= before, 'a node went back to an older plan')
+  }
+
+  stepNode (node: number): void {
+    const target = this.nodes[node]
+    if (target === undefined) return
+    const before = target.service
+    const members = this.nodes.map(({ nodeId }) => ({ nodeId, isHeard: true }))
+    const measured = this.nodes.reduce((state, _, index) => addMeasurement(state, this.measure(index)), setMembers(NO_MEASUREMENTS, members))
+    const failedUntil = updateFailures(new Map(), this.listPlaces(), this.now)
+    target.service = stepNodeService(before, { service: SERVICE, configuration: this.configuration, failedUntil, utilization: {}, measurements: measured }, this.now)
+    const shift = computeShift(before.inForce, target.service.inForce)
+    if (shift <= EPSILON) return
+    const { planned, emergency, settleMs } = this.configuration.shiftCaps
+    assert.ok(shift <= Math.max(planned, emergency) + EPSILON, `a node moved ${shift}`)
+    if (this.failed === undefined && target.service.agreed?.isEmergency === false) assert.ok(shift <= planned + EPSILON, `a node moved ${shift} by the planned cap`)
+    assert.ok(this.now - before.steppedAt >= settleMs, 'a node stepped twice within the settle time')
+  }
+
+  /** A node measures now; the measurement arrives whenever `acceptMeasurement` picks it. */
+  takeMeasurement (node: number): void {
+    this.lagging.push(this.measure(node))
+  }
+
+  acceptMeasurement (index: number, planner: number): void {
+    const measurement = this.lagging[index % Math.max(1, this.lagging.length)]
+    if (measurement !== undefined) this.apply(planner, { kind: PlannerEventKind.Measured, measurement })
+  }
+
+  setDrains (domains: readonly string[]): void {
+    this.configuration = buildDrained(this.configuration, domains)
+    this.configurationVersion += 1
+    this.planners.forEach((_, index) => this.sendConfiguration(index))
+  }
+
+  setFailed (domain: string | undefined): void {
+    this.failed = domain
+    this.planners.forEach((_, index) => this.apply(index, { kind: PlannerEventKind.Places, places: this.listPlaces() }))
+  }
+
+  setStore (planner: number, isUp: boolean): void {
+    this.apply(planner, { kind: isUp ? PlannerEventKind.StoreUp : PlannerEventKind.StoreDown })
+  }
+
+  /** Everything works for a while: all messages arrive, one planner holds the lease. */
+  runCalmly (spanMs: number, stepMs = 100): void {
+    const until = this.now + spanMs
+    while (this.now < until) {
+      this.now += stepMs
+      this.renewLease(0)
+      this.runTick(0)
+      while (this.writes.length > 0) this.acceptWrite(0, false)
+      this.nodes.forEach((_, index) => {
+        this.pushPlan(index, 0)
+        this.stepNode(index)
+        this.apply(0, { kind: PlannerEventKind.Measured, measurement: this.measure(index) })
+      })
+    }
+  }
+
+  private measure (node: number): NodeMeasurement {
+    const target = this.nodes[node]
+    const demand = Object.fromEntries(REGIONS.map((region) => [region, (this.demand[region] ?? 0) / NODES]))
+    return { nodeId: `n${node}`, measuredAt: this.now, inForce: { [SERVICE]: target?.service.inForceVersion ?? 0 }, demand: { [SERVICE]: demand } }
+  }
+
+  private listPlaces (): Array<{ service: string, failureDomain: string, isFailed: boolean, utilization: number | undefined }> {
+    return DOMAINS.map((failureDomain) => ({ service: SERVICE, failureDomain, isFailed: failureDomain === this.failed, utilization: undefined }))
+  }
+
+  private sendConfiguration (planner: number): void {
+    this.apply(planner, { kind: PlannerEventKind.Configuration, version: this.configurationVersion, body: this.configuration })
+  }
+
+  private apply (planner: number, event: PlannerEvent): void {
+    const before = this.planners[planner] ?? INITIAL_PLANNER
+    const { state, effects } = stepPlanner(before, event, this.now)
+    this.planners[planner] = state
+    for (const effect of effects) this.handleEffect(planner, before, effect)
+  }
+
+  private handleEffect (planner: number, before: PlannerState, effect: PlannerEffect): void {
+    if (effect.kind === PlannerEffectKind.WritePlan) {
+      this.checkMeasured(before, effect.document)
+      this.writes.push({ planner, holderToken: this.tokenOf[planner] ?? 0, document: effect.document, sentAt: this.now })
+    }
+    if (effect.kind === PlannerEffectKind.ReadPlan && this.newest !== undefined) {
+      this.apply(planner, { kind: PlannerEventKind.PlanSeen, document: this.newest })
+    }
+  }
+
+  /** Each step rests on measurements that every node took after the step before, with that step in force. */
+  private checkMeasured (before: PlannerState, document: PlanDocument): void {
+    if (document.version === 1) return
+    const previousAt = this.storedAt[document.version - 2]
+    assert.ok(previousAt !== undefined, 'a step upon a version that the store has not taken')
+    assert.ok(before.lease !== undefined && before.lease.deadline > this.now, 'a step without a lease')
+    assert.ok(before.isStoreUp, 'a step while the store is down')
+    if (this.areMeasurementsLost) return
+    for (const { nodeId } of this.nodes) {
+      const known = before.measurements.byNode.get(nodeId)
+      assert.ok(known !== undefined && known.measuredAt > previousAt, `a step on old measurements of ${nodeId}`)
+      assert.ok((known.inForce[SERVICE] ?? 0) >= document.version - 1, `a step before ${nodeId} had the last one in force`)
+    }
+  }
+
+  private put ({ document }: WriteInFlight): void {
+    const previous = this.newest
+    if (previous !== undefined) {
+      const { planned, emergency } = this.configuration.shiftCaps
+      const cap = document.isEmergency ? emergency : planned
+      assert.ok(computeShift(previous.weights, document.weights) <= cap + EPSILON, 'a stored step above the cap')
+      assert.ok(document.epoch >= previous.epoch, 'an older epoch after a newer one')
+    }
+    this.stored.push(document)
+    this.storedAt.push(this.now)
+  }
+}
