--- a/packages/daemon/src/node/limits/loanKeeper.ts
+++ b/packages/daemon/src/node/limits/loanKeeper.ts
@@ -6,7 +6,7 @@
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { createDeadline, hasPassed } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { runDetached } from '@umberspar/base/common/detached'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
@@ -42,8 +42,13 @@
 const CONNECTIONS_PER_SLOT = 2
 const SHORTEST_LOAN_SPAN_MS = 10_000
 /** The loan outlasts the longest request that waits for it by so much. */
-const LOAN_MARGIN_MS = 1000
+const LOAN_MARGIN_MS = 1500
 const IDLE_SPAN_MS = 300
+/**
+ * Nothing starts on a loan that is older. A busy borrower would otherwise keep
+ * it while its owner waits; it may ask anew for what the owner leaves idle.
+ */
+const USE_SPAN_MS = 5000
 /** A place of whose slots this part is in use asks ahead of need. */
 const AHEAD_PART = 0.75
 
@@ -66,6 +71,7 @@
 export class LoanKeeper implements IClosable {
   private readonly rounds = new Map<PlacePool, PlaceRound>()
   private readonly usedAt = new Map<string, Instant>()
+  private readonly closesAt = new Map<string, Deadline>()
   private callsLeft = MAX_CALLS_PER_SECOND
   private refillAt: Instant = -Infinity
   private isLeaving = false
@@ -184,17 +190,23 @@
     const counted = Math.min(answer.deadline, request.deadline)
     const deadline = counted - (counted - sentAt) * CLOCK_RATE_MARGIN
     const { loanId, slots, connections } = answer
-    pool.ledger.addLoan({ loanId, lender: lender.address, lenderId: lender.nodeId, slotKey: request.workerId, slots, connections, deadline, inUse: 0 })
-    this.usedAt.set(loanId, this.parts.clock.now())
+    pool.ledger.addLoan({ loanId, lender: lender.address, lenderId: lender.nodeId, slotKey: request.workerId, slots, connections, deadline, inUse: 0, isClosing: false })
+    const acceptedAt = this.parts.clock.now()
+    this.usedAt.set(loanId, acceptedAt)
+    this.closesAt.set(loanId, createDeadline(acceptedAt, USE_SPAN_MS))
     this.parts.applyChange(pool)
     return true
   }
 
   private returnIdle (pool: PlacePool, now: Instant): void {
     for (const loan of pool.ledger.listBorrowed()) {
+      if (!loan.isClosing && hasPassed(this.closesAt.get(loan.loanId) ?? now, now)) {
+        loan.isClosing = true
+        this.parts.applyChange(pool)
+      }
       const usedAt = this.usedAt.get(loan.loanId) ?? now
       if (loan.inUse > 0) this.usedAt.set(loan.loanId, now)
-      else if (this.isLeaving || hasPassed(createDeadline(usedAt, IDLE_SPAN_MS), now)) this.returnLoan(pool, loan)
+      else if (this.isLeaving || loan.isClosing || hasPassed(createDeadline(usedAt, IDLE_SPAN_MS), now)) this.returnLoan(pool, loan)
     }
   }
 
@@ -202,6 +214,7 @@
     // Out of use before the message leaves: the lender may use the slots at once.
     pool.ledger.removeLoan(loan.loanId)
     this.usedAt.delete(loan.loanId)
+    this.closesAt.delete(loan.loanId)
     this.parts.applyChange(pool)
     runDetached(() => this.sendReturn(loan.lender, loan.loanId), this.parts.logger, 'return-loan')
   }
--- a/packages/daemon/src/node/places/placePool.ts
+++ b/packages/daemon/src/node/places/placePool.ts
@@ -250,6 +250,8 @@
       this.table.release(workerId)
       this.ledger.release(slot)
       this.updateDemand(-1)
+      // Its slot is gone with the request: a waiting one must not start in its place.
+      if (slot.loan?.isClosing === true) this.applyLedger()
       release()
     }
     return {
--- a/packages/steering/src/common/limits/loans.ts
+++ b/packages/steering/src/common/limits/loans.ts
@@ -29,6 +29,8 @@
   /** On the borrower's clock; requests on the loan must have ended by then. */
   readonly deadline: Deadline
   inUse: number
+  /** Nothing starts on it any more; it goes back when the last request on it has ended. */
+  isClosing: boolean
 }
 
 /** Where a request runs: on an own slot or on a loan's. */
--- a/packages/steering/src/common/limits/placeLedger.ts
+++ b/packages/steering/src/common/limits/placeLedger.ts
@@ -40,7 +40,7 @@
    * @returns slots that may be used now, taken ones included
    */
   countSlots (slotKey: string, until: Deadline): number {
-    return Math.max(0, this.getPart(slotKey).slots - this.countLent(slotKey)) + this.countBorrowed(slotKey, until, (loan) => loan.slots)
+    return Math.max(0, this.getPart(slotKey).slots - this.countLent(slotKey)) + this.countBorrowed(slotKey, until, countLoanSlots)
   }
 
   /**
@@ -49,7 +49,7 @@
    * @returns slots on which it can start
    */
   countFree (slotKey: string, until: Deadline): number {
-    return this.countOwnFree(slotKey) + this.countBorrowed(slotKey, until, (loan) => loan.slots - loan.inUse)
+    return this.countOwnFree(slotKey) + this.countBorrowed(slotKey, until, (loan) => countLoanSlots(loan) - loan.inUse)
   }
 
   /**
@@ -59,7 +59,7 @@
   countPlaceSlots (until: Deadline): number {
     let borrowed = 0
     for (const loan of this.borrowed.values()) {
-      if (loan.deadline >= until) borrowed += loan.slots
+      if (loan.deadline >= until) borrowed += countLoanSlots(loan)
     }
     return Math.max(0, this.placePart - this.countAllLent()) + borrowed
   }
@@ -90,7 +90,7 @@
     }
     let best: BorrowedLoan | undefined
     for (const loan of this.borrowed.values()) {
-      if (loan.slotKey !== slotKey || loan.inUse >= loan.slots || loan.deadline < until) continue
+      if (loan.slotKey !== slotKey || loan.inUse >= countLoanSlots(loan) || loan.deadline < until) continue
       if (best === undefined || loan.deadline < best.deadline) best = loan
     }
     if (best === undefined) return undefined
@@ -252,6 +252,10 @@
   }
 }
 
+function countLoanSlots (loan: BorrowedLoan): number {
+  return loan.isClosing ? loan.inUse : loan.slots
+}
+
 function buildLoanId (loan: { readonly borrowerId: string, readonly loanId: string }): string {
   return `${loan.borrowerId}/${loan.loanId}`
 }
--- a/packages/steering/test/common/limits/limitWorld.ts
+++ b/packages/steering/test/common/limits/limitWorld.ts
@@ -222,7 +222,7 @@
         isOpen = false
         const deadline = sentAt + Math.min(span, spanMs) * (1 - CLOCK_RATE_MARGIN)
         const { slots, connections } = answer
-        from.ledger.addLoan({ loanId, lender: '', lenderId: to.nodeId, slotKey, slots, connections, deadline, inUse: 0 })
+        from.ledger.addLoan({ loanId, lender: '', lenderId: to.nodeId, slotKey, slots, connections, deadline, inUse: 0, isClosing: false })
         from.update()
       })
     })
