Write log lines without an environment variable

Cause: roarr stays silent unless ROARR_LOG is set when it is loaded; a daemon with wrong settings or a broken certificate ended with code 2 and not a word.

--- a/packages/base/src/node/roarrLogger.ts
+++ b/packages/base/src/node/roarrLogger.ts
@@ -1,4 +1,5 @@
 /** JSON-line logs by roarr. */
+import './roarrSwitch.js'
 import { Roarr, ROARR } from 'roarr'
 import type { ILogger, LogContext } from '../common/logger.js'
 import { LogLevel } from '../common/logger.js'
