--- a/packages/testing/test/node/hardening/fuzz.test.ts
+++ b/packages/testing/test/node/hardening/fuzz.test.ts
@@ -128,17 +128,26 @@
 const worker = fc.record({
   workerId: fc.string(), utilization: fc.double(), inFlight: fc.integer({ min: 0 }), ageMs: fc.integer({ min: 0 }), isDraining: fc.boolean(), isHealthy: fc.boolean()
 })
+const demand = fc.array(fc.record({ service: fc.string(), clientRegion: fc.string(), concurrency: fc.double(), ageMs: fc.integer({ min: 0 }) }), { maxLength: 2 })
+const anyState = fc.integer({ min: -1, max: 9 })
+const anyUint64 = fc.bigInt({ min: 0n, max: 2n ** 64n - 1n })
+const member = fc.record({
+  nodeId: fc.string(), incarnation: anyUint64, beat: anyUint64, state: anyState, documents: fc.array(version, { maxLength: 2 }), demand, isSuspected: fc.boolean()
+})
 const digest = fc.record({
   nodeId: fc.oneof(fc.string(), fc.constant('stranger')),
-  state: fc.integer({ min: -1, max: 9 }),
-  incarnation: fc.bigInt({ min: 0n, max: 2n ** 64n - 1n }),
+  state: anyState,
+  incarnation: anyUint64,
+  beat: anyUint64,
+  members: fc.array(member, { maxLength: 2 }),
+  confirmedAgeMs: fc.integer({ min: 0 }),
   documents: fc.array(version, { maxLength: 3 }),
   workers: fc.array(worker, { maxLength: 3 }),
   region: fc.string(),
   failureDomain: fc.string(),
-  demand: fc.array(fc.record({ service: fc.string(), clientRegion: fc.string(), concurrency: fc.double(), ageMs: fc.integer({ min: 0 }) }), { maxLength: 2 })
+  demand
 })
-const chunk = fc.record({ document: fc.option(version, { nil: undefined }), index: fc.integer({ min: 0, max: 3 }), data: fc.uint8Array({ maxLength: 40 }).map((bytes) => Buffer.from(bytes)), isLast: fc.boolean() })
+const chunk = fc.record({ document: fc.option(version, { nil: undefined }), index: fc.integer({ min: 0, max: 3 }), data: fc.uint8Array({ maxLength: 40 }).map((bytes) => Buffer.from(bytes)), isLast: fc.boolean(), originId: fc.string(), isRegional: fc.boolean() })
 const noise = fc.uint8Array({ maxLength: 200 })
 const message = fc.oneof(
   noise.map((bytes) => [0, bytes] as const),
