--- a/packages/platform/src/node/tls/tlsMaterial.ts
+++ b/packages/platform/src/node/tls/tlsMaterial.ts
@@ -33,12 +33,12 @@
  */
 export async function loadTlsMaterial (section: string, files: TlsFiles, nowWallMs: number): Promise<Result<TlsMaterial, StepError>> {
   try {
-    const certificate = await readOptional(section, 'certificate', files.certificate)
+    const certificates = await readCertificates(section, 'certificate', files.certificate)
     const key = await readOptional(section, 'key', files.key)
-    const ca = await readOptional(section, 'ca', files.ca)
-    const material = { certificate, key, ca }
-    if (ca !== undefined) parseCertificates(`${section}.ca`, files.ca ?? '', ca)
-    const expiresAtWallMs = certificate === undefined ? undefined : checkIdentity(section, files, certificate, key, nowWallMs)
+    const authorities = await readCertificates(section, 'ca', files.ca)
+    const material = { certificate: encodePem(certificates), key, ca: encodePem(authorities) }
+    const own = certificates?.[0]
+    const expiresAtWallMs = own === undefined ? undefined : checkIdentity(section, files, own, key, nowWallMs)
     checkContext(section, files, material)
     return new Ok({ ...material, expiresAtWallMs })
   } catch (thrown) {
@@ -57,23 +57,34 @@
   }
 }
 
-function parseCertificates (field: string, path: string, pem: Buffer): X509Certificate[] {
+async function readCertificates (section: string, name: string, path: string | undefined): Promise<X509Certificate[] | undefined> {
+  const pem = await readOptional(section, name, path)
+  if (pem === undefined) return undefined
+  const field = `${section}.${name}`
   const blocks = pem.toString('latin1').match(PEM_CERTIFICATE) ?? []
-  if (blocks.length === 0) throw createError(field, path, 'the file holds no certificate in PEM')
+  if (blocks.length === 0) throw createError(field, path ?? '', 'the file holds no certificate in PEM')
   try {
     return blocks.map((block) => new X509Certificate(block))
   } catch {
-    throw createError(field, path, 'the file holds a certificate that can\'t be parsed')
+    throw createError(field, path ?? '', 'the file holds a certificate that can\'t be parsed')
   }
 }
 
+/**
+ * Writes anew what was parsed. Two files joined without a line end between them
+ * would pass the check here, while OpenSSL reads the first certificate only: a new
+ * CA would look installed and not be trusted.
+ */
+function encodePem (certificates: readonly X509Certificate[] | undefined): Buffer | undefined {
+  return certificates === undefined ? undefined : Buffer.from(certificates.map(String).join('\n'))
+}
+
 /** The first certificate of the file is the own one; intermediate ones follow. */
-function checkIdentity (section: string, files: TlsFiles, pem: Buffer, keyPem: Buffer | undefined, nowWallMs: number): number {
+function checkIdentity (section: string, files: TlsFiles, own: X509Certificate, keyPem: Buffer | undefined, nowWallMs: number): number {
   const path = files.certificate ?? ''
-  const [own] = parseCertificates(`${section}.certificate`, path, pem)
-  const expiresAtWallMs = Date.parse(own!.validTo)
-  if (expiresAtWallMs <= nowWallMs) throw createError(`${section}.certificate`, path, `the certificate ended at ${own!.validTo}`)
-  if (!own!.checkPrivateKey(parseKey(section, files.key ?? '', keyPem))) {
+  const expiresAtWallMs = Date.parse(own.validTo)
+  if (expiresAtWallMs <= nowWallMs) throw createError(`${section}.certificate`, path, `the certificate ended at ${own.validTo}`)
+  if (!own.checkPrivateKey(parseKey(section, files.key ?? '', keyPem))) {
     throw createError(`${section}.key`, files.key ?? '', 'the key does not belong to the certificate')
   }
   return expiresAtWallMs
--- a/packages/testing/test/node/hardening/peersTls.test.ts
+++ b/packages/testing/test/node/hardening/peersTls.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { writeFile } from 'node:fs/promises'
 import { afterEach, test } from 'node:test'
 import { CloseStack } from '@umberspar/base/common/closing'
 import { createDeadline } from '@umberspar/base/common/deadline'
@@ -89,6 +90,14 @@
   const newMember = await createParty(newAuthority, 'member')
   assert.equal(await canReach(createClient(oldMember.keeper), address), true)
   assert.equal(await canReach(createClient(newMember.keeper), address), false)
+  await writeFile(server.files.ca, oldAuthority.certificate + newAuthority.certificate)
+  assert.equal(await server.keeper.renew(), true)
+  await newMember.files.update(await newAuthority.createKey({ name: 'member' }), oldAuthority)
+  assert.equal(await newMember.keeper.renew(), true)
+  assert.equal(await canReach(createClient(oldMember.keeper), address), true)
+  assert.equal(await canReach(createClient(newMember.keeper), address), true)
+  await newMember.files.update(await newAuthority.createKey({ name: 'member' }), newAuthority)
+  assert.equal(await newMember.keeper.renew(), true)
   await server.files.update(await newAuthority.createKey({ name: 'server', addresses: [HOST] }), newAuthority)
   assert.equal(await server.keeper.renew(), true)
   assert.equal(await canReach(createClient(newMember.keeper), address), true)
