--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -84,11 +84,12 @@
     if (!loaded.ok) return loaded
     const tls = this.owned.add(loaded.val)
     this.tls = tls
-    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random, tls }, this.owned)
+    const metrics = this.createMetrics()
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics, clock: this.clock, random: this.random, tls }, this.owned)
     this.parts = parts
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
-    const opened = await this.openListeners(parts, tls)
+    const opened = await this.openListeners(parts, tls, metrics)
     if (!opened.ok) {
       await this.close()
       return opened
@@ -151,13 +152,13 @@
     return new StatsdMetrics({ ...statsd, tags: { node: this.settings.nodeId }, logger: this.logger })
   }
 
-  private async openListeners (parts: DaemonParts, tls: DaemonTls): Promise<Result<void, StepError>> {
+  private async openListeners (parts: DaemonParts, tls: DaemonTls, metrics: IMetrics): Promise<Result<void, StepError>> {
     const { clock, logger, settings } = this
     const isForwarder = (address: string): boolean => parts.regions.isForwarder(address)
-    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests), { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger }))
+    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests), { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger, metrics }))
     this.callers = callers
     const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
-    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never, { limits: settings.operators.limits, tls: tls.get(TlsSide.Operators), clock, logger }))
+    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never, { limits: settings.operators.limits, tls: tls.get(TlsSide.Operators), clock, logger, metrics }))
     const peerAddress = await parts.peerServer.listen()
     if (!peerAddress.ok) return peerAddress
     const operatorAddress = await operators.listen(this.settings.operators.address)
--- a/packages/daemon/src/node/httpListener.ts
+++ b/packages/daemon/src/node/httpListener.ts
@@ -3,6 +3,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import { ErrorCode, StepError, toStepError } from '@umberspar/base/common/errors'
 import { type ILogger, logError, LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
+import { type IMetrics, NULL_METRICS } from '@umberspar/base/common/metrics'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { DEFAULT_LISTENER_LIMITS, type ListenerLimits } from '@umberspar/platform/node/settings/listenerSettings'
@@ -31,6 +32,8 @@
   readonly clock?: IClock
   /** For failures that no handler expected. */
   readonly logger?: ILogger
+  /** Counts what is refused as `listener.refused`, by listener and reason. */
+  readonly metrics?: IMetrics
 }
 
 /** A listening HTTP server. */
@@ -40,6 +43,7 @@
   private readonly bodies: BodyProgress
   private readonly connections: ConnectionLimits
   private readonly logger: ILogger
+  private readonly metrics: IMetrics
   /** Connections that end with the answer to a refused request. */
   private readonly refused = new WeakSet<Socket>()
   private readonly renewal: IClosable | undefined
@@ -51,14 +55,16 @@
   ) {
     this.limits = options.limits ?? DEFAULT_LISTENER_LIMITS
     this.logger = options.logger ?? NULL_LOGGER
-    this.bodies = new BodyProgress(options.clock ?? new SystemClock(), this.limits.bodyProgressWithinMs, this.limits.minBodyBytes)
-    this.connections = new ConnectionLimits(this.limits.maxConnectionsPerAddress, options.isForwarder ?? (() => false))
+    this.metrics = options.metrics ?? NULL_METRICS
+    this.bodies = new BodyProgress(options.clock ?? new SystemClock(), this.limits.bodyProgressWithinMs, this.limits.minBodyBytes, () => { this.countRefusal('stalled-body') })
+    this.connections = new ConnectionLimits(this.limits.maxConnectionsPerAddress, options.isForwarder ?? (() => false), () => { this.countRefusal('address-limit') })
     this.server = this.createServer(options.tls)
     this.renewal = options.tls?.onDidChange((material) => { (this.server as TlsServer).setSecureContext(toContextOptions(material)) })
     this.server.maxConnections = this.limits.maxConnections
     this.server.maxRequestsPerSocket = this.limits.maxRequestsPerConnection
     // Node.js drops fields above its own limit unseen; the gate counts them and refuses.
     this.server.maxHeadersCount = 0
+    this.server.on('drop', () => { this.countRefusal('connection-limit') })
     this.server.on('connection', (socket: Socket) => { this.connections.accept(socket) })
     // Without a listener Node.js resets the connection; the caller would not learn why.
     this.server.on('connect', (_request: IncomingMessage, socket: Duplex) => { socket.end(CONNECT_REFUSAL) })
@@ -96,6 +102,10 @@
     this.server.closeAllConnections()
   }
 
+  private countRefusal (reason: string): void {
+    this.metrics.count('listener.refused', 1, { listener: this.name, reason })
+  }
+
   private createServer (tls: TlsKeeper | undefined): Server | TlsServer {
     const { headersWithinMs, idleWithinMs, maxHeaderBytes } = this.limits
     const options: ServerOptions = {
@@ -124,6 +134,7 @@
     const refusal = checkRequest(request, this.limits)
     if (refusal !== undefined) {
       this.refused.add(request.socket)
+      this.countRefusal(`status-${refusal.status}`)
       answerRefusal(response, refusal)
       return
     }
--- a/packages/daemon/src/node/listener/bodyProgress.ts
+++ b/packages/daemon/src/node/listener/bodyProgress.ts
@@ -22,24 +22,20 @@
 export class BodyProgress implements IClosable {
   private readonly open = new Set<OpenBody>()
   private timer: ITimer | undefined
-  private stalledCount = 0
 
   /**
    * @param clock the source of time
    * @param span within which progress is expected, in milliseconds
    * @param minBytes the least progress
+   * @param onStall called for each request ended because its body stood still
    */
   constructor (
     private readonly clock: IClock,
     private readonly span: number,
-    private readonly minBytes: number
+    private readonly minBytes: number,
+    private readonly onStall: () => void
   ) {}
 
-  /** @returns requests ended since the start because their body stood still */
-  get stalled (): number {
-    return this.stalledCount
-  }
-
   /**
    * Watches a request until its body has come whole or its connection has closed.
    * @param request just received
@@ -83,7 +79,7 @@
     // has paused the socket, and no sender could make progress then.
     const isHeldBack = request.readableLength >= request.readableHighWaterMark
     if (!isHeldBack && received - entry.bytesThen < this.minBytes) {
-      this.stalledCount++
+      this.onStall()
       this.open.delete(entry)
       request.destroy(new Error('the body made no progress'))
       return
--- a/packages/daemon/src/node/listener/connectionLimits.ts
+++ b/packages/daemon/src/node/listener/connectionLimits.ts
@@ -5,22 +5,18 @@
 /** Counts connections and refuses those above the limit. */
 export class ConnectionLimits {
   private readonly openByAddress = new Map<string, number>()
-  private refusedCount = 0
 
   /**
    * @param maxPerAddress connections of one client address
    * @param isExempt whether an address carries many clients and is not limited
+   * @param onRefuse called for each connection refused
    */
   constructor (
     private readonly maxPerAddress: number,
-    private readonly isExempt: (address: string) => boolean
+    private readonly isExempt: (address: string) => boolean,
+    private readonly onRefuse: () => void
   ) {}
 
-  /** @returns connections refused since the start */
-  get refused (): number {
-    return this.refusedCount
-  }
-
   /**
    * Takes a new connection in, or destroys it: one client that opens connections
    * without end would otherwise leave none for the others.
@@ -32,7 +28,7 @@
     if (this.isExempt(address)) return true
     const open = this.openByAddress.get(address) ?? 0
     if (open >= this.maxPerAddress) {
-      this.refusedCount++
+      this.onRefuse()
       socket.destroy()
       return false
     }
--- a/packages/daemon/test/node/listener/bodyProgress.test.ts
+++ b/packages/daemon/test/node/listener/bodyProgress.test.ts
@@ -54,7 +54,8 @@
 // last may be ended.
 test('a body that drips is ended; a slow one, and one that the upstream holds back, go on', () => {
   const clock = new StepClock()
-  const progress = new BodyProgress(clock, 1000, 100)
+  let stalled = 0
+  const progress = new BodyProgress(clock, 1000, 100, () => { stalled++ })
   const [slow, held, dripping, done] = [new FakeRequest(), new FakeRequest(), new FakeRequest(), new FakeRequest()]
   for (const request of [slow, held, dripping, done]) progress.watch(request as unknown as IncomingMessage)
   held.readableLength = held.readableHighWaterMark
@@ -65,7 +66,7 @@
     clock.stepTo(at)
   }
   assert.deepEqual([slow, held, dripping, done].map((request) => request.isDestroyed), [false, false, true, false])
-  assert.equal(progress.stalled, 1)
+  assert.equal(stalled, 1)
   held.readableLength = 0
   clock.stepTo(13_000)
   assert.equal(held.isDestroyed, true)
--- a/packages/daemon/test/node/listener/httpListener.test.ts
+++ b/packages/daemon/test/node/listener/httpListener.test.ts
@@ -144,6 +144,16 @@
   assert.deepEqual(half.statuses, [408])
 })
 
+// Somebody announces a photo, sends two bytes of it and waits: the request would
+// hold a worker's slot until its deadline.
+test('a body that stands still ends its connection, one that comes on is served', async () => {
+  const { address, requests } = await startListener({ bodyProgressWithinMs: 100, minBodyBytes: 10 })
+  const stalled = await exchangeRaw(address, `${POST}Content-Length: 1000\r\n\r\nab`)
+  assert.deepEqual([stalled.isClosed, requests], [true, []])
+  const whole = await exchangeRaw(address, `${POST}Content-Length: 2\r\n\r\nab`, (text) => text.endsWith('served'))
+  assert.deepEqual([whole.statuses, requests], [[200], ['POST /p ab']])
+})
+
 // One client address opens connections without end; another must still get one.
 test('connections are bounded per client address and in total, forwarders per address not', async () => {
   const isForwarder = (address: string): boolean => address === '127.0.0.9'
