--- a/packages/testing/test/node/hardening/daemonTls.test.ts
+++ b/packages/testing/test/node/hardening/daemonTls.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { connect } from 'node:net'
 import { afterEach, test } from 'node:test'
 import { Agent, request } from 'undici'
 import { CloseStack } from '@umberspar/base/common/closing'
@@ -10,6 +11,8 @@
 import { ExitCode } from '@umberspar/cli/common/exitCode'
 import { runCli } from '@umberspar/cli/node/runCli'
 import { createDaemon, type Daemon } from '@umberspar/daemon/node/daemon'
+import { HttpListener } from '@umberspar/daemon/node/httpListener'
+import { DEFAULT_LISTENER_LIMITS } from '@umberspar/platform/node/settings/listenerSettings'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { TlsKeeper } from '@umberspar/platform/node/tls/tlsKeeper'
 import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
@@ -156,3 +159,24 @@
   assert.equal(await probe(await stranger.createKey({ name: 'worker', addresses: ['127.0.0.1'] }), authority.certificate), false)
   assert.equal(await probe(await authority.createKey({ name: 'worker', addresses: ['10.9.9.9'] }), authority.certificate), false)
 })
+
+// Somebody opens connections to the TLS listener and never begins a handshake, or
+// speaks plain HTTP there; each would keep a connection of the limited number.
+test('a connection that begins no handshake, or speaks plain text, is ended', async () => {
+  const authority = await TestAuthority.create('ca')
+  const files = closing.add(await CertificateFiles.write(await authority.createKey({ name: 'listener' }), authority))
+  const loaded = await TlsKeeper.load({ section: 'callers.tls', files: { certificate: files.certificate, key: files.key }, clock, logger: NULL_LOGGER })
+  assert.ok(loaded.ok)
+  const limits = { ...DEFAULT_LISTENER_LIMITS, headersWithinMs: 100 }
+  const listener = closing.add(new HttpListener('callers', (_request, response) => { response.end() }, { limits, tls: closing.add(loaded.val) }))
+  const address = await listener.listen('127.0.0.1:0')
+  assert.ok(address.ok)
+  const [host = '', port = ''] = address.val.split(':')
+  const waitForEnd = (text: string): Promise<void> => new Promise((resolve) => {
+    const socket = connect(Number(port), host, () => { socket.write(text) })
+    socket.on('error', () => {})
+    socket.resume()
+    socket.once('close', () => resolve())
+  })
+  await Promise.all([waitForEnd(''), waitForEnd('GET / HTTP/1.1\r\nHost: a\r\n\r\n')])
+})
