Let the transport say that an attempt was late

Change: AttemptError.isLate, set where the deadline's timer ends the attempt.

Conclusion: the outcome (unknown) was right before too; the kind is now as well.

--- a/packages/daemon/src/node/request/classifyAnswer.ts
+++ b/packages/daemon/src/node/request/classifyAnswer.ts
@@ -1,5 +1,4 @@
 /** Maps what the transport reports to the rows and columns of the outcome table. */
-import { type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { ErrorCode } from '@umberspar/base/common/errors'
 import type { Instant } from '@umberspar/base/common/clock'
 import type { AttemptError } from '@umberspar/platform/node/upstream/upstreamTransport'
@@ -23,27 +22,24 @@
   return status === refusal.status && headers[refusal.header.toLowerCase()] === refusal.value
 }
 
-function findAnswerState (error: AttemptError, deadline: Deadline, now: Instant): AnswerState {
+function findAnswerState (error: AttemptError): AnswerState {
   if (error.code === ErrorCode.Cancelled) return AnswerState.Abandoned
-  if (error.code === ErrorCode.DeadlinePassed || hasPassed(deadline, now)) return AnswerState.Late
+  if (error.isLate) return AnswerState.Late
   return error.hasHeaders ? AnswerState.Broken : AnswerState.Nothing
 }
 
 /**
  * @param error how an attempt failed, before or after the head of its answer
- * @param deadline of the attempt
- * @param now the present
  * @returns what the attempt says of the request
  */
-export function classifyAttemptError (error: AttemptError, deadline: Deadline, now: Instant): Outcome {
+export function classifyAttemptError (error: AttemptError): Outcome {
   const sent = error.mayHaveSent ? SentState.MayHaveLeft : SentState.Nothing
-  return classifyExchange(sent, findAnswerState(error, deadline, now))
+  return classifyExchange(sent, findAnswerState(error))
 }
 
 /** What decides whether a failure counts against a worker. */
 export interface BlameView {
   readonly sentAt: Instant
-  readonly deadline: Deadline
   readonly now: Instant
   /** What the worker may be expected to answer within, in milliseconds. */
   readonly expectedSpan: number
@@ -58,6 +54,5 @@
  */
 export function isWorkersFault (error: AttemptError, view: BlameView): boolean {
   if (NOT_THE_WORKERS_FAULT.has(error.code)) return false
-  const isLate = hasPassed(view.deadline, view.now)
-  return !isLate || view.now - view.sentAt >= view.expectedSpan
+  return !error.isLate || view.now - view.sentAt >= view.expectedSpan
 }
--- a/packages/daemon/src/node/request/requestRun.ts
+++ b/packages/daemon/src/node/request/requestRun.ts
@@ -3,7 +3,7 @@
  * feeds what happens back into it. All decisions are in `requestFlow`.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import type { IRandomSource } from '@umberspar/base/common/random'
@@ -170,12 +170,12 @@
   private handleFailure (attemptId: number, attempt: RunAttempt, grant: SlotGrant, error: AttemptError): void {
     const { context } = this.input
     const now = this.parts.clock.now()
-    if (isWorkersFault(error, { sentAt: attempt.sentAt, deadline: context.deadline, now, expectedSpan: context.settings.objective.latencyMs })) {
+    if (isWorkersFault(error, { sentAt: attempt.sentAt, now, expectedSpan: context.settings.objective.latencyMs })) {
       grant.table.observeFailure(grant.workerId, now)
     }
     grant.release(error.mayHaveSent ? this.getHoldEnd() : undefined)
-    const outcome = classifyAttemptError(error, context.deadline, now)
-    if (error.code !== ErrorCode.Cancelled) this.lastError = hasPassed(context.deadline, now) ? createLateError(error) : error
+    const outcome = classifyAttemptError(error)
+    if (error.code !== ErrorCode.Cancelled) this.lastError = error.isLate ? createLateError(error) : error
     this.apply({ kind: FlowEventKind.AttemptFailed, attemptId, outcome })
   }
 
--- a/packages/platform/src/node/upstream/attempt.ts
+++ b/packages/platform/src/node/upstream/attempt.ts
@@ -39,6 +39,8 @@
 export interface AttemptErrorDetails extends StepErrorDetails {
   readonly mayHaveSent: boolean
   readonly hasHeaders: boolean
+  /** False if left out. */
+  readonly isLate?: boolean
 }
 
 /** Why an attempt failed. */
@@ -47,12 +49,15 @@
   readonly mayHaveSent: boolean
   /** Whether the response's headers had come; the error is then on the body's stream. */
   readonly hasHeaders: boolean
+  /** The deadline ended it; timers may fire a fraction of a millisecond early, so the clock cannot tell. */
+  readonly isLate: boolean
 
   constructor (details: AttemptErrorDetails) {
     super(details)
     this.name = 'AttemptError'
     this.mayHaveSent = details.mayHaveSent
     this.hasHeaders = details.hasHeaders
+    this.isLate = details.isLate ?? false
   }
 }
 
--- a/packages/platform/src/node/upstream/attemptHandler.ts
+++ b/packages/platform/src/node/upstream/attemptHandler.ts
@@ -100,8 +100,9 @@
 
   private cancel (code: ErrorCode, message: string): void {
     if (this.phase === Phase.Over) return
-    const isLate = code === ErrorCode.DeadlinePassed && this.phase !== Phase.Waiting
-    const error = this.createError(isLate ? ErrorCode.EffectUnknown : code, message)
+    const isLate = code === ErrorCode.DeadlinePassed
+    const isSentLate = isLate && this.phase !== Phase.Waiting
+    const error = this.createError(isSentLate ? ErrorCode.EffectUnknown : code, message, undefined, isLate)
     this.controller?.abort(error)
     // Before the start there is no controller; after it abort has called onResponseError already.
     this.settleFailure(error)
@@ -137,7 +138,7 @@
     return body
   }
 
-  private createError (code: ErrorCode, message: string, cause?: unknown): AttemptError {
+  private createError (code: ErrorCode, message: string, cause?: unknown, isLate = false): AttemptError {
     return new AttemptError({
       code,
       step: ATTEMPT_STEP,
@@ -145,7 +146,8 @@
       message: `${this.request.workerId}: ${message}`,
       cause,
       mayHaveSent: this.phase !== Phase.Waiting,
-      hasHeaders: this.phase === Phase.Answering
+      hasHeaders: this.phase === Phase.Answering,
+      isLate
     })
   }
 }
