--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -108,6 +108,7 @@
     const claim = claimed.val
     const headers = removeHopByHop(request.headers)
     delete headers.host
+    headers['x-forwarded-for'] = this.parts.regions.buildForwardedFor(request)
     const bounded = claim === undefined ? context : { ...context, deadline: claim.deadline }
     const ran = await this.parts.runner.run(bounded, headers, body.val)
     if (ran.ok) return await this.answer(context, ran.val, claim, response)
@@ -161,7 +162,8 @@
     const current = this.parts.keeper.current
     if (current === undefined) return createLocalError(ErrorCode.Unavailable, 'no configuration is in force yet')
     const target = parseTarget(request.url ?? '/')
-    const settings = target === undefined ? undefined : current.body.services[target.service]
+    // A service named like a member of every object (`constructor`) must not be found.
+    const settings = target !== undefined && Object.hasOwn(current.body.services, target.service) ? current.body.services[target.service] : undefined
     if (target === undefined || settings === undefined) return createLocalError(ErrorCode.NotFound, `no service stands behind ${request.url}`)
     const spanMs = parseSpan(getHeader(request, 'umberspar-timeout-ms'), settings.answerWithinMs)
     if (spanMs === undefined) return createLocalError(ErrorCode.Invalid, 'umberspar-timeout-ms: expected a whole number of milliseconds above 0')
