--- a/packages/daemon/src/node/request/classifyAnswer.ts
+++ b/packages/daemon/src/node/request/classifyAnswer.ts
@@ -56,3 +56,20 @@
   if (NOT_THE_WORKERS_FAULT.has(error.code)) return false
   return !error.isLate || view.now - view.sentAt >= view.expectedSpan
 }
+
+/** Failures of a connection that its worker has closed. */
+const CLOSED_BY_WORKER: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'])
+
+/**
+ * A worker that closed the connection itself has nothing left to hear. If we
+ * ended the attempt, it runs on until word of it has arrived, and a new request
+ * on the slot would be one more than the worker's limit.
+ * @param error how an attempt failed
+ * @returns whether the worker may still run the request for a while
+ */
+export function mayStillRun (error: AttemptError): boolean {
+  if (!error.mayHaveSent) return false
+  if (error.isLate || error.code === ErrorCode.Cancelled) return true
+  const code = (error.cause as { readonly code?: string } | undefined)?.code ?? ''
+  return !CLOSED_BY_WORKER.has(code)
+}
--- a/packages/daemon/src/node/request/requestRun.ts
+++ b/packages/daemon/src/node/request/requestRun.ts
@@ -16,7 +16,7 @@
 import { computeRetryAfter } from '@umberspar/steering/common/request/retryAfter'
 import type { Outcome } from '@umberspar/steering/common/state/outcome'
 import type { SlotGrant } from '../places/placePool.js'
-import { classifyAttemptError, DRAINING_HEADER, isRefusal, isWorkersFault } from './classifyAnswer.js'
+import { classifyAttemptError, DRAINING_HEADER, isRefusal, isWorkersFault, mayStillRun } from './classifyAnswer.js'
 import { AnswerEnd, type RequestFailure, type RunningAnswer } from './requestEnds.js'
 import { canRepeatBody, type RequestBody } from './requestBody.js'
 import type { RequestContext } from './requestContext.js'
@@ -173,7 +173,7 @@
     if (isWorkersFault(error, { sentAt: attempt.sentAt, now, expectedSpan: context.settings.objective.latencyMs })) {
       grant.table.observeFailure(grant.workerId, now)
     }
-    grant.release(error.mayHaveSent ? this.getHoldEnd() : undefined)
+    grant.release(mayStillRun(error) ? this.getHoldEnd() : undefined)
     const outcome = classifyAttemptError(error)
     if (error.code !== ErrorCode.Cancelled) this.lastError = error.isLate ? createLateError(error) : error
     this.apply({ kind: FlowEventKind.AttemptFailed, attemptId, outcome })
