Tell callers of an entry VM without a configuration that it is not ready

Cause: it answered 502 upstream-failed without Retry-After, though nothing was sent and a second later it usually has one.

Change: 503 not-ready, not-run, Retry-After 1.

--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -5,6 +5,7 @@
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import { removeHopByHop } from '@umberspar/steering/common/request/headers'
+import { ProblemKind } from '@umberspar/steering/common/request/requestProblem'
 import { findRoute, isIdempotent } from '@umberspar/steering/common/request/route'
 import type { Outcome } from '@umberspar/steering/common/state/outcome'
 import type { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
@@ -22,7 +23,7 @@
 import { AnswerEnd, type RequestFailure, type RunningAnswer } from '../request/requestEnds.js'
 import type { RequestRunner } from '../request/requestRunner.js'
 import type { ClientRegions } from './clientRegions.js'
-import { answerProblem } from './problem.js'
+import { answerProblem, type ProblemExtras } from './problem.js'
 
 const SERVICES_PREFIX = '/v1/services/'
 const SERVER_ERROR = 500
@@ -30,6 +31,9 @@
 /** What the outcome table says where nothing was sent to any upstream. */
 const UNSENT = classifyExchange(SentState.Nothing, AnswerState.Nothing)
 
+/** Told while no configuration is in force, which a starting daemon has within seconds. */
+const NOT_READY: ProblemExtras = { kind: ProblemKind.NotReady, retryAfterSeconds: 1 }
+
 /** The column of the outcome table for each way an answer's body can end. */
 const STATE_BY_END: Readonly<Record<AnswerEnd, AnswerState>> = {
   [AnswerEnd.Whole]: AnswerState.Whole,
@@ -78,7 +82,8 @@
     response.once('close', () => { if (!response.writableFinished) gone.abort() })
     const context = this.createContext(request, requestId, gone.signal)
     if (context instanceof StepError) {
-      answerProblem(response, context, UNSENT, requestId)
+      const isNotReady = context.code === ErrorCode.Unavailable
+      answerProblem(response, context, UNSENT, requestId, isNotReady ? NOT_READY : {})
       return
     }
     this.open++
