--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -7,6 +7,7 @@
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
+import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
 
 /** The measurements, by the name on the command line. */
@@ -14,18 +15,23 @@
   Lookup = 'lookup',
   Request = 'request',
   ScaleLookup = 'scale-lookup',
-  ScaleChange = 'scale-change'
+  ScaleChange = 'scale-change',
+  ScaleFleet = 'scale-fleet',
+  ScaleRegions = 'scale-regions'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
-  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT
+  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleFleet]: FLEET_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleRegions]: REGION_SCALE_MEASUREMENT
 }
 
 const DEFAULT_SECONDS = 10
 const DEFAULT_RATE = 200
+const DEFAULT_SIZES = [25, 50, 100, 200]
 const EXIT_NOT_VALID = 1
 
 interface MeasureCall {
@@ -43,11 +49,12 @@
     .option('deployment', { choices: Object.values(DeploymentName), default: DeploymentName.Teratai, describe: 'which example deployment' })
     .option('seconds', { type: 'number', default: DEFAULT_SECONDS, describe: 'how long each part measures' })
     .option('rate', { type: 'number', default: DEFAULT_RATE, describe: 'requests a second, where the load is fixed' })
+    .option('sizes', { type: 'number', array: true, default: DEFAULT_SIZES, describe: 'sizes of fleet, where they vary' })
     .option('seed', { type: 'number', default: 1, describe: 'seed of all that is random' })
     .strict()
     .parseSync()
-  const { deployment, seconds, rate, seed } = parsed
-  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed } }
+  const { deployment, seconds, rate, seed, sizes } = parsed
+  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed, sizes } }
 }
 
 async function main (): Promise<void> {
--- a/packages/testing/src/node/measure/measurement.ts
+++ b/packages/testing/src/node/measure/measurement.ts
@@ -12,6 +12,8 @@
   readonly seconds: number
   /** Requests a second, where a measurement offers a fixed load. */
   readonly rate: number
+  /** Sizes of fleet, where a measurement varies them. */
+  readonly sizes: readonly number[]
 }
 
 /** One measurement. */
