Check histories event by event and see requests that wait beyond the slots

Cause: the checker needed the whole run in memory, and it saw a worker's limit exceeded only when the worker itself ran too much. A worker with all slots busy that was sent one more request queued it, so the sum over entry VMs could exceed the slots unseen. A caller's error during a planned stop counted as cut even if a worker had reset that very request on purpose.

Change: HistoryChecker takes one event at a time and forgets what can break no promise any more; checkHistory sorts and feeds it. Worker stand-ins report Arrived when a request asks for a slot, and Faulted when they fail one on purpose; held requests beyond the slots are LimitExceeded. The tests of the stand-in name the longer sequences exactly.

Planted faults added: one key through two entry VMs, not-run after a run (also of a cancelled one), a waiting request beyond the slots, arrival at a worker that is safe to stop, an unknown outcome at a planned stop.

--- a/packages/testing/src/common/history/historyChecker.ts
+++ b/packages/testing/src/common/history/historyChecker.ts
@@ -1,194 +1,199 @@
-/** Checks a history against the product's promises to callers and upstreams. */
+/**
+ * Checks a history against the product's promises to callers and upstreams,
+ * event by event, so that a run need not be kept to be checked.
+ */
 import type { Instant } from '@umberspar/base/common/clock'
 import { AnswerKind, ExecutionEnd, HistoryEventKind } from './historyEvent.js'
-import type { AnsweredEvent, HistoryEvent, LimitDeclaredEvent } from './historyEvent.js'
-import { buildHistoryIndex, listPlannedSpans } from './historyIndex.js'
-import type { Execution, HistoryIndex, PlannedSpan } from './historyIndex.js'
-
-/** A promise that a history breaks. */
-export enum ViolationKind {
-  /** A request that may not be repeated, or an idempotency key, ran more than once. */
-  DoubledExecution = 'doubled-execution',
-  /** A caller was told `not-run` of an attempt that some worker ran. */
-  RanThoughNotRun = 'ran-though-not-run',
-  /** An answer ended as if complete although a part was missing. */
-  TruncatedAnswer = 'truncated-answer',
-  /** A caller got the answer to another request. */
-  CrossedAnswer = 'crossed-answer',
-  /** A worker ran more requests than it has slots, or had more connections than it bears. */
-  LimitExceeded = 'limit-exceeded',
-  /** A worker got new work although it had announced its drain, or after it was safe to stop. */
-  WorkAfterDrain = 'work-after-drain',
-  /** A planned stop cut off a request in flight. */
-  CutAtPlannedStop = 'cut-at-planned-stop'
-}
-
-/** One broken promise. */
-export interface Violation {
-  readonly kind: ViolationKind
-  readonly at: Instant
-  /** The request, key, worker or entry VM concerned. */
-  readonly subject: string
-  readonly detail: string
-}
+import type {
+  AnsweredEvent, ArrivedEvent, ConnectionsCountedEvent, ExecutionEndedEvent, ExecutionStartedEvent, HistoryEvent, IHistory, OfferedEvent
+} from './historyEvent.js'
+import { PlannedSpans } from './plannedSpans.js'
+import { RequestTable } from './requestTable.js'
+import type { RequestRecord } from './requestTable.js'
+import { ViolationKind } from './violation.js'
+import type { Violation } from './violation.js'
+import { WorkerTable } from './workerTable.js'
+
+export { countViolations, ViolationKind } from './violation.js'
+export type { Violation } from './violation.js'
 
 /** A leaving upstream gets no new work later than this after its announcement. */
 export const DRAIN_GRACE_MS = 2000
 
-type Check = (index: HistoryIndex) => Violation[]
-
-/** What each promise is checked by. */
-const CHECKS: Readonly<Record<ViolationKind, Check>> = {
-  [ViolationKind.DoubledExecution]: checkDoubledExecutions,
-  [ViolationKind.RanThoughNotRun]: checkNotRunAnswers,
-  [ViolationKind.TruncatedAnswer]: (index) => listAnswers(index, AnswerKind.Truncated, ViolationKind.TruncatedAnswer),
-  [ViolationKind.CrossedAnswer]: (index) => listAnswers(index, AnswerKind.Crossed, ViolationKind.CrossedAnswer),
-  [ViolationKind.LimitExceeded]: checkLimits,
-  [ViolationKind.WorkAfterDrain]: checkWorkAfterDrain,
-  [ViolationKind.CutAtPlannedStop]: checkPlannedStops
-}
-
-/**
- * @param events what callers, workers and planned changes left behind, on one time line
- * @returns every broken promise, in the order of the kinds; empty if all were kept
- */
-export function checkHistory (events: readonly HistoryEvent[]): Violation[] {
-  const index = buildHistoryIndex(events)
-  return Object.values(CHECKS).flatMap((check) => check(index))
-}
+/** An execution of something that must run once. */
+interface OnceRecord {
+  readonly workerId: string
+  isReported: boolean
+}
+
+type EventOfKind<K extends HistoryEventKind> = Extract<HistoryEvent, { readonly kind: K }>
+type EventHandlers = { readonly [K in HistoryEventKind]: (event: EventOfKind<K>) => void }
+
+/** What an answer is on its face. */
+const VIOLATION_BY_ANSWER: Readonly<Partial<Record<AnswerKind, ViolationKind>>> = {
+  [AnswerKind.Truncated]: ViolationKind.TruncatedAnswer,
+  [AnswerKind.Crossed]: ViolationKind.CrossedAnswer
+}
+
+/** Takes events in the order of their instants and tells each broken promise as soon as it shows. */
+export class HistoryChecker implements IHistory {
+  private readonly requests = new RequestTable()
+  private readonly workers = new WorkerTable()
+  private readonly drains = new PlannedSpans()
+  private readonly safeToStop = new PlannedSpans()
+  private readonly stops = new PlannedSpans()
+  private readonly onceByName = new Map<string, OnceRecord>()
+
+  private readonly handlers: EventHandlers = {
+    [HistoryEventKind.Sent]: (event) => this.requests.recordSent(event),
+    [HistoryEventKind.Answered]: (event) => this.checkAnswer(event),
+    [HistoryEventKind.Arrived]: (event) => this.checkArrival(event),
+    [HistoryEventKind.ExecutionStarted]: (event) => this.checkStart(event),
+    [HistoryEventKind.ExecutionEnded]: (event) => this.checkEnd(event),
+    [HistoryEventKind.Offered]: (event) => this.checkDrain(event),
+    [HistoryEventKind.FaultPlanted]: (event) => this.requests.recordFault(event),
+    [HistoryEventKind.LimitDeclared]: (event) => this.workers.setLimits(event),
+    [HistoryEventKind.ConnectionsCounted]: (event) => this.checkConnections(event),
+    [HistoryEventKind.DrainAnnounced]: ({ targets, at }) => this.drains.open(targets, at),
+    [HistoryEventKind.SafeToStop]: ({ targets, at }) => this.safeToStop.open(targets, at),
+    [HistoryEventKind.StopBegan]: ({ targets, at }) => this.stops.open(targets, at),
+    [HistoryEventKind.StopEnded]: ({ targets, at }) => this.stops.close(targets, at),
+    [HistoryEventKind.DrainWithdrawn]: ({ targets, at }) => {
+      this.drains.close(targets, at)
+      this.safeToStop.close(targets, at)
+    }
+  }
 
-/**
- * @param violations what a check found
- * @returns how often each kind was found; every kind is present
- */
-export function countViolations (violations: readonly Violation[]): Record<ViolationKind, number> {
-  const kinds = Object.values(ViolationKind)
-  const counts = Object.fromEntries(kinds.map((kind) => [kind, 0])) as Record<ViolationKind, number>
-  for (const violation of violations) counts[violation.kind] += 1
-  return counts
-}
+  /** @param onViolation is called for each broken promise */
+  constructor (private readonly onViolation: (violation: Violation) => void) {}
 
-function addToGroup<T> (groups: Map<string, T[]>, name: string, member: T): void {
-  const members = groups.get(name)
-  if (members === undefined) groups.set(name, [member])
-  else members.push(member)
-}
+  /** @returns how many requests and executions are remembered, for reports on memory */
+  countRemembered (): number {
+    return this.requests.size + this.onceByName.size
+  }
 
-/** Names under which an execution must be the only one. */
-function listOnceNames (index: HistoryIndex, execution: Execution): string[] {
-  const { requestId, service, idempotencyKey } = execution.started
-  const sent = index.sentById.get(requestId)
-  const names: string[] = []
-  if (idempotencyKey !== undefined) names.push(`key ${service}/${idempotencyKey}`)
-  if (sent !== undefined && !sent.isIdempotent) names.push(`operation ${sent.operationId}`)
-  return names
-}
+  /** @param event the next event; not earlier than the one before */
+  record (event: HistoryEvent): void {
+    const handle = this.handlers[event.kind] as (event: HistoryEvent) => void
+    handle(event)
+  }
 
-function checkDoubledExecutions (index: HistoryIndex): Violation[] {
-  const groups = new Map<string, Execution[]>()
-  for (const execution of index.executions) {
-    for (const name of listOnceNames(index, execution)) addToGroup(groups, name, execution)
+  private reportViolation (kind: ViolationKind, at: Instant, subject: string, detail: string): void {
+    this.onViolation({ kind, at, subject, detail })
   }
-  const violations = new Map<string, Violation>()
-  for (const [subject, members] of groups) {
-    const second = members[1]
-    if (second === undefined) continue
-    const ids = members.map(({ started }) => started.executionId).join()
-    const detail = `ran ${members.length} times, at ${members.map(({ started }) => started.workerId).join(', ')}`
-    // One doubled operation with a key is in two groups of the same members: one violation.
-    violations.set(ids, { kind: ViolationKind.DoubledExecution, at: second.started.at, subject, detail })
+
+  private checkAnswer (event: AnsweredEvent): void {
+    const { requestId, answer, at, detail } = event
+    const request = this.requests.recordAnswer(event)
+    const kind = VIOLATION_BY_ANSWER[answer]
+    if (kind !== undefined) this.reportViolation(kind, at, requestId, detail ?? '')
+    if (answer === AnswerKind.NotRun && request.ranAt !== undefined) {
+      this.reportViolation(ViolationKind.RanThoughNotRun, at, requestId, `ran at ${request.ranAt}, then: ${detail ?? ''}`)
+    }
+    this.checkCutAtEntry(event, request)
   }
-  return [...violations.values()]
-}
 
-function checkNotRunAnswers (index: HistoryIndex): Violation[] {
-  const executionById = new Map(index.executions.map((execution) => [execution.started.requestId, execution]))
-  const violations: Violation[] = []
-  for (const answer of index.answers) {
-    if (answer.answer !== AnswerKind.NotRun) continue
-    const execution = executionById.get(answer.requestId)
-    if (execution === undefined) continue
-    const detail = `ran at ${execution.started.workerId}`
-    violations.push({ kind: ViolationKind.RanThoughNotRun, at: answer.at, subject: answer.requestId, detail })
+  /** A caller loses its answer while the entry VM it asked is being stopped, and no worker spoilt that answer. */
+  private checkCutAtEntry ({ answer, requestId, at, detail }: AnsweredEvent, { sent, fault }: RequestRecord): void {
+    if (answer !== AnswerKind.Failed && answer !== AnswerKind.Unknown) return
+    if (fault !== undefined || sent === undefined || !this.stops.hasOverlap(sent.entry, sent.at, at)) return
+    this.reportViolation(ViolationKind.CutAtPlannedStop, at, requestId, `${answer} at ${sent.entry}: ${detail ?? ''}`)
   }
-  return violations
-}
 
-function listAnswers (index: HistoryIndex, answer: AnswerKind, kind: ViolationKind): Violation[] {
-  return index.answers
-    .filter((event) => event.answer === answer)
-    .map((event) => ({ kind, at: event.at, subject: event.requestId, detail: event.detail ?? '' }))
-}
+  private checkArrival (event: ArrivedEvent | ExecutionStartedEvent): void {
+    if (!this.workers.addHeld(event)) return
+    this.checkDrain(event)
+    const { workerId, at } = event
+    const held = this.workers.listHeld(workerId)
+    const slots = this.workers.getLimits(workerId)?.slots ?? Infinity
+    if (held.length <= slots) return
+    const holders = held.map(({ requestId, entryId, since }) => `${requestId} from ${entryId || '?'} since ${(at - since).toFixed(1)} ms`)
+    this.reportViolation(ViolationKind.LimitExceeded, at, workerId, `${held.length} requests for ${slots} slots: ${holders.join(', ')}`)
+  }
 
-/** Counts what runs at each worker, event by event. */
-function checkLimits (index: HistoryIndex): Violation[] {
-  const limits = new Map<string, LimitDeclaredEvent>()
-  const running = new Map<string, number>()
-  const violations: Violation[] = []
-  const report = (at: Instant, subject: string, detail: string): void => {
-    violations.push({ kind: ViolationKind.LimitExceeded, at, subject, detail })
+  private checkStart (event: ExecutionStartedEvent): void {
+    this.checkArrival(event)
+    const request = this.requests.recordStart(event)
+    this.checkOnce(event, request)
+    const { requestId, workerId, at } = event
+    if (request.wasToldNotRun) this.reportViolation(ViolationKind.RanThoughNotRun, at, requestId, `runs at ${workerId} after its caller was told`)
   }
-  for (const event of index.events) {
-    if (event.kind === HistoryEventKind.LimitDeclared) {
-      limits.set(event.workerId, event)
-    } else if (event.kind === HistoryEventKind.ExecutionStarted) {
-      const count = (running.get(event.workerId) ?? 0) + 1
-      running.set(event.workerId, count)
-      const slots = limits.get(event.workerId)?.slots ?? Infinity
-      if (count > slots) report(event.at, event.workerId, `${count} requests in ${slots} slots`)
-    } else if (event.kind === HistoryEventKind.ExecutionEnded) {
-      running.set(event.workerId, (running.get(event.workerId) ?? 0) - 1)
-    } else if (event.kind === HistoryEventKind.ConnectionsCounted) {
-      const bearable = limits.get(event.workerId)?.connections ?? Infinity
-      if (event.open > bearable) report(event.at, event.workerId, `${event.open} connections of ${bearable}`)
+
+  /** One operation with a key has two names; it is reported once. */
+  private checkOnce (event: ExecutionStartedEvent, request: RequestRecord): void {
+    const { workerId, at, requestId } = event
+    const known: OnceRecord[] = []
+    const names = listOnceNames(event, request)
+    for (const name of names) {
+      const record = this.onceByName.get(name)
+      if (record === undefined) this.onceByName.set(name, { workerId, isReported: false })
+      else known.push(record)
     }
+    const [first] = known
+    if (first === undefined || known.some(({ isReported }) => isReported)) return
+    for (const record of known) record.isReported = true
+    this.reportViolation(ViolationKind.DoubledExecution, at, names[0] ?? '', `ran at ${first.workerId}, and as ${requestId} at ${workerId}`)
   }
-  return violations
-}
 
-function findSpan (spans: readonly PlannedSpan[] | undefined, at: Instant, graceMs: number): PlannedSpan | undefined {
-  return spans?.find((span) => at > span.from + graceMs && at <= span.until)
-}
+  private checkEnd (event: ExecutionEndedEvent): void {
+    const held = this.workers.removeHeld(event)
+    const { workerId, at, end } = event
+    // Safe to stop means that nothing is in flight, so whatever ends otherwise was cut off by the stop.
+    if (held === undefined || end === ExecutionEnd.Answered || !this.stops.hasOverlap(workerId, held.since, at)) return
+    this.reportViolation(ViolationKind.CutAtPlannedStop, at, held.requestId, `cut at ${workerId}`)
+  }
 
-function checkWorkAfterDrain (index: HistoryIndex): Violation[] {
-  const announced = listPlannedSpans(index, HistoryEventKind.DrainAnnounced, HistoryEventKind.DrainWithdrawn)
-  const safe = listPlannedSpans(index, HistoryEventKind.SafeToStop, HistoryEventKind.DrainWithdrawn)
-  const violations: Violation[] = []
-  // Work that a draining worker had to refuse was sent there all the same.
-  const arrivals = [...index.executions.map(({ started }) => started), ...index.offers]
-  for (const { workerId, requestId, at } of arrivals) {
-    const late = findSpan(announced.get(workerId), at, DRAIN_GRACE_MS)
-    const unsafe = findSpan(safe.get(workerId), at, 0)
+  /** Work that a draining worker had to refuse was sent there all the same. */
+  private checkDrain ({ workerId, requestId, at }: ArrivedEvent | ExecutionStartedEvent | OfferedEvent): void {
+    const late = this.drains.find(workerId, at, DRAIN_GRACE_MS)
+    const unsafe = this.safeToStop.find(workerId, at, 0)
     const span = unsafe ?? late
-    if (span === undefined) continue
+    if (span === undefined) return
     const cause = unsafe === undefined ? 'the announced drain' : 'safe to stop'
-    const detail = `${requestId} came ${(at - span.from).toFixed(0)} ms after ${cause}`
-    violations.push({ kind: ViolationKind.WorkAfterDrain, at, subject: workerId, detail })
+    this.reportViolation(ViolationKind.WorkAfterDrain, at, workerId, `${requestId} came ${(at - span.from).toFixed(0)} ms after ${cause}`)
+  }
+
+  private checkConnections ({ workerId, open, at }: ConnectionsCountedEvent): void {
+    const bearable = this.workers.getLimits(workerId)?.connections ?? Infinity
+    if (open > bearable) this.reportViolation(ViolationKind.LimitExceeded, at, workerId, `${open} connections of ${bearable}`)
   }
-  return violations
 }
 
-function isOpenDuring (spans: readonly PlannedSpan[] | undefined, from: Instant, until: Instant): boolean {
-  return spans?.some((span) => from <= span.until && until >= span.from) ?? false
+/** Names under which an execution must be the only one. */
+function listOnceNames ({ service, idempotencyKey }: ExecutionStartedEvent, { sent }: RequestRecord): string[] {
+  const names: string[] = []
+  if (idempotencyKey !== undefined) names.push(`key ${service}/${idempotencyKey}`)
+  if (sent !== undefined && !sent.isIdempotent) names.push(`operation ${sent.operationId}`)
+  return names
 }
 
-function checkPlannedStops (index: HistoryIndex): Violation[] {
-  const stops = listPlannedSpans(index, HistoryEventKind.StopBegan, HistoryEventKind.StopEnded)
-  const kind = ViolationKind.CutAtPlannedStop
-  const atWorkers = index.executions.flatMap(({ started, ended }) => {
-    // Safe to stop means that nothing is in flight, so whatever ends otherwise was cut off by the stop.
-    if (ended === undefined || ended.end === ExecutionEnd.Answered) return []
-    if (!isOpenDuring(stops.get(started.workerId), started.at, ended.at)) return []
-    return [{ kind, at: ended.at, subject: started.requestId, detail: `cut at ${started.workerId}` }]
-  })
-  return [...atWorkers, ...index.answers.flatMap((answer) => listCutAtEntry(index, stops, answer))]
+/** At one instant, what a planned change concerns begins after its announcement and ends before its withdrawal. */
+const RANK_BY_KIND: Readonly<Partial<Record<HistoryEventKind, number>>> = {
+  [HistoryEventKind.LimitDeclared]: -1,
+  [HistoryEventKind.DrainAnnounced]: -1,
+  [HistoryEventKind.SafeToStop]: -1,
+  [HistoryEventKind.StopBegan]: -1,
+  [HistoryEventKind.DrainWithdrawn]: 1,
+  [HistoryEventKind.StopEnded]: 1
 }
 
-/** A caller loses its answer while the entry VM it asked is being stopped. */
-function listCutAtEntry (index: HistoryIndex, stops: Map<string, PlannedSpan[]>, answer: AnsweredEvent): Violation[] {
-  if (answer.answer !== AnswerKind.Failed && answer.answer !== AnswerKind.Unknown) return []
-  const sent = index.sentById.get(answer.requestId)
-  if (sent === undefined || !isOpenDuring(stops.get(sent.entry), sent.at, answer.at)) return []
-  const detail = `${answer.answer} at ${sent.entry}: ${answer.detail ?? ''}`
-  return [{ kind: ViolationKind.CutAtPlannedStop, at: answer.at, subject: answer.requestId, detail }]
+/**
+ * @param one an event
+ * @param other another
+ * @returns below 0 if `one` comes first; 0 keeps the order in which they were recorded
+ */
+export function compareEvents (one: HistoryEvent, other: HistoryEvent): number {
+  return one.at - other.at || (RANK_BY_KIND[one.kind] ?? 0) - (RANK_BY_KIND[other.kind] ?? 0)
+}
+
+/**
+ * @param events what callers, workers and planned changes left behind, in any order of several recorders
+ * @returns every broken promise, in the order of the kinds; empty if all were kept
+ */
+export function checkHistory (events: readonly HistoryEvent[]): Violation[] {
+  const found: Violation[] = []
+  const checker = new HistoryChecker((violation) => found.push(violation))
+  for (const event of [...events].sort(compareEvents)) checker.record(event)
+  const kinds = Object.values(ViolationKind)
+  return found.sort((one, other) => kinds.indexOf(one.kind) - kinds.indexOf(other.kind))
 }
--- a/packages/testing/src/common/history/historyEvent.ts
+++ b/packages/testing/src/common/history/historyEvent.ts
@@ -29,16 +29,20 @@
   /** The requesting side went away first. */
   Cancelled = 'cancelled',
   /** The worker broke off because it failed or was stopped. */
-  Cut = 'cut'
+  Cut = 'cut',
+  /** It left the worker's queue without having run. */
+  Abandoned = 'abandoned'
 }
 
 /** The kinds of history events. */
 export enum HistoryEventKind {
   Sent = 'sent',
   Answered = 'answered',
+  Arrived = 'arrived',
   ExecutionStarted = 'execution-started',
   ExecutionEnded = 'execution-ended',
   Offered = 'offered',
+  FaultPlanted = 'fault-planted',
   LimitDeclared = 'limit-declared',
   ConnectionsCounted = 'connections-counted',
   DrainAnnounced = 'drain-announced',
@@ -73,6 +77,21 @@
   readonly detail?: string
 }
 
+/**
+ * A request asks for a slot of a worker, whether it gets one at once, waits in
+ * the worker's queue or is refused because that is full.
+ */
+export interface ArrivedEvent {
+  readonly kind: HistoryEventKind.Arrived
+  readonly at: Instant
+  /** Also of the start, if it comes to that, and of the end. */
+  readonly executionId: number
+  readonly workerId: string
+  readonly requestId: string
+  /** The node id of the entry VM that sent it. */
+  readonly entryId: string
+}
+
 /** A worker begins to run a request. */
 export interface ExecutionStartedEvent {
   readonly kind: HistoryEventKind.ExecutionStarted
@@ -85,7 +104,7 @@
   readonly idempotencyKey?: string
 }
 
-/** A worker no longer runs a request. */
+/** A worker no longer runs a request, or no longer holds it in its queue. */
 export interface ExecutionEndedEvent {
   readonly kind: HistoryEventKind.ExecutionEnded
   readonly at: Instant
@@ -102,6 +121,16 @@
   readonly requestId: string
 }
 
+/** A worker stand-in is about to fail a request on purpose, so what its caller sees may be due to that. */
+export interface FaultPlantedEvent {
+  readonly kind: HistoryEventKind.FaultPlanted
+  readonly at: Instant
+  readonly workerId: string
+  readonly requestId: string
+  /** Which fault, for counts. */
+  readonly fault: string
+}
+
 /** What a worker bears, from this event on. */
 export interface LimitDeclaredEvent {
   readonly kind: HistoryEventKind.LimitDeclared
@@ -136,15 +165,23 @@
 export type HistoryEvent =
   | SentEvent
   | AnsweredEvent
+  | ArrivedEvent
   | ExecutionStartedEvent
   | ExecutionEndedEvent
   | OfferedEvent
+  | FaultPlantedEvent
   | LimitDeclaredEvent
   | ConnectionsCountedEvent
   | PlannedEvent
 
-/** Takes down the events of one run, in the order in which they happen. */
-export class HistoryRecorder {
+/** Where the events of a run go. */
+export interface IHistory {
+  /** @param event what happened, with its instant */
+  record(event: HistoryEvent): void
+}
+
+/** Keeps the events of one run, in the order in which they happen. */
+export class HistoryRecorder implements IHistory {
   private readonly recorded: HistoryEvent[] = []
 
   /** All events so far. */
--- a/packages/testing/src/node/load/caller.ts
+++ b/packages/testing/src/node/load/caller.ts
@@ -11,7 +11,7 @@
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { chooseWeighted } from '../../common/load/arrivals.js'
 import { AnswerKind, HistoryEventKind } from '../../common/history/historyEvent.js'
-import type { HistoryRecorder } from '../../common/history/historyEvent.js'
+import type { IHistory } from '../../common/history/historyEvent.js'
 import { decideNextStep, NextStep } from '../../common/load/repeatRules.js'
 import type { Operation } from '../../common/load/operation.js'
 import { classifyFailure, readAnswer, REQUEST_ID_HEADER } from './answerReader.js'
@@ -42,7 +42,7 @@
   /** The time a caller gives an operation, counted from its intended start. */
   readonly answerWithinMs: number
   readonly maxAttempts: number
-  readonly history?: HistoryRecorder
+  readonly history?: IHistory
 }
 
 /** How an operation ended. */
--- a/packages/testing/src/node/load/regionalLoad.ts
+++ b/packages/testing/src/node/load/regionalLoad.ts
@@ -4,7 +4,7 @@
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { SeededRandom } from '@umberspar/base/common/random'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
-import type { HistoryRecorder } from '../../common/history/historyEvent.js'
+import type { IHistory } from '../../common/history/historyEvent.js'
 import type { ServiceMix } from '../../common/load/mixes.js'
 import { OperationSource } from '../../common/load/operation.js'
 import { Caller } from './caller.js'
@@ -26,7 +26,9 @@
   /** Operations of each service from each region; without it services come by weight until `startUntil`. */
   readonly quota?: number
   readonly startUntil: Deadline
-  readonly history?: HistoryRecorder
+  readonly history?: IHistory
+  /** The time a caller gives an operation, in milliseconds; 10 s if left out. */
+  readonly answerWithinMs?: number
   readonly addressing?: CallerAddressing
 }
 
@@ -87,7 +89,7 @@
   }
 
   private createStream (region: string, index: number): RegionStream {
-    const { clock, configuration, mixes, bootstrapAddresses, history, quota, addressing } = this.options
+    const { clock, configuration, mixes, bootstrapAddresses, history, quota, addressing, answerWithinMs } = this.options
     const seed = this.options.seed + (index + 1) * REGION_SEED_STEP
     const settings = configuration.regions[region]
     const maxBodyBytes = Math.max(0, ...mixes.flatMap(({ templates }) => templates.map((template) => template.maxBodyBytes)))
@@ -101,7 +103,7 @@
       oneWayMs: settings?.clientDelayMs ?? 0,
       bootstrapAddresses,
       maxBodyBytes,
-      answerWithinMs: ANSWER_WITHIN_MS,
+      answerWithinMs: answerWithinMs ?? ANSWER_WITHIN_MS,
       maxAttempts: MAX_ATTEMPTS,
       history
     })
--- a/packages/testing/src/node/standIns/upstream/executionEvent.ts
+++ b/packages/testing/src/node/standIns/upstream/executionEvent.ts
@@ -3,6 +3,10 @@
 
 /** How far a request got. */
 export enum ExecutionKind {
+  /** It asks for a slot: from here on it counts against the worker's limit until it finished, was cancelled or refused. */
+  Arrived = 'arrived',
+  /** It is about to fail on purpose. */
+  Faulted = 'faulted',
   /** It has a slot and runs: from here on it counts as having run. */
   Started = 'started',
   /** It ran to its end; the answer may still be lost. */
@@ -32,6 +36,8 @@
 /** One step in a request's life at a worker. */
 export interface ExecutionEvent {
   readonly workerId: string
+  /** Differs for each request that the worker gets, also when a request id comes again. */
+  readonly exchangeId: number
   readonly requestId: string
   readonly method: string
   /** The path with its query as the worker got it. */
@@ -42,4 +48,6 @@
   readonly at: Instant
   readonly kind: ExecutionKind
   readonly reason?: StopReason
+  /** Of a `faulted` event: which fault. */
+  readonly fault?: string
 }
--- a/packages/testing/src/node/standIns/upstream/slotQueue.ts
+++ b/packages/testing/src/node/standIns/upstream/slotQueue.ts
@@ -14,6 +14,7 @@
   private readonly waiting = new Set<() => void>()
   private running = 0
   private peakRunning = 0
+  private peakWaiting = 0
 
   /**
    * @param slots how many run at a time
@@ -36,6 +37,11 @@
     return this.peakRunning
   }
 
+  /** @returns the most requests that ever waited at a time */
+  getPeakWaiting (): number {
+    return this.peakWaiting
+  }
+
   /** @returns whether one more request would be turned away */
   isFull (): boolean {
     return this.running >= this.slots && this.waiting.size >= this.maxQueue
@@ -76,6 +82,7 @@
         resolve(SlotAnswer.Granted)
       }
       this.waiting.add(acceptSlot)
+      this.peakWaiting = Math.max(this.peakWaiting, this.waiting.size)
       signal.addEventListener('abort', onAbort, { once: true })
     })
   }
--- a/packages/testing/src/node/standIns/upstream/workExchange.ts
+++ b/packages/testing/src/node/standIns/upstream/workExchange.ts
@@ -20,6 +20,8 @@
   readonly workerId: string
   readonly clock: IClock
   readonly random: IRandomSource
+  /** @returns a number that no other exchange of this worker has */
+  readonly takeExchangeId: () => number
   readonly slots: SlotQueue
   readonly getFaults: () => WorkerFaults
   readonly isDraining: () => boolean
@@ -45,6 +47,8 @@
 }
 
 const DEADLINE_STATUS = 504
+/** What the history calls the loss of a whole worker. */
+const WORKER_DOWN = 'worker-down'
 
 function getHeader (request: IncomingMessage, headerName: string): string | undefined {
   const value = request.headers[headerName]
@@ -54,6 +58,7 @@
 /** Runs one request. */
 export class WorkExchange {
   private readonly controller = new AbortController()
+  private readonly exchangeId: number
   private readonly requestId: string
   private readonly deadline: Deadline
   private readonly answerFault: AnswerFault | undefined
@@ -70,6 +75,7 @@
     const faults = owner.getFaults()
     this.requestFault = chooseFault(owner.random, faults.requestFaults)
     this.answerFault = chooseFault(owner.random, faults.answerFaults)
+    this.exchangeId = owner.takeExchangeId()
     this.requestId = getHeader(request, 'umberspar-request-id') ?? ''
     const timeLeft = Number(getHeader(request, 'umberspar-timeout-ms') ?? Infinity)
     this.deadline = createDeadline(owner.clock.now(), Number.isNaN(timeLeft) ? Infinity : timeLeft)
@@ -79,11 +85,15 @@
   async run (): Promise<void> {
     this.watchCaller()
     if (!await this.waitUntil(this.timing.arrivesAt)) return this.answerStopped()
+    if (this.requestFault !== undefined) this.recordFault(this.requestFault)
     if (this.requestFault === RequestFault.Hang) return this.waitForCaller()
     if (this.requestFault === RequestFault.Reset) return this.closeUnrun()
     if (this.requestFault === RequestFault.Refuse) return this.refuse(StopReason.Fault)
     if (this.owner.isDraining()) return this.refuse(StopReason.Draining)
-    if (this.owner.slots.isFull()) return this.refuse(StopReason.QueueFull)
+    if (this.owner.slots.isFull()) {
+      this.record(ExecutionKind.Arrived)
+      return this.refuse(StopReason.QueueFull)
+    }
     this.watchDeadline()
     try {
       await this.runAdmitted()
@@ -96,6 +106,7 @@
     const body = await this.readBody()
     if (body === undefined) return this.answerStopped()
     if (this.requestFault === RequestFault.RefuseAfterBody) return this.refuse(StopReason.Fault)
+    this.record(ExecutionKind.Arrived)
     const answer = await this.owner.slots.acquire(this.controller.signal)
     if (answer === SlotAnswer.Full) return this.refuse(StopReason.QueueFull)
     if (answer === SlotAnswer.Abandoned) return this.answerStopped()
@@ -129,6 +140,7 @@
   private watchCaller (): void {
     this.response.on('close', () => {
       if (this.response.writableFinished) return
+      if (this.owner.getFaults().isDown) this.recordFault(WORKER_DOWN)
       this.owner.clock.schedule(this.owner.clock.now() + this.timing.oneWayMs, () => this.stop(StopReason.CallerLeft))
     })
   }
@@ -220,21 +232,31 @@
     const complete: WorkerAnswer = { ...answer, headers }
     if (!mayFail || this.answerFault === undefined) return writeWhole(this.response, complete)
     const { lateSpanMs, trickleSpanMs } = this.owner.getFaults()
+    this.recordFault(this.answerFault)
     const lateAt = (this.deadline === Infinity ? clock.now() : this.deadline) + lateSpanMs
     await writeFaulty(this.answerFault, this.response, complete, { clock, trickleSpanMs, lateAt })
   }
 
   private record (kind: ExecutionKind, reason?: StopReason): void {
-    this.owner.onDidStep({
+    this.owner.onDidStep({ ...this.buildEvent(kind), ...(reason === undefined ? {} : { reason }) })
+  }
+
+  /** Before the fault shows, so that whoever sees it can be told why. */
+  private recordFault (fault: string): void {
+    this.owner.onDidStep({ ...this.buildEvent(ExecutionKind.Faulted), fault })
+  }
+
+  private buildEvent (kind: ExecutionKind): ExecutionEvent {
+    return {
       workerId: this.owner.workerId,
+      exchangeId: this.exchangeId,
       requestId: this.requestId,
       method: this.request.method ?? '',
       path: this.request.url ?? '',
       idempotencyKey: getHeader(this.request, 'idempotency-key'),
       entryId: getHeader(this.request, 'umberspar-entry') ?? '',
       at: this.owner.clock.now(),
-      kind,
-      ...(reason === undefined ? {} : { reason })
-    })
+      kind
+    }
   }
 }
--- a/packages/testing/src/node/standIns/upstreamWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/upstreamWorkerStandIn.ts
@@ -29,6 +29,8 @@
   readonly running: number
   readonly waiting: number
   readonly peakRunning: number
+  /** The most requests that ever waited because all slots were taken, probes included. */
+  readonly peakWaiting: number
   readonly connections: number
   readonly peakConnections: number
   readonly refusedConnections: number
@@ -58,6 +60,7 @@
   private refusedConnections = 0
   private probes = 0
   private openRequests = 0
+  private exchanges = 0
 
   /** Fires when a request starts, ends, is refused or given up. */
   readonly onDidExecute = this.didExecute.event
@@ -142,6 +145,7 @@
       running: this.queue.countRunning(),
       waiting: this.queue.countWaiting(),
       peakRunning: this.queue.getPeakRunning(),
+      peakWaiting: this.queue.getPeakWaiting(),
       connections: this.readyAtBySocket.size,
       peakConnections,
       refusedConnections,
@@ -263,6 +267,7 @@
       workerId,
       clock,
       random,
+      takeExchangeId: () => ++this.exchanges,
       slots: this.queue,
       getFaults: () => this.faults,
       isDraining: () => this.health.get(0) === WorkerHealth.Draining,
--- a/packages/testing/test/common/history/historyChecker.test.ts
+++ b/packages/testing/test/common/history/historyChecker.test.ts
@@ -10,6 +10,7 @@
 const WORKER = 'w1'
 const OTHER_WORKER = 'w2'
 const ENTRY = '127.0.0.1:7001'
+const OTHER_ENTRY = '127.0.0.1:7002'
 const SERVICE = 'escort-svc'
 const SLOTS = 2
 const CONNECTIONS = 3
@@ -22,6 +23,7 @@
   readonly key?: string
   readonly answer?: AnswerKind
   readonly end?: ExecutionEnd
+  readonly entry?: string
 }
 
 let nextExecutionId = 1
@@ -43,6 +45,19 @@
   ]
 }
 
+/** A request that waits in the worker's queue and leaves it without having run. */
+function buildWait (id: string, from: number, until: number, worker = WORKER): HistoryEvent[] {
+  const executionId = nextExecutionId++
+  return [
+    { kind: HistoryEventKind.Arrived, at: from, executionId, workerId: worker, requestId: id, entryId: 'entry-1' },
+    { kind: HistoryEventKind.ExecutionEnded, at: until, executionId, workerId: worker, end: ExecutionEnd.Abandoned }
+  ]
+}
+
+function buildFault (id: string, at: number): HistoryEvent {
+  return { kind: HistoryEventKind.FaultPlanted, at, workerId: WORKER, requestId: id, fault: 'reset' }
+}
+
 /** A caller's attempt without what happens at a worker. */
 function buildAttempt (plan: ExchangePlan): HistoryEvent[] {
   return [
@@ -54,7 +69,7 @@
       service: SERVICE,
       isIdempotent: plan.isIdempotent ?? false,
       idempotencyKey: plan.key,
-      entry: ENTRY
+      entry: plan.entry ?? ENTRY
     },
     { kind: HistoryEventKind.Answered, at: plan.sentAt + 12, requestId: plan.id, answer: plan.answer ?? AnswerKind.Whole }
   ]
@@ -89,6 +104,17 @@
     ...buildExchange({ id: 'f.1', sentAt: 2220, worker: OTHER_WORKER, end: ExecutionEnd.Cut, answer: AnswerKind.Unknown }),
     buildPlanned(HistoryEventKind.StopEnded, 2300),
     buildPlanned(HistoryEventKind.DrainWithdrawn, 2400),
+    // The worker reset this one by itself while the entry VM was being stopped: the stop did not cut it.
+    buildPlanned(HistoryEventKind.StopBegan, 3000, ENTRY),
+    ...buildExchange({ id: 'h.1', sentAt: 3010, answer: AnswerKind.Unknown }),
+    buildFault('h.1', 3020),
+    buildPlanned(HistoryEventKind.StopEnded, 3100, ENTRY),
+    // One asks for the second slot and leaves before it starts: within the limit.
+    ...buildExchange({ id: 'i.1', sentAt: 3200 }),
+    ...buildWait('j.1', 3205, 3210),
+    // Told "not-run" and then asked for a slot, but was withdrawn before it ran.
+    ...buildAttempt({ id: 'k.1', sentAt: 3300, answer: AnswerKind.NotRun }),
+    ...buildWait('k.1', 3310, 3330),
     ...buildExchange({ id: 'g.1', sentAt: 9000 })
   ]
 }
@@ -113,6 +139,27 @@
     kind: ViolationKind.DoubledExecution,
     events: () => [...buildExchange({ id: 'x.1', sentAt: 5000, key: 'k' }), ...buildExchange({ id: 'y.1', sentAt: 5100, key: 'k' })]
   },
+  {
+    title: 'one idempotency key runs through two entry VMs',
+    kind: ViolationKind.DoubledExecution,
+    events: () => [
+      ...buildExchange({ id: 'x.1', sentAt: 5000, key: 'k', answer: AnswerKind.Failed }),
+      ...buildExchange({ id: 'x.2', sentAt: 5100, key: 'k', entry: OTHER_ENTRY, worker: OTHER_WORKER })
+    ]
+  },
+  {
+    title: 'a caller is told not-run after a worker ran it',
+    kind: ViolationKind.RanThoughNotRun,
+    events: () => buildExchange({ id: 'x.1', sentAt: 5000, answer: AnswerKind.NotRun })
+  },
+  {
+    title: 'an idempotent request ran at one worker, was refused by another, and its caller is told not-run',
+    kind: ViolationKind.RanThoughNotRun,
+    events: () => [
+      ...buildExchange({ id: 'x.1', sentAt: 5000, isIdempotent: true, end: ExecutionEnd.Cancelled, answer: AnswerKind.NotRun }),
+      buildFault('x.1', 5002)
+    ]
+  },
   {
     title: 'a worker runs what the caller was told is not run, later',
     kind: ViolationKind.RanThoughNotRun,
@@ -136,6 +183,11 @@
     kind: ViolationKind.LimitExceeded,
     events: () => ['x.1', 'y.1', 'z.1'].flatMap((id) => buildExchange({ id, sentAt: 5000 }))
   },
+  {
+    title: 'a third request waits while two run in two slots',
+    kind: ViolationKind.LimitExceeded,
+    events: () => [...['x.1', 'y.1'].flatMap((id) => buildExchange({ id, sentAt: 5000 })), ...buildWait('z.1', 5005, 5009)]
+  },
   {
     title: 'a worker has more connections than it bears',
     kind: ViolationKind.LimitExceeded,
@@ -168,6 +220,26 @@
       buildPlanned(HistoryEventKind.DrainWithdrawn, 8000)
     ]
   },
+  {
+    title: 'a request reaches the queue of a worker that is safe to stop',
+    kind: ViolationKind.WorkAfterDrain,
+    events: () => [
+      buildPlanned(HistoryEventKind.SafeToStop, 5000),
+      ...buildWait('x.1', 5001, 5003),
+      buildPlanned(HistoryEventKind.DrainWithdrawn, 8000)
+    ]
+  },
+  {
+    title: 'a planned stop of a daemon leaves its caller without a word whether the request ran',
+    kind: ViolationKind.CutAtPlannedStop,
+    events: () => [
+      buildPlanned(HistoryEventKind.StopBegan, 5000, OTHER_ENTRY),
+      ...buildAttempt({ id: 'x.1', sentAt: 5001, answer: AnswerKind.Unknown, entry: OTHER_ENTRY }),
+      buildPlanned(HistoryEventKind.StopEnded, 5002, OTHER_ENTRY),
+      // Another request's fault excuses nothing.
+      buildFault('y.1', 5003)
+    ]
+  },
   {
     title: 'a planned stop of a worker cuts an execution',
     kind: ViolationKind.CutAtPlannedStop,
--- a/packages/testing/test/node/standIns/upstreamWorkerStandIn.test.ts
+++ b/packages/testing/test/node/standIns/upstreamWorkerStandIn.test.ts
@@ -78,7 +78,9 @@
       worker.setFaults({ answerFaults: { [fault]: 1 } })
       await assert.rejects(send('r1'))
       await waitForEvent(ExecutionKind.Finished)
-      assert.deepEqual(events.map((event) => event.kind), [ExecutionKind.Started, ExecutionKind.Finished])
+      assert.deepEqual(events.map((event) => event.kind), [
+        ExecutionKind.Arrived, ExecutionKind.Started, ExecutionKind.Finished, ExecutionKind.Faulted
+      ])
     })
   }
 
@@ -110,7 +112,10 @@
     await Promise.all(probes)
     const refusedIds = answers.flatMap((answer, index) => answer.status === 503 ? [`r${index}`] : [])
     assert.ok(refusedIds.length > 0)
-    assert.ok(refusedIds.every((requestId) => events.every((event) => event.requestId !== requestId || event.kind === ExecutionKind.Refused)))
+    for (const refusedId of refusedIds) {
+      const kinds = events.filter(({ requestId }) => requestId === refusedId).map(({ kind }) => kind)
+      assert.deepEqual(kinds, [ExecutionKind.Arrived, ExecutionKind.Refused])
+    }
     assert.ok(peak <= 3)
     assert.ok(worker.getGauges().peakRunning <= 3)
     assert.equal(worker.getGauges().running, 0)
@@ -136,7 +141,9 @@
     await assert.rejects(send('r1', '/assignments', { method: 'POST', body: Buffer.from('{}') }))
     worker.setFaults({ requestFaults: { [RequestFault.RefuseAfterBody]: 1 } })
     assert.equal((await send('r2', '/assignments', { method: 'POST', body: Buffer.from('{}') })).headers['umberspar-not-run'], '1')
-    assert.deepEqual(events.map((event) => event.kind), [ExecutionKind.Refused, ExecutionKind.Refused])
+    assert.deepEqual(events.map((event) => event.kind), [
+      ExecutionKind.Faulted, ExecutionKind.Refused, ExecutionKind.Faulted, ExecutionKind.Refused
+    ])
   })
 
   test('health and load lie when told to', async () => {
