--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -84,6 +84,7 @@
     }
     const headers = removeHopByHop(request.headers)
     delete headers.host
+    headers['x-forwarded-for'] = this.parts.regions.buildForwardedFor(request)
     const ran = await this.parts.runner.run(context, headers, body)
     if (ran.ok) return await this.answer(context, ran.val, response)
     const { error, outcome } = ran.val
@@ -116,7 +117,8 @@
     const current = this.parts.keeper.current
     if (current === undefined) return createLocalError(ErrorCode.Unavailable, 'no configuration is in force yet')
     const target = parseTarget(request.url ?? '/')
-    const settings = target === undefined ? undefined : current.body.services[target.service]
+    // A service named like a member of every object (`constructor`) must not be found.
+    const settings = target !== undefined && Object.hasOwn(current.body.services, target.service) ? current.body.services[target.service] : undefined
     if (target === undefined || settings === undefined) return createLocalError(ErrorCode.NotFound, `no service stands behind ${request.url}`)
     const spanMs = parseSpan(getHeader(request, 'umberspar-timeout-ms'), settings.answerWithinMs)
     if (spanMs === undefined) return createLocalError(ErrorCode.Invalid, 'umberspar-timeout-ms: expected a whole number of milliseconds above 0')
