Measure every promise over requests with faults, kills and outages

Change: npm run measure -- faults starts the stand-ins and twelve daemons as processes, plants faults in single requests, and runs four tracks of disturbances drawn from the seed (kills, planned restarts, store outages and lost answers, worker drains and losses). Workers' events come in batches and are checked in the order of their instants while the run goes on.

--- a/packages/testing/src/node/deployment/localDeployment.ts
+++ b/packages/testing/src/node/deployment/localDeployment.ts
@@ -11,7 +11,7 @@
 import type { Daemon } from '@umberspar/daemon/node/daemon'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
-import { HistoryEventKind, HistoryRecorder } from '../../common/history/historyEvent.js'
+import { HistoryRecorder } from '../../common/history/historyEvent.js'
 import type { DeploymentName } from '../../common/load/mixes.js'
 import { waitForCondition } from '../load/polling.js'
 import { buildEntryVm } from '../standIns/entrySettings.js'
@@ -19,6 +19,7 @@
 import { addPlatform, loadDeploymentFiles } from './deploymentFiles.js'
 import { ExecutionRecorder } from './executionRecorder.js'
 import { OperatorCalls } from './operatorCalls.js'
+import { buildConnectionsCounted, buildLimitDeclared } from './workerLimits.js'
 
 /** What to start. */
 export interface LocalDeploymentOptions {
@@ -113,18 +114,12 @@
     return waitForCondition(this.clock, createDeadline(this.clock.now(), spanMs), POLL_MS, isReady)
   }
 
-  /**
-   * Adds the peaks of connections to the history, for the check of limits. A
-   * worker stand-in closes connections beyond its limit at once, so its peak
-   * never shows the excess: what it turned away while full is added.
-   */
+  /** Adds the peaks of connections to the history, for the check of limits. */
   recordConnectionPeaks (): void {
     const at = this.clock.now()
     for (const { workerId, worker } of this.platform.fleet.listWorkers()) {
-      const { peakConnections, refusedConnections } = worker.getGauges()
-      const isFull = peakConnections >= (this.findLimits(workerId)?.connections ?? Infinity)
-      const open = isFull ? peakConnections + refusedConnections : peakConnections
-      this.history.record({ kind: HistoryEventKind.ConnectionsCounted, at, workerId, open })
+      const limits = buildLimitDeclared(this.configuration, workerId, at)
+      if (limits !== undefined) this.history.record(buildConnectionsCounted(limits, worker.getGauges(), at))
     }
   }
 
@@ -138,18 +133,12 @@
     const recorder = new ExecutionRecorder(this.history, (workerId) => fleet.findWorker(workerId)?.service ?? '')
     this.closing.add(fleet.onDidExecute((event) => recorder.handle(event)))
     const at = this.clock.now()
-    for (const member of fleet.listWorkers()) {
-      const limits = this.findLimits(member.workerId)
-      if (limits !== undefined) this.history.record({ kind: HistoryEventKind.LimitDeclared, at, workerId: member.workerId, ...limits })
+    for (const { workerId } of fleet.listWorkers()) {
+      const limits = buildLimitDeclared(this.configuration, workerId, at)
+      if (limits !== undefined) this.history.record(limits)
     }
   }
 
-  private findLimits (workerId: string): { slots: number, connections: number } | undefined {
-    const [service = '', failureDomain = '', workerName = ''] = workerId.split('/')
-    const worker = this.configuration.services[service]?.places[failureDomain]?.workers[workerName]
-    return worker === undefined ? undefined : { slots: worker.slots, connections: worker.connections }
-  }
-
   private async startDaemons (settings: readonly DaemonSettings[], options: LocalDeploymentOptions): Promise<void> {
     const logger = options.logger ?? NULL_LOGGER
     for (const [index, each] of settings.entries()) {
--- a/packages/testing/src/node/measure/childProgram.ts
+++ b/packages/testing/src/node/measure/childProgram.ts
@@ -101,6 +101,15 @@
     return this.exited
   }
 
+  /**
+   * Ends the program at once, as a crash does.
+   * @returns how it ended
+   */
+  async stopAtOnce (): Promise<ProgramExit> {
+    if (this.exit === undefined) this.child.kill('SIGKILL')
+    return this.exited
+  }
+
   /** Stops the program; one that does not stop within ten seconds is killed. */
   async close (): Promise<void> {
     const timer = setTimeout(() => this.child.kill('SIGKILL'), KILL_AFTER_MS)
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -3,23 +3,27 @@
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
+import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
+  Faults = 'faults',
   Lookup = 'lookup',
   Request = 'request'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Faults]: FAULTS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT
 }
 
 const DEFAULT_SECONDS = 10
 const DEFAULT_RATE = 200
+const DEFAULT_REQUESTS = 200_000
 const EXIT_NOT_VALID = 1
 
 interface MeasureCall {
@@ -36,12 +40,15 @@
     .command('$0 <name>', false, (command) => command.positional('name', { choices: names, demandOption: true, describe: 'what to measure' }))
     .option('deployment', { choices: Object.values(DeploymentName), default: DeploymentName.Teratai, describe: 'which example deployment' })
     .option('seconds', { type: 'number', default: DEFAULT_SECONDS, describe: 'how long each part measures' })
-    .option('rate', { type: 'number', default: DEFAULT_RATE, describe: 'requests a second, where the load is fixed' })
+    .option('rate', { type: 'number', describe: `requests a second, where the load is fixed; ${DEFAULT_RATE} unless the measurement has its own` })
+    .option('requests', { type: 'number', default: DEFAULT_REQUESTS, describe: 'requests to send, where they are counted' })
     .option('seed', { type: 'number', default: 1, describe: 'seed of all that is random' })
     .strict()
     .parseSync()
-  const { deployment, seconds, rate, seed } = parsed
-  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed } }
+  const { deployment, seconds, requests, seed } = parsed
+  const measurement = MEASUREMENTS[parsed.name as MeasurementName]
+  const rate = parsed.rate ?? measurement.defaultRate ?? DEFAULT_RATE
+  return { measurement, options: { deployment, seconds, rate, requests, seed } }
 }
 
 async function main (): Promise<void> {
--- a/packages/testing/src/node/measure/measurement.ts
+++ b/packages/testing/src/node/measure/measurement.ts
@@ -12,12 +12,16 @@
   readonly seconds: number
   /** Requests a second, where a measurement offers a fixed load. */
   readonly rate: number
+  /** How many requests to send, where a measurement counts them. */
+  readonly requests: number
 }
 
 /** One measurement. */
 export interface Measurement {
   /** One line for `--help`. */
   readonly summary: string
+  /** Requests a second if the command line names no rate; 200 if left out. */
+  readonly defaultRate?: number
   /** @returns why the measurement is not valid, or undefined */
   run(options: MeasureOptions): Promise<string | undefined>
 }
