--- a/packages/testing/test/node/hardening/peersTls.test.ts
+++ b/packages/testing/test/node/hardening/peersTls.test.ts
@@ -15,7 +15,7 @@
 const HOST = '127.0.0.1'
 const CALL_WITHIN_MS = 5000
 const clock = new SystemClock()
-const digest: Digest = { nodeId: 'a', region: 'r', failureDomain: 'f', incarnation: 1, state: NodeState.Live, documents: [], workers: [], demand: [] }
+const digest: Digest = { nodeId: 'a', region: 'r', failureDomain: 'f', incarnation: 1, beat: 1, members: [], confirmedAt: undefined, state: NodeState.Live, documents: [], workers: [], demand: [] }
 let closing = new CloseStack()
 
 afterEach(async () => {
