--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -9,12 +9,14 @@
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
+import { TLS_MEASUREMENT } from './tlsMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
   Faults = 'faults',
   Lookup = 'lookup',
   Request = 'request',
+  Tls = 'tls',
   ScaleLookup = 'scale-lookup',
   ScaleChange = 'scale-change'
 }
@@ -23,6 +25,7 @@
   [MeasurementName.Faults]: FAULTS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT
 }
