Give a claim a second before it is refused

Cause: in a demo run on a machine with a load of 33 on 12 cores, 25 claims of 4800 requests missed 500 ms and were refused as not-run.

Change: 1 s; after a failure the store still rests for a second.

Figures: whole test suite passes (326). The demo was not run again: the machine was too busy for its latencies to say anything.

Conclusion: to be looked at again on a quiet machine.

--- a/packages/steering/src/common/dedup/claimKeeper.ts
+++ b/packages/steering/src/common/dedup/claimKeeper.ts
@@ -16,7 +16,7 @@
 import type { StoreCallBudget } from './storeCallBudget.js'
 
 /** How long a claim may take; beyond it the request is refused as not run, in milliseconds. */
-const CLAIM_SPAN = 500
+const CLAIM_SPAN = 1_000
 /** Claims are refused at once for so long after the store was out of reach, in milliseconds. */
 const REST_SPAN = 1_000
 /** Writes of one claim: lost answers and takeovers that another arrival won. */
