--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -3,35 +3,51 @@
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
+import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
 import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
+import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
+import { HTTP_SCALE_MEASUREMENT } from './scale/httpScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
+import { TLS_MEASUREMENT } from './tlsMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
+  Faults = 'faults',
   Limits = 'limits',
   Lookup = 'lookup',
   Overload = 'overload',
   Request = 'request',
+  Tls = 'tls',
   ScaleLookup = 'scale-lookup',
-  ScaleChange = 'scale-change'
+  ScaleChange = 'scale-change',
+  ScaleHttp = 'scale-http',
+  ScaleFleet = 'scale-fleet',
+  ScaleRegions = 'scale-regions'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Faults]: FAULTS_MEASUREMENT,
   [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
-  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT
+  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleHttp]: HTTP_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleFleet]: FLEET_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleRegions]: REGION_SCALE_MEASUREMENT
 }
 
 const DEFAULT_SECONDS = 10
 const DEFAULT_RATE = 200
+const DEFAULT_SIZES = [25, 50, 100, 200]
+const DEFAULT_REQUESTS = 200_000
 const EXIT_NOT_VALID = 1
 
 interface MeasureCall {
@@ -48,12 +64,16 @@
     .command('$0 <name>', false, (command) => command.positional('name', { choices: names, demandOption: true, describe: 'what to measure' }))
     .option('deployment', { choices: Object.values(DeploymentName), default: DeploymentName.Teratai, describe: 'which example deployment' })
     .option('seconds', { type: 'number', default: DEFAULT_SECONDS, describe: 'how long each part measures' })
-    .option('rate', { type: 'number', default: DEFAULT_RATE, describe: 'requests a second, where the load is fixed' })
+    .option('rate', { type: 'number', describe: `requests a second, where the load is fixed; ${DEFAULT_RATE} unless the measurement has its own` })
+    .option('requests', { type: 'number', default: DEFAULT_REQUESTS, describe: 'requests to send, where they are counted' })
+    .option('sizes', { type: 'number', array: true, default: DEFAULT_SIZES, describe: 'sizes of fleet, where they vary' })
     .option('seed', { type: 'number', default: 1, describe: 'seed of all that is random' })
     .strict()
     .parseSync()
-  const { deployment, seconds, rate, seed } = parsed
-  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed } }
+  const { deployment, seconds, requests, seed, sizes } = parsed
+  const measurement = MEASUREMENTS[parsed.name as MeasurementName]
+  const rate = parsed.rate ?? measurement.defaultRate ?? DEFAULT_RATE
+  return { measurement, options: { deployment, seconds, rate, requests, seed, sizes } }
 }
 
 async function main (): Promise<void> {
