--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -1,7 +1,7 @@
 /** One `umberspard`: puts its parts together, starts them, and stops them in order. */
 import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
-import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { runDetached } from '@umberspar/base/common/detached'
 import type { StepError } from '@umberspar/base/common/errors'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import { type IMetrics, NULL_METRICS } from '@umberspar/base/common/metrics'
@@ -20,11 +20,9 @@
 import { buildOperatorApp } from './operators/operatorServer.js'
 import { HttpListener, splitAddress } from './httpListener.js'
 import { buildCallerApp } from './callers/callerServer.js'
-
-const DRAIN_POLL_MS = 20
-/** Callers may hold a look-up for its lifetime; the stop waits so much longer. */
-const LOOKUP_GRACE_MS = 500
-const MAX_STOP_SPAN_MS = 600_000
+import { DaemonStop, type StopReport, type StopTarget } from './stop/daemonStop.js'
+import { createLeavingListener } from './stop/leavingListener.js'
+import { LookupLifetime } from './stop/lookupLifetime.js'
 
 /** What a daemon takes from outside. */
 export interface DaemonDependencies {
@@ -46,7 +44,9 @@
   private parts: DaemonParts | undefined
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
-  private stopping: Promise<void> | undefined
+  private readonly lifetime = new LookupLifetime()
+  private leaving: DaemonStop | undefined
+  private stopping: Promise<StopReport> | undefined
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -74,6 +74,7 @@
     const digester = await createDigester()
     const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random }, this.owned)
     this.parts = parts
+    this.leaving = this.createStop(parts)
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
     const opened = await this.openListeners(parts)
@@ -92,37 +93,52 @@
   /**
    * Stops without harm to callers: out of look-ups first, then it serves until
    * cached look-ups have run out and the last open request has ended.
+   * @returns how many requests were cut off: none unless `stopWaiting` was called
    */
-  stop (): Promise<void> {
+  stop (): Promise<StopReport> {
     this.stopping ??= this.runStop()
     return this.stopping
   }
 
+  /** Ends a stop that waits: what is still open is cut off. */
+  stopWaiting (): void {
+    this.leaving?.stopWaiting()
+  }
+
   /** Ends everything at once, open requests too. */
   async close (): Promise<void> {
     await this.owned.close()
   }
 
-  private async runStop (): Promise<void> {
-    const parts = this.parts
-    if (parts === undefined) return
-    this.logger.log(LogLevel.Info, { step: 'stop', inFlight: parts.requests.inFlight }, 'leaving')
-    parts.peerService.state = NodeState.Leaving
-    this.applyState()
-    await parts.heartbeats.sendRound()
-    const cacheForMs = parts.keeper.current?.body.lookupCacheMs ?? 0
-    await this.waitUntil(createDeadline(this.clock.now(), cacheForMs + LOOKUP_GRACE_MS), () => false)
-    this.callers?.stop()
-    await this.waitUntil(createDeadline(this.clock.now(), MAX_STOP_SPAN_MS), () => parts.requests.inFlight === 0)
+  private async runStop (): Promise<StopReport> {
+    const report = await this.leaving?.run() ?? { cutRequests: 0 }
     await this.close()
-    this.logger.log(LogLevel.Info, { step: 'stop' }, 'stopped')
+    this.logger.log(LogLevel.Info, { step: 'stop', ...report }, 'stopped')
+    return report
   }
 
-  private async waitUntil (deadline: Deadline, isDone: () => boolean): Promise<void> {
-    while (!isDone() && !hasPassed(deadline, this.clock.now())) {
-      const next = Math.min(deadline, createDeadline(this.clock.now(), DRAIN_POLL_MS))
-      await new Promise<void>((resolve) => { this.clock.schedule(next, resolve) })
+  private createStop (parts: DaemonParts): DaemonStop {
+    const target: StopTarget = {
+      startLeaving: () => {
+        parts.peerService.state = NodeState.Leaving
+        this.applyState()
+      },
+      publishState: () => parts.heartbeats.sendRound(),
+      stopListening: () => this.callers?.stop(),
+      countOpenRequests: () => parts.requests.inFlight,
+      countConnections: async () => await this.callers?.countConnections() ?? 0
     }
+    return new DaemonStop(target, this.lifetime, this.clock, this.logger)
+  }
+
+  /** The platform's word that this VM will go takes it out of look-ups; taken back, it returns. */
+  private applyOwnVm (parts: DaemonParts): void {
+    const { peerService, members } = parts
+    if (peerService.state === NodeState.Joining) peerService.state = NodeState.Live
+    const listed = members.list().find((member) => member.vm.vmId === this.settings.nodeId)?.vm.state
+    if (this.stopping !== undefined || listed === undefined) return
+    if (listed === VmState.Live) peerService.state = NodeState.Live
+    else if (peerService.state === NodeState.Live) runDetached(() => this.leaving!.leave(), this.logger, 'leave')
   }
 
   private createMetrics (): IMetrics {
@@ -132,7 +148,7 @@
   }
 
   private async openListeners (parts: DaemonParts): Promise<Result<void, StepError>> {
-    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests)))
+    const callers = this.owned.add(new HttpListener('callers', createLeavingListener(buildCallerApp(parts.lookups, parts.requests), () => parts.peerService.state === NodeState.Leaving)))
     this.callers = callers
     const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
     const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never))
@@ -152,12 +168,15 @@
     const parts = this.parts
     const current = parts?.keeper.current
     if (parts === undefined || current === undefined) return
-    if (parts.peerService.state === NodeState.Joining) parts.peerService.state = NodeState.Live
+    this.applyOwnVm(parts)
+    this.lifetime.update(current.body.lookupCacheMs, this.clock.now())
     const nodes = this.listNodes(parts)
     const roster = nodes.map((node) => ({ ...node, state: NodeState.Live }))
     const workers = parts.places.update(current.body, roster)
     parts.transport.setWorkers(workers.map(({ address, connections }) => ({ address, connections })))
-    parts.prober.update(workers, nodes.map((node) => node.nodeId))
+    parts.reports.update(workers)
+    parts.reports.applyVmStates((vm) => parts.members.isUpstreamLeaving(vm))
+    parts.prober.update(workers)
     parts.plans.update(current.body)
     parts.regions.update(current.body)
     parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -1,6 +1,7 @@
 /** Creates the parts of a daemon and hands their ownership to one stack. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { CloseStack } from '@umberspar/base/common/closing'
+import { runDetached } from '@umberspar/base/common/detached'
 import type { ILogger } from '@umberspar/base/common/logger'
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import type { IRandomSource } from '@umberspar/base/common/random'
@@ -25,6 +26,7 @@
 import { PlaceDirectory } from './places/placeDirectory.js'
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
+import { WorkerReports } from './places/workerReports.js'
 import { RequestRunner } from './request/requestRunner.js'
 
 /** What the parts are made from. */
@@ -50,6 +52,7 @@
   readonly places: PlaceDirectory
   readonly plans: PlanKeeper
   readonly prober: WorkerProber
+  readonly reports: WorkerReports
   readonly transport: UndiciTransport
   readonly regions: ClientRegions
   readonly burn: BurnCounter
@@ -75,7 +78,7 @@
 }
 
 type ControlParts = Pick<DaemonParts, 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
-type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
+type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'reports' | 'transport'>
 type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats'>
 
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
@@ -96,17 +99,19 @@
   const transport = owned.add(new UndiciTransport({ clock }))
   const places = owned.add(new PlaceDirectory(settings.nodeId, clock, random))
   const plans = owned.add(new PlanKeeper(clock))
-  const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
-  return { places, plans, prober, transport }
+  const reports = owned.add(new WorkerReports(settings.nodeId, clock))
+  const prober = owned.add(new WorkerProber(settings.nodeId, transport, reports, clock, random, logger))
+  return { places, plans, prober, reports, transport }
 }
 
 function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, owned: CloseStack): PeerParts {
   const { settings, clock, random, logger } = inputs
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, clock)
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.reports, clock)
   const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
   const client = owned.add(new PeerClient({ clock }))
   const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, clock, random, logger))
+  traffic.reports.onDidFind((peerIds) => runDetached(() => heartbeats.sendTo(control.members.findPeers(peerIds)), logger, 'report-worker'))
   return { peerService, peerServer, heartbeats }
 }
--- a/packages/daemon/src/node/httpListener.ts
+++ b/packages/daemon/src/node/httpListener.ts
@@ -37,10 +37,14 @@
     })
   }
 
+  /** @returns connections that are open */
+  countConnections (): Promise<number> {
+    return new Promise((resolve) => { this.server.getConnections((failure, count) => resolve(failure ? 0 : count)) })
+  }
+
   /** Takes no new connections and ends idle ones; open requests go on. */
   stop (): void {
-    if (!this.server.listening) return
-    this.server.close()
+    if (this.server.listening) this.server.close()
     this.server.closeIdleConnections()
   }
 
--- a/packages/daemon/src/node/main.ts
+++ b/packages/daemon/src/node/main.ts
@@ -14,7 +14,9 @@
   /** A listener could not be opened. */
   CouldNotStart = 1,
   /** Arguments or settings are wrong. */
-  BadSettings = 2
+  BadSettings = 2,
+  /** Stopped by a second signal, or by the longest wait, with requests still open. */
+  CutOff = 3
 }
 
 /**
@@ -24,7 +26,7 @@
 export async function main (argv: string[]): Promise<void> {
   const args = await yargs(hideBin(argv))
     .scriptName('umberspard')
-    .usage('$0 --settings FILE\n\nRuns one entry VM of umberspar. SIGTERM stops it without cutting off requests.')
+    .usage('$0 --settings FILE\n\nRuns one entry VM of umberspar. SIGTERM stops it without cutting off requests; a second one stops it at once.')
     .option('settings', { type: 'string', demandOption: true, describe: 'JSON file with this daemon\'s settings' })
     .example('$0 --settings config/teratai/entry-1.json', 'run the first entry VM of the example deployment')
     .strict()
@@ -44,8 +46,16 @@
     process.exitCode = DaemonExitCode.CouldNotStart
     return
   }
+  let isStopping = false
   const stop = (): void => {
-    runDetached(() => daemon.stop().then(() => { process.exit(DaemonExitCode.Stopped) }), logger, 'stop')
+    if (isStopping) {
+      daemon.stopWaiting()
+      return
+    }
+    isStopping = true
+    runDetached(() => daemon.stop().then(({ cutRequests }) => {
+      process.exit(cutRequests === 0 ? DaemonExitCode.Stopped : DaemonExitCode.CutOff)
+    }), logger, 'stop')
   }
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
--- a/packages/daemon/src/node/members/memberDirectory.ts
+++ b/packages/daemon/src/node/members/memberDirectory.ts
@@ -83,6 +83,14 @@
     return this.list().filter((member) => member.vm.vmId !== this.selfId)
   }
 
+  /**
+   * @param nodeIds peers' ids
+   * @returns those that are listed
+   */
+  findPeers (nodeIds: readonly string[]): Member[] {
+    return nodeIds.flatMap((nodeId) => this.members.get(nodeId) ?? [])
+  }
+
   /**
    * @param member a member
    * @param now the present
@@ -99,11 +107,11 @@
   }
 
   /**
-   * @param vmId an upstream VM, which bears its worker's id
+   * @param vm an upstream VM's id, or the `host:port` of its worker
    * @returns whether the platform announced that it leaves
    */
-  isUpstreamLeaving (vmId: string): boolean {
-    return this.upstreamStates.get(vmId) === VmState.Leaving
+  isUpstreamLeaving (vm: string): boolean {
+    return this.upstreamStates.get(vm) === VmState.Leaving
   }
 
   /**
@@ -150,6 +158,8 @@
     for (const vm of vms) {
       if (vm.role === VmRole.Upstream) {
         this.upstreamStates.set(vm.vmId, vm.state)
+        // Workers are configured by address; the platform's ids need not be theirs.
+        this.upstreamStates.set(vm.address, vm.state)
         continue
       }
       listed.add(vm.vmId)
--- a/packages/daemon/src/node/peers/heartbeats.ts
+++ b/packages/daemon/src/node/peers/heartbeats.ts
@@ -9,8 +9,9 @@
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
 import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
-import type { MemberDirectory } from '../members/memberDirectory.js'
+import { computeMemberState, type Member, type MemberDirectory } from '../members/memberDirectory.js'
 import { CONFIGURATION_DOCUMENT, decodeDocument, encodeDocument, type PeerService } from './peerService.js'
 
 const HEARTBEAT_SPAN_MS = 500
@@ -40,11 +41,24 @@
     this.scheduleRound()
   }
 
-  /** Speaks to every peer now; a peer out of reach delays nobody else. */
-  async sendRound (): Promise<void> {
-    if (this.isClosed) return
-    const addresses = this.members.listPeers().flatMap((member) => member.vm.peerAddress ?? [])
-    await Promise.all(addresses.map((address) => this.send(address)))
+  /**
+   * Speaks to every peer now; a peer out of reach delays nobody else.
+   * @returns whether all peers that are known to live have heard
+   */
+  async sendRound (): Promise<boolean> {
+    return await this.sendTo(this.members.listPeers())
+  }
+
+  /**
+   * Speaks to some peers now.
+   * @param peers the peers
+   * @returns whether all of them that are known to live have heard
+   */
+  async sendTo (peers: readonly Member[]): Promise<boolean> {
+    if (this.isClosed) return false
+    const now = this.clock.now()
+    const heard = await Promise.all(peers.map(async (peer) => await this.send(peer) || computeMemberState(peer, now) !== NodeState.Live))
+    return heard.every(Boolean)
   }
 
   close (): void {
@@ -52,16 +66,19 @@
     this.timer?.close()
   }
 
-  private async send (address: string): Promise<void> {
-    const answer = await this.client.exchange(address, this.service.buildDigest(), this.createDeadline())
-    if (this.isClosed) return
+  private async send ({ vm }: Member): Promise<boolean> {
+    const address = vm.peerAddress
+    if (address === undefined) return false
+    const answer = await this.client.exchange(address, this.service.buildDigest(vm.vmId), this.createDeadline())
+    if (this.isClosed) return false
     if (!answer.ok) {
       logError(this.logger, LogLevel.Debug, answer.val)
-      return
+      return false
     }
     const theirs = this.service.observe(answer.val)
     if (theirs > this.keeper.version) await this.fetchFrom(address)
     else if (theirs < this.keeper.version) await this.pushTo(address)
+    return true
   }
 
   private async fetchFrom (address: string): Promise<void> {
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -7,7 +7,7 @@
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import type { ConfigurationKeeper, ConfigurationText } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
-import type { WorkerProber } from '../places/workerProber.js'
+import type { WorkerReports } from '../places/workerReports.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -30,18 +30,21 @@
     private readonly identity: NodeIdentity,
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
-    private readonly prober: WorkerProber,
+    private readonly reports: WorkerReports,
     private readonly clock: IClock
   ) {}
 
-  /** @returns this node's heartbeat */
-  buildDigest (): Digest {
+  /**
+   * @param peerId whom it is for
+   * @returns this node's heartbeat
+   */
+  buildDigest (peerId: string): Digest {
     const head = this.keeper.current?.head
     return {
       ...this.identity,
       state: this.state,
       documents: head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }],
-      workers: this.prober.listReports(),
+      workers: this.reports.listFor(peerId),
       demand: []
     }
   }
@@ -54,13 +57,13 @@
   observe (digest: Digest): number {
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeHeartbeat({ nodeId: digest.nodeId, state: digest.state, configurationVersion: version })
-    this.prober.observeReports(digest.workers)
+    this.reports.observe(digest.workers)
     return version
   }
 
   exchange (digest: Digest): Digest {
     this.observe(digest)
-    return this.buildDigest()
+    return this.buildDigest(digest.nodeId)
   }
 
   fetch (name: string, aboveVersion: number): PeerDocument | undefined {
--- a/packages/daemon/src/node/places/placeDirectory.ts
+++ b/packages/daemon/src/node/places/placeDirectory.ts
@@ -18,6 +18,8 @@
   /** This entry VM's part of the worker's connections. */
   readonly connections: number
   readonly pool: PlacePool
+  /** Entry VMs that have a part of the worker; no others send to it. */
+  readonly holders: readonly string[]
 }
 
 /** Finds pools by service and failure domain. */
@@ -62,7 +64,7 @@
         pool.update(place, parts, settings.maxQueue)
         kept.add(`${service}/${failureDomain}`)
         for (const [workerId, worker] of Object.entries(place.workers)) {
-          known.push({ workerId, address: worker.address, connections: parts.get(workerId)?.connections ?? 0, pool })
+          known.push({ workerId, address: worker.address, connections: parts.get(workerId)?.connections ?? 0, pool, holders: entries })
         }
       }
     }
--- a/packages/daemon/src/node/places/workerProber.ts
+++ b/packages/daemon/src/node/places/workerProber.ts
@@ -1,78 +1,77 @@
 /**
- * Asks workers for their health when no answer has told it lately. Each worker
- * is probed by two entry VMs only, chosen by rank, since a probe costs a worker
- * up to 6 ms; what they find travels with the heartbeats.
+ * Asks workers for their health, and for their load where no answer has told it
+ * lately. Each worker is probed by two entry VMs only, chosen by rank among those
+ * that have a part of it: only they may open connections to it, and what they
+ * find concerns them first. A probe costs a worker up to 6 ms of a slot.
  */
-import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { createDeadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { runDetached } from '@umberspar/base/common/detached'
 import { ErrorCode } from '@umberspar/base/common/errors'
 import type { ILogger } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
-import type { IUpstreamTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
+import { type IUpstreamTransport, ProbeScope } from '@umberspar/platform/node/upstream/upstreamTransport'
 import { rankByRendezvous } from '@umberspar/steering/common/lookup/rendezvous'
-import type { WorkerReport } from '@umberspar/steering/common/ports/peers'
 import type { KnownWorker } from './placeDirectory.js'
+import type { WorkerReports } from './workerReports.js'
 
 const PROBERS_PER_WORKER = 2
-const PROBE_SPAN_MS = 500
-const PROBE_JITTER = 0.3
-const PROBE_DEADLINE_MS = 2000
+/**
+ * Health is asked however lately answers came, since a worker may tell of its
+ * drain there alone. Two probers at 1 s ask every 0.5 s on average; one alone
+ * still hears of a drain within 1.1 s and the time of a probe.
+ */
+const PROBE_SPAN_MS = 1_000
+const PROBE_JITTER = 0.1
+const PROBE_DEADLINE_MS = 700
+/** A load known from answers or peers is not asked for within this. */
+const LOAD_FRESH_SPAN_MS = 1_000
+const TICK_SPAN_MS = 100
+
+const NO_LOAD = { utilization: 0, inFlight: 0 }
+
+/** A worker that this entry VM probes. */
+interface ProbedWorker {
+  worker: KnownWorker
+  dueAt: Deadline
+  isRunning: boolean
+}
 
 /** Probes this entry VM's part of the workers. */
 export class WorkerProber implements IClosable {
-  private readonly found = new Map<string, WorkerReport>()
-  private readonly appliedAt = new Map<string, Instant>()
-  private own: KnownWorker[] = []
-  private byAddress = new Map<string, KnownWorker>()
+  private readonly own = new Map<string, ProbedWorker>()
   private timer: ITimer | undefined
   private isClosed = false
 
   constructor (
     private readonly selfId: string,
     private readonly transport: IUpstreamTransport,
+    private readonly reports: WorkerReports,
     private readonly clock: IClock,
     private readonly random: IRandomSource,
     private readonly logger: ILogger
   ) {}
 
   /**
-   * Takes over the workers of a configuration and the entry VMs that share the probing.
+   * Takes over the workers of a configuration.
    * @param workers all workers
-   * @param nodeIds entry VMs of the roster
    */
-  update (workers: readonly KnownWorker[], nodeIds: readonly string[]): void {
-    this.byAddress = new Map(workers.map((worker) => [worker.address, worker]))
-    this.own = workers.filter((worker) =>
-      rankByRendezvous(worker.address, nodeIds).slice(0, PROBERS_PER_WORKER).includes(this.selfId))
-    const addresses = new Set(this.own.map((worker) => worker.address))
-    for (const address of this.found.keys()) {
-      if (!addresses.has(address)) this.found.delete(address)
+  update (workers: readonly KnownWorker[]): void {
+    const before = new Map(this.own)
+    this.own.clear()
+    for (const worker of workers) {
+      const rank = rankByRendezvous(worker.address, worker.holders).indexOf(this.selfId)
+      if (rank === -1 || rank >= PROBERS_PER_WORKER) continue
+      const known = before.get(worker.address) ?? this.createProbed(worker)
+      known.worker = worker
+      this.own.set(worker.address, known)
     }
   }
 
   /** Begins to probe. */
   start (): void {
-    this.scheduleRound()
-  }
-
-  /**
-   * @returns what this node's own probes found, for the heartbeat
-   */
-  listReports (): WorkerReport[] {
-    return [...this.found.values()]
-  }
-
-  /**
-   * Takes in what a peer's probes found.
-   * @param reports the peer's reports; worker ids in them are addresses
-   */
-  observeReports (reports: readonly WorkerReport[]): void {
-    for (const report of reports) {
-      const worker = this.byAddress.get(report.workerId)
-      if (worker !== undefined) this.apply(worker, report)
-    }
+    this.scheduleTick()
   }
 
   close (): void {
@@ -80,43 +79,44 @@
     this.timer?.close()
   }
 
-  private scheduleRound (): void {
+  private createProbed (worker: KnownWorker): ProbedWorker {
+    const dueAt = createDeadline(this.clock.now(), this.random.next() * PROBE_SPAN_MS)
+    return { worker, dueAt, isRunning: false }
+  }
+
+  private scheduleTick (): void {
     if (this.isClosed) return
-    const at = createDeadline(this.clock.now(), addJitter(this.random, PROBE_SPAN_MS, PROBE_JITTER))
-    this.timer = this.clock.schedule(at, () => {
-      runDetached(() => this.sendRound().finally(() => this.scheduleRound()), this.logger, 'probe-workers')
+    this.timer = this.clock.schedule(createDeadline(this.clock.now(), TICK_SPAN_MS), () => {
+      for (const probed of this.own.values()) this.startIfDue(probed)
+      this.scheduleTick()
     })
   }
 
-  private async sendRound (): Promise<void> {
-    await Promise.all(this.own.map((worker) => this.probe(worker)))
+  private startIfDue (probed: ProbedWorker): void {
+    const now = this.clock.now()
+    if (probed.isRunning || !hasPassed(probed.dueAt, now)) return
+    probed.dueAt = createDeadline(now, addJitter(this.random, PROBE_SPAN_MS, PROBE_JITTER))
+    probed.isRunning = true
+    runDetached(() => this.probe(probed.worker).finally(() => { probed.isRunning = false }), this.logger, 'probe-worker')
   }
 
-  private async probe (worker: KnownWorker): Promise<void> {
-    const probed = await this.transport.probe(worker.address, createDeadline(this.clock.now(), PROBE_DEADLINE_MS))
-    if (this.isClosed) return
-    // Every connection of ours is busy: that says nothing of the worker's health.
-    if (!probed.ok && probed.val.code === ErrorCode.Exhausted) return
+  private async probe ({ address, workerId, pool }: KnownWorker): Promise<void> {
+    // What the worker says was true at some instant after this one; taken for the
+    // instant of the answer, a "ready" could look newer than a drain heard meanwhile.
     const measuredAt = this.clock.now()
-    const report: WorkerReport = probed.ok
-      ? { workerId: worker.address, utilization: probed.val.utilization, inFlight: probed.val.inFlight, measuredAt, isDraining: probed.val.isDraining, isHealthy: probed.val.isHealthy }
-      : { workerId: worker.address, utilization: 0, inFlight: 0, measuredAt, isDraining: false, isHealthy: false }
-    this.found.set(worker.address, report)
-    this.apply(worker, report)
-  }
-
-  private apply (worker: KnownWorker, report: WorkerReport): void {
-    const { measuredAt } = report
-    // Two probers and their heartbeats may tell it in any order; an older word
-    // would send new work to a worker that has begun to drain.
-    if (measuredAt <= (this.appliedAt.get(worker.address) ?? -Infinity)) return
-    this.appliedAt.set(worker.address, measuredAt)
-    const { table } = worker.pool
-    if (!report.isHealthy && !report.isDraining) {
-      table.observeFailure(worker.workerId, this.clock.now())
+    const load = pool.table.get(workerId)?.load
+    const isLoadFresh = load !== undefined && measuredAt - load.takenAt < LOAD_FRESH_SPAN_MS
+    const scope = isLoadFresh ? ProbeScope.Health : ProbeScope.HealthAndLoad
+    const probed = await this.transport.probe(address, createDeadline(measuredAt, PROBE_DEADLINE_MS), scope)
+    if (this.isClosed) return
+    if (probed.ok) {
+      const { isDraining, isHealthy, isStarting } = probed.val
+      const { utilization, inFlight } = probed.val.load ?? NO_LOAD
+      this.reports.record({ workerId: address, utilization, inFlight, measuredAt, isDraining, isHealthy, isStarting, isProbed: true, hasLoad: probed.val.load !== undefined })
       return
     }
-    table.observeLoad(worker.workerId, { utilization: report.utilization, takenAt: measuredAt })
-    table.markDraining(worker.workerId, report.isDraining, this.clock.now())
+    // Every connection of ours is busy: that says nothing of the worker's health.
+    if (probed.val.code === ErrorCode.Exhausted) return
+    this.reports.record({ workerId: address, ...NO_LOAD, measuredAt, isDraining: false, isHealthy: false, isStarting: false, isProbed: true, hasLoad: false })
   }
 }
--- a/packages/daemon/src/node/request/requestRunner.ts
+++ b/packages/daemon/src/node/request/requestRunner.ts
@@ -20,6 +20,7 @@
 import type { RequestContext } from './requestContext.js'
 
 const MAX_ATTEMPTS = 3
+const SERVER_ERROR = 500
 
 /** An upstream's answer whose body is still to be read; the slot is held until then. */
 export interface RunningAnswer {
@@ -130,6 +131,8 @@
     if (load !== undefined) grant.table.observeLoad(grant.workerId, { utilization: load.utilization, takenAt: now })
     if (response.headers[DRAINING_HEADER] !== undefined) grant.table.markDraining(grant.workerId, true, now)
     if (isRefusal(response.status, response.headers, context.settings.refusal)) {
+      // Refusing is quick, so in-flight counts alone would prefer the worker that sheds.
+      grant.table.observeLoad(grant.workerId, { utilization: 1, takenAt: now })
       response.body.resume()
       response.body.on('error', () => {})
       grant.release()
@@ -137,7 +140,8 @@
       return { kind: 'failed', outcome: Outcome.NotRun, error }
     }
     const finish = (isWhole: boolean): void => {
-      if (isWhole) grant.table.observeAnswer(grant.workerId)
+      // A worker that answers errors at once would look idle and draw all traffic.
+      if (isWhole && response.status < SERVER_ERROR) grant.table.observeAnswer(grant.workerId, this.clock.now())
       else grant.table.observeFailure(grant.workerId, this.clock.now())
       grant.release()
     }
--- a/packages/platform/src/node/upstream/attempt.ts
+++ b/packages/platform/src/node/upstream/attempt.ts
@@ -68,11 +68,23 @@
   readonly isHealthy: boolean
   readonly isDraining: boolean
   readonly isStarting: boolean
+  /** What its load endpoint says; undefined if it was not asked. */
+  readonly load: ProbedLoad | undefined
+}
+
+/** What a worker's load endpoint says. */
+export interface ProbedLoad {
   /** 0 is idle, 1 is full; may exceed 1. */
   readonly utilization: number
   readonly inFlight: number
 }
 
+/** What a probe asks for; each endpoint costs a worker up to 6 ms of a slot. */
+export enum ProbeScope {
+  Health = 'health',
+  HealthAndLoad = 'health-and-load'
+}
+
 /** Carries requests to workers. */
 export interface IUpstreamTransport extends IClosable {
   /**
@@ -88,10 +100,11 @@
    */
   setWorkers(workers: ReadonlyArray<WorkerLimit>): void
   /**
-   * Asks a worker for its health and load, over its counted connections.
+   * Asks a worker for its health, and for its load if wanted, over its counted connections.
    * @param address the worker
-   * @param deadline by when both answers must have come
+   * @param deadline by when all answers must have come
+   * @param scope what to ask for
    * @returns what it says; an error if it does not answer or answers nonsense
    */
-  probe(address: string, deadline: Deadline): Promise<Result<WorkerProbe, StepError>>
+  probe(address: string, deadline: Deadline, scope: ProbeScope): Promise<Result<WorkerProbe, StepError>>
 }
--- a/packages/platform/src/node/upstream/upstreamTransport.ts
+++ b/packages/platform/src/node/upstream/upstreamTransport.ts
@@ -17,14 +17,14 @@
 import type { Result } from '@umberspar/base/common/result'
 import { Err } from '@umberspar/base/common/result'
 import type { AttemptRequest, AttemptResponse, IUpstreamTransport, WorkerLimit, WorkerProbe } from './attempt.js'
-import { AttemptError } from './attempt.js'
+import { AttemptError, type ProbeScope } from './attempt.js'
 import { ATTEMPT_STEP, AttemptHandler } from './attemptHandler.js'
 import { removeHopByHop } from './hopByHop.js'
 import { WorkerConnections } from './workerConnections.js'
 import { WorkerProber } from './workerProbe.js'
 
 export type { AttemptRequest, AttemptResponse, IUpstreamTransport, WorkerLimit, WorkerProbe } from './attempt.js'
-export { AttemptError } from './attempt.js'
+export { AttemptError, ProbeScope } from './attempt.js'
 
 /** What an UndiciTransport needs. */
 export interface UndiciTransportOptions {
@@ -71,8 +71,8 @@
     return handler.result
   }
 
-  probe (address: string, deadline: Deadline): Promise<Result<WorkerProbe, StepError>> {
-    return this.prober.fetch(address, deadline)
+  probe (address: string, deadline: Deadline, scope: ProbeScope): Promise<Result<WorkerProbe, StepError>> {
+    return this.prober.fetch(address, deadline, scope)
   }
 
   /** Ends all connections at once; whoever stops gracefully lets its requests finish before. */
--- a/packages/platform/src/node/upstream/workerProbe.ts
+++ b/packages/platform/src/node/upstream/workerProbe.ts
@@ -5,7 +5,8 @@
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { Result } from '@umberspar/base/common/result'
 import { Err, Ok } from '@umberspar/base/common/result'
-import type { AttemptResponse, IUpstreamTransport, WorkerProbe } from './attempt.js'
+import type { AttemptResponse, IUpstreamTransport, ProbedLoad, WorkerProbe } from './attempt.js'
+import { ProbeScope } from './attempt.js'
 
 const PROBE_STEP = 'probe-worker'
 const HEALTH_PATH = '/health'
@@ -57,24 +58,30 @@
 
   /**
    * @param address the worker
-   * @param deadline by when both answers must have come
+   * @param deadline by when all answers must have come
+   * @param scope what to ask for
    * @returns what the worker says of itself
    */
-  async fetch (address: string, deadline: Deadline): Promise<Result<WorkerProbe, StepError>> {
+  async fetch (address: string, deadline: Deadline, scope: ProbeScope): Promise<Result<WorkerProbe, StepError>> {
     const health = await this.fetchAnswer(address, HEALTH_PATH, healthSchema, deadline)
     if (health.err) return health
-    const load = await this.fetchAnswer(address, LOAD_PATH, loadSchema, deadline)
+    const load = await this.fetchLoad(address, deadline, scope)
     if (load.err) return load
     const { status, value } = health.val
     return Ok({
       isHealthy: status === STATUS_OK && value.state !== WorkerState.Draining,
       isDraining: value.state === WorkerState.Draining,
       isStarting: value.state === WorkerState.Starting,
-      utilization: load.val.value.utilization,
-      inFlight: load.val.value.inFlight
+      load: load.val
     })
   }
 
+  private async fetchLoad (address: string, deadline: Deadline, scope: ProbeScope): Promise<Result<ProbedLoad | undefined, StepError>> {
+    if (scope === ProbeScope.Health) return Ok(undefined)
+    const load = await this.fetchAnswer(address, LOAD_PATH, loadSchema, deadline)
+    return load.err ? load : Ok(load.val.value)
+  }
+
   private async fetchAnswer<T> (address: string, path: string, schema: z.ZodType<T>, deadline: Deadline): Promise<Result<ProbeAnswer<T>, StepError>> {
     const signal = new AbortController().signal
     const sent = await this.transport.send({ workerId: address, address, method: 'GET', path, headers: {}, body: null, deadline, signal })
--- a/packages/platform/test/node/peers/peers.test.ts
+++ b/packages/platform/test/node/peers/peers.test.ts
@@ -89,7 +89,7 @@
     const service = new FakeService()
     const { client, address } = await openPair(service)
     const measuredAt = clock.now()
-    const report = { workerId: 'w', utilization: 0.5, inFlight: 3, measuredAt, isDraining: false, isHealthy: true }
+    const report = { workerId: 'w', utilization: 0.5, inFlight: 3, measuredAt, isDraining: false, isHealthy: true, isStarting: false, isProbed: true, hasLoad: true }
     const digest: Digest = { nodeId: 'asking', state: NodeState.Leaving, incarnation: 2, documents: [document], demand: [], workers: [report], region: 'r', failureDomain: 'd' }
     const answer = await client.exchange(address, digest, createFar())
     assert.ok(answer.ok)
--- a/packages/platform/test/node/upstream/upstreamTransport.test.ts
+++ b/packages/platform/test/node/upstream/upstreamTransport.test.ts
@@ -11,7 +11,7 @@
 import { ErrorCode } from '@umberspar/base/common/errors'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import type { AttemptRequest } from '../../../src/node/upstream/upstreamTransport.js'
-import { AttemptError, UndiciTransport } from '../../../src/node/upstream/upstreamTransport.js'
+import { AttemptError, ProbeScope, UndiciTransport } from '../../../src/node/upstream/upstreamTransport.js'
 
 const GENEROUS_SPAN_MS = 60_000
 const clock = new SystemClock()
@@ -236,10 +236,12 @@
     })
     const transport = createTransport(address)
     const deadline = createDeadline(clock.now(), GENEROUS_SPAN_MS)
-    const probe = await transport.probe(address, deadline)
-    assert.deepEqual(probe.val, { isHealthy: false, isDraining: true, isStarting: false, utilization: 0.5, inFlight: 2 })
+    const probe = await transport.probe(address, deadline, ProbeScope.HealthAndLoad)
+    assert.deepEqual(probe.val, { isHealthy: false, isDraining: true, isStarting: false, load: { utilization: 0.5, inFlight: 2 } })
+    const health = await transport.probe(address, deadline, ProbeScope.Health)
+    assert.deepEqual(health.val, { isHealthy: false, isDraining: true, isStarting: false, load: undefined })
     answers['/load'] = [200, '{"utilization":"much"}']
-    const nonsense = await transport.probe(address, deadline)
+    const nonsense = await transport.probe(address, deadline, ProbeScope.HealthAndLoad)
     assert.ok(nonsense.err)
     assert.equal(nonsense.val.code, ErrorCode.Invalid)
   })
--- a/packages/steering/src/common/ports/peers.ts
+++ b/packages/steering/src/common/ports/peers.ts
@@ -34,6 +34,12 @@
   readonly measuredAt: Instant
   readonly isDraining: boolean
   readonly isHealthy: boolean
+  /** It says that it is starting and still cold. */
+  readonly isStarting: boolean
+  /** Its health was asked for; else an answer told its load and whether it drains. */
+  readonly isProbed: boolean
+  /** Whether `utilization` and `inFlight` were told; a probe may ask for the health alone. */
+  readonly hasLoad: boolean
 }
 
 /** What one node carried lately of one service for one client region. */
--- a/packages/steering/src/common/workers/chooseWorker.ts
+++ b/packages/steering/src/common/workers/chooseWorker.ts
@@ -1,17 +1,22 @@
-/** The choice of a worker: the better of two at random (power of two choices). */
+/**
+ * The choice of a worker: the better of two at random (power of two choices), by
+ * our own requests in flight, the load that workers report, and slow start.
+ */
 import type { Instant } from '@umberspar/base/common/clock'
 import { hasPassed } from '@umberspar/base/common/deadline'
 import type { IRandomSource } from '@umberspar/base/common/random'
-import type { WorkerState } from './workerTable.js'
+import { isOnTrial } from './ejection.js'
+import type { WorkerState } from './workerState.js'
 
 /** A load report counts half after so many milliseconds. */
 const LOAD_HALF_LIFE_MS = 1_000
 /**
- * A report beyond this counts as this. A worker that claims an absurd load would
- * otherwise lose all traffic; and since our own requests in flight count beside
- * the report, one that claims none cannot attract all of it.
+ * How far a report may lift or sink a worker from the median of its place. A
+ * worker that claims to be idle, or full, thus gains or loses no more than this
+ * part of its slots; beyond that our own requests in flight decide, which no
+ * worker can misreport.
  */
-const MAX_UTILIZATION = 1
+const MAX_REPORTED_DIFFERENCE = 0.5
 /** The weight with which a cold worker begins. */
 const LEAST_WARMTH = 0.1
 
@@ -24,11 +29,24 @@
   return Math.max(LEAST_WARMTH, Math.min(1, part))
 }
 
-function computeReportedLoad (worker: WorkerState, now: Instant): number {
-  if (worker.load === undefined) return 0
+/**
+ * @param workers the workers of a place
+ * @returns the median of what they report, each bounded to 0 to 1; 0 counts for those without a report
+ */
+export function computeMedianLoad (workers: readonly WorkerState[]): number {
+  const loads = workers.map(({ load }) => Math.min(1, Math.max(0, load?.utilization ?? 0))).sort((left, right) => left - right)
+  const middle = loads.length >> 1
+  if (loads.length === 0) return 0
+  return loads.length % 2 === 1 ? loads[middle]! : (loads[middle - 1]! + loads[middle]!) / 2
+}
+
+/** An old report, or none, counts as the median: a silent worker must not look idle. */
+function computeReportedLoad (worker: WorkerState, now: Instant, median: number): number {
+  if (worker.load === undefined) return median
   const ageMs = Math.max(0, now - worker.load.takenAt)
-  const utilization = Math.min(MAX_UTILIZATION, Math.max(0, worker.load.utilization))
-  return utilization * 2 ** (-ageMs / LOAD_HALF_LIFE_MS)
+  const difference = Math.min(1, Math.max(0, worker.load.utilization)) - median
+  const bounded = Math.min(MAX_REPORTED_DIFFERENCE, Math.max(-MAX_REPORTED_DIFFERENCE, difference))
+  return median + bounded * 2 ** (-ageMs / LOAD_HALF_LIFE_MS)
 }
 
 /**
@@ -36,16 +54,19 @@
  * it reported, divided by how warm it is.
  * @param worker the worker
  * @param now the present
+ * @param median the median load of its place
  * @returns the score; lower is better
  */
-export function computeScore (worker: WorkerState, now: Instant): number {
+export function computeScore (worker: WorkerState, now: Instant, median: number): number {
   const own = (worker.inFlight + 1) / worker.slots
-  return (own + computeReportedLoad(worker, now)) / computeWarmth(worker, now)
+  return (own + computeReportedLoad(worker, now, median)) / computeWarmth(worker, now)
 }
 
 function isEligible (worker: WorkerState, now: Instant, excluded: ReadonlySet<string>): boolean {
   if (worker.isDraining || worker.inFlight >= worker.slots) return false
-  return hasPassed(worker.ejectedUntil, now) && !excluded.has(worker.workerId)
+  if (!hasPassed(worker.ejectedUntil, now) || excluded.has(worker.workerId)) return false
+  // One request finds out whether the worker is well again; more would fail with it.
+  return worker.inFlight === 0 || !isOnTrial(worker, now)
 }
 
 /**
@@ -69,5 +90,6 @@
   const step = 1 + Math.floor(random.next() * (eligible.length - 1))
   const first = eligible[firstIndex] as WorkerState
   const second = eligible[(firstIndex + step) % eligible.length] as WorkerState
-  return computeScore(second, now) < computeScore(first, now) ? second.workerId : first.workerId
+  const median = computeMedianLoad(candidates)
+  return computeScore(second, now, median) < computeScore(first, now, median) ? second.workerId : first.workerId
 }
--- a/packages/steering/src/common/workers/workerTable.ts
+++ b/packages/steering/src/common/workers/workerTable.ts
@@ -1,63 +1,20 @@
-/**
- * What one entry VM knows of the workers of one service in one failure domain.
- * Ejection keeps away from workers that fail again and again; a floor keeps it
- * from emptying the domain when the fault lies on our side.
- */
+/** What one entry VM knows of the workers of one service in one failure domain. */
 import type { Instant } from '@umberspar/base/common/clock'
-import type { Deadline } from '@umberspar/base/common/deadline'
-import { createDeadline, hasPassed } from '@umberspar/base/common/deadline'
-
-/** How workers are judged. Spans in milliseconds. */
-export interface WorkerPolicy {
-  /** A worker that starts cold comes to full weight over this. */
-  readonly warmUpSpanMs: number
-  /** Failures in a row that eject a worker. */
-  readonly failuresToEject: number
-  /** How long the first ejection lasts; each further one in a row twice as long. */
-  readonly ejectionSpanMs: number
-  readonly longestEjectionSpanMs: number
-}
-
-/** Used where nothing else is configured. */
-export const DEFAULT_WORKER_POLICY: WorkerPolicy = {
-  warmUpSpanMs: 10_000,
-  failuresToEject: 5,
-  ejectionSpanMs: 5_000,
-  longestEjectionSpanMs: 60_000
-}
-
-/** The greatest part of a domain's workers that may be ejected at a time. */
-const MAX_EJECTED_PART = 0.5
+import { createDeadline } from '@umberspar/base/common/deadline'
+import { listEjected, recordFailure, recordProbeFailure, recordSuccess, releaseBeyondFloor } from './ejection.js'
+import { createWorkerState, DEFAULT_WORKER_POLICY, type LoadReport, type MutableWorkerState, type WorkerPolicy, type WorkerState } from './workerState.js'
 
-/** What a worker said of its load. */
-export interface LoadReport {
-  /** 0 idle to 1 full; above 1 overloaded. */
-  readonly utilization: number
-  /** When the worker measured it, by our clock. */
-  readonly takenAt: Instant
-}
-
-/** One worker as this entry VM sees it. */
-export interface WorkerState {
-  readonly workerId: string
-  /** `host:port`. */
-  readonly address: string
-  /** Our part of its slots. */
-  readonly slots: number
-  /** Our own requests at it. */
-  readonly inFlight: number
-  readonly load: LoadReport | undefined
-  /** When the warm-up began and when it ends. */
-  readonly warmUpFrom: Instant
-  readonly warmUpUntil: Deadline
-  readonly failuresInRow: number
-  readonly ejectionsInRow: number
-  /** Not chosen before this. */
-  readonly ejectedUntil: Deadline
-  readonly isDraining: boolean
-}
+export { DEFAULT_WORKER_POLICY } from './workerState.js'
+export type { LoadReport, WorkerPolicy, WorkerState } from './workerState.js'
 
-type MutableState = { -readonly [Field in keyof WorkerState]: WorkerState[Field] }
+/**
+ * A word that a drain is over must be so much newer than the word that it began.
+ * What peers tell carries its age but not its time on the way; an older "ready"
+ * that travelled long would otherwise look newer than a drain heard directly.
+ */
+const DRAIN_WITHDRAWN_MARGIN_MS = 1_000
+/** A worker that was out of reach for so long has been started anew when it comes back. */
+const RESTART_SPAN_MS = 3_000
 
 /** A worker to know of. */
 export interface KnownWorker {
@@ -66,31 +23,37 @@
   readonly slots: number
 }
 
-const LONG_PAST = -Infinity
-
 /** The workers of one service in one failure domain. */
 export class WorkerTable {
-  private readonly states = new Map<string, MutableState>()
+  private readonly states = new Map<string, MutableWorkerState>()
+  /** Taken out of the configuration while requests of ours were open there. */
+  private readonly removed = new Map<string, MutableWorkerState>()
+  private hasWorkers = false
 
   /** @param policy how workers are judged */
   constructor (private readonly policy: WorkerPolicy = DEFAULT_WORKER_POLICY) {}
 
   /**
    * Takes the workers from the configuration and our parts of them; what is
-   * known of a worker that stays is kept.
+   * known of a worker that stays is kept. A worker that is new beside known ones
+   * starts cold. In a table's first update all are new to us only: the entry VM
+   * has just started, the workers have not.
    * @param workers by worker id
    * @param now the present
    */
   updateWorkers (workers: ReadonlyMap<string, KnownWorker>, now: Instant): void {
-    for (const workerId of this.states.keys()) {
-      if (!workers.has(workerId)) this.states.delete(workerId)
+    for (const [workerId, state] of this.states) {
+      if (workers.has(workerId)) continue
+      this.states.delete(workerId)
+      if (state.inFlight > 0) this.removed.set(workerId, state)
     }
-    for (const [workerId, { address, slots }] of workers) {
+    for (const [workerId, known] of workers) {
       const state = this.states.get(workerId)
-      if (state !== undefined && state.address === address) state.slots = slots
-      else this.states.set(workerId, createState(workerId, address, slots))
+      if (state !== undefined && state.address === known.address) state.slots = known.slots
+      else this.addWorker(workerId, known, now)
     }
-    this.releaseBeyondFloor(now)
+    this.hasWorkers ||= workers.size > 0
+    releaseBeyondFloor(this.states, now)
   }
 
   /** @returns all workers, as candidates for `chooseWorker` */
@@ -120,40 +83,62 @@
 
   /** @param workerId the worker at which a request has ended */
   release (workerId: string): void {
-    const state = this.states.get(workerId)
-    if (state !== undefined && state.inFlight > 0) state.inFlight--
+    const state = this.states.get(workerId) ?? this.removed.get(workerId)
+    if (state === undefined || state.inFlight === 0) return
+    state.inFlight--
+    if (state.inFlight === 0) this.removed.delete(workerId)
   }
 
   /**
    * Notes a whole answer.
    * @param workerId the worker that answered
-   * @param load what the answer said of the load
+   * @param now the present; without it the answer does not outweigh failed probes
    */
-  observeAnswer (workerId: string, load?: LoadReport): void {
+  observeAnswer (workerId: string, now = -Infinity): void {
     const state = this.states.get(workerId)
-    if (state === undefined) return
-    state.failuresInRow = 0
-    state.ejectionsInRow = 0
-    state.ejectedUntil = LONG_PAST
-    if (load !== undefined) this.observeLoad(workerId, load)
+    if (state !== undefined) recordSuccess(state, now)
   }
 
   /**
-   * Notes a reset, a truncated answer or a missed deadline, and ejects the worker
-   * after too many in a row unless half of the domain is ejected already.
+   * Notes a reset, a truncated answer, an answer of a server's error or a missed deadline.
    * @param workerId the worker that failed
    * @param now the present
    */
   observeFailure (workerId: string, now: Instant): void {
+    const state = this.states.get(workerId)
+    if (state !== undefined) recordFailure(this.states, state, this.policy, now)
+  }
+
+  /**
+   * Notes a probe that was answered. It ends no ejection: a worker may call
+   * itself healthy and fail its requests. A worker that comes back after having
+   * been out of reach starts cold, and may be tried before its ejection ends.
+   * @param workerId the worker
+   * @param isStarting whether it says that it is starting
+   * @param now the present
+   */
+  observeProbe (workerId: string, isStarting: boolean, now: Instant): void {
     const state = this.states.get(workerId)
     if (state === undefined) return
-    state.failuresInRow++
-    if (state.failuresInRow < this.policy.failuresToEject || !hasPassed(state.ejectedUntil, now)) return
-    if (!state.isDraining && this.countEjected(now) + 1 > this.getEjectionFloor()) return
-    const spanMs = this.policy.ejectionSpanMs * 2 ** state.ejectionsInRow
-    state.ejectedUntil = createDeadline(now, Math.min(spanMs, this.policy.longestEjectionSpanMs))
-    state.ejectionsInRow++
-    state.failuresInRow = 0
+    const { unreachableSince } = state
+    state.probeFailuresInRow = 0
+    state.unreachableSince = undefined
+    if (unreachableSince !== undefined && now - unreachableSince >= RESTART_SPAN_MS) {
+      state.ejectedUntil = Math.min(state.ejectedUntil, now)
+      this.startWarmUp(state, now)
+    }
+    if (isStarting) this.observeStarting(state, now)
+    else state.startingSince = undefined
+  }
+
+  /**
+   * Notes a probe without a sensible answer.
+   * @param workerId the worker
+   * @param now the present
+   */
+  observeProbeFailure (workerId: string, now: Instant): void {
+    const state = this.states.get(workerId)
+    if (state !== undefined) recordProbeFailure(this.states, state, this.policy, now)
   }
 
   /**
@@ -168,32 +153,48 @@
   }
 
   /**
-   * @param workerId a worker that announced its drain, or takes work again
+   * Notes a worker's own word of its drain, first-hand or from a peer; the words
+   * may come in any order.
+   * @param workerId the worker
    * @param isDraining whether it drains
-   * @param now the present
+   * @param heardAt when the worker said so; for an answered probe, when it was sent
    */
-  markDraining (workerId: string, isDraining: boolean, now: Instant): void {
+  markDraining (workerId: string, isDraining: boolean, heardAt: Instant): void {
     const state = this.states.get(workerId)
     if (state === undefined) return
-    state.isDraining = isDraining
-    this.releaseBeyondFloor(now)
+    const isOutdated = state.isDrainAnnounced && !isDraining
+      ? heardAt < state.drainHeardAt + DRAIN_WITHDRAWN_MARGIN_MS
+      : heardAt < state.drainHeardAt
+    if (isOutdated) return
+    state.drainHeardAt = heardAt
+    state.isDrainAnnounced = isDraining
+    this.applyDrain(state, heardAt)
+  }
+
+  /**
+   * Notes what the platform says of the worker's VM.
+   * @param workerId the worker
+   * @param isVmLeaving whether its VM leaves
+   * @param now the present
+   */
+  markVmLeaving (workerId: string, isVmLeaving: boolean, now: Instant): void {
+    const state = this.states.get(workerId)
+    if (state === undefined || state.isVmLeaving === isVmLeaving) return
+    state.isVmLeaving = isVmLeaving
+    this.applyDrain(state, now)
   }
 
   /**
-   * Begins the slow start of a worker that came up cold or gets moved traffic.
+   * Begins the slow start of a worker that came up cold.
    * @param workerId the worker
    * @param now the present
    */
   markStarted (workerId: string, now: Instant): void {
     const state = this.states.get(workerId)
     if (state === undefined) return
-    state.warmUpFrom = now
-    state.warmUpUntil = createDeadline(now, this.policy.warmUpSpanMs)
-    state.isDraining = false
-    state.failuresInRow = 0
-    state.ejectionsInRow = 0
-    state.ejectedUntil = LONG_PAST
-    this.releaseBeyondFloor(now)
+    this.startWarmUp(state, now)
+    state.isDrainAnnounced = false
+    this.applyDrain(state, now)
   }
 
   /**
@@ -201,42 +202,37 @@
    * @returns workers that are ejected and not draining
    */
   countEjected (now: Instant): number {
-    return this.listEjected(now).length
+    return listEjected(this.states, now).length
   }
 
-  /** At most so many workers may be ejected; draining ones take no work and do not count. */
-  private getEjectionFloor (): number {
-    let count = 0
-    for (const state of this.states.values()) {
-      if (!state.isDraining) count++
-    }
-    return Math.floor(count * MAX_EJECTED_PART)
+  private addWorker (workerId: string, { address, slots }: KnownWorker, now: Instant): void {
+    const before = this.states.get(workerId) ?? this.removed.get(workerId)
+    const state = createWorkerState(workerId, address, slots)
+    // Requests that are still open at the worker of this id are released by id:
+    // counted from zero, the worker would be given more than its slots.
+    state.inFlight = before?.inFlight ?? 0
+    this.removed.delete(workerId)
+    this.states.set(workerId, state)
+    if (this.hasWorkers) this.startWarmUp(state, now)
   }
 
-  private listEjected (now: Instant): MutableState[] {
-    return [...this.states.values()].filter((state) => !state.isDraining && !hasPassed(state.ejectedUntil, now))
+  /**
+   * While a worker says that it is starting, its warm-up begins anew; but not for
+   * longer than one warm-up, or a worker that says so for ever would stay at the
+   * least weight for ever.
+   */
+  private observeStarting (state: MutableWorkerState, now: Instant): void {
+    state.startingSince ??= now
+    if (now - state.startingSince <= this.policy.warmUpSpanMs) this.startWarmUp(state, now)
   }
 
-  /** Where workers left or drain, the floor sinks; those whose ejection ends first come back. */
-  private releaseBeyondFloor (now: Instant): void {
-    const ejected = this.listEjected(now).sort((left, right) => left.ejectedUntil - right.ejectedUntil)
-    const surplus = Math.max(0, ejected.length - this.getEjectionFloor())
-    for (const state of ejected.slice(0, surplus)) state.ejectedUntil = LONG_PAST
+  private startWarmUp (state: MutableWorkerState, now: Instant): void {
+    state.warmUpFrom = now
+    state.warmUpUntil = createDeadline(now, this.policy.warmUpSpanMs)
   }
-}
 
-function createState (workerId: string, address: string, slots: number): MutableState {
-  return {
-    workerId,
-    address,
-    slots,
-    inFlight: 0,
-    load: undefined,
-    warmUpFrom: LONG_PAST,
-    warmUpUntil: LONG_PAST,
-    failuresInRow: 0,
-    ejectionsInRow: 0,
-    ejectedUntil: LONG_PAST,
-    isDraining: false
+  private applyDrain (state: MutableWorkerState, now: Instant): void {
+    state.isDraining = state.isDrainAnnounced || state.isVmLeaving
+    releaseBeyondFloor(this.states, now)
   }
 }
