Judge workers by the time to their answers, and test leaving over real daemons

Cause: with slots never exceeded, requests in flight and reported loads tell a slow worker too late; a worker that claims to be full got nothing under little load. The VM list's 'live' undid the state Leaving in the stop's first step, since the stop was marked as running only after that step: found by the rolling restart, as one request refused by a closed entry VM.

--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -47,6 +47,8 @@
   private readonly lifetime = new LookupLifetime()
   private leaving: DaemonStop | undefined
   private stopping: Promise<StopReport> | undefined
+  /** Set before the stop's first step runs, whose change of state is not to be undone by the VM list. */
+  private isStopping = false
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -96,7 +98,9 @@
    * @returns how many requests were cut off: none unless `stopWaiting` was called
    */
   stop (): Promise<StopReport> {
-    this.stopping ??= this.runStop()
+    if (this.stopping !== undefined) return this.stopping
+    this.isStopping = true
+    this.stopping = this.runStop()
     return this.stopping
   }
 
@@ -136,7 +140,7 @@
     const { peerService, members } = parts
     if (peerService.state === NodeState.Joining) peerService.state = NodeState.Live
     const listed = members.list().find((member) => member.vm.vmId === this.settings.nodeId)?.vm.state
-    if (this.stopping !== undefined || listed === undefined) return
+    if (this.isStopping || listed === undefined) return
     if (listed === VmState.Live) peerService.state = NodeState.Live
     else if (peerService.state === NodeState.Live) runDetached(() => this.leaving!.leave(), this.logger, 'leave')
   }
--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -110,7 +110,8 @@
     const told = this.toldByPeer.get(peerId) ?? new Map<string, WorkerReport>()
     this.toldByPeer.set(peerId, told)
     const due = workers.flatMap((worker) => this.listReports(worker, now)).filter((report) => isDue(report, told.get(getSource(report))))
-    due.sort((left, right) => Number(isNotable(right)) - Number(isNotable(left)) || right.measuredAt - left.measuredAt)
+    const getToldAt = (report: WorkerReport): Instant => told.get(getSource(report))?.measuredAt ?? -Infinity
+    due.sort((left, right) => Number(isNotable(right)) - Number(isNotable(left)) || compareInstants(getToldAt(left), getToldAt(right)))
     const chosen = due.slice(0, MAX_REPORTS)
     for (const report of chosen) told.set(getSource(report), report)
     return chosen
@@ -170,6 +171,11 @@
   return state.isDrainAnnounced && state.drainHeardAt !== secondHand?.drainAt
 }
 
+/** A difference would be no number for two that were never told. */
+function compareInstants (left: Instant, right: Instant): number {
+  return left === right ? 0 : left < right ? -1 : 1
+}
+
 /** Probes and answers are told apart: one may tell what the other can't. */
 function getSource (report: WorkerReport): string {
   return `${report.workerId}/${report.isProbed ? 'probe' : 'answer'}`
--- a/packages/daemon/src/node/request/requestRunner.ts
+++ b/packages/daemon/src/node/request/requestRunner.ts
@@ -105,6 +105,7 @@
   }
 
   private async send (context: RequestContext, headers: Record<string, string | string[]>, body: RequestBody, grant: SlotGrant): Promise<AttemptEnd> {
+    const startedAt = this.clock.now()
     const sent = await this.transport.send({
       workerId: grant.workerId,
       address: grant.worker.address,
@@ -116,6 +117,8 @@
       signal: context.signal
     })
     if (!sent.ok) return this.handleFailure(sent.val, grant)
+    const now = this.clock.now()
+    if (body.kind === 'buffered') grant.table.observeAnswerTime(grant.workerId, now - startedAt, now)
     return this.handleResponse(context, sent.val, grant)
   }
 
--- a/packages/daemon/src/node/stop/daemonStop.ts
+++ b/packages/daemon/src/node/stop/daemonStop.ts
@@ -25,8 +25,12 @@
  */
 const ANNOUNCE_SPAN_MS = 5_000
 const ANNOUNCE_POLL_SPAN_MS = 200
-/** For requests that left a caller just before its look-up ran out. */
-const LOOKUP_GRACE_SPAN_MS = 500
+/**
+ * For requests that left a caller just before its look-up ran out, and for a
+ * peer's heartbeat that crossed the announcement: answered before it and read after
+ * it, it makes that peer name this node again until its next heartbeat, 0.6 s later.
+ */
+const LOOKUP_GRACE_SPAN_MS = 1_000
 const FINISH_SPAN_MS = 600_000
 const FINISH_POLL_SPAN_MS = 20
 /** Answers that have been written whole still have to leave the socket. */
--- /dev/null
+++ b/packages/daemon/test/node/places/workerReports.test.ts
@@ -0,0 +1,157 @@
+/** How daemons learn of workers: probes, answers, and each other. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { StepError, ErrorCode } from '@umberspar/base/common/errors'
+import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import { NULL_LOGGER } from '@umberspar/base/common/logger'
+import { SeededRandom } from '@umberspar/base/common/random'
+import { Err, Ok } from '@umberspar/base/common/result'
+import { type IUpstreamTransport, ProbeScope, type WorkerProbe } from '@umberspar/platform/node/upstream/upstreamTransport'
+import type { WorkerReport } from '@umberspar/steering/common/ports/peers'
+import type { KnownWorker } from '../../../src/node/places/placeDirectory.js'
+import { PlacePool } from '../../../src/node/places/placePool.js'
+import { WorkerProber } from '../../../src/node/places/workerProber.js'
+import { WorkerReports } from '../../../src/node/places/workerReports.js'
+
+const SEED = 5
+const TICK_MS = 50
+const WORKERS = 40
+
+class TickedClock implements IClock {
+  private timers: Array<{ at: Instant, callback: () => void }> = []
+  private current: Instant = 0
+
+  now (): Instant {
+    return this.current
+  }
+
+  getWallTime (): number {
+    return this.current
+  }
+
+  schedule (at: Instant, callback: () => void): ITimer {
+    const timer = { at, callback }
+    this.timers.push(timer)
+    return { close: () => { this.timers = this.timers.filter((other) => other !== timer) } }
+  }
+
+  async step (): Promise<void> {
+    this.current += TICK_MS
+    const due = this.timers.filter(({ at }) => at <= this.current)
+    this.timers = this.timers.filter(({ at }) => at > this.current)
+    for (const { callback } of due) callback()
+    for (let turn = 0; turn < 20; turn++) await Promise.resolve()
+  }
+}
+
+/** Workers as their endpoints show them, and how often each was asked. */
+class FakeWorkers implements Pick<IUpstreamTransport, 'probe'> {
+  readonly draining = new Set<string>()
+  readonly broken = new Set<string>()
+  health = 0
+  load = 0
+
+  async probe (address: string, _deadline: number, scope: ProbeScope): ReturnType<IUpstreamTransport['probe']> {
+    this.health++
+    if (scope === ProbeScope.HealthAndLoad) this.load++
+    if (this.broken.has(address)) return new Err(new StepError({ code: ErrorCode.Unavailable, step: 'probe', peer: address, message: 'reset' }))
+    const isDraining = this.draining.has(address)
+    const probe: WorkerProbe = { isHealthy: !isDraining, isDraining, isStarting: false, load: scope === ProbeScope.Health ? undefined : { utilization: 0.5, inFlight: 2 } }
+    return new Ok(probe)
+  }
+}
+
+interface Node {
+  readonly id: string
+  readonly pool: PlacePool
+  readonly reports: WorkerReports
+  readonly prober: WorkerProber
+}
+
+function getAddress (index: number): string {
+  return `10.0.0.${index + 1}:80`
+}
+
+function buildNode (id: string, holders: readonly string[], workers: FakeWorkers, clock: IClock, seed: number): Node {
+  const pool = new PlacePool({ service: 's', failureDomain: 'd' }, clock, new SeededRandom(seed), 1000)
+  const configured = Object.fromEntries(Array.from({ length: WORKERS }, (_, index) => [`w${index}`, { address: getAddress(index), slots: 4, connections: 8 }]))
+  pool.update({ workers: configured }, new Map(Object.keys(configured).map((worker) => [worker, { slots: 1, connections: 2 }])), 10)
+  const known: KnownWorker[] = Object.entries(configured).map(([workerId, worker]) => ({ workerId, address: worker.address, connections: 2, pool, holders }))
+  const reports = new WorkerReports(id, clock)
+  const prober = new WorkerProber(id, workers as never, reports, clock, new SeededRandom(seed), NULL_LOGGER)
+  reports.update(known)
+  prober.update(known)
+  return { id, pool, reports, prober }
+}
+
+async function run (clock: TickedClock, nodes: readonly Node[], spanMs: number, heartbeatMs: number, onStep: () => void = () => {}): Promise<void> {
+  for (const end = clock.now() + spanMs; clock.now() < end;) {
+    await clock.step()
+    onStep()
+    if (clock.now() % heartbeatMs !== 0) continue
+    for (const from of nodes) {
+      for (const to of nodes) if (from !== to) to.reports.observe(from.reports.listFor(to.id))
+    }
+  }
+}
+
+describe('findings on workers', () => {
+  const ids = ['e1', 'e2', 'e3', 'e4']
+
+  function buildNodes (workers: FakeWorkers, clock: TickedClock): Node[] {
+    const nodes = ids.map((id, index) => buildNode(id, ids, workers, clock, SEED + index))
+    for (const { prober } of nodes) prober.start()
+    return nodes
+  }
+
+  // A worker drains and tells it by its health alone, while answers that say nothing
+  // of it keep coming. Work sent after two seconds dies with it.
+  it('reach every holder within 2 s of a drain, also while answers come, with at most two probers a worker', async () => {
+    const clock = new TickedClock()
+    const workers = new FakeWorkers()
+    const nodes = buildNodes(workers, clock)
+    const observeAnswers = (): void => {
+      for (const { pool } of nodes) {
+        for (let index = 0; index < WORKERS; index++) pool.table.observeLoad(`w${index}`, { utilization: 0.3, takenAt: clock.now() })
+      }
+    }
+    await run(clock, nodes, 2000, 600, observeAnswers)
+    const before = workers.health
+    await run(clock, nodes, 10_000, 600, observeAnswers)
+    const perWorkerSecond = (workers.health - before) / WORKERS / 10
+    assert.ok(perWorkerSecond <= 2.2, `${perWorkerSecond} probes a second of each worker`)
+    assert.ok(workers.load <= 2 * WORKERS, 'asked for loads that answers had told')
+    for (let index = 0; index < WORKERS; index++) workers.draining.add(getAddress(index))
+    await run(clock, nodes, 2000, 600, observeAnswers)
+    const isDrainedEverywhere = nodes.every(({ pool }) => pool.table.list().every(({ isDraining }) => isDraining))
+    assert.ok(isDrainedEverywhere)
+    workers.draining.clear()
+    await run(clock, nodes, 4000, 600, observeAnswers)
+    assert.ok(nodes.every(({ pool }) => pool.table.list().every(({ isDraining }) => !isDraining)))
+  })
+
+  // Both probers of some workers have died. The others must not act on what those
+  // told long ago, and an echo between the living must not keep it alive.
+  it('are not passed on by those that only heard of them', async () => {
+    const clock = new TickedClock()
+    const [, second, third] = buildNodes(new FakeWorkers(), clock)
+    const report: WorkerReport = { workerId: getAddress(0), utilization: 0.9, inFlight: 3, measuredAt: 0, isDraining: true, isHealthy: false, isStarting: false, isProbed: true, hasLoad: true }
+    second!.reports.observe([report])
+    assert.equal(second!.pool.table.get('w0')?.isDraining, true)
+    assert.deepEqual(second!.reports.listFor(third!.id), [])
+  })
+
+  it('go only to holders, once unless they matter, and never more than 32 at a time', () => {
+    const clock = new TickedClock()
+    const node = buildNode('e1', ['e1', 'e2'], new FakeWorkers(), clock, SEED)
+    for (let index = 0; index < WORKERS; index++) node.pool.table.observeLoad(`w${index}`, { utilization: 0.5, takenAt: 0 })
+    assert.deepEqual(node.reports.listFor('e3'), [])
+    const told = node.reports.listFor('e2')
+    assert.equal(told.length, 32)
+    assert.ok(told.every(({ isProbed, hasLoad, utilization }) => !isProbed && hasLoad && utilization === 0.5))
+    assert.equal(new Set([...told, ...node.reports.listFor('e2')].map(({ workerId }) => workerId)).size, WORKERS)
+    assert.deepEqual(node.reports.listFor('e2'), [])
+    node.pool.table.markDraining('w3', true, 0)
+    assert.deepEqual([node.reports.listFor('e2'), node.reports.listFor('e2')].map((list) => list.map(({ workerId }) => workerId)), [[getAddress(3)], [getAddress(3)]])
+  })
+})
--- a/packages/steering/src/common/workers/chooseWorker.ts
+++ b/packages/steering/src/common/workers/chooseWorker.ts
@@ -1,6 +1,7 @@
 /**
  * The choice of a worker: the better of two at random (power of two choices), by
- * our own requests in flight, the load that workers report, and slow start.
+ * our own requests in flight, the load that workers report, how long they take to
+ * answer, and slow start.
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { hasPassed } from '@umberspar/base/common/deadline'
@@ -17,6 +18,16 @@
  * worker can misreport.
  */
 const MAX_REPORTED_DIFFERENCE = 0.5
+/**
+ * The part of choices that leave reports aside. With little load even the bounded
+ * difference decides every comparison; a good worker that claims to be full would
+ * get nothing at all.
+ */
+const UNREPORTED_PART = 0.2
+/** A worker is rated down for its answer times by no more than this factor. */
+const MAX_SLOWNESS = 8
+/** Without answers, a worker's slowness counts half after so many milliseconds. */
+const SLOWNESS_HALF_LIFE_MS = 5_000
 /** The weight with which a cold worker begins. */
 const LEAST_WARMTH = 0.1
 
@@ -29,15 +40,42 @@
   return Math.max(LEAST_WARMTH, Math.min(1, part))
 }
 
+/** What is usual in a place; single workers are judged by how they differ from it. */
+export interface PlaceMedians {
+  /** Of what workers report, each bounded to 0 to 1; 0 counts for those without a report. */
+  readonly load: number
+  /** Of how long they take to begin an answer, in milliseconds; 0 if no answer came yet. */
+  readonly answerMs: number
+}
+
 /**
  * @param workers the workers of a place
- * @returns the median of what they report, each bounded to 0 to 1; 0 counts for those without a report
+ * @returns what is usual among them
+ */
+export function computeMedians (workers: readonly WorkerState[]): PlaceMedians {
+  return {
+    load: computeMedian(workers.map(({ load }) => Math.min(1, Math.max(0, load?.utilization ?? 0)))),
+    answerMs: computeMedian(workers.flatMap(({ answerTime }) => answerTime?.meanMs ?? []))
+  }
+}
+
+function computeMedian (values: number[]): number {
+  if (values.length === 0) return 0
+  values.sort((left, right) => left - right)
+  const middle = values.length >> 1
+  return values.length % 2 === 1 ? values[middle]! : (values[middle - 1]! + values[middle]!) / 2
+}
+
+/**
+ * How many times slower than usual a worker answers. One that is faster gains
+ * nothing by it: answers that come at once may be worth nothing. Without answers
+ * the judgement fades, so that a slow worker is tried again.
  */
-export function computeMedianLoad (workers: readonly WorkerState[]): number {
-  const loads = workers.map(({ load }) => Math.min(1, Math.max(0, load?.utilization ?? 0))).sort((left, right) => left - right)
-  const middle = loads.length >> 1
-  if (loads.length === 0) return 0
-  return loads.length % 2 === 1 ? loads[middle]! : (loads[middle - 1]! + loads[middle]!) / 2
+function computeSlowness ({ answerTime }: WorkerState, now: Instant, answerMs: number): number {
+  if (answerTime === undefined || answerMs === 0) return 1
+  const ageMs = Math.max(0, now - answerTime.updatedAt)
+  const excess = Math.min(MAX_SLOWNESS, Math.max(1, answerTime.meanMs / answerMs)) - 1
+  return 1 + excess * 2 ** (-ageMs / SLOWNESS_HALF_LIFE_MS)
 }
 
 /** An old report, or none, counts as the median: a silent worker must not look idle. */
@@ -51,15 +89,16 @@
 
 /**
  * Rates a worker with one more request: our part of its slots in use, plus what
- * it reported, divided by how warm it is.
+ * it reported, for as much longer as it takes to answer, divided by how warm it is.
  * @param worker the worker
  * @param now the present
- * @param median the median load of its place
+ * @param medians what is usual in its place
  * @returns the score; lower is better
  */
-export function computeScore (worker: WorkerState, now: Instant, median: number): number {
+export function computeScore (worker: WorkerState, now: Instant, medians: PlaceMedians): number {
   const own = (worker.inFlight + 1) / worker.slots
-  return (own + computeReportedLoad(worker, now, median)) / computeWarmth(worker, now)
+  const load = own + computeReportedLoad(worker, now, medians.load)
+  return load * computeSlowness(worker, now, medians.answerMs) / computeWarmth(worker, now)
 }
 
 function isEligible (worker: WorkerState, now: Instant, excluded: ReadonlySet<string>): boolean {
@@ -90,6 +129,15 @@
   const step = 1 + Math.floor(random.next() * (eligible.length - 1))
   const first = eligible[firstIndex] as WorkerState
   const second = eligible[(firstIndex + step) % eligible.length] as WorkerState
-  const median = computeMedianLoad(candidates)
-  return computeScore(second, now, median) < computeScore(first, now, median) ? second.workerId : first.workerId
+  const medians = computeMedians(candidates)
+  if (random.next() < UNREPORTED_PART) return compareWorkers(removeLoad(first), removeLoad(second), now, medians)
+  return compareWorkers(first, second, now, medians)
+}
+
+function compareWorkers (first: WorkerState, second: WorkerState, now: Instant, medians: PlaceMedians): string {
+  return computeScore(second, now, medians) < computeScore(first, now, medians) ? second.workerId : first.workerId
+}
+
+function removeLoad (worker: WorkerState): WorkerState {
+  return { ...worker, load: undefined }
 }
--- a/packages/steering/src/common/workers/workerState.ts
+++ b/packages/steering/src/common/workers/workerState.ts
@@ -32,6 +32,13 @@
   readonly takenAt: Instant
 }
 
+/** How long a worker takes to begin its answers, as we see it. */
+export interface AnswerTime {
+  /** Moving mean, in milliseconds. */
+  readonly meanMs: number
+  readonly updatedAt: Instant
+}
+
 /** One worker as this entry VM sees it. */
 export interface WorkerState {
   readonly workerId: string
@@ -42,6 +49,7 @@
   /** Our own requests at it. */
   readonly inFlight: number
   readonly load: LoadReport | undefined
+  readonly answerTime: AnswerTime | undefined
   /** When the warm-up began and when it ends. */
   readonly warmUpFrom: Instant
   readonly warmUpUntil: Deadline
@@ -85,6 +93,7 @@
     slots,
     inFlight: 0,
     load: undefined,
+    answerTime: undefined,
     warmUpFrom: LONG_PAST,
     warmUpUntil: LONG_PAST,
     startingSince: undefined,
--- a/packages/steering/src/common/workers/workerTable.ts
+++ b/packages/steering/src/common/workers/workerTable.ts
@@ -16,6 +16,9 @@
 /** A worker that was out of reach for so long has been started anew when it comes back. */
 const RESTART_SPAN_MS = 3_000
 
+/** How much the newest answer counts in the moving mean of answer times. */
+const ANSWER_TIME_GAIN = 0.1
+
 /** A worker to know of. */
 export interface KnownWorker {
   readonly address: string
@@ -99,6 +102,20 @@
     if (state !== undefined) recordSuccess(state, now)
   }
 
+  /**
+   * Notes how long a worker took to begin an answer, for requests whose body was
+   * not streamed: a slow caller is no slow worker.
+   * @param workerId the worker
+   * @param elapsedMs from sending the request to the answer's headers
+   * @param now the present
+   */
+  observeAnswerTime (workerId: string, elapsedMs: number, now: Instant): void {
+    const state = this.states.get(workerId)
+    if (state === undefined) return
+    const meanMs = state.answerTime?.meanMs ?? elapsedMs
+    state.answerTime = { meanMs: meanMs + ANSWER_TIME_GAIN * (elapsedMs - meanMs), updatedAt: now }
+  }
+
   /**
    * Notes a reset, a truncated answer, an answer of a server's error or a missed deadline.
    * @param workerId the worker that failed
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -6,16 +6,19 @@
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
+import { WORKER_MEASUREMENT } from './workerMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
   Lookup = 'lookup',
-  Request = 'request'
+  Request = 'request',
+  Workers = 'workers'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
-  [MeasurementName.Request]: REQUEST_MEASUREMENT
+  [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.Workers]: WORKER_MEASUREMENT
 }
 
 const DEFAULT_SECONDS = 10
--- /dev/null
+++ b/packages/testing/src/node/measure/workerMeasurement.ts
@@ -0,0 +1,68 @@
+/** How the choice of workers spreads load over one place with one flawed worker, against a random choice. */
+import type { Instant } from '@umberspar/base/common/clock'
+import type { IRandomSource } from '@umberspar/base/common/random'
+import { chooseWorker } from '@umberspar/steering/common/workers/chooseWorker'
+import type { WorkerState } from '@umberspar/steering/common/workers/workerState'
+import { type Choice, ChoiceBench, type WorkerFlaw } from '../../common/choice/choiceBench.js'
+import type { FigureRow, Measurement, MeasureOptions } from './measurement.js'
+import { printFigures } from './measurement.js'
+
+const NAME = 'workers'
+const MS_PER_SECOND = 1000
+
+const FLAWS: ReadonlyArray<readonly [name: string, flaw: WorkerFlaw]> = [
+  ['none', {}],
+  ['5 times slow', { slowFactor: 5 }],
+  ['3 times slow, claims 0 %', { slowFactor: 3, claims: 0 }],
+  ['well, claims 100 %', { claims: 1 }],
+  ['cold, 4 times slow', { coldFactor: 4 }],
+  ['answers errors at once', { fails: true }]
+]
+
+/** The simplest choice: any worker with a free slot. */
+function chooseAtRandom (candidates: readonly WorkerState[], _now: Instant, random: IRandomSource): string | undefined {
+  const free = candidates.filter((worker) => worker.inFlight < worker.slots)
+  return free[Math.floor(random.next() * free.length)]?.workerId
+}
+
+/** The better of two by requests in flight alone. */
+function chooseByInFlight (candidates: readonly WorkerState[], now: Instant, random: IRandomSource): string | undefined {
+  const bare = candidates.map((worker) => ({ ...worker, load: undefined, answerTime: undefined, warmUpUntil: -Infinity, ejectedUntil: -Infinity, ejectionsInRow: 0 }))
+  return chooseWorker(bare, now, random)
+}
+
+/** The same and the reported load, slow start and ejection, but not answer times. */
+function chooseWithoutTimes (candidates: readonly WorkerState[], now: Instant, random: IRandomSource): string | undefined {
+  return chooseWorker(candidates.map((worker) => ({ ...worker, answerTime: undefined })), now, random)
+}
+
+const CHOICES: ReadonlyArray<readonly [name: string, choice: Choice]> = [
+  ['random', chooseAtRandom],
+  ['in flight only', chooseByInFlight],
+  ['and load, slow start, ejection', chooseWithoutTimes],
+  ['and answer times', chooseWorker]
+]
+
+function computePercentile (sorted: readonly number[], part: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0
+}
+
+function measureFlaw (name: string, flaw: WorkerFlaw, options: MeasureOptions): FigureRow[] {
+  let baseline: number | undefined
+  return CHOICES.map(([choiceName, choice]) => {
+    const { latencies, flawedPart, failedPart } = new ChoiceBench(choice, flaw, options.seed).run(options.seconds * MS_PER_SECOND)
+    const sorted = [...latencies].sort((left, right) => left - right)
+    const p99Ms = computePercentile(sorted, 0.99)
+    baseline ??= p99Ms
+    return { flaw: name, choice: choiceName, p50Ms: computePercentile(sorted, 0.5), p99Ms, p99Ratio: p99Ms / baseline, flawedPart, failedPart }
+  })
+}
+
+/** `npm run measure -- workers`. */
+export const WORKER_MEASUREMENT: Measurement = {
+  summary: 'choice of workers with one flawed among twelve: p99 against a random choice as 1.00, and the flawed one\'s part of requests (simulated time)',
+  async run (options) {
+    printFigures(NAME, FLAWS.flatMap(([name, flaw]) => measureFlaw(name, flaw, options)))
+    return undefined
+  }
+}
--- a/packages/testing/src/node/standIns/upstream/workerFaults.ts
+++ b/packages/testing/src/node/standIns/upstream/workerFaults.ts
@@ -56,6 +56,8 @@
   readonly slowFactor: number
   /** Said of the health whatever it is; undefined for the truth. */
   readonly reportedHealth: WorkerHealth | undefined
+  /** Answers to work do not tell of a drain; the health does. */
+  readonly hidesDrain: boolean
   /** Said of the utilization whatever it is; undefined for the truth. */
   readonly reportedUtilization: number | undefined
   /** Health and load are told as they were so long ago. */
@@ -74,6 +76,7 @@
   ignoresCancellation: false,
   slowFactor: 1,
   reportedHealth: undefined,
+  hidesDrain: false,
   reportedUtilization: undefined,
   reportLagSpanMs: 0,
   areProbesHung: false
--- a/packages/testing/src/node/standIns/upstreamWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/upstreamWorkerStandIn.ts
@@ -249,7 +249,7 @@
     const load = { application_utilization: this.getReportedUtilization(), named_metrics: { in_flight: this.getReportedInFlight() } }
     const headers = { 'endpoint-load-metrics': `JSON ${JSON.stringify(load)}` }
     const state = this.faults.reportedHealth ?? this.health.get(this.faults.reportLagSpanMs)
-    return state === WorkerHealth.Draining ? { ...headers, 'umberspar-draining': '1' } : headers
+    return state === WorkerHealth.Draining && !this.faults.hidesDrain ? { ...headers, 'umberspar-draining': '1' } : headers
   }
 
   private buildRefusal (): WorkerAnswer {
