--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -13,9 +13,11 @@
 
 /** What is older says nothing that the receiver should act on. */
 const FRESH_SPAN_MS = 2_000
-/** A load that moved less is told again only after `REPEAT_SPAN_MS`. */
-const LEAST_LOAD_CHANGE = 0.05
+/** A load is told to the same peer at most once in this, and only if it moved. */
 const REPEAT_SPAN_MS = 1_000
+const LEAST_LOAD_CHANGE = 0.05
+/** A load that did not move is told again after this, before it counts for nothing. */
+const UNCHANGED_REPEAT_SPAN_MS = 2_000
 /** About 50 bytes each; the most that one message carries. */
 const MAX_REPORTS = 32
 
@@ -195,7 +197,8 @@
   if (told === undefined || isNotable(report)) return true
   if (report.measuredAt <= told.measuredAt) return false
   if (hasStateChanged(told, report) || report.isProbed !== told.isProbed) return true
-  return Math.abs(report.utilization - told.utilization) >= LEAST_LOAD_CHANGE || report.measuredAt - told.measuredAt >= REPEAT_SPAN_MS
+  const hasMoved = Math.abs(report.utilization - told.utilization) >= LEAST_LOAD_CHANGE
+  return report.measuredAt - told.measuredAt >= (hasMoved ? REPEAT_SPAN_MS : UNCHANGED_REPEAT_SPAN_MS)
 }
 
 function addTo<V> (map: Map<string, V[]>, key: string, value: V): void {
--- a/packages/testing/src/node/measure/workerMeasurement.ts
+++ b/packages/testing/src/node/measure/workerMeasurement.ts
@@ -4,11 +4,14 @@
 import { chooseWorker } from '@umberspar/steering/common/workers/chooseWorker'
 import type { WorkerState } from '@umberspar/steering/common/workers/workerState'
 import { type Choice, ChoiceBench, type WorkerFlaw } from '../../common/choice/choiceBench.js'
+import { LocalDeployment } from '../deployment/localDeployment.js'
+import { waitUntil } from '../waiting.js'
 import type { FigureRow, Measurement, MeasureOptions } from './measurement.js'
 import { printFigures } from './measurement.js'
 
 const NAME = 'workers'
 const MS_PER_SECOND = 1000
+const READY_WITHIN_MS = 20_000
 
 const FLAWS: ReadonlyArray<readonly [name: string, flaw: WorkerFlaw]> = [
   ['none', {}],
@@ -58,11 +61,31 @@
   })
 }
 
+/** How often the workers of a deployment without load are asked for health and load. */
+async function measureProbes ({ deployment: name, seconds, seed }: MeasureOptions): Promise<FigureRow | undefined> {
+  const deployment = await LocalDeployment.start({ deployment: name, seed })
+  try {
+    const { clock, platform: { fleet } } = deployment
+    if (!await deployment.waitUntilReady(READY_WITHIN_MS)) return undefined
+    const workers = fleet.listWorkers()
+    const before = workers.map(({ worker }) => worker.getGauges().probes)
+    await waitUntil(clock, clock.now() + seconds * MS_PER_SECOND)
+    const rates = workers.map(({ worker }, index) => (worker.getGauges().probes - before[index]!) / seconds)
+    const mean = rates.reduce((sum, rate) => sum + rate, 0) / rates.length
+    return { deployment: name, workers: rates.length, neverAsked: rates.filter((rate) => rate === 0).length, meanPerSecond: mean, leastPerSecond: Math.min(...rates), mostPerSecond: Math.max(...rates) }
+  } finally {
+    await deployment.close()
+  }
+}
+
 /** `npm run measure -- workers`. */
 export const WORKER_MEASUREMENT: Measurement = {
-  summary: 'choice of workers with one flawed among twelve: p99 against a random choice as 1.00, and the flawed one\'s part of requests (simulated time)',
+  summary: 'choice of workers with one flawed among twelve: p99 against a random choice as 1.00, and the flawed one\'s part of requests (simulated time); probes that each worker gets',
   async run (options) {
     printFigures(NAME, FLAWS.flatMap(([name, flaw]) => measureFlaw(name, flaw, options)))
+    const probes = await measureProbes(options)
+    if (probes === undefined) return `the entry VMs are not ready within ${READY_WITHIN_MS} ms`
+    printFigures(NAME, [probes])
     return undefined
   }
 }
