--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -13,6 +13,7 @@
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { createDigester } from '@umberspar/steering/common/configuration/canonicalJson'
 import { LookupIndex, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
+import { computeRoundSpan, SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { VmState } from '@umberspar/steering/common/ports/vmList'
 import { createDaemonParts, type DaemonParts } from './daemonParts.js'
@@ -23,6 +24,10 @@
 import { DaemonStop, type StopReport, type StopTarget } from './stop/daemonStop.js'
 import { createLeavingListener } from './stop/leavingListener.js'
 import { LookupLifetime } from './stop/lookupLifetime.js'
+import { DaemonTls, TlsSide } from './tls/daemonTls.js'
+
+/** In so many rounds of heartbeats word of a state goes round a large fleet. */
+const SPREAD_ROUNDS = 4
 
 /** What a daemon takes from outside. */
 export interface DaemonDependencies {
@@ -42,6 +47,7 @@
 export class Daemon implements IClosable {
   private readonly owned = new CloseStack()
   private parts: DaemonParts | undefined
+  private tls: DaemonTls | undefined
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
   private readonly lifetime = new LookupLifetime()
@@ -49,6 +55,7 @@
   private stopping: Promise<StopReport> | undefined
   /** Set before the stop's first step runs, whose change of state is not to be undone by the VM list. */
   private isStopping = false
+  private hasAskedAll = false
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -74,19 +81,26 @@
    */
   async start (): Promise<Result<void, StepError>> {
     const digester = await createDigester()
-    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random }, this.owned)
+    const loaded = await DaemonTls.load({ settings: this.settings, clock: this.clock, random: this.random, logger: this.logger })
+    if (!loaded.ok) return loaded
+    const tls = this.owned.add(loaded.val)
+    this.tls = tls
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics: this.createMetrics(), clock: this.clock, random: this.random, tls }, this.owned)
     this.parts = parts
     this.leaving = this.createStop(parts)
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
-    const opened = await this.openListeners(parts)
+    const opened = await this.openListeners(parts, tls)
     if (!opened.ok) {
       await this.close()
       return opened
     }
     await parts.members.start()
-    await parts.watcher.start()
+    // Peers before the store: they show a version that a restored store no longer
+    // has, and spare the store a read for each node when all start at once.
     await parts.heartbeats.start()
+    await parts.watcher.start()
+    this.hasAskedAll = true
     parts.prober.start()
     this.applyState()
     return new Ok(undefined)
@@ -109,6 +123,11 @@
     this.leaving?.stopWaiting()
   }
 
+  /** Reads all certificates again, as after SIGHUP; broken ones are logged and the old ones stay. */
+  async renewCertificates (): Promise<void> {
+    await this.tls?.renew()
+  }
+
   /** Ends everything at once, open requests too. */
   async close (): Promise<void> {
     await this.owned.close()
@@ -127,7 +146,8 @@
         parts.peerService.state = NodeState.Leaving
         this.applyState()
       },
-      publishState: () => parts.heartbeats.sendRound(),
+      publishState: () => this.publishState(parts),
+      getSpreadSpanMs: () => computeRoundSpan(parts.members.list().length) * SPREAD_ROUNDS,
       stopListening: () => this.callers?.stop(),
       countOpenRequests: () => parts.requests.inFlight,
       countConnections: async () => await this.callers?.countConnections() ?? 0
@@ -135,14 +155,22 @@
     return new DaemonStop(target, this.lifetime, this.clock, this.logger)
   }
 
+  /** In a small fleet everybody is told; in a large one the neighbours, and word goes round. */
+  private async publishState (parts: DaemonParts): Promise<boolean> {
+    const others = parts.members.listActive().filter(({ nodeId }) => nodeId !== this.settings.nodeId)
+    if (others.length < SMALL_FLEET) return await parts.heartbeats.sendToAll(others.map(({ nodeId }) => nodeId))
+    await parts.heartbeats.sendRound()
+    return false
+  }
+
   /** The platform's word that this VM will go takes it out of look-ups; taken back, it returns. */
   private applyOwnVm (parts: DaemonParts): void {
     const { peerService, members } = parts
-    if (peerService.state === NodeState.Joining) peerService.state = NodeState.Live
+    if (peerService.state === NodeState.Joining && this.canGoLive(parts)) peerService.state = NodeState.Live
     const listed = members.list().find((member) => member.vm.vmId === this.settings.nodeId)?.vm.state
     if (this.isStopping || listed === undefined) return
-    if (listed === VmState.Live) peerService.state = NodeState.Live
-    else if (peerService.state === NodeState.Live) runDetached(() => this.leaving!.leave(), this.logger, 'leave')
+    if (listed === VmState.Live && peerService.state === NodeState.Leaving) peerService.state = NodeState.Live
+    else if (listed === VmState.Leaving && peerService.state === NodeState.Live) runDetached(() => this.leaving!.leave(), this.logger, 'leave')
   }
 
   private createMetrics (): IMetrics {
@@ -151,11 +179,14 @@
     return new StatsdMetrics({ ...statsd, tags: { node: this.settings.nodeId }, logger: this.logger })
   }
 
-  private async openListeners (parts: DaemonParts): Promise<Result<void, StepError>> {
-    const callers = this.owned.add(new HttpListener('callers', createLeavingListener(buildCallerApp(parts.lookups, parts.requests), () => parts.peerService.state === NodeState.Leaving)))
+  private async openListeners (parts: DaemonParts, tls: DaemonTls): Promise<Result<void, StepError>> {
+    const { clock, logger, settings } = this
+    const isForwarder = (address: string): boolean => parts.regions.isForwarder(address)
+    const listener = createLeavingListener(buildCallerApp(parts.lookups, parts.requests), () => parts.peerService.state === NodeState.Leaving)
+    const callers = this.owned.add(new HttpListener('callers', listener, { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger }))
     this.callers = callers
     const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
-    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never))
+    const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never, { limits: settings.operators.limits, tls: tls.get(TlsSide.Operators), clock, logger }))
     const peerAddress = await parts.peerServer.listen()
     if (!peerAddress.ok) return peerAddress
     const operatorAddress = await operators.listen(this.settings.operators.address)
@@ -186,6 +217,15 @@
     parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
   }
 
+  /**
+   * A node that served with the first version it meets could serve an older one
+   * than before its restart; so it asks its neighbours and the store first.
+   * Without the VM list it would take itself for the only node.
+   */
+  private canGoLive (parts: DaemonParts): boolean {
+    return this.hasAskedAll && parts.members.isListed
+  }
+
   private listNodes (parts: DaemonParts): LookupNode[] {
     const now = this.clock.now()
     return parts.members.list().map((member) => ({
--- a/packages/daemon/src/node/peers/heartbeats.ts
+++ b/packages/daemon/src/node/peers/heartbeats.ts
@@ -1,6 +1,6 @@
 /**
- * Sends heartbeats to peers, hands the configuration to those behind, and
- * fetches it from those ahead.
+ * Compares digests with a bounded number of neighbours, and fetches the
+ * configuration from those ahead or hands it to those behind.
  */
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
@@ -9,21 +9,23 @@
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
 import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
-import { NodeState } from '@umberspar/steering/common/state/nodeState'
-import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
-import { computeMemberState, type Member, type MemberDirectory } from '../members/memberDirectory.js'
+import { chooseNeighbours, computeRoundSpan, type Neighbours, SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
+import type { SpreadNode } from '@umberspar/steering/common/spread/spreadNode'
+import { type ConfigurationKeeper, LearnSource } from '../configuration/configurationKeeper.js'
+import type { MemberDirectory } from '../members/memberDirectory.js'
 import { CONFIGURATION_DOCUMENT, decodeDocument, encodeDocument, type PeerService } from './peerService.js'
 
-const HEARTBEAT_SPAN_MS = 500
 const HEARTBEAT_JITTER = 0.2
 const CALL_DEADLINE_MS = 2000
 
 /** The outgoing side of the conversation between daemons. */
 export class Heartbeats implements IClosable {
+  private readonly running = new Set<string>()
   private timer: ITimer | undefined
   private isClosed = false
 
   constructor (
+    private readonly self: SpreadNode,
     private readonly client: IPeerClient,
     private readonly service: PeerService,
     private readonly members: MemberDirectory,
@@ -31,33 +33,34 @@
     private readonly clock: IClock,
     private readonly random: IRandomSource,
     private readonly logger: ILogger
-  ) {
-    keeper.onDidAdopt(() => runDetached(() => this.sendRound(), logger, 'send-heartbeats'))
-  }
+  ) {}
 
-  /** Speaks to every peer once, then again and again. */
+  /** Speaks to its neighbours once, then again and again. */
   async start (): Promise<void> {
     await this.sendRound()
     this.scheduleRound()
   }
 
-  /**
-   * Speaks to every peer now; a peer out of reach delays nobody else.
-   * @returns whether all peers that are known to live have heard
-   */
-  async sendRound (): Promise<boolean> {
-    return await this.sendTo(this.members.listPeers())
+  /** Speaks to this round's neighbours now; a peer out of reach delays nobody else. */
+  async sendRound (): Promise<void> {
+    if (this.isClosed) return
+    const neighbours = this.chooseNeighbours()
+    this.service.startRound()
+    this.members.updateSilence(neighbours.ring)
+    await Promise.all([...neighbours.ring, ...neighbours.random].map((nodeId) => this.sendTo(nodeId)))
+    if (this.members.list().length > SMALL_FLEET) this.closeChance(neighbours)
   }
 
   /**
-   * Speaks to some peers now.
-   * @param peers the peers
-   * @returns whether all of them that are known to live have heard
+   * Speaks now to nodes that need not be neighbours, as when this node leaves.
+   * @param nodeIds to whom
+   * @returns whether all have heard the state of now
    */
-  async sendTo (peers: readonly Member[]): Promise<boolean> {
+  async sendToAll (nodeIds: readonly string[]): Promise<boolean> {
     if (this.isClosed) return false
-    const now = this.clock.now()
-    const heard = await Promise.all(peers.map(async (peer) => await this.send(peer) || computeMemberState(peer, now) !== NodeState.Live))
+    // A digest with the beat of an earlier one would count as the same news.
+    this.service.startRound()
+    const heard = await Promise.all(nodeIds.map((nodeId) => this.sendTo(nodeId)))
     return heard.every(Boolean)
   }
 
@@ -66,10 +69,25 @@
     this.timer?.close()
   }
 
-  private async send ({ vm }: Member): Promise<boolean> {
-    const address = vm.peerAddress
-    if (address === undefined) return false
-    const answer = await this.client.exchange(address, this.service.buildDigest(vm.vmId), this.createDeadline())
+  private chooseNeighbours (): Neighbours {
+    const nodes = this.members.list().map(({ vm }) => ({ nodeId: vm.vmId, region: vm.region }))
+    return chooseNeighbours(nodes, this.self, this.random)
+  }
+
+  private async sendTo (nodeId: string): Promise<boolean> {
+    const address = this.members.get(nodeId)?.vm.peerAddress
+    // A peer that hangs must not gather a call for every round.
+    if (address === undefined || this.running.has(nodeId)) return false
+    this.running.add(nodeId)
+    try {
+      return await this.send(nodeId, address)
+    } finally {
+      this.running.delete(nodeId)
+    }
+  }
+
+  private async send (nodeId: string, address: string): Promise<boolean> {
+    const answer = await this.client.exchange(address, this.service.buildDigest(nodeId), this.createDeadline())
     if (this.isClosed) return false
     if (!answer.ok) {
       logError(this.logger, LogLevel.Debug, answer.val)
@@ -84,7 +102,7 @@
   private async fetchFrom (address: string): Promise<void> {
     const fetched = await this.client.fetch(address, CONFIGURATION_DOCUMENT, this.keeper.version, this.createDeadline())
     if (!fetched.ok) logError(this.logger, LogLevel.Warn, fetched.val)
-    else if (fetched.val !== undefined) this.keeper.apply(decodeDocument(fetched.val), address)
+    else if (fetched.val !== undefined) this.keeper.apply(decodeDocument(fetched.val), address, { source: LearnSource.Digest })
   }
 
   private async pushTo (address: string): Promise<void> {
@@ -94,15 +112,26 @@
     if (!pushed.ok) logError(this.logger, LogLevel.Warn, pushed.val)
   }
 
+  /** Channels to neighbours met by chance would grow to one for every node of a large fleet. */
+  private closeChance (neighbours: Neighbours): void {
+    for (const nodeId of neighbours.random) {
+      const address = this.members.get(nodeId)?.vm.peerAddress
+      if (address !== undefined) this.client.closePeer(address)
+    }
+  }
+
   private createDeadline (): number {
     return createDeadline(this.clock.now(), CALL_DEADLINE_MS)
   }
 
   private scheduleRound (): void {
     if (this.isClosed) return
-    const at = createDeadline(this.clock.now(), addJitter(this.random, HEARTBEAT_SPAN_MS, HEARTBEAT_JITTER))
+    const spanMs = computeRoundSpan(this.members.list().length)
+    const at = createDeadline(this.clock.now(), addJitter(this.random, spanMs, HEARTBEAT_JITTER))
     this.timer = this.clock.schedule(at, () => {
-      runDetached(() => this.sendRound().finally(() => this.scheduleRound()), this.logger, 'send-heartbeats')
+      // The next round does not wait for this one: a peer that hangs would slow the beat down.
+      runDetached(() => this.sendRound(), this.logger, 'send-heartbeats')
+      this.scheduleRound()
     })
   }
 }
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -3,9 +3,10 @@
  * versions each has, and the configuration handed on to whoever is behind.
  */
 import type { IClock } from '@umberspar/base/common/clock'
-import type { AnnouncedState, Digest, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
+import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
-import type { ConfigurationKeeper, ConfigurationText } from '../configuration/configurationKeeper.js'
+import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerReports } from '../places/workerReports.js'
 
@@ -25,6 +26,7 @@
 export class PeerService implements IPeerService {
   /** This node's state as peers are told it. */
   state: AnnouncedState = NodeState.Joining
+  private beat = 0
 
   constructor (
     private readonly identity: NodeIdentity,
@@ -34,18 +36,31 @@
     private readonly clock: IClock
   ) {}
 
+  /** Begins a round: the next digest is a new sign of life. */
+  startRound (): void {
+    this.beat += 1
+  }
+
+  /** @returns the documents that this node has, with its versions of them */
+  listDocuments (): DocumentVersion[] {
+    const head = this.keeper.current?.head
+    return head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
+  }
+
   /**
    * @param peerId whom it is for
    * @returns this node's heartbeat
    */
   buildDigest (peerId: string): Digest {
-    const head = this.keeper.current?.head
     return {
       ...this.identity,
+      beat: this.beat,
       state: this.state,
-      documents: head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }],
+      documents: this.listDocuments(),
       workers: this.reports.listFor(peerId),
-      demand: []
+      demand: [],
+      members: this.members.listRelayed(),
+      confirmedAt: this.keeper.confirmedAt
     }
   }
 
@@ -56,7 +71,8 @@
    */
   observe (digest: Digest): number {
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
-    this.members.observeHeartbeat({ nodeId: digest.nodeId, state: digest.state, configurationVersion: version })
+    this.members.observeReports([toReport(digest), ...digest.members])
+    this.keeper.observePeer(version, digest.confirmedAt)
     this.reports.observe(digest.workers)
     return version
   }
@@ -73,7 +89,9 @@
   }
 
   async push (document: PeerDocument): Promise<number> {
-    if (document.document.name === CONFIGURATION_DOCUMENT) this.keeper.apply(decodeDocument(document), 'peer')
+    if (document.document.name === CONFIGURATION_DOCUMENT) {
+      this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
+    }
     return this.keeper.version
   }
 
@@ -84,6 +102,11 @@
   returnLoan (_loan: LoanReturn): void {}
 }
 
+function toReport (digest: Digest): MemberReport {
+  const { nodeId, incarnation, beat, state, documents, demand } = digest
+  return { nodeId, incarnation, beat, state, documents, demand, isSuspected: false }
+}
+
 /**
  * @param configuration head and text
  * @returns the form in which it travels
--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -82,7 +82,9 @@
     const before = this.found.get(report.workerId)
     this.found.set(report.workerId, report)
     this.apply(report)
-    if (before === undefined ? isNotable(report) : hasStateChanged(before, report)) this.fireFound(report.workerId)
+    // Told at once, and until the drain is over with each probe again: in a large
+    // fleet the other holders are no neighbours, and a message may be lost.
+    if (isNotable(report) || (before !== undefined && hasStateChanged(before, report))) this.fireFound(report.workerId)
   }
 
   /**
--- a/packages/daemon/src/node/stop/daemonStop.ts
+++ b/packages/daemon/src/node/stop/daemonStop.ts
@@ -42,6 +42,8 @@
   startLeaving(): void
   /** Speaks to all peers. @returns whether all that live have heard */
   publishState(): Promise<boolean>
+  /** @returns how long word of a state takes to reach all nodes of a large fleet, in milliseconds */
+  getSpreadSpanMs(): number
   /** Takes no new connections and closes idle ones. */
   stopListening(): void
   /** @returns open requests of callers */
@@ -103,7 +105,7 @@
   }
 
   private listLeaveSteps (): StopStep[] {
-    const announce = this.createStep(StopStepName.Announce, () => this.createDeadline(ANNOUNCE_SPAN_MS), async (context) => {
+    const announce = this.createStep(StopStepName.Announce, () => this.createDeadline(Math.max(ANNOUNCE_SPAN_MS, this.target.getSpreadSpanMs())), async (context) => {
       this.target.startLeaving()
       await waitUntilDone(this.clock, context, ANNOUNCE_POLL_SPAN_MS, () => this.target.publishState())
     })
--- a/packages/daemon/test/node/stop/stop.test.ts
+++ b/packages/daemon/test/node/stop/stop.test.ts
@@ -73,6 +73,7 @@
       addStep('told')
       return scene.peersHear
     },
+    getSpreadSpanMs: () => 0,
     stopListening: () => addStep(`closed at ${clock.now()}`),
     countOpenRequests: () => scene.open,
     countConnections: async () => scene.open
