--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -56,6 +56,8 @@
   /** Set before the stop's first step runs, whose change of state is not to be undone by the VM list. */
   private isStopping = false
   private hasAskedAll = false
+  /** Once the first table of client blocks is built; later ones replace a whole one. */
+  private hasClientBlocks = false
 
   constructor (
     private readonly settings: DaemonSettings,
@@ -71,7 +73,10 @@
 
   /** @returns whether it has a configuration and serves callers */
   isReady (): boolean {
-    return this.parts?.keeper.current !== undefined && this.parts.peerService.state === NodeState.Live
+    const parts = this.parts
+    if (parts?.keeper.current === undefined || parts.peerService.state !== NodeState.Live) return false
+    this.hasClientBlocks ||= parts.regions.isCurrent
+    return this.hasClientBlocks
   }
 
   /**
