--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -8,27 +8,39 @@
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { WORKER_MEASUREMENT } from './workerMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
+import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
+import { HTTP_SCALE_MEASUREMENT } from './scale/httpScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
+import { TLS_MEASUREMENT } from './tlsMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
   Lookup = 'lookup',
   Request = 'request',
   Workers = 'workers',
+  Tls = 'tls',
   ScaleLookup = 'scale-lookup',
-  ScaleChange = 'scale-change'
+  ScaleChange = 'scale-change',
+  ScaleHttp = 'scale-http',
+  ScaleFleet = 'scale-fleet',
+  ScaleRegions = 'scale-regions'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
   [MeasurementName.Workers]: WORKER_MEASUREMENT,
+  [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
-  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT
+  [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleHttp]: HTTP_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleFleet]: FLEET_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleRegions]: REGION_SCALE_MEASUREMENT
 }
 
 const DEFAULT_SECONDS = 10
 const DEFAULT_RATE = 200
+const DEFAULT_SIZES = [25, 50, 100, 200]
 const EXIT_NOT_VALID = 1
 
 interface MeasureCall {
@@ -46,11 +58,12 @@
     .option('deployment', { choices: Object.values(DeploymentName), default: DeploymentName.Teratai, describe: 'which example deployment' })
     .option('seconds', { type: 'number', default: DEFAULT_SECONDS, describe: 'how long each part measures' })
     .option('rate', { type: 'number', default: DEFAULT_RATE, describe: 'requests a second, where the load is fixed' })
+    .option('sizes', { type: 'number', array: true, default: DEFAULT_SIZES, describe: 'sizes of fleet, where they vary' })
     .option('seed', { type: 'number', default: 1, describe: 'seed of all that is random' })
     .strict()
     .parseSync()
-  const { deployment, seconds, rate, seed } = parsed
-  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed } }
+  const { deployment, seconds, rate, seed, sizes } = parsed
+  return { measurement: MEASUREMENTS[parsed.name as MeasurementName], options: { deployment, seconds, rate, seed, sizes } }
 }
 
 async function main (): Promise<void> {
