Let the wait for cached look-ups end by itself

Cause: its step's deadline lay 1 ms after its end, so a stop in order was logged as one that passed a deadline; seen with a daemon run by hand.

--- a/packages/daemon/src/node/stop/daemonStop.ts
+++ b/packages/daemon/src/node/stop/daemonStop.ts
@@ -115,7 +115,7 @@
   private listStopSteps (): StopStep[] {
     const { target, clock } = this
     return [
-      this.createStep(StopStepName.ServeCachedLookups, () => createDeadline(this.getLookupsEnd(), LOOKUP_GRACE_SPAN_MS + 1), async (context) => {
+      this.createStep(StopStepName.ServeCachedLookups, () => createDeadline(this.getLookupsEnd(), LOOKUP_GRACE_SPAN_MS + CLOSE_SPAN_MS), async (context) => {
         const end = createDeadline(this.getLookupsEnd(), LOOKUP_GRACE_SPAN_MS)
         await waitUntilDone(clock, context, FINISH_POLL_SPAN_MS, () => clock.now() >= end)
       }),
