--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -1,7 +1,7 @@
 /** One `umberspard`: puts its parts together, starts them, and stops them in order. */
 import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
-import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { runDetached } from '@umberspar/base/common/detached'
 import type { StepError } from '@umberspar/base/common/errors'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import { type IMetrics, NULL_METRICS } from '@umberspar/base/common/metrics'
@@ -13,6 +13,7 @@
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { createDigester } from '@umberspar/steering/common/configuration/canonicalJson'
 import { LookupIndex, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
+import { computeRoundSpan, SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { VmState } from '@umberspar/steering/common/ports/vmList'
 import type { AdmissionPolicy } from './places/admissionQueue.js'
@@ -21,12 +22,13 @@
 import { buildOperatorApp } from './operators/operatorServer.js'
 import { HttpListener, splitAddress } from './httpListener.js'
 import { buildCallerApp } from './callers/callerServer.js'
+import { DaemonStop, type StopReport, type StopTarget } from './stop/daemonStop.js'
+import { createLeavingListener } from './stop/leavingListener.js'
+import { LookupLifetime } from './stop/lookupLifetime.js'
 import { DaemonTls, TlsSide } from './tls/daemonTls.js'
 
-const DRAIN_POLL_MS = 20
-/** Callers may hold a look-up for its lifetime; the stop waits so much longer. */
-const LOOKUP_GRACE_MS = 500
-const MAX_STOP_SPAN_MS = 600_000
+/** In so many rounds of heartbeats word of a state goes round a large fleet. */
+const SPREAD_ROUNDS = 4
 
 /** What a daemon takes from outside. */
 export interface DaemonDependencies {
@@ -51,7 +53,11 @@
   private tls: DaemonTls | undefined
   private callers: HttpListener | undefined
   private listening: DaemonAddresses | undefined
-  private stopping: Promise<void> | undefined
+  private readonly lifetime = new LookupLifetime()
+  private leaving: DaemonStop | undefined
+  private stopping: Promise<StopReport> | undefined
+  /** Set before the stop's first step runs, whose change of state is not to be undone by the VM list. */
+  private isStopping = false
   private hasAskedAll = false
   /** Once the first table of client blocks is built; later ones replace a whole one. */
   private hasClientBlocks = false
@@ -91,6 +97,7 @@
     const metrics = this.createMetrics()
     const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics, clock: this.clock, random: this.random, tls, admission: this.admission }, this.owned)
     this.parts = parts
+    this.leaving = this.createStop(parts)
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
     const opened = await this.openListeners(parts, tls, metrics)
@@ -104,7 +111,7 @@
     await parts.heartbeats.start()
     await parts.watcher.start()
     this.hasAskedAll = true
-    parts.limits.start(() => parts.peerService.buildDigest())
+    parts.limits.start((peerId) => parts.peerService.buildDigest(peerId))
     parts.prober.start()
     this.applyState()
     return new Ok(undefined)
@@ -113,12 +120,20 @@
   /**
    * Stops without harm to callers: out of look-ups first, then it serves until
    * cached look-ups have run out and the last open request has ended.
+   * @returns how many requests were cut off: none unless `stopWaiting` was called
    */
-  stop (): Promise<void> {
-    this.stopping ??= this.runStop()
+  stop (): Promise<StopReport> {
+    if (this.stopping !== undefined) return this.stopping
+    this.isStopping = true
+    this.stopping = this.runStop()
     return this.stopping
   }
 
+  /** Ends a stop that waits: what is still open is cut off. */
+  stopWaiting (): void {
+    this.leaving?.stopWaiting()
+  }
+
   /** Reads all certificates again, as after SIGHUP; broken ones are logged and the old ones stay. */
   async renewCertificates (): Promise<void> {
     await this.tls?.renew()
@@ -129,27 +144,45 @@
     await this.owned.close()
   }
 
-  private async runStop (): Promise<void> {
-    const parts = this.parts
-    if (parts === undefined) return
-    this.logger.log(LogLevel.Info, { step: 'stop', inFlight: parts.requests.inFlight }, 'leaving')
-    parts.peerService.state = NodeState.Leaving
-    parts.limits.leave()
-    this.applyState()
-    await parts.heartbeats.sendRound()
-    const cacheForMs = parts.keeper.current?.body.lookupCacheMs ?? 0
-    await this.waitUntil(createDeadline(this.clock.now(), cacheForMs + LOOKUP_GRACE_MS), () => false)
-    this.callers?.stop()
-    await this.waitUntil(createDeadline(this.clock.now(), MAX_STOP_SPAN_MS), () => parts.requests.inFlight === 0)
+  private async runStop (): Promise<StopReport> {
+    const report = await this.leaving?.run() ?? { cutRequests: 0 }
     await this.close()
-    this.logger.log(LogLevel.Info, { step: 'stop' }, 'stopped')
+    this.logger.log(LogLevel.Info, { step: 'stop', ...report }, 'stopped')
+    return report
   }
 
-  private async waitUntil (deadline: Deadline, isDone: () => boolean): Promise<void> {
-    while (!isDone() && !hasPassed(deadline, this.clock.now())) {
-      const next = Math.min(deadline, createDeadline(this.clock.now(), DRAIN_POLL_MS))
-      await new Promise<void>((resolve) => { this.clock.schedule(next, resolve) })
+  private createStop (parts: DaemonParts): DaemonStop {
+    const target: StopTarget = {
+      startLeaving: () => {
+        parts.peerService.state = NodeState.Leaving
+        parts.limits.leave()
+        this.applyState()
+      },
+      publishState: () => this.publishState(parts),
+      getSpreadSpanMs: () => computeRoundSpan(parts.members.list().length) * SPREAD_ROUNDS,
+      stopListening: () => this.callers?.stop(),
+      countOpenRequests: () => parts.requests.inFlight,
+      countConnections: async () => await this.callers?.countConnections() ?? 0
     }
+    return new DaemonStop(target, this.lifetime, this.clock, this.logger)
+  }
+
+  /** In a small fleet everybody is told; in a large one the neighbours, and word goes round. */
+  private async publishState (parts: DaemonParts): Promise<boolean> {
+    const others = parts.members.listActive().filter(({ nodeId }) => nodeId !== this.settings.nodeId)
+    if (others.length < SMALL_FLEET) return await parts.heartbeats.sendToAll(others.map(({ nodeId }) => nodeId))
+    await parts.heartbeats.sendRound()
+    return false
+  }
+
+  /** The platform's word that this VM will go takes it out of look-ups; taken back, it returns. */
+  private applyOwnVm (parts: DaemonParts): void {
+    const { peerService, members } = parts
+    if (peerService.state === NodeState.Joining && this.canGoLive(parts)) peerService.state = NodeState.Live
+    const listed = members.list().find((member) => member.vm.vmId === this.settings.nodeId)?.vm.state
+    if (this.isStopping || listed === undefined) return
+    if (listed === VmState.Live && peerService.state === NodeState.Leaving) peerService.state = NodeState.Live
+    else if (listed === VmState.Leaving && peerService.state === NodeState.Live) runDetached(() => this.leaving!.leave(), this.logger, 'leave')
   }
 
   private createMetrics (): IMetrics {
@@ -161,7 +194,8 @@
   private async openListeners (parts: DaemonParts, tls: DaemonTls, metrics: IMetrics): Promise<Result<void, StepError>> {
     const { clock, logger, settings } = this
     const isForwarder = (address: string): boolean => parts.regions.isForwarder(address)
-    const callers = this.owned.add(new HttpListener('callers', buildCallerApp(parts.lookups, parts.requests), { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger, metrics }))
+    const listener = createLeavingListener(buildCallerApp(parts.lookups, parts.requests), () => parts.peerService.state === NodeState.Leaving)
+    const callers = this.owned.add(new HttpListener('callers', listener, { limits: settings.callers.limits, tls: tls.get(TlsSide.Callers), isForwarder, clock, logger, metrics }))
     this.callers = callers
     const operatorApp = buildOperatorApp(buildViews(this.settings, parts, this.clock), parts.patches)
     const operators = this.owned.add(new HttpListener('operators', operatorApp.handler.bind(operatorApp) as never, { limits: settings.operators.limits, tls: tls.get(TlsSide.Operators), clock, logger, metrics }))
@@ -181,10 +215,14 @@
     const parts = this.parts
     const current = parts?.keeper.current
     if (parts === undefined || current === undefined) return
-    if (parts.peerService.state === NodeState.Joining && this.canGoLive(parts)) parts.peerService.state = NodeState.Live
+    this.applyOwnVm(parts)
+    this.lifetime.update(current.body.lookupCacheMs, this.clock.now())
     const nodes = this.listNodes(parts)
-    const workers = parts.places.update(current.body, parts.limits)
-    parts.prober.update(workers, nodes.map((node) => node.nodeId))
+    const roster = nodes.map((node) => ({ ...node, state: NodeState.Live }))
+    const workers = parts.places.update(current.body, parts.limits, roster)
+    parts.reports.update(workers)
+    parts.reports.applyVmStates((vm) => parts.members.isUpstreamLeaving(vm))
+    parts.prober.update(workers)
     parts.limits.update()
     parts.plans.update(current.body)
     parts.regions.update(current.body)
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -1,6 +1,7 @@
 /** Creates the parts of a daemon and hands their ownership to one stack. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { CloseStack } from '@umberspar/base/common/closing'
+import { runDetached } from '@umberspar/base/common/detached'
 import type { ILogger } from '@umberspar/base/common/logger'
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import type { IRandomSource } from '@umberspar/base/common/random'
@@ -32,6 +33,7 @@
 import { PlaceDirectory } from './places/placeDirectory.js'
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
+import { WorkerReports } from './places/workerReports.js'
 import { RequestRunner } from './request/requestRunner.js'
 import { SlotFinder } from './request/slotFinder.js'
 import { type DaemonTls, TlsSide } from './tls/daemonTls.js'
@@ -64,6 +66,7 @@
   readonly places: PlaceDirectory
   readonly plans: PlanKeeper
   readonly prober: WorkerProber
+  readonly reports: WorkerReports
   readonly transport: UndiciTransport
   readonly regions: ClientRegions
   readonly burn: BurnCounter
@@ -98,7 +101,7 @@
 }
 
 type ControlParts = Pick<DaemonParts, 'store' | 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
-type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
+type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'reports' | 'transport'>
 type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats' | 'limits'>
 
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
@@ -121,8 +124,9 @@
   const transport = owned.add(new UndiciTransport({ clock, tls: inputs.tls.get(TlsSide.Upstreams) }))
   const places = owned.add(new PlaceDirectory(clock, random, inputs.admission))
   const plans = owned.add(new PlanKeeper(clock))
-  const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
-  return { places, plans, prober, transport }
+  const reports = owned.add(new WorkerReports(settings.nodeId, clock))
+  const prober = owned.add(new WorkerProber(settings.nodeId, transport, reports, clock, random, logger))
+  return { places, plans, prober, reports, transport }
 }
 
 function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, owned: CloseStack): PeerParts {
@@ -134,9 +138,10 @@
   const security = tls === undefined ? undefined : createChannelSecurity(tls)
   const client = owned.add(new PeerClient({ clock, security }))
   const limits = owned.add(new LimitKeeper({ selfId: nodeId, region, ...traffic, ...control, client, clock, random, logger }))
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, limits, clock)
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.reports, limits)
   const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
   const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, clock, random, logger))
   owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
+  traffic.reports.onDidFind((peerIds) => runDetached(() => heartbeats.sendToAll(peerIds), logger, 'report-worker'))
   return { peerService, peerServer, heartbeats, limits }
 }
--- a/packages/daemon/src/node/limits/limitKeeper.ts
+++ b/packages/daemon/src/node/limits/limitKeeper.ts
@@ -63,7 +63,7 @@
   private isLeaving = false
   private isClosed = false
   private timer: ITimer | undefined
-  private buildDigest: (() => Digest) | undefined
+  private buildDigest: ((peerId: string) => Digest) | undefined
 
   constructor (private readonly parts: LimitKeeperParts) {
     const { selfId, client, clock, random, logger, members, places } = parts
@@ -84,9 +84,9 @@
 
   /**
    * Begins to exchange acknowledgements.
-   * @param buildDigest this node's heartbeat
+   * @param buildDigest this node's heartbeat for a peer
    */
-  start (buildDigest: () => Digest): void {
+  start (buildDigest: (peerId: string) => Digest): void {
     this.buildDigest = buildDigest
     this.scheduleStep()
   }
@@ -265,13 +265,13 @@
 
   /** Heartbeats may take ways of their own; acknowledgements are asked for directly. */
   private exchangeWithMissing (): void {
-    if (this.isClosed || this.buildDigest === undefined) return
+    const { buildDigest } = this
+    if (this.isClosed || buildDigest === undefined) return
     const missing = new Set(this.division.listMissing())
     const peers = this.parts.members.listPeers().filter(({ vm }) => missing.has(vm.vmId) || this.barrier.isWaitingFor(vm.vmId))
-    const addresses = peers.flatMap(({ vm }) => vm.peerAddress ?? [])
-    if (addresses.length === 0) return
-    const digest = this.buildDigest()
-    for (const address of addresses) runDetached(() => this.exchange(address, digest), this.parts.logger, 'exchange-acknowledgements')
+    for (const { vm: { vmId, peerAddress } } of peers) {
+      if (peerAddress !== undefined) runDetached(() => this.exchange(peerAddress, buildDigest(vmId)), this.parts.logger, 'exchange-acknowledgements')
+    }
   }
 
   private async exchange (address: string, digest: Digest): Promise<void> {
--- a/packages/daemon/src/node/members/memberDirectory.ts
+++ b/packages/daemon/src/node/members/memberDirectory.ts
@@ -152,11 +152,11 @@
   }
 
   /**
-   * @param vmId an upstream VM, which bears its worker's id
+   * @param vm an upstream VM's id, or the `host:port` of its worker
    * @returns whether the platform announced that it leaves
    */
-  isUpstreamLeaving (vmId: string): boolean {
-    return this.upstreamStates.get(vmId) === VmState.Leaving
+  isUpstreamLeaving (vm: string): boolean {
+    return this.upstreamStates.get(vm) === VmState.Leaving
   }
 
   /**
@@ -246,7 +246,10 @@
   private updateUpstreams (vms: readonly VmEntry[]): void {
     this.upstreamStates.clear()
     for (const vm of vms) {
-      if (vm.role === VmRole.Upstream) this.upstreamStates.set(vm.vmId, vm.state)
+      if (vm.role !== VmRole.Upstream) continue
+      this.upstreamStates.set(vm.vmId, vm.state)
+      // Workers are configured by address; the platform's ids need not be theirs.
+      this.upstreamStates.set(vm.address, vm.state)
     }
   }
 
--- a/packages/daemon/src/node/peers/heartbeats.ts
+++ b/packages/daemon/src/node/peers/heartbeats.ts
@@ -51,6 +51,19 @@
     if (this.members.list().length > SMALL_FLEET) this.closeChance(neighbours)
   }
 
+  /**
+   * Speaks now to nodes that need not be neighbours, as when this node leaves.
+   * @param nodeIds to whom
+   * @returns whether all have heard the state of now
+   */
+  async sendToAll (nodeIds: readonly string[]): Promise<boolean> {
+    if (this.isClosed) return false
+    // A digest with the beat of an earlier one would count as the same news.
+    this.service.startRound()
+    const heard = await Promise.all(nodeIds.map((nodeId) => this.sendTo(nodeId)))
+    return heard.every(Boolean)
+  }
+
   close (): void {
     this.isClosed = true
     this.timer?.close()
@@ -61,28 +74,29 @@
     return chooseNeighbours(nodes, this.self, this.random)
   }
 
-  private async sendTo (nodeId: string): Promise<void> {
+  private async sendTo (nodeId: string): Promise<boolean> {
     const address = this.members.get(nodeId)?.vm.peerAddress
     // A peer that hangs must not gather a call for every round.
-    if (address === undefined || this.running.has(nodeId)) return
+    if (address === undefined || this.running.has(nodeId)) return false
     this.running.add(nodeId)
     try {
-      await this.send(address)
+      return await this.send(nodeId, address)
     } finally {
       this.running.delete(nodeId)
     }
   }
 
-  private async send (address: string): Promise<void> {
-    const answer = await this.client.exchange(address, this.service.buildDigest(), this.createDeadline())
-    if (this.isClosed) return
+  private async send (nodeId: string, address: string): Promise<boolean> {
+    const answer = await this.client.exchange(address, this.service.buildDigest(nodeId), this.createDeadline())
+    if (this.isClosed) return false
     if (!answer.ok) {
       logError(this.logger, LogLevel.Debug, answer.val)
-      return
+      return false
     }
     const theirs = this.service.observe(answer.val, true)
     if (theirs > this.keeper.version) await this.fetchFrom(address)
     else if (theirs < this.keeper.version) await this.pushTo(address)
+    return true
   }
 
   private async fetchFrom (address: string): Promise<void> {
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -2,15 +2,13 @@
  * This node's side of the conversation between daemons: heartbeats with the
  * versions each has, and the configuration handed on to whoever is behind.
  */
-import type { IClock } from '@umberspar/base/common/clock'
 import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
 import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
 import type { LimitKeeper } from '../limits/limitKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
-import type { WorkerProber } from '../places/workerProber.js'
-import { WorkerReportRelay } from './workerReportRelay.js'
+import type { WorkerReports } from '../places/workerReports.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -28,19 +26,15 @@
 export class PeerService implements IPeerService {
   /** This node's state as peers are told it. */
   state: AnnouncedState = NodeState.Joining
-  private readonly relay: WorkerReportRelay
   private beat = 0
 
   constructor (
     private readonly identity: NodeIdentity,
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
-    private readonly prober: WorkerProber,
-    private readonly limits: LimitKeeper,
-    clock: IClock
-  ) {
-    this.relay = new WorkerReportRelay(clock)
-  }
+    private readonly reports: WorkerReports,
+    private readonly limits: LimitKeeper
+  ) {}
 
   /** Begins a round: the next digest is a new sign of life. */
   startRound (): void {
@@ -54,14 +48,17 @@
     return [...configuration, ...this.limits.listDocuments()]
   }
 
-  /** @returns this node's heartbeat */
-  buildDigest (): Digest {
+  /**
+   * @param peerId whom it is for
+   * @returns this node's heartbeat
+   */
+  buildDigest (peerId: string): Digest {
     return {
       ...this.identity,
       beat: this.beat,
       state: this.state,
       documents: this.listDocuments(),
-      workers: this.relay.list(this.prober.listReports()),
+      workers: this.reports.listFor(peerId),
       demand: [],
       members: this.members.listRelayed(),
       confirmedAt: this.keeper.confirmedAt
@@ -79,14 +76,13 @@
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
     this.keeper.observePeer(version, digest.confirmedAt)
-    this.relay.observe(digest.workers)
-    this.prober.observeReports(digest.workers)
+    this.reports.observe(digest.workers)
     return version
   }
 
   exchange (digest: Digest): Digest {
     this.observe(digest, false)
-    return this.buildDigest()
+    return this.buildDigest(digest.nodeId)
   }
 
   fetch (name: string, aboveVersion: number): PeerDocument | undefined {
--- a/packages/daemon/src/node/places/placeDirectory.ts
+++ b/packages/daemon/src/node/places/placeDirectory.ts
@@ -8,6 +8,7 @@
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import type { SlotShare } from '@umberspar/steering/common/limits/divideSlots'
 import { computeProbeConnections } from '@umberspar/steering/common/limits/probeConnections'
+import { listServiceEntries, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
 import { buildPlaceKey } from '@umberspar/steering/common/limits/slotKey'
 import type { AdmissionPolicy } from './admissionQueue.js'
 import { PlacePool } from './placePool.js'
@@ -17,6 +18,8 @@
   readonly workerId: string
   readonly address: string
   readonly pool: PlacePool
+  /** Entry VMs that have a part of the worker; no others send to it. */
+  readonly holders: readonly string[]
 }
 
 /** A worker's address and this entry VM's connections to it. */
@@ -83,9 +86,10 @@
    * Takes over a configuration.
    * @param configuration the configuration in force
    * @param source this node's parts
+   * @param roster the entry VMs that have a part
    * @returns all workers
    */
-  update (configuration: SteeringConfiguration, source: PartSource): KnownWorker[] {
+  update (configuration: SteeringConfiguration, source: PartSource, roster: readonly LookupNode[]): KnownWorker[] {
     this.configuration = configuration
     const kept = new Set<string>()
     const known: KnownWorker[] = []
@@ -93,7 +97,8 @@
       for (const [failureDomain, place] of Object.entries(settings.places)) {
         const pool = this.getOrCreate(service, failureDomain, settings.warmUpMs)
         kept.add(buildPlaceKey(service, failureDomain))
-        for (const [workerId, { address }] of Object.entries(place.workers)) known.push({ workerId, address, pool })
+        const holders = listServiceEntries(service, findRegion(configuration, failureDomain), roster, configuration.entriesPerRegion)
+        for (const [workerId, { address }] of Object.entries(place.workers)) known.push({ workerId, address, pool, holders })
       }
     }
     this.removeOthers(kept)
--- a/packages/platform/test/node/peers/peerMessages.test.ts
+++ b/packages/platform/test/node/peers/peerMessages.test.ts
@@ -8,7 +8,7 @@
 // false, so all nodes that hear of it would choose among the place's workers by
 // chance, and a sum over demand would never be a number again.
 test('a digest with a figure that is no number of 0 or more is refused whole', () => {
-  const worker = { workerId: 'w', utilization: 0.5, inFlight: 1, measuredAt: 0, isDraining: false, isHealthy: true }
+  const worker = { workerId: 'w', utilization: 0.5, inFlight: 1, measuredAt: 0, isDraining: false, isHealthy: true, isStarting: false, isProbed: true, hasLoad: true }
   const demand = { service: 's', clientRegion: 'r', concurrency: 1, measuredAt: 0 }
   const digest = { nodeId: 'a', region: 'r', failureDomain: 'f', incarnation: 1, beat: 1, members: [], confirmedAt: undefined, state: NodeState.Live as const, documents: [], workers: [worker], demand: [demand] }
   const decode = (changes: object): unknown => decodeDigest(encodeDigest({ ...digest, ...changes }, 10), 10, 'peer')
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -9,6 +9,7 @@
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
+import { WORKER_MEASUREMENT } from './workerMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
 import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
 import { HTTP_SCALE_MEASUREMENT } from './scale/httpScale.js'
@@ -22,6 +23,7 @@
   Lookup = 'lookup',
   Overload = 'overload',
   Request = 'request',
+  Workers = 'workers',
   Tls = 'tls',
   ScaleLookup = 'scale-lookup',
   ScaleChange = 'scale-change',
@@ -36,6 +38,7 @@
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.Workers]: WORKER_MEASUREMENT,
   [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
--- a/packages/testing/test/node/hardening/fuzz.test.ts
+++ b/packages/testing/test/node/hardening/fuzz.test.ts
@@ -126,7 +126,15 @@
 
 const version = fc.record({ name: fc.constantFrom('', 'configuration', 'plan/x', '__proto__'), version: fc.bigInt({ min: 0n, max: 2n ** 64n - 1n }), digest: fc.string(), changeId: fc.string() })
 const worker = fc.record({
-  workerId: fc.string(), utilization: fc.double(), inFlight: fc.integer({ min: 0 }), ageMs: fc.integer({ min: 0 }), isDraining: fc.boolean(), isHealthy: fc.boolean()
+  workerId: fc.string(),
+  utilization: fc.double(),
+  inFlight: fc.integer({ min: 0 }),
+  ageMs: fc.integer({ min: 0 }),
+  isDraining: fc.boolean(),
+  isHealthy: fc.boolean(),
+  isStarting: fc.boolean(),
+  isProbed: fc.boolean(),
+  hasLoad: fc.boolean()
 })
 const demand = fc.array(fc.record({ service: fc.string(), clientRegion: fc.string(), concurrency: fc.double(), ageMs: fc.integer({ min: 0 }) }), { maxLength: 2 })
 const anyState = fc.integer({ min: -1, max: 9 })
