--- a/packages/testing/src/node/measure/scale/fleet.ts
+++ b/packages/testing/src/node/measure/scale/fleet.ts
@@ -98,6 +98,11 @@
     return await Promise.all(this.hosts.map((host) => this.send(host, { kind: HostOrderKind.Measure })))
   }
 
+  /** @returns the same without collecting garbage first */
+  async observe (): Promise<HostFigures[]> {
+    return await Promise.all(this.hosts.map((host) => this.send(host, { kind: HostOrderKind.Observe })))
+  }
+
   /** @returns the processor time of the processes so far, in seconds */
   async readCpuSeconds (): Promise<number> {
     const each = await Promise.all(this.hosts.map((host) => host.readCpuSeconds()))
@@ -115,7 +120,7 @@
       const settings = this.settings.slice(index * daemonsPerProcess, (index + 1) * daemonsPerProcess)
       return this.send(host, { kind: HostOrderKind.Start, settings, staggerMs: STAGGER_MS, seed: seed + index * daemonsPerProcess })
     }))
-    const isReady = async (): Promise<boolean> => (await this.measure()).every(({ daemons, ready }) => daemons === ready)
+    const isReady = async (): Promise<boolean> => (await this.observe()).every(({ daemons, ready }) => daemons === ready)
     if (!await waitForCondition(this.clock, createDeadline(this.clock.now(), READY_WITHIN_MS), POLL_MS, isReady)) throw new Error('not all daemons are ready')
   }
 
--- a/packages/testing/src/node/measure/scale/fleetHost.ts
+++ b/packages/testing/src/node/measure/scale/fleetHost.ts
@@ -15,6 +15,8 @@
 export enum HostOrderKind {
   Start = 'start',
   Measure = 'measure',
+  /** As `Measure`, but without collecting garbage, which would hold up the daemons. */
+  Observe = 'observe',
   Stop = 'stop'
 }
 
@@ -91,14 +93,14 @@
     }
   }
 
-  measure (): HostFigures {
+  measure (isCollected: boolean): HostFigures {
     const { user, system } = process.cpuUsage()
     const isPlatform = (listener: string): boolean => listener === this.platformAddress || listener === this.storeAddress
     return {
       daemons: this.daemons.length,
       ready: this.daemons.filter((daemon) => daemon.isReady()).length,
       cpuSeconds: (user + system) / MICROSECONDS,
-      heapBytes: measureHeapBytes(),
+      heapBytes: isCollected ? measureHeapBytes() : process.memoryUsage().heapUsed,
       residentBytes: process.memoryUsage.rss(),
       platform: bytes.count(isPlatform),
       storeBytes: bytes.count((listener) => listener === this.storeAddress),
@@ -118,6 +120,7 @@
 const ORDERS: Readonly<Record<HostOrderKind, (order: HostOrder) => Promise<void>>> = {
   [HostOrderKind.Start]: (order) => host.start(order),
   [HostOrderKind.Measure]: async () => {},
+  [HostOrderKind.Observe]: async () => {},
   [HostOrderKind.Stop]: () => host.stop()
 }
 
@@ -125,7 +128,7 @@
 function main (): void {
   process.on('message', async (order: HostOrder) => {
     await ORDERS[order.kind](order)
-    process.send?.(host.measure())
+    process.send?.(host.measure(order.kind === HostOrderKind.Measure))
   })
   process.on('disconnect', () => process.exit(0))
 }
--- a/packages/testing/src/node/measure/scale/fleetScale.ts
+++ b/packages/testing/src/node/measure/scale/fleetScale.ts
@@ -75,14 +75,14 @@
 async function measureChange (fleet: Fleet, nodes: number, number: number): Promise<ChangeFigures> {
   const operator = fleet.settings[0]?.operators.address ?? ''
   const baseVersion = await fleet.operators.readVersion(operator)
-  await fleet.measure()
+  await fleet.observe()
   fleet.platform.store.clearCallCounts()
   const startedAt = clock.getWallTime()
   const answer = await fleet.operators.patch(operator, { baseVersion, changeId: randomUUID(), patch: { lookupCacheMs: 2000 + number }, note: 'measure' })
   if (answer.version === undefined) throw new Error(`patch refused: ${answer.text}`)
   const adoptions: Adoption[] = []
   const isEverywhere = async (): Promise<boolean> => {
-    adoptions.push(...(await fleet.measure()).flatMap((figures) => figures.adoptions).filter(({ version }) => version === answer.version))
+    adoptions.push(...(await fleet.observe()).flatMap((figures) => figures.adoptions).filter(({ version }) => version === answer.version))
     return adoptions.length >= nodes
   }
   await waitForCondition(clock, createDeadline(clock.now(), IN_FORCE_WITHIN_MS), POLL_MS, isEverywhere)
@@ -139,7 +139,9 @@
   const rows: FigureRow[] = []
   for (const { nodes, regions } of fleets) {
     printLine(`${nodes} nodes in ${regions} regions`)
-    rows.push(await measureFleet({ nodes, regions, daemonsPerProcess: DAEMONS_PER_PROCESS, seed: options.seed }, options.seconds))
+    const row = await measureFleet({ nodes, regions, daemonsPerProcess: DAEMONS_PER_PROCESS, seed: options.seed }, options.seconds)
+    printLine(JSON.stringify(row))
+    rows.push(row)
   }
   return rows
 }
