--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -10,11 +10,13 @@
 import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
 import { HTTP_SCALE_MEASUREMENT } from './scale/httpScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
+import { TLS_MEASUREMENT } from './tlsMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
   Lookup = 'lookup',
   Request = 'request',
+  Tls = 'tls',
   ScaleLookup = 'scale-lookup',
   ScaleChange = 'scale-change',
   ScaleHttp = 'scale-http',
@@ -25,6 +27,7 @@
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
   [MeasurementName.ScaleHttp]: HTTP_SCALE_MEASUREMENT,
