--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -10,6 +10,7 @@
 import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
 import { HTTP_SCALE_MEASUREMENT } from './scale/httpScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
+import { MEMBER_SCALE_MEASUREMENT } from './scale/memberScale.js'
 import { TLS_MEASUREMENT } from './tlsMeasurement.js'
 
 /** The measurements, by the name on the command line. */
@@ -20,6 +21,7 @@
   ScaleLookup = 'scale-lookup',
   ScaleChange = 'scale-change',
   ScaleHttp = 'scale-http',
+  ScaleMembers = 'scale-members',
   ScaleFleet = 'scale-fleet',
   ScaleRegions = 'scale-regions'
 }
@@ -30,6 +32,7 @@
   [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleMembers]: MEMBER_SCALE_MEASUREMENT,
   [MeasurementName.ScaleHttp]: HTTP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleFleet]: FLEET_SCALE_MEASUREMENT,
   [MeasurementName.ScaleRegions]: REGION_SCALE_MEASUREMENT
--- a/packages/testing/src/node/measure/scale/changeScale.ts
+++ b/packages/testing/src/node/measure/scale/changeScale.ts
@@ -8,7 +8,7 @@
 import { ClientBlockTable, finishSlices } from '@umberspar/steering/common/lookup/clientBlocks'
 import type { FigureRow, Measurement } from '../measurement.js'
 import { printFigures } from '../measurement.js'
-import { measureHeapBytes } from './heap.js'
+import { measureHeldMb } from './heap.js'
 import { measureLeast } from './leastSquares.js'
 import { buildScaleConfiguration, formatRegion, TARGET } from './scaleConfiguration.js'
 import { ScaleReport } from './scaleReport.js'
@@ -17,7 +17,6 @@
 const BLOCKS = [1500, 15_000, 50_000, 100_000, TARGET.clientBlocks]
 const WORKERS_PER_SITE = 3
 const ROUNDS = 3
-const BYTES_PER_MB = 1_048_576
 const FIXED_CUT_BYTES = 524_288
 const DIGESTER = { computeDigest }
 
@@ -69,20 +68,15 @@
   return moved
 }
 
-function measureHeap (text: string): { bodyMb: number, textMb: number, tableMb: number, chunksMb: number } {
-  const empty = measureHeapBytes()
-  const copy = Buffer.from(text).toString('latin1')
-  const withText = measureHeapBytes()
-  const body = JSON.parse(copy) as SteeringConfiguration
-  const withBody = measureHeapBytes()
+function measureHeap (text: string): { textMb: number, bodyMb: number, tableMb: number, chunksMb: number } {
+  const body = JSON.parse(text) as SteeringConfiguration
   const groups = Object.entries(body.regions).map(([group, { clientBlocks }]) => ({ group, prefixes: clientBlocks }))
-  const table = finishSlices(ClientBlockTable.buildInSlices(groups))
-  const withTable = measureHeapBytes()
-  const chunks = splitBody(copy, DIGESTER)
-  const withChunks = measureHeapBytes()
-  if (table.size === 0 || chunks.textByName.size === 0) throw new Error('nothing was built')
-  const toMb = (bytes: number): number => bytes / BYTES_PER_MB
-  return { textMb: toMb(withText - empty), bodyMb: toMb(withBody - withText), tableMb: toMb(withTable - withBody), chunksMb: toMb(withChunks - withTable) }
+  return {
+    textMb: measureHeldMb(() => Buffer.from(text).toString('latin1')),
+    bodyMb: measureHeldMb(() => JSON.parse(text)),
+    tableMb: measureHeldMb(() => finishSlices(ClientBlockTable.buildInSlices(groups))),
+    chunksMb: measureHeldMb(() => splitBody(text, DIGESTER))
+  }
 }
 
 function countSites (clientBlocks: number): number {
--- a/packages/testing/src/node/measure/scale/heap.ts
+++ b/packages/testing/src/node/measure/scale/heap.ts
@@ -2,6 +2,8 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 
+const BYTES_PER_MB = 1_048_576
+
 setFlagsFromString('--expose-gc')
 const collectGarbage = runInNewContext('gc') as () => void
 
@@ -13,3 +15,14 @@
   const { heapUsed, arrayBuffers } = process.memoryUsage()
   return heapUsed + arrayBuffers
 }
+
+/**
+ * @param build makes what is to be measured
+ * @returns megabytes that are freed when the only reference to it is dropped
+ */
+export function measureHeldMb (build: () => unknown): number {
+  const held: { value?: unknown } = { value: build() }
+  const before = measureHeapBytes()
+  delete held.value
+  return (before - measureHeapBytes()) / BYTES_PER_MB
+}
