--- a/packages/testing/src/node/deployment/localDeployment.ts
+++ b/packages/testing/src/node/deployment/localDeployment.ts
@@ -11,7 +11,7 @@
 import type { Daemon } from '@umberspar/daemon/node/daemon'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
-import { HistoryRecorder } from '../../common/history/historyEvent.js'
+import { HistoryEventKind, HistoryRecorder } from '../../common/history/historyEvent.js'
 import type { DeploymentName } from '../../common/load/mixes.js'
 import { waitForCondition } from '../load/polling.js'
 import { buildEntryVm } from '../standIns/entrySettings.js'
@@ -51,9 +51,12 @@
   readonly entries: LocalEntry[] = []
   private readonly closing = new CloseStack()
 
+  private created = 0
+
   private constructor (
     readonly platform: PlatformStandIns,
-    readonly clock: IClock
+    readonly clock: IClock,
+    private readonly options: LocalDeploymentOptions
   ) {
     this.closing.add(platform)
     this.closing.add(this.operators)
@@ -80,10 +83,10 @@
       clock,
       seed: options.seed
     })
-    const deployment = new LocalDeployment(platform, clock)
+    const deployment = new LocalDeployment(platform, clock, options)
     try {
       deployment.recordWorkers()
-      await deployment.startDaemons(files.settings, options)
+      await deployment.startDaemons(files.settings)
       return deployment
     } catch (failure) {
       await deployment.close()
@@ -123,6 +126,29 @@
     }
   }
 
+  /**
+   * Stops an entry VM as planned, and says so in the history.
+   * @param settings whose
+   */
+  async stopEntry (settings: DaemonSettings): Promise<void> {
+    const targets = [settings.callers.address]
+    this.history.record({ kind: HistoryEventKind.StopBegan, at: this.clock.now(), targets })
+    await this.entries.find((entry) => entry.settings === settings)?.daemon.stop()
+    this.history.record({ kind: HistoryEventKind.StopEnded, at: this.clock.now(), targets })
+  }
+
+  /**
+   * Starts an entry VM again that was stopped or closed; rejects if it can't.
+   * @param settings whose
+   */
+  async startEntry (settings: DaemonSettings): Promise<void> {
+    const index = this.entries.findIndex((entry) => entry.settings === settings)
+    const entry = this.createEntry(settings)
+    this.entries[index] = entry
+    const started = await entry.daemon.start()
+    if (!started.ok) throw started.val
+  }
+
   /** Closes daemons and stand-ins, the last started first. */
   async close (): Promise<void> {
     await this.closing.close()
@@ -139,16 +165,18 @@
     }
   }
 
-  private async startDaemons (settings: readonly DaemonSettings[], options: LocalDeploymentOptions): Promise<void> {
-    const logger = options.logger ?? NULL_LOGGER
-    for (const [index, each] of settings.entries()) {
-      const random = new SeededRandom(options.seed + index)
-      const complete = addPlatform(each, this.platform.addresses)
-      const daemon = this.closing.add(createDaemon(complete, { logger, clock: this.clock, random }))
-      this.entries.push({ settings: complete, daemon })
-    }
+  private async startDaemons (settings: readonly DaemonSettings[]): Promise<void> {
+    for (const each of settings) this.entries.push(this.createEntry(addPlatform(each, this.platform.addresses)))
     const started = await Promise.all(this.entries.map(({ daemon }) => daemon.start()))
     const failed = started.find((result) => !result.ok)
     if (failed !== undefined && !failed.ok) throw failed.val
   }
+
+  private createEntry (settings: DaemonSettings): LocalEntry {
+    const random = new SeededRandom(this.options.seed + this.created)
+    this.created += 1
+    const { clock } = this
+    const logger = this.options.logger ?? NULL_LOGGER
+    return { settings, daemon: this.closing.add(createDaemon(settings, { logger, clock, random })) }
+  }
 }
