--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -24,9 +24,11 @@
 import { Deduplicator } from './dedup/deduplicator.js'
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
+import { LimitKeeper } from './limits/limitKeeper.js'
 import { DocumentSpreader } from './peers/documentSpreader.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
+import type { AdmissionPolicy } from './places/admissionQueue.js'
 import { PlaceDirectory } from './places/placeDirectory.js'
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
@@ -42,6 +44,7 @@
   readonly metrics: IMetrics
   readonly clock: IClock
   readonly random: IRandomSource
+  readonly admission?: AdmissionPolicy | undefined
   /** Certificates of the sides that speak TLS. */
   readonly tls: DaemonTls
 }
@@ -57,6 +60,7 @@
   readonly peerService: PeerService
   readonly peerServer: PeerServer
   readonly heartbeats: Heartbeats
+  readonly limits: LimitKeeper
   readonly places: PlaceDirectory
   readonly plans: PlanKeeper
   readonly prober: WorkerProber
@@ -95,7 +99,7 @@
 
 type ControlParts = Pick<DaemonParts, 'store' | 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
 type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
-type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats'>
+type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats' | 'limits'>
 
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
   const { settings, digester, logger, metrics, clock, random } = inputs
@@ -115,7 +119,7 @@
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
   const { settings, clock, random, logger } = inputs
   const transport = owned.add(new UndiciTransport({ clock, tls: inputs.tls.get(TlsSide.Upstreams) }))
-  const places = owned.add(new PlaceDirectory(settings.nodeId, clock, random))
+  const places = owned.add(new PlaceDirectory(clock, random, inputs.admission))
   const plans = owned.add(new PlanKeeper(clock))
   const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
   return { places, plans, prober, transport }
@@ -125,13 +129,14 @@
   const { settings, clock, random, logger } = inputs
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, clock)
   const tls = inputs.tls.get(TlsSide.Peers)
   const credentials = tls === undefined ? undefined : createServerCredentials(tls)
   const security = tls === undefined ? undefined : createChannelSecurity(tls)
-  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
   const client = owned.add(new PeerClient({ clock, security }))
+  const limits = owned.add(new LimitKeeper({ selfId: nodeId, region, ...traffic, ...control, client, clock, random, logger }))
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, limits, clock)
+  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
   const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, clock, random, logger))
   owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
-  return { peerService, peerServer, heartbeats }
+  return { peerService, peerServer, heartbeats, limits }
 }
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -4,8 +4,10 @@
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
 import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
+import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
+import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
 import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
@@ -16,7 +18,9 @@
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
   Faults = 'faults',
+  Limits = 'limits',
   Lookup = 'lookup',
+  Overload = 'overload',
   Request = 'request',
   Tls = 'tls',
   ScaleLookup = 'scale-lookup',
@@ -28,7 +32,9 @@
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Faults]: FAULTS_MEASUREMENT,
+  [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
+  [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
   [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
