Follow the agreed plan: lease holder, documents between peers, measured demand

Cause: each daemon stepped by itself on the configuration alone.

Change: a holder under a lease with an epoch advances one document per service by compare-and-swap conditioned on its own key; peers hand plans and weights in force on (peers/documentRegistry); demand is measured and sent in digests; drains that do not fit the measured demand are refused at the patch; POST /v1/drains/predict and the status' plans; npm run measure -- drain.

--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -15,6 +15,7 @@
 import { type RequestBody, readBody } from '../request/requestBody.js'
 import type { RequestContext } from '../request/requestContext.js'
 import type { RequestRunner, RunningAnswer } from '../request/requestRunner.js'
+import type { DemandMeter } from '../plan/demandMeter.js'
 import type { ClientRegions } from './clientRegions.js'
 import { answerProblem } from './problem.js'
 
@@ -27,6 +28,7 @@
   readonly runner: RequestRunner
   readonly regions: ClientRegions
   readonly burn: BurnCounter
+  readonly demand: DemandMeter
   readonly clock: IClock
   readonly logger: ILogger
   readonly metrics: IMetrics
@@ -82,6 +84,15 @@
       answerProblem(response, error, Outcome.NotRun, context.requestId)
       return true
     }
+    const finishMeasuring = this.parts.demand.start(context.service, context.clientRegion)
+    try {
+      return await this.runRequest(context, request, body, response)
+    } finally {
+      finishMeasuring()
+    }
+  }
+
+  private async runRequest (context: RequestContext, request: IncomingMessage, body: RequestBody, response: ServerResponse): Promise<boolean> {
     const headers = removeHopByHop(request.headers)
     delete headers.host
     const ran = await this.parts.runner.run(context, headers, body)
--- a/packages/daemon/src/node/configuration/patchService.ts
+++ b/packages/daemon/src/node/configuration/patchService.ts
@@ -12,7 +12,7 @@
 import { applyPatch, type PatchRefusal, PatchRefusalKind } from '@umberspar/steering/common/configuration/patchConfiguration'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import type { ConfigurationHead, VersionedConfiguration } from '@umberspar/steering/common/configuration/versionedConfiguration'
-import { validateConfiguration } from '@umberspar/steering/common/configuration/validateConfiguration'
+import { type ConfigurationProblem, validateConfiguration } from '@umberspar/steering/common/configuration/validateConfiguration'
 import type { ConfigurationKeeper } from './configurationKeeper.js'
 import type { ConfigurationStore, StoredHead } from './configurationStore.js'
 
@@ -55,16 +55,20 @@
     private readonly logger: ILogger
   ) {}
 
+  /** Further checks of a whole result; a problem found refuses the patch. */
+  checkResult: (current: SteeringConfiguration, next: SteeringConfiguration) => ConfigurationProblem[] = () => []
+
   /**
    * Checks a patch without writing.
    * @param request base version and patch
+   * @param isRoomChecked whether drains must fit the present demand
    * @returns the configuration it would make, or why it is refused
    */
-  async validate (request: Pick<PatchRequest, 'baseVersion' | 'patch'>): Promise<Result<SteeringConfiguration, PatchFailure>> {
+  async validate (request: Pick<PatchRequest, 'baseVersion' | 'patch'>, isRoomChecked = true): Promise<Result<SteeringConfiguration, PatchFailure>> {
     const deadline = createDeadline(this.clock.now(), WRITE_SPAN_MS)
     const current = await this.readCurrent(deadline)
     if (!current.ok) return new Err({ kind: 'failed', error: current.val })
-    return await this.merge(current.val.configuration, request, deadline)
+    return await this.merge(current.val.configuration, request, deadline, isRoomChecked)
   }
 
   /**
@@ -153,12 +157,16 @@
     return new Err(new StepError({ code: ErrorCode.Invalid, step: 'read-body', peer: 'store', message: `version ${head.version} breaks the schema` }))
   }
 
-  private async merge (current: VersionedConfiguration, request: Pick<PatchRequest, 'baseVersion' | 'patch'>, deadline: Deadline): Promise<Result<SteeringConfiguration, PatchFailure>> {
+  private async merge (current: VersionedConfiguration, request: Pick<PatchRequest, 'baseVersion' | 'patch'>, deadline: Deadline, isRoomChecked = true): Promise<Result<SteeringConfiguration, PatchFailure>> {
     const isStale = request.baseVersion !== current.head.version
     const base = isStale ? await this.readBase(request.baseVersion, deadline) : current.body
     const merged = applyPatch(current, base, request)
-    if (merged.ok) return new Ok(merged.val)
-    return new Err({ kind: 'refused', refusal: merged.val, currentVersion: current.head.version })
+    if (!merged.ok) return new Err({ kind: 'refused', refusal: merged.val, currentVersion: current.head.version })
+    const problems = current.head.version === 0 || !isRoomChecked ? [] : this.checkResult(current.body, merged.val)
+    if (problems.length === 0) return new Ok(merged.val)
+    const message = problems.map((problem) => problem.message).join('; ')
+    const refusal = { kind: PatchRefusalKind.InvalidResult, message, baseVersion: request.baseVersion, currentVersion: current.head.version, conflictingPaths: [], problems }
+    return new Err({ kind: 'refused', refusal, currentVersion: current.head.version })
   }
 
   private async readBase (version: number, deadline: Deadline): Promise<SteeringConfiguration | undefined> {
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -82,9 +82,11 @@
       return opened
     }
     await parts.members.start()
+    await parts.planWatcher.start()
     await parts.watcher.start()
     await parts.heartbeats.start()
     parts.prober.start()
+    parts.planHolder.start()
     this.applyState()
     return new Ok(undefined)
   }
@@ -158,6 +160,7 @@
     const workers = parts.places.update(current.body, roster)
     parts.transport.setWorkers(workers.map(({ address, connections }) => ({ address, connections })))
     parts.prober.update(workers, nodes.map((node) => node.nodeId))
+    parts.board.setConfiguration(current.body)
     parts.plans.update(current.body)
     parts.regions.update(current.body)
     parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -12,6 +12,7 @@
 import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
+import type { IKeyValueStore } from '@umberspar/steering/common/ports/keyValueStore'
 import { ClientRegions } from './callers/clientRegions.js'
 import { LookupHandler } from './callers/lookupHandler.js'
 import { RequestHandler } from './callers/requestHandler.js'
@@ -20,11 +21,13 @@
 import { ConfigurationWatcher } from './configuration/configurationWatcher.js'
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
+import { DocumentRegistry } from './peers/documentRegistry.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
 import { PlaceDirectory } from './places/placeDirectory.js'
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
+import { createPlanParts, type PlanParts } from './plan/planParts.js'
 import { RequestRunner } from './request/requestRunner.js'
 
 /** What the parts are made from. */
@@ -38,7 +41,8 @@
 }
 
 /** The parts of one daemon. */
-export interface DaemonParts {
+export interface DaemonParts extends PlanParts {
+  readonly store: IKeyValueStore
   readonly keeper: ConfigurationKeeper
   readonly configurations: ConfigurationStore
   readonly watcher: ConfigurationWatcher
@@ -65,16 +69,18 @@
 export function createDaemonParts (inputs: PartInputs, owned: CloseStack): DaemonParts {
   const control = createControlParts(inputs, owned)
   const traffic = createTrafficParts(inputs, owned)
-  const peers = createPeerParts(inputs, control, traffic, owned)
+  const registry = new DocumentRegistry()
+  const peers = createPeerParts(inputs, control, traffic, registry, owned)
+  const planning = createPlanParts({ ...inputs, ...control, ...traffic, ...peers, registry }, owned)
   const burn = new BurnCounter()
   const regions = new ClientRegions(inputs.settings.trustedForwarders, inputs.settings.region)
   const { clock, logger, metrics, random, settings } = inputs
   const runner = new RequestRunner(settings.nodeId, traffic.transport, traffic.places, traffic.plans, clock, random)
-  const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, clock, logger, metrics })
-  return { ...control, ...traffic, ...peers, burn, regions, lookups: new LookupHandler(regions), requests }
+  const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, demand: planning.demand, clock, logger, metrics })
+  return { ...control, ...traffic, ...peers, ...planning, burn, regions, lookups: new LookupHandler(regions), requests }
 }
 
-type ControlParts = Pick<DaemonParts, 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
+type ControlParts = Pick<DaemonParts, 'store' | 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
 type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
 type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats'>
 
@@ -88,7 +94,7 @@
   const patches = new PatchService(configurations, keeper, digester, clock, logger)
   const vmList = owned.add(new HttpVmList({ url: settings.vmList.url, clock }))
   const members = owned.add(new MemberDirectory(vmList, settings.nodeId, clock, random, logger))
-  return { keeper, configurations, watcher, patches, members }
+  return { store, keeper, configurations, watcher, patches, members }
 }
 
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
@@ -100,13 +106,13 @@
   return { places, plans, prober, transport }
 }
 
-function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, owned: CloseStack): PeerParts {
+function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, registry: DocumentRegistry, owned: CloseStack): PeerParts {
   const { settings, clock, random, logger } = inputs
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, clock)
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, registry, clock)
   const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
   const client = owned.add(new PeerClient({ clock }))
-  const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, clock, random, logger))
+  const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, registry, clock, random, logger))
   return { peerService, peerServer, heartbeats }
 }
--- a/packages/daemon/src/node/operators/operatorServer.ts
+++ b/packages/daemon/src/node/operators/operatorServer.ts
@@ -2,6 +2,7 @@
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import polka, { type Polka } from 'polka'
+import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import { z } from 'zod'
 import type { PatchFailure, PatchService } from '../configuration/patchService.js'
 import { REFUSAL_STATUS } from '../configuration/patchService.js'
@@ -26,6 +27,7 @@
   listHistory(): Promise<object | StepError>
   readVersion(version: number): Promise<object | StepError>
   listDrains(): object
+  predictDrain(configuration: SteeringConfiguration): object
   getBurn(): object
 }
 
@@ -81,6 +83,17 @@
     if (checked.ok) answerJson(response, 200, { valid: true, problems: [] })
     else answerFailure(response, checked.val, input.baseVersion)
   })
+  app.post('/v1/drains/predict', async (request, response) => {
+    const input = await readJson(request, validateSchema)
+    if (input instanceof StepError) {
+      answerError(response, input)
+      return
+    }
+    // A patch refused only because its drains do not fit is predicted all the same: the prediction says why.
+    const checked = await patches.validate(input, false)
+    if (checked.ok) answerJson(response, 200, views.predictDrain(checked.val))
+    else answerFailure(response, checked.val, input.baseVersion)
+  })
   app.post('/v1/config/patches', async (request, response) => {
     const input = await readJson(request, patchSchema)
     if (input instanceof StepError) {
--- a/packages/daemon/src/node/operators/operatorViews.ts
+++ b/packages/daemon/src/node/operators/operatorViews.ts
@@ -29,6 +29,7 @@
       return history.ok ? { entries: history.val } : history.val
     },
     readVersion: (version) => readVersion(parts, version, createReadDeadline()),
+    predictDrain: (configuration) => parts.drainPlanner.predict(configuration),
     listDrains: () => {
       const current = parts.keeper.current
       return { drains: current === undefined ? [] : listDrains(current.body, parts.places, parts.plans) }
@@ -52,6 +53,15 @@
     configurationVersion: parts.keeper.version,
     inFlight: parts.requests.inFlight,
     isPlanSettled: parts.plans.isSettled,
+    planEpoch: parts.planHolder.epoch,
+    plans: parts.plans.listServices().map((service) => ({
+      service,
+      agreedVersion: parts.plans.findAgreed(service)?.version ?? 0,
+      inForceVersion: parts.plans.find(service)?.inForceVersion ?? 0,
+      isAway: parts.plans.find(service)?.isAway ?? false,
+      demand: parts.board.getDemand(service),
+      failed: [...parts.board.listFailed(service)]
+    })),
     places: parts.places.list().map((pool) => ({
       ...pool.key,
       slots: pool.slots,
--- a/packages/daemon/src/node/peers/heartbeats.ts
+++ b/packages/daemon/src/node/peers/heartbeats.ts
@@ -8,9 +8,10 @@
 import { runDetached } from '@umberspar/base/common/detached'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
-import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
+import type { Digest, IPeerClient, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
+import type { DocumentRegistry } from './documentRegistry.js'
 import { CONFIGURATION_DOCUMENT, decodeDocument, encodeDocument, type PeerService } from './peerService.js'
 
 const HEARTBEAT_SPAN_MS = 500
@@ -27,6 +28,7 @@
     private readonly service: PeerService,
     private readonly members: MemberDirectory,
     private readonly keeper: ConfigurationKeeper,
+    private readonly registry: DocumentRegistry,
     private readonly clock: IClock,
     private readonly random: IRandomSource,
     private readonly logger: ILogger
@@ -60,10 +62,37 @@
       return
     }
     const theirs = this.service.observe(answer.val)
+    // Plans come before the configuration: a starting node that has one serves,
+    // and must then use the weights that all others use.
+    await this.exchangeDocuments(address, answer.val)
     if (theirs > this.keeper.version) await this.fetchFrom(address)
     else if (theirs < this.keeper.version) await this.pushTo(address)
   }
 
+  /**
+   * Sends a document to every peer at once; whoever misses it gets it with a heartbeat.
+   * @param document the document
+   */
+  async pushToAll (document: PeerDocument): Promise<void> {
+    if (this.isClosed) return
+    const addresses = this.members.listPeers().flatMap((member) => member.vm.peerAddress ?? [])
+    await Promise.all(addresses.map((address) => this.pushDocument(address, document)))
+  }
+
+  private async pushDocument (address: string, document: PeerDocument): Promise<void> {
+    const pushed = await this.client.push(address, document, this.createDeadline())
+    if (!pushed.ok) logError(this.logger, LogLevel.Debug, pushed.val)
+  }
+
+  private async exchangeDocuments (address: string, theirs: Digest): Promise<void> {
+    for (const { name, aboveVersion } of this.registry.listWanted(theirs)) {
+      const fetched = await this.client.fetch(address, name, aboveVersion, this.createDeadline())
+      if (!fetched.ok) logError(this.logger, LogLevel.Warn, fetched.val)
+      else if (fetched.val !== undefined) this.registry.apply(fetched.val, address)
+    }
+    await Promise.all(this.registry.listLacking(theirs).map((document) => this.pushDocument(address, document)))
+  }
+
   private async fetchFrom (address: string): Promise<void> {
     const fetched = await this.client.fetch(address, CONFIGURATION_DOCUMENT, this.keeper.version, this.createDeadline())
     if (!fetched.ok) logError(this.logger, LogLevel.Warn, fetched.val)
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationKeeper, ConfigurationText } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerProber } from '../places/workerProber.js'
+import type { DocumentRegistry } from './documentRegistry.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -31,6 +32,7 @@
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
     private readonly prober: WorkerProber,
+    private readonly registry: DocumentRegistry,
     private readonly clock: IClock
   ) {}
 
@@ -40,9 +42,9 @@
     return {
       ...this.identity,
       state: this.state,
-      documents: head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }],
+      documents: [...head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }], ...this.registry.list()],
       workers: this.prober.listReports(),
-      demand: []
+      demand: this.registry.listDemand()
     }
   }
 
@@ -55,6 +57,7 @@
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeHeartbeat({ nodeId: digest.nodeId, state: digest.state, configurationVersion: version })
     this.prober.observeReports(digest.workers)
+    this.registry.observe(digest)
     return version
   }
 
@@ -65,15 +68,22 @@
 
   fetch (name: string, aboveVersion: number): PeerDocument | undefined {
     const current = this.keeper.currentText
-    if (name !== CONFIGURATION_DOCUMENT || current === undefined) return undefined
+    if (name !== CONFIGURATION_DOCUMENT) return this.fetchOther(name, aboveVersion)
+    if (current === undefined) return undefined
     return current.head.version > aboveVersion ? encodeDocument(current) : undefined
   }
 
   async push (document: PeerDocument): Promise<number> {
-    if (document.document.name === CONFIGURATION_DOCUMENT) this.keeper.apply(decodeDocument(document), 'peer')
+    if (document.document.name !== CONFIGURATION_DOCUMENT) return this.registry.apply(document, 'peer')
+    this.keeper.apply(decodeDocument(document), 'peer')
     return this.keeper.version
   }
 
+  private fetchOther (name: string, aboveVersion: number): PeerDocument | undefined {
+    const found = this.registry.get(name)
+    return found !== undefined && found.document.version > aboveVersion ? found : undefined
+  }
+
   borrow (request: LoanRequest): LoanAnswer {
     return { loanId: request.loanId, slots: 0, connections: 0, deadline: this.clock.now() }
   }
--- /dev/null
+++ b/packages/daemon/src/node/plan/measurementBoard.ts
@@ -0,0 +1,129 @@
+/** What this node knows of demand, places and members: from its own meters and peers' heartbeats. */
+import type { IClock } from '@umberspar/base/common/clock'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
+import { addMeasurement, computeDemand, type MeasurementState, NO_MEASUREMENTS, type NodeMeasurement, type PlanMember, setMembers } from '@umberspar/steering/common/plan/measurements'
+import { getPlaceKey, listFailed, updateFailures } from '@umberspar/steering/common/plan/placeFailures'
+import { parseInForceName } from '@umberspar/steering/common/plan/planDocument'
+import type { PlaceObservation } from '@umberspar/steering/common/plan/plannerState'
+import type { Demand } from '@umberspar/steering/common/plan/servicePlan'
+import type { DemandReport, Digest, DocumentVersion } from '@umberspar/steering/common/ports/peers'
+import { NodeState } from '@umberspar/steering/common/state/nodeState'
+import type { MemberDirectory } from '../members/memberDirectory.js'
+import { computeMemberState } from '../members/memberDirectory.js'
+import type { IDigestObserver } from '../peers/documentRegistry.js'
+import type { WorkerProber } from '../places/workerProber.js'
+import type { DemandMeter } from './demandMeter.js'
+import { PlaceObserver } from './placeObserver.js'
+
+/** The state and its updates. */
+export class MeasurementBoard implements IDigestObserver {
+  private readonly observer = new PlaceObserver()
+  private configuration: SteeringConfiguration | undefined
+  private state: MeasurementState = NO_MEASUREMENTS
+  private failures: ReadonlyMap<string, Deadline> = new Map()
+  private seenPlaces: readonly PlaceObservation[] = []
+
+  constructor (
+    private readonly selfId: string,
+    private readonly meter: DemandMeter,
+    private readonly prober: WorkerProber,
+    private readonly members: MemberDirectory,
+    private readonly clock: IClock,
+    private readonly listInForce: () => readonly DocumentVersion[]
+  ) {}
+
+  /** @returns all measurements, as of the last update */
+  get measurements (): MeasurementState {
+    return this.state
+  }
+
+  /** @returns when failed places recover, by place */
+  get failedUntil (): ReadonlyMap<string, Deadline> {
+    return this.failures
+  }
+
+  /** @returns all places as last observed */
+  get places (): readonly PlaceObservation[] {
+    return this.seenPlaces
+  }
+
+  /** @param configuration the configuration in force */
+  setConfiguration (configuration: SteeringConfiguration): void {
+    this.configuration = configuration
+    this.observer.update(configuration)
+  }
+
+  listDemand (): DemandReport[] {
+    return this.meter.list(Object.keys(this.configuration?.services ?? {}))
+  }
+
+  observe (digest: Digest): void {
+    this.observer.observe(digest.workers)
+    const measurement = buildMeasurement(digest.nodeId, digest.demand, digest.documents)
+    if (measurement !== undefined) this.state = addMeasurement(this.state, measurement)
+  }
+
+  /** Takes this node's own measurement, the members and the places of now. */
+  update (): void {
+    const { configuration } = this
+    if (configuration === undefined) return
+    const now = this.clock.now()
+    this.observer.observe(this.prober.listReports())
+    this.state = setMembers(this.state, this.listMembers())
+    const own = buildMeasurement(this.selfId, this.listDemand(), this.listInForce())
+    if (own !== undefined) this.state = addMeasurement(this.state, own)
+    this.seenPlaces = this.observer.list(configuration, now)
+    this.failures = updateFailures(this.failures, this.seenPlaces, now)
+  }
+
+  /**
+   * @param service a service's name
+   * @returns requests at a time by client region, of all nodes
+   */
+  getDemand (service: string): Demand {
+    return computeDemand(this.state, service)
+  }
+
+  /**
+   * @param service a service's name
+   * @returns failure domains where it has failed
+   */
+  listFailed (service: string): Set<string> {
+    return listFailed(this.failures, service, this.clock.now())
+  }
+
+  /**
+   * @param service a service's name
+   * @returns mean utilization by failure domain, where known
+   */
+  getUtilization (service: string): Record<string, number> {
+    const prefix = getPlaceKey(service, '')
+    return Object.fromEntries(this.seenPlaces.flatMap((place) => {
+      const isWanted = getPlaceKey(place.service, '') === prefix && place.utilization !== undefined
+      return isWanted ? [[place.failureDomain, place.utilization]] : []
+    })) as Record<string, number>
+  }
+
+  /** @returns entry VMs of the list that do not leave */
+  listMembers (): PlanMember[] {
+    const now = this.clock.now()
+    return this.members.list().flatMap((member) => {
+      const isSelf = member.vm.vmId === this.selfId
+      const state = isSelf ? NodeState.Live : computeMemberState(member, now)
+      return state === NodeState.Leaving ? [] : [{ nodeId: member.vm.vmId, isHeard: state === NodeState.Live }]
+    })
+  }
+}
+
+function buildMeasurement (nodeId: string, demand: readonly DemandReport[], documents: readonly DocumentVersion[]): NodeMeasurement | undefined {
+  if (demand.length === 0) return undefined
+  const byService: Record<string, Record<string, number>> = {}
+  for (const { service, clientRegion, concurrency } of demand) (byService[service] ??= {})[clientRegion] = concurrency
+  const inForce: Record<string, number> = {}
+  for (const { name, version } of documents) {
+    const service = parseInForceName(name)
+    if (service !== undefined) inForce[service] = version
+  }
+  return { nodeId, measuredAt: Math.min(...demand.map((report) => report.measuredAt)), inForce, demand: byService }
+}
--- a/packages/steering/src/common/plan/planner.ts
+++ b/packages/steering/src/common/plan/planner.ts
@@ -116,14 +116,23 @@
     const weights = computeTargetPlan(configuration.body, service, listFailed(state.failedUntil, service, now)).weights
     return writeStep(state, service, { weights, isEmergency: false, isMoving: false, now })
   }
-  if (!hasPassed(createDeadline(known.seenAt, configuration.body.shiftCaps.settleMs), now)) return holdState(state)
+  const isMeasuredNow = isMeasured(state, known, configuration.body, now)
+  if (!hasPassed(createDeadline(known.seenAt, configuration.body.shiftCaps.settleMs), now)) {
+    return isMeasuredNow ? holdState(state) : measureAhead(state, known, configuration.body, now)
+  }
   const input = buildStepInput(state, known, configuration.body, now)
-  if (!isMeasured(state, known, configuration.body, now)) return decideUnmeasured(state, known, input, now)
+  if (!isMeasuredNow) return decideUnmeasured(state, known, input, now)
   const step = decideServiceStep(input)
   if (step.verdict !== StepVerdict.Moves) return holdState(recordVerdict(state, service, step))
   return writeStep(state, service, { weights: step.weights, isEmergency: step.isEmergency, isMoving: true, now })
 }
 
+/** Measurements are asked for while a move settles, so that the next step need not wait for them. */
+function measureAhead (state: PlannerState, known: KnownPlan, body: SteeringConfiguration, now: Instant): PlannerStep {
+  const isDue = hasPassed(createDeadline(known.seenAt, body.shiftCaps.settleMs * MEASURE_PART), now)
+  return { state, effects: known.isMoving && isDue ? [{ kind: PlannerEffectKind.Measure }] : [] }
+}
+
 function recordVerdict (state: PlannerState, service: string, step: ServiceStep): PlannerState {
   const known = state.plans.get(service)
   if (known === undefined) return state
--- a/packages/testing/src/node/load/loadRunner.ts
+++ b/packages/testing/src/node/load/loadRunner.ts
@@ -30,6 +30,8 @@
   /** With so many open operations, further arrivals are skipped and counted. */
   readonly maxOpen: number
   readonly pacing: ArrivalPacing
+  /** Ends the stream before its other bounds once it says so. */
+  readonly isStopped?: () => boolean
 }
 
 /** What became of the arrivals. */
@@ -71,7 +73,7 @@
   const open = new Set<Promise<void>>()
   let started = 0
   let skipped = 0
-  while (started + skipped < maxOperations && arrivals.peekNext() < startUntil) {
+  while (started + skipped < maxOperations && arrivals.peekNext() < startUntil && options.isStopped?.() !== true) {
     const intendedStart = arrivals.takeNext()
     await waitForArrival(clock, intendedStart)
     if (open.size >= maxOpen) {
--- a/packages/testing/src/node/load/regionalLoad.ts
+++ b/packages/testing/src/node/load/regionalLoad.ts
@@ -1,6 +1,6 @@
 /** The load of a whole deployment: one stream of arrivals and one set of callers for each region. */
 import type { IClosable } from '@umberspar/base/common/closing'
-import type { IClock } from '@umberspar/base/common/clock'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { SeededRandom } from '@umberspar/base/common/random'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
@@ -8,6 +8,7 @@
 import type { ServiceMix } from '../../common/load/mixes.js'
 import { OperationSource } from '../../common/load/operation.js'
 import { Caller } from './caller.js'
+import type { OperationResult } from './caller.js'
 import { CallerAddressing } from './clientAddresses.js'
 import { LoadReport } from './loadReport.js'
 import { ArrivalPacing, runOpenLoop } from './loadRunner.js'
@@ -28,6 +29,10 @@
   readonly startUntil: Deadline
   readonly history?: HistoryRecorder
   readonly addressing?: CallerAddressing
+  /** Ends the load before `startUntil` once it says so. */
+  readonly isStopped?: () => boolean
+  /** Called when an operation has ended, beside the report. */
+  readonly onDidEnd?: (service: string, result: OperationResult, intendedStart: Instant) => void
 }
 
 const CLIENTS_PER_REGION = 4
@@ -118,11 +123,13 @@
       maxOperations: this.countPlannedPerRegion(),
       startUntil,
       maxOpen: MAX_OPEN_PER_REGION,
-      pacing: ArrivalPacing.Timer
+      pacing: ArrivalPacing.Timer,
+      isStopped: this.options.isStopped
     }
     return runOpenLoop(options, async (intendedStart) => {
       const operation = operations.takeNext()
       const result = await caller.run(operation, intendedStart)
+      this.options.onDidEnd?.(operation.service, result, intendedStart)
       this.report.record(operation.service, result, result.endedAt - intendedStart)
       this.ended += 1
     })
