--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -8,20 +8,24 @@
 import { PeerServer } from '@umberspar/platform/node/peers/peerServer'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { createEtcdStore } from '@umberspar/platform/node/store/etcdStore'
+import { createChannelSecurity, createServerCredentials } from '@umberspar/platform/node/tls/tlsOptions'
 import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
 import { HttpVmList } from '@umberspar/platform/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
-import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
 import type { IKeyValueStore } from '@umberspar/steering/common/ports/keyValueStore'
+import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
+import { ClientBlockBuilder } from './callers/clientBlockBuilder.js'
 import { ClientRegions } from './callers/clientRegions.js'
 import { LookupHandler } from './callers/lookupHandler.js'
 import { RequestHandler } from './callers/requestHandler.js'
 import { ConfigurationKeeper } from './configuration/configurationKeeper.js'
 import { ConfigurationStore } from './configuration/configurationStore.js'
 import { ConfigurationWatcher } from './configuration/configurationWatcher.js'
+import { Deduplicator } from './dedup/deduplicator.js'
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
 import { DocumentRegistry } from './peers/documentRegistry.js'
+import { DocumentSpreader } from './peers/documentSpreader.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
 import { PlaceDirectory } from './places/placeDirectory.js'
@@ -29,6 +33,8 @@
 import { WorkerProber } from './places/workerProber.js'
 import { createPlanParts, type PlanParts } from './plan/planParts.js'
 import { RequestRunner } from './request/requestRunner.js'
+import { SlotFinder } from './request/slotFinder.js'
+import { type DaemonTls, TlsSide } from './tls/daemonTls.js'
 
 /** What the parts are made from. */
 export interface PartInputs {
@@ -38,6 +44,8 @@
   readonly metrics: IMetrics
   readonly clock: IClock
   readonly random: IRandomSource
+  /** Certificates of the sides that speak TLS. */
+  readonly tls: DaemonTls
 }
 
 /** The parts of one daemon. */
@@ -50,6 +58,7 @@
   readonly members: MemberDirectory
   readonly peerService: PeerService
   readonly peerServer: PeerServer
+  readonly peerClient: PeerClient
   readonly heartbeats: Heartbeats
   readonly places: PlaceDirectory
   readonly plans: PlanKeeper
@@ -73,33 +82,44 @@
   const peers = createPeerParts(inputs, control, traffic, registry, owned)
   const planning = createPlanParts({ ...inputs, ...control, ...traffic, ...peers, registry }, owned)
   const burn = new BurnCounter()
-  const regions = new ClientRegions(inputs.settings.trustedForwarders, inputs.settings.region)
   const { clock, logger, metrics, random, settings } = inputs
-  const runner = new RequestRunner(settings.nodeId, traffic.transport, traffic.places, traffic.plans, clock, random)
-  const requests = new RequestHandler({ keeper: control.keeper, runner, regions, burn, demand: planning.demand, clock, logger, metrics })
+  const blocks = owned.add(new ClientBlockBuilder(clock, logger))
+  const regions = new ClientRegions(settings.trustedForwarders, settings.region, blocks)
+  const slots = new SlotFinder(traffic.places, traffic.plans, random)
+  const runner = new RequestRunner({ selfId: settings.nodeId, transport: traffic.transport, slots, clock, random, metrics })
+  const deduplicator = owned.add(createDeduplicator(inputs, control))
+  const requests = new RequestHandler({ keeper: control.keeper, runner, deduplicator, regions, burn, demand: planning.demand, clock, logger, metrics })
   return { ...control, ...traffic, ...peers, ...planning, burn, regions, lookups: new LookupHandler(regions), requests }
 }
 
+function createDeduplicator (inputs: PartInputs, control: ControlParts): Deduplicator {
+  const { settings, clock, random, metrics } = inputs
+  const countNodes = (): number => control.members.list().length
+  return new Deduplicator({ store: control.store, clock, random, metrics, keyPrefix: settings.store.keyPrefix, nodeId: settings.nodeId, incarnation: clock.getWallTime(), countNodes })
+}
+
 type ControlParts = Pick<DaemonParts, 'store' | 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
 type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'transport'>
-type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats'>
+type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'peerClient' | 'heartbeats'>
 
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
   const { settings, digester, logger, metrics, clock, random } = inputs
   owned.add(metrics)
-  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics }))
+  const tls = inputs.tls.get(TlsSide.Store)
+  const security = tls === undefined ? undefined : createChannelSecurity(tls)
+  const store = owned.add(createEtcdStore({ endpoints: settings.store.endpoints, clock, logger, metrics, security }))
   const keeper = owned.add(new ConfigurationKeeper(digester, logger))
   const configurations = new ConfigurationStore(store, settings.store.keyPrefix)
-  const watcher = owned.add(new ConfigurationWatcher(store, configurations, keeper, clock, random, logger))
   const patches = new PatchService(configurations, keeper, digester, clock, logger)
   const vmList = owned.add(new HttpVmList({ url: settings.vmList.url, clock }))
   const members = owned.add(new MemberDirectory(vmList, settings.nodeId, clock, random, logger))
+  const watcher = owned.add(new ConfigurationWatcher({ store, configurations, keeper, members, self: settings, clock, random, logger }))
   return { store, keeper, configurations, watcher, patches, members }
 }
 
 function createTrafficParts (inputs: PartInputs, owned: CloseStack): TrafficParts {
   const { settings, clock, random, logger } = inputs
-  const transport = owned.add(new UndiciTransport({ clock }))
+  const transport = owned.add(new UndiciTransport({ clock, tls: inputs.tls.get(TlsSide.Upstreams) }))
   const places = owned.add(new PlaceDirectory(settings.nodeId, clock, random))
   const plans = owned.add(new PlanKeeper(clock))
   const prober = owned.add(new WorkerProber(settings.nodeId, transport, clock, random, logger))
@@ -111,8 +131,12 @@
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
   const peerService = new PeerService(identity, control.keeper, control.members, traffic.prober, registry, clock)
-  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger }))
-  const client = owned.add(new PeerClient({ clock }))
-  const heartbeats = owned.add(new Heartbeats(client, peerService, control.members, control.keeper, registry, clock, random, logger))
-  return { peerService, peerServer, heartbeats }
+  const tls = inputs.tls.get(TlsSide.Peers)
+  const credentials = tls === undefined ? undefined : createServerCredentials(tls)
+  const security = tls === undefined ? undefined : createChannelSecurity(tls)
+  const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
+  const client = owned.add(new PeerClient({ clock, security }))
+  const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, registry, clock, random, logger))
+  owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
+  return { peerService, peerServer, peerClient: client, heartbeats }
 }
--- a/packages/daemon/src/node/plan/measurementBoard.ts
+++ b/packages/daemon/src/node/plan/measurementBoard.ts
@@ -60,8 +60,11 @@
 
   observe (digest: Digest): void {
     this.observer.observe(digest.workers)
-    const measurement = buildMeasurement(digest.nodeId, digest.demand, digest.documents)
-    if (measurement !== undefined) this.state = addMeasurement(this.state, measurement)
+    // A node speaks to few others; what these heard of the rest counts as well, with its age.
+    for (const { nodeId, demand, documents } of [digest, ...digest.members]) {
+      const measurement = buildMeasurement(nodeId, demand, documents)
+      if (measurement !== undefined && nodeId !== this.selfId) this.state = addMeasurement(this.state, measurement)
+    }
   }
 
   /** Takes this node's own measurement, the members and the places of now. */
@@ -107,10 +110,9 @@
 
   /** @returns entry VMs of the list that do not leave */
   listMembers (): PlanMember[] {
-    const now = this.clock.now()
     return this.members.list().flatMap((member) => {
       const isSelf = member.vm.vmId === this.selfId
-      const state = isSelf ? NodeState.Live : computeMemberState(member, now)
+      const state = isSelf ? NodeState.Live : computeMemberState(member)
       return state === NodeState.Leaving ? [] : [{ nodeId: member.vm.vmId, isHeard: state === NodeState.Live }]
     })
   }
--- a/packages/daemon/src/node/plan/planDocuments.ts
+++ b/packages/daemon/src/node/plan/planDocuments.ts
@@ -1,4 +1,6 @@
 /** Hands agreed plans and weights in force on between daemons. */
+import type { IClosable } from '@umberspar/base/common/closing'
+import { Emitter } from '@umberspar/base/common/event'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
 import { encodeCanonical } from '@umberspar/steering/common/configuration/canonicalJson'
@@ -11,7 +13,8 @@
 const NO_CHANGE = ''
 
 /** The source of `plan/<service>` and `plan-in-force/<service>`. */
-export class PlanDocuments implements IDocumentSource {
+export class PlanDocuments implements IDocumentSource, IClosable {
+  private readonly didTakePush = new Emitter<PeerDocument>()
   /** Digests by name, for the version they belong to. */
   private readonly digests = new Map<string, { readonly version: number, readonly digest: string }>()
 
@@ -52,24 +55,33 @@
     return parsePlanName(ours.name) !== undefined && ours.version > (theirs?.version ?? 0)
   }
 
-  apply ({ document, body }: PeerDocument, source: string): void {
+  /** Fires for a plan that a peer pushed and that is newer than what was known. */
+  readonly onDidTakePush = this.didTakePush.event
+
+  close (): void {
+    this.didTakePush.close()
+  }
+
+  apply (received: PeerDocument, source: string): void {
+    const { document, body } = received
     const planned = parsePlanName(document.name)
     const inForce = parseInForceName(document.name)
     const text = new TextDecoder().decode(body)
-    if (planned !== undefined) this.applyPlan(planned, document, text, source)
+    const isNew = planned !== undefined && this.applyPlan(planned, document, text, source)
+    if (isNew && received.route !== undefined) this.didTakePush.fire(received)
     if (inForce !== undefined) {
       const weights = parseWeights(text)
       if (weights !== undefined) this.keeper.putHandedOver(inForce, weights)
     }
   }
 
-  private applyPlan (service: string, document: DocumentVersion, text: string, source: string): void {
+  private applyPlan (service: string, document: DocumentVersion, text: string, source: string): boolean {
     const plan = this.digester.computeDigest(text) === document.digest ? parsePlan(text) : undefined
     if (plan === undefined || plan.service !== service || plan.version !== document.version) {
       this.logger.log(LogLevel.Error, { step: 'accept-plan', peer: source, service, version: document.version }, 'plan refused: it is damaged')
-      return
+      return false
     }
-    this.keeper.accept(plan)
+    return this.keeper.accept(plan)
   }
 
   private getPlan (service: string): PeerDocument | undefined {
--- a/packages/daemon/src/node/plan/planParts.ts
+++ b/packages/daemon/src/node/plan/planParts.ts
@@ -2,7 +2,7 @@
 import type { CloseStack } from '@umberspar/base/common/closing'
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
 import type { IKeyValueStore } from '@umberspar/steering/common/ports/keyValueStore'
-import { getPlanName } from '@umberspar/steering/common/plan/planDocument'
+import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
 import type { PatchService } from '../configuration/patchService.js'
@@ -18,6 +18,7 @@
 import { MeasurementBoard } from './measurementBoard.js'
 import { PlanDocuments } from './planDocuments.js'
 import { PlanHolder } from './planHolder.js'
+import { PlanSpreader } from './planSpreader.js'
 import { PlanStore } from './planStore.js'
 import { PlanTimer } from './planTimer.js'
 import { PlanWatcher } from './planWatcher.js'
@@ -33,6 +34,7 @@
   readonly prober: WorkerProber
   readonly peerService: PeerService
   readonly heartbeats: Heartbeats
+  readonly peerClient: IPeerClient
   readonly registry: DocumentRegistry
 }
 
@@ -54,7 +56,8 @@
   const { settings, clock, random, logger, plans, keeper, members, heartbeats, peerService, registry } = inputs
   const { nodeId, region } = settings
   const demand = new DemandMeter(region, clock)
-  const documents = new PlanDocuments(plans, inputs.digester, logger)
+  const documents = owned.add(new PlanDocuments(plans, inputs.digester, logger))
+  const spreader = owned.add(new PlanSpreader(settings, inputs.peerClient, members, documents, clock, logger))
   const board = new MeasurementBoard(nodeId, demand, inputs.prober, members, clock, () => documents.listInForce())
   registry.addSource(documents)
   registry.addObserver(board)
@@ -72,11 +75,8 @@
     random,
     logger,
     isLive: () => peerService.state === NodeState.Live,
-    measure: () => heartbeats.sendRound(),
-    push: async (service) => {
-      const document = documents.get(getPlanName(service))
-      if (document !== undefined) await heartbeats.pushToAll(document)
-    }
+    measure: () => heartbeats.exchangeWithAll(),
+    push: (service) => spreader.pushOwn(service)
   }))
   const drainPlanner = new DrainPlanner(plans, board)
   inputs.patches.checkResult = (current, next) => drainPlanner.check(current, next)
