--- a/packages/cli/src/node/commands/drain.ts
+++ b/packages/cli/src/node/commands/drain.ts
@@ -7,6 +7,7 @@
 import { DrainDirection, DrainKind, getTargetName } from '../../common/drainTarget.js'
 import type { DrainTarget } from '../../common/drainTarget.js'
 import type { DrainProgress, DrainWait } from '../../common/drainProgress.js'
+import { type DrainPrediction, formatPrediction } from '../../common/drainPrediction.js'
 import { formatProblems } from '../../common/errorFormat.js'
 import type { FieldProblem } from '../../common/operatorMessages.js'
 import { getOptionalText, getText, isSet } from '../commandArguments.js'
@@ -39,6 +40,7 @@
   readonly patch?: object
   readonly isValid: boolean
   readonly problems: readonly FieldProblem[]
+  readonly prediction?: DrainPrediction
 }
 
 const DONE_TEXT: Readonly<Record<DrainDirection, string>> = {
@@ -63,7 +65,8 @@
   if (!document.isChanged) return `already so in version ${document.baseVersion}, nothing would change`
   const verdict = document.isValid ? 'the daemon would accept it' : 'the daemon would refuse it:'
   const patch = JSON.stringify(document.patch)
-  return [`patch against version ${document.baseVersion}: ${patch}`, verdict, ...formatProblems(document.problems)].join('\n')
+  const prediction = document.prediction === undefined ? [] : [formatPrediction(document.prediction)]
+  return [`patch against version ${document.baseVersion}: ${patch}`, verdict, ...formatProblems(document.problems), ...prediction].join('\n')
 }
 
 async function runDryRun (context: CommandContext, order: DrainOrder): Promise<Result<ExitCode, StepError>> {
--- a/packages/cli/src/node/drainSubmitter.ts
+++ b/packages/cli/src/node/drainSubmitter.ts
@@ -4,6 +4,7 @@
 import { Ok } from '@umberspar/base/common/result'
 import type { Result } from '@umberspar/base/common/result'
 import { buildDrainPatch } from '../common/drainTarget.js'
+import type { DrainPrediction } from '../common/drainPrediction.js'
 import type { DrainDirection, DrainTarget } from '../common/drainTarget.js'
 import type { JsonObject } from '../common/jsonValue.js'
 import type { OperatorError } from '../common/operatorError.js'
@@ -35,6 +36,8 @@
   readonly patch?: JsonObject
   readonly isValid: boolean
   readonly problems: ValidationAnswer['problems']
+  /** Steps, headroom and time; undefined if the patch is not valid by itself or the daemon can't tell. */
+  readonly prediction?: DrainPrediction
 }
 
 /** Attempts against fresh versions before the conflict is reported. */
@@ -92,5 +95,7 @@
   if (patch === undefined) return Ok({ baseVersion: head.version, isChanged: false, isValid: true, problems: [] })
   const opinion = await client.validatePatch({ baseVersion: head.version, patch })
   if (!opinion.ok) return opinion
-  return Ok({ baseVersion: head.version, isChanged: true, patch, isValid: opinion.val.valid, problems: opinion.val.problems })
+  const predicted = await client.predictDrain({ baseVersion: head.version, patch })
+  const prediction = predicted.ok ? predicted.val : undefined
+  return Ok({ baseVersion: head.version, isChanged: true, patch, isValid: opinion.val.valid, problems: opinion.val.problems, prediction })
 }
--- a/packages/cli/src/node/operatorClient.ts
+++ b/packages/cli/src/node/operatorClient.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
 import type { JsonObject } from '../common/jsonValue.js'
 import { OperatorError } from '../common/operatorError.js'
+import { decodePrediction, type DrainPrediction } from '../common/drainPrediction.js'
 import * as messages from '../common/operatorMessages.js'
 import type { ClientTls } from './clientTls.js'
 import { CallKind, HttpTransport } from './httpTransport.js'
@@ -90,6 +91,11 @@
     return problems.length === 0 ? answer : Ok({ valid: false, problems })
   }
 
+  /** @returns what the patch's drains would do under the demand measured now; nothing is written */
+  predictDrain (body: ValidationRequest): Answer<DrainPrediction> {
+    return this.callAny({ kind: CallKind.Read, step: 'predict-drain', path: '/v1/drains/predict', body }, decodePrediction)
+  }
+
   /**
    * Sends a change until a daemon gives a definite answer. It goes on to another
    * daemon only after a proven failure without effect; a lost answer ends with
--- a/packages/daemon/src/node/plan/planHolder.ts
+++ b/packages/daemon/src/node/plan/planHolder.ts
@@ -66,7 +66,6 @@
   private nextPlaces: Deadline = 0
   private nextMeasurement: Deadline = 0
   private retryStoreAt: Deadline | undefined
-  private isMeasuring = false
   private isBusy = false
   private isClosed = false
 
@@ -277,14 +276,10 @@
   }
 
   private async measure (): Promise<void> {
-    if (this.isMeasuring || !hasPassed(this.nextMeasurement, this.parts.clock.now())) return
-    this.isMeasuring = true
+    if (!hasPassed(this.nextMeasurement, this.parts.clock.now())) return
     this.nextMeasurement = createDeadline(this.parts.clock.now(), MEASURE_SPAN_MS)
-    try {
-      await this.parts.measure()
-    } finally {
-      this.isMeasuring = false
-    }
+    // A peer that hangs must not keep the others from being asked again.
+    await this.parts.measure()
   }
 
   private recordRevision (document: PlanDocument, modRevision: number): void {
