--- a/packages/steering/src/common/plan/planner.ts
+++ b/packages/steering/src/common/plan/planner.ts
@@ -22,6 +22,8 @@
  * on: demand is a mean over a moment and needs one to show the step.
  */
 const MEASURE_PART = 0.5
+/** Settled services are looked at this often: a look costs more than all else the planner does. */
+const LOOK_SPAN_MS = 500
 
 type EventOf<Kind extends PlannerEventKind> = Extract<PlannerEvent, { kind: Kind }>
 type Handlers = { readonly [Kind in PlannerEventKind]: (state: PlannerState, event: EventOf<Kind>, now: Instant) => PlannerStep }
@@ -35,7 +37,7 @@
   const warmingFrom = Object.fromEntries(Object.entries(document.warmingFromWallMs)
     // Another holder's wall clock may be ahead of ours: the warm-up then begins now, which is only slower.
     .map(([domain, wallMs]) => [domain, Math.min(now, wallMs - wallOffsetMs)]))
-  return { document, seenAt: now, warmingFrom, isMoving: known?.isMoving ?? false, verdict: known?.verdict }
+  return { document, seenAt: now, warmingFrom, isMoving: known?.isMoving ?? false, verdict: known?.verdict, lookAgainAt: now, lookedVersion: 0 }
 }
 
 function addPlan (state: PlannerState, document: PlanDocument, now: Instant): PlannerState {
@@ -116,6 +118,8 @@
     const weights = computeTargetPlan(configuration.body, service, listFailed(state.failedUntil, service, now)).weights
     return writeStep(state, service, { weights, isEmergency: false, isMoving: false, now })
   }
+  const isLooked = known.verdict === StepVerdict.Settled && known.lookedVersion === configuration.version
+  if (isLooked && !hasPassed(known.lookAgainAt, now)) return holdState(state)
   const isMeasuredNow = isMeasured(state, known, configuration.body, now)
   if (!hasPassed(createDeadline(known.seenAt, configuration.body.shiftCaps.settleMs), now)) {
     return isMeasuredNow ? holdState(state) : measureAhead(state, known, configuration.body, now)
@@ -123,7 +127,7 @@
   const input = buildStepInput(state, known, configuration.body, now)
   if (!isMeasuredNow) return decideUnmeasured(state, known, input, now)
   const step = decideServiceStep(input)
-  if (step.verdict !== StepVerdict.Moves) return holdState(recordVerdict(state, service, step))
+  if (step.verdict !== StepVerdict.Moves) return holdState(recordVerdict(state, service, step, now))
   return writeStep(state, service, { weights: step.weights, isEmergency: step.isEmergency, isMoving: true, now })
 }
 
@@ -133,12 +137,13 @@
   return { state, effects: known.isMoving && isDue ? [{ kind: PlannerEffectKind.Measure }] : [] }
 }
 
-function recordVerdict (state: PlannerState, service: string, step: ServiceStep): PlannerState {
+function recordVerdict (state: PlannerState, service: string, step: ServiceStep, now: Instant): PlannerState {
   const known = state.plans.get(service)
   if (known === undefined) return state
   const isMoving = step.verdict === StepVerdict.Paused
-  if (known.verdict === step.verdict && known.isMoving === isMoving) return state
-  return { ...state, plans: new Map(state.plans).set(service, { ...known, isMoving, verdict: step.verdict }) }
+  return { ...state, plans: new Map(state.plans).set(service, {
+    ...known, isMoving, verdict: step.verdict, lookAgainAt: createDeadline(now, LOOK_SPAN_MS), lookedVersion: state.configuration?.version ?? 0
+  }) }
 }
 
 function isMeasured (state: PlannerState, known: KnownPlan, body: SteeringConfiguration, now: Instant): boolean {
@@ -160,8 +165,8 @@
   if (computeShift(known.document.weights, weights) > 0) {
     return writeStep(state, input.service, { weights, isEmergency: false, isMoving: true, now })
   }
-  const step = decideServiceStep(input)
-  if (step.verdict === StepVerdict.Settled) return holdState(state)
+  const isWanted = known.isMoving || decideServiceStep(input).verdict !== StepVerdict.Settled
+  if (!isWanted) return holdState(state)
   return { state, effects: [{ kind: PlannerEffectKind.Measure }] }
 }
 
--- a/packages/steering/src/common/plan/plannerState.ts
+++ b/packages/steering/src/common/plan/plannerState.ts
@@ -79,6 +79,9 @@
   readonly warmingFrom: Readonly<Record<string, Instant>>
   readonly isMoving: boolean
   readonly verdict: StepVerdict | undefined
+  /** A settled service is looked at again then, or once the configuration has changed. */
+  readonly lookAgainAt: Deadline
+  readonly lookedVersion: number
 }
 
 /** A step that is being written, or whose fate is being read. */
