--- a/packages/steering/src/common/plan/planner.ts
+++ b/packages/steering/src/common/plan/planner.ts
@@ -141,9 +141,12 @@
   const known = state.plans.get(service)
   if (known === undefined) return state
   const isMoving = step.verdict === StepVerdict.Paused
-  return { ...state, plans: new Map(state.plans).set(service, {
-    ...known, isMoving, verdict: step.verdict, lookAgainAt: createDeadline(now, LOOK_SPAN_MS), lookedVersion: state.configuration?.version ?? 0
-  }) }
+  return {
+    ...state,
+    plans: new Map(state.plans).set(service, {
+      ...known, isMoving, verdict: step.verdict, lookAgainAt: createDeadline(now, LOOK_SPAN_MS), lookedVersion: state.configuration?.version ?? 0
+    })
+  }
 }
 
 function isMeasured (state: PlannerState, known: KnownPlan, body: SteeringConfiguration, now: Instant): boolean {
