--- a/packages/daemon/src/node/callers/problem.ts
+++ b/packages/daemon/src/node/callers/problem.ts
@@ -1,6 +1,7 @@
 /** Writes problem documents (RFC 9457) to callers. */
 import type { StepError } from '@umberspar/base/common/errors'
 import { ErrorCode } from '@umberspar/base/common/errors'
+import { AdmissionError } from '@umberspar/steering/common/limits/admissionError'
 import { buildProblem, PROBLEM_MEDIA_TYPE, ProblemKind } from '@umberspar/steering/common/request/requestProblem'
 import { Outcome } from '@umberspar/steering/common/state/outcome'
 import type { ServerResponse } from 'node:http'
@@ -42,7 +43,9 @@
 function findRetryAfter (error: StepError, outcome: Outcome, extras: ProblemExtras): number | undefined {
   if (extras.kind !== undefined) return extras.retryAfterSeconds
   const mayComeBack = outcome === Outcome.NotRun && RETRY_LATER.has(error.code)
-  return mayComeBack ? extras.retryAfterSeconds ?? RETRY_AFTER_SECONDS : undefined
+  if (!mayComeBack) return undefined
+  const estimated = error instanceof AdmissionError ? error.retryAfterSeconds : RETRY_AFTER_SECONDS
+  return extras.retryAfterSeconds ?? estimated
 }
 
 /**
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -7,6 +7,7 @@
 import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
+import type { LimitKeeper } from '../limits/limitKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerProber } from '../places/workerProber.js'
 import type { DocumentRegistry } from './documentRegistry.js'
@@ -36,8 +37,9 @@
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
     private readonly prober: WorkerProber,
+    private readonly limits: LimitKeeper,
     private readonly registry: DocumentRegistry,
-    private readonly clock: IClock
+    clock: IClock
   ) {
     this.relay = new WorkerReportRelay(clock)
   }
@@ -51,7 +53,7 @@
   listDocuments (): DocumentVersion[] {
     const head = this.keeper.current?.head
     const configuration = head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
-    return [...configuration, ...this.registry.list()]
+    return [...configuration, ...this.limits.listDocuments(), ...this.registry.list()]
   }
 
   /** @returns this node's heartbeat */
@@ -71,9 +73,11 @@
   /**
    * Takes in a peer's heartbeat.
    * @param digest what the peer said
+   * @param isAnswer whether it answers a heartbeat of this node
    * @returns the configuration version that the peer has
    */
-  observe (digest: Digest): number {
+  observe (digest: Digest, isAnswer: boolean): number {
+    this.limits.observe(digest, isAnswer)
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
     this.keeper.observePeer(version, digest.confirmedAt)
@@ -84,7 +88,7 @@
   }
 
   exchange (digest: Digest): Digest {
-    this.observe(digest)
+    this.observe(digest, false)
     return this.buildDigest()
   }
 
@@ -102,15 +106,17 @@
   }
 
   borrow (request: LoanRequest): LoanAnswer {
-    return { loanId: request.loanId, slots: 0, connections: 0, deadline: this.clock.now() }
+    return this.limits.lend(request)
+  }
+
+  returnLoan (loan: LoanReturn): void {
+    this.limits.settleReturn(loan)
   }
 
   private fetchOther (name: string, aboveVersion: number): PeerDocument | undefined {
     const found = this.registry.get(name)
     return found !== undefined && found.document.version > aboveVersion ? found : undefined
   }
-
-  returnLoan (_loan: LoanReturn): void {}
 }
 
 function toReport (digest: Digest): MemberReport {
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -5,8 +5,10 @@
 import { printLine } from '../terminal.js'
 import { DRAIN_MEASUREMENT } from './drainMeasurement.js'
 import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
+import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
+import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
 import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
@@ -18,7 +20,9 @@
 enum MeasurementName {
   Drain = 'drain',
   Faults = 'faults',
+  Limits = 'limits',
   Lookup = 'lookup',
+  Overload = 'overload',
   Request = 'request',
   Tls = 'tls',
   ScaleLookup = 'scale-lookup',
@@ -31,7 +35,9 @@
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
   [MeasurementName.Drain]: DRAIN_MEASUREMENT,
   [MeasurementName.Faults]: FAULTS_MEASUREMENT,
+  [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
+  [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
   [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
