--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -18,8 +18,9 @@
 import { pipeline } from 'node:stream/promises'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
 import { type Deduplicator, KEY_HEADER } from '../dedup/deduplicator.js'
-import { readBody } from '../request/requestBody.js'
+import { readBody, type RequestBody } from '../request/requestBody.js'
 import type { RequestContext } from '../request/requestContext.js'
+import type { DemandMeter } from '../plan/demandMeter.js'
 import { AnswerEnd, type RequestFailure, type RunningAnswer } from '../request/requestEnds.js'
 import type { RequestRunner } from '../request/requestRunner.js'
 import type { ClientRegions } from './clientRegions.js'
@@ -48,6 +49,7 @@
   readonly deduplicator: Deduplicator
   readonly regions: ClientRegions
   readonly burn: BurnCounter
+  readonly demand: DemandMeter
   readonly clock: IClock
   readonly logger: ILogger
   readonly metrics: IMetrics
@@ -103,6 +105,15 @@
       answerProblem(response, body.val, UNSENT, context.requestId)
       return true
     }
+    const finishMeasuring = this.parts.demand.start(context.service, context.clientRegion)
+    try {
+      return await this.runRequest(context, request, body.val, response)
+    } finally {
+      finishMeasuring()
+    }
+  }
+
+  private async runRequest (context: RequestContext, request: IncomingMessage, body: RequestBody, response: ServerResponse): Promise<boolean> {
     const claimed = await this.parts.deduplicator.claim(context, getHeader(request, KEY_HEADER))
     if (!claimed.ok) {
       const { error, outcome, ...extras } = claimed.val
@@ -115,7 +126,7 @@
     delete headers.host
     headers['x-forwarded-for'] = this.parts.regions.buildForwardedFor(request)
     const bounded = claim === undefined ? context : { ...context, deadline: claim.deadline }
-    const ran = await this.parts.runner.run(bounded, headers, body.val)
+    const ran = await this.parts.runner.run(bounded, headers, body)
     if (ran.ok) return await this.answer(context, ran.val, claim, response)
     return this.refuse(context, ran.val, claim, response)
   }
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -109,10 +109,12 @@
     // Peers before the store: they show a version that a restored store no longer
     // has, and spare the store a read for each node when all start at once.
     await parts.heartbeats.start()
+    await parts.planWatcher.start()
     await parts.watcher.start()
     this.hasAskedAll = true
     parts.limits.start((peerId) => parts.peerService.buildDigest(peerId))
     parts.prober.start()
+    parts.planHolder.start()
     this.applyState()
     return new Ok(undefined)
   }
@@ -223,6 +225,7 @@
     parts.reports.update(workers)
     parts.reports.applyVmStates((vm) => parts.members.isUpstreamLeaving(vm))
     parts.prober.update(workers)
+    parts.board.setConfiguration(current.body)
     parts.limits.update()
     parts.plans.update(current.body)
     parts.regions.update(current.body)
--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -26,6 +26,7 @@
 import { PatchService } from './configuration/patchService.js'
 import { MemberDirectory } from './members/memberDirectory.js'
 import { LimitKeeper } from './limits/limitKeeper.js'
+import { DocumentRegistry } from './peers/documentRegistry.js'
 import { DocumentSpreader } from './peers/documentSpreader.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
@@ -34,6 +35,7 @@
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
 import { WorkerReports } from './places/workerReports.js'
+import { createPlanParts, type PlanParts } from './plan/planParts.js'
 import { RequestRunner } from './request/requestRunner.js'
 import { SlotFinder } from './request/slotFinder.js'
 import { type DaemonTls, TlsSide } from './tls/daemonTls.js'
@@ -52,7 +54,7 @@
 }
 
 /** The parts of one daemon. */
-export interface DaemonParts {
+export interface DaemonParts extends PlanParts {
   readonly store: IKeyValueStore
   readonly keeper: ConfigurationKeeper
   readonly configurations: ConfigurationStore
@@ -61,6 +63,7 @@
   readonly members: MemberDirectory
   readonly peerService: PeerService
   readonly peerServer: PeerServer
+  readonly peerClient: PeerClient
   readonly heartbeats: Heartbeats
   readonly limits: LimitKeeper
   readonly places: PlaceDirectory
@@ -82,7 +85,9 @@
 export function createDaemonParts (inputs: PartInputs, owned: CloseStack): DaemonParts {
   const control = createControlParts(inputs, owned)
   const traffic = createTrafficParts(inputs, owned)
-  const peers = createPeerParts(inputs, control, traffic, owned)
+  const registry = new DocumentRegistry()
+  const peers = createPeerParts(inputs, control, traffic, registry, owned)
+  const planning = createPlanParts({ ...inputs, ...control, ...traffic, ...peers, registry }, owned)
   const burn = new BurnCounter()
   const { clock, logger, metrics, random, settings } = inputs
   const blocks = owned.add(new ClientBlockBuilder(clock, logger))
@@ -90,8 +95,8 @@
   const slots = new SlotFinder(traffic.places, traffic.plans, random)
   const runner = new RequestRunner({ selfId: settings.nodeId, transport: traffic.transport, slots, clock, random, metrics })
   const deduplicator = owned.add(createDeduplicator(inputs, control))
-  const requests = new RequestHandler({ keeper: control.keeper, runner, deduplicator, regions, burn, clock, logger, metrics })
-  return { ...control, ...traffic, ...peers, burn, regions, lookups: new LookupHandler(regions), requests }
+  const requests = new RequestHandler({ keeper: control.keeper, runner, deduplicator, regions, burn, demand: planning.demand, clock, logger, metrics })
+  return { ...control, ...traffic, ...peers, ...planning, burn, regions, lookups: new LookupHandler(regions), requests }
 }
 
 function createDeduplicator (inputs: PartInputs, control: ControlParts): Deduplicator {
@@ -102,7 +107,7 @@
 
 type ControlParts = Pick<DaemonParts, 'store' | 'keeper' | 'configurations' | 'watcher' | 'patches' | 'members'>
 type TrafficParts = Pick<DaemonParts, 'places' | 'plans' | 'prober' | 'reports' | 'transport'>
-type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'heartbeats' | 'limits'>
+type PeerParts = Pick<DaemonParts, 'peerService' | 'peerServer' | 'peerClient' | 'heartbeats' | 'limits'>
 
 function createControlParts (inputs: PartInputs, owned: CloseStack): ControlParts {
   const { settings, digester, logger, metrics, clock, random } = inputs
@@ -129,7 +134,7 @@
   return { places, plans, prober, reports, transport }
 }
 
-function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, owned: CloseStack): PeerParts {
+function createPeerParts (inputs: PartInputs, control: ControlParts, traffic: TrafficParts, registry: DocumentRegistry, owned: CloseStack): PeerParts {
   const { settings, clock, random, logger } = inputs
   const { nodeId, region, failureDomain } = settings
   const identity = { nodeId, region, failureDomain, incarnation: clock.getWallTime() }
@@ -138,10 +143,10 @@
   const security = tls === undefined ? undefined : createChannelSecurity(tls)
   const client = owned.add(new PeerClient({ clock, security }))
   const limits = owned.add(new LimitKeeper({ selfId: nodeId, region, ...traffic, ...control, client, clock, random, logger }))
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.reports, limits)
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.reports, limits, registry)
   const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
-  const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, clock, random, logger))
+  const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, registry, clock, random, logger))
   owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
   traffic.reports.onDidFind((peerIds) => runDetached(() => heartbeats.sendToAll(peerIds), logger, 'report-worker'))
-  return { peerService, peerServer, heartbeats, limits }
+  return { peerService, peerServer, peerClient: client, heartbeats, limits }
 }
--- a/packages/daemon/src/node/peers/heartbeats.ts
+++ b/packages/daemon/src/node/peers/heartbeats.ts
@@ -8,11 +8,12 @@
 import { runDetached } from '@umberspar/base/common/detached'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
-import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
+import type { Digest, IPeerClient, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { chooseNeighbours, computeRoundSpan, type Neighbours, SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
 import type { SpreadNode } from '@umberspar/steering/common/spread/spreadNode'
 import { type ConfigurationKeeper, LearnSource } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
+import type { DocumentRegistry } from './documentRegistry.js'
 import { CONFIGURATION_DOCUMENT, decodeDocument, encodeDocument, type PeerService } from './peerService.js'
 
 const HEARTBEAT_JITTER = 0.2
@@ -30,6 +31,7 @@
     private readonly service: PeerService,
     private readonly members: MemberDirectory,
     private readonly keeper: ConfigurationKeeper,
+    private readonly registry: DocumentRegistry,
     private readonly clock: IClock,
     private readonly random: IRandomSource,
     private readonly logger: ILogger
@@ -94,11 +96,33 @@
       return false
     }
     const theirs = this.service.observe(answer.val, true)
+    await this.exchangeDocuments(address, answer.val)
     if (theirs > this.keeper.version) await this.fetchFrom(address)
     else if (theirs < this.keeper.version) await this.pushTo(address)
     return true
   }
 
+  /** Asks all nodes of a small fleet for their digests, of a large one this round's neighbours. */
+  async exchangeWithAll (): Promise<void> {
+    const others = this.members.list().filter(({ vm }) => vm.vmId !== this.self.nodeId)
+    if (others.length > SMALL_FLEET) await this.sendRound()
+    else await Promise.all(others.map(({ vm }) => this.sendTo(vm.vmId)))
+  }
+
+  private async exchangeDocuments (address: string, theirs: Digest): Promise<void> {
+    for (const { name, aboveVersion } of this.registry.listWanted(theirs)) {
+      const fetched = await this.client.fetch(address, name, aboveVersion, this.createDeadline())
+      if (!fetched.ok) logError(this.logger, LogLevel.Warn, fetched.val)
+      else if (fetched.val !== undefined) this.registry.apply(fetched.val, address)
+    }
+    await Promise.all(this.registry.listLacking(theirs).map((document) => this.pushDocument(address, document)))
+  }
+
+  private async pushDocument (address: string, document: PeerDocument): Promise<void> {
+    const pushed = await this.client.push(address, document, this.createDeadline())
+    if (!pushed.ok) logError(this.logger, LogLevel.Debug, pushed.val)
+  }
+
   private async fetchFrom (address: string): Promise<void> {
     const fetched = await this.client.fetch(address, CONFIGURATION_DOCUMENT, this.keeper.version, this.createDeadline())
     if (!fetched.ok) logError(this.logger, LogLevel.Warn, fetched.val)
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -9,6 +9,7 @@
 import type { LimitKeeper } from '../limits/limitKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerReports } from '../places/workerReports.js'
+import type { DocumentRegistry } from './documentRegistry.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -33,7 +34,8 @@
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
     private readonly reports: WorkerReports,
-    private readonly limits: LimitKeeper
+    private readonly limits: LimitKeeper,
+    private readonly registry: DocumentRegistry
   ) {}
 
   /** Begins a round: the next digest is a new sign of life. */
@@ -45,7 +47,7 @@
   listDocuments (): DocumentVersion[] {
     const head = this.keeper.current?.head
     const configuration = head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
-    return [...configuration, ...this.limits.listDocuments()]
+    return [...configuration, ...this.limits.listDocuments(), ...this.registry.list()]
   }
 
   /**
@@ -59,7 +61,7 @@
       state: this.state,
       documents: this.listDocuments(),
       workers: this.reports.listFor(peerId),
-      demand: [],
+      demand: this.registry.listDemand(),
       members: this.members.listRelayed(),
       confirmedAt: this.keeper.confirmedAt
     }
@@ -77,6 +79,7 @@
     this.members.observeReports([toReport(digest), ...digest.members])
     this.keeper.observePeer(version, digest.confirmedAt)
     this.reports.observe(digest.workers)
+    this.registry.observe(digest)
     return version
   }
 
@@ -86,15 +89,15 @@
   }
 
   fetch (name: string, aboveVersion: number): PeerDocument | undefined {
+    if (name !== CONFIGURATION_DOCUMENT) return this.fetchOther(name, aboveVersion)
     const current = this.keeper.currentText
-    if (name !== CONFIGURATION_DOCUMENT || current === undefined) return undefined
+    if (current === undefined) return undefined
     return current.head.version > aboveVersion ? encodeDocument(current) : undefined
   }
 
   async push (document: PeerDocument): Promise<number> {
-    if (document.document.name === CONFIGURATION_DOCUMENT) {
-      this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
-    }
+    if (document.document.name !== CONFIGURATION_DOCUMENT) return this.registry.apply(document, 'peer')
+    this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
     return this.keeper.version
   }
 
@@ -105,6 +108,11 @@
   returnLoan (loan: LoanReturn): void {
     this.limits.settleReturn(loan)
   }
+
+  private fetchOther (name: string, aboveVersion: number): PeerDocument | undefined {
+    const found = this.registry.get(name)
+    return found !== undefined && found.document.version > aboveVersion ? found : undefined
+  }
 }
 
 function toReport (digest: Digest): MemberReport {
--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -121,6 +121,11 @@
     return chosen
   }
 
+  /** @returns what this node's own probes found last */
+  listFound (): WorkerReport[] {
+    return [...this.found.values()]
+  }
+
   close (): void {
     this.didFind.close()
   }
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -3,6 +3,7 @@
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
+import { DRAIN_MEASUREMENT } from './drainMeasurement.js'
 import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
 import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
@@ -19,6 +20,7 @@
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
+  Drain = 'drain',
   Faults = 'faults',
   Limits = 'limits',
   Lookup = 'lookup',
@@ -35,6 +37,7 @@
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Drain]: DRAIN_MEASUREMENT,
   [MeasurementName.Faults]: FAULTS_MEASUREMENT,
   [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
