Measure control over twelve daemon processes; test spread with a failing store

Cause: nothing showed how fast an accepted change is in force while the store, daemons and links fail, or whether a version ever goes back. Change: npm run measure -- control (daemon processes, relays between regions, SIGSTOP, SIGCONT and SIGKILL of own children by handle) and tests of real daemons in one process with the store down, cut watches, an old state restored, an empty VM list.

--- a/packages/testing/src/node/measure/childProgram.ts
+++ b/packages/testing/src/node/measure/childProgram.ts
@@ -92,6 +92,25 @@
     return ticks / TICKS_PER_SECOND
   }
 
+  /** Pauses the program, as a host that stalls does. */
+  hold (): void {
+    if (this.exit === undefined) this.child.kill('SIGSTOP')
+  }
+
+  /** Lets a paused program go on. */
+  release (): void {
+    if (this.exit === undefined) this.child.kill('SIGCONT')
+  }
+
+  /**
+   * Ends the program at once, as a failure of its VM does.
+   * @returns how it ended
+   */
+  async cancel (): Promise<ProgramExit> {
+    if (this.exit === undefined) this.child.kill('SIGKILL')
+    return this.exited
+  }
+
   /**
    * Asks the program to stop, as a planned stop does.
    * @returns how it ended
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -3,17 +3,20 @@
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
+import { CONTROL_MEASUREMENT } from './controlMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
+  Control = 'control',
   Lookup = 'lookup',
   Request = 'request'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Control]: CONTROL_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT
 }
