--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -73,7 +73,8 @@
   observe (digest: Digest): number {
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
-    this.keeper.observePeer(version, digest.confirmedAt)
+    // Patches wait until this node has the highest version seen; a stranger's word must not stop them.
+    if (this.members.get(digest.nodeId) !== undefined) this.keeper.observePeer(version, digest.confirmedAt)
     this.relay.observe(digest.workers)
     this.prober.observeReports(digest.workers)
     return version
--- a/packages/platform/src/node/peers/peerMessages.ts
+++ b/packages/platform/src/node/peers/peerMessages.ts
@@ -110,14 +110,26 @@
   }
 }
 
+/**
+ * NaN passes through every comparison and sum: one such report would upset the
+ * choice among all workers of a place, and relayed on, at all nodes.
+ */
+function checkFigures (digest: wire.Digest, peer: string): void {
+  const demand = [...digest.demand, ...digest.members.flatMap((report) => report.demand)]
+  const figures = [...digest.workers.map((report) => report.utilization), ...demand.map((report) => report.concurrency)]
+  if (figures.every((figure) => Number.isFinite(figure) && figure >= 0)) return
+  throw new StepError({ code: ErrorCode.Invalid, step: 'decode-digest', peer, message: 'a reported figure is negative or no number' })
+}
+
 /**
  * @param digest a peer's digest
  * @param now the instant of its receipt
  * @param peer whose it is, for the error
  * @returns the digest on the own clock
- * @throws StepError `Invalid` if its state is unknown
+ * @throws StepError `Invalid` if its state is unknown or a figure is no number of 0 or more
  */
 export function decodeDigest (digest: wire.Digest, now: Instant, peer: string): Digest {
+  checkFigures(digest, peer)
   const { confirmedAgeMs, ...rest } = digest
   return {
     ...rest,
--- a/packages/steering/test/common/membership/membership.test.ts
+++ b/packages/steering/test/common/membership/membership.test.ts
@@ -69,7 +69,7 @@
     far.observe(createReport('a', 3), 0)
     near.markSilent(30_000)
     assert.equal(far.getState('a', 30_000), NodeState.Live)
-    for (const report of near.listRelayed()) far.observe(report, 30_000)
+    for (const report of near.listRelayed(30_000)) far.observe(report, 30_000)
     assert.equal(far.getState('a', 30_000), NodeState.Suspected)
   })
 
@@ -81,9 +81,9 @@
     paused.observe(createReport('a', 5), 0)
     other.observe(createReport('a', 125), 60_000)
     assert.deepEqual(paused.markSilent(60_000), ['a'])
-    for (const report of paused.listRelayed()) other.observe(report, 60_000)
+    for (const report of paused.listRelayed(60_000)) other.observe(report, 60_000)
     assert.equal(other.getState('a', 60_000), NodeState.Live)
-    for (const report of other.listRelayed()) paused.observe(report, 60_001)
+    for (const report of other.listRelayed(60_000)) paused.observe(report, 60_001)
     assert.equal(paused.getState('a', 60_001), NodeState.Live)
   })
 
@@ -99,10 +99,10 @@
     const count = 200
     for (let index = 0; index < count; index++) table.observe(createReport(`n${index}`, 1), index)
     table.observe(createReport('n3', 2, { state: NodeState.Leaving }), 1000)
-    assert.equal(table.listRelayed()[0]?.nodeId, 'n3')
+    assert.equal(table.listRelayed(1000)[0]?.nodeId, 'n3')
     const seen = new Set<string>()
     for (let round = 0; round < 2 * count / RELAY_LIMIT + 1; round++) {
-      const relayed = table.listRelayed()
+      const relayed = table.listRelayed(1000)
       assert.ok(relayed.length <= RELAY_LIMIT)
       relayed.forEach((report) => seen.add(report.nodeId))
     }
