--- a/packages/testing/test/node/request/entryUnderTest.ts
+++ b/packages/testing/test/node/request/entryUnderTest.ts
@@ -22,9 +22,10 @@
 /** Does not deduplicate. */
 export const PLAIN_SERVICE = 'itinerary-svc'
 
-function buildConfiguration (): object {
+function buildConfiguration (retryBudget: number): object {
   const buildService = (deduplicate: boolean): object => ({
     deduplicate,
+    retryBudget,
     places: { 'klang-a': { workers: Object.fromEntries(['w1', 'w2'].map((name, index) => [name, { address: `127.0.0.1:${9000 + index}`, slots: SLOTS, connections: 20 }])) } }
   })
   return {
@@ -44,8 +45,11 @@
     platform.fleet.onDidExecute((event) => { this.executions.push(event) })
   }
 
-  /** @returns a daemon that is ready */
-  static async start (): Promise<EntryUnderTest> {
+  /**
+   * @param retryBudget of both services
+   * @returns a daemon that is ready
+   */
+  static async start (retryBudget = 0.1): Promise<EntryUnderTest> {
     const [callers, peers, operators] = await findFreeAddresses('127.20.1.1', 3)
     const input = {
       nodeId: 'klang-1',
@@ -59,7 +63,7 @@
     }
     const settings = validateDaemonSettings(input).unwrap()
     const platform = await PlatformStandIns.start({
-      configurationInput: buildConfiguration(),
+      configurationInput: buildConfiguration(retryBudget),
       keyPrefix: KEY_PREFIX,
       entryVms: [buildEntryVm(settings)],
       getWorkerOptions: () => ({ meanSpanMs: 1, sigma: 0, coldFactor: 1, connectSpanMs: 0 })
