Let patches go on when the last holder of a higher version is gone

Cause: a daemon that had seen a peer with a higher version refused patches until it had that version itself. If that peer died before anybody fetched it, which takes a restored store as well, no patch would ever be accepted again. Change: it waits only while a peer has shown the version within 30 s; then the next patch skips the number. Conclusion: no number that was seen is given out twice, and nothing waits for ever.

--- a/packages/daemon/src/node/configuration/configurationKeeper.ts
+++ b/packages/daemon/src/node/configuration/configurationKeeper.ts
@@ -55,6 +55,7 @@
   private inForce: VersionedConfiguration | undefined
   private inForceText = ''
   private seenVersion = 0
+  private aheadSeenAt: Instant | undefined
   private storeConfirmedAt: Instant | undefined
   private readonly didLearn = new Emitter<LearnedConfiguration>()
 
@@ -83,6 +84,11 @@
     return Math.max(this.seenVersion, this.version)
   }
 
+  /** @returns when a peer was last seen to have a higher version than this node had then */
+  get lastAheadSeenAt (): Instant | undefined {
+    return this.aheadSeenAt
+  }
+
   /** @returns when a read of the store, by whichever node, last showed no higher version than the one in force here */
   get confirmedAt (): Instant | undefined {
     return this.storeConfirmedAt
@@ -92,8 +98,10 @@
    * Takes in which version a peer has.
    * @param version the peer's version
    * @param confirmedAt when a read of the store confirmed it
+   * @param now the present
    */
-  observePeer (version: number, confirmedAt: Instant | undefined): void {
+  observePeer (version: number, confirmedAt: Instant | undefined, now: Instant): void {
+    if (version > this.version) this.aheadSeenAt = now
     this.seenVersion = Math.max(this.seenVersion, version)
     if (confirmedAt !== undefined && version <= this.version) this.recordConfirmed(version, confirmedAt)
   }
--- a/packages/daemon/src/node/configuration/patchService.ts
+++ b/packages/daemon/src/node/configuration/patchService.ts
@@ -3,7 +3,7 @@
  * the head, and settles a lost answer by the change's id.
  */
 import type { IClock } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { runDetached } from '@umberspar/base/common/detached'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
@@ -18,6 +18,8 @@
 import type { ConfigurationStore, StoredHead } from './configurationStore.js'
 
 const WRITE_SPAN_MS = 4000
+/** A peer that is ahead says so again in every round, at most 5 s and jitter apart. */
+const AHEAD_SPAN_MS = 30_000
 /** A patch is judged anew when the head changes while it is written; a new head makes it stale at the latest then. */
 const PATCH_ATTEMPTS = 4
 
@@ -106,7 +108,7 @@
   private async write (current: CurrentState, body: SteeringConfiguration, request: PatchRequest, deadline: Deadline): Promise<PatchOutcome | undefined> {
     const text = encodeCanonical(body)
     const head: ConfigurationHead = {
-      version: current.configuration.head.version + 1,
+      version: Math.max(current.configuration.head.version, this.keeper.highestSeen) + 1,
       changeId: request.changeId,
       digest: this.digester.computeDigest(text)
     }
@@ -137,17 +139,27 @@
     return this.configurations.findChange(changeId, deadline)
   }
 
+  /**
+   * If the last node that had a version is gone before anybody fetched it, waiting
+   * for it would refuse every patch for ever; after a while the next one only
+   * skips its number.
+   */
+  private isPeerAhead (): boolean {
+    const seenAt = this.keeper.lastAheadSeenAt
+    return seenAt !== undefined && !hasPassed(createDeadline(seenAt, AHEAD_SPAN_MS), this.clock.now())
+  }
+
   /**
    * The newest configuration: the store's, or the one in force here if the store
-   * was restored from an older state. A number above both, seen at a peer, must
-   * not be given out a second time, so this daemon waits until it has that version.
+   * was restored from an older state. While a peer has a number above both, this
+   * daemon waits until it has that version too.
    */
   private async readCurrent (deadline: Deadline): Promise<Result<CurrentState, StepError>> {
     const stored = await this.configurations.readHead(deadline)
     if (!stored.ok) return stored
     const storedVersion = stored.val?.head.version ?? 0
     const newest = Math.max(storedVersion, this.keeper.version)
-    if (this.keeper.highestSeen > newest) {
+    if (this.keeper.highestSeen > newest && this.isPeerAhead()) {
       return new Err(new StepError({ code: ErrorCode.Unavailable, step: 'read-current', peer: 'local', message: `a peer has version ${this.keeper.highestSeen}, this daemon only ${newest}; try again` }))
     }
     const inForce = this.keeper.current
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -74,7 +74,7 @@
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
     // Patches wait until this node has the highest version seen; a stranger's word must not stop them.
-    if (this.members.get(digest.nodeId) !== undefined) this.keeper.observePeer(version, digest.confirmedAt)
+    if (this.members.get(digest.nodeId) !== undefined) this.keeper.observePeer(version, digest.confirmedAt, this.clock.now())
     this.relay.observe(digest.workers)
     this.prober.observeReports(digest.workers)
     return version
