--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -15,6 +15,7 @@
 import { LookupIndex, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { VmState } from '@umberspar/steering/common/ports/vmList'
+import type { AdmissionPolicy } from './places/admissionQueue.js'
 import { createDaemonParts, type DaemonParts } from './daemonParts.js'
 import { buildViews } from './operators/operatorViews.js'
 import { buildOperatorApp } from './operators/operatorServer.js'
@@ -32,6 +33,8 @@
   readonly logger: ILogger
   readonly clock?: IClock
   readonly random?: IRandomSource
+  /** How long requests may wait for a slot; for measurements. */
+  readonly admission?: AdmissionPolicy
 }
 
 /** Addresses on which a daemon listens. */
@@ -57,7 +60,8 @@
     private readonly settings: DaemonSettings,
     private readonly logger: ILogger,
     private readonly clock: IClock,
-    private readonly random: IRandomSource
+    private readonly random: IRandomSource,
+    private readonly admission?: AdmissionPolicy
   ) {}
 
   /** @returns where it listens, once started */
@@ -70,7 +74,7 @@
     const parts = this.parts
     if (parts?.keeper.current === undefined || parts.peerService.state !== NodeState.Live) return false
     this.hasClientBlocks ||= parts.regions.isCurrent
-    return this.hasClientBlocks
+    return this.hasClientBlocks && parts.limits.isReady
   }
 
   /**
@@ -85,7 +89,7 @@
     const tls = this.owned.add(loaded.val)
     this.tls = tls
     const metrics = this.createMetrics()
-    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics, clock: this.clock, random: this.random, tls }, this.owned)
+    const parts = createDaemonParts({ settings: this.settings, digester, logger: this.logger, metrics, clock: this.clock, random: this.random, tls, admission: this.admission }, this.owned)
     this.parts = parts
     parts.keeper.onDidAdopt(() => this.applyState())
     parts.members.onDidChange(() => this.applyState())
@@ -100,6 +104,7 @@
     await parts.heartbeats.start()
     await parts.watcher.start()
     this.hasAskedAll = true
+    parts.limits.start(() => parts.peerService.buildDigest())
     parts.prober.start()
     this.applyState()
     return new Ok(undefined)
@@ -129,6 +134,7 @@
     if (parts === undefined) return
     this.logger.log(LogLevel.Info, { step: 'stop', inFlight: parts.requests.inFlight }, 'leaving')
     parts.peerService.state = NodeState.Leaving
+    parts.limits.leave()
     this.applyState()
     await parts.heartbeats.sendRound()
     const cacheForMs = parts.keeper.current?.body.lookupCacheMs ?? 0
@@ -177,10 +183,9 @@
     if (parts === undefined || current === undefined) return
     if (parts.peerService.state === NodeState.Joining && this.canGoLive(parts)) parts.peerService.state = NodeState.Live
     const nodes = this.listNodes(parts)
-    const roster = nodes.map((node) => ({ ...node, state: NodeState.Live }))
-    const workers = parts.places.update(current.body, roster)
-    parts.transport.setWorkers(workers.map(({ address, connections }) => ({ address, connections })))
+    const workers = parts.places.update(current.body, parts.limits)
     parts.prober.update(workers, nodes.map((node) => node.nodeId))
+    parts.limits.update()
     parts.plans.update(current.body)
     parts.regions.update(current.body)
     parts.lookups.update(LookupIndex.build(current.body, current.head.version, nodes))
@@ -220,5 +225,5 @@
  */
 export function createDaemon (settings: DaemonSettings, dependencies: DaemonDependencies): Daemon {
   const logger = dependencies.logger.createChild({ node: settings.nodeId })
-  return new Daemon(settings, logger, dependencies.clock ?? new SystemClock(), dependencies.random ?? createSystemRandom())
+  return new Daemon(settings, logger, dependencies.clock ?? new SystemClock(), dependencies.random ?? createSystemRandom(), dependencies.admission)
 }
--- a/packages/daemon/src/node/members/memberDirectory.ts
+++ b/packages/daemon/src/node/members/memberDirectory.ts
@@ -14,7 +14,7 @@
 import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
 import { MemberTable } from '@umberspar/steering/common/membership/memberTable'
 import type { DemandReport, DocumentVersion } from '@umberspar/steering/common/ports/peers'
-import { type IVmList, type VmEntry, VmRole, VmState } from '@umberspar/steering/common/ports/vmList'
+import { type IVmList, type VmEntry, type VmListSnapshot, VmRole, VmState } from '@umberspar/steering/common/ports/vmList'
 import { SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
 import type { SpreadNode } from '@umberspar/steering/common/spread/spreadNode'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
@@ -46,6 +46,13 @@
   readonly incarnation: number
 }
 
+/** One answer of the platform's list. */
+export interface ListReading {
+  readonly snapshot: VmListSnapshot
+  /** When it was asked for. */
+  readonly askedAt: Instant
+}
+
 const NEVER_HEARD: Omit<Member, 'vm' | 'isSuspected'> = {
   heardState: undefined,
   suspectAt: undefined,
@@ -72,6 +79,7 @@
   /** By when a member must have been heard of for the first time. */
   private readonly hearBy = new Map<string, Deadline>()
   private readonly didChange = new Emitter<void>()
+  private readonly didRead = new Emitter<ListReading>()
   private believed: BelievedList = EMPTY_BELIEVED_LIST
   private poll: ITimer | undefined
   private isClosed = false
@@ -79,6 +87,9 @@
   /** Fires when a member came, went or changed its state. */
   readonly onDidChange = this.didChange.event
 
+  /** Fires after each answer of the list, also an unchanged one. */
+  readonly onDidRead = this.didRead.event
+
   constructor (
     private readonly vmList: IVmList,
     private readonly selfId: string,
@@ -184,12 +195,14 @@
 
   /** Reads the list now; a failure keeps the members known so far. */
   async update (): Promise<void> {
+    const askedAt = this.clock.now()
     const fetched = await this.vmList.fetch(createDeadline(this.clock.now(), POLL_DEADLINE_MS))
     if (this.isClosed) return
     if (!fetched.ok) {
       logError(this.logger, LogLevel.Warn, fetched.val)
       return
     }
+    this.didRead.fire({ snapshot: fetched.val, askedAt })
     this.merge(fetched.val.version, fetched.val.vms)
   }
 
@@ -197,6 +210,7 @@
     this.isClosed = true
     this.poll?.close()
     this.didChange.close()
+    this.didRead.close()
   }
 
   private buildMember (vm: VmEntry): Member {
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -7,6 +7,7 @@
 import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
+import type { LimitKeeper } from '../limits/limitKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { WorkerProber } from '../places/workerProber.js'
 import { WorkerReportRelay } from './workerReportRelay.js'
@@ -35,7 +36,8 @@
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
     private readonly prober: WorkerProber,
-    private readonly clock: IClock
+    private readonly limits: LimitKeeper,
+    clock: IClock
   ) {
     this.relay = new WorkerReportRelay(clock)
   }
@@ -48,7 +50,8 @@
   /** @returns the documents that this node has, with its versions of them */
   listDocuments (): DocumentVersion[] {
     const head = this.keeper.current?.head
-    return head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
+    const configuration = head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
+    return [...configuration, ...this.limits.listDocuments()]
   }
 
   /** @returns this node's heartbeat */
@@ -68,9 +71,11 @@
   /**
    * Takes in a peer's heartbeat.
    * @param digest what the peer said
+   * @param isAnswer whether it answers a heartbeat of this node
    * @returns the configuration version that the peer has
    */
-  observe (digest: Digest): number {
+  observe (digest: Digest, isAnswer: boolean): number {
+    this.limits.observe(digest, isAnswer)
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
     // Patches wait until this node has the highest version seen; a stranger's word must not stop them.
@@ -81,7 +86,7 @@
   }
 
   exchange (digest: Digest): Digest {
-    this.observe(digest)
+    this.observe(digest, false)
     return this.buildDigest()
   }
 
@@ -99,10 +104,12 @@
   }
 
   borrow (request: LoanRequest): LoanAnswer {
-    return { loanId: request.loanId, slots: 0, connections: 0, deadline: this.clock.now() }
+    return this.limits.lend(request)
   }
 
-  returnLoan (_loan: LoanReturn): void {}
+  returnLoan (loan: LoanReturn): void {
+    this.limits.settleReturn(loan)
+  }
 }
 
 function toReport (digest: Digest): MemberReport {
--- a/packages/testing/test/node/request/heldSlot.test.ts
+++ b/packages/testing/test/node/request/heldSlot.test.ts
@@ -11,7 +11,8 @@
 it('holds a cancelled attempt\'s slot until the given instant', async () => {
   const clock = new ManualClock()
   const pool = new PlacePool({ service: 's', failureDomain: 'd' }, clock, new SeededRandom(1), 1)
-  pool.update({ workers: { w1: { address: '127.0.0.1:1', slots: 1, connections: 1 } } }, new Map([['w1', { slots: 1, connections: 1 }]]), 4)
+  pool.updateWorkers({ workers: { w1: { address: '127.0.0.1:1', slots: 1, connections: 1 } } })
+  pool.update(new Map([[pool.getSlotKey('w1'), { slots: 1, connections: 1 }]]), Infinity, 4)
   const buildRequest = (): Parameters<PlacePool['acquire']>[0] => ({ priority: 5, kind: RequestKind.Call, deadline: 10_000, excluded: new Set(), signal: new AbortController().signal })
   const first = (await pool.acquire(buildRequest())).unwrap()
   let isSecondServed = false
