--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -37,7 +37,7 @@
     private readonly members: MemberDirectory,
     private readonly prober: WorkerProber,
     private readonly limits: LimitKeeper,
-    clock: IClock
+    private readonly clock: IClock
   ) {
     this.relay = new WorkerReportRelay(clock)
   }
