--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -143,7 +143,7 @@
   const security = tls === undefined ? undefined : createChannelSecurity(tls)
   const client = owned.add(new PeerClient({ clock, security }))
   const limits = owned.add(new LimitKeeper({ selfId: nodeId, region, ...traffic, ...control, client, clock, random, logger }))
-  const peerService = new PeerService(identity, control.keeper, control.members, traffic.reports, limits, registry)
+  const peerService = new PeerService(identity, control.keeper, control.members, traffic.reports, limits, registry, clock)
   const peerServer = owned.add(new PeerServer({ address: settings.peers.address, service: peerService, clock, logger, credentials }))
   const heartbeats = owned.add(new Heartbeats(settings, client, peerService, control.members, control.keeper, registry, clock, random, logger))
   owned.add(new DocumentSpreader(settings, client, control.members, control.keeper, clock, logger))
--- a/packages/daemon/src/node/members/memberDirectory.ts
+++ b/packages/daemon/src/node/members/memberDirectory.ts
@@ -167,6 +167,8 @@
     const now = this.clock.now()
     let isChanged = false
     for (const report of reports) {
+      // A stranger, or a message that decodes to nonsense, must not fill the memory.
+      if (!this.believed.vms.has(report.nodeId)) continue
       if (this.table.observe(report, now)) isChanged = true
     }
     if (isChanged) this.didChange.fire()
@@ -174,7 +176,7 @@
 
   /** @returns the reports of others to hand on in a digest */
   listRelayed (): MemberReport[] {
-    return this.table.listRelayed()
+    return this.table.listRelayed(this.clock.now())
   }
 
   /**
--- a/packages/platform/test/node/peers/peerMessages.test.ts
+++ b/packages/platform/test/node/peers/peerMessages.test.ts
@@ -10,11 +10,12 @@
 test('a digest with a figure that is no number of 0 or more is refused whole', () => {
   const worker = { workerId: 'w', utilization: 0.5, inFlight: 1, measuredAt: 0, isDraining: false, isHealthy: true, isStarting: false, isProbed: true, hasLoad: true }
   const demand = { service: 's', clientRegion: 'r', concurrency: 1, measuredAt: 0 }
-  const digest = { nodeId: 'a', region: 'r', failureDomain: 'f', incarnation: 1, beat: 1, members: [], confirmedAt: undefined, state: NodeState.Live as const, documents: [], workers: [worker], demand: [demand] }
+  const digest = { nodeId: 'a', region: 'r', failureDomain: 'f', incarnation: 1, state: NodeState.Live as const, documents: [], workers: [worker], demand: [demand], beat: 1, members: [], confirmedAt: undefined }
+  const member = { nodeId: 'b', incarnation: 1, beat: 1, state: NodeState.Live as const, documents: [], isSuspected: false }
   const decode = (changes: object): unknown => decodeDigest(encodeDigest({ ...digest, ...changes }, 10), 10, 'peer')
   assert.deepEqual(decode({}), { ...digest })
   for (const figure of [NaN, Infinity, -Infinity, -0.1]) {
-    for (const changes of [{ workers: [worker, { ...worker, utilization: figure }] }, { demand: [{ ...demand, concurrency: figure }] }]) {
+    for (const changes of [{ workers: [worker, { ...worker, utilization: figure }] }, { demand: [{ ...demand, concurrency: figure }] }, { members: [{ ...member, demand: [{ ...demand, concurrency: figure }] }] }]) {
       assert.throws(() => decode(changes), (thrown) => thrown instanceof StepError && thrown.code === ErrorCode.Invalid)
     }
   }
