Measure and settle drains side by side; do not leave a place that has recovered

Cause, by tracing: with the planner asking from half the settle time on, steps came 520 to 550 ms after each other at settleMs 500, not 900 to 1000. What took seconds was one node that had left a place by itself: probes lost while it started marked the place as failed, the ten seconds before a recovered place is trusted counted as failing, and eight seconds after the last version the node left. The next drain then waited for it to return in capped steps. Two more causes: one lost probe with a late one after it counted as a failed place, and steps were looked for every 20 ms.

Change: a node leaves by itself only a place that fails now; failed needs two lost probes and no answer after them; up to 32 nodes the holder pushes a step to all in one hop, and each node reports to it directly at 0.7 of the settle time; the holder steps at the end of the settle time or at the last missing report. What a step requires of measurements is unchanged.

--- a/packages/daemon/src/node/peers/heartbeats.ts
+++ b/packages/daemon/src/node/peers/heartbeats.ts
@@ -21,7 +21,7 @@
 
 /** The outgoing side of the conversation between daemons. */
 export class Heartbeats implements IClosable {
-  private readonly running = new Set<string>()
+  private readonly running = new Map<string, Promise<boolean>>()
   private timer: ITimer | undefined
   private isClosed = false
 
@@ -80,9 +80,10 @@
     const address = this.members.get(nodeId)?.vm.peerAddress
     // A peer that hangs must not gather a call for every round.
     if (address === undefined || this.running.has(nodeId)) return false
-    this.running.add(nodeId)
+    const sending = this.send(nodeId, address)
+    this.running.set(nodeId, sending)
     try {
-      return await this.send(nodeId, address)
+      return await sending
     } finally {
       this.running.delete(nodeId)
     }
@@ -102,6 +103,17 @@
     return true
   }
 
+  /**
+   * Tells one node, neighbour or not, what this node measured by now.
+   * @param nodeId whom
+   * @returns whether it has heard it
+   */
+  async reportTo (nodeId: string): Promise<boolean> {
+    // A call under way carries an older measurement than the one to be told.
+    await this.running.get(nodeId)?.catch(() => false)
+    return !this.isClosed && await this.sendTo(nodeId)
+  }
+
   /** Asks all nodes of a small fleet for their digests, of a large one this round's neighbours. */
   async exchangeWithAll (): Promise<void> {
     const others = this.members.list().filter(({ vm }) => vm.vmId !== this.self.nodeId)
--- a/packages/daemon/src/node/places/planKeeper.ts
+++ b/packages/daemon/src/node/places/planKeeper.ts
@@ -23,6 +23,12 @@
   readonly shift: number
 }
 
+/** An agreed version that came into force at this node. */
+export interface ReachedPlan {
+  readonly service: string
+  readonly version: number
+}
+
 /** What this node knows of failures and demand when it steps. */
 export type PlanConditions = (service: string) => Pick<NodeStepInput, 'failedUntil' | 'utilization' | 'measurements'>
 
@@ -34,6 +40,7 @@
   /** Weights that a peer uses, for the start of this node. */
   private readonly handedOver = new Map<string, Weights>()
   private readonly didStep = new Emitter<PlanStep>()
+  private readonly didReach = new Emitter<ReachedPlan>()
   private readonly didAccept = new Emitter<PlanDocument>()
   private configuration: SteeringConfiguration | undefined
   private conditions: PlanConditions | undefined
@@ -41,6 +48,8 @@
 
   /** Fires after weights moved. */
   readonly onDidStep = this.didStep.event
+  /** Fires after an agreed version came into force. */
+  readonly onDidReach = this.didReach.event
   /** Fires after a higher version of an agreed plan was taken in. */
   readonly onDidAccept = this.didAccept.event
 
@@ -157,6 +166,7 @@
   close (): void {
     this.timer?.close()
     this.didStep.close()
+    this.didReach.close()
     this.didAccept.close()
   }
 
@@ -176,6 +186,7 @@
     this.services.set(service, next)
     const shift = computeShift(state.inForce, next.inForce)
     if (shift > 0) this.didStep.fire({ service, shift })
+    if (next.inForceVersion !== state.inForceVersion) this.didReach.fire({ service, version: next.inForceVersion })
   }
 
   private scheduleNext (configuration: SteeringConfiguration): void {
--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -121,15 +121,26 @@
     return chosen
   }
 
-  /** @returns what this node's own probes found last */
+  /**
+   * A busy worker may answer requests while its probes come too late; it has not
+   * failed, and the answers count.
+   * @returns what this node's own probes found last, or an answer that came after a probe was lost
+   */
   listFound (): WorkerReport[] {
-    return [...this.found.values()]
+    return [...this.found.values()].map((report) => {
+      const answeredAt = report.isHealthy ? -Infinity : this.findAnsweredAt(report.workerId)
+      return answeredAt > report.measuredAt ? { ...report, isHealthy: true, measuredAt: answeredAt } : report
+    })
   }
 
   close (): void {
     this.didFind.close()
   }
 
+  private findAnsweredAt (address: string): Instant {
+    return Math.max(-Infinity, ...(this.byAddress.get(address) ?? []).map(({ workerId, pool }) => pool.table.get(workerId)?.answeredAt ?? -Infinity))
+  }
+
   private listReports (worker: KnownWorker, now: Instant): WorkerReport[] {
     const reports = [this.found.get(worker.address), this.findAnswerReport(worker)]
     return reports.filter((report) => report !== undefined && now - report.measuredAt <= FRESH_SPAN_MS) as WorkerReport[]
--- a/packages/daemon/src/node/plan/measurementBoard.ts
+++ b/packages/daemon/src/node/plan/measurementBoard.ts
@@ -1,5 +1,7 @@
 /** What this node knows of demand, places and members: from its own meters and peers' heartbeats. */
 import type { IClock } from '@umberspar/base/common/clock'
+import type { IClosable } from '@umberspar/base/common/closing'
+import { Emitter } from '@umberspar/base/common/event'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import { addMeasurement, computeDemand, type MeasurementState, NO_MEASUREMENTS, type NodeMeasurement, type PlanMember, setMembers } from '@umberspar/steering/common/plan/measurements'
@@ -17,8 +19,9 @@
 import { PlaceObserver } from './placeObserver.js'
 
 /** The state and its updates. */
-export class MeasurementBoard implements IDigestObserver {
+export class MeasurementBoard implements IDigestObserver, IClosable {
   private readonly observer = new PlaceObserver()
+  private readonly didHear = new Emitter<void>()
   private configuration: SteeringConfiguration | undefined
   private state: MeasurementState = NO_MEASUREMENTS
   private failures: ReadonlyMap<string, Deadline> = new Map()
@@ -33,6 +36,9 @@
     private readonly listInForce: () => readonly DocumentVersion[]
   ) {}
 
+  /** Fires after a peer's measurements were taken in. */
+  readonly onDidHear = this.didHear.event
+
   /** @returns all measurements, as of the last update */
   get measurements (): MeasurementState {
     return this.state
@@ -48,6 +54,10 @@
     return this.seenPlaces
   }
 
+  close (): void {
+    this.didHear.close()
+  }
+
   /** @param configuration the configuration in force */
   setConfiguration (configuration: SteeringConfiguration): void {
     this.configuration = configuration
@@ -65,6 +75,7 @@
       const measurement = buildMeasurement(nodeId, demand, documents)
       if (measurement !== undefined && nodeId !== this.selfId) this.state = addMeasurement(this.state, measurement)
     }
+    this.didHear.fire()
   }
 
   /** Takes this node's own measurement, the members and the places of now. */
--- a/packages/daemon/src/node/plan/placeObserver.ts
+++ b/packages/daemon/src/node/plan/placeObserver.ts
@@ -4,8 +4,14 @@
 import type { PlaceObservation } from '@umberspar/steering/common/plan/plannerState'
 import type { WorkerReport } from '@umberspar/steering/common/ports/peers'
 
-/** A place has failed once every worker was out for so long; one lost probe is not enough. */
+/**
+ * A place has failed once every worker was out for so long and in two probes: one
+ * lost probe with a late one after it is a busy machine, and each move away from
+ * such a place makes the next drain wait for the way back.
+ */
 const FAILED_SPAN_MS = 1500
+/** One probe told by two peers looks apart by what the messages took. */
+const LEAST_PROBE_GAP_MS = 400
 /** Reports older than this say nothing. */
 const REPORT_SPAN_MS = 5000
 
@@ -58,7 +64,8 @@
     if (addresses.length === 0) return false
     return addresses.every((address) => {
       const news = this.news.get(address)
-      return news?.outSince !== undefined && now - news.outSince >= FAILED_SPAN_MS && now - news.report.measuredAt <= REPORT_SPAN_MS
+      if (news?.outSince === undefined || news.report.measuredAt < news.outSince + LEAST_PROBE_GAP_MS) return false
+      return now - news.outSince >= FAILED_SPAN_MS && now - news.report.measuredAt <= REPORT_SPAN_MS
     })
   }
 
--- a/packages/daemon/src/node/plan/planDocuments.ts
+++ b/packages/daemon/src/node/plan/planDocuments.ts
@@ -18,6 +18,8 @@
   /** Digests by name, for the version they belong to. */
   private readonly digests = new Map<string, { readonly version: number, readonly digest: string }>()
 
+  private originId: string | undefined
+
   constructor (
     private readonly keeper: PlanKeeper,
     private readonly digester: Digester,
@@ -55,6 +57,11 @@
     return parsePlanName(ours.name) !== undefined && ours.version > (theirs?.version ?? 0)
   }
 
+  /** @returns the node that began to push the newest plan seen here; it holds the plan, or did lately */
+  get pusherId (): string | undefined {
+    return this.originId
+  }
+
   /** Fires for a plan that a peer pushed and that is newer than what was known. */
   readonly onDidTakePush = this.didTakePush.event
 
@@ -67,7 +74,7 @@
     const planned = parsePlanName(document.name)
     const inForce = parseInForceName(document.name)
     const text = new TextDecoder().decode(body)
-    const isNew = planned !== undefined && this.applyPlan(planned, document, text, source)
+    const isNew = planned !== undefined && this.applyPlan(planned, received, text, source)
     if (isNew && received.route !== undefined) this.didTakePush.fire(received)
     if (inForce !== undefined) {
       const weights = parseWeights(text)
@@ -75,12 +82,14 @@
     }
   }
 
-  private applyPlan (service: string, document: DocumentVersion, text: string, source: string): boolean {
+  private applyPlan (service: string, { document, route }: PeerDocument, text: string, source: string): boolean {
     const plan = this.digester.computeDigest(text) === document.digest ? parsePlan(text) : undefined
     if (plan === undefined || plan.service !== service || plan.version !== document.version) {
       this.logger.log(LogLevel.Error, { step: 'accept-plan', peer: source, service, version: document.version }, 'plan refused: it is damaged')
       return false
     }
+    // The store's watch is often faster than the push, which then tells the holder alone.
+    if (route !== undefined && plan.version >= (this.keeper.findAgreed(service)?.version ?? 0)) this.originId = route.originId
     return this.keeper.accept(plan)
   }
 
--- a/packages/daemon/src/node/plan/planHolder.ts
+++ b/packages/daemon/src/node/plan/planHolder.ts
@@ -12,6 +12,7 @@
 import type { PlanDocument } from '@umberspar/steering/common/plan/planDocument'
 import { stepPlanner } from '@umberspar/steering/common/plan/planner'
 import { INITIAL_PLANNER, type PlannerEffect, PlannerEffectKind, type PlannerEvent, PlannerEventKind, type PlannerState } from '@umberspar/steering/common/plan/plannerState'
+import { findNextSettled, isAwaitingReports } from '@umberspar/steering/common/plan/stepTiming'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
 import type { PlanKeeper } from '../places/planKeeper.js'
 import type { MeasurementBoard } from './measurementBoard.js'
@@ -25,9 +26,8 @@
 /** Three renewals may fail before the lease lapses. */
 const RENEW_SPAN_MS = 1200
 const CALL_SPAN_MS = 1000
-/** How often the planner looks while something moves, and otherwise. */
-const MOVING_SPAN_MS = 20
-const IDLE_SPAN_MS = 100
+/** The planner looks at least so often; a settle time that ends and a report that was awaited are looked at when they come. */
+const LOOK_SPAN_MS = 100
 const PLACES_SPAN_MS = 250
 /** Peers are asked for measurements at most this often. */
 const MEASURE_SPAN_MS = 100
@@ -60,13 +60,13 @@
   /** Revisions of the plans' keys, for compare-and-swap. */
   private readonly revisions = new Map<string, { readonly version: number, readonly modRevision: number }>()
   private timer: ITimer | undefined
-  private adoption: IClosable | undefined
+  private readonly subscriptions: IClosable[] = []
   private isRunning = false
+  private isRunWanted = false
   private nextRenewal: Deadline = 0
   private nextPlaces: Deadline = 0
   private nextMeasurement: Deadline = 0
   private retryStoreAt: Deadline | undefined
-  private isBusy = false
   private isClosed = false
 
   constructor (private readonly parts: PlanHolderParts) {}
@@ -78,13 +78,16 @@
 
   /** Begins to ask for the lease where it is this node's part. */
   start (): void {
-    this.adoption = this.parts.keeper.onDidAdopt(() => this.runSoon())
+    this.subscriptions.push(
+      this.parts.keeper.onDidAdopt(() => this.runSoon()),
+      this.parts.board.onDidHear(() => this.lookAtReport())
+    )
     this.schedule(CANDIDATE_SPAN_MS * this.parts.random.next())
   }
 
   async close (): Promise<void> {
     this.isClosed = true
-    this.adoption?.close()
+    for (const subscription of this.subscriptions) subscription.close()
     this.timer?.close()
     await this.release()
   }
@@ -100,18 +103,28 @@
   private finishRound (): void {
     this.isRunning = false
     this.scheduleNext()
+    if (this.isRunWanted) this.runSoon()
   }
 
   /** A drain begins with its first step, not with the next idle round. */
   private runSoon (): void {
+    this.isRunWanted = this.holding !== undefined && this.isRunning
     if (this.holding === undefined || this.isRunning) return
     this.timer?.close()
     this.schedule(0)
   }
 
+  /** While everything that moves still settles, no report allows a step. */
+  private lookAtReport (): void {
+    if (isAwaitingReports(this.state, this.parts.clock.now())) this.runSoon()
+  }
+
   private scheduleNext (): void {
     if (this.holding === undefined) this.schedule(addJitter(this.parts.random, CANDIDATE_SPAN_MS, CANDIDATE_JITTER))
-    else this.schedule(this.isBusy ? MOVING_SPAN_MS : IDLE_SPAN_MS)
+    else {
+      const now = this.parts.clock.now()
+      this.schedule(Math.min(LOOK_SPAN_MS, (findNextSettled(this.state, now) ?? Infinity) - now))
+    }
   }
 
   private async runRound (): Promise<void> {
@@ -209,20 +222,12 @@
   private apply (event: PlannerEvent): void {
     const { state, effects } = stepPlanner(this.state, event, this.parts.clock.now())
     this.state = state
-    if (event.kind === PlannerEventKind.Tick) this.isBusy = effects.length > 0 || state.pending.size > 0 || this.isMoving()
     for (const effect of effects) {
       const handle = this.handlers[effect.kind]
       runDetached(() => handle(effect), this.parts.logger, effect.kind)
     }
   }
 
-  private isMoving (): boolean {
-    for (const plan of this.state.plans.values()) {
-      if (plan.isMoving) return true
-    }
-    return false
-  }
-
   private readonly handlers: Readonly<Record<PlannerEffectKind, EffectHandler>> = {
     [PlannerEffectKind.WritePlan]: (effect) => effect.kind === PlannerEffectKind.WritePlan ? this.writePlan(effect.document) : Promise.resolve(),
     [PlannerEffectKind.ReadPlan]: (effect) => effect.kind === PlannerEffectKind.ReadPlan ? this.readPlan(effect.service) : Promise.resolve(),
--- a/packages/daemon/src/node/plan/planParts.ts
+++ b/packages/daemon/src/node/plan/planParts.ts
@@ -3,6 +3,7 @@
 import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
 import type { IKeyValueStore } from '@umberspar/steering/common/ports/keyValueStore'
 import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
+import { SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
 import type { PatchService } from '../configuration/patchService.js'
@@ -19,6 +20,7 @@
 import { PlanDocuments } from './planDocuments.js'
 import { PlanHolder } from './planHolder.js'
 import { PlanSpreader } from './planSpreader.js'
+import { StepReporter } from './stepReporter.js'
 import { PlanStore } from './planStore.js'
 import { PlanTimer } from './planTimer.js'
 import { PlanWatcher } from './planWatcher.js'
@@ -58,11 +60,19 @@
   const demand = new DemandMeter(region, clock)
   const documents = owned.add(new PlanDocuments(plans, inputs.digester, logger))
   const spreader = owned.add(new PlanSpreader(settings, inputs.peerClient, members, documents, clock, logger))
-  const board = new MeasurementBoard(nodeId, demand, inputs.reports, members, clock, () => documents.listInForce())
+  const board = owned.add(new MeasurementBoard(nodeId, demand, inputs.reports, members, clock, () => documents.listInForce()))
   registry.addSource(documents)
   registry.addObserver(board)
   plans.setConditions((service) => ({ failedUntil: board.failedUntil, utilization: board.getUtilization(service), measurements: board.measurements }))
   owned.add(new PlanTimer(board, plans, clock))
+  owned.add(new StepReporter({
+    plans,
+    clock,
+    logger,
+    getSettleSpan: () => keeper.current?.body.shiftCaps.settleMs,
+    findHolder: () => documents.pusherId === nodeId || members.list().length > SMALL_FLEET ? undefined : documents.pusherId,
+    report: (holderId) => heartbeats.reportTo(holderId)
+  }))
   const store = new PlanStore(inputs.store, settings.store.keyPrefix)
   const planWatcher = owned.add(new PlanWatcher({ nodeId, region }, inputs.store, store, plans, members, clock, random, logger))
   const planHolder = owned.add(new PlanHolder({
--- a/packages/daemon/src/node/plan/planSpreader.ts
+++ b/packages/daemon/src/node/plan/planSpreader.ts
@@ -1,6 +1,7 @@
 /**
- * Pushes a new plan down the tree that configurations take: the holder to all,
- * every other node to its children. Whoever is missed gets it with a digest.
+ * Pushes a new plan: in a small fleet from the holder to everybody, in a larger
+ * one down the tree that configurations take. Whoever is missed gets it with a
+ * digest.
  */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
@@ -9,7 +10,8 @@
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { getPlanName } from '@umberspar/steering/common/plan/planDocument'
 import type { IPeerClient, PeerDocument } from '@umberspar/steering/common/ports/peers'
-import { choosePushTargets, PushScope } from '@umberspar/steering/common/spread/pushTree'
+import { SMALL_FLEET } from '@umberspar/steering/common/spread/neighbours'
+import { choosePushTargets, type PushRoute, PushScope } from '@umberspar/steering/common/spread/pushTree'
 import type { SpreadNode } from '@umberspar/steering/common/spread/spreadNode'
 import type { MemberDirectory } from '../members/memberDirectory.js'
 import type { PlanDocuments } from './planDocuments.js'
@@ -46,10 +48,17 @@
 
   private async push (document: PeerDocument): Promise<void> {
     if (document.route === undefined) return
-    const targets = choosePushTargets(this.members.listActive(), this.self, document.route)
+    const targets = this.chooseTargets(document.route)
     await Promise.all(targets.map((nodeId) => this.pushTo(nodeId, document)))
   }
 
+  /** Each hop of the tree would add to the time of every step; up to thirty-two pushes the holder makes itself. */
+  private chooseTargets (route: PushRoute): string[] {
+    const nodes = this.members.listActive()
+    if (nodes.length > SMALL_FLEET) return choosePushTargets(nodes, this.self, route)
+    return route.originId === this.self.nodeId ? nodes.map(({ nodeId }) => nodeId).filter((nodeId) => nodeId !== this.self.nodeId) : []
+  }
+
   private async pushTo (nodeId: string, document: PeerDocument): Promise<void> {
     const address = this.members.get(nodeId)?.vm.peerAddress
     if (address === undefined) return
--- a/packages/steering/src/common/plan/nodePlan.ts
+++ b/packages/steering/src/common/plan/nodePlan.ts
@@ -8,7 +8,7 @@
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { SteeringConfiguration } from '../configuration/configurationSchema.js'
 import { computeDemand, isFresh, type MeasurementState } from './measurements.js'
-import { listFailed } from './placeFailures.js'
+import { listFailed, listFailing } from './placeFailures.js'
 import type { PlanDocument } from './planDocument.js'
 import { stepRegionWithin } from './regionStep.js'
 import type { DomainWeights, Weights } from './servicePlan.js'
@@ -77,7 +77,13 @@
   const failed = listFailed(input.failedUntil, input.service, now)
   const { agreed } = state
   const isBehind = agreed === undefined || hasWeightOn(agreed.weights, failed)
-  if (isBehind && failed.size > 0 && isStandstill(state, now)) return stepAway(state, input, failed, now)
+  // Only from a place that fails now: the wait before a recovered place is trusted
+  // keeps this node from coming back too early, but is no reason to leave. A place
+  // that failed for a moment would else be left seconds after it recovered, and the
+  // next drain would wait for the way back.
+  const failing = listFailing(input.failedUntil, input.service)
+  const isLeftBehind = failing.size > 0 && (agreed === undefined || hasWeightOn(agreed.weights, failing))
+  if (isLeftBehind && isStandstill(state, now)) return stepAway(state, input, failed, now)
   if (agreed === undefined) return state
   // The agreed plan still has weight on the failed place: going back to it
   // would send callers there again. The version counts as reached, since this
--- a/packages/steering/src/common/plan/placeFailures.ts
+++ b/packages/steering/src/common/plan/placeFailures.ts
@@ -31,6 +31,16 @@
   return next
 }
 
+/**
+ * @param failures from `updateFailures`
+ * @param service the service
+ * @returns failure domains where it fails now; those that have been well for a moment are left out
+ */
+export function listFailing (failures: ReadonlyMap<string, Deadline>, service: string): Set<string> {
+  const prefix = getPlaceKey(service, '')
+  return new Set([...failures].filter(([key, until]) => until === Infinity && key.startsWith(prefix)).map(([key]) => key.slice(prefix.length)))
+}
+
 /**
  * @param failures from `updateFailures`
  * @param service the service
--- a/packages/steering/src/common/plan/planner.ts
+++ b/packages/steering/src/common/plan/planner.ts
@@ -16,12 +16,8 @@
 import { computeTargetPlan, type Weights } from './servicePlan.js'
 import { decideServiceStep, type ServiceStep, type ServiceStepInput, StepVerdict } from './serviceStep.js'
 import { computeShift, stepToward } from './stepPlan.js'
+import { computeAskAt, MEASURE_PART } from './stepTiming.js'
 
-/**
- * A measurement counts as taken after a step from this part of the settle time
- * on: demand is a mean over a moment and needs one to show the step.
- */
-const MEASURE_PART = 0.5
 /** Settled services are looked at this often: a look costs more than all else the planner does. */
 const LOOK_SPAN_MS = 500
 
@@ -131,9 +127,9 @@
   return writeStep(state, service, { weights: step.weights, isEmergency: step.isEmergency, isMoving: true, now })
 }
 
-/** Measurements are asked for while a move settles, so that the next step need not wait for them. */
+/** Measurements that nodes have not reported are asked for while a move settles, so that the next step need not wait for them. */
 function measureAhead (state: PlannerState, known: KnownPlan, body: SteeringConfiguration, now: Instant): PlannerStep {
-  const isDue = hasPassed(createDeadline(known.seenAt, body.shiftCaps.settleMs * MEASURE_PART), now)
+  const isDue = hasPassed(computeAskAt(known.seenAt, body.shiftCaps.settleMs), now)
   return { state, effects: known.isMoving && isDue ? [{ kind: PlannerEffectKind.Measure }] : [] }
 }
 
