Run services out of slots in the runs with faults

Cause: at 300 requests a second a few of the 180 slots are busy, so 0 in the column of limits said little.

Change: a disturbance that makes all workers of a service 40 times slower (60 times in the concurrent tests), and a count of requests that took the last free slot of a worker.

Checked that the tests can fail: with 'nothing came back after bytes had left' classified as not-run in a scratch copy, all three concurrent tests fail (doubled-execution, ran-though-not-run); with the table restored all pass.

--- a/packages/testing/src/common/history/historyChecker.ts
+++ b/packages/testing/src/common/history/historyChecker.ts
@@ -43,6 +43,7 @@
   private readonly safeToStop = new PlannedSpans()
   private readonly stops = new PlannedSpans()
   private readonly onceByName = new Map<string, OnceRecord>()
+  private lastSlots = 0
 
   private readonly handlers: EventHandlers = {
     [HistoryEventKind.Sent]: (event) => this.requests.recordSent(event),
@@ -72,6 +73,11 @@
     return this.requests.size + this.onceByName.size
   }
 
+  /** @returns how many requests took the last free slot of a worker: a run without any says nothing of limits */
+  countLastSlots (): number {
+    return this.lastSlots
+  }
+
   /** @param event the next event; not earlier than the one before */
   record (event: HistoryEvent): void {
     const handle = this.handlers[event.kind] as (event: HistoryEvent) => void
@@ -106,6 +112,7 @@
     const { workerId, at } = event
     const held = this.workers.listHeld(workerId)
     const slots = this.workers.getLimits(workerId)?.slots ?? Infinity
+    if (held.length === slots) this.lastSlots += 1
     if (held.length <= slots) return
     const holders = held.map(({ requestId, entryId, since }) => `${requestId} from ${entryId || '?'} since ${(at - since).toFixed(1)} ms`)
     this.reportViolation(ViolationKind.LimitExceeded, at, workerId, `${held.length} requests for ${slots} slots: ${holders.join(', ')}`)
--- a/packages/testing/src/node/deployment/faultSteps.ts
+++ b/packages/testing/src/node/deployment/faultSteps.ts
@@ -20,6 +20,8 @@
   /** A worker refuses new work and finishes what it has. */
   WorkerDrain = 'worker-drain',
   WorkerSlow = 'worker-slow',
+  /** All workers of a service are so slow that the load takes all of their slots. */
+  ServiceSlow = 'service-slow',
   /** An entry VM ends without a word and starts again. */
   EntryCrash = 'entry-crash',
   /** An entry VM stops as planned and starts again. */
@@ -46,6 +48,7 @@
 const LOST_ANSWERS = 0.5
 const LOST_CALLS = 0.3
 const SLOW_FACTOR = 10
+const SERVICE_SLOW_FACTOR = 60
 
 function chooseTarget<T> ({ target }: FaultStep, all: readonly T[]): T {
   return all[Math.floor(target * all.length)] as T
@@ -55,6 +58,13 @@
   return chooseTarget(step, deployment.platform.fleet.listWorkers()).worker
 }
 
+function setServiceSlow ({ configuration, platform }: LocalDeployment, step: FaultStep, slowFactor: number): void {
+  const service = chooseTarget(step, Object.keys(configuration.services))
+  for (const member of platform.fleet.listWorkers()) {
+    if (member.service === service) member.worker.setFaults({ slowFactor })
+  }
+}
+
 function buildStoreHandler (fault: Parameters<LocalDeployment['platform']['store']['setFault']>[0]): FaultStepHandler {
   return {
     start: ({ platform }) => platform.store.setFault(fault),
@@ -78,6 +88,10 @@
     start: (deployment, step) => chooseWorker(deployment, step).setFaults({ slowFactor: SLOW_FACTOR }),
     finish: (deployment, step) => chooseWorker(deployment, step).setFaults({ slowFactor: 1 })
   },
+  [FaultStepKind.ServiceSlow]: {
+    start: (deployment, step) => setServiceSlow(deployment, step, SERVICE_SLOW_FACTOR),
+    finish: (deployment, step) => setServiceSlow(deployment, step, 1)
+  },
   [FaultStepKind.EntryCrash]: {
     start: (deployment, step) => chooseTarget(step, deployment.entries).daemon.close(),
     finish: (deployment, step) => deployment.startEntry(chooseTarget(step, deployment.entries).settings)
--- a/packages/testing/src/node/measure/faults/disturbance.ts
+++ b/packages/testing/src/node/measure/faults/disturbance.ts
@@ -25,7 +25,9 @@
   /** A worker is gone with all its connections and comes back cold. */
   WorkerLoss = 'worker-loss',
   /** A worker is ten times slower. */
-  WorkerSlow = 'worker-slow'
+  WorkerSlow = 'worker-slow',
+  /** All workers of a service are so slow that the load takes all of their slots. */
+  ServiceSlow = 'service-slow'
 }
 
 /** Disturbances of one track follow each other; those of different tracks overlap. */
@@ -73,7 +75,7 @@
     DisturbanceKind.StoreOutage, DisturbanceKind.StoreLostAnswers, DisturbanceKind.StoreLostCalls,
     DisturbanceKind.StoreSlow, DisturbanceKind.StoreCutWatches
   ],
-  [DisturbanceTrack.Workers]: [DisturbanceKind.WorkerDrain, DisturbanceKind.WorkerLoss, DisturbanceKind.WorkerSlow],
+  [DisturbanceTrack.Workers]: [DisturbanceKind.WorkerDrain, DisturbanceKind.WorkerLoss, DisturbanceKind.WorkerSlow, DisturbanceKind.ServiceSlow],
   [DisturbanceTrack.OtherWorkers]: [DisturbanceKind.WorkerDrain, DisturbanceKind.WorkerLoss]
 }
 
--- a/packages/testing/src/node/measure/faults/disturber.ts
+++ b/packages/testing/src/node/measure/faults/disturber.ts
@@ -25,6 +25,7 @@
 /** Apart from the seeds of the load. */
 const TRACK_SEED_STEP = 104_729
 const SLOW_FACTOR = 10
+const SERVICE_SLOW_FACTOR = 40
 const STORE_SLOW_MS = 300
 const LOST_ANSWERS = 0.5
 const LOST_CALLS = 0.3
@@ -101,6 +102,13 @@
     })
   }
 
+  async runSlowService (disturbance: Disturbance): Promise<void> {
+    const target = `service:${chooseTarget(disturbance, Object.keys(this.options.platform.configuration.services))}`
+    await this.runControl({ target, fault: { slowFactor: SERVICE_SLOW_FACTOR } })
+    await this.wait(disturbance.lastSpanMs)
+    await this.runControl({ target, fault: { slowFactor: 1 } })
+  }
+
   async runStoreFault ({ lastSpanMs }: Disturbance, fault: object): Promise<void> {
     await this.runControl({ target: 'store', fault })
     await this.wait(lastSpanMs)
@@ -155,5 +163,6 @@
   [DisturbanceKind.StoreCutWatches]: (disturber) => disturber.runControl({ target: 'store', action: ControlAction.CutWatches }),
   [DisturbanceKind.WorkerDrain]: (disturber, disturbance) => disturber.runWorkerDrain(disturbance),
   [DisturbanceKind.WorkerLoss]: (disturber, disturbance) => disturber.runWorkerLoss(disturbance),
-  [DisturbanceKind.WorkerSlow]: (disturber, disturbance) => disturber.runSlowWorker(disturbance)
+  [DisturbanceKind.WorkerSlow]: (disturber, disturbance) => disturber.runSlowWorker(disturbance),
+  [DisturbanceKind.ServiceSlow]: (disturber, disturbance) => disturber.runSlowService(disturbance)
 }
--- a/packages/testing/src/node/measure/faults/faultsHistory.ts
+++ b/packages/testing/src/node/measure/faults/faultsHistory.ts
@@ -69,6 +69,11 @@
     return this.checker.countRemembered()
   }
 
+  /** @returns how many requests took the last free slot of a worker */
+  countLastSlots (): number {
+    return this.checker.countLastSlots()
+  }
+
   private check (event: HistoryEvent): void {
     this.events += 1
     if (event.kind === HistoryEventKind.ExecutionStarted) this.executions += 1
--- a/packages/testing/test/node/concurrent/mixedFaults.test.ts
+++ b/packages/testing/test/node/concurrent/mixedFaults.test.ts
@@ -26,6 +26,7 @@
   { kind: FaultStepKind.WorkerLoss, target: 0.3, from: 0.2, span: 0.3 },
   { kind: FaultStepKind.WorkerDrain, target: 0.5, from: 0.25, span: 0.3 },
   { kind: FaultStepKind.WorkerSlow, target: 0.7, from: 0.3, span: 0.3 },
+  { kind: FaultStepKind.ServiceSlow, target: 0.3, from: 0.35, span: 0.3 },
   { kind: FaultStepKind.StoreOutage, target: 0, from: 0.5, span: 0.2 }
 ]
 
@@ -33,7 +34,7 @@
   it(`keeps every promise of ${deployment} while entry VMs, workers and the store fail together`, async () => {
     // A parent pays while one entry VM crashes, another is stopped as planned,
     // the store loses its answers and then is gone, and workers refuse, reset, cut
-    // short, drain and vanish. The parent may see an error; but no payment runs
+    // short, drain and vanish, and one service is so slow that its slots run out. The parent may see an error; but no payment runs
     // twice, no "not-run" ran, no answer is short or another's, no worker is sent
     // more than its slots, and the planned stop cuts off nothing.
     const { violations, answers, planted } = await runWithFaults({
