--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -2,15 +2,14 @@
  * This node's side of the conversation between daemons: heartbeats with the
  * versions each has, and the configuration handed on to whoever is behind.
  */
-import type { IClock } from '@umberspar/base/common/clock'
 import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
 import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
 import type { LimitKeeper } from '../limits/limitKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
-import type { WorkerProber } from '../places/workerProber.js'
-import { WorkerReportRelay } from './workerReportRelay.js'
+import type { WorkerReports } from '../places/workerReports.js'
+import type { DocumentRegistry } from './documentRegistry.js'
 
 /** The name under which the configuration travels between daemons. */
 export const CONFIGURATION_DOCUMENT = 'configuration'
@@ -28,19 +27,16 @@
 export class PeerService implements IPeerService {
   /** This node's state as peers are told it. */
   state: AnnouncedState = NodeState.Joining
-  private readonly relay: WorkerReportRelay
   private beat = 0
 
   constructor (
     private readonly identity: NodeIdentity,
     private readonly keeper: ConfigurationKeeper,
     private readonly members: MemberDirectory,
-    private readonly prober: WorkerProber,
+    private readonly reports: WorkerReports,
     private readonly limits: LimitKeeper,
-    clock: IClock
-  ) {
-    this.relay = new WorkerReportRelay(clock)
-  }
+    private readonly registry: DocumentRegistry
+  ) {}
 
   /** Begins a round: the next digest is a new sign of life. */
   startRound (): void {
@@ -51,18 +47,21 @@
   listDocuments (): DocumentVersion[] {
     const head = this.keeper.current?.head
     const configuration = head === undefined ? [] : [{ name: CONFIGURATION_DOCUMENT, ...head }]
-    return [...configuration, ...this.limits.listDocuments()]
+    return [...configuration, ...this.limits.listDocuments(), ...this.registry.list()]
   }
 
-  /** @returns this node's heartbeat */
-  buildDigest (): Digest {
+  /**
+   * @param peerId whom it is for
+   * @returns this node's heartbeat
+   */
+  buildDigest (peerId: string): Digest {
     return {
       ...this.identity,
       beat: this.beat,
       state: this.state,
       documents: this.listDocuments(),
-      workers: this.relay.list(this.prober.listReports()),
-      demand: [],
+      workers: this.reports.listFor(peerId),
+      demand: this.registry.listDemand(),
       members: this.members.listRelayed(),
       confirmedAt: this.keeper.confirmedAt
     }
@@ -79,26 +78,26 @@
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
     this.keeper.observePeer(version, digest.confirmedAt)
-    this.relay.observe(digest.workers)
-    this.prober.observeReports(digest.workers)
+    this.reports.observe(digest.workers)
+    this.registry.observe(digest)
     return version
   }
 
   exchange (digest: Digest): Digest {
     this.observe(digest, false)
-    return this.buildDigest()
+    return this.buildDigest(digest.nodeId)
   }
 
   fetch (name: string, aboveVersion: number): PeerDocument | undefined {
+    if (name !== CONFIGURATION_DOCUMENT) return this.fetchOther(name, aboveVersion)
     const current = this.keeper.currentText
-    if (name !== CONFIGURATION_DOCUMENT || current === undefined) return undefined
+    if (current === undefined) return undefined
     return current.head.version > aboveVersion ? encodeDocument(current) : undefined
   }
 
   async push (document: PeerDocument): Promise<number> {
-    if (document.document.name === CONFIGURATION_DOCUMENT) {
-      this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
-    }
+    if (document.document.name !== CONFIGURATION_DOCUMENT) return this.registry.apply(document, 'peer')
+    this.keeper.apply(decodeDocument(document), 'peer', { source: LearnSource.Push, route: document.route })
     return this.keeper.version
   }
 
@@ -109,6 +108,11 @@
   returnLoan (loan: LoanReturn): void {
     this.limits.settleReturn(loan)
   }
+
+  private fetchOther (name: string, aboveVersion: number): PeerDocument | undefined {
+    const found = this.registry.get(name)
+    return found !== undefined && found.document.version > aboveVersion ? found : undefined
+  }
 }
 
 function toReport (digest: Digest): MemberReport {
--- a/packages/daemon/src/node/request/requestRun.ts
+++ b/packages/daemon/src/node/request/requestRun.ts
@@ -31,6 +31,7 @@
 export const CANCELLATION_SPAN = 250
 /** A hedge that finds no free slot is not worth waiting for, in milliseconds. */
 const HEDGE_WAIT_SPAN = 5
+const SERVER_ERROR = 500
 
 /** A reason of our own spares the stack trace that the platform's default one takes. */
 const CANCELLED = 'cancelled'
@@ -185,9 +186,12 @@
     if (load !== undefined) grant.table.observeLoad(grant.workerId, { utilization: load.utilization, takenAt: now })
     if (response.headers[DRAINING_HEADER] !== undefined) grant.table.markDraining(grant.workerId, true, now)
     if (isRefusal(response.status, response.headers, this.input.context.settings.refusal)) {
+      // Refusing is quick, so in-flight counts alone would prefer the worker that sheds.
+      grant.table.observeLoad(grant.workerId, { utilization: 1, takenAt: now })
       this.handleRefusal(attemptId, grant, response)
       return
     }
+    if (this.input.body.kind === 'buffered') grant.table.observeAnswerTime(grant.workerId, now - attempt.sentAt, now)
     attempt.response = response
     this.input.statistics.latency.observe(now - attempt.sentAt)
     this.apply({ kind: FlowEventKind.AnswerBegan, attemptId })
@@ -225,12 +229,15 @@
     if (attempt?.grant === undefined || attempt.response === undefined) return
     this.stopListening()
     const { grant, response } = attempt
-    this.resolve(new Ok({ response, workerId: grant.workerId, finish: (end) => { this.finish(grant, end) } }))
+    this.resolve(new Ok({ response, workerId: grant.workerId, finish: (end) => { this.finish(grant, end, response.status) } }))
   }
 
-  private finish (grant: SlotGrant, end: AnswerEnd): void {
-    if (end === AnswerEnd.Whole) grant.table.observeAnswer(grant.workerId)
-    if (end === AnswerEnd.Broken) grant.table.observeFailure(grant.workerId, this.parts.clock.now())
+  private finish (grant: SlotGrant, end: AnswerEnd, status: number): void {
+    const now = this.parts.clock.now()
+    // A worker that answers errors at once would look idle and draw all requests.
+    const isError = end === AnswerEnd.Broken || (end === AnswerEnd.Whole && status >= SERVER_ERROR)
+    if (isError) grant.table.observeFailure(grant.workerId, now)
+    else if (end === AnswerEnd.Whole) grant.table.observeAnswer(grant.workerId, now)
     grant.release(end === AnswerEnd.Whole ? undefined : this.getHoldEnd())
   }
 
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -3,42 +3,51 @@
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
+import { DRAIN_MEASUREMENT } from './drainMeasurement.js'
 import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
 import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
+import { WORKER_MEASUREMENT } from './workerMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
 import { FLEET_SCALE_MEASUREMENT, REGION_SCALE_MEASUREMENT } from './scale/fleetScale.js'
 import { HTTP_SCALE_MEASUREMENT } from './scale/httpScale.js'
 import { LOOKUP_SCALE_MEASUREMENT } from './scale/lookupScale.js'
+import { MEMBER_SCALE_MEASUREMENT } from './scale/memberScale.js'
 import { TLS_MEASUREMENT } from './tlsMeasurement.js'
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
+  Drain = 'drain',
   Faults = 'faults',
   Limits = 'limits',
   Lookup = 'lookup',
   Overload = 'overload',
   Request = 'request',
+  Workers = 'workers',
   Tls = 'tls',
   ScaleLookup = 'scale-lookup',
   ScaleChange = 'scale-change',
   ScaleHttp = 'scale-http',
+  ScaleMembers = 'scale-members',
   ScaleFleet = 'scale-fleet',
   ScaleRegions = 'scale-regions'
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Drain]: DRAIN_MEASUREMENT,
   [MeasurementName.Faults]: FAULTS_MEASUREMENT,
   [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
+  [MeasurementName.Workers]: WORKER_MEASUREMENT,
   [MeasurementName.Tls]: TLS_MEASUREMENT,
   [MeasurementName.ScaleLookup]: LOOKUP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleChange]: CHANGE_SCALE_MEASUREMENT,
+  [MeasurementName.ScaleMembers]: MEMBER_SCALE_MEASUREMENT,
   [MeasurementName.ScaleHttp]: HTTP_SCALE_MEASUREMENT,
   [MeasurementName.ScaleFleet]: FLEET_SCALE_MEASUREMENT,
   [MeasurementName.ScaleRegions]: REGION_SCALE_MEASUREMENT
--- a/packages/testing/test/node/hardening/daemonTls.test.ts
+++ b/packages/testing/test/node/hardening/daemonTls.test.ts
@@ -15,7 +15,7 @@
 import { DEFAULT_LISTENER_LIMITS } from '@umberspar/platform/node/settings/listenerSettings'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
 import { TlsKeeper } from '@umberspar/platform/node/tls/tlsKeeper'
-import { UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
+import { ProbeScope, UndiciTransport } from '@umberspar/platform/node/upstream/upstreamTransport'
 import { DeploymentName } from '../../../src/common/load/mixes.js'
 import { addPlatform, loadDeploymentFiles } from '../../../src/node/deployment/deploymentFiles.js'
 import { waitForCondition } from '../../../src/node/load/polling.js'
@@ -151,7 +151,7 @@
     const front = closing.add(new TlsFront({ target, identity, clientCa }))
     const address = await front.start()
     transport.setWorkers([{ address, connections: 2 }])
-    return (await transport.probe(address, createDeadline(clock.now(), WAIT_MS))).ok
+    return (await transport.probe(address, createDeadline(clock.now(), WAIT_MS), ProbeScope.HealthAndLoad)).ok
   }
   const own = await authority.createKey({ name: 'worker', addresses: ['127.0.0.1'] })
   assert.equal(await probe(own, authority.certificate), true)
