Check limits in the runs with faults against limits that are known

Cause: the stand-ins' process declared the workers' limits in its first batches, before anybody listened, so the checker held every worker for unlimited and the column limit-exceeded of all earlier runs of the measurement said nothing. It showed when a count of last slots taken stayed 0 although services were slowed until requests were refused for lack of room. The in-process tests declare limits themselves and were right all along.

Change: the measuring process declares the limits; a request at a worker whose limits are unknown makes a run not valid; slow services are 100 times slower, so that slots do run out.

--- a/packages/testing/src/common/history/historyChecker.ts
+++ b/packages/testing/src/common/history/historyChecker.ts
@@ -44,6 +44,7 @@
   private readonly stops = new PlannedSpans()
   private readonly onceByName = new Map<string, OnceRecord>()
   private lastSlots = 0
+  private unlimited = 0
 
   private readonly handlers: EventHandlers = {
     [HistoryEventKind.Sent]: (event) => this.requests.recordSent(event),
@@ -78,6 +79,11 @@
     return this.lastSlots
   }
 
+  /** @returns how many requests came to workers whose limits were never declared, so that nothing could be checked */
+  countUnlimited (): number {
+    return this.unlimited
+  }
+
   /** @param event the next event; not earlier than the one before */
   record (event: HistoryEvent): void {
     const handle = this.handlers[event.kind] as (event: HistoryEvent) => void
@@ -111,7 +117,9 @@
     this.checkDrain(event)
     const { workerId, at } = event
     const held = this.workers.listHeld(workerId)
-    const slots = this.workers.getLimits(workerId)?.slots ?? Infinity
+    const limits = this.workers.getLimits(workerId)
+    if (limits === undefined) this.unlimited += 1
+    const slots = limits?.slots ?? Infinity
     if (held.length === slots) this.lastSlots += 1
     if (held.length <= slots) return
     const holders = held.map(({ requestId, entryId, since }) => `${requestId} from ${entryId || '?'} since ${(at - since).toFixed(1)} ms`)
--- a/packages/testing/src/node/deployment/workerLimits.ts
+++ b/packages/testing/src/node/deployment/workerLimits.ts
@@ -18,6 +18,16 @@
   return { kind: HistoryEventKind.LimitDeclared, at, workerId, slots: worker.slots, connections: worker.connections }
 }
 
+/**
+ * @param configuration a configuration
+ * @returns `service/failureDomain/name of the worker` of each of its workers
+ */
+export function listWorkerIds (configuration: SteeringConfiguration): string[] {
+  return Object.entries(configuration.services).flatMap(([service, { places }]) =>
+    Object.entries(places).flatMap(([failureDomain, { workers }]) =>
+      Object.keys(workers).map((workerName) => `${service}/${failureDomain}/${workerName}`)))
+}
+
 /**
  * A worker stand-in closes connections beyond its limit at once, so its peak
  * never shows the excess: what it turned away while full is added.
--- a/packages/testing/src/node/measure/faults/disturber.ts
+++ b/packages/testing/src/node/measure/faults/disturber.ts
@@ -3,6 +3,7 @@
 import { SeededRandom } from '@umberspar/base/common/random'
 import { HistoryEventKind } from '../../../common/history/historyEvent.js'
 import type { IHistory, PlannedEvent } from '../../../common/history/historyEvent.js'
+import { listWorkerIds } from '../../deployment/workerLimits.js'
 import { ControlAction } from '../../standIns/controlListener.js'
 import type { ControlRequest } from '../../standIns/controlListener.js'
 import { waitUntil } from '../../waiting.js'
@@ -25,7 +26,7 @@
 /** Apart from the seeds of the load. */
 const TRACK_SEED_STEP = 104_729
 const SLOW_FACTOR = 10
-const SERVICE_SLOW_FACTOR = 40
+const SERVICE_SLOW_FACTOR = 100
 const STORE_SLOW_MS = 300
 const LOST_ANSWERS = 0.5
 const LOST_CALLS = 0.3
@@ -42,9 +43,7 @@
   private readonly busyWorkers = new Set<string>()
 
   constructor (private readonly options: DisturberOptions) {
-    this.workerIds = Object.entries(options.platform.configuration.services).flatMap(([service, { places }]) =>
-      Object.entries(places).flatMap(([failureDomain, { workers }]) =>
-        Object.keys(workers).map((workerName) => `${service}/${failureDomain}/${workerName}`)))
+    this.workerIds = listWorkerIds(options.platform.configuration)
   }
 
   /**
--- a/packages/testing/src/node/measure/faults/faultsHistory.ts
+++ b/packages/testing/src/node/measure/faults/faultsHistory.ts
@@ -74,6 +74,11 @@
     return this.checker.countLastSlots()
   }
 
+  /** @returns how many requests came to workers whose limits are not known */
+  countUnlimited (): number {
+    return this.checker.countUnlimited()
+  }
+
   private check (event: HistoryEvent): void {
     this.events += 1
     if (event.kind === HistoryEventKind.ExecutionStarted) this.executions += 1
--- a/packages/testing/src/node/measure/faults/faultsMeasurement.ts
+++ b/packages/testing/src/node/measure/faults/faultsMeasurement.ts
@@ -7,6 +7,7 @@
 import { MIX_BY_DEPLOYMENT } from '../../../common/load/mixes.js'
 import type { LoadReport, ServiceSummary } from '../../load/loadReport.js'
 import type { LoadTotals } from '../../load/loadRunner.js'
+import { buildLimitDeclared, listWorkerIds } from '../../deployment/workerLimits.js'
 import { RegionalLoad } from '../../load/regionalLoad.js'
 import { MachineClock } from '../../machineClock.js'
 import { printLine } from '../../terminal.js'
@@ -50,6 +51,7 @@
   ) {
     const { seed } = options
     this.history = new FaultsHistory(clock)
+    this.recordLimits()
     platform.onDidRecord((batch) => this.history.accept(batch))
     this.disturber = new Disturber({ clock, seed, platform, daemons, history: this.history })
   }
@@ -72,6 +74,19 @@
     return this.reportRun(load.report, totals)
   }
 
+  /**
+   * Said here and not by the workers' process, whose first batches come before
+   * anybody listens: without its limits a worker seems to bear anything.
+   */
+  private recordLimits (): void {
+    const { configuration } = this.platform
+    const at = this.clock.now()
+    for (const workerId of listWorkerIds(configuration)) {
+      const limits = buildLimitDeclared(configuration, workerId, at)
+      if (limits !== undefined) this.history.record(limits)
+    }
+  }
+
   /** Opens connections and lets the programs be compiled: checked, but no part of the latencies. */
   private async runWarmUp (): Promise<void> {
     const { seed, rate } = this.options
@@ -119,6 +134,8 @@
     const whole = summaries.reduce((sum, { answers }) => sum + answers[AnswerKind.Whole], 0)
     // Each whole answer was made by an execution; fewer of them mean that the checks saw only a part of the run.
     if (this.history.executions < whole) broken.push(`only ${this.history.executions} executions for ${whole} whole answers`)
+    const unlimited = this.history.countUnlimited()
+    if (unlimited > 0) broken.push(`${unlimited} requests at workers whose limits nobody declared: limits were not checked`)
     if (totals.skipped > 0) broken.push(`${totals.skipped} arrivals were skipped`)
     if (totals.started < this.options.requests) broken.push(`only ${totals.started} requests were sent`)
     return [...broken, ...this.disturber.failures]
--- a/packages/testing/src/node/measure/faults/faultsPlatform.ts
+++ b/packages/testing/src/node/measure/faults/faultsPlatform.ts
@@ -122,11 +122,6 @@
   }
 
   start (): void {
-    const at = this.clock.now()
-    for (const { workerId } of this.platform.fleet.listWorkers()) {
-      const limits = buildLimitDeclared(this.platform.configuration, workerId, at)
-      if (limits !== undefined) this.record(limits)
-    }
     this.scheduleNext()
   }
 
