--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -2,6 +2,7 @@
  * This node's side of the conversation between daemons: heartbeats with the
  * versions each has, and the configuration handed on to whoever is behind.
  */
+import type { IClock } from '@umberspar/base/common/clock'
 import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
 import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
@@ -35,7 +36,8 @@
     private readonly members: MemberDirectory,
     private readonly reports: WorkerReports,
     private readonly limits: LimitKeeper,
-    private readonly registry: DocumentRegistry
+    private readonly registry: DocumentRegistry,
+    private readonly clock: IClock
   ) {}
 
   /** Begins a round: the next digest is a new sign of life. */
@@ -77,7 +79,8 @@
     this.limits.observe(digest, isAnswer)
     const version = digest.documents.find((document) => document.name === CONFIGURATION_DOCUMENT)?.version ?? 0
     this.members.observeReports([toReport(digest), ...digest.members])
-    this.keeper.observePeer(version, digest.confirmedAt)
+    // Patches wait until this node has the highest version seen; a stranger's word must not stop them.
+    if (this.members.get(digest.nodeId) !== undefined) this.keeper.observePeer(version, digest.confirmedAt, this.clock.now())
     this.reports.observe(digest.workers)
     this.registry.observe(digest)
     return version
--- a/packages/steering/src/common/membership/memberTable.ts
+++ b/packages/steering/src/common/membership/memberTable.ts
@@ -14,6 +14,10 @@
 const SILENT_ROUNDS = 4
 /** Reports relayed in one digest: all of a small fleet, and a part of a larger one. */
 export const RELAY_LIMIT = SMALL_FLEET
+/** A change is relayed in every digest for so long. */
+const NEWS_SPAN_MS = 3000
+/** The part of the unchanged reports in one digest; a digest comes many times within the silent span. */
+const TURN_PART = 1 / 3
 /** After so many silent spans a suspected node that is not listed either is forgotten. */
 const FORGET_SPANS = 10
 
@@ -22,7 +26,7 @@
   readonly report: MemberReport
   /** Its silence makes it suspected from here on. */
   readonly suspectAt: Deadline
-  /** When its state, its suspicion or its incarnation last changed here; the newest changes are relayed first. */
+  /** When its state, suspicion, start or documents last changed here; the newest changes are relayed first. */
   readonly changedAt: Instant
 }
 
@@ -77,7 +81,7 @@
     this.records.set(offered.nodeId, {
       report: merged,
       suspectAt: isNewer ? createDeadline(now, this.ring.has(offered.nodeId) ? this.ringSpanMs : this.relayedSpanMs) : known.suspectAt,
-      changedAt: isChanged ? now : known.changedAt
+      changedAt: isChanged || hasOtherDocuments(known.report, merged) ? now : known.changedAt
     })
     return isChanged
   }
@@ -131,18 +135,23 @@
   }
 
   /**
-   * Chooses the reports for a digest: the latest changes first, up to half of
-   * the room, then the others in turn.
+   * Chooses the reports for a digest: all that changed lately, up to half of the
+   * room, and some of the others in turn, as signs of life.
+   * @param now the present
    * @returns at most RELAY_LIMIT reports
    */
-  listRelayed (): MemberReport[] {
-    const all = [...this.records.values()]
-    if (all.length <= RELAY_LIMIT) return all.map((record) => record.report)
-    const byChange = all.toSorted((left, right) => right.changedAt - left.changedAt)
-    const latest = byChange.slice(0, RELAY_LIMIT / 2)
-    const rest = byChange.slice(RELAY_LIMIT / 2).sort((left, right) => left.report.nodeId < right.report.nodeId ? -1 : 1)
-    const turn = Array.from({ length: Math.min(rest.length, RELAY_LIMIT / 2) }, (_, index) => rest[(this.relayStart + index) % rest.length])
-    this.relayStart = (this.relayStart + turn.length) % rest.length
+  listRelayed (now: Instant): MemberReport[] {
+    const byChange = [...this.records.values()].sort((left, right) => right.changedAt - left.changedAt)
+    const latest = byChange.slice(0, RELAY_LIMIT / 2).filter((record) => now - record.changedAt < NEWS_SPAN_MS)
+    const rest = byChange.slice(latest.length).sort((left, right) => left.report.nodeId < right.report.nodeId ? -1 : 1)
+    const size = Math.min(RELAY_LIMIT / 2, Math.ceil(rest.length * TURN_PART))
+    const turn = Array.from({ length: size }, (_, index) => rest[(this.relayStart + index) % rest.length])
+    this.relayStart = (this.relayStart + size) % Math.max(1, rest.length)
     return [...latest, ...turn].flatMap((record) => record?.report ?? [])
   }
 }
+
+function hasOtherDocuments (left: MemberReport, right: MemberReport): boolean {
+  if (left.documents.length !== right.documents.length) return true
+  return left.documents.some((document, index) => document.name !== right.documents[index]?.name || document.version !== right.documents[index]?.version)
+}
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -3,6 +3,7 @@
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
 import { printLine } from '../terminal.js'
+import { CONTROL_MEASUREMENT } from './controlMeasurement.js'
 import { DRAIN_MEASUREMENT } from './drainMeasurement.js'
 import { FAULTS_MEASUREMENT } from './faults/faultsMeasurement.js'
 import { LIMITS_MEASUREMENT } from './limitsMeasurement.js'
@@ -20,6 +21,7 @@
 
 /** The measurements, by the name on the command line. */
 enum MeasurementName {
+  Control = 'control',
   Drain = 'drain',
   Faults = 'faults',
   Limits = 'limits',
@@ -37,6 +39,7 @@
 }
 
 const MEASUREMENTS: Readonly<Record<MeasurementName, Measurement>> = {
+  [MeasurementName.Control]: CONTROL_MEASUREMENT,
   [MeasurementName.Drain]: DRAIN_MEASUREMENT,
   [MeasurementName.Faults]: FAULTS_MEASUREMENT,
   [MeasurementName.Limits]: LIMITS_MEASUREMENT,
