Refuse a concurrent run whose limits are unknown

Cause: the measurement's checker had no limits and said nothing of it; the concurrent tests could go the same way unseen.

Change: a run asserts that every worker that got a request had declared its limits.

--- a/packages/testing/test/node/concurrent/faultRun.ts
+++ b/packages/testing/test/node/concurrent/faultRun.ts
@@ -60,6 +60,9 @@
     assert.deepEqual(totals, { started: load.countPlanned(), skipped: 0 })
     deployment.recordConnectionPeaks()
     const { events } = deployment.history
+    const limited = new Set(events.flatMap((event) => event.kind === HistoryEventKind.LimitDeclared ? [event.workerId] : []))
+    // A worker whose limits the history does not know would pass with any number of requests.
+    assert.ok(events.every((event) => event.kind !== HistoryEventKind.Arrived || limited.has(event.workerId)))
     return {
       violations: checkHistory(events),
       answers: new Set(events.flatMap((event) => event.kind === HistoryEventKind.Answered ? [event.answer] : [])),
