Release a claim before its caller is told not-run

Cause: the end of a claim was written after the answer had left. A caller told not-run that repeated at once, at another entry VM, found its key running there and was told unknown of what had never run.

Change: for a proven not-run the answer waits for the release, 500 ms at most and 100 ms beyond the caller's deadline; past that it carries a Retry-After of 5 to 7 s while the settler goes on. A write whose answer was lost is read back and written again at once. request-running names a quarter of the first's time left. Callers of the load tool with a key ask again after a lost answer until the first has ended; already-ran is counted as known. umberspar-timeout-ms is cut to 10 min or the service's answerWithinMs.

--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -1,5 +1,5 @@
 /** Handles `ANY /v1/services/S/...`: the caller's request, streamed both ways. */
-import { createDeadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { IClock } from '@umberspar/base/common/clock'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
@@ -7,7 +7,7 @@
 import { removeHopByHop } from '@umberspar/steering/common/request/headers'
 import { ProblemKind } from '@umberspar/steering/common/request/requestProblem'
 import { findRoute, isIdempotent } from '@umberspar/steering/common/request/route'
-import type { Outcome } from '@umberspar/steering/common/state/outcome'
+import { Outcome } from '@umberspar/steering/common/state/outcome'
 import type { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
 import { AnswerState, classifyExchange, SentState } from '@umberspar/steering/common/request/outcomeTable'
 import { MAX_ATTEMPTS } from '@umberspar/steering/common/request/requestFlow'
@@ -28,6 +28,11 @@
 
 const SERVICES_PREFIX = '/v1/services/'
 const SERVER_ERROR = 500
+/**
+ * The most that `umberspar-timeout-ms` gives, in milliseconds, unless the service's
+ * own `answerWithinMs` is longer: a caller must not hold a slot for days.
+ */
+const MAX_ANSWER_SPAN = 600_000
 
 /** What the outcome table says where nothing was sent to any upstream. */
 const UNSENT = classifyExchange(SentState.Nothing, AnswerState.Nothing)
@@ -128,17 +133,24 @@
     const bounded = claim === undefined ? context : { ...context, deadline: claim.deadline }
     const ran = await this.parts.runner.run(bounded, headers, body)
     if (ran.ok) return await this.answer(context, ran.val, claim, response)
-    return this.refuse(context, ran.val, claim, response)
+    return await this.refuse(context, ran.val, claim, response)
   }
 
-  private refuse (context: RequestContext, failure: RequestFailure, claim: HeldClaim | undefined, response: ServerResponse): boolean {
+  private async refuse (context: RequestContext, failure: RequestFailure, claim: HeldClaim | undefined, response: ServerResponse): Promise<boolean> {
     const { error, outcome, retryAfterSeconds } = failure
-    if (claim !== undefined) this.parts.deduplicator.finish(claim, outcome)
+    const leastWait = claim === undefined ? undefined : await this.finishClaim(claim, outcome, context.deadline)
     this.logRefusal(context, error, outcome)
-    answerProblem(response, error, outcome, context.requestId, { retryAfterSeconds })
+    answerProblem(response, error, outcome, context.requestId, { retryAfterSeconds: Math.max(retryAfterSeconds, leastWait ?? 0) })
     return error.code === ErrorCode.Cancelled
   }
 
+  /** @returns the least Retry-After in seconds, if the key is not free at once */
+  private async finishClaim (claim: HeldClaim, outcome: Outcome, deadline: Deadline): Promise<number | undefined> {
+    if (outcome === Outcome.NotRun) return await this.parts.deduplicator.release(claim, deadline)
+    this.parts.deduplicator.finish(claim, outcome)
+    return undefined
+  }
+
   private logRefusal (context: RequestContext, error: StepError, outcome: Outcome): void {
     const { service, requestId } = context
     this.parts.logger.log(LogLevel.Warn, { step: error.step, peer: error.peer, code: error.code, outcome, requestId, service }, error.message)
@@ -149,7 +161,8 @@
     const { status } = running.response
     const end = await this.pipeAnswer(context, running, response)
     running.finish(end)
-    const outcome = classifyExchange(SentState.MayHaveLeft, STATE_BY_END[end])
+    // Of an exchange that began to be answered, the table never says `not-run`.
+    const outcome = classifyExchange(SentState.MayHaveLeft, STATE_BY_END[end]) === Outcome.Done ? Outcome.Done : Outcome.Unknown
     if (claim !== undefined) this.parts.deduplicator.finish(claim, outcome, status)
     return end === AnswerEnd.Whole ? status < SERVER_ERROR : end === AnswerEnd.CallerLeft
   }
@@ -229,7 +242,8 @@
 function parseSpan (text: string | undefined, otherwise: number): number | undefined {
   if (text === undefined) return otherwise
   const span = Number(text)
-  return Number.isInteger(span) && span > 0 ? span : undefined
+  if (!Number.isInteger(span) || span <= 0) return undefined
+  return Math.min(span, Math.max(MAX_ANSWER_SPAN, otherwise))
 }
 
 function getHeader (request: IncomingMessage, name: string): string | undefined {
--- a/packages/daemon/src/node/dedup/deduplicator.ts
+++ b/packages/daemon/src/node/dedup/deduplicator.ts
@@ -1,7 +1,7 @@
 /** Claims Idempotency-Keys for requests of services that ask for it, and says what refused ones are told. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { createDeadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import type { IMetrics } from '@umberspar/base/common/metrics'
 import type { IRandomSource } from '@umberspar/base/common/random'
@@ -25,6 +25,14 @@
 const CLOSE_SPAN = 1_000
 const MS_PER_SECOND = 1000
 const MAX_RETRY_AFTER = 30
+/** Of the first request's time left, the part after which a caller may ask again. */
+const PART_OF_WAIT = 0.25
+/**
+ * Told while a release is not known to be written, in seconds: a write that gets
+ * no answer takes 2 s, and the next one begins at most 1.5 s later.
+ */
+const UNRELEASED_RETRY_AFTER = 5
+const UNRELEASED_JITTER = 3
 
 /** What a deduplicator works with. */
 export interface DeduplicatorParts {
@@ -109,16 +117,28 @@
   }
 
   /**
-   * Records how a claimed request ended; called once for each claim.
+   * Records how a claimed request ended that ran or may have run. Each claim is finished or released, once.
    * @param claim the claim
    * @param outcome how the request ended
    * @param status the upstream's status, if it answered
    */
-  finish (claim: HeldClaim, outcome: Outcome, status?: number): void {
+  finish (claim: HeldClaim, outcome: Outcome.Done | Outcome.Unknown, status?: number): void {
     this.keeper.finish(claim, outcome, status)
     this.parts.metrics.set('dedup.pending-ends', this.keeper.pendingEnds)
   }
 
+  /**
+   * Frees the key of a request that did not run, before its caller is told so.
+   * @param claim the claim
+   * @param deadline the caller's
+   * @returns the least Retry-After in seconds; undefined if the key is free now
+   */
+  async release (claim: HeldClaim, deadline: Deadline): Promise<number | undefined> {
+    const isReleased = await this.keeper.release(claim, deadline)
+    this.parts.metrics.set('dedup.pending-ends', this.keeper.pendingEnds)
+    return isReleased ? undefined : this.computeUnreleasedWait()
+  }
+
   /** Writes the ends that are not written yet, for at most a second. */
   async close (): Promise<void> {
     if (this.keeper.pendingEnds > 0) await this.keeper.settle(createDeadline(this.parts.clock.now(), CLOSE_SPAN))
@@ -132,16 +152,23 @@
     const error = isOverRate
       ? this.createError(ErrorCode.Exhausted, 'this entry VM may make no more claims now')
       : this.createError(ErrorCode.Unavailable, 'the key-value service did not take the claim in time')
-    const retryAfterSeconds = computeRetryAfter(undefined, this.parts.random.next())
+    const retryAfterSeconds = isOverRate || answer.isReleased ? computeRetryAfter(undefined, this.parts.random.next()) : this.computeUnreleasedWait()
     return new Err({ kind: ProblemKind.ClaimUnavailable, outcome: Outcome.NotRun, error, retryAfterSeconds })
   }
 
-  /** Until the first request's deadline, when its outcome is known or will never be. */
+  /**
+   * A part of the first request's time left: it usually ends long before its
+   * deadline, and its caller, whose deadline is the same, must learn of it before.
+   */
   private computeWait (existing: ClaimRecord | undefined): number {
-    const waitMs = (existing?.endsByWallMs ?? 0) - this.parts.clock.getWallTime()
+    const waitMs = ((existing?.endsByWallMs ?? 0) - this.parts.clock.getWallTime()) * PART_OF_WAIT
     return Math.min(MAX_RETRY_AFTER, Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)))
   }
 
+  private computeUnreleasedWait (): number {
+    return UNRELEASED_RETRY_AFTER + Math.floor(UNRELEASED_JITTER * this.parts.random.next())
+  }
+
   private createBadKey (): ClaimRefusal {
     const error = this.createError(ErrorCode.Invalid, `Idempotency-Key: expected 1 to ${MAX_KEY_LENGTH} characters`)
     return { kind: ProblemKind.BadRequest, outcome: Outcome.NotRun, error }
--- a/packages/steering/src/common/dedup/claimKeeper.ts
+++ b/packages/steering/src/common/dedup/claimKeeper.ts
@@ -24,6 +24,10 @@
 /** The claim's write and its end's write; more calls are taken when they are needed. */
 const CALLS_PER_CLAIM = 2
 const MS_PER_SECOND = 1000
+/** How long the answer of a request that did not run waits for its claim's release, in milliseconds. */
+const RELEASE_SPAN = 500
+/** How long that may go on beyond the caller's deadline, in milliseconds. */
+const RELEASE_GRACE = 100
 /**
  * A claimed request must have ended long before its claim lapses: a process that
  * was paused beyond the retention would otherwise send a request whose key has
@@ -68,7 +72,9 @@
 export type ClaimAnswer =
   | { readonly kind: ClaimAnswerKind.Claimed, readonly claim: HeldClaim }
   | { readonly kind: ClaimAnswerKind.Refused, readonly decision: Exclude<ClaimDecision, ClaimDecision.TakeOver>, readonly existing: ClaimRecord | undefined }
-  | { readonly kind: ClaimAnswerKind.StoreUnavailable | ClaimAnswerKind.OverRate }
+  | { readonly kind: ClaimAnswerKind.OverRate }
+  /** `isReleased`: no claim of this arrival stands in the store, or can arrive there any more. */
+  | { readonly kind: ClaimAnswerKind.StoreUnavailable, readonly isReleased: boolean }
 
 /** What the keeper needs. */
 export interface ClaimKeeperParts {
@@ -128,28 +134,44 @@
   async claim (request: ClaimRequest): Promise<ClaimAnswer> {
     const { clock, calls } = this.parts
     const now = clock.now()
-    if (!hasPassed(this.restsUntil, now)) return { kind: ClaimAnswerKind.StoreUnavailable }
+    if (!hasPassed(this.restsUntil, now)) return { kind: ClaimAnswerKind.StoreUnavailable, isReleased: true }
     if (!calls.take(CALLS_PER_CLAIM)) return { kind: ClaimAnswerKind.OverRate }
     const deadline = Math.min(request.deadline, createDeadline(now, CLAIM_SPAN))
     const leaseId = await this.getLease(deadline)
-    if (leaseId === undefined) return this.reportUnavailable(CALLS_PER_CLAIM)
+    if (leaseId === undefined) {
+      this.startRest()
+      calls.release(CALLS_PER_CLAIM)
+      return { kind: ClaimAnswerKind.StoreUnavailable, isReleased: true }
+    }
     const runUntil = Math.min(request.deadline, createDeadline(now, MAX_RUN_SPAN))
     const open = { key: buildClaimKey(this.parts.keyPrefix, request.service, request.keyHash), record: this.buildRecord(request, runUntil), leaseId, isUncertain: false }
     const answer = await this.writeUntilDecided(open, deadline)
-    if (answer.kind !== 'claimed') return this.handleUnclaimed(open, answer)
+    if (answer.kind !== 'claimed') return await this.handleUnclaimed(open, answer, request.deadline)
     return { kind: ClaimAnswerKind.Claimed, claim: { key: open.key, record: open.record, leaseId, modRevision: answer.modRevision, deadline: runUntil } }
   }
 
   /**
-   * Records how a claimed request ended; every claim is finished exactly once.
+   * Records how a claimed request ended that ran or may have run; its answer need
+   * not wait. Every claim is finished or released exactly once.
    * @param claim the claim
    * @param outcome how the request ended
    * @param status the upstream's status, if it answered
    */
-  finish (claim: HeldClaim, outcome: Outcome, status?: number): void {
-    const { key, leaseId, modRevision } = claim
-    const record: ClaimRecord = { ...claim.record, state: STATE_BY_OUTCOME[outcome], ...(status === undefined ? {} : { status }) }
-    this.settler.push({ key, record, leaseId, modRevision })
+  finish (claim: HeldClaim, outcome: Outcome.Done | Outcome.Unknown, status?: number): void {
+    this.pushEnd(claim, { ...claim.record, state: STATE_BY_OUTCOME[outcome], ...(status === undefined ? {} : { status }) })
+  }
+
+  /**
+   * Frees the key of a request that is proven not to have run. Its caller may send
+   * it again the moment it is told so, to another entry VM: if the answer left
+   * before the release was written, the repetition would find the key running and
+   * be told `unknown` of a request that never ran.
+   * @param claim the claim
+   * @param deadline the caller's
+   * @returns whether the store has the release; if not, it goes on being written
+   */
+  async release (claim: HeldClaim, deadline: Deadline): Promise<boolean> {
+    return await this.waitForRelease(this.pushEnd(claim, { ...claim.record, state: ClaimState.NotRun }), deadline)
   }
 
   /**
@@ -166,6 +188,24 @@
     this.settler.close()
   }
 
+  private pushEnd ({ key, leaseId, modRevision }: HeldClaim, record: ClaimRecord): Promise<boolean> {
+    return this.settler.push({ key, record, leaseId, modRevision })
+  }
+
+  /** Waits a short while only: an answer that is known must not be held back by a store that is out of reach. */
+  private waitForRelease (written: Promise<boolean>, deadline: Deadline): Promise<boolean> {
+    const { clock } = this.parts
+    const now = clock.now()
+    const giveUpAt = Math.min(createDeadline(now, RELEASE_SPAN), Math.max(now, deadline) + RELEASE_GRACE)
+    return new Promise((resolve) => {
+      const timer = clock.schedule(giveUpAt, () => resolve(false))
+      written.then((isWritten) => {
+        timer.close()
+        resolve(isWritten)
+      }, () => resolve(false))
+    })
+  }
+
   private async getLease (deadline: Deadline): Promise<string | undefined> {
     if (!this.leases.isOpen) this.parts.onCall()
     const lease = await this.leases.getLease(deadline)
@@ -227,23 +267,21 @@
     return { kind: 'refused', decision, existing: known }
   }
 
-  private handleUnclaimed (open: OpenClaim, result: Exclude<WriteResult, { kind: 'again' | 'claimed' }>): ClaimAnswer {
+  private async handleUnclaimed (open: OpenClaim, result: Exclude<WriteResult, { kind: 'again' | 'claimed' }>, deadline: Deadline): Promise<ClaimAnswer> {
     // The end's write, paid for in advance, is needed only for an uncertain claim.
     if (result.kind === 'refused' || !open.isUncertain) this.parts.calls.release(1)
     if (result.kind === 'refused') return { kind: ClaimAnswerKind.Refused, decision: result.decision, existing: result.existing }
-    if (open.isUncertain) {
-      // The write may have been applied, or may be later. The caller is told that
-      // nothing ran, which is true; the claim's end is written so that a
-      // repetition is not refused because of it.
-      const record = { ...open.record, state: ClaimState.NotRun }
-      this.settler.push({ key: open.key, record, leaseId: open.leaseId, modRevision: 0 })
-    }
-    return this.reportUnavailable(0)
+    this.startRest()
+    if (!open.isUncertain) return { kind: ClaimAnswerKind.StoreUnavailable, isReleased: true }
+    // The write may have been applied, or may be later. The caller is told that
+    // nothing ran, which is true; the claim's end is written so that a
+    // repetition is not refused because of it.
+    const record = { ...open.record, state: ClaimState.NotRun }
+    const written = this.settler.push({ key: open.key, record, leaseId: open.leaseId, modRevision: 0 })
+    return { kind: ClaimAnswerKind.StoreUnavailable, isReleased: await this.waitForRelease(written, deadline) }
   }
 
-  private reportUnavailable (unusedCalls: number): ClaimAnswer {
-    this.parts.calls.release(unusedCalls)
+  private startRest (): void {
     this.restsUntil = createDeadline(this.parts.clock.now(), REST_SPAN)
-    return { kind: ClaimAnswerKind.StoreUnavailable }
   }
 }
--- a/packages/steering/src/common/dedup/claimSettler.ts
+++ b/packages/steering/src/common/dedup/claimSettler.ts
@@ -23,6 +23,8 @@
 const ROUND_SIZE = 32
 /** A write and, if it was not applied or its answer was lost, a read. */
 const CALLS_PER_TRY = 2
+/** Writes in a row; a second one only if the store was read in between and said what it needs. */
+const MAX_WRITES = 2
 
 /** The end of a claim, on its way to the store. */
 export interface ClaimEnd {
@@ -47,7 +49,7 @@
 /** Ends of this node's claims that the store may not know yet. */
 export class ClaimSettler {
   private readonly pending = new Map<string, ClaimEnd>()
-  private readonly underWay = new Set<Promise<void>>()
+  private readonly underWay = new Set<Promise<boolean>>()
   private timer: ITimer | undefined
   private isClosed = false
 
@@ -70,12 +72,13 @@
    * Writes an end now, and again later if that fails. The first write is paid
    * for by the claim; later ones wait for their part of the store's rate.
    * @param end the claim's end
+   * @returns settled after the first try: whether the store is known to have the end
    */
-  push (end: ClaimEnd): void {
+  push (end: ClaimEnd): Promise<boolean> {
     const oldest = this.pending.keys().next()
     if (this.pending.size >= MAX_PENDING && oldest.done !== true) this.pending.delete(oldest.value)
     this.pending.set(end.record.claimId, end)
-    this.start(end, createDeadline(this.parts.clock.now(), WRITE_SPAN))
+    return this.start(end, createDeadline(this.parts.clock.now(), WRITE_SPAN))
   }
 
   /**
@@ -95,17 +98,27 @@
     this.pending.clear()
   }
 
-  private start (end: ClaimEnd, deadline: Deadline): void {
+  private start (end: ClaimEnd, deadline: Deadline): Promise<boolean> {
     const work = this.write(end, deadline).finally(() => { this.underWay.delete(work) })
     this.underWay.add(work)
+    return work
   }
 
-  private async write (end: ClaimEnd, deadline: Deadline): Promise<void> {
+  private async write (end: ClaimEnd, deadline: Deadline): Promise<boolean> {
     const { claimId } = end.record
-    const isSettled = await this.writeOnce(end, deadline)
-    if (this.pending.get(claimId) !== end) return
-    if (isSettled) this.pending.delete(claimId)
-    else this.scheduleRound()
+    let current = end
+    for (let writes = 0; writes < MAX_WRITES; writes++) {
+      if (await this.writeOnce(current, deadline)) {
+        this.pending.delete(claimId)
+        return true
+      }
+      const next = this.pending.get(claimId)
+      // Nothing was learned: the store is out of reach, and is left alone for a while.
+      if (next === undefined || next === current) break
+      current = next
+    }
+    this.scheduleRound()
+    return false
   }
 
   /** @returns whether the store knows the end, or can never need it */
@@ -135,7 +148,6 @@
     // Ours, or not there: a create whose answer was lost can still arrive at the
     // store. Writing the end in its place makes its condition fail.
     this.pending.set(end.record.claimId, { ...end, modRevision: read.val?.modRevision ?? 0 })
-    this.scheduleRound()
     return false
   }
 
--- a/packages/testing/src/common/history/historyEvent.ts
+++ b/packages/testing/src/common/history/historyEvent.ts
@@ -12,6 +12,8 @@
   NotRun = 'not-run',
   /** The answer says that the request may have run. */
   Unknown = 'unknown',
+  /** The answer says that an earlier attempt with the same Idempotency-Key ran. */
+  AlreadyRan = 'already-ran',
   /** The answer ended as if complete, but its length or digest is wrong. */
   Truncated = 'truncated',
   /** The answer belongs to another request. */
--- a/packages/testing/src/node/demo/demoReport.ts
+++ b/packages/testing/src/node/demo/demoReport.ts
@@ -38,6 +38,7 @@
   { title: 'p50', format: ({ summary }) => formatMs(summary.p50Ms) },
   { title: 'p99', format: ({ summary }) => formatMs(summary.p99Ms) },
   { title: 'whole', format: ({ summary }) => String(summary.answers[AnswerKind.Whole]) },
+  { title: 'already-ran', format: ({ summary }) => String(summary.answers[AnswerKind.AlreadyRan]) },
   { title: 'not-run', format: ({ summary }) => String(summary.answers[AnswerKind.NotRun] + summary.answers[AnswerKind.NotSent]) },
   { title: 'unknown', format: ({ summary }) => String(summary.answers[AnswerKind.Unknown]) },
   { title: 'cut', format: ({ summary }) => String(summary.answers[AnswerKind.Failed]) },
@@ -82,12 +83,12 @@
   if (drain !== undefined) writeLine(`drain time: ${formatMs(drain.drainMs)}, then ${drain.workers} workers stopped`)
 }
 
-/** Each whole answer was made by an execution; fewer of them mean that the checks saw only a part of the run. */
+/** Each request that its caller knows to have run was made by an execution; fewer of them mean that the checks saw only a part of the run. */
 function checkCoverage (deployment: LocalDeployment, summaries: readonly ServiceSummary[]): string[] {
   const executions = deployment.history.events.filter(({ kind }) => kind === HistoryEventKind.ExecutionStarted).length
-  const whole = summaries.reduce((sum, { answers }) => sum + answers[AnswerKind.Whole], 0)
+  const whole = summaries.reduce((sum, { answers }) => sum + answers[AnswerKind.Whole] + answers[AnswerKind.AlreadyRan], 0)
   writeLine(`checked: ${deployment.history.events.length} events, ${executions} executions`)
-  return executions < whole ? [`only ${executions} executions were recorded for ${whole} whole answers`] : []
+  return executions < whole ? [`only ${executions} executions were recorded for ${whole} requests that ran`] : []
 }
 
 function listBrokenPromises (violations: readonly Violation[], summaries: readonly ServiceSummary[], totals: LoadTotals): string[] {
--- a/packages/testing/src/node/load/answerReader.ts
+++ b/packages/testing/src/node/load/answerReader.ts
@@ -33,6 +33,7 @@
 
 const ANSWER_BY_OUTCOME: Readonly<Record<string, AnswerKind>> = {
   'not-run': AnswerKind.NotRun,
+  done: AnswerKind.AlreadyRan,
   unknown: AnswerKind.Unknown
 }
 
--- a/packages/testing/src/node/load/caller.ts
+++ b/packages/testing/src/node/load/caller.ts
@@ -12,7 +12,7 @@
 import { chooseWeighted } from '../../common/load/arrivals.js'
 import { AnswerKind, HistoryEventKind } from '../../common/history/historyEvent.js'
 import type { IHistory } from '../../common/history/historyEvent.js'
-import { decideNextStep, NextStep } from '../../common/load/repeatRules.js'
+import { decideNextStep, findRepeatSafety, NextStep, RepeatSafety } from '../../common/load/repeatRules.js'
 import type { Operation } from '../../common/load/operation.js'
 import { classifyFailure, readAnswer, REQUEST_ID_HEADER } from './answerReader.js'
 import type { AttemptResult } from './answerReader.js'
@@ -61,6 +61,11 @@
 
 const NO_ENTRY: AttemptResult = { answer: AnswerKind.NotSent, status: 0, retryAfterMs: 0, detail: 'the look-up names no entry' }
 
+/** Whether the answer to a repetition with a key says to ask again what became of the first attempt. */
+function isStillRunning ({ answer, retryAfterMs }: AttemptResult, safety: RepeatSafety): boolean {
+  return safety === RepeatSafety.Keyed && answer === AnswerKind.Unknown && retryAfterMs > 0
+}
+
 /** The callers of one region. */
 export class Caller implements IClosable {
   private readonly pools: readonly ClientSocketPool[]
@@ -85,18 +90,27 @@
     const { clock, maxAttempts, answerWithinMs } = this.options
     const deadline = createDeadline(intendedStart, answerWithinMs)
     const failed = new Set<string>()
+    const safety = findRepeatSafety(operation.template.isIdempotent, operation.idempotencyKey)
     let last: AttemptResult = NO_ENTRY
+    let lost: AttemptResult | undefined
     let attempts = 0
-    while (attempts < maxAttempts) {
+    let tries = 0
+    while (tries < maxAttempts) {
       attempts += 1
       last = await this.sendAttempt(operation, attempts, deadline, failed)
-      if (decideNextStep(last.answer, operation.template.isIdempotent) === NextStep.Stop) break
+      const isAskedBack = last.retryAfterMs > 0
+      if (decideNextStep(last.answer, safety, isAskedBack) === NextStep.Stop) break
+      if (last.answer === AnswerKind.Failed) lost = last
+      // Asking again whether the first attempt has ended is bounded by the deadline alone.
+      if (!isStillRunning(last, safety)) tries += 1
       if (last.answer !== AnswerKind.NotRun) this.lookups.clear(operation.service)
       const sendAgainAt = this.computeRepeatAt(last)
       if (hasPassed(deadline, sendAgainAt)) break
-      if (attempts < maxAttempts) await waitUntil(clock, sendAgainAt)
+      if (tries < maxAttempts) await waitUntil(clock, sendAgainAt)
     }
-    return { last, attempts, endedAt: clock.now() }
+    // A repetition that learned nothing does not hide that an answer was lost.
+    const hasLearnedNothing = safety === RepeatSafety.Keyed && last.answer === AnswerKind.Unknown
+    return { last: hasLearnedNothing ? lost ?? last : last, attempts, endedAt: clock.now() }
   }
 
   async close (): Promise<void> {
