Tell once what a configuration problem expects

Cause: a daemon's sentence says what is expected, and the client wrote the expectation once more behind it. Change: the client adds it only where the sentence does not hold it.

--- a/packages/cli/src/common/errorFormat.ts
+++ b/packages/cli/src/common/errorFormat.ts
@@ -30,7 +30,8 @@
 export function formatProblems (problems: readonly FieldProblem[]): readonly string[] {
   return problems.map((problem) => {
     const path = problem.path === '' ? '(whole document)' : problem.path
-    const expected = problem.expected === '' ? '' : ` (expected ${problem.expected})`
+    // A message that tells what is expected names it in the same words; it is not told twice.
+    const expected = problem.message.includes(problem.expected) ? '' : ` (expected ${problem.expected})`
     return `  ${path}: ${problem.message}${expected}`
   })
 }
