Define the look-up's answer and predicted places once

Cause: the client, the load tool and steering each declared the same shapes, so a new field had to be added three times. Change: both import LookupAnswer, LookupEntry, PredictedStep and PredictedPlace from steering.

--- a/packages/cli/src/common/drainPrediction.ts
+++ b/packages/cli/src/common/drainPrediction.ts
@@ -1,23 +1,14 @@
 /** What a daemon predicts of a drain, and how it is shown. */
+import type { PredictedPlace, PredictedStep } from '@umberspar/steering/common/plan/predictDrain'
 import { isJsonObject } from './jsonValue.js'
 import { Align, formatTable } from './tableFormat.js'
 
-/** One place before and after the drain. */
-export interface PredictedPlace {
-  readonly service: string
-  readonly failureDomain: string
-  readonly capacity: number
-  readonly loadBefore: number
-  readonly loadAfter: number
-  readonly headroom: number
-}
-
-/** A daemon's prediction. */
+/** A daemon's prediction as the client shows it: of each reason only its sentence. */
 export interface DrainPrediction {
   readonly fits: boolean
   /** Sentences that say why it does not fit. */
   readonly reasons: readonly string[]
-  readonly steps: ReadonlyArray<{ readonly service: string, readonly afterMs: number, readonly shift: number }>
+  readonly steps: readonly PredictedStep[]
   readonly places: readonly PredictedPlace[]
   readonly totalMs: number
 }
--- a/packages/cli/src/common/fleetFormat.ts
+++ b/packages/cli/src/common/fleetFormat.ts
@@ -1,5 +1,6 @@
 /** Text of `status` and `lookup`. */
-import type { FleetNode, LookupAnswer } from './operatorMessages.js'
+import type { LookupAnswer } from '@umberspar/steering/common/lookup/decideLookup'
+import type { FleetNode } from './operatorMessages.js'
 import { Align, formatTable } from './tableFormat.js'
 
 /**
--- a/packages/cli/src/common/operatorMessages.ts
+++ b/packages/cli/src/common/operatorMessages.ts
@@ -4,6 +4,7 @@
  * that an older client works with a newer daemon.
  */
 import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
+import type { LookupAnswer, LookupEntry } from '@umberspar/steering/common/lookup/decideLookup'
 import { decodeItems, isJsonObject, toNumber, toText, toTexts } from './jsonValue.js'
 import type { JsonObject } from './jsonValue.js'
 
@@ -57,22 +58,6 @@
   readonly isSafeToStop: boolean
 }
 
-/** One entry VM of a look-up's answer. */
-export interface LookupEntry {
-  readonly nodeId: string
-  readonly address: string
-  readonly weight: number
-}
-
-/** The answer of a look-up. */
-export interface LookupAnswer {
-  readonly service: string
-  readonly region: string
-  readonly configurationVersion: number
-  readonly cacheForMs: number
-  readonly entries: readonly LookupEntry[]
-}
-
 /** A daemon's error, RFC 9457 with this project's members. */
 export interface OperatorProblem {
   readonly title: string
--- a/packages/cli/src/node/operatorClient.ts
+++ b/packages/cli/src/node/operatorClient.ts
@@ -7,6 +7,7 @@
 import type { Result } from '@umberspar/base/common/result'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
+import type { LookupAnswer } from '@umberspar/steering/common/lookup/decideLookup'
 import type { JsonObject } from '../common/jsonValue.js'
 import { OperatorError } from '../common/operatorError.js'
 import { decodePrediction, type DrainPrediction } from '../common/drainPrediction.js'
@@ -133,7 +134,7 @@
    * @param clientAddress looks up on behalf of this IP number; believed only if the daemon trusts this machine
    * @returns the entry VMs to use
    */
-  lookUp (peer: string, service: string, clientAddress: string | undefined): Answer<messages.LookupAnswer> {
+  lookUp (peer: string, service: string, clientAddress: string | undefined): Answer<LookupAnswer> {
     const path = `/v1/lookup?service=${encodeURIComponent(service)}`
     const headers: Readonly<Record<string, string>> = clientAddress === undefined ? {} : { 'x-forwarded-for': clientAddress }
     return this.transport.call({ kind: CallKind.Read, step: 'look-up', peer, path, headers, deadline: this.deadline }, messages.decodeLookup)
--- a/packages/testing/src/node/load/caller.ts
+++ b/packages/testing/src/node/load/caller.ts
@@ -9,6 +9,7 @@
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { addJitter } from '@umberspar/base/common/random'
 import type { IRandomSource } from '@umberspar/base/common/random'
+import type { LookupAnswer } from '@umberspar/steering/common/lookup/decideLookup'
 import { chooseWeighted } from '../../common/load/arrivals.js'
 import { AnswerKind, HistoryEventKind } from '../../common/history/historyEvent.js'
 import type { IHistory } from '../../common/history/historyEvent.js'
@@ -19,7 +20,6 @@
 import { createClientSocketPool, listClientAddresses } from './clientAddresses.js'
 import type { CallerAddressing, ClientSocketPool } from './clientAddresses.js'
 import { chooseEntry, LookupCache } from './lookupCache.js'
-import type { LookupAnswer } from './lookupCache.js'
 import { waitUntil } from '../waiting.js'
 
 /** What the callers of a region know and do. */
--- a/packages/testing/src/node/load/lookupCache.ts
+++ b/packages/testing/src/node/load/lookupCache.ts
@@ -3,25 +3,9 @@
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { createDeadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { IRandomSource } from '@umberspar/base/common/random'
+import type { LookupAnswer } from '@umberspar/steering/common/lookup/decideLookup'
 import { chooseWeighted } from '../../common/load/arrivals.js'
 
-/** One entry VM of a look-up's answer. */
-export interface LookupEntry {
-  readonly nodeId: string
-  /** `host:port` of its callers' listener. */
-  readonly address: string
-  readonly weight: number
-}
-
-/** A look-up's answer as it stands on the wire. */
-export interface LookupAnswer {
-  readonly service: string
-  readonly region: string
-  readonly configurationVersion: number
-  readonly cacheForMs: number
-  readonly entries: readonly LookupEntry[]
-}
-
 /** Sends one look-up; rejects if the entry does not answer. */
 export type LookupFetcher = (entryAddress: string, service: string) => Promise<LookupAnswer>
 
