Use the published types of yargs in the client

Cause: the client brought a declaration of its own for yargs, written before @types/yargs was installed; it hid the published one.

--- a/packages/cli/src/node/clientTls.ts
+++ b/packages/cli/src/node/clientTls.ts
@@ -1,5 +1,5 @@
 /** TLS towards the daemons: files named by options or the environment. */
-import type { ParsedArguments } from 'yargs'
+import type { Arguments } from 'yargs'
 import type { IClock } from '@umberspar/base/common/clock'
 import type { StepError } from '@umberspar/base/common/errors'
 import { Ok, type Result } from '@umberspar/base/common/result'
@@ -24,7 +24,7 @@
  * @param environment the environment's variables
  * @returns the paths; options go before the environment
  */
-export function readTlsOptions (args: ParsedArguments, environment: Readonly<Record<string, string | undefined>>): TlsOptions {
+export function readTlsOptions (args: Arguments, environment: Readonly<Record<string, string | undefined>>): TlsOptions {
   const find = (name: keyof TlsOptions): string | undefined => {
     const text = typeof args[name] === 'string' ? args[name] : environment[VARIABLES[name]]
     return text === '' ? undefined : text
--- a/packages/cli/src/node/commandArguments.ts
+++ b/packages/cli/src/node/commandArguments.ts
@@ -1,6 +1,6 @@
 /** Typed reading of parsed arguments; a wrong one is a UsageError. */
 import { isIPv4, isIPv6 } from 'node:net'
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { UsageError } from '../common/operatorError.js'
 import { readTlsOptions, type TlsOptions } from './clientTls.js'
 import { toText, toTexts } from '../common/jsonValue.js'
@@ -22,7 +22,7 @@
 const MAX_LIMIT_SECONDS = 86_400
 
 /** Declares the options that every command takes. */
-export function addGlobalOptions (parser: ArgumentParser): ArgumentParser {
+export function addGlobalOptions (parser: Argv): Argv {
   return parser
     .option('daemon', { type: 'string', array: true, nargs: 1, global: true, describe: `host:port of a daemon's operators' listener; may be repeated, tried in turn [env ${DAEMONS_VARIABLE}, joined by commas]` })
     .option('json', { type: 'boolean', global: true, describe: 'Print one JSON document, errors as well' })
@@ -33,26 +33,26 @@
 }
 
 /** @returns the text of an option or positional, if given */
-export function getOptionalText (args: ParsedArguments, name: string): string | undefined {
+export function getOptionalText (args: Arguments, name: string): string | undefined {
   const value = args[name]
   if (Array.isArray(value)) throw new UsageError(`--${name} may be given only once`)
   return toText(value)
 }
 
 /** @returns the text of an option or positional that must be given */
-export function getText (args: ParsedArguments, name: string): string {
+export function getText (args: Arguments, name: string): string {
   const value = getOptionalText(args, name)
   if (value === undefined || value === '') throw new UsageError(`${name}: expected a value`)
   return value
 }
 
 /** @returns all values of an option that may be repeated */
-export function listTexts (args: ParsedArguments, name: string): readonly string[] {
+export function listTexts (args: Arguments, name: string): readonly string[] {
   return toTexts(args[name])
 }
 
 /** @returns a whole number of 0 or more, if given */
-export function getOptionalVersion (args: ParsedArguments, name: string): number | undefined {
+export function getOptionalVersion (args: Arguments, name: string): number | undefined {
   const value = args[name]
   if (value === undefined) return undefined
   if (typeof value !== 'number' || !Number.isSafeInteger(value) || value < 0) {
@@ -62,7 +62,7 @@
 }
 
 /** @returns whether a switch is on */
-export function isSet (args: ParsedArguments, name: string): boolean {
+export function isSet (args: Arguments, name: string): boolean {
   return args[name] === true
 }
 
@@ -74,13 +74,13 @@
 }
 
 /** @returns the IP number, checked, if given */
-export function getOptionalIp (args: ParsedArguments, name: string): string | undefined {
+export function getOptionalIp (args: Arguments, name: string): string | undefined {
   const text = getOptionalText(args, name)
   if (text === undefined || isIPv4(text) || isIPv6(text)) return text
   throw new UsageError(`--${name}: expected an IP number, got ${text}`)
 }
 
-function readLimitSeconds (args: ParsedArguments): number | undefined {
+function readLimitSeconds (args: Arguments): number | undefined {
   const value = args.timeout
   if (value === undefined) return undefined
   if (typeof value !== 'number' || !(value > 0 && value <= MAX_LIMIT_SECONDS)) {
@@ -94,7 +94,7 @@
  * @param environment the environment's variables
  * @returns the global options; options go before the environment
  */
-export function readGlobalOptions (args: ParsedArguments, environment: Readonly<Record<string, string | undefined>>): GlobalOptions {
+export function readGlobalOptions (args: Arguments, environment: Readonly<Record<string, string | undefined>>): GlobalOptions {
   const named = listTexts(args, 'daemon')
   const fromEnvironment = (environment[DAEMONS_VARIABLE] ?? '').split(',').map((text) => text.trim()).filter((text) => text !== '')
   const daemons = named.length > 0 ? named : fromEnvironment
--- a/packages/cli/src/node/commandContext.ts
+++ b/packages/cli/src/node/commandContext.ts
@@ -1,5 +1,5 @@
 /** What a running command works with, and how commands are registered. */
-import type { ParsedArguments } from 'yargs'
+import type { Arguments } from 'yargs'
 import type { StepError } from '@umberspar/base/common/errors'
 import type { Result } from '@umberspar/base/common/result'
 import type { ExitCode } from '../common/exitCode.js'
@@ -25,7 +25,7 @@
 }
 
 /** Notes which command the arguments chose; it runs after all were parsed. */
-export type RegisterCommand = (args: ParsedArguments, run: CommandRun, settings?: CommandSettings) => void
+export type RegisterCommand = (args: Arguments, run: CommandRun, settings?: CommandSettings) => void
 
 /**
  * Prints a command's result: as one JSON document with --json, otherwise as text.
--- a/packages/cli/src/node/commands/config.ts
+++ b/packages/cli/src/node/commands/config.ts
@@ -1,5 +1,5 @@
 /** `umberspar config`: reading and changing the steering configuration. */
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { createDeadline } from '@umberspar/base/common/deadline'
 import { Ok } from '@umberspar/base/common/result'
 import { buildConfigurationStatus, formatConfigurationStatus, formatHistory } from '../../common/configFormat.js'
@@ -14,7 +14,7 @@
 /** How long one node may take to answer. */
 const NODE_LIMIT_MS = 3000
 
-function buildGet (args: ParsedArguments): CommandRun {
+function buildGet (args: Arguments): CommandRun {
   const version = getOptionalVersion(args, 'version')
   return async (context) => {
     const answer = version === undefined
@@ -54,7 +54,7 @@
  * @param parser the parser to extend
  * @param register notes the chosen command
  */
-export function addConfigCommands (parser: ArgumentParser, register: RegisterCommand): void {
+export function addConfigCommands (parser: Argv, register: RegisterCommand): void {
   parser.command('config', 'Read and change the steering configuration', (own) => {
     own
       .command('get', 'Print the configuration in force, or an earlier one', (get) => get
--- a/packages/cli/src/node/commands/configChange.ts
+++ b/packages/cli/src/node/commands/configChange.ts
@@ -1,5 +1,5 @@
 /** `umberspar config validate` and `umberspar config patch`. */
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import { Err, Ok } from '@umberspar/base/common/result'
 import type { Result } from '@umberspar/base/common/result'
@@ -39,7 +39,7 @@
   return Ok(answer.valid ? ExitCode.Ok : ExitCode.Refused)
 }
 
-function buildValidate (args: ParsedArguments): CommandRun {
+function buildValidate (args: Arguments): CommandRun {
   const file = getText(args, 'file')
   const baseVersion = getOptionalVersion(args, 'base')
   const isPatch = isSet(args, 'patch')
@@ -58,7 +58,7 @@
   }
 }
 
-function chooseReadPatch (args: ParsedArguments): ReadPatch {
+function chooseReadPatch (args: Arguments): ReadPatch {
   const file = getOptionalText(args, 'file')
   const settings = listTexts(args, 'set')
   if ((file === undefined) === (settings.length === 0)) throw new UsageError('give either --file or --set')
@@ -72,7 +72,7 @@
   return `accepted as version ${applied.version}, change ${applied.changeId}${later}`
 }
 
-function buildPatch (args: ParsedArguments): CommandRun {
+function buildPatch (args: Arguments): CommandRun {
   const baseVersion = getOptionalVersion(args, 'base')
   if (baseVersion === undefined) throw new UsageError('--base: expected the version that the patch is made against')
   const note = getOptionalText(args, 'note') ?? ''
@@ -91,7 +91,7 @@
  * @param parser the parser of `config`
  * @param register notes the chosen command
  */
-export function addValidateCommand (parser: ArgumentParser, register: RegisterCommand): void {
+export function addValidateCommand (parser: Argv, register: RegisterCommand): void {
   parser.command('validate', 'Check a whole configuration here, or a patch at a daemon', (own) => own
     .option('file', { type: 'string', demandOption: true, nargs: 1, describe: 'The JSON file' })
     .option('patch', { type: 'boolean', describe: 'The file is a JSON Merge Patch; a daemon checks it' })
@@ -105,7 +105,7 @@
  * @param parser the parser of `config`
  * @param register notes the chosen command
  */
-export function addPatchCommand (parser: ArgumentParser, register: RegisterCommand): void {
+export function addPatchCommand (parser: Argv, register: RegisterCommand): void {
   parser.command('patch', 'Change the configuration against a numbered version', (own) => own
     .option('base', { type: 'number', demandOption: true, nargs: 1, describe: 'The version that the patch is made against; refused if it is not the present one' })
     .option('file', { type: 'string', nargs: 1, conflicts: 'set', describe: 'A JSON Merge Patch (RFC 7396)' })
--- a/packages/cli/src/node/commands/configRollback.ts
+++ b/packages/cli/src/node/commands/configRollback.ts
@@ -1,5 +1,5 @@
 /** `umberspar config rollback`: an earlier body becomes a new version. */
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { Ok } from '@umberspar/base/common/result'
 import { computeRollbackPatch } from '@umberspar/steering/common/configuration/rollbackPatch'
 import { ExitCode } from '../../common/exitCode.js'
@@ -10,7 +10,7 @@
 import type { CommandRun, RegisterCommand } from '../commandContext.js'
 import { PatchSubmitter } from '../patchSubmitter.js'
 
-function buildRollback (args: ParsedArguments): CommandRun {
+function buildRollback (args: Arguments): CommandRun {
   const target = getOptionalVersion(args, 'to')
   if (target === undefined) throw new UsageError('--to: expected the version to come back to')
   const note = getOptionalText(args, 'note') ?? `rollback to version ${target}`
@@ -40,7 +40,7 @@
  * @param parser the parser of `config`
  * @param register notes the chosen command
  */
-export function addRollbackCommand (parser: ArgumentParser, register: RegisterCommand): void {
+export function addRollbackCommand (parser: Argv, register: RegisterCommand): void {
   parser.command('rollback', 'Bring an earlier version back as a new one', (own) => own
     .option('to', { type: 'number', demandOption: true, nargs: 1, describe: 'The version to come back to; the history must still hold it' })
     .option('dry-run', { type: 'boolean', describe: 'Print the patch; nothing changes' })
--- a/packages/cli/src/node/commands/drain.ts
+++ b/packages/cli/src/node/commands/drain.ts
@@ -1,5 +1,5 @@
 /** `umberspar drain` and `umberspar undrain`: patches of the configuration's `drains`. */
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import type { StepError } from '@umberspar/base/common/errors'
 import { Ok } from '@umberspar/base/common/result'
 import type { Result } from '@umberspar/base/common/result'
@@ -48,7 +48,7 @@
   [DrainDirection.Undrain]: 'every node has taken the drain back; traffic returns in capped steps'
 }
 
-const BUILD_TARGET: Readonly<Record<DrainKind, (args: ParsedArguments) => DrainTarget>> = {
+const BUILD_TARGET: Readonly<Record<DrainKind, (args: Arguments) => DrainTarget>> = {
   [DrainKind.FailureDomain]: (args) => ({ kind: DrainKind.FailureDomain, name: getText(args, 'name') }),
   [DrainKind.Region]: (args) => ({ kind: DrainKind.Region, name: getText(args, 'name') }),
   [DrainKind.Place]: (args) => ({ kind: DrainKind.Place, service: getText(args, 'service'), failureDomain: getText(args, 'failure-domain') })
@@ -92,7 +92,7 @@
   return Ok(ExitCode.Ok)
 }
 
-function buildRun (direction: DrainDirection, kind: DrainKind, args: ParsedArguments): CommandRun {
+function buildRun (direction: DrainDirection, kind: DrainKind, args: Arguments): CommandRun {
   const target = BUILD_TARGET[kind](args)
   const note = getOptionalText(args, 'note') ?? `${direction} ${kind} ${getTargetName(target)}`
   const order: DrainOrder = { target, direction, note }
@@ -110,8 +110,8 @@
   }
 }
 
-function addTargetCommands (parser: ArgumentParser, direction: DrainDirection, register: RegisterCommand): ArgumentParser {
-  const handle = (kind: DrainKind) => (args: ParsedArguments): void => {
+function addTargetCommands (parser: Argv, direction: DrainDirection, register: RegisterCommand): Argv {
+  const handle = (kind: DrainKind) => (args: Arguments): void => {
     register(args, buildRun(direction, kind, args), { isWaiting: isSet(args, 'wait') })
   }
   const verb = `umberspar ${direction}`
@@ -139,7 +139,7 @@
  * @param parser the parser to extend
  * @param register notes the chosen command
  */
-export function addDrainCommands (parser: ArgumentParser, register: RegisterCommand): void {
+export function addDrainCommands (parser: Argv, register: RegisterCommand): void {
   parser.command('drain', 'Take a failure domain, a region or a place out of use', (own) => addTargetCommands(own, DrainDirection.Drain, register))
   parser.command('undrain', 'Take it back into use', (own) => addTargetCommands(own, DrainDirection.Undrain, register))
 }
--- a/packages/cli/src/node/commands/lookup.ts
+++ b/packages/cli/src/node/commands/lookup.ts
@@ -1,5 +1,5 @@
 /** `umberspar lookup`: what a caller is told. */
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import { Err, Ok } from '@umberspar/base/common/result'
 import type { Result } from '@umberspar/base/common/result'
@@ -21,7 +21,7 @@
   return Err(new StepError({ code: ErrorCode.Unavailable, step: 'choose-entry', peer: 'local', message }))
 }
 
-function buildLookup (args: ParsedArguments): CommandRun {
+function buildLookup (args: Arguments): CommandRun {
   const service = getText(args, 'service')
   const named = getOptionalText(args, 'address')
   const address = named === undefined ? undefined : parseAddress(named)
@@ -40,7 +40,7 @@
  * @param parser the parser to extend
  * @param register notes the chosen command
  */
-export function addLookupCommand (parser: ArgumentParser, register: RegisterCommand): void {
+export function addLookupCommand (parser: Argv, register: RegisterCommand): void {
   parser.command(
     'lookup',
     'Show which entry VMs a caller of a service is sent to',
--- a/packages/cli/src/node/commands/report.ts
+++ b/packages/cli/src/node/commands/report.ts
@@ -1,5 +1,5 @@
 /** `umberspar report`: reports over the whole fleet. */
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { createDeadline } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
 import { Err, Ok } from '@umberspar/base/common/result'
@@ -14,7 +14,7 @@
 const NODE_LIMIT_MS = 3000
 const STEP = 'report-burn'
 
-function buildBurnRun (args: ParsedArguments): CommandRun {
+function buildBurnRun (args: Arguments): CommandRun {
   const service = getOptionalText(args, 'service')
   return async (context) => {
     const { client } = context
@@ -43,7 +43,7 @@
  * @param parser the parser to extend
  * @param register notes the chosen command
  */
-export function addReportCommands (parser: ArgumentParser, register: RegisterCommand): void {
+export function addReportCommands (parser: Argv, register: RegisterCommand): void {
   parser.command('report', 'Reports over the whole fleet', (own) => own
     .command('burn', 'Service-level burn: error rates against the objectives, error budget left', (burn) => burn
       .option('service', { type: 'string', nargs: 1, describe: 'Only this service' })
--- a/packages/cli/src/node/commands/status.ts
+++ b/packages/cli/src/node/commands/status.ts
@@ -1,5 +1,5 @@
 /** `umberspar status`: the fleet as a daemon sees it. */
-import type { ArgumentParser } from 'yargs'
+import type { Argv } from 'yargs'
 import { Ok } from '@umberspar/base/common/result'
 import { ExitCode } from '../../common/exitCode.js'
 import { formatFleet } from '../../common/fleetFormat.js'
@@ -17,7 +17,7 @@
  * @param parser the parser to extend
  * @param register notes the chosen command
  */
-export function addStatusCommand (parser: ArgumentParser, register: RegisterCommand): void {
+export function addStatusCommand (parser: Argv, register: RegisterCommand): void {
   parser.command(
     'status',
     'Show the entry VMs of the fleet',
--- a/packages/cli/src/node/runCli.ts
+++ b/packages/cli/src/node/runCli.ts
@@ -1,6 +1,6 @@
 /** One run of the client: arguments in, exit code out. */
 import createParser from 'yargs'
-import type { ArgumentParser, ParsedArguments } from 'yargs'
+import type { Argv, Arguments } from 'yargs'
 import { createDeadline } from '@umberspar/base/common/deadline'
 import { StepError, toStepError } from '@umberspar/base/common/errors'
 import { ExitCode, getExitCode } from '../common/exitCode.js'
@@ -38,7 +38,7 @@
   readonly output: string
 }
 
-function buildParser (argv: readonly string[], register: RegisterCommand): ArgumentParser {
+function buildParser (argv: readonly string[], register: RegisterCommand): Argv {
   const parser = addGlobalOptions(createParser(argv))
     .scriptName('umberspar')
     .usage('umberspar COMMAND\n\nOperates a fleet of umberspard daemons.')
@@ -66,7 +66,7 @@
 async function parseLine (argv: readonly string[], io: CliIo): Promise<ParsedLine> {
   let chosen: ChosenCommand | undefined
   let output = ''
-  const register: RegisterCommand = (args: ParsedArguments, run, settings = {}) => {
+  const register: RegisterCommand = (args: Arguments, run, settings = {}) => {
     chosen = { run, settings, options: readGlobalOptions(args, io.environment) }
   }
   let failure: Error | null = null
