Choose tests by source paths, and install only by content

Cause: 'npm test -- steering/test/common/plan' of CONTRIBUTING matched nothing, since compiled paths have dist/ in between. Set-up compared times of files, so that a merge made it empty node_modules under running commands. Ruled out: a stored digest of the lock file; npm's own list of what is installed tells the same and covers installs by hand. Change: words are compared without dist/ and extension; the lock file's packages are compared with npm's list.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -5,11 +5,15 @@
 import { spawnSync } from 'node:child_process'
 import { globSync } from 'glob'
 import { fileURLToPath } from 'node:url'
+import { matchesWords } from './testWords.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const words = process.argv.slice(2)
-const files = globSync('packages/*/dist/test/**/*.test.js', { cwd: root })
-  .filter((file) => words.length === 0 || words.some((word) => file.includes(word)))
+const files = [
+  ...globSync('packages/*/dist/test/**/*.test.js', { cwd: root }),
+  ...globSync('scripts/test/**/*.test.mjs', { cwd: root })
+]
+  .filter((file) => matchesWords(file, words))
   .sort()
 if (files.length === 0) {
   process.stderr.write(`no test file matches: ${words.join(' ')}\n`)
--- a/scripts/setUp.mjs
+++ b/scripts/setUp.mjs
@@ -1,10 +1,10 @@
 /**
  * Makes a fresh checkout runnable: installs the locked dependencies when they
- * are missing or older than the lock file, then builds what changed.
+ * are missing or not those of the lock file, then builds what changed.
  */
 import { spawnSync } from 'node:child_process'
-import { existsSync, statSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
+import { isInstalled } from './installMark.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 
@@ -13,11 +13,5 @@
   if (result.status !== 0) process.exit(result.status ?? 1)
 }
 
-function isInstallStale () {
-  const marker = `${root}/node_modules/.package-lock.json`
-  if (!existsSync(marker)) return true
-  return statSync(marker).mtimeMs < statSync(`${root}/package-lock.json`).mtimeMs
-}
-
-if (isInstallStale()) runCommand('npm', ['ci', '--no-fund', '--no-audit'])
+if (!isInstalled(root)) runCommand('npm', ['ci', '--no-fund', '--no-audit'])
 runCommand(process.execPath, ['node_modules/typescript/bin/tsc', '--build'])
