Serve children's orders and ask for readiness in one place each

Cause: two daemons' and two platforms' child modules repeated how an order is served and how readiness is asked for; ChildProgram killed its child by two methods of the same text. Change: childOrder, daemonReadiness; stopAtOnce alone stays.

--- a/packages/testing/src/node/measure/childDaemon.ts
+++ b/packages/testing/src/node/measure/childDaemon.ts
@@ -4,16 +4,12 @@
 import { join } from 'node:path'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IClock } from '@umberspar/base/common/clock'
-import { createDeadline } from '@umberspar/base/common/deadline'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
-import { request } from 'undici'
-import { waitForCondition } from '../load/polling.js'
 import { ChildProgram } from './childProgram.js'
+import { waitUntilDaemonReady } from './daemonReadiness.js'
 
 const DAEMON_PROGRAM = new URL('../../../../../daemon/bin/umberspard.js', import.meta.url)
 const READY_WITHIN_MS = 20_000
-const POLL_MS = 50
-const OK_STATUS = 200
 
 /** A running daemon process. */
 export class ChildDaemon implements IClosable {
@@ -39,8 +35,7 @@
    * @returns when the daemon says that it is ready; rejects after twenty seconds
    */
   async waitUntilReady (clock: IClock): Promise<void> {
-    const deadline = createDeadline(clock.now(), READY_WITHIN_MS)
-    if (await waitForCondition(clock, deadline, POLL_MS, () => this.isReady())) return
+    if (await waitUntilDaemonReady(this.settings, clock, READY_WITHIN_MS)) return
     throw new Error(`${this.settings.nodeId} is not ready: ${this.program.listLastErrors().join('\n')}`)
   }
 
@@ -49,14 +44,4 @@
     await this.program.close()
     await rm(this.directory, { recursive: true, force: true })
   }
-
-  private async isReady (): Promise<boolean> {
-    try {
-      const response = await request(`http://${this.settings.operators.address}/readyz`)
-      await response.body.dump()
-      return response.statusCode === OK_STATUS
-    } catch {
-      return false
-    }
-  }
 }
--- a/packages/testing/src/node/measure/childPlatform.ts
+++ b/packages/testing/src/node/measure/childPlatform.ts
@@ -2,7 +2,6 @@
  * The platform's stand-ins in a process of their own, so that what they spend
  * is not spent by the load or by the daemon that is measured.
  */
-import { fileURLToPath } from 'node:url'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { LogLevel } from '@umberspar/base/common/logger'
 import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
@@ -13,6 +12,7 @@
 import { getWorkerProfile } from '../standIns/deploymentProfiles.js'
 import type { WorkerOptions } from '../standIns/upstream/workerOptions.js'
 import { PlatformStandIns } from '../standIns/platformStandIns.js'
+import { serveOneOrder } from './childOrder.js'
 import { ChildProgram } from './childProgram.js'
 
 /** What to start. */
@@ -76,12 +76,4 @@
   }
 }
 
-/** Serves one order in the child; the process ends with its parent's channel or on SIGTERM. */
-function main (): void {
-  process.on('disconnect', () => process.exit(0))
-  process.once('message', async (order: ChildPlatformOrder) => {
-    process.send?.(await startPlatform(order))
-  })
-}
-
-if (process.send !== undefined && process.argv[1] === fileURLToPath(import.meta.url)) main()
+serveOneOrder(import.meta.url, startPlatform)
--- a/packages/testing/src/node/measure/childProgram.ts
+++ b/packages/testing/src/node/measure/childProgram.ts
@@ -102,15 +102,6 @@
     if (this.exit === undefined) this.child.kill('SIGCONT')
   }
 
-  /**
-   * Ends the program at once, as a failure of its VM does.
-   * @returns how it ended
-   */
-  async cancel (): Promise<ProgramExit> {
-    if (this.exit === undefined) this.child.kill('SIGKILL')
-    return this.exited
-  }
-
   /**
    * Asks the program to stop, as a planned stop does.
    * @returns how it ended
@@ -121,7 +112,7 @@
   }
 
   /**
-   * Ends the program at once, as a crash does.
+   * Ends the program at once, as a crash or a failure of its VM does.
    * @returns how it ended
    */
   async stopAtOnce (): Promise<ProgramExit> {
--- a/packages/testing/src/node/measure/controlFleet.ts
+++ b/packages/testing/src/node/measure/controlFleet.ts
@@ -92,7 +92,7 @@
   async cancelDaemon (nodeId: string): Promise<void> {
     const daemon = this.daemons.get(nodeId)
     this.daemons.delete(nodeId)
-    await daemon?.program.cancel()
+    await daemon?.program.stopAtOnce()
     await daemon?.close()
   }
 
@@ -152,7 +152,7 @@
 
   async close (): Promise<void> {
     for (const nodeId of [...this.held]) this.releaseDaemon(nodeId)
-    await Promise.all([...this.daemons.values()].map((daemon) => daemon.program.cancel().then(() => daemon.close())))
+    await Promise.all([...this.daemons.values()].map((daemon) => daemon.program.stopAtOnce().then(() => daemon.close())))
     await this.closing.close()
   }
 
--- a/packages/testing/src/node/measure/faults/faultsPlatform.ts
+++ b/packages/testing/src/node/measure/faults/faultsPlatform.ts
@@ -2,7 +2,6 @@
  * The platform's stand-ins in a process of their own that reports every
  * execution to its parent in batches and takes faults on a control listener.
  */
-import { fileURLToPath } from 'node:url'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { Instant } from '@umberspar/base/common/clock'
 import { Emitter } from '@umberspar/base/common/event'
@@ -20,6 +19,7 @@
 import { buildEntryVm } from '../../standIns/entrySettings.js'
 import { PlatformStandIns } from '../../standIns/platformStandIns.js'
 import type { ChildPlatformAnswer, ChildPlatformOrder } from '../childPlatform.js'
+import { serveOneOrder } from '../childOrder.js'
 import { ChildProgram } from '../childProgram.js'
 
 /** What the child sends. */
@@ -175,12 +175,4 @@
   }
 }
 
-/** Serves one order in the child; the process ends with its parent's channel or on SIGTERM. */
-function main (): void {
-  process.on('disconnect', () => process.exit(0))
-  process.once('message', async (order: ChildPlatformOrder) => {
-    process.send?.(await startPlatform(order))
-  })
-}
-
-if (process.send !== undefined && process.argv[1] === fileURLToPath(import.meta.url)) main()
+serveOneOrder(import.meta.url, startPlatform)
