Read bodies of operators' requests in one place

Cause: three routes repeated the same reading and refusal of a body. Change: buildBodyHandler does it; answers are as before.

--- a/packages/daemon/src/node/operators/operatorServer.ts
+++ b/packages/daemon/src/node/operators/operatorServer.ts
@@ -73,37 +73,33 @@
     if (!Number.isInteger(version)) answerError(response, createError(ErrorCode.Invalid, 'expected a whole number as version'))
     else answerResult(response, await views.readVersion(version))
   })
-  app.post('/v1/config/validate', async (request, response) => {
-    const input = await readJson(request, validateSchema)
-    if (input instanceof StepError) {
-      answerError(response, input)
-      return
-    }
+  app.post('/v1/config/validate', buildBodyHandler(validateSchema, async (input, response) => {
     const checked = await patches.validate(input)
     if (checked.ok) answerJson(response, 200, { valid: true, problems: [] })
     else answerFailure(response, checked.val, input.baseVersion)
-  })
-  app.post('/v1/drains/predict', async (request, response) => {
-    const input = await readJson(request, validateSchema)
-    if (input instanceof StepError) {
-      answerError(response, input)
-      return
-    }
+  }))
+  app.post('/v1/drains/predict', buildBodyHandler(validateSchema, async (input, response) => {
     // A patch refused only because its drains do not fit is predicted all the same: the prediction says why.
     const checked = await patches.validate(input, false)
     if (checked.ok) answerJson(response, 200, views.predictDrain(checked.val))
     else answerFailure(response, checked.val, input.baseVersion)
-  })
-  app.post('/v1/config/patches', async (request, response) => {
-    const input = await readJson(request, patchSchema)
-    if (input instanceof StepError) {
-      answerError(response, input)
-      return
-    }
+  }))
+  app.post('/v1/config/patches', buildBodyHandler(patchSchema, async (input, response) => {
     const patched = await patches.patch(input)
     if (patched.ok) answerJson(response, 200, { head: patched.val })
     else answerFailure(response, patched.val, input.baseVersion)
-  })
+  }))
+}
+
+type BodyHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
+
+/** Reads a body of a schema and hands it on; a wrong one is answered with what is wrong. */
+function buildBodyHandler<T> (schema: z.ZodType<T>, handle: (input: T, response: ServerResponse) => Promise<void>): BodyHandler {
+  return async (request, response) => {
+    const input = await readJson(request, schema)
+    if (input instanceof StepError) answerError(response, input)
+    else await handle(input, response)
+  }
 }
 
 function answerFailure (response: ServerResponse, failure: PatchFailure, baseVersion: number): void {
