--- a/packages/platform/src/node/upstream/hopByHop.ts
+++ b/packages/platform/src/node/upstream/hopByHop.ts
@@ -1,10 +1,9 @@
 /** Headers that concern one connection only (RFC 9110, section 7.6.1) and are never passed on. */
+import { HOP_BY_HOP_HEADERS } from '@umberspar/steering/common/request/headers'
 import type { HeaderMap } from './attempt.js'
 
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization',
-  'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
-])
+/** Trailers are not passed on; `Expect` was answered by our listener, and undici refuses it. */
+const NEVER_SENT: ReadonlySet<string> = new Set([...HOP_BY_HOP_HEADERS, 'trailer', 'expect'])
 
 function listNominated (headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
   const values = Object.entries(headers).flatMap(([name, value]) => name.toLowerCase() === 'connection' ? value ?? [] : [])
@@ -20,7 +19,7 @@
   const nominated = new Set(listNominated(headers))
   for (const [name, value] of Object.entries(headers)) {
     const key = name.toLowerCase()
-    if (value === undefined || HOP_BY_HOP.has(key) || nominated.has(key)) continue
+    if (value === undefined || NEVER_SENT.has(key) || nominated.has(key)) continue
     kept[key] = value
   }
   return kept
--- a/packages/platform/src/node/upstream/upstreamTransport.ts
+++ b/packages/platform/src/node/upstream/upstreamTransport.ts
@@ -22,7 +22,7 @@
 import type { TlsKeeper } from '../tls/tlsKeeper.js'
 import { removeHopByHop } from './hopByHop.js'
 import { WorkerConnections } from './workerConnections.js'
-import { WorkerProber } from './workerProbe.js'
+import { ProbeReader } from './workerProbe.js'
 
 export type { AttemptRequest, AttemptResponse, IUpstreamTransport, WorkerLimit, WorkerProbe } from './attempt.js'
 export { AttemptError, ProbeScope } from './attempt.js'
@@ -39,7 +39,7 @@
   private readonly workers = new Map<string, WorkerConnections>()
   private readonly clock: IClock
   private readonly tls: TlsKeeper | undefined
-  private readonly prober = new WorkerProber(this)
+  private readonly probes = new ProbeReader(this)
   private isClosed = false
 
   constructor (options: UndiciTransportOptions) {
@@ -77,7 +77,7 @@
   }
 
   probe (address: string, deadline: Deadline, scope: ProbeScope): Promise<Result<WorkerProbe, StepError>> {
-    return this.prober.fetch(address, deadline, scope)
+    return this.probes.fetch(address, deadline, scope)
   }
 
   /** Ends all connections at once; whoever stops gracefully lets its requests finish before. */
--- a/packages/platform/src/node/upstream/workerProbe.ts
+++ b/packages/platform/src/node/upstream/workerProbe.ts
@@ -52,8 +52,8 @@
   readonly value: T
 }
 
-/** Probes one worker over a transport. */
-export class WorkerProber {
+/** Reads a worker's endpoints over a transport; when to do so is its caller's matter. */
+export class ProbeReader {
   constructor (private readonly transport: Pick<IUpstreamTransport, 'send'>) {}
 
   /**
