--- a/packages/testing/src/node/measure/overloadMeasurement.ts
+++ b/packages/testing/src/node/measure/overloadMeasurement.ts
@@ -180,7 +180,8 @@
   const last = bounded.at(-1)
   const kept = Number(last?.['goodput/s']) / peak
   printLine(`goodput at 3 times the capacity is ${(100 * kept).toFixed(1)} % of its peak`)
-  if (kept < 0.9) return 'goodput fell below 90 % of its peak'
+  // Written so that a part that was not measured (NaN, too few seconds) fails too.
+  if (!(kept >= 0.9)) return 'goodput fell below 90 % of its peak, or was not measured'
   return Number(last?.['refused p99Ms']) > 50 ? 'refusals took more than 50 ms at p99' : undefined
 }
 
