Judge good requests in one place; drop an unused function

Cause: the daemon repeated isGoodRequest, which only its test used; buildJsonSchema had no caller. Change: the daemon calls it; buildJsonSchema goes. Conclusion: no change of behaviour.

--- a/packages/daemon/src/node/callers/requestHandler.ts
+++ b/packages/daemon/src/node/callers/requestHandler.ts
@@ -9,6 +9,7 @@
 import { findRoute, isIdempotent } from '@umberspar/steering/common/request/route'
 import type { Outcome } from '@umberspar/steering/common/state/outcome'
 import type { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
+import { isGoodRequest } from '@umberspar/steering/common/burn/burnReport'
 import { AnswerState, classifyExchange, SentState } from '@umberspar/steering/common/request/outcomeTable'
 import { MAX_ATTEMPTS } from '@umberspar/steering/common/request/requestFlow'
 import { AttemptError } from '@umberspar/platform/node/upstream/upstreamTransport'
@@ -206,10 +207,8 @@
 
   private record (context: RequestContext, isServed: boolean, startedAt: number): void {
     const now = this.parts.clock.now()
-    const elapsed = now - startedAt
-    const isGood = isServed && elapsed <= context.settings.objective.latencyMs
-    this.parts.burn.record(context.service, isGood, now)
-    this.parts.metrics.observe('request.latency', elapsed, { service: context.service })
+    this.parts.burn.record(context.service, isGoodRequest(context.settings.objective, isServed, startedAt, now), now)
+    this.parts.metrics.observe('request.latency', now - startedAt, { service: context.service })
   }
 }
 
--- a/packages/steering/src/common/configuration/configurationSchema.ts
+++ b/packages/steering/src/common/configuration/configurationSchema.ts
@@ -161,8 +161,3 @@
 export type RouteConfiguration = z.output<typeof route>
 /** The answer by which an upstream says that it did not run a request. */
 export type RefusalConfiguration = z.output<typeof refusal>
-
-/** The JSON Schema of the configuration, for editors; made from the same source. */
-export function buildJsonSchema (): object {
-  return z.toJSONSchema(configurationSchema, { io: 'input' })
-}
