--- a/packages/daemon/src/node/limits/loanKeeper.ts
+++ b/packages/daemon/src/node/limits/loanKeeper.ts
@@ -2,7 +2,7 @@
  * Asks peers for slots that they leave idle, and gives back what falls idle
  * here. Asking follows demand: a request that found no slot, or a place that is
  * nearly full. Rounds are spread by jitter and bounded in number, so that a
- * shortage everywhere does not turn into a storm of messages.
+ * shortage everywhere does not multiply the messages.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
