--- a/packages/daemon/src/node/limits/loanKeeper.ts
+++ b/packages/daemon/src/node/limits/loanKeeper.ts
@@ -2,7 +2,7 @@
  * Asks peers for slots that they leave idle, and gives back what falls idle
  * here. Asking follows demand: a request that found no slot, or a place that is
  * nearly full. Rounds are spread by jitter and bounded in number, so that a
- * shortage everywhere does not turn into a storm of messages.
+ * shortage everywhere does not multiply the messages.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
@@ -191,6 +191,9 @@
     const deadline = counted - (counted - sentAt) * CLOCK_RATE_MARGIN
     const { loanId, slots, connections } = answer
     pool.ledger.addLoan({ loanId, lender: lender.address, lenderId: lender.nodeId, slotKey: request.workerId, slots, connections, deadline, inUse: 0, isClosing: false })
+    // A lender lends no slots of a draining worker: an older word of a drain, which
+    // nobody would take back at a node that does not probe, is over.
+    pool.applyReady(request.workerId)
     const acceptedAt = this.parts.clock.now()
     this.usedAt.set(loanId, acceptedAt)
     this.closesAt.set(loanId, createDeadline(acceptedAt, USE_SPAN_MS))
