--- a/packages/daemon/src/node/places/borrowerWords.ts
+++ b/packages/daemon/src/node/places/drainReports.ts
@@ -10,14 +10,14 @@
 /** A drain that ended is passed on for so long, to those who borrow again. */
 const REMEMBERED_SPAN_MS = 60_000
 
-interface Word {
+interface KeptReport {
   report: WorkerReport
   forgetAt: Deadline
 }
 
-/** The newest word on each worker that drains or drained lately. */
-export class BorrowerWords {
-  private readonly words = new Map<string, Word>()
+/** The newest report of each worker that drains or drained lately. */
+export class DrainReports {
+  private readonly kept = new Map<string, KeptReport>()
 
   /**
    * Takes in a report, first-hand or from a peer.
@@ -26,13 +26,13 @@
    * @returns whether borrowers should hear of it at once
    */
   observe (report: WorkerReport, now: Instant): boolean {
-    const known = this.words.get(report.workerId)
+    const known = this.kept.get(report.workerId)
     if (known === undefined && !report.isDraining) return false
     if (known !== undefined && report.measuredAt <= known.report.measuredAt) return false
     // Only a probe tells that a drain is over; a load from an answer does not.
     if (known !== undefined && !report.isDraining && !report.isProbed) return false
     const isNews = known?.report.isDraining !== report.isDraining
-    this.words.set(report.workerId, { report, forgetAt: createDeadline(now, REMEMBERED_SPAN_MS) })
+    this.kept.set(report.workerId, { report, forgetAt: createDeadline(now, REMEMBERED_SPAN_MS) })
     return isNews
   }
 
@@ -43,8 +43,8 @@
    */
   listFor (isLent: (address: string) => boolean, now: Instant): WorkerReport[] {
     const reports: WorkerReport[] = []
-    for (const [address, { report, forgetAt }] of this.words) {
-      if (hasPassed(forgetAt, now)) this.words.delete(address)
+    for (const [address, { report, forgetAt }] of this.kept) {
+      if (hasPassed(forgetAt, now)) this.kept.delete(address)
       else if (isLent(address)) reports.push(report)
     }
     return reports
--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -9,7 +9,7 @@
 import { Emitter } from '@umberspar/base/common/event'
 import type { WorkerReport } from '@umberspar/steering/common/ports/peers'
 import type { WorkerState } from '@umberspar/steering/common/workers/workerState'
-import { BorrowerWords } from './borrowerWords.js'
+import { DrainReports } from './drainReports.js'
 import type { KnownWorker } from './placeDirectory.js'
 
 /** What is older says nothing that the receiver should act on. */
@@ -35,7 +35,7 @@
   private readonly toldByPeer = new Map<string, Map<string, WorkerReport>>()
   private readonly appliedAt = new Map<string, Instant>()
   private readonly didFind = new Emitter<readonly string[]>()
-  private readonly words = new BorrowerWords()
+  private readonly lentDrains = new DrainReports()
   private byAddress = new Map<string, KnownWorker[]>()
   private byPeer = new Map<string, KnownWorker[]>()
 
@@ -111,10 +111,10 @@
    */
   listFor (peerId: string): WorkerReport[] {
     const now = this.clock.now()
-    const words = this.words.listFor((address) => this.listBorrowers(address, now).includes(peerId), now)
+    const lentDrains = this.lentDrains.listFor((address) => this.listBorrowers(address, now).includes(peerId), now)
     const workers = this.byPeer.get(peerId) ?? []
     // No holder: it only borrows, or has nothing to do with any worker of ours.
-    if (workers.length === 0) return words.slice(0, MAX_REPORTS)
+    if (workers.length === 0) return lentDrains.slice(0, MAX_REPORTS)
     const told = this.toldByPeer.get(peerId) ?? new Map<string, WorkerReport>()
     this.toldByPeer.set(peerId, told)
     const due = workers.flatMap((worker) => this.listReports(worker, now)).filter((report) => isDue(report, told.get(getSource(report))))
@@ -154,7 +154,7 @@
   private apply (report: WorkerReport): void {
     for (const worker of this.byAddress.get(report.workerId) ?? []) this.applyTo(worker, report)
     const now = this.clock.now()
-    if (!this.words.observe(report, now)) return
+    if (!this.lentDrains.observe(report, now)) return
     const borrowers = this.listBorrowers(report.workerId, now)
     if (borrowers.length > 0) this.didFind.fire(borrowers)
   }
