Tell a holder of one worker of drains of others that it borrows

Cause: a peer that holds a part of any worker was sent no word of workers whose slots it borrows; in a region with several services nearly every peer holds some. Change: reports for a peer begin with the drains of what it borrows. Figures: the new test fails without the change and passes with it.

--- a/packages/daemon/src/node/places/workerReports.ts
+++ b/packages/daemon/src/node/places/workerReports.ts
@@ -112,17 +112,18 @@
   listFor (peerId: string): WorkerReport[] {
     const now = this.clock.now()
     const lentDrains = this.lentDrains.listFor((address) => this.listBorrowers(address, now).includes(peerId), now)
-    const workers = this.byPeer.get(peerId) ?? []
+    const workers = this.byPeer.get(peerId)
     // No holder: it only borrows, or has nothing to do with any worker of ours.
-    if (workers.length === 0) return lentDrains.slice(0, MAX_REPORTS)
+    if (workers === undefined) return lentDrains.slice(0, MAX_REPORTS)
     const told = this.toldByPeer.get(peerId) ?? new Map<string, WorkerReport>()
     this.toldByPeer.set(peerId, told)
     const due = workers.flatMap((worker) => this.listReports(worker, now)).filter((report) => isDue(report, told.get(getSource(report))))
     const getToldAt = (report: WorkerReport): Instant => told.get(getSource(report))?.measuredAt ?? -Infinity
     due.sort((left, right) => Number(isNotable(right)) - Number(isNotable(left)) || compareInstants(getToldAt(left), getToldAt(right)))
-    const chosen = due.slice(0, MAX_REPORTS)
+    // A holder of one worker may borrow another's slots: it is told of both.
+    const chosen = due.slice(0, Math.max(0, MAX_REPORTS - lentDrains.length))
     for (const report of chosen) told.set(getSource(report), report)
-    return chosen
+    return [...lentDrains.slice(0, MAX_REPORTS), ...chosen]
   }
 
   /** @returns what this node's own probes found last */
--- a/packages/daemon/test/node/places/workerReports.test.ts
+++ b/packages/daemon/test/node/places/workerReports.test.ts
@@ -151,6 +151,18 @@
     assert.equal(borrower.pool.table.get('w0')?.isDraining, false)
   })
 
+  // An entry VM holds a part of one worker and borrows another's slots from the
+  // same peer. Told only of what it holds, it would send to the other in its drain.
+  it('reach a peer that both holds a part of one worker and borrows another', () => {
+    const clock = new TickedClock()
+    const lender = buildNode('e1', ['e1', 'e2'], new FakeWorkers(), clock, SEED)
+    const known = Array.from({ length: 2 }, (_, index): KnownWorker => ({ workerId: `w${index}`, address: getAddress(index), pool: lender.pool, holders: index === 0 ? ['e1', 'e2'] : ['e1'] }))
+    lender.reports.update(known)
+    lender.pool.ledger.lend({ borrowerId: 'e2', loanId: 'l', workerId: lender.pool.getSlotKey('w1'), slots: 1, connections: 1, deadline: 30_000 }, clock.now(), 0)
+    lender.reports.record({ workerId: getAddress(1), utilization: 0, inFlight: 0, measuredAt: clock.now(), isDraining: true, isHealthy: false, isStarting: false, isProbed: true, hasLoad: false })
+    assert.deepEqual(lender.reports.listFor('e2').filter(({ isDraining }) => isDraining).map(({ workerId }) => workerId), [getAddress(1)])
+  })
+
   // Both probers of some workers have died. The others must not act on what those
   // told long ago, and an echo between the living must not keep it alive.
   it('are not passed on by those that only heard of them', async () => {
