Use one hand-moved clock in the daemon's tests

Cause: the same clock stood in three test files. Change: HandClock, which each extends by its way of moving; no assertion changed.

--- a/packages/daemon/test/node/places/workerReports.test.ts
+++ b/packages/daemon/test/node/places/workerReports.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { StepError, ErrorCode } from '@umberspar/base/common/errors'
-import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import type { IClock } from '@umberspar/base/common/clock'
 import { NULL_LOGGER } from '@umberspar/base/common/logger'
 import { SeededRandom } from '@umberspar/base/common/random'
 import { Err, Ok } from '@umberspar/base/common/result'
@@ -12,34 +12,16 @@
 import { PlacePool } from '../../../src/node/places/placePool.js'
 import { WorkerProber } from '../../../src/node/places/workerProber.js'
 import { WorkerReports } from '../../../src/node/places/workerReports.js'
+import { HandClock } from '../handClock.js'
 
 const SEED = 5
 const TICK_MS = 50
 const WORKERS = 40
 
-class TickedClock implements IClock {
-  private timers: Array<{ at: Instant, callback: () => void }> = []
-  private current: Instant = 0
-
-  now (): Instant {
-    return this.current
-  }
-
-  getWallTime (): number {
-    return this.current
-  }
-
-  schedule (at: Instant, callback: () => void): ITimer {
-    const timer = { at, callback }
-    this.timers.push(timer)
-    return { close: () => { this.timers = this.timers.filter((other) => other !== timer) } }
-  }
-
+class TickedClock extends HandClock {
   async step (): Promise<void> {
     this.current += TICK_MS
-    const due = this.timers.filter(({ at }) => at <= this.current)
-    this.timers = this.timers.filter(({ at }) => at > this.current)
-    for (const { callback } of due) callback()
+    this.runDue()
     for (let turn = 0; turn < 20; turn++) await Promise.resolve()
   }
 }
--- a/packages/daemon/test/node/plan/stepReporter.test.ts
+++ b/packages/daemon/test/node/plan/stepReporter.test.ts
@@ -1,38 +1,20 @@
 /** When nodes report their measurements to the plan's holder. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import type { Instant } from '@umberspar/base/common/clock'
 import { Emitter } from '@umberspar/base/common/event'
 import { NULL_LOGGER } from '@umberspar/base/common/logger'
 import type { PlanKeeper, ReachedPlan } from '../../../src/node/places/planKeeper.js'
 import { StepReporter } from '../../../src/node/plan/stepReporter.js'
+import { HandClock } from '../handClock.js'
 
 const SETTLE_MS = 500
 
-class SteppedClock implements IClock {
-  private timers: Array<{ at: Instant, callback: () => void }> = []
-  private current: Instant = 0
-
-  now (): Instant {
-    return this.current
-  }
-
-  getWallTime (): number {
-    return this.current
-  }
-
-  schedule (at: Instant, callback: () => void): ITimer {
-    const timer = { at, callback }
-    this.timers.push(timer)
-    return { close: () => { this.timers = this.timers.filter((other) => other !== timer) } }
-  }
-
+class SteppedClock extends HandClock {
   stepTo (until: Instant): void {
     while (this.current < until) {
       this.current++
-      const due = this.timers.filter(({ at }) => at <= this.current)
-      this.timers = this.timers.filter(({ at }) => at > this.current)
-      for (const { callback } of due) callback()
+      this.runDue()
     }
   }
 }
--- a/packages/daemon/test/node/stop/stop.test.ts
+++ b/packages/daemon/test/node/stop/stop.test.ts
@@ -1,34 +1,18 @@
 /** The order of a stop, its deadlines, and what ends it early. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import type { Instant } from '@umberspar/base/common/clock'
 import { type ILogger, type LogContext, LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
 import { DaemonStop, StopStepName, type StopTarget } from '../../../src/node/stop/daemonStop.js'
 import { LookupLifetime } from '../../../src/node/stop/lookupLifetime.js'
 import { StopSequence, StopStepEnd } from '../../../src/node/stop/stopSequence.js'
+import { HandClock } from '../handClock.js'
 
 const CACHE_MS = 2000
 const MICROTASK_TURNS = 20
 
 /** A clock that jumps from timer to timer once all else has settled. */
-class JumpingClock implements IClock {
-  private readonly timers = new Set<{ at: Instant, callback: () => void }>()
-  private current: Instant = 0
-
-  now (): Instant {
-    return this.current
-  }
-
-  getWallTime (): number {
-    return this.current
-  }
-
-  schedule (at: Instant, callback: () => void): ITimer {
-    const timer = { at, callback }
-    this.timers.add(timer)
-    return { close: () => { this.timers.delete(timer) } }
-  }
-
+class JumpingClock extends HandClock {
   async runWhile (isRunning: () => boolean, until: Instant): Promise<void> {
     for (;;) {
       for (let turn = 0; turn < MICROTASK_TURNS; turn++) await Promise.resolve()
