--- a/packages/daemon/src/node/limits/lenderDirectory.ts
+++ b/packages/daemon/src/node/limits/lenderDirectory.ts
@@ -2,7 +2,7 @@
 import { listServiceEntries } from '@umberspar/steering/common/lookup/decideLookup'
 import type { ConfigurationKeeper } from '../configuration/configurationKeeper.js'
 import type { MemberDirectory } from '../members/memberDirectory.js'
-import { findRegion } from '../places/placeDirectory.js'
+import { findRegion } from '@umberspar/steering/common/configuration/findRegion'
 import type { PlaceKey } from '../places/placePool.js'
 
 /** A peer that owns a part of a place. */
@@ -42,8 +42,8 @@
 
   private find ({ service, failureDomain }: PlaceKey): Lender[] {
     const configuration = this.keeper.current?.body
-    if (configuration === undefined) return []
-    const region = findRegion(configuration, failureDomain)
+    const region = configuration === undefined ? undefined : findRegion(configuration, failureDomain)
+    if (configuration === undefined || region === undefined) return []
     const members = this.members.list()
     const candidates = members.map(({ vm }) => ({ nodeId: vm.vmId, region: vm.region, failureDomain: vm.failureDomain }))
     const owners = new Set(listServiceEntries(service, region, candidates, configuration.entriesPerRegion))
--- a/packages/daemon/src/node/operators/drainStatus.ts
+++ b/packages/daemon/src/node/operators/drainStatus.ts
@@ -1,6 +1,7 @@
 /** How far each drain of the configuration has come, as this node sees it. */
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
-import { findRegion, type PlaceDirectory } from '../places/placeDirectory.js'
+import { findRegion } from '@umberspar/steering/common/configuration/findRegion'
+import type { PlaceDirectory } from '../places/placeDirectory.js'
 import type { PlanKeeper } from '../places/planKeeper.js'
 
 /** What a drain takes out of use. */
--- a/packages/daemon/src/node/places/placeDirectory.ts
+++ b/packages/daemon/src/node/places/placeDirectory.ts
@@ -6,6 +6,7 @@
 import { Emitter } from '@umberspar/base/common/event'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
+import { findRegion } from '@umberspar/steering/common/configuration/findRegion'
 import type { SlotShare } from '@umberspar/steering/common/limits/divideSlots'
 import { computeProbeConnections } from '@umberspar/steering/common/limits/probeConnections'
 import { listServiceEntries, type LookupNode } from '@umberspar/steering/common/lookup/decideLookup'
@@ -97,7 +98,8 @@
       for (const [failureDomain, place] of Object.entries(settings.places)) {
         const pool = this.getOrCreate(service, failureDomain, settings.warmUpMs)
         kept.add(buildPlaceKey(service, failureDomain))
-        const holders = listServiceEntries(service, findRegion(configuration, failureDomain), roster, configuration.entriesPerRegion)
+        const region = findRegion(configuration, failureDomain)
+        const holders = region === undefined ? [] : listServiceEntries(service, region, roster, configuration.entriesPerRegion)
         for (const [workerId, { address }] of Object.entries(place.workers)) known.push({ workerId, address, pool, holders })
       }
     }
@@ -159,15 +161,3 @@
     }
   }
 }
-
-/**
- * @param configuration a checked configuration
- * @param failureDomain one of its failure domains
- * @returns the region it belongs to
- */
-export function findRegion (configuration: SteeringConfiguration, failureDomain: string): string {
-  for (const [region, settings] of Object.entries(configuration.regions)) {
-    if (settings.failureDomains.includes(failureDomain)) return region
-  }
-  return ''
-}
--- a/packages/steering/src/common/configuration/configurationRules.ts
+++ b/packages/steering/src/common/configuration/configurationRules.ts
@@ -4,6 +4,7 @@
 import { formatPrefixKey, parseClientPrefix } from '../lookup/clientPrefix.js'
 import { computePlaceCapacity, isPlaceDrained } from '../plan/placeCapacity.js'
 import type { ServiceConfiguration, SteeringConfiguration } from './configurationSchema.js'
+import { findRegion } from './findRegion.js'
 import type { ConfigurationProblem } from './validateConfiguration.js'
 import { isReservedName } from './reservedNames.js'
 
@@ -16,11 +17,6 @@
   return { path, expected, message: `expected ${expected}, but ${found}` }
 }
 
-function findRegionOf (configuration: SteeringConfiguration, failureDomain: string): string | undefined {
-  const regions = Object.entries(configuration.regions)
-  return regions.find(([, region]) => region.failureDomains.includes(failureDomain))?.[0]
-}
-
 /** Values seen so far, with the path of each; tells of the first place where a value stands again. */
 class SeenValues {
   private readonly pathByValue = new Map<string, string>()
@@ -155,7 +151,7 @@
   const { drains, regions, services } = configuration
   const problems: ConfigurationProblem[] = []
   const checkDomain = (domain: string, path: string): void => {
-    if (findRegionOf(configuration, domain) === undefined) problems.push(createProblem(path, 'the name of a failure domain', `no region has '${domain}'`))
+    if (findRegion(configuration, domain) === undefined) problems.push(createProblem(path, 'the name of a failure domain', `no region has '${domain}'`))
   }
   drains.failureDomains.forEach((domain, index) => checkDomain(domain, `drains.failureDomains.${index}`))
   drains.regions.forEach((region, index) => {
@@ -179,7 +175,7 @@
   for (const [name, service] of Object.entries(configuration.services)) {
     const usable = Object.entries(service.places).filter(([, place]) => computePlaceCapacity(place) > 0)
     const left = usable.filter(([domain]) => {
-      const region = findRegionOf(configuration, domain)
+      const region = findRegion(configuration, domain)
       return region !== undefined && !isPlaceDrained(configuration, name, region, domain)
     })
     if (left.length > 0) continue
@@ -197,7 +193,7 @@
 function listServingRegions (configuration: SteeringConfiguration, name: string): string[] {
   const places = Object.entries(configuration.services[name]?.places ?? {})
   return places.flatMap(([domain, place]) => {
-    const region = findRegionOf(configuration, domain)
+    const region = findRegion(configuration, domain)
     const isServing = region !== undefined && computePlaceCapacity(place) > 0 && !isPlaceDrained(configuration, name, region, domain)
     return isServing ? [region] : []
   })
