Rename packages/platform to packages/adapters

The users' platform gets a root folder platform/; two things of that name would be told apart by nobody.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,15 +7,15 @@
 import { builtinModules } from 'node:module'
 import functionVerbs from './scripts/lint/functionVerbs.mjs'
 
-const LAYERS = ['base', 'steering', 'platform', 'daemon', 'cli', 'testing']
+const LAYERS = ['base', 'steering', 'adapters', 'daemon', 'cli', 'testing']
 /** What each package may import from; base sees nothing, testing sees all. */
 const ALLOWED = {
   base: [],
   steering: ['base'],
-  platform: ['base', 'steering'],
-  daemon: ['base', 'steering', 'platform'],
-  cli: ['base', 'steering', 'platform'],
-  testing: ['base', 'steering', 'platform', 'daemon', 'cli']
+  adapters: ['base', 'steering'],
+  daemon: ['base', 'steering', 'adapters'],
+  cli: ['base', 'steering', 'adapters'],
+  testing: ['base', 'steering', 'adapters', 'daemon', 'cli']
 }
 
 const nodeBuiltins = [...builtinModules, ...builtinModules.map((name) => `node:${name}`)]
--- a/packages/cli/src/node/clientTls.ts
+++ b/packages/cli/src/node/clientTls.ts
@@ -3,7 +3,7 @@
 import type { IClock } from '@umberspar/base/common/clock'
 import type { StepError } from '@umberspar/base/common/errors'
 import { Ok, type Result } from '@umberspar/base/common/result'
-import { loadTlsMaterial, toContextOptions } from '@umberspar/platform/node/tls/tlsMaterial'
+import { loadTlsMaterial, toContextOptions } from '@umberspar/adapters/node/tls/tlsMaterial'
 import { UsageError } from '../common/operatorError.js'
 
 /** Paths of PEM files, as given. */
--- a/packages/daemon/src/node/listener/requestGate.ts
+++ b/packages/daemon/src/node/listener/requestGate.ts
@@ -4,7 +4,7 @@
  * has refused the rest: both Content-Length and Transfer-Encoding, repeated or
  * malformed lengths, folded fields, bad chunks, bare CR or LF.
  */
-import type { ListenerLimits } from '@umberspar/platform/node/settings/listenerSettings'
+import type { ListenerLimits } from '@umberspar/adapters/node/settings/listenerSettings'
 import type { IncomingMessage } from 'node:http'
 
 const ABSOLUTE_FORM = /^https?:\/\/[^/?#]*/i
--- a/packages/daemon/src/node/operators/operatorViews.ts
+++ b/packages/daemon/src/node/operators/operatorViews.ts
@@ -2,7 +2,7 @@
 import type { IClock } from '@umberspar/base/common/clock'
 import { createDeadline } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import type { DaemonParts } from '../daemonParts.js'
 import { computeMemberState, type Member } from '../members/memberDirectory.js'
--- a/packages/daemon/src/node/request/classifyAnswer.ts
+++ b/packages/daemon/src/node/request/classifyAnswer.ts
@@ -1,7 +1,7 @@
 /** Maps what the transport reports to the rows and columns of the outcome table. */
 import { ErrorCode } from '@umberspar/base/common/errors'
 import type { Instant } from '@umberspar/base/common/clock'
-import type { AttemptError } from '@umberspar/platform/node/upstream/upstreamTransport'
+import type { AttemptError } from '@umberspar/adapters/node/upstream/upstreamTransport'
 import type { RefusalConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import { AnswerState, classifyExchange, SentState } from '@umberspar/steering/common/request/outcomeTable'
 import type { Outcome } from '@umberspar/steering/common/state/outcome'
--- a/packages/daemon/src/node/request/requestEnds.ts
+++ b/packages/daemon/src/node/request/requestEnds.ts
@@ -1,6 +1,6 @@
 /** How a request can end: with an upstream's answer, or without one. */
 import type { StepError } from '@umberspar/base/common/errors'
-import type { AttemptResponse } from '@umberspar/platform/node/upstream/upstreamTransport'
+import type { AttemptResponse } from '@umberspar/adapters/node/upstream/upstreamTransport'
 import type { Outcome } from '@umberspar/steering/common/state/outcome'
 
 /** How the body of an upstream's answer ended. */
--- a/packages/daemon/src/node/tls/daemonTls.ts
+++ b/packages/daemon/src/node/tls/daemonTls.ts
@@ -7,9 +7,9 @@
 import type { ILogger } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
 import { Ok, type Result } from '@umberspar/base/common/result'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
-import { TlsKeeper } from '@umberspar/platform/node/tls/tlsKeeper'
-import type { TlsFiles } from '@umberspar/platform/node/tls/tlsMaterial'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
+import { TlsKeeper } from '@umberspar/adapters/node/tls/tlsKeeper'
+import type { TlsFiles } from '@umberspar/adapters/node/tls/tlsMaterial'
 
 const DEFAULT_REREAD_MS = 60_000
 /** Many VMs get their files renewed at once; their reads and handshakes spread out. */
--- a/packages/daemon/test/node/listener/httpListener.test.ts
+++ b/packages/daemon/test/node/listener/httpListener.test.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { afterEach, describe, test } from 'node:test'
 import { CloseStack } from '@umberspar/base/common/closing'
-import { DEFAULT_LISTENER_LIMITS, type ListenerLimits } from '@umberspar/platform/node/settings/listenerSettings'
+import { DEFAULT_LISTENER_LIMITS, type ListenerLimits } from '@umberspar/adapters/node/settings/listenerSettings'
 import { HttpListener, type HttpListenerOptions } from '../../../src/node/httpListener.js'
 import { exchangeRaw, openSocket, readAnswer } from './rawExchange.js'
 
--- a/packages/testing/src/node/deployment/deploymentFiles.ts
+++ b/packages/testing/src/node/deployment/deploymentFiles.ts
@@ -2,7 +2,7 @@
 import { readFile } from 'node:fs/promises'
 import { fileURLToPath } from 'node:url'
 import type { LogLevel } from '@umberspar/base/common/logger'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import type { DeploymentName } from '../../common/load/mixes.js'
 import { loadEntrySettings } from '../standIns/entrySettings.js'
 import { findFreeAddresses } from './freeAddresses.js'
--- a/packages/testing/src/node/deployment/regionalNetwork.ts
+++ b/packages/testing/src/node/deployment/regionalNetwork.ts
@@ -5,7 +5,7 @@
  */
 import type { IClosable } from '@umberspar/base/common/closing'
 import { CloseStack } from '@umberspar/base/common/closing'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import type { VmEntry } from '@umberspar/steering/common/ports/vmList'
 import { buildEntryVm } from '../standIns/entrySettings.js'
 import { TcpRelay } from '../standIns/tcpRelay.js'
--- a/packages/testing/src/node/measure/childDaemon.ts
+++ b/packages/testing/src/node/measure/childDaemon.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IClock } from '@umberspar/base/common/clock'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import { ChildProgram } from './childProgram.js'
 import { waitUntilDaemonReady } from './daemonReadiness.js'
 
--- a/packages/testing/src/node/measure/childPlatform.ts
+++ b/packages/testing/src/node/measure/childPlatform.ts
@@ -4,7 +4,7 @@
  */
 import type { IClosable } from '@umberspar/base/common/closing'
 import { LogLevel } from '@umberspar/base/common/logger'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import type { DeploymentName } from '../../common/load/mixes.js'
 import { addPlatform, loadDeploymentFiles } from '../deployment/deploymentFiles.js'
--- a/packages/testing/src/node/measure/daemonReadiness.ts
+++ b/packages/testing/src/node/measure/daemonReadiness.ts
@@ -1,7 +1,7 @@
 /** Asks a daemon, over its operators' listener, whether it is ready. */
 import type { IClock } from '@umberspar/base/common/clock'
 import { createDeadline } from '@umberspar/base/common/deadline'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import { request } from 'undici'
 import { waitForCondition } from '../load/polling.js'
 
--- a/packages/testing/src/node/measure/faults/daemonFleet.ts
+++ b/packages/testing/src/node/measure/faults/daemonFleet.ts
@@ -2,7 +2,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IClock } from '@umberspar/base/common/clock'
 import { createDeadline } from '@umberspar/base/common/deadline'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import { OperatorCalls } from '../../deployment/operatorCalls.js'
 import { waitForCondition } from '../../load/polling.js'
 import { ChildDaemon } from '../childDaemon.js'
--- a/packages/testing/src/node/measure/lookupMeasurement.ts
+++ b/packages/testing/src/node/measure/lookupMeasurement.ts
@@ -1,6 +1,6 @@
 /** How many look-ups one daemon answers on one core, over HTTP keep-alive, and the decision alone. */
 import { CloseStack } from '@umberspar/base/common/closing'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import { SeededRandom } from '@umberspar/base/common/random'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
--- a/packages/testing/src/node/standIns/entrySettings.ts
+++ b/packages/testing/src/node/standIns/entrySettings.ts
@@ -1,8 +1,8 @@
 /** The entry VMs of a deployment, read from its daemons' settings files. */
 import { readdir, readFile } from 'node:fs/promises'
 import { join } from 'node:path'
-import { validateDaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
-import type { DaemonSettings } from '@umberspar/platform/node/settings/daemonSettings'
+import { validateDaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import type { VmEntry } from '@umberspar/steering/common/ports/vmList'
 import { VmRole, VmState } from '@umberspar/steering/common/ports/vmList'
 
--- a/packages/testing/src/node/standIns/initialConfiguration.ts
+++ b/packages/testing/src/node/standIns/initialConfiguration.ts
@@ -2,8 +2,8 @@
 import { computeDigest, encodeCanonical } from '@umberspar/steering/common/configuration/canonicalJson'
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
 import type { ConfigurationHead } from '@umberspar/steering/common/configuration/versionedConfiguration'
-import { Compare_CompareResult as CompareResult, Compare_CompareTarget as CompareTarget } from '@umberspar/platform/node/generated/etcd/rpc'
-import type { RequestOp } from '@umberspar/platform/node/generated/etcd/rpc'
+import { Compare_CompareResult as CompareResult, Compare_CompareTarget as CompareTarget } from '@umberspar/adapters/node/generated/etcd/rpc'
+import type { RequestOp } from '@umberspar/adapters/node/generated/etcd/rpc'
 import type { KeyValueState } from './keyValue/keyValueState.js'
 
 const CHUNK_BYTES = 524_288
--- a/packages/testing/src/node/standIns/keyValue/comparison.ts
+++ b/packages/testing/src/node/standIns/keyValue/comparison.ts
@@ -1,6 +1,6 @@
 /** The conditions of a transaction: every target and result of the published API. */
-import { Compare_CompareResult as CompareResult, Compare_CompareTarget as CompareTarget } from '@umberspar/platform/node/generated/etcd/rpc'
-import type { Compare, KeyValue } from '@umberspar/platform/node/generated/etcd/rpc'
+import { Compare_CompareResult as CompareResult, Compare_CompareTarget as CompareTarget } from '@umberspar/adapters/node/generated/etcd/rpc'
+import type { Compare, KeyValue } from '@umberspar/adapters/node/generated/etcd/rpc'
 
 /** Below zero, zero or above zero, as the stored side is less than, equal to or greater than the given one. */
 type Ordering = number
--- a/packages/testing/src/node/standIns/keyValue/transactionCheck.ts
+++ b/packages/testing/src/node/standIns/keyValue/transactionCheck.ts
@@ -1,5 +1,5 @@
 /** What the key-value service refuses in a transaction before it looks at any key. */
-import type { PutRequest, RequestOp, TxnRequest } from '@umberspar/platform/node/generated/etcd/rpc'
+import type { PutRequest, RequestOp, TxnRequest } from '@umberspar/adapters/node/generated/etcd/rpc'
 import type { CallRefusal } from './callRefusal.js'
 import { createInvalid } from './callRefusal.js'
 import { buildKeyRange, isInRange, toKeyName } from './keyRange.js'
--- a/packages/testing/src/node/standIns/keyValue/watchStream.ts
+++ b/packages/testing/src/node/standIns/keyValue/watchStream.ts
@@ -2,7 +2,7 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
-import type { Event, WatchCreateRequest, WatchRequest, WatchResponse } from '@umberspar/platform/node/generated/etcd/rpc'
+import type { Event, WatchCreateRequest, WatchRequest, WatchResponse } from '@umberspar/adapters/node/generated/etcd/rpc'
 import type { CallRefusal } from './callRefusal.js'
 import { toServiceError } from './callRefusal.js'
 import type { KeyRange } from './keyRange.js'
--- a/packages/testing/test/node/hardening/tlsKeeper.test.ts
+++ b/packages/testing/test/node/hardening/tlsKeeper.test.ts
@@ -5,7 +5,7 @@
 import { ErrorCode } from '@umberspar/base/common/errors'
 import type { ILogger, LogContext, LogLevel } from '@umberspar/base/common/logger'
 import { SystemClock } from '@umberspar/base/node/systemClock'
-import { TlsKeeper } from '@umberspar/platform/node/tls/tlsKeeper'
+import { TlsKeeper } from '@umberspar/adapters/node/tls/tlsKeeper'
 import { CertificateFiles, TestAuthority } from '../../../src/node/tls/testCertificates.js'
 
 const clock = new SystemClock()
--- a/packages/testing/test/node/standIns/keyValueStandIn.test.ts
+++ b/packages/testing/test/node/standIns/keyValueStandIn.test.ts
@@ -6,8 +6,8 @@
 import {
   Compare_CompareResult as CompareResult, Compare_CompareTarget as CompareTarget, Event_EventType as EventType,
   KVClient, LeaseClient, WatchClient
-} from '@umberspar/platform/node/generated/etcd/rpc'
-import type { Compare, LeaseGrantResponse, RangeResponse, RequestOp, TxnRequest, TxnResponse, WatchRequest, WatchResponse } from '@umberspar/platform/node/generated/etcd/rpc'
+} from '@umberspar/adapters/node/generated/etcd/rpc'
+import type { Compare, LeaseGrantResponse, RangeResponse, RequestOp, TxnRequest, TxnResponse, WatchRequest, WatchResponse } from '@umberspar/adapters/node/generated/etcd/rpc'
 import { ManualClock } from '../../../src/common/manualClock.js'
 import { KeyValueStandIn } from '../../../src/node/standIns/keyValueStandIn.js'
 
