Refuse nothing for unlearned work; give new workers their first request

Cause: a route's first estimate of its work is derived from its goal. Ruled out: routing and configuration age, both right in the log lines of the refused requests. New workers got nothing because every object was at hand elsewhere.

--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -68,7 +68,7 @@
     const now = clock.now()
     const choice = this.choose(now)
     if (choice === undefined) return this.endWithoutAnswer(EndReason.NoWorker)
-    if (choice.value < LEAST_WORTH && now + choice.expectedMs > this.latestAt) return this.endWithoutAnswer(EndReason.TooLate, choice)
+    if (this.isTooLate(choice, now)) return this.endWithoutAnswer(EndReason.TooLate, choice)
     if (this.sent === 0) view.readRepeats(this.service).recordFirst(now)
     else if (!view.readRepeats(this.service).take(now)) return this.endWithoutAnswer(EndReason.RepeatsSpent, choice)
     this.logOffer(choice, now)
@@ -83,6 +83,11 @@
     this.current.start()
   }
 
+  private isTooLate ({ value, expectedMs, waitMs }: Choice, now: Instant): boolean {
+    const { isLearned } = this.context.view.readWork(this.request.route, this.service)
+    return value < LEAST_WORTH && now + (isLearned ? expectedMs : waitMs) > this.latestAt
+  }
+
   private choose (now: Instant): Choice | undefined {
     const { view, byteCosts } = this.context
     const { route, body, arrivedAt } = this.request
@@ -214,6 +219,7 @@
       worker: tracker.entry.id,
       domain: tracker.entry.domain,
       rank,
+      isWarm: candidate.isWarm,
       offer: this.tried.size + 1,
       expectedMs,
       waitMs,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -12,6 +12,8 @@
   readonly domain: string
   /** The worker's place in the ranking for the request's object. */
   readonly rank: number
+  /** Whether it was believed to have the object at hand. */
+  readonly isWarm: boolean
   readonly offer: number
   readonly expectedMs: number
   readonly waitMs: number
--- a/packages/steering/src/common/entry/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/chooseUpstream.ts
@@ -72,6 +72,12 @@
 const COST_PER_MS = 0.0002
 /** Worth lost for each place in the ranking: keeps objects at few workers while nothing else speaks against it. */
 const COST_PER_RANK = 0.02
+/**
+ * Worth added for a worker that this VM has sent nothing yet, if it is the first in
+ * the ranking: it keeps no objects, so by their expected time all requests would
+ * stay where their objects are, and a worker added for more room would give none.
+ */
+const FIRST_REQUEST_BONUS = 1
 /** How much longer a cold worker takes. */
 const COLD_WORKER_FACTOR = 2
 const BYTES_PER_KB = 1_000
@@ -108,7 +114,8 @@
   const atAll = estimateChance(expectedMs, need.latestAt - now)
   const worth = (inTime + LATE_WORTH * Math.max(0, atAll - inTime)) * (1 - tracker.getFailure(now))
   const bytesCost = BYTE_COST[nearness](costs) * need.bytes / BYTES_PER_KB
-  const value = worth - bytesCost - COST_PER_MS * expectedMs - COST_PER_RANK * candidate.rank
+  const bonus = candidate.rank === 0 && tracker.sent === 0 ? FIRST_REQUEST_BONUS : 0
+  const value = worth + bonus - bytesCost - COST_PER_MS * expectedMs - COST_PER_RANK * candidate.rank
   return { candidate, expectedMs, waitMs, value }
 }
 
--- a/packages/steering/src/common/entry/workEstimate.ts
+++ b/packages/steering/src/common/entry/workEstimate.ts
@@ -11,6 +11,8 @@
 const FIRST_COLD_PART = 1.2
 /** The same for an object that the worker handled lately. */
 const FIRST_WARM_PART = 0.45
+/** So many answers make an estimate. */
+const LEARNED_ANSWERS = 10
 /** A single answer moves the estimate by no more than this factor; one frozen worker must not spoil it. */
 const MOST_FACTOR = 3
 
@@ -19,6 +21,7 @@
   private coldMs: number
   private warmMs: number
   private bytes = 0
+  private answers = 0
 
   /** @param route the route whose goal gives the first estimate */
   constructor (route: RoutePolicy) {
@@ -34,6 +37,15 @@
     return isWarm ? this.warmMs : this.coldMs
   }
 
+  /**
+   * Before, a request must not be refused for how long its work might take: it
+   * would never be learned that it takes less.
+   * @returns whether enough answers came to rely on
+   */
+  get isLearned (): boolean {
+    return this.answers >= LEARNED_ANSWERS
+  }
+
   /** @returns the bytes of an answer, on average */
   getBytes (): number {
     return this.bytes
@@ -45,6 +57,7 @@
    * @param bytes the answer's length
    */
   observe (isWarm: boolean, workMs: number, bytes: number): void {
+    this.answers++
     this.bytes += GAIN * (bytes - this.bytes)
     const known = this.getWork(isWarm)
     const bounded = Math.min(known * MOST_FACTOR, Math.max(1, workMs))
