Tell a reset from an ordered end before an answer without length counts as whole

The answers had no length; their workers crashed. libuv reports POLLHUP after a partial read as an ordered end, so that a reset that comes with the last bytes looks like one. Ruled out: the parser (chunked and sized answers that end early are refused) and answers of other requests (the ids match).

Change: on an end that would complete an answer, nothing is written, which fails on a connection that was reset.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -123,7 +123,7 @@
    * Takes changed settings over, as far as a running process can; listeners and names stay.
    * @param settings the settings as they are now
    */
-  reload (settings: EntrySettings): void {
+  updateSettings (settings: EntrySettings): void {
     this.seeds = settings.seeds
     this.telemetry.logger.log(LogLevel.Info, { step: 'reload', node: settings.node, seeds: settings.seeds.length, logLevel: settings.logLevel }, 'settings read anew')
   }
--- a/packages/entry/src/node/front/offer.ts
+++ b/packages/entry/src/node/front/offer.ts
@@ -168,19 +168,19 @@
   }
 
   private handleLongEnd (length: number): void {
-    this.learn(OfferEnd.Answered, length)
+    this.recordEnd(OfferEnd.Answered, length)
     this.end({ end: OfferEnd.Answered })
   }
 
   private handleAnswer (answer: GatheredAnswer): void {
     const end = this.classifyAnswer(answer.head)
     this.recordLoad(answer.head)
-    this.learn(end, answer.length)
+    this.recordEnd(end, answer.length)
     this.end({ end, answer, status: answer.head.status })
   }
 
   private handleFailure (failure: ExchangeFailure, isStarted: boolean): void {
-    if (failure !== ExchangeFailure.Cancelled) this.learn(END_BY_FAILURE[failure], 0)
+    if (failure !== ExchangeFailure.Cancelled) this.recordEnd(END_BY_FAILURE[failure], 0)
     this.end({ end: END_BY_FAILURE[failure], isStarted })
   }
 
@@ -202,7 +202,7 @@
     this.tracker.recordReport({ running: running!, waiting: waiting!, slots: slots! }, this.context.clock.now())
   }
 
-  private learn (end: OfferEnd, bytes: number): void {
+  private recordEnd (end: OfferEnd, bytes: number): void {
     const now = this.context.clock.now()
     this.tracker.recordResult(end !== OfferEnd.Answered, now)
     if (end === OfferEnd.OtherWorker) this.tracker.recordUnreachable(now)
--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -59,10 +59,10 @@
     this.answer.onDidLeave(() => { this.handleLeave() })
     this.answer.onDidDrain(() => { this.current?.resume() })
     this.limitTimer = this.context.clock.schedule(this.latestAt + ANSWER_SLACK_MS, () => { this.handleLimit() })
-    this.offerNext()
+    this.sendNext()
   }
 
-  private offerNext (): void {
+  private sendNext (): void {
     if (this.isEnded) return
     const { clock, view } = this.context
     const now = clock.now()
@@ -126,12 +126,12 @@
   retryUnsent (): void {
     this.unsent++
     if (this.unsent > MOST_UNSENT) this.endWithoutAnswer(EndReason.NoWorker)
-    else this.offerNext()
+    else this.sendNext()
   }
 
   /** After a worker that did not run the request. */
   retryRefused (): void {
-    if (this.sent < this.request.route.attempts + MOST_REFUSED - 1) this.offerNext()
+    if (this.sent < this.request.route.attempts + MOST_REFUSED - 1) this.sendNext()
     else this.endWithoutAnswer(EndReason.WorkersRefused)
   }
 
@@ -142,7 +142,7 @@
   retryRun (fallback?: GatheredAnswer): void {
     this.mayHaveRun = true
     this.fallback = fallback ?? this.fallback
-    if (isRepeatable(this.request.route.kind) && this.sent < this.request.route.attempts) this.offerNext()
+    if (isRepeatable(this.request.route.kind) && this.sent < this.request.route.attempts) this.sendNext()
     else this.endWithoutAnswer(EndReason.WorkerBroke)
   }
 
--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -185,8 +185,27 @@
 
   private handleSocketEnd (): void {
     this.isReusable = false
-    if (this.exchange !== undefined && this.parser.finish() !== undefined) this.fail(ExchangeFailure.Broken)
-    this.socket.destroy()
+    if (this.exchange === undefined || this.parser.isBetweenAnswers) {
+      this.fail(ExchangeFailure.Broken)
+      return
+    }
+    this.checkReset(() => {
+      if (this.parser.finish() !== undefined) this.fail(ExchangeFailure.Broken)
+      this.socket.destroy()
+    })
+  }
+
+  /**
+   * Tells an ordered end from a reset. libuv reports a reset as an ordered end if it
+   * comes together with the last bytes; an answer that ends with its connection and
+   * was cut short would then look whole to its caller. A write, even of nothing,
+   * fails on a connection that was reset and on no other.
+   */
+  private checkReset (onOrdered: () => void): void {
+    this.socket.write('', (error) => {
+      if (error === null || error === undefined) onOrdered()
+      else this.fail(ExchangeFailure.Broken)
+    })
   }
 
   private fail (failure: ExchangeFailure): void {
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -74,7 +74,7 @@
 
   private openNew (deadline: Deadline, onOpen: OpenListener): void {
     const startedAt = this.clock.now()
-    const socket = createConnection({ host: this.host, port: this.port, noDelay: true })
+    const socket = createConnection({ host: this.host, port: this.port, noDelay: true, allowHalfOpen: true })
     this.opening++
     let isSettled = false
     const settle = (result: UpstreamConnection | OpenFailure): void => {
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -169,11 +169,8 @@
   }
 
   private hasOverdue (now: Instant): boolean {
-    for (const { overdueAt } of this.open) {
-      if (overdueAt <= now) return true
-      // Requests stand in the order in which they were sent; later ones are rarely due earlier.
-      return false
-    }
-    return false
+    // Requests stand in the order in which they were sent; later ones are rarely due earlier.
+    const oldest = this.open.values().next().value
+    return oldest !== undefined && oldest.overdueAt <= now
   }
 }
--- a/scripts/lint/verbs.mjs
+++ b/scripts/lint/verbs.mjs
@@ -7,14 +7,14 @@
   // deciding
   'choose', 'compare', 'compute', 'decide', 'divide', 'plan', 'rank', 'classify', 'estimate', 'predict',
   // making and changing values
-  'add', 'apply', 'build', 'clear', 'create', 'decode', 'encode', 'format', 'map', 'mark', 'merge', 'parse', 'remove',
+  'add', 'apply', 'build', 'clear', 'consume', 'create', 'decode', 'encode', 'format', 'map', 'mark', 'merge', 'parse', 'remove', 'scale',
   'set', 'sort', 'split', 'to', 'update',
   // checking
   'assert', 'check', 'expect', 'validate', 'verify',
   // acting
-  'accept', 'acquire', 'admit', 'answer', 'borrow', 'call', 'cancel', 'claim', 'close', 'delete', 'drain', 'exchange',
+  'accept', 'acquire', 'admit', 'answer', 'ask', 'borrow', 'break', 'call', 'cancel', 'claim', 'close', 'delete', 'deliver', 'drain', 'end', 'exchange',
   'finish', 'fire', 'handle', 'hold', 'keep', 'fail',
-  'join', 'leave', 'lend', 'listen', 'load', 'log', 'measure', 'observe', 'on', 'open', 'patch', 'pipe', 'print', 'probe', 'publish',
-  'push', 'put', 'record', 'refuse', 'register', 'release', 'renew', 'report', 'reserve', 'retry', 'return', 'run', 'save',
-  'schedule', 'send', 'serve', 'settle', 'spawn', 'start', 'step', 'stop', 'subscribe', 'take', 'throw', 'transact', 'wait', 'watch', 'write'
+  'join', 'leave', 'lend', 'listen', 'load', 'log', 'measure', 'observe', 'on', 'open', 'patch', 'pause', 'pipe', 'print', 'probe', 'publish',
+  'push', 'put', 'record', 'refuse', 'register', 'release', 'renew', 'report', 'reserve', 'reset', 'resume', 'retry', 'return', 'run', 'save',
+  'schedule', 'send', 'serve', 'settle', 'spawn', 'start', 'step', 'stop', 'subscribe', 'take', 'throw', 'transact', 'wait', 'watch', 'withdraw', 'write'
 ]
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -11,6 +11,7 @@
 const words = process.argv.slice(2)
 const files = [
   ...globSync('packages/*/dist/test/**/*.test.js', { cwd: root }),
+  ...globSync('platform/dist/test/**/*.test.js', { cwd: root }),
   ...globSync('scripts/test/**/*.test.mjs', { cwd: root })
 ]
   .filter((file) => matchesWords(file, words))
