Weigh what a request costs others: keep objects where they are at hand

Each object went to four workers or more (2,900 of 6,300 offers to workers without it at hand): choosing the soonest answer for one request spilled it to a worker that works three times as long and pushes another object out, which slows all. Ruled out: admission (refusals came later than the slowness), and the even shares (workers' means differed by 1.2 to 1.8 only).

Change: a candidate without the object pays for what it takes from others, more the busier the service is; a place in the ranking costs more than the usual answer's bytes; the wait's uncertainty counts; near workers may get up to 1.3 times their even part.

--- a/packages/entry/src/node/beliefs/beliefKeeper.ts
+++ b/packages/entry/src/node/beliefs/beliefKeeper.ts
@@ -102,12 +102,12 @@
   private apply (changes: readonly RecordChange[]): void {
     const now = this.clock.now()
     for (const change of changes) {
-      for (const event of this.view.apply(change, now)) this.tell(event)
+      for (const event of this.view.apply(change, now)) this.logEvent(event)
     }
     this.scheduleHeld()
   }
 
-  private tell (event: ViewEvent): void {
+  private logEvent (event: ViewEvent): void {
     this.telemetry.metrics.countChange(event.change)
     this.telemetry.logger.log(LogLevel.Info, { step: 'update-view', ...event }, 'the view changed')
     this.onChange(event)
--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -92,8 +92,9 @@
     const { view, byteCosts } = this.context
     const { route, body, arrivedAt } = this.request
     const work = view.readWork(route, this.service)
-    const candidates = view.readRoster(this.service).listCandidates({ route, key: this.key, tried: this.tried }, work, view.evacuated, now)
-    const need = { now, goalAt: arrivedAt + route.goalMs, latestAt: this.latestAt, bytes: body.length + work.getBytes() }
+    const roster = view.readRoster(this.service)
+    const candidates = roster.listCandidates({ route, key: this.key, tried: this.tried }, work, view.evacuated, now)
+    const need = { now, goalAt: arrivedAt + route.goalMs, latestAt: this.latestAt, bytes: body.length + work.getBytes(), busyness: roster.getBusyness(now) }
     return chooseUpstream(candidates, need, byteCosts)
   }
 
--- a/packages/steering/src/common/entry/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/chooseUpstream.ts
@@ -48,6 +48,8 @@
   readonly latestAt: Deadline
   /** Of request and answer together. */
   readonly bytes: number
+  /** How busy the service is: 0 with slots to spare, 1 with none. */
+  readonly busyness: number
 }
 
 /** The candidate chosen, with what spoke for it. */
@@ -66,12 +68,25 @@
  * fifth; the order of candidates hardly depends on it.
  */
 const LATE_WORTH = 0.2
-/** Answers spread around their expectation by about this part of it. */
-const SPREAD = 0.12
+/** Answers spread around their expectation by about this part of their work. */
+const WORK_SPREAD = 0.12
+/** The same for the wait, of which a VM sees only its own requests and what workers last told. */
+const WAIT_SPREAD = 0.35
 /** Worth lost for each millisecond in time: of two that answer in time the quicker leaves more room for others. */
 const COST_PER_MS = 0.0002
-/** Worth lost for each place in the ranking: keeps objects at few workers while nothing else speaks against it. */
-const COST_PER_RANK = 0.02
+/**
+ * Worth lost for each place in the ranking. Above what the bytes of a usual answer
+ * cost between regions: else all objects of a region with few workers would go to
+ * these, more than they can keep at hand, and each would be worked on anew each time.
+ */
+const COST_PER_RANK = 0.08
+/**
+ * Worth lost by handing an object to a worker that does not have it at hand while
+ * another would: the work takes three times as long and pushes out another object.
+ * With free slots this hurts nobody; without any it takes the place of three requests.
+ */
+const IDLE_SPILL_COST = 0.1
+const BUSY_SPILL_COST = 0.6
 /**
  * Worth added for a worker that this VM has sent nothing yet, if it is the first in
  * the ranking: it keeps no objects, so by their expected time all requests would
@@ -89,8 +104,13 @@
 }
 
 /** The chance that an answer expected at one instant comes before another, by a logistic curve. */
-function estimateChance (expectedMs: number, limitMs: number): number {
-  return 1 / (1 + Math.exp((expectedMs - limitMs) / (SPREAD * Math.max(1, expectedMs))))
+function estimateChance (expectedMs: number, limitMs: number, spreadMs: number): number {
+  return 1 / (1 + Math.exp((expectedMs - limitMs) / spreadMs))
+}
+
+function computeSpillCost ({ rank, isWarm }: Candidate, busyness: number): number {
+  if (isWarm || rank === 0) return 0
+  return IDLE_SPILL_COST + (BUSY_SPILL_COST - IDLE_SPILL_COST) * busyness
 }
 
 function estimateWait ({ tracker, meanWorkMs }: Candidate, slowness: number, now: Instant): number {
@@ -110,12 +130,14 @@
   const slowness = tracker.getSlowness(now) * (tracker.isCold(now) ? COLD_WORKER_FACTOR : 1)
   const waitMs = estimateWait(candidate, slowness, now)
   const expectedMs = candidate.roundTripMs + waitMs + candidate.workMs * slowness
-  const inTime = estimateChance(expectedMs, need.goalAt - now)
-  const atAll = estimateChance(expectedMs, need.latestAt - now)
+  const spreadMs = 1 + WORK_SPREAD * (expectedMs - waitMs) + WAIT_SPREAD * waitMs
+  const inTime = estimateChance(expectedMs, need.goalAt - now, spreadMs)
+  const atAll = estimateChance(expectedMs, need.latestAt - now, spreadMs)
   const worth = (inTime + LATE_WORTH * Math.max(0, atAll - inTime)) * (1 - tracker.getFailure(now))
   const bytesCost = BYTE_COST[nearness](costs) * need.bytes / BYTES_PER_KB
   const bonus = candidate.rank === 0 && tracker.sent === 0 ? FIRST_REQUEST_BONUS : 0
-  const value = worth + bonus - bytesCost - COST_PER_MS * expectedMs - COST_PER_RANK * candidate.rank
+  const spillCost = COST_PER_RANK * candidate.rank + computeSpillCost(candidate, need.busyness)
+  const value = worth + bonus - bytesCost - COST_PER_MS * expectedMs - spillCost
   return { candidate, expectedMs, waitMs, value }
 }
 
--- a/packages/steering/src/common/entry/placeShares.ts
+++ b/packages/steering/src/common/entry/placeShares.ts
@@ -23,6 +23,12 @@
 const OTHER_DOMAIN_PREFERENCE = 0.5
 /** The same for one region further away. */
 const OTHER_REGION_PREFERENCE = 0.05
+/**
+ * A worker may get this many times its even part where that keeps requests near.
+ * Objects kept at hand are a few dozen a worker; more than that many are worked on
+ * anew each time, which costs far more than the way to another region.
+ */
+const MOST_LOAD_FACTOR = 1.3
 /** Rounds of scaling; the shares then add up within a percent with the preferences above. */
 const ROUNDS = 30
 
@@ -51,16 +57,18 @@
   const allSlots = workers.reduce((sum, { slots }) => sum + slots, 0)
   const matrix = domains.map((domain) => workers.map((worker) => computePreference(domain, worker, regionOf)))
   for (let round = 0; round < ROUNDS; round++) {
-    scaleColumns(matrix, workers.map(({ slots }) => domains.length * slots / allSlots))
+    scaleColumns(matrix, workers.map(({ slots }) => MOST_LOAD_FACTOR * domains.length * slots / allSlots))
     scaleRows(matrix)
   }
   return new Map(domains.map((domain, row) => [domain, new Map(workers.map(({ id }, column) => [id, matrix[row]![column]!]))]))
 }
 
+/** Scales down only: a far worker need not get its even part. */
 function scaleColumns (matrix: number[][], targets: readonly number[]): void {
   for (const [column, target] of targets.entries()) {
     let sum = 0
     for (const row of matrix) sum += row[column]!
+    if (sum <= target) continue
     for (const row of matrix) row[column]! *= target / sum
   }
 }
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -35,12 +35,22 @@
 /** How many workers of an object's ranking are weighed; the next ones only if none of these may get it. */
 const RANKED_DEPTH = 5
 
+/** Slots in use, as a part, up to which there is room for any work, and from which there is none. */
+const SPARE_USE = 0.4
+const FULL_USE = 0.9
+/** A long queue at one worker must not make the whole service look busy. */
+const MOST_HELD_PER_SLOT = 2
+/** How long the figure is used, in milliseconds; it walks over all workers. */
+const BUSYNESS_MS = 100
+
 /** The workers of one service. */
 export class ServiceRoster {
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly rankings = new Map<string, KeyRanking>()
   readonly warmth = new WarmthMemory()
   policy: ServicePolicy | undefined
+  private busyness = 0
+  private busynessUntil: Instant = Number.NEGATIVE_INFINITY
 
   /** @param place where this entry VM is */
   constructor (private readonly place: RosterPlace) {}
@@ -58,6 +68,24 @@
     return this.trackers.has(workerId)
   }
 
+  /**
+   * @param now the present
+   * @returns 0 while slots are to spare, 1 when there are none
+   */
+  getBusyness (now: Instant): number {
+    if (now < this.busynessUntil) return this.busyness
+    let held = 0
+    let slots = 0
+    for (const tracker of this.trackers.values()) {
+      held += Math.min(MOST_HELD_PER_SLOT * tracker.entry.slots, tracker.countHeld(now))
+      slots += tracker.entry.slots
+    }
+    const use = slots === 0 ? 0 : held / slots
+    this.busyness = Math.min(1, Math.max(0, (use - SPARE_USE) / (FULL_USE - SPARE_USE)))
+    this.busynessUntil = now + BUSYNESS_MS
+    return this.busyness
+  }
+
   /** @param tracker a worker that joined, or that changed what it says of itself */
   put (tracker: UpstreamTracker): void {
     this.trackers.set(tracker.entry.id, tracker)
