--- /dev/null
+++ b/packages/steering/test/common/entry/recordTable.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict'
+import fc from 'fast-check'
+import { describe, it } from 'node:test'
+import { RecordKind, type SteeringRecord, UpstreamState } from '../../../src/common/entry/records.js'
+import { RecordTable, RETURN_SPAN_MS } from '../../../src/common/entry/recordTable.js'
+
+const SEED = 20261202
+
+function createWorker (id: string, revision: number, state = UpstreamState.Ready): SteeringRecord {
+  return { kind: RecordKind.Upstream, key: `w/${id}`, revision, value: { id, service: 's', address: '127.0.0.1:1', domain: 'a', slots: 4, state, coldMs: 0 } }
+}
+
+function createDocument (version: number, revision: number): SteeringRecord {
+  return { kind: RecordKind.Document, key: 'document', revision, value: { version, routes: [], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 } } }
+}
+
+describe('the records that a VM believes', () => {
+  it('never go back to an older configuration, in whatever order messages come', () => {
+    const messages = fc.array(fc.record({ revision: fc.integer({ min: 1, max: 40 }), isSnapshot: fc.boolean(), isSettled: fc.boolean() }), { maxLength: 60 })
+    fc.assert(fc.property(messages, (list) => {
+      const table = new RecordTable()
+      let newest = 0
+      for (const { revision, isSnapshot, isSettled } of list) {
+        const record = createDocument(revision, revision)
+        if (isSnapshot) table.applySnapshot({ revision, records: [record] }, 0, isSettled)
+        else table.applyChanges({ revision, written: [record], removed: [] }, 0)
+        newest = Math.max(newest, revision)
+        const known = table.get('document')
+        assert.equal(known?.kind === RecordKind.Document ? known.value.version : 0, newest)
+      }
+    }), { seed: SEED })
+  })
+
+  it('do not bring back a worker that a peer told to be gone', () => {
+    // A VM that was cut off learns from a peer, as of revision 12, that a worker has
+    // left. The store then sends it the history since revision 5, in which the
+    // worker still changes; the worker must not get requests again.
+    const table = new RecordTable()
+    table.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
+    table.recordStoreLost(0)
+    table.applySnapshot({ revision: 12, records: [] }, 1_000, true)
+    assert.equal(table.get('w/1'), undefined)
+    table.recordStoreRegained(3_000)
+    table.applyChanges({ revision: 13, written: [createWorker('1', 8)], removed: [{ key: 'w/1', revision: 10 }] }, 3_000)
+    assert.equal(table.get('w/1'), undefined)
+  })
+
+  it('keep a worker whose registration lapsed during an outage until it could be back', () => {
+    const table = new RecordTable()
+    table.applySnapshot({ revision: 5, records: [createWorker('1', 4), createWorker('2', 5)] }, 0)
+    table.recordStoreLost(0)
+    table.recordStoreRegained(5_000)
+    table.applyChanges({ revision: 9, written: [], removed: [{ key: 'w/1', revision: 8 }, { key: 'w/2', revision: 9 }] }, 5_000)
+    assert.notEqual(table.get('w/1'), undefined)
+    table.applyChanges({ revision: 10, written: [createWorker('1', 10)], removed: [] }, 6_500)
+    assert.deepEqual(table.releaseHeld(5_000 + RETURN_SPAN_MS).map(({ previous }) => previous?.key), ['w/2'])
+    assert.notEqual(table.get('w/1'), undefined, 'it came back')
+  })
+
+  it('drop at once what disappears while the store answers, or leaves as announced', () => {
+    const table = new RecordTable()
+    table.applySnapshot({ revision: 5, records: [createWorker('1', 4), createWorker('2', 5, UpstreamState.Draining)] }, 0)
+    table.applyChanges({ revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 100)
+    assert.equal(table.get('w/1'), undefined)
+    table.recordStoreLost(200)
+    table.recordStoreRegained(9_000)
+    table.applyChanges({ revision: 7, written: [], removed: [{ key: 'w/2', revision: 7 }] }, 9_000)
+    assert.equal(table.get('w/2'), undefined)
+  })
+
+  it('take an older snapshot for nothing', () => {
+    const table = new RecordTable()
+    table.applySnapshot({ revision: 9, records: [createWorker('1', 9)] }, 0)
+    assert.deepEqual(table.applySnapshot({ revision: 8, records: [] }, 0, true), [])
+    assert.notEqual(table.get('w/1'), undefined)
+  })
+})
--- /dev/null
+++ b/packages/steering/test/common/entry/shares.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import fc from 'fast-check'
+import { describe, it } from 'node:test'
+import { computeColdAllowance } from '../../../src/common/entry/coldAllowance.js'
+import { KeyRanking } from '../../../src/common/entry/keyRanking.js'
+import { computeShares, type SharedWorker } from '../../../src/common/entry/placeShares.js'
+import { RepeatWindow } from '../../../src/common/entry/repeatWindow.js'
+
+const SEED = 20261202
+const REGIONS = new Map([['a-1', 'a'], ['a-2', 'a'], ['b-1', 'b'], ['b-2', 'b'], ['c-1', 'c']])
+
+const workersInput = fc.array(fc.record({ domain: fc.constantFrom(...REGIONS.keys()), slots: fc.integer({ min: 1, max: 16 }) }), { minLength: 1, maxLength: 40 })
+  .map((list): SharedWorker[] => list.map((worker, index) => ({ ...worker, id: `w-${index}` })))
+
+describe('what each VM works out alone', () => {
+  it('shares of a domain add up to one and no worker is promised much more than its part', () => {
+    fc.assert(fc.property(workersInput, (workers) => {
+      const shares = computeShares(workers, REGIONS)
+      const allSlots = workers.reduce((sum, { slots }) => sum + slots, 0)
+      for (const byWorker of shares.values()) {
+        const total = [...byWorker.values()].reduce((sum, share) => sum + share, 0)
+        assert.ok(Math.abs(total - 1) < 1e-9)
+      }
+      for (const { id, slots } of workers) {
+        const promised = [...shares.values()].reduce((sum, byWorker) => sum + byWorker.get(id)!, 0) / REGIONS.size
+        // Rows are scaled last, which lifts a column by some part again.
+        assert.ok(promised <= 1.5 * slots / allSlots, `${promised} of ${slots}/${allSlots}`)
+      }
+    }), { seed: SEED, numRuns: 200 })
+  })
+
+  it('a worker that leaves moves only the keys that it was first for', () => {
+    fc.assert(fc.property(fc.integer({ min: 2, max: 20 }), fc.integer(), (count, salt) => {
+      const shares = new Map(Array.from({ length: count }, (_, index) => [`w-${index}`, 1 / count]))
+      const before = new KeyRanking(shares, count)
+      const left = new Map([...shares].filter(([id]) => id !== 'w-0'))
+      const after = new KeyRanking(left, count)
+      for (let index = 0; index < 50; index++) {
+        const key = `${salt}-${index}`
+        if (before.rank(key)[0] !== 'w-0') assert.equal(after.rank(key)[0], before.rank(key)[0])
+      }
+    }), { seed: SEED, numRuns: 50 })
+  })
+
+  it('all VMs together stay below what a cold worker bears, whatever their number', () => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 200 }), fc.double({ min: 1, max: 40, noNaN: true }), (count, perSecond) => {
+      const tolerance = { factor: 1.5, slack: 5 }
+      const nodes = Array.from({ length: count }, (_, index) => `vm-${index}`)
+      const sum = nodes.reduce((total, node) => total + computeColdAllowance(perSecond, tolerance, 'w-1', nodes, node), 0)
+      assert.ok(sum <= perSecond * tolerance.factor + tolerance.slack)
+      assert.ok(sum >= Math.min(count, 1), 'some VM may warm it up')
+    }), { seed: SEED, numRuns: 300 })
+  })
+
+  it('all VMs together stay within the budget for repeats in any window, wherever requests arrive', () => {
+    const requests = fc.array(fc.record({ node: fc.nat({ max: 11 }), at: fc.nat({ max: 30_000 }), isRepeat: fc.boolean() }), { minLength: 1, maxLength: 2_000 })
+    fc.assert(fc.property(requests, fc.integer({ min: 1, max: 12 }), (events, count) => {
+      const budget = { ratio: 0.2, windowMs: 10_000, slack: 60 }
+      const windows = Array.from({ length: count }, () => new RepeatWindow(budget, () => count))
+      const first: number[] = []
+      const repeats: number[] = []
+      for (const { node, at, isRepeat } of events.sort((left, right) => left.at - right.at)) {
+        const window = windows[node % count]!
+        if (!isRepeat) {
+          window.recordFirst(at)
+          first.push(at)
+        } else if (window.take(at)) repeats.push(at)
+      }
+      for (const end of repeats) {
+        const from = end - budget.windowMs
+        const inWindow = (list: readonly number[]): number => list.filter((at) => at > from && at <= end).length
+        assert.ok(inWindow(repeats) <= budget.ratio * inWindow(first) + budget.slack)
+      }
+    }), { seed: SEED, numRuns: 60 })
+  })
+})
--- /dev/null
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -0,0 +1,164 @@
+/**
+ * A worker on the users' platform: seals and identifies its answers, refuses what
+ * is meant for another worker, and fails in the ways that faulty workers do. It
+ * writes raw bytes, since most of these are no answers in the protocol.
+ */
+import { createServer, type Server, type Socket } from 'node:net'
+import type { IClosable } from '@umberspar/base/common/closing'
+
+/** How a worker answers. */
+export enum WorkerFault {
+  None = 'none',
+  /** Refuses, truthfully, without running. */
+  Shed = 'shed',
+  /** Runs and resets the connection. */
+  AnswerLost = 'answer-lost',
+  /** Runs and answers 500. */
+  Fail = 'fail',
+  /** Sends a second answer after the first. */
+  Extra = 'extra',
+  /** Sends an answer to an earlier request first. */
+  LateExtra = 'late-extra',
+  /** Sends bytes that are no answer. */
+  Rot = 'rot',
+  /** Ends the answer too early. */
+  Short = 'short',
+  /** A success without the worker's seal. */
+  Unsealed = 'unsealed',
+  /** Never answers. */
+  Silent = 'silent'
+}
+
+/** One run of a request. */
+export interface WorkerRun {
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly bodyLength: number
+  readonly leftMs: number
+}
+
+const HEAD_END = '\r\n\r\n'
+const LENGTH = /^content-length: *(\d+)/im
+
+function getField (head: string, name: string): string {
+  return new RegExp(`^${name}: *(.*)$`, 'im').exec(head)?.[1]?.trim() ?? ''
+}
+
+/** One start of a worker. */
+export class PlatformWorkerStandIn implements IClosable {
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  fault = WorkerFault.None
+  /** How long a request takes, in milliseconds. */
+  workMs = 0
+  body = 'the whole answer'
+  readonly runs: WorkerRun[] = []
+  /** Requests that arrived, refused ones included. */
+  arrivals = 0
+  /** Requests whose connection ended before they were answered. */
+  cancelled = 0
+
+  /** @param id its id, new with each start */
+  constructor (readonly id: string) {
+    this.server = createServer((socket) => { this.accept(socket) })
+  }
+
+  /** @returns `127.0.0.1:port` once it listens */
+  async listen (): Promise<string> {
+    await new Promise<void>((resolve) => { this.server.listen(0, '127.0.0.1', resolve) })
+    const address = this.server.address()
+    return `127.0.0.1:${typeof address === 'object' ? address?.port : ''}`
+  }
+
+  close (): void {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  private accept (socket: Socket): void {
+    let received = Buffer.alloc(0)
+    this.sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => { this.sockets.delete(socket) })
+    socket.on('data', (chunk) => {
+      received = Buffer.concat([received, chunk])
+      for (;;) {
+        const end = received.indexOf(HEAD_END)
+        if (end < 0) return
+        const head = received.subarray(0, end).toString('latin1')
+        const length = Number(LENGTH.exec(head)?.[1] ?? 0)
+        const bodyFrom = end + HEAD_END.length
+        if (received.length < bodyFrom + length) return
+        received = received.subarray(bodyFrom + length)
+        this.handle(socket, head, length)
+      }
+    })
+  }
+
+  private handle (socket: Socket, head: string, bodyLength: number): void {
+    this.arrivals++
+    const requestId = getField(head, 'X-Umberspar-Request-Id')
+    const [method, path] = head.split(' ')
+    const expected = getField(head, 'X-Umberspar-Expect-Instance')
+    if (expected !== '' && expected !== this.id) {
+      socket.write(this.format(421, requestId, '', []))
+      return
+    }
+    if (this.fault === WorkerFault.Shed) {
+      socket.write(this.format(503, requestId, '', ['X-Umberspar-Not-Run: 1']))
+      return
+    }
+    this.runs.push({ requestId, method: method ?? '', path: path ?? '', bodyLength, leftMs: Number(getField(head, 'X-Umberspar-Deadline-Ms')) })
+    if (this.workMs === 0) {
+      this.answer(socket, requestId)
+      return
+    }
+    const onClose = (): void => {
+      clearTimeout(timer)
+      this.cancelled++
+    }
+    const timer = setTimeout(() => {
+      socket.off('close', onClose)
+      this.answer(socket, requestId)
+    }, this.workMs)
+    socket.once('close', onClose)
+  }
+
+  private answer (socket: Socket, requestId: string): void {
+    ANSWERS[this.fault](this, socket, requestId)
+  }
+
+  /** @returns an answer's bytes */
+  format (status: number, requestId: string, body: string, fields: readonly string[], isSealed = true): string {
+    const lines = [
+      `HTTP/1.1 ${status} Status`,
+      `X-Umberspar-Request-Id: ${requestId}`,
+      `X-Umberspar-Instance-Id: ${this.id}`,
+      'X-Umberspar-Server-Load: 1,0,4',
+      `Content-Length: ${Buffer.byteLength(body)}`,
+      ...(isSealed ? [`X-Umberspar-Server-Seal: seal-${this.id}-${requestId}`] : []),
+      ...fields
+    ]
+    return `${lines.join('\r\n')}${HEAD_END}${body}`
+  }
+}
+
+type Answer = (worker: PlatformWorkerStandIn, socket: Socket, requestId: string) => void
+
+const ANSWERS: Readonly<Record<WorkerFault, Answer>> = {
+  [WorkerFault.None]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.body, [])) },
+  [WorkerFault.Shed]: (worker, socket, requestId) => { socket.write(worker.format(503, requestId, '', ['X-Umberspar-Not-Run: 1'])) },
+  [WorkerFault.AnswerLost]: (_worker, socket) => { socket.resetAndDestroy() },
+  [WorkerFault.Fail]: (worker, socket, requestId) => { socket.write(worker.format(500, requestId, 'failed', [])) },
+  [WorkerFault.Extra]: (worker, socket, requestId) => {
+    socket.write(worker.format(200, requestId, worker.body, []) + worker.format(200, requestId, 'a second answer', []))
+  },
+  [WorkerFault.LateExtra]: (worker, socket, requestId) => {
+    socket.write(worker.format(200, 'an-earlier-request', 'an answer to another', []) + worker.format(200, requestId, worker.body, []))
+  },
+  [WorkerFault.Rot]: (_worker, socket) => { socket.end('\u0001\u0002 no answer at all\r\n\r\n') },
+  [WorkerFault.Short]: (worker, socket, requestId) => { socket.end(worker.format(200, requestId, worker.body, []).slice(0, -3)) },
+  [WorkerFault.Unsealed]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.body, [], false)) },
+  [WorkerFault.Silent]: () => {}
+}
--- /dev/null
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -0,0 +1,124 @@
+/** What the stand-in of the users' store holds: items, leases, and a history that can be dropped. */
+
+/** One item, or its removal. */
+export interface StoredItem {
+  readonly key: string
+  readonly value: string
+  readonly revision: number
+  readonly created: number
+  readonly lease: number
+  readonly isRemoved: boolean
+}
+
+/** What a transaction asks. */
+export interface StoreTransaction {
+  readonly expected: ReadonlyArray<{ readonly key: string, readonly revision: number }>
+  readonly puts: ReadonlyArray<{ readonly key: string, readonly value: string, readonly lease: number }>
+  readonly removals: readonly string[]
+}
+
+/** How a transaction ended. */
+export enum TransactionEnd {
+  Done = 'done',
+  ConditionFailed = 'condition-failed',
+  NoLease = 'no-lease'
+}
+
+interface Lease {
+  readonly ttlMs: number
+  endsAt: number
+}
+
+/** The state; instants come from outside. */
+export class RecordStoreState {
+  private readonly items = new Map<string, StoredItem>()
+  private readonly leases = new Map<number, Lease>()
+  private history: StoredItem[] = []
+  private droppedUpTo = 0
+  private lastLease = 70_000
+  revision = 1
+
+  /** @returns the item, if it stands */
+  get (key: string): StoredItem | undefined {
+    return this.items.get(key)
+  }
+
+  /** @returns the items whose key begins with a prefix and comes after another, in the order of keys */
+  list (prefix: string, after = ''): StoredItem[] {
+    return [...this.items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+  }
+
+  /** @returns what changed after a revision, or undefined if that history was dropped */
+  listChanges (prefix: string, after: number): StoredItem[] | undefined {
+    if (after < this.droppedUpTo) return undefined
+    return this.history.filter(({ key, revision }) => revision > after && key.startsWith(prefix))
+  }
+
+  /** Drops all history. */
+  dropHistory (): void {
+    this.droppedUpTo = this.revision
+    this.history = []
+  }
+
+  /** Writes without conditions, as the operator and the workers do. */
+  put (key: string, value: string, lease = 0): void {
+    const revision = ++this.revision
+    const item = { key, value, revision, created: this.items.get(key)?.created ?? revision, lease, isRemoved: false }
+    this.items.set(key, item)
+    this.history.push(item)
+  }
+
+  /** Removes without conditions. */
+  remove (key: string): void {
+    const item = this.items.get(key)
+    if (item === undefined) return
+    this.items.delete(key)
+    this.history.push({ ...item, revision: ++this.revision, isRemoved: true })
+  }
+
+  /** Runs a transaction whole or not at all. */
+  transact ({ expected, puts, removals }: StoreTransaction): TransactionEnd {
+    if (expected.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision)) return TransactionEnd.ConditionFailed
+    if (puts.some(({ lease }) => lease !== 0 && !this.leases.has(lease))) return TransactionEnd.NoLease
+    for (const { key, value, lease } of puts) this.put(key, value, lease)
+    for (const key of removals) this.remove(key)
+    return TransactionEnd.Done
+  }
+
+  /** @returns a new lease's id */
+  createLease (ttlMs: number, now: number): number {
+    this.leases.set(++this.lastLease, { ttlMs, endsAt: now + ttlMs })
+    return this.lastLease
+  }
+
+  /** @returns the lease's time, or undefined if it has ended */
+  renewLease (id: number, now: number): number | undefined {
+    const lease = this.leases.get(id)
+    if (lease === undefined) return undefined
+    lease.endsAt = now + lease.ttlMs
+    return lease.ttlMs
+  }
+
+  /** Ends a lease, and removes its items. */
+  endLease (id: number): boolean {
+    if (!this.leases.delete(id)) return false
+    for (const { key, lease } of [...this.items.values()]) {
+      if (lease === id) this.remove(key)
+    }
+    return true
+  }
+
+  /** Ends the leases whose time is over. */
+  expireLeases (now: number): void {
+    for (const [id, { endsAt }] of this.leases) {
+      if (endsAt <= now) this.endLease(id)
+    }
+  }
+
+  /** Ends all leases, as an outage may. */
+  endAllLeases (): void {
+    for (const id of [...this.leases.keys()]) this.endLease(id)
+  }
+}
--- /dev/null
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
+import { WorkerFault } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
+
+const IDS = ['w-1', 'w-2', 'w-3']
+const ROUTES = [
+  { Name: 'lookups', Prefix: '/safe/', Service: 'archive' },
+  { Name: 'closeouts', Prefix: '/unsafe/', Service: 'archive', Kind: 'non_idempotent' }
+]
+
+/** What callers of both kinds get while all workers have a fault, and how often their requests run. */
+interface Expectation {
+  readonly fault: WorkerFault
+  readonly safeStatus: number
+  readonly safeRuns: number
+  readonly unsafeStatus: number
+  readonly unsafeRuns: number
+}
+
+const EXPECTATIONS: readonly Expectation[] = [
+  { fault: WorkerFault.None, safeStatus: 200, safeRuns: 1, unsafeStatus: 200, unsafeRuns: 1 },
+  { fault: WorkerFault.Shed, safeStatus: 503, safeRuns: 0, unsafeStatus: 503, unsafeRuns: 0 },
+  { fault: WorkerFault.AnswerLost, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
+  { fault: WorkerFault.Fail, safeStatus: 500, safeRuns: 2, unsafeStatus: 500, unsafeRuns: 1 },
+  { fault: WorkerFault.Extra, safeStatus: 200, safeRuns: 1, unsafeStatus: 200, unsafeRuns: 1 },
+  { fault: WorkerFault.LateExtra, safeStatus: 200, safeRuns: 1, unsafeStatus: 200, unsafeRuns: 1 },
+  { fault: WorkerFault.Rot, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
+  { fault: WorkerFault.Short, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
+  { fault: WorkerFault.Unsealed, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 }
+]
+
+describe('faulty workers on the users\' platform', { timeout: 60_000 }, () => {
+  let platform: LocalPlatform
+  let entry: LocalEntry
+
+  beforeEach(async () => {
+    platform = new LocalPlatform({ 'north-1': 'north' })
+    for (const id of IDS) await platform.addWorker(id, 'archive', 'north-1')
+    platform.putConfiguration(ROUTES)
+    entry = await platform.startEntry('vm-1', 'north-1')
+    await platform.waitUntilReady(entry)
+  })
+
+  afterEach(async () => { await platform.close() })
+
+  function setFault (fault: WorkerFault): void {
+    for (const worker of platform.workers.values()) worker.fault = fault
+  }
+
+  function countRuns (): number {
+    return [...platform.workers.values()].reduce((sum, { runs }) => sum + runs.length, 0)
+  }
+
+  for (const { fault, safeStatus, safeRuns, unsafeStatus, unsafeRuns } of EXPECTATIONS) {
+    it(`tells the truth when every worker has the fault '${fault}'`, async () => {
+      setFault(fault)
+      const safe = await platform.call(entry, { path: '/safe/1', id: 'safe', key: '1' })
+      assert.equal(safe.status, safeStatus)
+      assert.equal(countRuns(), safeRuns)
+      const unsafe = await platform.call(entry, { path: '/unsafe/1', method: 'POST', id: 'unsafe', key: '1' })
+      assert.equal(unsafe.status, unsafeStatus)
+      assert.equal(countRuns() - safeRuns, unsafeRuns, 'a request that must not be repeated runs at most once')
+      for (const { status, body } of [safe, unsafe]) {
+        if (status === 200) assert.equal(body, 'the whole answer')
+      }
+    })
+  }
+
+  it('never gives a caller an answer to an earlier request of its connection', async () => {
+    // A worker sends a second answer to each request. On a kept connection it would
+    // stand where the next caller's answer is expected, and that caller would get
+    // another's itinerary.
+    setFault(WorkerFault.Extra)
+    for (let index = 0; index < 20; index++) {
+      const answer = await platform.call(entry, { path: '/safe/1', id: `id-${index}`, key: '1' })
+      assert.equal(answer.headers['x-umberspar-request-id'], `id-${index}`)
+      assert.equal(answer.body, 'the whole answer')
+    }
+  })
+
+  it('repeats an idempotent request at a healthy worker', async () => {
+    platform.workers.get('w-1')!.fault = WorkerFault.AnswerLost
+    platform.workers.get('w-2')!.fault = WorkerFault.AnswerLost
+    const answers = await Promise.all(['1', '2', '3', '4'].map((key) => platform.call(entry, { path: '/safe/1', id: `id-${key}`, key })))
+    assert.ok(answers.filter(({ status }) => status === 200).length >= 3, 'at most the requests that met both faulty workers fail')
+  })
+
+  it('keeps away from a worker that another service\'s worker has replaced at its address', async () => {
+    // A worker ends without a word and its address goes to another service before
+    // its registration lapses. The new worker must not run the request, and the
+    // caller is served by another.
+    const replaced = platform.workers.get('w-1')!
+    const address = (JSON.parse(platform.store.state.get('servers/w-1')!.value) as { Addr: string }).Addr
+    platform.registerWorker('w-9', 'archive', 'north-1', address, 'ready')
+    await platform.waitUntil(() => entry.lines.some(({ change, subject }) => change === 'upstream-joined' && subject === 'w-9'))
+    for (let index = 0; index < 10; index++) {
+      assert.equal((await platform.call(entry, { path: '/safe/1', id: `id-${index}`, key: `${index}` })).status, 200)
+    }
+    assert.ok(replaced.runs.every(({ requestId }) => requestId.startsWith('id-')))
+  })
+
+  it('sends a cold worker no more than its part in a second', async () => {
+    platform.store.remove('servers/w-1')
+    platform.store.remove('servers/w-2')
+    platform.store.remove('servers/w-3')
+    const cold = await platform.addWorker('w-cold', 'archive', 'north-1', 60_000)
+    await platform.waitUntil(() => entry.lines.some(({ change, subject }) => change === 'upstream-joined' && subject === 'w-cold'))
+    const startedAt = platform.clock.now()
+    const answers = await Promise.all(Array.from({ length: 60 }, (_, index) => platform.call(entry, { path: '/safe/1', id: `id-${index}`, key: `${index}` })))
+    // 0.7 of 7 x 1.5 + 5 requests in any second, for the only entry VM, however long the calls took.
+    const seconds = 1 + Math.ceil((platform.clock.now() - startedAt) / 1_000)
+    assert.ok(cold.arrivals <= 10 * seconds)
+    assert.ok(answers.every(({ status }) => status === 200 || status === 503))
+  })
+})
