--- a/packages/entry/test/node/telemetry/boundedWriter.test.ts
+++ b/packages/entry/test/node/telemetry/boundedWriter.test.ts
@@ -22,7 +22,7 @@
     return { close: () => { this.waiting = this.waiting.filter((other) => other !== entry) } }
   }
 
-  move (ms: number): void {
+  step (ms: number): void {
     this.time += ms
     const due = this.waiting.filter(({ at }) => at <= this.time)
     this.waiting = this.waiting.filter(({ at }) => at > this.time)
@@ -40,22 +40,22 @@
     const clock = new HandClock()
     const written: string[] = []
     const stalled: Array<() => void> = []
-    const sink: ByteSink = (bytes, onWritten) => {
+    const writeStalled: ByteSink = (bytes, onWritten) => {
       written.push(bytes.toString())
       stalled.push(() => onWritten(null))
     }
     const drops = { [LineUrgency.Routine]: 0, [LineUrgency.Important]: 0 }
-    const writer = new BoundedWriter(clock, sink, (urgency) => { drops[urgency]++ })
+    const writer = new BoundedWriter(clock, writeStalled, (urgency) => { drops[urgency]++ })
     for (let second = 0; second < 20; second++) {
       for (let index = 0; index < 500; index++) writer.write(LINE, LineUrgency.Routine)
       for (let index = 0; index < 50; index++) writer.write(`failure ${second}-${index}`, LineUrgency.Important)
-      clock.move(1_000)
+      clock.step(1_000)
     }
     assert.equal(written.length, 1, 'one write is on its way, no other was begun')
     assert.equal(drops[LineUrgency.Important], 0)
     assert.ok(drops[LineUrgency.Routine] > 0)
     stalled[0]!()
-    clock.move(1_000)
+    clock.step(1_000)
     const text = written.join('')
     assert.equal(text.match(/failure /g)?.length, 1_000)
     assert.match(text, new RegExp(`"routine":${drops[LineUrgency.Routine]}`))
@@ -70,7 +70,7 @@
     }, () => {})
     for (let second = 0; second < 10; second++) {
       for (let index = 0; index < 2_000; index++) writer.write(LINE, LineUrgency.Routine)
-      clock.move(1_000)
+      clock.step(1_000)
     }
     assert.ok(bytes <= 11 * 128_000, `${bytes} bytes in ten seconds`)
     assert.ok(bytes >= 9 * 128_000)
@@ -84,9 +84,9 @@
       onWritten(new Error('EPIPE'))
     }, () => {})
     writer.write(LINE, LineUrgency.Important)
-    clock.move(1_000)
+    clock.step(1_000)
     writer.write(LINE, LineUrgency.Important)
-    clock.move(1_000)
+    clock.step(1_000)
     assert.equal(writes, 2)
   })
 })
--- a/packages/steering/test/common/entry/shares.test.ts
+++ b/packages/steering/test/common/entry/shares.test.ts
@@ -68,8 +68,8 @@
       }
       for (const end of repeats) {
         const from = end - budget.windowMs
-        const inWindow = (list: readonly number[]): number => list.filter((at) => at > from && at <= end).length
-        assert.ok(inWindow(repeats) <= budget.ratio * inWindow(first) + budget.slack)
+        const countInWindow = (list: readonly number[]): number => list.filter((at) => at > from && at <= end).length
+        assert.ok(countInWindow(repeats) <= budget.ratio * countInWindow(first) + budget.slack)
       }
     }), { seed: SEED, numRuns: 60 })
   })
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -75,11 +75,11 @@
   /** @param fault how calls are treated from now on; watches that wait are cut unless the store falls silent */
   setFault (fault: StoreFault): void {
     this.fault = fault
-    if (fault !== StoreFault.None && fault !== StoreFault.Silent) this.cutWatches()
+    if (fault !== StoreFault.None && fault !== StoreFault.Silent) this.closeWatches()
   }
 
   /** Resets the connections of watches that wait. */
-  cutWatches (): void {
+  closeWatches (): void {
     for (const { response, timer } of this.waiting) {
       clearTimeout(timer)
       response.destroy()
@@ -88,7 +88,7 @@
   }
 
   close (): void {
-    this.cutWatches()
+    this.closeWatches()
     this.server.close()
     for (const socket of this.sockets) socket.destroy()
   }
@@ -148,7 +148,7 @@
       removals: Remove
     })
     answer(response, STATUS_BY_END[end], JSON.stringify({ Rev: store.state.revision }))
-    store.tellWatches()
+    store.answerWatches()
   },
   'POST /umberspar/kv-lease': ({ store }, _request, _url, body, response) => {
     const ttlMs = Number.parseInt((JSON.parse(body) as { Ttl_time: string }).Ttl_time, 10)
@@ -161,7 +161,7 @@
   'DELETE /umberspar/kv-lease-end/{}': ({ store }, _request, url, _body, response) => {
     const hasEnded = store.state.endLease(Number(url.pathname.split('/').at(-1)))
     answer(response, hasEnded ? 200 : 404, EMPTY)
-    store.tellWatches()
+    store.answerWatches()
   }
 }
 
@@ -176,8 +176,8 @@
   readonly state = new RecordStoreState()
   private readonly listeners: RecordStoreListener[] = []
   private readonly timer = setInterval(() => {
-    this.state.expireLeases(performance.now())
-    this.tellWatches()
+    this.state.endDueLeases(performance.now())
+    this.answerWatches()
   }, LEASE_CHECK_MS)
 
   /** Opens one more way to the store. */
@@ -190,17 +190,17 @@
   /** Writes as the operator or a worker does. */
   put (key: string, value: unknown): void {
     this.state.put(key, JSON.stringify(value))
-    this.tellWatches()
+    this.answerWatches()
   }
 
   /** Removes as the operator does, or as a worker that ends. */
   remove (key: string): void {
     this.state.remove(key)
-    this.tellWatches()
+    this.answerWatches()
   }
 
   /** Answers watches for which something changed. */
-  tellWatches (): void {
+  answerWatches (): void {
     for (const listener of this.listeners) {
       if (listener.fault !== StoreFault.None) continue
       for (const waiting of [...listener.waiting]) {
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -57,7 +57,7 @@
   }
 
   /** Drops all history. */
-  dropHistory (): void {
+  clearHistory (): void {
     this.droppedUpTo = this.revision
     this.history = []
   }
@@ -111,7 +111,7 @@
   }
 
   /** Ends the leases whose time is over. */
-  expireLeases (now: number): void {
+  endDueLeases (now: number): void {
     for (const [id, { endsAt }] of this.leases) {
       if (endsAt <= now) this.endLease(id)
     }
--- a/packages/testing/test/node/usersPlatform/storeFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/storeFaults.test.ts
@@ -48,11 +48,11 @@
   }
 
   it('reads everything anew when the history was dropped', async () => {
-    first.store.cutWatches()
-    second.store.cutWatches()
-    platform.store.state.dropHistory()
+    first.store.closeWatches()
+    second.store.closeWatches()
+    platform.store.state.clearHistory()
     platform.putConfiguration([{ ...ROUTE, Prefix: '/new/' }])
-    platform.store.state.dropHistory()
+    platform.store.state.clearHistory()
     await platform.waitUntil(() => hasSeen(first, 'document-adopted', '6') && hasSeen(second, 'document-adopted', '6'))
   })
 
