Tell one request's history from the log lines: umberspar explain

Each line names its VM. The command reads lines of all VMs, in files or from standard input, and shows at each step of the request what its VM believed of the worker, the configuration and the store, and how old that was.

--- a/packages/cli/src/node/runCli.ts
+++ b/packages/cli/src/node/runCli.ts
@@ -8,6 +8,7 @@
 import { UsageError } from '../common/operatorError.js'
 import { addConfigCommands } from './commands/config.js'
 import { addDrainCommands } from './commands/drain.js'
+import { addExplainCommand } from './commands/explain.js'
 import { addLookupCommand } from './commands/lookup.js'
 import { addReportCommands } from './commands/report.js'
 import { addStatusCommand } from './commands/status.js'
@@ -60,6 +61,7 @@
   addStatusCommand(parser, register)
   addLookupCommand(parser, register)
   addReportCommands(parser, register)
+  addExplainCommand(parser, register)
   return parser
 }
 
--- a/packages/entry/src/node/telemetry/entryLogger.ts
+++ b/packages/entry/src/node/telemetry/entryLogger.ts
@@ -10,6 +10,8 @@
   readonly logger: ILogger
   /** Writes what waits; calls back when that is done. */
   flush(onDone: () => void): void
+  /** Names the VM on every line from now on. */
+  setNode(node: string): void
   /** Leaves out what is less urgent from now on. */
   setLevel(lowest: LogLevel): void
 }
@@ -27,7 +29,7 @@
  */
 export function createEntryLogger (clock: IClock, metrics: EntryMetrics): EntryLogging {
   const writer = new BoundedWriter(clock, writeStandardOutput, (urgency) => { metrics.countLogDrop(urgency) })
-  const inner = createRoarrLogger(LogLevel.Debug, (line) => {
+  let inner = createRoarrLogger(LogLevel.Debug, (line) => {
     const isRoutine = ROUTINE_STEPS.test(line) && !WARN_LEVEL.test(line)
     writer.write(line, isRoutine ? LineUrgency.Routine : LineUrgency.Important)
   })
@@ -38,6 +40,7 @@
   }
   return {
     logger,
+    setNode: (node) => { inner = inner.createChild({ node }) },
     flush: (onDone) => { writer.flush(onDone) },
     setLevel: (lowest) => { lowestRank = RANK[lowest] }
   }
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -36,6 +36,8 @@
   readonly store: RecordStoreListener
   /** Log lines in their order. */
   readonly lines: LogContext[]
+  /** The same as written, in JSON. */
+  readonly text: string[]
   readonly metrics: EntryMetrics
 }
 
@@ -71,11 +73,15 @@
   return `127.0.0.1:${typeof address === 'object' ? address?.port : ''}`
 }
 
+/** Keeps lines as an entry process would write them. */
 class MemoryLogger implements ILogger {
-  constructor (private readonly lines: LogContext[]) {}
+  constructor (private readonly node: string, private readonly clock: SystemClock, private readonly lines: LogContext[], private readonly text: string[]) {}
 
   log (level: LogLevel, context: LogContext, message: string): void {
-    if (level !== LogLevel.Debug) this.lines.push({ ...context, message, level })
+    if (level === LogLevel.Debug) return
+    const line = { context: { node: this.node, ...context }, message, sequence: String(this.lines.length), time: this.clock.getWallTime() }
+    this.lines.push({ ...context, message, level })
+    this.text.push(JSON.stringify(line))
   }
 
   createChild (): ILogger {
@@ -149,11 +155,12 @@
       logLevel: LogLevel.Info
     }
     const lines: LogContext[] = []
+    const text: string[] = []
     const metrics = new EntryMetrics()
-    const entry = createPlatformEntry(settings, { clock: this.clock, random: new SeededRandom(1), logger: new MemoryLogger(lines), metrics })
+    const entry = createPlatformEntry(settings, { clock: this.clock, random: new SeededRandom(1), logger: new MemoryLogger(node, this.clock, lines, text), metrics })
     this.closing.add(entry)
     await entry.start()
-    return { entry, settings, store, lines, metrics }
+    return { entry, settings, store, lines, text, metrics }
   }
 
   /** Waits until a condition holds; the test's own time limit ends a wait in vain. */
--- a/scripts/lint/verbs.mjs
+++ b/scripts/lint/verbs.mjs
@@ -5,7 +5,7 @@
   // reading and finding
   'get', 'find', 'list', 'read', 'fetch', 'peek', 'count', 'look',
   // deciding
-  'choose', 'compare', 'compute', 'decide', 'divide', 'plan', 'rank', 'classify', 'estimate', 'predict',
+  'choose', 'compare', 'compute', 'decide', 'divide', 'plan', 'rank', 'classify', 'estimate', 'explain', 'predict',
   // making and changing values
   'add', 'apply', 'build', 'clear', 'consume', 'create', 'decode', 'encode', 'format', 'map', 'mark', 'merge', 'parse', 'remove', 'scale',
   'set', 'sort', 'split', 'to', 'update',
