--- /dev/null
+++ b/scripts/test/knownRed.test.mjs
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { describe, it } from 'node:test'
+import { listFailedTests, readKnownRed } from '../knownRed.mjs'
+
+const TAP = `TAP version 13
+# Subtest: a group
+    # Subtest: the broken one
+    not ok 1 - the broken one
+      ---
+      failureType: 'testCodeFailure'
+      ...
+    ok 2 - the other
+not ok 1 - a group
+  ---
+  failureType: 'subtestsFailed'
+  ...
+ok 2 - last
+`
+
+describe('tests that are known to be red', () => {
+  it('are compared with the tests that failed by themselves', () => {
+    assert.deepEqual(listFailedTests(TAP), ['the broken one'])
+  })
+
+  it('are listed with test, command, what was seen, cause and issue', () => {
+    const folder = mkdtempSync(join(tmpdir(), 'known-red-'))
+    const file = join(folder, 'KNOWN-RED.txt')
+    try {
+      assert.deepEqual(readKnownRed(file), [])
+      writeFileSync(file, '# comment\nthe broken one | npm test | 503 | a cause | 10\n')
+      assert.deepEqual(readKnownRed(file).map(({ name }) => name), ['the broken one'])
+      writeFileSync(file, 'the broken one | npm test\n')
+      assert.throws(() => readKnownRed(file), /five fields/)
+    } finally {
+      rmSync(folder, { recursive: true })
+    }
+  })
+})
