--- a/packages/testing/src/node/demo/demoOptions.ts
+++ b/packages/testing/src/node/demo/demoOptions.ts
@@ -10,6 +10,8 @@
   readonly seed: number
   /** Requests a second of all callers together. */
   readonly rate: number
+  /** Whether the users' platform is demonstrated instead: its store and workers, and entry processes over them. */
+  readonly isPlatform: boolean
 }
 
 const DEFAULT_REQUESTS = 200
@@ -28,6 +30,7 @@
     .option('requests', { type: 'number', default: DEFAULT_REQUESTS, describe: 'requests of every service from every region' })
     .option('rate', { type: 'number', default: DEFAULT_RATE, describe: 'requests a second, all callers together' })
     .option('seed', { type: 'number', default: DEFAULT_SEED, describe: 'seed of arrivals, sizes and service times' })
+    .option('platform', { type: 'boolean', default: false, describe: 'entry processes over stand-ins of the users\' platform instead' })
     .check(({ requests, rate }) => {
       if (!Number.isInteger(requests) || requests < 1) throw new Error('--requests: expected a whole number above 0')
       if (!(rate > 0)) throw new Error('--rate: expected a number above 0')
@@ -35,5 +38,5 @@
     })
     .strict()
     .parseSync()
-  return { deployment: parsed.deployment, requests: parsed.requests, seed: parsed.seed, rate: parsed.rate }
+  return { deployment: parsed.deployment, requests: parsed.requests, seed: parsed.seed, rate: parsed.rate, isPlatform: parsed.platform }
 }
--- a/packages/testing/src/node/demo/main.ts
+++ b/packages/testing/src/node/demo/main.ts
@@ -18,6 +18,7 @@
 import { reportDemo } from './demoReport.js'
 import type { DemoChanges } from './demoReport.js'
 import { PlannedChanges } from './plannedChanges.js'
+import { runPlatformDemo } from './platformDemo.js'
 import type { ChangeTimes, DrainTimes } from './plannedChanges.js'
 
 const READY_WITHIN_MS = 20_000
@@ -147,7 +148,8 @@
   const clock = new SystemClock()
   const startedAt = clock.now()
   const closing = new CloseStack()
-  const broken = await runDemo(options, closing).finally(() => closing.close())
+  const run = options.isPlatform ? runPlatformDemo : runDemo
+  const broken = await run(options, closing).finally(() => closing.close())
   writeLine(`took ${((clock.now() - startedAt) / MS_PER_SECOND).toFixed(1)} s`)
   for (const reason of broken) printLine(`promise broken: ${reason}`)
   if (broken.length === 0) writeLine('all promises kept')
