--- a/packages/entry/src/node/front/offer.ts
+++ b/packages/entry/src/node/front/offer.ts
@@ -57,6 +57,8 @@
   private collector: AnswerCollector | undefined
   private open: OpenRequest | undefined
   private sentAt: Instant = 0
+  /** How long the connection had been idle; undefined for a new one. */
+  private idleMs: number | undefined
   private isEnded = false
   isLong = false
 
@@ -147,6 +149,7 @@
   private send (connection: UpstreamConnection, now: Instant): void {
     this.connection = connection
     this.sentAt = now
+    this.idleMs = connection.idleSince === undefined ? undefined : now - connection.idleSince
     this.collector = new AnswerCollector({
       onWhole: (answer) => { this.handleAnswer(answer) },
       onLong: (head) => this.handleLong(head),
@@ -180,6 +183,8 @@
   }
 
   private handleFailure (failure: ExchangeFailure, isStarted: boolean): void {
+    const isForgotten = failure === ExchangeFailure.Broken && this.idleMs !== undefined && this.collector?.hasBegun === false
+    if (isForgotten) this.context.pools.idleLimit.recordBreak(this.idleMs!, this.context.clock.now())
     if (failure !== ExchangeFailure.Cancelled) this.recordEnd(END_BY_FAILURE[failure], 0)
     this.end({ end: END_BY_FAILURE[failure], isStarted })
   }
--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -64,8 +64,8 @@
   private passedOver = 0
   private isReusable = true
   private idleMs = UNTOLD_IDLE_MS
-  /** Until when an idle connection may be used. */
-  idleUntil: Instant = Number.POSITIVE_INFINITY
+  /** Since when the connection has been idle; undefined before its first answer. */
+  idleSince: Instant | undefined
 
   /**
    * @param socket connected
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -2,7 +2,8 @@
 import { createConnection } from 'node:net'
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { createDeadline, hasPassed, type Deadline } from '@umberspar/base/common/deadline'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import type { IdleLimit } from './idleLimit.js'
 import { type EchoRule, UpstreamConnection } from './upstreamConnection.js'
 
 /** Why there is no connection; in each case nothing was sent. */
@@ -29,12 +30,14 @@
    * @param host the worker's IP address
    * @param port the worker's port
    * @param rule how answers are matched to requests
+   * @param idleLimit how long idle connections are used, beside what the worker says
    * @param clock for time limits
    */
   constructor (
     private readonly host: string,
     private readonly port: number,
     private readonly rule: EchoRule,
+    private readonly idleLimit: IdleLimit,
     private readonly clock: IClock
   ) {}
 
@@ -66,7 +69,8 @@
   private takeIdle (): UpstreamConnection | undefined {
     const now = this.clock.now()
     for (let connection = this.idle.pop(); connection !== undefined; connection = this.idle.pop()) {
-      if (connection.isUsable && !hasPassed(connection.idleUntil, now)) return connection
+      const idleMs = now - (connection.idleSince ?? now)
+      if (connection.isUsable && idleMs < Math.min(connection.idleSpanMs, this.idleLimit.getMs(now))) return connection
       connection.close()
     }
     return undefined
@@ -110,7 +114,7 @@
       connection.close()
       return
     }
-    connection.idleUntil = createDeadline(this.clock.now(), connection.idleSpanMs)
+    connection.idleSince = this.clock.now()
     this.idle.push(connection)
   }
 }
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -2,11 +2,14 @@
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { UpstreamEntry } from '@umberspar/steering/common/entry/records'
+import { IdleLimit } from './idleLimit.js'
 import type { EchoRule } from './upstreamConnection.js'
 import { UpstreamPool } from './upstreamPool.js'
 
 /** Pools by worker id: a new worker at an old address gets new connections. */
 export class UpstreamPools implements IClosable {
+  /** Shared by all workers: those of a service forget connections alike. */
+  readonly idleLimit = new IdleLimit()
   private readonly pools = new Map<string, UpstreamPool>()
 
   /**
@@ -23,7 +26,7 @@
     let pool = this.pools.get(entry.id)
     if (pool === undefined) {
       const [host, port] = entry.address.split(':')
-      pool = new UpstreamPool(host!, Number(port), this.rule, this.clock)
+      pool = new UpstreamPool(host!, Number(port), this.rule, this.idleLimit, this.clock)
       this.pools.set(entry.id, pool)
     }
     return pool
