Refuse in a full service what its queue alone would make late

Ruled out: objects moving (offers without the object at hand did not rise).

Change: while a service has no free slots, a request whose wait alone leaves less than 0.35 chance of an answer in time is refused at once. Objects not at hand yet do not count against their request.

--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -22,6 +22,16 @@
 const MOST_REFUSED = 2
 /** Below this expected worth, as a part of a timely answer, a request only takes a slot from others. */
 const LEAST_WORTH = 0.02
+/**
+ * In a service without free slots, requests below this chance of an answer in time
+ * are refused. All that is sent there takes the same slots; with queues short the
+ * same number of answers comes in time, where with long ones all come late, for a
+ * fifth of the worth. An object that is not at hand yet does not count against its
+ * request: it will be at hand for the next.
+ */
+const LEAST_PROMPTNESS = 0.35
+/** From this busyness on a service counts as without free slots. */
+const FULL_BUSYNESS = 0.9
 /** A worker that reached its deadline answers so; this long after the time limit it is not waited for, in milliseconds. */
 const ANSWER_SLACK_MS = 150
 /** The least and the most that a refused caller is asked to wait, in milliseconds. */
@@ -68,7 +78,7 @@
     const now = clock.now()
     const choice = this.choose(now)
     if (choice === undefined) return this.endWithoutAnswer(EndReason.NoWorker)
-    if (this.isTooLate(choice, now)) return this.endWithoutAnswer(EndReason.TooLate, choice)
+    if (this.isTooLate(choice, now) || this.isCrowded(choice, now)) return this.endWithoutAnswer(EndReason.TooLate, choice)
     if (this.sent === 0) view.readRepeats(this.service).recordFirst(now)
     else if (!view.readRepeats(this.service).take(now)) return this.endWithoutAnswer(EndReason.RepeatsSpent, choice)
     this.logOffer(choice, now)
@@ -88,6 +98,12 @@
     return value < LEAST_WORTH && now + (isLearned ? expectedMs : waitMs) > this.latestAt
   }
 
+  private isCrowded ({ promptness }: Choice, now: Instant): boolean {
+    const { view } = this.context
+    const { isLearned } = view.readWork(this.request.route, this.service)
+    return this.sent === 0 && isLearned && promptness < LEAST_PROMPTNESS && view.readRoster(this.service).getBusyness(now) >= FULL_BUSYNESS
+  }
+
   private choose (now: Instant): Choice | undefined {
     const { view, byteCosts } = this.context
     const { route, body, arrivedAt } = this.request
--- a/packages/steering/src/common/entry/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/chooseUpstream.ts
@@ -33,6 +33,8 @@
   readonly isWarm: boolean
   /** Work on this request, the worker's own speed aside, in milliseconds. */
   readonly workMs: number
+  /** Work on an object that is at hand, in milliseconds. */
+  readonly warmWorkMs: number
   /** Mean work of the service's requests, for those that wait before this one, in milliseconds. */
   readonly meanWorkMs: number
   /** Its place in the ranking for the request's object, 0 the first. */
@@ -61,6 +63,8 @@
   readonly waitMs: number
   /** Expected worth less cost; the higher the better. */
   readonly value: number
+  /** The chance of an answer in time if the worker had the object at hand: what its queue alone leaves. */
+  readonly promptness: number
 }
 
 /**
@@ -138,7 +142,9 @@
   const bonus = candidate.rank === 0 && tracker.sent === 0 ? FIRST_REQUEST_BONUS : 0
   const spillCost = COST_PER_RANK * candidate.rank + computeSpillCost(candidate, need.busyness)
   const value = worth + bonus - bytesCost - COST_PER_MS * expectedMs - spillCost
-  return { candidate, expectedMs, waitMs, value }
+  const promptMs = candidate.roundTripMs + waitMs + candidate.warmWorkMs * slowness
+  const promptness = estimateChance(promptMs, need.goalAt - now, spreadMs)
+  return { candidate, expectedMs, waitMs, value, promptness }
 }
 
 /**
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -133,6 +133,7 @@
       roundTripMs: this.place.distances.getRoundTrip(domain),
       isWarm,
       workMs: work.getWork(isWarm),
+      warmWorkMs: work.getWork(true),
       meanWorkMs: work.getWork(key !== undefined),
       rank
     }
