--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -21,8 +21,16 @@
 const SLOWNESS_HALF_LIFE_MS = 3_000
 /** A worker is rated slower than its service by no more than this factor. */
 const MOST_SLOWNESS = 10
-/** A load report says nothing after so many milliseconds: a request or two later the queue is another. */
+/** A load report is taken as it stands for so many milliseconds: a request or two later the queue is another. */
 const REPORT_SPAN_MS = 1_000
+/** How much the newest report counts in the mean load, which stands in for older reports. */
+const LOAD_GAIN = 0.3
+/**
+ * The mean load counts half after so many milliseconds without a report. In a large
+ * fleet a VM hears of a worker every few seconds only; taking it for idle meanwhile
+ * would send to full workers again and again.
+ */
+const LOAD_HALF_LIFE_MS = 4_000
 /** A request that takes this many times as long as expected, and the span below, speaks against its worker. */
 const OVERDUE_FACTOR = 2.5
 /** Short requests are late by chance; none is called overdue before so many milliseconds. */
@@ -42,6 +50,7 @@
   private readonly open = new Set<OpenRequest>()
   private report: LoadReport | undefined
   private reportedAt: Instant = Number.NEGATIVE_INFINITY
+  private meanLoad = 0
   private sentSinceReport = 0
   private failure = 0
   private failureAt: Instant = 0
@@ -110,6 +119,7 @@
    * @param now when the answer came
    */
   recordReport (report: LoadReport, now: Instant): void {
+    this.meanLoad += LOAD_GAIN * (report.running + report.waiting - this.meanLoad)
     this.report = report
     this.reportedAt = now
     this.sentSinceReport = 0
@@ -164,7 +174,9 @@
    * @returns the requests that the worker is believed to hold, of all entry VMs
    */
   countHeld (now: Instant): number {
-    if (this.report === undefined || now - this.reportedAt > REPORT_SPAN_MS) return this.open.size
+    if (this.report === undefined) return this.open.size
+    const ageMs = now - this.reportedAt
+    if (ageMs > REPORT_SPAN_MS) return Math.max(this.open.size, this.meanLoad * 2 ** (-(ageMs - REPORT_SPAN_MS) / LOAD_HALF_LIFE_MS))
     return Math.max(this.open.size, this.report.running + this.report.waiting + this.sentSinceReport)
   }
 
