Share work almost evenly: 1.05 times a worker's even part at most

Cause: workers keep about one and a half times their even part of the objects. With 1.3 times, chance took many workers beyond what they keep, and their objects were worked on anew. Ruled out: workers' load, below their slots.

--- a/packages/steering/src/common/entry/placeShares.ts
+++ b/packages/steering/src/common/entry/placeShares.ts
@@ -28,7 +28,7 @@
  * Objects kept at hand are a few dozen a worker; more than that many are worked on
  * anew each time, which costs far more than the way to another region.
  */
-const MOST_LOAD_FACTOR = 1.3
+const MOST_LOAD_FACTOR = 1.05
 /** Rounds of scaling; the shares then add up within a percent with the preferences above. */
 const ROUNDS = 30
 
