Resolve three import circles; drop settings that nothing reads

ConfigurationProblem, PartInputs and what members tell of themselves now have files of their own, so that configurationRules, planParts and peers import nothing that imports them. The same for what entry VMs vouch for and for the records' age. Gone: the entry process's settings for shifts and cores, and the capacity in its record, which nothing used.

--- a/packages/daemon/src/node/daemonParts.ts
+++ b/packages/daemon/src/node/daemonParts.ts
@@ -1,20 +1,14 @@
 /** Creates the parts of a daemon and hands their ownership to one stack. */
-import type { IClock } from '@umberspar/base/common/clock'
 import type { CloseStack } from '@umberspar/base/common/closing'
 import { runDetached } from '@umberspar/base/common/detached'
-import type { ILogger } from '@umberspar/base/common/logger'
-import type { IMetrics } from '@umberspar/base/common/metrics'
-import type { IRandomSource } from '@umberspar/base/common/random'
 import { PeerClient } from '@umberspar/adapters/node/peers/peerClient'
 import { PeerServer } from '@umberspar/adapters/node/peers/peerServer'
-import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import { createEtcdStore } from '@umberspar/adapters/node/store/etcdStore'
 import { createChannelSecurity, createServerCredentials } from '@umberspar/adapters/node/tls/tlsOptions'
 import { UndiciTransport } from '@umberspar/adapters/node/upstream/upstreamTransport'
 import { HttpVmList } from '@umberspar/adapters/node/vms/httpVmList'
 import { BurnCounter } from '@umberspar/steering/common/burn/burnCounter'
 import type { IKeyValueStore } from '@umberspar/steering/common/ports/keyValueStore'
-import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
 import { ClientBlockBuilder } from './callers/clientBlockBuilder.js'
 import { ClientRegions } from './callers/clientRegions.js'
 import { LookupHandler } from './callers/lookupHandler.js'
@@ -30,28 +24,15 @@
 import { DocumentSpreader } from './peers/documentSpreader.js'
 import { Heartbeats } from './peers/heartbeats.js'
 import { PeerService } from './peers/peerService.js'
-import type { AdmissionPolicy } from './places/admissionQueue.js'
 import { PlaceDirectory } from './places/placeDirectory.js'
 import { PlanKeeper } from './places/planKeeper.js'
 import { WorkerProber } from './places/workerProber.js'
 import { WorkerReports } from './places/workerReports.js'
+import type { PartInputs } from './partInputs.js'
 import { createPlanParts, type PlanParts } from './plan/planParts.js'
 import { RequestRunner } from './request/requestRunner.js'
 import { SlotFinder } from './request/slotFinder.js'
-import { type DaemonTls, TlsSide } from './tls/daemonTls.js'
-
-/** What the parts are made from. */
-export interface PartInputs {
-  readonly settings: DaemonSettings
-  readonly digester: Digester
-  readonly logger: ILogger
-  readonly metrics: IMetrics
-  readonly clock: IClock
-  readonly random: IRandomSource
-  readonly admission?: AdmissionPolicy | undefined
-  /** Certificates of the sides that speak TLS. */
-  readonly tls: DaemonTls
-}
+import { TlsSide } from './tls/daemonTls.js'
 
 /** The parts of one daemon. */
 export interface DaemonParts extends PlanParts {
--- a/packages/daemon/src/node/limits/limitDocuments.ts
+++ b/packages/daemon/src/node/limits/limitDocuments.ts
@@ -1,7 +1,7 @@
 /** What daemons tell each other of limits, as documents of their heartbeats. */
 import type { DivisionView } from '@umberspar/steering/common/limits/divisionView'
 import type { EntryCandidate } from '@umberspar/steering/common/lookup/decideLookup'
-import type { DocumentVersion } from '@umberspar/steering/common/ports/peers'
+import type { DocumentVersion } from '@umberspar/steering/common/membership/memberFacts'
 
 /** The division by which a node is bound: version of the VM list and stamp. */
 const ROSTER_DOCUMENT = 'roster'
--- /dev/null
+++ b/packages/daemon/src/node/partInputs.ts
@@ -0,0 +1,22 @@
+/** What the parts of a daemon are made from. */
+import type { IClock } from '@umberspar/base/common/clock'
+import type { ILogger } from '@umberspar/base/common/logger'
+import type { IMetrics } from '@umberspar/base/common/metrics'
+import type { IRandomSource } from '@umberspar/base/common/random'
+import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
+import type { Digester } from '@umberspar/steering/common/configuration/canonicalJson'
+import type { AdmissionPolicy } from './places/admissionQueue.js'
+import type { DaemonTls } from './tls/daemonTls.js'
+
+/** What the parts are made from. */
+export interface PartInputs {
+  readonly settings: DaemonSettings
+  readonly digester: Digester
+  readonly logger: ILogger
+  readonly metrics: IMetrics
+  readonly clock: IClock
+  readonly random: IRandomSource
+  readonly admission?: AdmissionPolicy | undefined
+  /** Certificates of the sides that speak TLS. */
+  readonly tls: DaemonTls
+}
--- a/packages/daemon/src/node/peers/documentRegistry.ts
+++ b/packages/daemon/src/node/peers/documentRegistry.ts
@@ -2,7 +2,8 @@
  * Documents beside the configuration that daemons hand on to each other. A
  * source registers here; heartbeats then announce, fetch and push for it.
  */
-import type { DemandReport, Digest, DocumentVersion, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import type { DemandReport, DocumentVersion } from '@umberspar/steering/common/membership/memberFacts'
+import type { Digest, PeerDocument } from '@umberspar/steering/common/ports/peers'
 
 /** Who owns documents of some names. */
 export interface IDocumentSource {
--- a/packages/daemon/src/node/peers/peerService.ts
+++ b/packages/daemon/src/node/peers/peerService.ts
@@ -4,7 +4,8 @@
  */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { MemberReport } from '@umberspar/steering/common/membership/memberReport'
-import type { AnnouncedState, Digest, DocumentVersion, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
+import type { AnnouncedState, DocumentVersion } from '@umberspar/steering/common/membership/memberFacts'
+import type { Digest, IPeerService, LoanAnswer, LoanRequest, LoanReturn, PeerDocument } from '@umberspar/steering/common/ports/peers'
 import { NodeState } from '@umberspar/steering/common/state/nodeState'
 import { type ConfigurationKeeper, type ConfigurationText, LearnSource } from '../configuration/configurationKeeper.js'
 import { isLimitDocument } from '../limits/limitDocuments.js'
--- a/packages/daemon/src/node/plan/demandMeter.ts
+++ b/packages/daemon/src/node/plan/demandMeter.ts
@@ -1,6 +1,6 @@
 /** Measures what this node carries: a moving mean of requests at a time, by service and client region. */
 import type { IClock, Instant } from '@umberspar/base/common/clock'
-import type { DemandReport } from '@umberspar/steering/common/ports/peers'
+import type { DemandReport } from '@umberspar/steering/common/membership/memberFacts'
 
 /** Time constant of the mean: long against one request, short against the settle time of steps. */
 const MEAN_SPAN_MS = 1000
--- a/packages/daemon/src/node/plan/drainPlanner.ts
+++ b/packages/daemon/src/node/plan/drainPlanner.ts
@@ -1,6 +1,6 @@
 /** Predicts drains with what this node knows, and refuses those that do not fit. */
 import type { SteeringConfiguration } from '@umberspar/steering/common/configuration/configurationSchema'
-import type { ConfigurationProblem } from '@umberspar/steering/common/configuration/validateConfiguration'
+import type { ConfigurationProblem } from '@umberspar/steering/common/configuration/configurationProblem'
 import { type DrainPrediction, type DrainPredictionInput, findMisfits, predictDrain } from '@umberspar/steering/common/plan/predictDrain'
 import { listForbidden } from '@umberspar/steering/common/plan/serviceStep'
 import type { PlanKeeper } from '../places/planKeeper.js'
--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -38,10 +38,6 @@
   longestLookupCache: span,
   coldTolerance: z.object({ factor: positive, slack: z.number().check(z.nonnegative()) }),
   repeatBudget: z.object({ ratio: z.number().check(z.nonnegative()), window: span, slack: z.number().check(z.nonnegative()) }),
-  /** The greatest part of a region's requests that may change region within two seconds. */
-  largestShift: z._default(z.number().check(z.positive(), z.maximum(1)), 0.15),
-  /** Processor time that this VM has, in cores. */
-  cores: positive,
   memoryMb: positive,
   byteCosts: z._default(z.object({ otherDomain: z.number(), otherRegion: z.number() }), { otherDomain: 0.004, otherRegion: 0.013 }),
   logLevel: z._default(z.enum(LogLevel), LogLevel.Info)
--- a/packages/entry/src/node/beliefs/beliefKeeper.ts
+++ b/packages/entry/src/node/beliefs/beliefKeeper.ts
@@ -10,8 +10,9 @@
 import type { RecordChange, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
 import { RecordTable } from '@umberspar/steering/common/entry/recordTable'
 import type { SteeringListener } from '@umberspar/steering/common/ports/steeringSource'
-import type { RecordsAge } from '../front/entryContext.js'
+import type { VouchedSnapshot } from '../peers/vouchedSnapshot.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
+import type { RecordsAge } from './recordsAge.js'
 import type { PeerReader } from '../peers/peerReader.js'
 
 /** How often what disappeared during an outage is looked at, in milliseconds. */
@@ -20,12 +21,6 @@
 /** Who follows the view's changes. */
 export type ViewListener = (event: ViewEvent) => void
 
-/** What a peer is told. */
-export interface VouchedSnapshot extends RecordSnapshot {
-  /** Whether this VM is in touch with the store, so that the snapshot is as new as the store's. */
-  readonly isVouched: boolean
-}
-
 /** Keeps one process's view. */
 export class BeliefKeeper implements SteeringListener, IClosable {
   private readonly table = new RecordTable()
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -5,18 +5,12 @@
 import type { DomainDistances } from '@umberspar/steering/common/entry/domainDistances'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
+import type { RecordsAge } from '../beliefs/recordsAge.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import type { UpstreamPools } from '../upstream/upstreamPools.js'
 import type { BodyRoom } from './bodyReader.js'
 import type { RequestHeads } from './requestHead.js'
 
-/** How fresh the records are. */
-export interface RecordsAge {
-  readonly revision: number
-  /** Since they were last known to be up to date, in milliseconds. */
-  readonly ageMs: number
-}
-
 /** The shared parts of one process. */
 export interface EntryContext {
   readonly clock: IClock
--- a/packages/entry/src/node/peers/peerReader.ts
+++ b/packages/entry/src/node/peers/peerReader.ts
@@ -3,7 +3,7 @@
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
-import type { VouchedSnapshot } from '../beliefs/beliefKeeper.js'
+import type { VouchedSnapshot } from './vouchedSnapshot.js'
 
 /** The path at which entry VMs tell each other their records. */
 export const RECORDS_PATH = '/v1/records'
--- a/packages/entry/src/node/peers/recordsHandler.ts
+++ b/packages/entry/src/node/peers/recordsHandler.ts
@@ -1,5 +1,5 @@
 /** Answers entry VMs that the store does not answer. */
-import type { VouchedSnapshot } from '../beliefs/beliefKeeper.js'
+import type { VouchedSnapshot } from './vouchedSnapshot.js'
 import type { PathHandler } from '../lookup/questionServer.js'
 
 /**
--- a/packages/steering/src/common/configuration/configurationRules.ts
+++ b/packages/steering/src/common/configuration/configurationRules.ts
@@ -5,7 +5,7 @@
 import { computePlaceCapacity, isPlaceDrained } from '../plan/placeCapacity.js'
 import type { ServiceConfiguration, SteeringConfiguration } from './configurationSchema.js'
 import { findRegion } from './findRegion.js'
-import type { ConfigurationProblem } from './validateConfiguration.js'
+import type { ConfigurationProblem } from './configurationProblem.js'
 import { isReservedName } from './reservedNames.js'
 
 const HEADER_NAME = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
--- a/packages/steering/src/common/configuration/patchConfiguration.ts
+++ b/packages/steering/src/common/configuration/patchConfiguration.ts
@@ -5,7 +5,7 @@
 import { encodeCanonical } from './canonicalJson.js'
 import type { SteeringConfiguration } from './configurationSchema.js'
 import { isReservedName } from './reservedNames.js'
-import type { ConfigurationProblem } from './validateConfiguration.js'
+import type { ConfigurationProblem } from './configurationProblem.js'
 import { validateConfiguration } from './validateConfiguration.js'
 import type { VersionedConfiguration } from './versionedConfiguration.js'
 
--- a/packages/steering/src/common/configuration/validateConfiguration.ts
+++ b/packages/steering/src/common/configuration/validateConfiguration.ts
@@ -2,20 +2,11 @@
 import type { z } from 'zod'
 import { Err, Ok } from '@umberspar/base/common/result'
 import type { Result } from '@umberspar/base/common/result'
+import type { ConfigurationProblem } from './configurationProblem.js'
 import type { SteeringConfiguration } from './configurationSchema.js'
 import { configurationSchema } from './configurationSchema.js'
 import { listRuleProblems } from './configurationRules.js'
 
-/** One fault of a configuration. */
-export interface ConfigurationProblem {
-  /** Names and indices joined by dots, like `services.escort-svc.places.x`; empty for the whole. */
-  readonly path: string
-  /** What should stand there. */
-  readonly expected: string
-  /** A whole sentence for operators, without the path. */
-  readonly message: string
-}
-
 type SchemaIssue = z.core.$ZodIssue
 
 function formatPath (path: readonly PropertyKey[]): string {
--- a/packages/steering/src/common/entry/chooseEntries.ts
+++ b/packages/steering/src/common/entry/chooseEntries.ts
@@ -1,7 +1,8 @@
 /**
  * Which entry VMs callers of a failure domain are told to use: those of their own
- * domain, else of their region, else all. Each is named in proportion to its
- * processor share, since callers pick among the names with equal chance.
+ * domain, else of their region, else all. Callers pick among the names with equal
+ * chance, whatever a VM can take: the smallest is busy for a tenth of its processor
+ * share where it was measured (docs/MEASUREMENTS.md).
  */
 import type { EntryNode } from './records.js'
 
--- a/packages/steering/src/common/entry/records.ts
+++ b/packages/steering/src/common/entry/records.ts
@@ -33,8 +33,6 @@
   /** `host:port` of the listener for other entry VMs. */
   readonly peerAddress: string
   readonly domain: string
-  /** Its processor share, for what look-ups may send to it; in cores. */
-  readonly capacity: number
 }
 
 /** The kinds of record. */
--- a/packages/steering/src/common/membership/memberReport.ts
+++ b/packages/steering/src/common/membership/memberReport.ts
@@ -3,7 +3,7 @@
  * ordered by start and beat; the newer one replaces the older, in whichever order
  * and however often they come, so that relaying needs no acknowledgement.
  */
-import type { AnnouncedState, DocumentVersion, DemandReport } from '../ports/peers.js'
+import type { AnnouncedState, DocumentVersion, DemandReport } from './memberFacts.js'
 
 /** A node's word on itself, possibly relayed by others. */
 export interface MemberReport {
--- a/packages/steering/src/common/ports/peers.ts
+++ b/packages/steering/src/common/ports/peers.ts
@@ -4,21 +4,9 @@
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { StepError } from '@umberspar/base/common/errors'
 import type { Result } from '@umberspar/base/common/result'
+import type { AnnouncedState, DemandReport, DocumentVersion } from '../membership/memberFacts.js'
 import type { MemberReport } from '../membership/memberReport.js'
 import type { PushRoute } from '../spread/pushTree.js'
-import type { NodeState } from '../state/nodeState.js'
-
-/** What a node says of itself; that it is suspected or gone only others can find. */
-export type AnnouncedState = NodeState.Joining | NodeState.Live | NodeState.Leaving
-
-/** A document (the configuration, one service's plan) and the version a node has of it. */
-export interface DocumentVersion {
-  readonly name: string
-  readonly version: number
-  /** xxHash64 of the body, in hexadecimal. */
-  readonly digest: string
-  readonly changeId: string
-}
 
 /** A whole document. */
 export interface PeerDocument {
@@ -46,16 +34,6 @@
   readonly hasLoad: boolean
 }
 
-/** What one node carried lately of one service for one client region. */
-export interface DemandReport {
-  readonly service: string
-  readonly clientRegion: string
-  /** Mean number of requests held or waiting at a time. */
-  readonly concurrency: number
-  /** When the measurement ended, on the own clock. */
-  readonly measuredAt: Instant
-}
-
 /** A heartbeat: who is there, in which state, with which versions. */
 export interface Digest {
   readonly nodeId: string
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -148,8 +148,6 @@
       longestLookupCache: 5_000,
       coldTolerance: { factor: 1.5, slack: 5 },
       repeatBudget: { ratio: 0.2, window: 10_000, slack: 60 },
-      largestShift: 0.15,
-      cores: 1,
       memoryMb: 350,
       byteCosts: { otherDomain: 0.004, otherRegion: 0.013 },
       logLevel: LogLevel.Info
