--- a/packages/testing/src/node/demo/platformDemo.ts
+++ b/packages/testing/src/node/demo/platformDemo.ts
@@ -83,10 +83,8 @@
 
 /** Asks for the entry VMs of a failure domain, as a client does, and sends to the first. */
 async function sendRequest (platform: LocalPlatform, entries: readonly LocalEntry[], domain: string, index: number, random: SeededRandom): Promise<Answered> {
-  const region = DOMAINS[domain as keyof typeof DOMAINS]
-  const looked = await platform.ask(entries[0]!.settings.listen.lookups, `/umberspar/resolve?Name=shop.example&Region=${region}&Zone=${domain}`)
-  const { Addrs } = JSON.parse(looked.body) as { Addrs: string[] }
-  const entry = entries.find(({ settings }) => settings.listen.callers === Addrs[0])!
+  const [address] = await platform.lookUp(entries[0]!, domain)
+  const entry = entries.find(({ settings }) => settings.listen.callers === address)!
   const isCloseout = random.next() < 0.3
   const id = `request-${index}`
   const startedAt = platform.clock.now()
@@ -128,7 +126,7 @@
   const broken: string[] = []
   for (const { id, kind, answer } of answered) {
     const runs = runsById.get(id) ?? 0
-    if (answer.status === SUCCESS && answer.headers['x-umberspar-request-id'] !== id) broken.push(`${id} got the answer to ${String(answer.headers['x-umberspar-request-id'])}`)
+    if (answer.status === SUCCESS && platform.getRequestId(answer) !== id) broken.push(`${id} got the answer to ${platform.getRequestId(answer)}`)
     if (answer.status === SUCCESS && answer.body !== 'the whole answer') broken.push(`${id} got a part of its answer`)
     if (kind === 'closeouts' && runs > 1) broken.push(`${id} ran ${runs} times`)
     if (NOT_RUN.has(answer.status) && runs > 0) broken.push(`${id} was told not to have run, and ran`)
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -183,6 +183,17 @@
     }, body, signal)
   }
 
+  /** Asks an entry process, as a client does, which ones to use. @returns their addresses */
+  async lookUp ({ settings }: LocalEntry, domain: string): Promise<string[]> {
+    const { body } = await this.ask(settings.listen.lookups, `/umberspar/resolve?Name=${HOST}&Region=${this.regions[domain]}&Zone=${domain}`)
+    return (JSON.parse(body) as { Addrs: string[] }).Addrs
+  }
+
+  /** @returns the id of the request that an answer belongs to, by the worker's word */
+  getRequestId ({ headers }: ClientAnswer): string {
+    return String(headers['x-umberspar-request-id'])
+  }
+
   /** Asks a listener a question. */
   async ask (address: string, path: string): Promise<ClientAnswer> {
     return await this.send(address, path, 'GET', {})
