Judge nearness, hash pairs and open listeners each in one place

Found in a last reading of the whole change; behaviour stays as it is. Nearness of failure domains was judged twice (distances and shares), the rendezvous pair was hashed twice, the fields of one connection were listed beside steering's HOP_BY_HOP_HEADERS, and two listeners and three callers took addresses apart by themselves. Gone: a count nothing read, and a depth that was always the whole.

--- a/packages/entry/src/node/front/frontServer.ts
+++ b/packages/entry/src/node/front/frontServer.ts
@@ -6,6 +6,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
+import { listenAt } from '../address.js'
 import { EndReason } from '../telemetry/requestEvents.js'
 import { BodyFailure, hasBody, readBody, RequestBody } from './bodyReader.js'
 import { CallerAnswer } from './callerAnswer.js'
@@ -59,11 +60,7 @@
    * @returns settled when callers can connect
    */
   async listen (address: string): Promise<void> {
-    const [host, port] = address.split(':')
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(Number(port), host, () => resolve())
-    })
+    await listenAt(this.server, address)
   }
 
   /** @param document whose limits for callers apply from now on */
--- a/packages/entry/src/node/lookup/questionServer.ts
+++ b/packages/entry/src/node/lookup/questionServer.ts
@@ -1,6 +1,7 @@
 /** Answers callers that ask which entry VMs to use, and the platform's checks of readiness. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { IClosable } from '@umberspar/base/common/closing'
+import { listenAt } from '../address.js'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 
 /** What one path answers. */
@@ -40,11 +41,7 @@
    * @returns settled when questions can be asked
    */
   async listen (address: string): Promise<void> {
-    const [host, port] = address.split(':')
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(Number(port), host, () => resolve())
-    })
+    await listenAt(this.server, address)
   }
 
   /** Answers nothing more. */
--- a/packages/entry/src/node/peers/peerReader.ts
+++ b/packages/entry/src/node/peers/peerReader.ts
@@ -3,6 +3,7 @@
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
+import { splitAddress } from '../address.js'
 import type { VouchedSnapshot } from './vouchedSnapshot.js'
 
 /** The path at which entry VMs tell each other their records. */
@@ -78,8 +79,7 @@
   }
 
   private ask (address: string, revision: number, onSnapshot: (snapshot: VouchedSnapshot) => void): void {
-    const [host, port] = address.split(':')
-    const request = get({ host, port, path: `${RECORDS_PATH}?after=${revision}`, agent: false }, (response) => {
+    const request = get({ ...splitAddress(address), path: `${RECORDS_PATH}?after=${revision}`, agent: false }, (response) => {
       const chunks: Buffer[] = []
       let length = 0
       response.on('data', (chunk: Buffer) => {
--- a/packages/entry/src/node/upstream/rawHeaders.ts
+++ b/packages/entry/src/node/upstream/rawHeaders.ts
@@ -1,4 +1,5 @@
 /** Header fields as an alternating list of names and values, in the order received. */
+import { HOP_BY_HOP_HEADERS } from '@umberspar/steering/common/request/headers'
 
 /**
  * @param rawHeaders names and values in turn
@@ -13,10 +14,8 @@
   return undefined
 }
 
-/** Fields that concern one connection only (RFC 9110, section 7.6.1). */
-const CONNECTION_FIELDS: ReadonlySet<string> = new Set([
-  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
-])
+/** Fields that concern one connection only; no trailers are passed on, so nothing announces any. */
+const CONNECTION_FIELDS: ReadonlySet<string> = new Set([...HOP_BY_HOP_HEADERS, 'trailer'])
 
 /** Fields that `Connection` cannot remove: without them a message would end elsewhere or reach another host. */
 const KEPT_FIELDS: ReadonlySet<string> = new Set(['content-length', 'host', 'cookie'])
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -2,6 +2,7 @@
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { UpstreamEntry } from '@umberspar/steering/common/entry/records'
+import { splitAddress } from '../address.js'
 import { IdleLimit } from './idleLimit.js'
 import type { EchoRule } from './upstreamConnection.js'
 import { UpstreamPool } from './upstreamPool.js'
@@ -25,8 +26,8 @@
   read (entry: UpstreamEntry): UpstreamPool {
     let pool = this.pools.get(entry.id)
     if (pool === undefined) {
-      const [host, port] = entry.address.split(':')
-      pool = new UpstreamPool(host!, Number(port), this.rule, this.idleLimit, this.clock)
+      const { host, port } = splitAddress(entry.address)
+      pool = new UpstreamPool(host, port, this.rule, this.idleLimit, this.clock)
       this.pools.set(entry.id, pool)
     }
     return pool
--- a/packages/steering/src/common/entry/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/chooseUpstream.ts
@@ -6,6 +6,7 @@
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
+import { Nearness } from './nearness.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 
 /** What bytes cost, in parts of the worth of one request answered in time, for each kilobyte. */
@@ -16,13 +17,6 @@
   readonly otherRegion: number
 }
 
-/** How far a worker is. */
-export enum Nearness {
-  SameDomain = 'same-domain',
-  SameRegion = 'same-region',
-  OtherRegion = 'other-region'
-}
-
 /** One worker that may get the request. */
 export interface Candidate {
   readonly tracker: UpstreamTracker
--- a/packages/steering/src/common/entry/domainDistances.ts
+++ b/packages/steering/src/common/entry/domainDistances.ts
@@ -3,7 +3,7 @@
  * connections take to open. The least of the latest openings counts: a busy worker
  * or a lost packet makes one opening slow, never fast.
  */
-import { Nearness } from './chooseUpstream.js'
+import { classifyNearness, Nearness } from './nearness.js'
 
 /** Before any connection was opened, in milliseconds there and back. */
 const ASSUMED_MS: Readonly<Record<Nearness, number>> = {
@@ -29,8 +29,7 @@
    * @returns how near it is
    */
   getNearness (other: string): Nearness {
-    if (other === this.domain) return Nearness.SameDomain
-    return this.regionOf.get(other) === this.regionOf.get(this.domain) ? Nearness.SameRegion : Nearness.OtherRegion
+    return classifyNearness(this.domain, other, this.regionOf)
   }
 
   /**
--- a/packages/steering/src/common/entry/keyRanking.ts
+++ b/packages/steering/src/common/entry/keyRanking.ts
@@ -3,11 +3,9 @@
  * entry VM. A worker is first for a part of the keys that equals its share, and a
  * change of the worker list moves only the keys that it must.
  */
-import { computeHash32 } from '../hash/xxHash.js'
+import { computePairHash } from '../lookup/rendezvous.js'
 import type { Shares } from './placeShares.js'
 
-/** Stands between key and id, so that no two pairs hash the same text. */
-const SEPARATOR = '\u0000'
 /** One more than the greatest 32-bit number; with the half added a hash never gives 0 or 1. */
 const HASH_RANGE = 0x1_0000_0000
 /** Rankings kept; a service has far fewer objects in use at an entry VM, and an entry takes about 200 bytes. */
@@ -22,11 +20,8 @@
 export class KeyRanking {
   private readonly ranksByKey = new Map<string, readonly string[]>()
 
-  /**
-   * @param shares each worker's part
-   * @param depth how many workers a ranking names
-   */
-  constructor (private readonly shares: Shares, private readonly depth: number) {}
+  /** @param shares each worker's part */
+  constructor (private readonly shares: Shares) {}
 
   /**
    * @param key what identifies the object
@@ -44,10 +39,10 @@
   private computeRanks (key: string): string[] {
     const ranked: RankedWorker[] = []
     for (const [id, share] of this.shares) {
-      const draw = (computeHash32(`${key}${SEPARATOR}${id}`) + 0.5) / HASH_RANGE
+      const draw = (computePairHash(key, id) + 0.5) / HASH_RANGE
       ranked.push({ id, score: -Math.log(draw) / share })
     }
     ranked.sort((left, right) => left.score - right.score || (left.id < right.id ? -1 : 1))
-    return ranked.slice(0, this.depth).map(({ id }) => id)
+    return ranked.map(({ id }) => id)
   }
 }
--- a/packages/steering/src/common/entry/placeShares.ts
+++ b/packages/steering/src/common/entry/placeShares.ts
@@ -7,6 +7,7 @@
  * slots. Both together are an optimal-transport problem with equal supply in each
  * domain; Sinkhorn's scaling solves its smoothed form in a few rounds.
  */
+import { classifyNearness, Nearness } from './nearness.js'
 
 /** A worker, as far as its share depends on it. */
 export interface SharedWorker {
@@ -16,13 +17,15 @@
 }
 
 /**
- * How strongly nearness counts. One domain further away multiplies the preference
- * by this. With even capacity it keeps about nine tenths of a domain's requests in its
- * region; larger values change little, smaller ones send bytes between regions for nothing.
+ * How strongly nearness counts. With even capacity it keeps about nine tenths of a
+ * domain's requests in its region; larger values change little, smaller ones send
+ * bytes between regions for nothing.
  */
-const OTHER_DOMAIN_PREFERENCE = 0.5
-/** The same for one region further away. */
-const OTHER_REGION_PREFERENCE = 0.05
+const PREFERENCE: Readonly<Record<Nearness, number>> = {
+  [Nearness.SameDomain]: 1,
+  [Nearness.SameRegion]: 0.5,
+  [Nearness.OtherRegion]: 0.05
+}
 /**
  * A worker may get this many times its even part where that keeps requests near.
  * Objects kept at hand are a few dozen a worker; more than that many are worked on
@@ -35,18 +38,6 @@
 /** Shares by worker id, for requests that arrive in one domain. */
 export type Shares = ReadonlyMap<string, number>
 
-/**
- * @param domain the domain in which requests arrive
- * @param worker a worker
- * @param regionOf each domain's region
- * @returns how much the worker is preferred for its place, 0 to 1
- */
-function computePreference (domain: string, worker: SharedWorker, regionOf: ReadonlyMap<string, string>): number {
-  if (worker.domain === domain) return 1
-  if (regionOf.get(worker.domain) === regionOf.get(domain)) return OTHER_DOMAIN_PREFERENCE
-  return OTHER_REGION_PREFERENCE
-}
-
 /**
  * @param workers the workers that may get work
  * @param regionOf all failure domains with their regions
@@ -55,9 +46,10 @@
 export function computeShares (workers: readonly SharedWorker[], regionOf: ReadonlyMap<string, string>): Map<string, Shares> {
   const domains = [...regionOf.keys()]
   const allSlots = workers.reduce((sum, { slots }) => sum + slots, 0)
-  const matrix = domains.map((domain) => workers.map((worker) => computePreference(domain, worker, regionOf)))
+  const matrix = domains.map((domain) => workers.map((worker) => PREFERENCE[classifyNearness(domain, worker.domain, regionOf)]))
+  const targets = workers.map(({ slots }) => MOST_LOAD_FACTOR * domains.length * slots / allSlots)
   for (let round = 0; round < ROUNDS; round++) {
-    scaleColumns(matrix, workers.map(({ slots }) => MOST_LOAD_FACTOR * domains.length * slots / allSlots))
+    scaleColumns(matrix, targets)
     scaleRows(matrix)
   }
   return new Map(domains.map((domain, row) => [domain, new Map(workers.map(({ id }, column) => [id, matrix[row]![column]!]))]))
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -164,6 +164,6 @@
       .filter((entry) => homeRegions.length === 0 || homeRegions.includes(regionOf.get(entry.domain) ?? ''))
       .sort((left, right) => (left.id < right.id ? -1 : 1))
     const shares = computeShares(workers, regionOf).get(domain) ?? new Map<string, number>()
-    return new KeyRanking(shares, workers.length)
+    return new KeyRanking(shares)
   }
 }
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -89,11 +89,6 @@
     return !hasPassed(this.coldUntil, now)
   }
 
-  /** @returns this VM's requests that it has not answered */
-  get inFlight (): number {
-    return this.open.size
-  }
-
   /**
    * Notes a request that is being sent.
    * @param now the present
--- a/packages/steering/src/common/lookup/rendezvous.ts
+++ b/packages/steering/src/common/lookup/rendezvous.ts
@@ -7,6 +7,15 @@
 /** Stands between key and id, so that no two pairs hash the same text. */
 const SEPARATOR = '\u0000'
 
+/**
+ * @param key what ids compete for
+ * @param id one of them
+ * @returns the pair's hash, an unsigned 32-bit number
+ */
+export function computePairHash (key: string, id: string): number {
+  return computeHash32(`${key}${SEPARATOR}${id}`)
+}
+
 interface RankedId {
   readonly id: string
   readonly hash: number
@@ -24,6 +33,6 @@
  * @returns the ids, the highest rank first
  */
 export function rankByRendezvous (key: string, ids: readonly string[]): string[] {
-  const ranked = ids.map((id) => ({ id, hash: computeHash32(`${key}${SEPARATOR}${id}`) }))
+  const ranked = ids.map((id) => ({ id, hash: computePairHash(key, id) }))
   return ranked.sort(compareRanked).map((entry) => entry.id)
 }
--- a/packages/steering/test/common/entry/shares.test.ts
+++ b/packages/steering/test/common/entry/shares.test.ts
@@ -32,9 +32,9 @@
   it('a worker that leaves moves only the keys that it was first for', () => {
     fc.assert(fc.property(fc.integer({ min: 2, max: 20 }), fc.integer(), (count, salt) => {
       const shares = new Map(Array.from({ length: count }, (_, index) => [`w-${index}`, 1 / count]))
-      const before = new KeyRanking(shares, count)
+      const before = new KeyRanking(shares)
       const left = new Map([...shares].filter(([id]) => id !== 'w-0'))
-      const after = new KeyRanking(left, count)
+      const after = new KeyRanking(left)
       for (let index = 0; index < 50; index++) {
         const key = `${salt}-${index}`
         if (before.rank(key)[0] !== 'w-0') assert.equal(after.rank(key)[0], before.rank(key)[0])
