Judge whole deployments on one thread by a clock of its loop

Cause: the three tests of KNOWN-RED.txt run daemons, stand-ins and callers on one thread. Beside 20 busy loops the thread is scheduled seldom; the callers' own limits pass by the machine's clock while no daemon had its turn, and the checker takes their giving up for a cut. Ruled out: a cut by the daemons. Change: LoopClock (10 ms a turn at most), shared by all parties of the three tests; a caller's look-up takes its limit from the same clock. No check, seed or figure of a test was changed.

--- a/packages/testing/src/node/load/caller.ts
+++ b/packages/testing/src/node/load/caller.ts
@@ -190,16 +190,22 @@
     const { clock, oneWayMs } = this.options
     const pool = this.choosePool()
     await waitUntil(clock, clock.now() + oneWayMs)
-    const response = await pool.agent.request({
-      origin: `http://${entry}`,
-      path: `/v1/lookup?service=${encodeURIComponent(service)}`,
-      method: 'GET',
-      headers: { ...pool.headers },
-      signal: AbortSignal.timeout(LOOKUP_WITHIN_MS)
-    })
-    const text = await response.body.text()
-    if (response.statusCode !== 200) throw new Error(`look-up at ${entry}: status ${response.statusCode}: ${text}`)
-    await waitUntil(clock, clock.now() + oneWayMs)
-    return JSON.parse(text) as LookupAnswer
+    const abort = new AbortController()
+    const timer = clock.schedule(createDeadline(clock.now(), LOOKUP_WITHIN_MS), () => abort.abort())
+    try {
+      const response = await pool.agent.request({
+        origin: `http://${entry}`,
+        path: `/v1/lookup?service=${encodeURIComponent(service)}`,
+        method: 'GET',
+        headers: { ...pool.headers },
+        signal: abort.signal
+      })
+      const text = await response.body.text()
+      if (response.statusCode !== 200) throw new Error(`look-up at ${entry}: status ${response.statusCode}: ${text}`)
+      await waitUntil(clock, clock.now() + oneWayMs)
+      return JSON.parse(text) as LookupAnswer
+    } finally {
+      timer.close()
+    }
   }
 }
--- a/packages/testing/test/node/concurrent/faultRun.ts
+++ b/packages/testing/test/node/concurrent/faultRun.ts
@@ -7,6 +7,7 @@
 import { runFaultSteps } from '../../../src/node/deployment/faultSteps.js'
 import type { FaultStep } from '../../../src/node/deployment/faultSteps.js'
 import { LocalDeployment } from '../../../src/node/deployment/localDeployment.js'
+import { LoopClock } from '../../../src/node/loopClock.js'
 import { RegionalLoad } from '../../../src/node/load/regionalLoad.js'
 import type { WorkerFaults } from '../../../src/node/standIns/upstream/workerFaults.js'
 
@@ -40,12 +41,13 @@
  * @returns what it showed, once everything is closed
  */
 export async function runWithFaults (run: FaultRun): Promise<FaultRunResult> {
-  const deployment = await LocalDeployment.start({ deployment: run.deployment, seed: run.seed, entries: run.entries })
+  const clock = new LoopClock()
+  const deployment = await LocalDeployment.start({ deployment: run.deployment, seed: run.seed, entries: run.entries, clock })
   try {
     assert.ok(await deployment.waitUntilReady(READY_WITHIN_MS), 'the daemons see each other')
     deployment.platform.fleet.setFaults(run.workerFaults)
     const load = new RegionalLoad({
-      clock: deployment.clock,
+      clock,
       seed: run.seed,
       configuration: deployment.configuration,
       mixes: MIX_BY_DEPLOYMENT[run.deployment],
@@ -70,5 +72,6 @@
     }
   } finally {
     await deployment.close()
+    clock.close()
   }
 }
--- a/packages/testing/test/node/daemons/rollingRestart.test.ts
+++ b/packages/testing/test/node/daemons/rollingRestart.test.ts
@@ -9,6 +9,7 @@
 import { AnswerKind, HistoryEventKind } from '../../../src/common/history/historyEvent.js'
 import { DeploymentName, MIX_BY_DEPLOYMENT } from '../../../src/common/load/mixes.js'
 import { LocalDeployment } from '../../../src/node/deployment/localDeployment.js'
+import { LoopClock } from '../../../src/node/loopClock.js'
 import { RegionalLoad } from '../../../src/node/load/regionalLoad.js'
 import { waitForCondition } from '../../../src/node/load/polling.js'
 import { waitUntil } from '../../../src/node/waiting.js'
@@ -43,9 +44,10 @@
   // next requests fail: a parent at the desk sees an error although all is well.
   it('cut no request of callers that cache look-ups, and fail none', async () => {
     const closing = new CloseStack()
-    const deployment = closing.add(await LocalDeployment.start({ deployment: DeploymentName.Teratai, seed: SEED, entries: ENTRIES, vmListLagSpanMs: 0 }))
+    const clock = closing.add(new LoopClock())
+    const deployment = closing.add(await LocalDeployment.start({ deployment: DeploymentName.Teratai, seed: SEED, entries: ENTRIES, vmListLagSpanMs: 0, clock }))
     try {
-      const { clock, configuration, history, platform } = deployment
+      const { configuration, history, platform } = deployment
       assert.ok(await deployment.waitUntilReady(READY_WITHIN_MS))
       let isOver = false
       const load = closing.add(new RegionalLoad({
--- a/packages/testing/test/node/daemons/workerDrain.test.ts
+++ b/packages/testing/test/node/daemons/workerDrain.test.ts
@@ -8,6 +8,7 @@
 import { DeploymentName, MIX_BY_DEPLOYMENT } from '../../../src/common/load/mixes.js'
 import { LocalDeployment } from '../../../src/node/deployment/localDeployment.js'
 import { waitForCondition } from '../../../src/node/load/polling.js'
+import { LoopClock } from '../../../src/node/loopClock.js'
 import { RegionalLoad } from '../../../src/node/load/regionalLoad.js'
 import type { FleetWorker } from '../../../src/node/standIns/upstreamFleetStandIn.js'
 import { WorkerHealth } from '../../../src/node/standIns/upstream/workerFaults.js'
@@ -31,14 +32,15 @@
 }
 
 describe('a worker that leaves', () => {
+  const clock = new LoopClock()
   let deployment: LocalDeployment
   let load: RegionalLoad
   let running: Promise<unknown>
 
   before(async () => {
-    deployment = await LocalDeployment.start({ deployment: DeploymentName.Guild, seed: SEED, entries: ENTRIES, vmListLagSpanMs: 0 })
+    deployment = await LocalDeployment.start({ deployment: DeploymentName.Guild, seed: SEED, entries: ENTRIES, vmListLagSpanMs: 0, clock })
     assert.ok(await deployment.waitUntilReady(READY_WITHIN_MS))
-    const { clock, configuration, history } = deployment
+    const { configuration, history } = deployment
     load = new RegionalLoad({
       clock,
       seed: SEED,
@@ -55,6 +57,7 @@
   after(async () => {
     await load.close()
     await deployment.close()
+    clock.close()
   })
 
   function countStarted (workerId: string): number {
@@ -67,7 +70,7 @@
   // that still comes two seconds later dies with the VM, and so does whatever an
   // overhasty entry VM cut off. Then the work is called off: the worker must serve again.
   it('gets no new work after 2 s at any daemon, loses none that is open, and comes back', async () => {
-    const { clock, history, platform } = deployment
+    const { history, platform } = deployment
     const [announced, byHealth, byPlatform] = platform.fleet.listWorkers().filter(({ service }) => service === 'sheet-archive')
     const ways: ReadonlyArray<readonly [FleetWorker, Leaving]> = [
       [announced!, { start: ({ worker }) => worker.startDrain(), stop: ({ worker }) => worker.stopDrain() }],
