End the soak's entry processes when the soak is gone

Cause: runs that were ended by a signal left their entry processes behind. Change: the module that is loaded before an entry process ends it when the channel to the soak closes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -88,7 +88,7 @@
     rules: { 'max-lines': ['error', { max: 400 }], 'max-lines-per-function': 'off' }
   },
   {
-    files: ['packages/base/src/node/systemClock.ts', 'packages/base/src/node/systemRandom.ts', 'packages/soak/src/node/timeShift.ts'],
+    files: ['packages/base/src/node/systemClock.ts', 'packages/base/src/node/systemRandom.ts', 'packages/soak/src/node/entryPreload.ts'],
     rules: { 'no-restricted-properties': 'off' }
   },
   {
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -20,7 +20,7 @@
 const ANSWER_WITHIN_MS = 500
 const POLL_MS = 50
 const ENTRY_PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
-const TIME_SHIFT = new URL('./timeShift.js', import.meta.url)
+const ENTRY_PRELOAD = new URL('./entryPreload.js', import.meta.url)
 
 /** One entry process and the links to it. */
 export class SoakEntry implements IClosable {
@@ -51,7 +51,7 @@
   /** Starts the process. */
   start (): void {
     this.writeSettings()
-    const program = ChildProgram.spawn(ENTRY_PROGRAM, [], { variables: buildBootVariables(this.file), preloads: [TIME_SHIFT], readsOutput: true })
+    const program = ChildProgram.spawn(ENTRY_PROGRAM, [], { variables: buildBootVariables(this.file), preloads: [ENTRY_PRELOAD], readsOutput: true })
     this.program = program
     this.isExpectedToEnd = false
     program.waitForExit().then(({ code, signal }) => {
