--- a/packages/steering/test/common/entry/shares.test.ts
+++ b/packages/steering/test/common/entry/shares.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from 'node:test'
 import { computeColdAllowance } from '../../../src/common/entry/coldAllowance.js'
 import { KeyRanking } from '../../../src/common/entry/keyRanking.js'
-import { computeShares, type SharedWorker } from '../../../src/common/entry/placeShares.js'
+import { computeShares, type SharedWorker, type Shares } from '../../../src/common/entry/placeShares.js'
 import { RepeatWindow } from '../../../src/common/entry/repeatWindow.js'
 
 const SEED = 20261202
@@ -12,6 +12,26 @@
 const workersInput = fc.array(fc.record({ domain: fc.constantFrom(...REGIONS.keys()), slots: fc.integer({ min: 1, max: 16 }) }), { minLength: 1, maxLength: 40 })
   .map((list): SharedWorker[] => list.map((worker, index) => ({ ...worker, id: `w-${index}` })))
 
+/** The cap of the users on what may change region within two seconds. */
+const MAX_SHIFT = 0.15
+
+const PAIRED_REGIONS = new Map([['a-1', 'a'], ['a-2', 'a'], ['b-1', 'b'], ['b-2', 'b'], ['c-1', 'c'], ['c-2', 'c']])
+const DOMAINS_PER_REGION = 2
+
+/** @returns the part of a region's requests that run in another region than before; both domains get the same traffic */
+function countMoved (workers: readonly SharedWorker[], from: string, before: ReadonlyMap<string, Shares>, after: ReadonlyMap<string, Shares>): number {
+  const changes = new Map<string, number>()
+  for (const [domain, region] of PAIRED_REGIONS) {
+    if (region !== from) continue
+    for (const worker of workers) {
+      const to = PAIRED_REGIONS.get(worker.domain)!
+      const change = (after.get(domain)!.get(worker.id) ?? 0) - before.get(domain)!.get(worker.id)!
+      changes.set(to, (changes.get(to) ?? 0) + change / DOMAINS_PER_REGION)
+    }
+  }
+  return [...changes.values()].reduce((sum, change) => sum + Math.max(0, change), 0)
+}
+
 describe('what each VM works out alone', () => {
   it('shares of a domain add up to one and no worker is promised much more than its part', () => {
     fc.assert(fc.property(workersInput, (workers) => {
@@ -29,6 +49,24 @@
     }), { seed: SEED, numRuns: 200 })
   })
 
+  it('a worker that leaves or joins shifts no more of a region to another region than the worker may carry of it', () => {
+    // Workers of a service are replaced one after the other. Each VM works its shares
+    // out anew, all of them alike and from the worker list alone: what traffic does
+    // moves nothing, and a change of the list no more than the worker's even part. From
+    // 21 workers of a service on, that is below the users' cap of 0.15.
+    const lists = fc.array(fc.constantFrom(...PAIRED_REGIONS.keys()), { minLength: 4, maxLength: 60 })
+    fc.assert(fc.property(lists, (domains) => {
+      const workers = domains.map((domain, index): SharedWorker => ({ id: `w-${index}`, domain, slots: 4 }))
+      const [before, after] = [computeShares(workers, PAIRED_REGIONS), computeShares(workers.slice(1), PAIRED_REGIONS)]
+      const mostCarried = 1.05 * PAIRED_REGIONS.size / (DOMAINS_PER_REGION * workers.length)
+      for (const region of new Set(PAIRED_REGIONS.values())) {
+        const moved = countMoved(workers, region, before, after)
+        assert.ok(moved <= mostCarried + 1e-9, `${moved} of the requests of ${region}, a worker carries ${mostCarried}`)
+        if (workers.length >= 21) assert.ok(moved <= MAX_SHIFT)
+      }
+    }), { seed: SEED, numRuns: 300 })
+  })
+
   it('a worker that leaves moves only the keys that it was first for', () => {
     fc.assert(fc.property(fc.integer({ min: 2, max: 20 }), fc.integer(), (count, salt) => {
       const shares = new Map(Array.from({ length: count }, (_, index) => [`w-${index}`, 1 / count]))
