Keep one hand-moved clock for all tests

Five test files and the testing package each had a clock of their own (HandClock twice, StepClock, SteppedClock, JumpingClock's timers). ManualClock moves to base, since entry and daemon tests may not import the testing package; it gains getNextTimer.

--- a/packages/testing/src/common/manualClock.ts
+++ b/packages/base/src/common/manualClock.ts
@@ -1,5 +1,5 @@
 /** A clock that only moves when told to, so that tests of time give the same verdict on every run. */
-import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import type { IClock, Instant, ITimer } from './clock.js'
 
 interface PendingTimer {
   readonly at: Instant
@@ -55,6 +55,12 @@
     return this.pending.size
   }
 
+  /** @returns when the next timer is due; undefined if there is none */
+  getNextTimer (): Instant | undefined {
+    if (this.pending.size === 0) return undefined
+    return Math.min(...[...this.pending].map(({ at }) => at))
+  }
+
   /**
    * Moves the clock ahead, firing what falls due, including timers set meanwhile.
    * @param spanMs how far, at least 0
--- a/packages/daemon/test/node/listener/bodyProgress.test.ts
+++ b/packages/daemon/test/node/listener/bodyProgress.test.ts
@@ -2,40 +2,9 @@
 import { EventEmitter } from 'node:events'
 import type { IncomingMessage } from 'node:http'
 import { test } from 'node:test'
-import type { IClock, ITimer } from '@umberspar/base/common/clock'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { BodyProgress } from '../../../src/node/listener/bodyProgress.js'
 
-/** Time that moves only when told to. */
-class StepClock implements IClock {
-  private present = 0
-  private timers: Array<{ at: number, callback: () => void }> = []
-
-  now (): number {
-    return this.present
-  }
-
-  getWallTime (): number {
-    return this.present
-  }
-
-  schedule (at: number, callback: () => void): ITimer {
-    const timer = { at, callback }
-    this.timers.push(timer)
-    return { close: () => { this.timers = this.timers.filter((each) => each !== timer) } }
-  }
-
-  stepTo (instant: number): void {
-    for (;;) {
-      const [next] = this.timers.filter(({ at }) => at <= instant).sort((one, other) => one.at - other.at)
-      if (next === undefined) break
-      this.timers = this.timers.filter((each) => each !== next)
-      this.present = Math.max(this.present, next.at)
-      next.callback()
-    }
-    this.present = instant
-  }
-}
-
 class FakeRequest extends EventEmitter {
   readonly headers = { 'content-length': '1000000' }
   readonly socket = { bytesRead: 0 }
@@ -53,7 +22,7 @@
 // another upload, and somebody drips one byte a minute to hold a slot. Only the
 // last may be ended.
 test('a body that drips is ended; a slow one, and one that the upstream holds back, go on', () => {
-  const clock = new StepClock()
+  const clock = new ManualClock()
   let stalled = 0
   const progress = new BodyProgress(clock, 1000, 100, () => { stalled++ })
   const [slow, held, dripping, done] = [new FakeRequest(), new FakeRequest(), new FakeRequest(), new FakeRequest()]
--- a/packages/daemon/test/node/places/workerReports.test.ts
+++ b/packages/daemon/test/node/places/workerReports.test.ts
@@ -11,17 +11,16 @@
 import type { KnownWorker } from '../../../src/node/places/placeDirectory.js'
 import { PlacePool } from '../../../src/node/places/placePool.js'
 import { WorkerProber } from '../../../src/node/places/workerProber.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { WorkerReports } from '../../../src/node/places/workerReports.js'
-import { HandClock } from '../handClock.js'
 
 const SEED = 5
 const TICK_MS = 50
 const WORKERS = 40
 
-class TickedClock extends HandClock {
+class TickedClock extends ManualClock {
   async step (): Promise<void> {
-    this.current += TICK_MS
-    this.runDue()
+    this.stepBy(TICK_MS)
     for (let turn = 0; turn < 20; turn++) await Promise.resolve()
   }
 }
--- a/packages/daemon/test/node/plan/stepReporter.test.ts
+++ b/packages/daemon/test/node/plan/stepReporter.test.ts
@@ -5,26 +5,17 @@
 import { Emitter } from '@umberspar/base/common/event'
 import { NULL_LOGGER } from '@umberspar/base/common/logger'
 import type { PlanKeeper, ReachedPlan } from '../../../src/node/places/planKeeper.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { StepReporter } from '../../../src/node/plan/stepReporter.js'
-import { HandClock } from '../handClock.js'
 
 const SETTLE_MS = 500
 
-class SteppedClock extends HandClock {
-  stepTo (until: Instant): void {
-    while (this.current < until) {
-      this.current++
-      this.runDue()
-    }
-  }
-}
-
 describe('StepReporter', () => {
   it('reports each step once, in the second half of the settle time, several services together', () => {
     // A drain takes twice as long as its caps allow. The holder waits for what
     // nodes measured after the step, and it came only when the holder asked or by
     // rounds of heartbeats through neighbours, behind the settle time.
-    const clock = new SteppedClock()
+    const clock = new ManualClock()
     const reached = new Emitter<ReachedPlan>()
     const reports: Array<readonly [string, Instant]> = []
     let holderId: string | undefined = 'holder'
--- a/packages/daemon/test/node/stop/stop.test.ts
+++ b/packages/daemon/test/node/stop/stop.test.ts
@@ -5,22 +5,20 @@
 import { type ILogger, type LogContext, LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
 import { DaemonStop, StopStepName, type StopTarget } from '../../../src/node/stop/daemonStop.js'
 import { LookupLifetime } from '../../../src/node/stop/lookupLifetime.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { StopSequence, StopStepEnd } from '../../../src/node/stop/stopSequence.js'
-import { HandClock } from '../handClock.js'
 
 const CACHE_MS = 2000
 const MICROTASK_TURNS = 20
 
 /** A clock that jumps from timer to timer once all else has settled. */
-class JumpingClock extends HandClock {
+class JumpingClock extends ManualClock {
   async runWhile (isRunning: () => boolean, until: Instant): Promise<void> {
     for (;;) {
       for (let turn = 0; turn < MICROTASK_TURNS; turn++) await Promise.resolve()
-      const [first] = [...this.timers].sort((left, right) => left.at - right.at)
-      if (!isRunning() || first === undefined || first.at > until) return
-      this.timers.delete(first)
-      this.current = Math.max(this.current, first.at)
-      first.callback()
+      const next = this.getNextTimer()
+      if (!isRunning() || next === undefined || next > until) return
+      this.stepTo(next)
     }
   }
 }
--- a/packages/soak/test/node/soakJudge.test.ts
+++ b/packages/soak/test/node/soakJudge.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import { ManualClock } from '@umberspar/testing/common/manualClock'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { ViolationKind } from '@umberspar/testing/common/history/historyChecker'
 import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
--- a/packages/testing/src/node/measure/entryMeasurement.ts
+++ b/packages/testing/src/node/measure/entryMeasurement.ts
@@ -26,7 +26,7 @@
 const OBJECTS = 200
 /** Before any figure a process runs under load for so long, in milliseconds: its code is compiled by then. */
 const WARM_UP_MS = 12_000
-const ROUNDS = 3
+const ROUNDS = 4
 const POLL_MS = 20
 const MS_PER_SECOND = 1_000
 /** A figure is not valid if more of the requests than this part failed. */
@@ -131,10 +131,11 @@
     const idleCores = await logging.measureIdle(seconds)
     for (const entry of [silent, logging]) await entry.sendLoad(rate, WARM_UP_MS)
     const [withoutLogs, withLogs] = [createTotal(), createTotal()]
-    // By turns: what else runs on the machine weighs on both alike.
+    const turns = [{ entry: silent, total: withoutLogs }, { entry: logging, total: withLogs }]
+    // By turns, each first as often as second: what else runs on the machine weighs on both alike.
     for (let round = 0; round < ROUNDS; round++) {
-      addFigure(withoutLogs, await silent.measure(rate, seconds))
-      addFigure(withLogs, await logging.measure(rate, seconds))
+      for (const { entry, total } of turns) addFigure(total, await entry.measure(rate, seconds))
+      turns.reverse()
     }
     const [silentMs, loggingMs] = [computeRequestMs(withoutLogs, idleCores), computeRequestMs(withLogs, idleCores)]
     printFigures('entry', [{ 'idle, cores': idleCores, 'ms a request': loggingMs, 'without logs': silentMs, ratio: loggingMs / silentMs, requests: withLogs.requests }])
--- a/packages/testing/src/node/measure/limitsBench.ts
+++ b/packages/testing/src/node/measure/limitsBench.ts
@@ -19,7 +19,7 @@
 import { rankByRendezvous } from '@umberspar/steering/common/lookup/rendezvous'
 import type { IPeerClient } from '@umberspar/steering/common/ports/peers'
 import { chooseWeighted, PoissonArrivals } from '../../common/load/arrivals.js'
-import { ManualClock } from '../../common/manualClock.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { LatencyRecorder } from '../load/latencyRecorder.js'
 import { ServiceTimes } from '../standIns/upstream/serviceTimes.js'
 
--- a/packages/testing/test/common/dedup/claims.test.ts
+++ b/packages/testing/test/common/dedup/claims.test.ts
@@ -7,7 +7,7 @@
 import { ClaimDecision } from '@umberspar/steering/common/dedup/decideClaim'
 import { StoreCallBudget } from '@umberspar/steering/common/dedup/storeCallBudget'
 import { Outcome } from '@umberspar/steering/common/state/outcome'
-import { ManualClock } from '../../../src/common/manualClock.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { CallFate, MemoryStore } from './memoryStore.js'
 
 const SEED = 417
--- a/packages/testing/test/node/limits/placePool.test.ts
+++ b/packages/testing/test/node/limits/placePool.test.ts
@@ -6,7 +6,7 @@
 import { RequestKind } from '@umberspar/steering/common/configuration/configurationSchema'
 import { AdmissionError } from '@umberspar/steering/common/limits/admissionError'
 import fc from 'fast-check'
-import { ManualClock } from '../../../src/common/manualClock.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 
 const SEED = 20_262
 const MAX_QUEUE = 8
--- a/packages/testing/test/node/plan/planStore.test.ts
+++ b/packages/testing/test/node/plan/planStore.test.ts
@@ -8,7 +8,7 @@
 import { PlanStore } from '@umberspar/daemon/node/plan/planStore'
 import { createEtcdStore } from '@umberspar/adapters/node/store/etcdStore'
 import type { PlanDocument } from '@umberspar/steering/common/plan/planDocument'
-import { ManualClock } from '../../../src/common/manualClock.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { KeyValueStandIn } from '../../../src/node/standIns/keyValueStandIn.js'
 
 const LEASE_SECONDS = 5
--- a/packages/testing/test/node/request/heldSlot.test.ts
+++ b/packages/testing/test/node/request/heldSlot.test.ts
@@ -4,7 +4,7 @@
 import { SeededRandom } from '@umberspar/base/common/random'
 import { PlacePool } from '@umberspar/daemon/node/places/placePool'
 import { RequestKind } from '@umberspar/steering/common/configuration/configurationSchema'
-import { ManualClock } from '../../../src/common/manualClock.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 
 // A hedge answers and the first attempt is cancelled while its worker still runs it.
 // Were the slot free at once, the worker would get a request beyond its slots.
--- a/packages/testing/test/node/standIns/keyValueStandIn.test.ts
+++ b/packages/testing/test/node/standIns/keyValueStandIn.test.ts
@@ -8,7 +8,7 @@
   KVClient, LeaseClient, WatchClient
 } from '@umberspar/adapters/node/generated/etcd/rpc'
 import type { Compare, LeaseGrantResponse, RangeResponse, RequestOp, TxnRequest, TxnResponse, WatchRequest, WatchResponse } from '@umberspar/adapters/node/generated/etcd/rpc'
-import { ManualClock } from '../../../src/common/manualClock.js'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { KeyValueStandIn } from '../../../src/node/standIns/keyValueStandIn.js'
 
 const NOTHING = Buffer.alloc(0)
