--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -3,7 +3,8 @@
 import { join } from 'node:path'
 import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
-import { LogLevel } from '@umberspar/base/common/logger'
+import { runDetached } from '@umberspar/base/common/detached'
+import { LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
 import { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
 import { buildBootVariables } from '@umberspar/testing/node/standIns/usersPlatform/platformBoot'
@@ -16,7 +17,7 @@
 import { FaultProxy } from './faultProxy.js'
 import type { SoakJudge } from './soakJudge.js'
 
-/** What an entry process is asked for within, in milliseconds. */
+/** An entry process that does not answer a question in this time is not ready, in milliseconds. */
 const ANSWER_WITHIN_MS = 500
 const POLL_MS = 50
 const ENTRY_PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
@@ -27,7 +28,7 @@
   private program: ChildProgram | undefined
   private isExpectedToEnd = false
   private isBusy = false
-  private starts = 0
+  private changes = 0
 
   /**
    * @param settings its settings
@@ -54,11 +55,12 @@
     const program = ChildProgram.spawn(ENTRY_PROGRAM, [], { variables: buildBootVariables(this.file), preloads: [ENTRY_PRELOAD], readsOutput: true })
     this.program = program
     this.isExpectedToEnd = false
-    program.waitForExit().then(({ code, signal }) => {
+    runDetached(async () => {
+      const { code, signal } = await program.waitForExit()
       if (this.program !== program || this.isExpectedToEnd) return
       this.judge.report(SoakRule.EntryEnded, this.settings.node, `code ${code}, signal ${signal}: ${program.listLastErrors().join(' ')}`)
       this.start()
-    })
+    }, NULL_LOGGER, 'watch-entry')
   }
 
   /**
@@ -83,7 +85,7 @@
 
   /** Writes the settings with a change that a running process can take over, and tells it. */
   updateSettings (): void {
-    this.starts++
+    this.changes++
     this.writeSettings()
     this.program?.sendHangUp()
   }
@@ -110,7 +112,7 @@
   }
 
   private writeSettings (): void {
-    const logLevel = this.starts % 2 === 0 ? LogLevel.Info : LogLevel.Warn
+    const logLevel = this.changes % 2 === 0 ? LogLevel.Info : LogLevel.Warn
     writeFileSync(this.file, JSON.stringify({ ...this.settings, logLevel }))
   }
 }
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -41,10 +41,14 @@
 const LEAVING_MS = 3_500
 /** A crashed worker's registration lapses after this, and its address is used again no sooner, in milliseconds. */
 const LAPSE_MS = 2_500
-/** Above this variant the store treats all entry VMs alike. */
+/** From this target on the store treats all entry VMs alike. */
 const ALL_ENTRIES_FROM = 0.6
+/** Otherwise the part of them that it treats badly. */
 const ENTRY_PART = 0.4
+/** How far the time of day jumps, either way, in milliseconds. */
 const CLOCK_STEP_MS = 3_600_000
+/** Names of added routes, so that most changes add one that was not there. */
+const ADDED_NAMES = 1_000
 /** A service keeps at least so many workers. */
 const LEAST_WORKERS = 2
 
@@ -62,34 +66,41 @@
   return choose(list.filter(({ service }) => list.filter((other) => other.service === service).length > LEAST_WORKERS), target)
 }
 
-async function runDisturbing (stage: SoakStage, step: SoakStep, act: (entry: SoakEntry) => Promise<boolean>): Promise<boolean> {
-  const entry = choose(stage.entries.list, step.target)!
+/** Runs what disturbs processes, so that promises to undisturbed ones are not judged meanwhile. */
+async function runDisturbing (stage: SoakStage, act: () => Promise<boolean>): Promise<boolean> {
   stage.calm.start()
   try {
-    return await act(entry)
+    return await act()
   } finally {
     stage.calm.end()
   }
 }
 
+function chooseEntry ({ entries }: SoakStage, { target }: SoakStep): SoakEntry {
+  return choose(entries.list, target)!
+}
+
 function listLinks ({ entries, workers }: SoakStage): FaultProxy[] {
   return [...entries.list.flatMap(({ way, storeWay }) => [way, storeWay]), ...workers.list().map(({ way }) => way)]
 }
 
 const HANDLERS: Readonly<Record<SoakStepKind, StepHandler>> = {
-  [SoakStepKind.EntryKill]: async (stage, step) => await runDisturbing(stage, step, async (entry) => await entry.runAlone(async (program) => {
-    entry.expectEnd()
-    await program.stopAtOnce()
-    await waitFor(stage, step.spanMs)
-    entry.start()
-  })),
-  [SoakStepKind.EntryPause]: async (stage, step) => await runDisturbing(stage, step, async (entry) => await entry.runAlone(async (program) => {
+  [SoakStepKind.EntryKill]: async (stage, step) => await runDisturbing(stage, async () => {
+    const entry = chooseEntry(stage, step)
+    return await entry.runAlone(async (program) => {
+      entry.expectEnd()
+      await program.stopAtOnce()
+      await waitFor(stage, step.spanMs)
+      entry.start()
+    })
+  }),
+  [SoakStepKind.EntryPause]: async (stage, step) => await runDisturbing(stage, async () => await chooseEntry(stage, step).runAlone(async (program) => {
     program.hold()
     await waitFor(stage, step.spanMs)
     program.release()
   })),
   [SoakStepKind.EntryStop]: async (stage, step) => {
-    const entry = choose(stage.entries.list, step.target)!
+    const entry = chooseEntry(stage, step)
     return await entry.runAlone(async (program) => {
       const { callers } = entry.settings.listen
       entry.expectEnd()
@@ -100,29 +111,27 @@
     })
   },
   [SoakStepKind.EntryHangUp]: async (stage, step) => {
-    const entry = choose(stage.entries.list, step.target)!
+    const entry = chooseEntry(stage, step)
     // Until Node.js itself has started, no program can take a signal.
     if (!await entry.isReady()) return false
     return await entry.runAlone(async () => { entry.updateSettings() })
   },
   [SoakStepKind.ClockStep]: async (stage, step) => {
-    const entry = choose(stage.entries.list, step.target)!
+    const entry = chooseEntry(stage, step)
     entry.setTimeShift(step.variant < 0.5 ? CLOCK_STEP_MS : -CLOCK_STEP_MS)
     await waitFor(stage, step.spanMs)
     entry.setTimeShift(0)
     return true
   },
-  [SoakStepKind.WorkerCrash]: async (stage, step) => {
+  [SoakStepKind.WorkerCrash]: async (stage, step) => await runDisturbing(stage, async () => {
     const gone = chooseWorker(stage, step)
     if (gone === undefined) return false
     stage.workers.end(gone)
-    stage.calm.start()
     await waitFor(stage, LAPSE_MS)
     stage.workers.removeRecord(gone)
     await stage.workers.add(gone.service, gone.domain, true)
-    stage.calm.end()
     return true
-  },
+  }),
   [SoakStepKind.WorkerDrain]: async (stage, step) => {
     const leaving = chooseWorker(stage, step)
     if (leaving === undefined) return false
@@ -133,60 +142,50 @@
     stage.workers.end(leaving)
     return true
   },
-  [SoakStepKind.WorkerReuse]: async (stage, step) => {
+  [SoakStepKind.WorkerReuse]: async (stage, step) => await runDisturbing(stage, async () => {
     const gone = chooseWorker(stage, step)
     if (gone === undefined) return false
-    stage.calm.start()
     stage.workers.end(gone)
     await waitFor(stage, LAPSE_MS)
     const others = stage.services.filter((service) => service !== gone.service)
     await stage.workers.putAtAddress(gone, choose(others, step.variant)!)
-    // The entry that lapsed goes after the address has a new holder: some VMs still believe it.
+    // The old registration lapses only after the address has its new holder: meanwhile both stand in the store.
     await waitFor(stage, step.spanMs)
     stage.workers.removeRecord(gone)
     await stage.workers.add(gone.service, gone.domain, true)
-    stage.calm.end()
     return true
-  },
-  [SoakStepKind.WorkerFault]: async (stage, step) => {
+  }),
+  [SoakStepKind.WorkerFault]: async (stage, step) => await runDisturbing(stage, async () => {
     const faulty = chooseWorker(stage, step)
     if (faulty === undefined) return false
-    stage.calm.start()
     faulty.worker.fault = choose(WORKER_FAULTS, step.variant)!
     await waitFor(stage, step.spanMs)
     faulty.worker.fault = WorkerFault.None
-    stage.calm.end()
     return true
-  },
-  [SoakStepKind.StoreFault]: async (stage, step) => {
+  }),
+  [SoakStepKind.StoreFault]: async (stage, step) => await runDisturbing(stage, async () => {
     const { list } = stage.entries
     const from = Math.floor(step.target * list.length)
     const struck = step.target > ALL_ENTRIES_FROM ? list : [...list, ...list].slice(from, from + Math.ceil(list.length * ENTRY_PART))
-    stage.calm.start()
     for (const { store } of struck) store.setFault(choose(STORE_FAULTS, step.variant)!)
     await waitFor(stage, step.spanMs)
     for (const { store } of struck) store.setFault(StoreFault.None)
-    stage.calm.end()
     return true
-  },
-  [SoakStepKind.StoreCompact]: async (stage) => {
-    stage.calm.start()
+  }),
+  [SoakStepKind.StoreCompact]: async (stage) => await runDisturbing(stage, async () => {
     for (const { store } of stage.entries.list) store.closeWatches()
     stage.records.store.state.clearHistory()
-    stage.calm.end()
     return true
-  },
-  [SoakStepKind.LinkFault]: async (stage, step) => {
+  }),
+  [SoakStepKind.LinkFault]: async (stage, step) => await runDisturbing(stage, async () => {
     const link = choose(listLinks(stage), step.target)!
-    stage.calm.start()
     link.setFault(choose(LINK_FAULTS, step.variant)!)
     await waitFor(stage, step.spanMs)
     link.setFault(LinkFault.None)
-    stage.calm.end()
     return true
-  },
+  }),
   [SoakStepKind.ConfigurationChange]: async (stage, step) => {
-    const name = `added-${Math.floor(step.variant * 1_000)}`
+    const name = `added-${Math.floor(step.variant * ADDED_NAMES)}`
     stage.records.putConfiguration([...stage.paths, { Name: name, Prefix: `/${name}/`, Service: stage.services[0] }])
     return true
   },
