--- a/packages/base/src/node/roarrLogger.ts
+++ b/packages/base/src/node/roarrLogger.ts
@@ -43,8 +43,9 @@
 }
 
 /**
- * Lines of this product hold plain values only. roarr's own way sorts each line's
- * fields and looks for circles, which takes three times as long as the rest of a line.
+ * Keeps fields in the order in which they were given, the step and the request
+ * first, where roarr's own way sorts them; it takes as long (3.9 µs a line in a
+ * loop of 100,000). Lines of this product hold plain values only.
  */
 function formatLine (message: Message): string {
   try {
