Use what the project had: one relay, one open loop, one weighted choice, free addresses

Arrivals of the soak and of measure -- entry are Poisson now; varySite draws other copies from the same seed. The bundled program's sources are untouched.

--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -4,7 +4,8 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
-import { type ClientAnswer, getAnsweredId, getSeal, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
+import { type ClientAnswer, getAnsweredId, getSeal, isPromisedNotRun, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { SoakRule } from '../common/soakRule.js'
 import type { SoakJudge } from './soakJudge.js'
@@ -40,14 +41,11 @@
 const MOST_ATTEMPTS = 3
 const RETRY_MS = 100
 const OBJECTS = 60
-/** Statuses that promise that the request has not run and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const DENIED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431])
 
 /** The callers of one region and failure domain. */
 export class SoakCallers implements IClosable {
   private readonly agent = new Agent({ keepAlive: true })
-  private readonly open = new Set<Promise<void>>()
   private entries: readonly string[] = []
   private entriesUntil = Number.NEGATIVE_INFINITY
   private sequence = 0
@@ -61,23 +59,13 @@
     private readonly random: IRandomSource
   ) {}
 
-  /** Starts one operation. */
-  start (): void {
-    const operation = this.run().finally(() => { this.open.delete(operation) })
-    this.open.add(operation)
-  }
-
-  /** @returns settled when all operations have ended */
-  async finish (): Promise<void> {
-    await Promise.all(this.open)
-  }
-
   close (): void {
     this.agent.destroy()
   }
 
-  private async run (): Promise<void> {
-    const kind = this.chooseKind()
+  /** Runs one operation to its end. */
+  async run (): Promise<void> {
+    const kind = chooseWeighted(this.random, this.kinds, ({ weight }) => weight)
     const operationId = `${this.place.domain}-${++this.sequence}`
     const deadline = this.clock.now() + DEADLINE_MS
     const failed = new Set<string>()
@@ -127,12 +115,7 @@
       if (getSeal(answer)?.endsWith(`-${requestId}`) !== true || getAnsweredId(answer) !== requestId) return AnswerKind.Crossed
       return body === this.network.buildBody(requestId) ? AnswerKind.Whole : AnswerKind.Truncated
     }
-    return NOT_RUN_STATUSES.has(status) ? AnswerKind.NotRun : AnswerKind.Unknown
-  }
-
-  private chooseKind (): RequestKind {
-    let left = this.random.next() * this.kinds.reduce((sum, { weight }) => sum + weight, 0)
-    return this.kinds.find(({ weight }) => (left -= weight) < 0) ?? this.kinds[0]!
+    return isPromisedNotRun(status) ? AnswerKind.NotRun : AnswerKind.Unknown
   }
 
   private async chooseEntry (failed: ReadonlySet<string>): Promise<string | undefined> {
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -1,4 +1,4 @@
-/** The entry processes of a soak run: real programs, each behind proxies to its callers and to the store. */
+/** The entry processes of a soak run: real programs, each behind relays to its callers and to the store. */
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { IClock } from '@umberspar/base/common/clock'
@@ -6,21 +6,19 @@
 import { runDetached } from '@umberspar/base/common/detached'
 import { LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
-import { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
-import { buildBootVariables } from '@umberspar/testing/node/standIns/usersPlatform/platformBoot'
-import { findFreeAddress } from '@umberspar/testing/node/standIns/usersPlatform/localPlatform'
+import { waitForCondition } from '@umberspar/testing/node/load/polling'
+import type { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
+import { findEntryAddresses, spawnEntry } from '@umberspar/testing/node/standIns/usersPlatform/entryProgram'
 import { isReadyAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import type { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import type { RecordStoreListener } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
-import { waitUntil } from '@umberspar/testing/node/waiting'
+import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { SoakRule } from '../common/soakRule.js'
-import { FaultProxy } from './faultProxy.js'
 import type { SoakJudge } from './soakJudge.js'
 
 /** An entry process that does not answer a question in this time is not ready, in milliseconds. */
 const ANSWER_WITHIN_MS = 500
 const POLL_MS = 50
-const ENTRY_PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
 const ENTRY_PRELOAD = new URL('./entryPreload.js', import.meta.url)
 
 /** One entry process and the links to it. */
@@ -33,18 +31,18 @@
   /**
    * @param settings its settings
    * @param file where they are written
-   * @param way the proxy before its callers' listener
+   * @param way the relay before its callers' listener
    * @param wayAddress where that listens
-   * @param storeWay the proxy before its listener at the store
+   * @param storeWay the relay before its listener at the store
    * @param store that listener
    * @param judge told if the process ends by itself
    */
   constructor (
     readonly settings: EntrySettings,
     private readonly file: string,
-    readonly way: FaultProxy,
+    readonly way: TcpRelay,
     readonly wayAddress: string,
-    readonly storeWay: FaultProxy,
+    readonly storeWay: TcpRelay,
     readonly store: RecordStoreListener,
     private readonly judge: SoakJudge
   ) {}
@@ -52,7 +50,7 @@
   /** Starts the process. */
   start (): void {
     this.writeSettings()
-    const program = ChildProgram.spawn(ENTRY_PROGRAM, [], { variables: buildBootVariables(this.file), preloads: [ENTRY_PRELOAD], readsOutput: true })
+    const program = spawnEntry(this.file, { preloads: [ENTRY_PRELOAD], readsOutput: true })
     this.program = program
     this.isExpectedToEnd = false
     runDetached(async () => {
@@ -97,12 +95,7 @@
 
   /** @returns whether it says that it is ready */
   async isReady (): Promise<boolean> {
-    try {
-      return await isReadyAt(this.settings.listen.readiness, AbortSignal.timeout(ANSWER_WITHIN_MS))
-    } catch {
-      // Not listening yet, or paused.
-      return false
-    }
+    return await isReadyAt(this.settings.listen.readiness, AbortSignal.timeout(ANSWER_WITHIN_MS))
   }
 
   async close (): Promise<void> {
@@ -144,7 +137,7 @@
       entry.start()
     }
     for (const entry of this.list) {
-      while (!await entry.isReady()) await waitUntil(this.clock, this.clock.now() + POLL_MS)
+      await waitForCondition(this.clock, Infinity, POLL_MS, async () => await entry.isReady())
     }
   }
 
@@ -159,11 +152,11 @@
 
   private async create (node: string, domain: string): Promise<SoakEntry> {
     const store = this.records.store.addListener()
-    const storeWay = this.closing.add(new FaultProxy(await store.listen()))
-    const addresses = { callers: await findFreeAddress(), questions: await findFreeAddress(), metrics: await findFreeAddress(), store: await storeWay.listen() }
-    const way = this.closing.add(new FaultProxy(addresses.callers))
+    const storeWay = this.closing.add(new TcpRelay(await store.listen()))
+    const addresses = await findEntryAddresses(await storeWay.start())
+    const way = this.closing.add(new TcpRelay(addresses.callers))
     const seeds = this.list.slice(0, 3).map(({ settings }) => settings.listen.peers)
     const settings = this.records.createSettings(node, domain, addresses, seeds)
-    return new SoakEntry(settings, join(this.folder, `${node}.json`), way, await way.listen(), storeWay, store, this.judge)
+    return new SoakEntry(settings, join(this.folder, `${node}.json`), way, await way.start(), storeWay, store, this.judge)
   }
 }
--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -6,6 +6,7 @@
 import { SeededRandom } from '@umberspar/base/common/random'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
+import { ArrivalPacing, runOpenLoop } from '@umberspar/testing/node/load/loadRunner'
 import { askAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitUntil } from '@umberspar/testing/node/waiting'
@@ -66,6 +67,7 @@
   private readonly plan: SoakPlan
   private readonly workers
   private readonly entries
+  private readonly stage: SoakStage
   private readonly steps: Partial<Record<SoakStepKind, number>> = {}
 
   constructor (private readonly options: SoakOptions) {
@@ -74,6 +76,8 @@
     this.closing.add(this.records.store)
     this.workers = this.closing.add(new SoakWorkers(this.records, this.judge, this.clock, this.random))
     this.entries = this.closing.add(new SoakEntries(this.records, this.folder, this.judge, this.clock))
+    const { clock, calm, judge, records, entries, workers } = this
+    this.stage = { clock, calm, judge, records, entries, workers, domains: DOMAINS, services: SERVICES, paths: PATHS }
   }
 
   /** Runs it. */
@@ -102,13 +106,19 @@
       buildBody: (requestId) => this.workers.buildBody(requestId)
     }, this.judge, this.clock, new SeededRandom(this.options.seed * 100 + index))))
     const judging = setInterval(() => { this.judge.updateLeaving() }, JUDGE_MS)
-    const load = setInterval(() => { callers[Math.floor(this.random.next() * callers.length)]!.start() }, 1_000 / this.options.rate)
+    const load = runOpenLoop({
+      clock: this.clock,
+      random: new SeededRandom(this.options.seed),
+      ratePerSecond: this.options.rate,
+      maxOperations: Infinity,
+      startUntil: startedAt + this.plan.untilMs,
+      maxOpen: Infinity,
+      pacing: ArrivalPacing.Timer
+    }, async () => { await callers[Math.floor(this.random.next() * callers.length)]!.run() })
     await Promise.all(this.plan.steps.map((step) => this.runStepAt(startedAt + step.atMs, step)))
     await waitUntil(this.clock, startedAt + this.plan.untilMs - WELL_MS)
     const before = new Map(this.judge.answers)
-    await waitUntil(this.clock, startedAt + this.plan.untilMs)
-    clearInterval(load)
-    await Promise.all(callers.map((caller) => caller.finish()))
+    await load
     clearInterval(judging)
     this.checkRecovery(before)
     await this.checkConfigurations()
@@ -116,10 +126,7 @@
 
   private async runStepAt (at: number, step: SoakPlan['steps'][number]): Promise<void> {
     await waitUntil(this.clock, at)
-    const stage: SoakStage = {
-      clock: this.clock, calm: this.calm, judge: this.judge, records: this.records, entries: this.entries, workers: this.workers, domains: DOMAINS, services: SERVICES, paths: PATHS
-    }
-    if (await runStep(stage, step) === StepEnd.Done) this.steps[step.kind] = (this.steps[step.kind] ?? 0) + 1
+    if (await runStep(this.stage, step) === StepEnd.Done) this.steps[step.kind] = (this.steps[step.kind] ?? 0) + 1
   }
 
   private checkRecovery (before: ReadonlyMap<AnswerKind, number>): void {
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -1,12 +1,12 @@
 /** Carries the steps of a plan out: one handler a kind. Each returns when its step is over. */
 import type { IClock } from '@umberspar/base/common/clock'
+import { LinkFault, type TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import type { PathInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { type SoakStep, SoakStepKind } from '../common/soakPlan.js'
 import type { Calm } from './calm.js'
-import { type FaultProxy, LinkFault } from './faultProxy.js'
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
 import type { SoakJudge } from './soakJudge.js'
 import type { SoakWorker, SoakWorkers } from './soakWorkers.js'
@@ -80,7 +80,7 @@
   return choose(entries.list, target)!
 }
 
-function listLinks ({ entries, workers }: SoakStage): FaultProxy[] {
+function listLinks ({ entries, workers }: SoakStage): TcpRelay[] {
   return [...entries.list.flatMap(({ way, storeWay }) => [way, storeWay]), ...workers.list().map(({ way }) => way)]
 }
 
--- a/packages/soak/src/node/soakWorkers.ts
+++ b/packages/soak/src/node/soakWorkers.ts
@@ -1,10 +1,10 @@
-/** The workers of a soak run, each behind a proxy that stands for the way to it. */
+/** The workers of a soak run, each behind a relay that stands for the way to it. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IRandomSource } from '@umberspar/base/common/random'
+import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { PlatformWorkerStandIn } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import type { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
-import { FaultProxy } from './faultProxy.js'
 import type { SoakJudge } from './soakJudge.js'
 
 /** One start of a worker. */
@@ -14,7 +14,7 @@
   readonly domain: string
   readonly address: string
   readonly worker: PlatformWorkerStandIn
-  readonly way: FaultProxy
+  readonly way: TcpRelay
   isLeaving: boolean
 }
 
@@ -30,7 +30,7 @@
 export class SoakWorkers implements IClosable {
   private readonly all = new Map<string, SoakWorker>()
   /** Also those of workers that are gone: nobody answers there any more. */
-  private readonly ways = new Set<FaultProxy>()
+  private readonly ways = new Set<TcpRelay>()
   private started = 0
 
   constructor (
@@ -55,13 +55,12 @@
    * @param isCold whether it says that it is cold
    */
   async add (service: string, domain: string, isCold: boolean): Promise<SoakWorker> {
-    const id = `${service}-${++this.started}`
-    const worker = new PlatformWorkerStandIn(id, this.judge)
+    const worker = this.create(service)
+    const { id } = worker
     worker.workMs = LEAST_WORK_MS + (MOST_WORK_MS - LEAST_WORK_MS) * this.random.next()
-    worker.buildBody = (requestId) => this.buildBody(requestId)
-    const way = new FaultProxy(await worker.listen())
+    const way = new TcpRelay(await worker.listen())
     this.ways.add(way)
-    const started = { id, service, domain, address: await way.listen(), worker, way, isLeaving: false }
+    const started = { id, service, domain, address: await way.start(), worker, way, isLeaving: false }
     this.all.set(id, started)
     if (isCold) this.judge.setCold(id, { perSecond: COLD_TOLERATED, until: this.clock.now() + COLD_MS })
     this.records.putWorker({ id, service, domain, address: started.address, coldMs: isCold ? COLD_MS : 0 })
@@ -70,9 +69,8 @@
 
   /** Registers a worker of another service at the address of one that has ended, as platforms reuse addresses. */
   async putAtAddress (old: SoakWorker, service: string): Promise<void> {
-    const id = `${service}-${++this.started}`
-    const worker = new PlatformWorkerStandIn(id, this.judge)
-    worker.buildBody = (requestId) => this.buildBody(requestId)
+    const worker = this.create(service)
+    const { id } = worker
     old.way.setTarget(await worker.listen())
     const started = { ...old, id, service, worker, isLeaving: false }
     this.all.set(id, started)
@@ -100,8 +98,14 @@
     this.records.removeWorker(id)
   }
 
-  close (): void {
+  async close (): Promise<void> {
     for (const { worker } of this.all.values()) worker.close()
-    for (const way of this.ways) way.close()
+    await Promise.all([...this.ways].map(async (way) => { await way.close() }))
+  }
+
+  private create (service: string): PlatformWorkerStandIn {
+    const worker = new PlatformWorkerStandIn(`${service}-${++this.started}`, this.judge)
+    worker.buildBody = (requestId) => this.buildBody(requestId)
+    return worker
   }
 }
--- a/packages/testing/src/node/demo/platformDemo.ts
+++ b/packages/testing/src/node/demo/platformDemo.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from '@umberspar/base/common/random'
 import { type Column, formatTable } from '../load/table.js'
 import { type ClientAnswer, type LocalEntry, LocalPlatform } from '../standIns/usersPlatform/localPlatform.js'
+import { isPromisedNotRun } from '../standIns/usersPlatform/platformClient.js'
 import { WorkerFault } from '../standIns/usersPlatform/platformWorkerStandIn.js'
 import { StoreFault } from '../standIns/usersPlatform/recordStoreStandIn.js'
 import { writeLine } from '../terminal.js'
@@ -22,8 +23,6 @@
 const MS_PER_SECOND = 1_000
 const FIRST_FAILED_STATUS = 500
 const SUCCESS = 200
-/** Statuses that promise that the request has not run. */
-const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 const PATHS = [
   { Name: 'lookups', Prefix: '/lookups/', Service: 'archive' },
@@ -49,9 +48,9 @@
   { after: 0.1, text: 'the configuration changes', run: (platform) => { platform.putConfiguration([...PATHS, { Name: 'added', Prefix: '/added/', Service: 'archive' }]) } },
   { after: 0.2, text: 'a worker fails what it runs, another sends second answers', run: (platform) => { setFaults(platform, [WorkerFault.Fail, WorkerFault.Extra]) } },
   { after: 0.4, text: 'the store refuses one entry VM', run: (_platform, entries) => { entries[0]!.store.setFault(StoreFault.Busy) } },
-  { after: 0.5, text: 'klang-b is evacuated', run: (platform) => { platform.store.put('op/evacuate/klang-b', {}) } },
+  { after: 0.5, text: 'klang-b is evacuated', run: (platform) => { platform.putEvacuation('klang-b') } },
   { after: 0.6, text: 'the store answers again, the workers are well', run: (platform, entries) => { resetFaults(platform, entries) } },
-  { after: 0.7, text: 'klang-b is taken back', run: (platform) => { platform.store.remove('op/evacuate/klang-b') } },
+  { after: 0.7, text: 'klang-b is taken back', run: (platform) => { platform.removeEvacuation('klang-b') } },
   { after: 0.8, text: 'one entry VM stops as planned', run: (_platform, entries) => { entries[2]!.entry.stop(() => {}) } }
 ]
 
@@ -129,7 +128,7 @@
     if (answer.status === SUCCESS && platform.getRequestId(answer) !== id) broken.push(`${id} got the answer to ${platform.getRequestId(answer)}`)
     if (answer.status === SUCCESS && answer.body !== 'the whole answer') broken.push(`${id} got a part of its answer`)
     if (kind === 'closeouts' && runs > 1) broken.push(`${id} ran ${runs} times`)
-    if (NOT_RUN.has(answer.status) && runs > 0) broken.push(`${id} was told not to have run, and ran`)
+    if (isPromisedNotRun(answer.status) && runs > 0) broken.push(`${id} was told not to have run, and ran`)
     if (answer.status === 404) broken.push(`${id} found no route`)
   }
   return broken
@@ -162,8 +161,8 @@
     count: own.length,
     p50: histogram.getValueAtPercentile(50),
     p99: histogram.getValueAtPercentile(99),
-    refused: own.filter(({ answer }) => NOT_RUN.has(answer.status)).length,
-    failed: own.filter(({ answer }) => answer.status >= FIRST_FAILED_STATUS && !NOT_RUN.has(answer.status)).length
+    refused: own.filter(({ answer }) => isPromisedNotRun(answer.status)).length,
+    failed: own.filter(({ answer }) => answer.status >= FIRST_FAILED_STATUS && !isPromisedNotRun(answer.status)).length
   }
 }
 
--- a/packages/testing/src/node/deployment/regionalNetwork.ts
+++ b/packages/testing/src/node/deployment/regionalNetwork.ts
@@ -8,7 +8,7 @@
 import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
 import type { VmEntry } from '@umberspar/steering/common/ports/vmList'
 import { buildEntryVm } from '../standIns/entrySettings.js'
-import { TcpRelay } from '../standIns/tcpRelay.js'
+import { LinkFault, TcpRelay } from '../standIns/tcpRelay.js'
 import { VmListStandIn } from '../standIns/vmListStandIn.js'
 
 interface PeerRelay {
@@ -61,9 +61,9 @@
    */
   setCut (region: string, cut: RegionCut): void {
     for (const { from, to, relay } of this.peers) {
-      if (from !== to && (from === region || to === region)) relay.setCut(cut.arePeersCut)
+      if (from !== to && (from === region || to === region)) relay.setFault(getFault(cut.arePeersCut))
     }
-    this.stores.get(region)?.setCut(cut.isStoreCut)
+    this.stores.get(region)?.setFault(getFault(cut.isStoreCut))
   }
 
   async close (): Promise<void> {
@@ -89,3 +89,7 @@
     return await relay.start()
   }
 }
+
+function getFault (isCut: boolean): LinkFault {
+  return isCut ? LinkFault.Break : LinkFault.None
+}
--- a/packages/testing/src/node/measure/entryMeasurement.ts
+++ b/packages/testing/src/node/measure/entryMeasurement.ts
@@ -8,22 +8,28 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { CloseStack } from '@umberspar/base/common/closing'
+import { createDeadline } from '@umberspar/base/common/deadline'
 import { LogLevel } from '@umberspar/base/common/logger'
+import { SeededRandom } from '@umberspar/base/common/random'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
-import { findFreeAddress } from '../standIns/usersPlatform/localPlatform.js'
-import { buildBootVariables } from '../standIns/usersPlatform/platformBoot.js'
+import { findEntryAddresses, spawnEntry } from '../standIns/usersPlatform/entryProgram.js'
 import { isReadyAt, sendCall } from '../standIns/usersPlatform/platformClient.js'
 import { PlatformRecords } from '../standIns/usersPlatform/platformRecords.js'
 import { PlatformWorkerStandIn } from '../standIns/usersPlatform/platformWorkerStandIn.js'
+import { ArrivalPacing, runOpenLoop } from '../load/loadRunner.js'
+import { waitForCondition } from '../load/polling.js'
 import { waitUntil } from '../waiting.js'
-import { ChildProgram } from './childProgram.js'
+import type { ChildProgram } from './childProgram.js'
 import { type MeasureOptions, type Measurement, printFigures } from './measurement.js'
 
 const BODY_BYTES = 5_000
 const WORKERS = 8
 const WORK_MS = 20
 const OBJECTS = 200
+const SEED = 1
+/** Far above rate times latency. */
+const MOST_OPEN = 1_000
 /** Before any figure a process runs under load for so long, in milliseconds: its code is compiled by then. */
 const WARM_UP_MS = 12_000
 const ROUNDS = 4
@@ -43,19 +49,19 @@
 class MeasuredEntry {
   private readonly clock = new SystemClock()
   private readonly agent = new Agent({ keepAlive: true })
+  private readonly random = new SeededRandom(SEED)
   private sequence = 0
 
   private constructor (private readonly program: ChildProgram, private readonly settings: EntrySettings) {}
 
   static async start (records: PlatformRecords, folder: string, logLevel: LogLevel, closing: CloseStack): Promise<MeasuredEntry> {
     const store = records.store.addListener()
-    const addresses = { callers: await findFreeAddress(), questions: await findFreeAddress(), metrics: await findFreeAddress(), store: await store.listen() }
-    const settings = { ...records.createSettings(`entry-${logLevel}`, 'north-1', addresses), logLevel }
+    const settings = { ...records.createSettings(`entry-${logLevel}`, 'north-1', await findEntryAddresses(await store.listen())), logLevel }
     const file = join(folder, `${settings.node}.json`)
     writeFileSync(file, JSON.stringify(settings))
-    const program = closing.add(ChildProgram.spawn(new URL(import.meta.resolve('@umberspar/users-platform/main')), [], { variables: buildBootVariables(file), readsOutput: true }))
+    const program = closing.add(spawnEntry(file, { readsOutput: true }))
     const entry = new MeasuredEntry(program, settings)
-    while (!await entry.isReady()) await waitUntil(entry.clock, entry.clock.now() + POLL_MS)
+    await waitForCondition(entry.clock, Infinity, POLL_MS, async () => await isReadyAt(settings.listen.readiness))
     return entry
   }
 
@@ -80,29 +86,20 @@
 
   /** Sends requests at a rate. */
   async sendLoad (rate: number, spanMs: number): Promise<{ requests: number, failed: number }> {
-    const from = this.clock.now()
-    const open: Array<Promise<void>> = []
+    const options = { clock: this.clock, random: this.random, ratePerSecond: rate, maxOperations: Infinity, startUntil: createDeadline(this.clock.now(), spanMs), maxOpen: MOST_OPEN, pacing: ArrivalPacing.Timer }
     let failed = 0
-    for (let index = 0; index < rate * spanMs / MS_PER_SECOND; index++) {
-      await waitUntil(this.clock, from + index * MS_PER_SECOND / rate)
-      open.push(this.sendOne().then((isWell) => { if (!isWell) failed++ }))
-    }
-    await waitUntil(this.clock, from + spanMs)
-    await Promise.all(open)
-    return { requests: open.length, failed }
+    const { started, skipped } = await runOpenLoop(options, async () => { if (!await this.sendOne()) failed++ })
+    return { requests: started, failed: failed + skipped }
   }
 
   private async sendOne (): Promise<boolean> {
     const id = `request-${++this.sequence}`
-    const answer = await sendCall(this.settings.listen.callers, { path: `/a/${this.sequence % OBJECTS}`, method: 'POST', id, key: String(this.sequence % OBJECTS), body: 'b'.repeat(BODY_BYTES), agent: this.agent })
-    return answer.status === 200
-  }
-
-  private async isReady (): Promise<boolean> {
+    const object = String(this.sequence % OBJECTS)
     try {
-      return await isReadyAt(this.settings.listen.readiness)
+      const answer = await sendCall(this.settings.listen.callers, { path: `/a/${object}`, method: 'POST', id, key: object, body: 'b'.repeat(BODY_BYTES), agent: this.agent })
+      return answer.status === 200
     } catch {
-      // Not listening yet.
+      // Counted as failed; too many of these make the measurement invalid.
       return false
     }
   }
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -2,7 +2,6 @@
  * The users' platform on loopback: a store, workers that register themselves, and
  * entry processes in this process, each with its own way to the store.
  */
-import { createServer } from 'node:net'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
 import { type ILogger, type LogContext, LogLevel } from '@umberspar/base/common/logger'
 import { SeededRandom } from '@umberspar/base/common/random'
@@ -11,6 +10,8 @@
 import type { Entry } from '@umberspar/entry/node/entry'
 import { EntryMetrics } from '@umberspar/entry/node/telemetry/entryMetrics'
 import { createPlatformEntry } from '@umberspar/users-platform/createEntry'
+import { waitForCondition } from '../../load/polling.js'
+import { findEntryAddresses } from './entryProgram.js'
 import { PlatformWorkerStandIn } from './platformWorkerStandIn.js'
 import { askAt, type ClientAnswer, type ClientCall, getAnsweredId, isReadyAt, lookUpAt, sendCall } from './platformClient.js'
 import { PlatformRecords } from './platformRecords.js'
@@ -33,33 +34,6 @@
 
 const POLL_MS = 10
 
-/**
- * Ports are taken from below those that the system gives to outgoing connections:
- * else, while a process is being restarted, some connection may get its port.
- */
-const FIRST_PORT = 12_000
-const PORTS = 20_000
-/** Several programs side by side begin far from each other. */
-const PORT_STRIDE = 613
-let nextPort = process.pid * PORT_STRIDE % PORTS
-
-async function canListen (port: number): Promise<boolean> {
-  const server = createServer()
-  return await new Promise((resolve) => {
-    server.once('error', () => { resolve(false) })
-    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
-  })
-}
-
-/** @returns a loopback address that nobody listens at */
-export async function findFreeAddress (): Promise<string> {
-  for (;;) {
-    const port = FIRST_PORT + nextPort
-    nextPort = (nextPort + 1) % PORTS
-    if (await canListen(port)) return `127.0.0.1:${port}`
-  }
-}
-
 /** Keeps lines as an entry process would write them. */
 class MemoryLogger implements ILogger {
   constructor (private readonly node: string, private readonly clock: SystemClock, private readonly lines: LogContext[], private readonly text: string[]) {}
@@ -103,8 +77,7 @@
   /** Starts an entry process. */
   async startEntry (node: string, domain: string, seeds: readonly string[] = []): Promise<LocalEntry> {
     const store = this.store.addListener()
-    const addresses = { callers: await findFreeAddress(), questions: await findFreeAddress(), metrics: await findFreeAddress(), store: await store.listen() }
-    const settings = this.createSettings(node, domain, addresses, seeds)
+    const settings = this.createSettings(node, domain, await findEntryAddresses(await store.listen()), seeds)
     const lines: LogContext[] = []
     const text: string[] = []
     const metrics = new EntryMetrics()
@@ -116,7 +89,7 @@
 
   /** Waits until a condition holds; the test's own time limit ends a wait in vain. */
   async waitUntil (isTrue: () => boolean | Promise<boolean>): Promise<void> {
-    while (!await isTrue()) await new Promise<void>((resolve) => { this.clock.schedule(this.clock.now() + POLL_MS, resolve) })
+    await waitForCondition(this.clock, Infinity, POLL_MS, isTrue)
   }
 
   /** Waits until an entry process takes requests. */
--- a/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
@@ -24,6 +24,8 @@
   readonly body: string
 }
 
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
 /**
  * Sends a client's request.
  * @param address `host:port` of an entry VM
@@ -34,14 +36,24 @@
   return await send(address, { path, method, headers: fields, body, signal, agent })
 }
 
+/** @returns whether a status promises that the request has not run and never will */
+export function isPromisedNotRun (status: number): boolean {
+  return NOT_RUN_STATUSES.has(status)
+}
+
 /** Asks a listener a question. */
 export async function askAt (address: string, path: string, signal?: AbortSignal): Promise<ClientAnswer> {
   return await send(address, { path, method: 'GET', headers: {}, signal })
 }
 
-/** @returns whether an entry VM says that it is ready */
+/** @returns whether an entry VM says that it is ready; not while nobody listens there or answers */
 export async function isReadyAt (address: string, signal?: AbortSignal): Promise<boolean> {
-  return (await askAt(address, '/umberspar/readyz', signal)).status === 200
+  try {
+    return (await askAt(address, '/umberspar/readyz', signal)).status === 200
+  } catch {
+    // It is starting, stopped or paused; whoever waits asks again.
+    return false
+  }
 }
 
 /** Asks, as a client does, which entry VMs to use. @returns their addresses */
--- a/packages/soak/test/node/faultProxy.test.ts
+++ b/packages/testing/test/node/standIns/tcpRelay.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict'
 import { createServer, connect, type Server, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { FaultProxy, LinkFault } from '../../src/node/faultProxy.js'
+import { LinkFault, TcpRelay } from '../../../src/node/standIns/tcpRelay.js'
 
 describe('a link with faults', { timeout: 20_000 }, () => {
   let server: Server
-  let proxy: FaultProxy
+  let relay: TcpRelay
   let socket: Socket
   let received: string[]
 
@@ -20,8 +20,8 @@
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     const address = server.address()
-    proxy = new FaultProxy(`127.0.0.1:${typeof address === 'object' ? address?.port : ''}`)
-    const [host, port] = (await proxy.listen()).split(':')
+    relay = new TcpRelay(`127.0.0.1:${typeof address === 'object' ? address?.port : ''}`)
+    const [host, port] = (await relay.start()).split(':')
     received = []
     socket = connect(Number(port), host)
     socket.on('data', (chunk) => { received.push(String(chunk)) })
@@ -30,36 +30,36 @@
     await waitForText('echo a')
   })
 
-  afterEach(() => {
+  afterEach(async () => {
     socket.destroy()
-    proxy.close()
+    await relay.close()
     server.close()
   })
 
   for (const fault of [LinkFault.CutThere, LinkFault.CutBack, LinkFault.Silence]) {
     it(`holds bytes back under '${fault}' and lets them pass afterwards`, async () => {
-      proxy.setFault(fault)
+      relay.setFault(fault)
       socket.write('b')
-      // A second connection's whole round trip past the proxy: time enough for bytes that were not held.
+      // A second connection's whole round trip past the relay: time enough for bytes that were not held.
       await new Promise<void>((resolve) => {
         const direct = connect((server.address() as { port: number }).port, '127.0.0.1')
         direct.write('c')
         direct.once('data', () => { direct.destroy(); resolve() })
       })
       assert.equal(received.join(''), 'echo a')
-      proxy.setFault(LinkFault.None)
+      relay.setFault(LinkFault.None)
       await waitForText('echo aecho b')
     })
   }
 
   it('resets open connections and new ones', async () => {
     const isReset = new Promise<string>((resolve) => { socket.once('error', (error: NodeJS.ErrnoException) => { resolve(error.code ?? '') }) })
-    proxy.setFault(LinkFault.Reset)
+    relay.setFault(LinkFault.Reset)
     assert.equal(await isReset, 'ECONNRESET')
   })
 
   it('passes bytes later under delay', async () => {
-    proxy.setFault(LinkFault.Delay)
+    relay.setFault(LinkFault.Delay)
     socket.write('b')
     await waitForText('echo aecho b')
   })
--- a/packages/testing/test/node/usersPlatform/path.test.ts
+++ b/packages/testing/test/node/usersPlatform/path.test.ts
@@ -65,10 +65,10 @@
   })
 
   it('sends nothing into an evacuated failure domain until it is taken back', async () => {
-    platform.store.put('op/evacuate/north-1', {})
+    platform.putEvacuation('north-1')
     await platform.waitUntil(() => entry.lines.some(({ change }) => change === 'domain-evacuated'))
     assert.equal((await platform.call(entry, { path: '/a/1' })).status, 503)
-    platform.store.remove('op/evacuate/north-1')
+    platform.removeEvacuation('north-1')
     await platform.waitUntil(async () => (await platform.call(entry, { path: '/a/1' })).status === 200)
   })
 
--- a/packages/testing/test/node/usersPlatform/program.test.ts
+++ b/packages/testing/test/node/usersPlatform/program.test.ts
@@ -7,14 +7,12 @@
 import { CloseStack } from '@umberspar/base/common/closing'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { waitForCondition } from '../../../src/node/load/polling.js'
-import { ChildProgram, type ProgramOptions } from '../../../src/node/measure/childProgram.js'
-import { findFreeAddress } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
-import { buildBootVariables } from '../../../src/node/standIns/usersPlatform/platformBoot.js'
+import type { ChildProgram, ProgramOptions } from '../../../src/node/measure/childProgram.js'
+import { findEntryAddresses, spawnEntry } from '../../../src/node/standIns/usersPlatform/entryProgram.js'
 import { isReadyAt } from '../../../src/node/standIns/usersPlatform/platformClient.js'
 import { PlatformRecords } from '../../../src/node/standIns/usersPlatform/platformRecords.js'
 
 const POLL_MS = 10
-const PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
 
 describe('the entry process as a program', { timeout: 60_000 }, () => {
   const clock = new SystemClock()
@@ -32,7 +30,7 @@
     records.putWorker({ id: 'w-1', service: 'archive', domain: 'north-1', address: '127.0.0.1:1' })
     records.putConfiguration([{ Name: 'a', Prefix: '/a/', Service: 'archive' }])
     const store = await records.store.addListener().listen()
-    const settings = records.createSettings('vm-1', 'north-1', { callers: await findFreeAddress(), questions: await findFreeAddress(), metrics: await findFreeAddress(), store })
+    const settings = records.createSettings('vm-1', 'north-1', await findEntryAddresses(store))
     readiness = settings.listen.readiness
     writeFileSync(file, JSON.stringify(settings))
   })
@@ -43,14 +41,14 @@
   })
 
   function spawn (options: ProgramOptions): ChildProgram {
-    return closing.add(ChildProgram.spawn(PROGRAM, [], { variables: buildBootVariables(file), ...options }))
+    return closing.add(spawnEntry(file, options))
   }
 
   /** @returns how it ended, or undefined if it became ready first */
   async function waitUntilReadyOrEnded (program: ChildProgram): Promise<string | undefined> {
     let end: string | undefined
     program.waitForExit().then(({ code, signal }) => { end = signal ?? String(code) }, () => {})
-    await waitForCondition(clock, Infinity, POLL_MS, async () => end !== undefined || await isReadyAt(readiness).catch(() => false))
+    await waitForCondition(clock, Infinity, POLL_MS, async () => end !== undefined || await isReadyAt(readiness))
     return end
   }
 
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -136,7 +136,7 @@
   it('sends a cold worker no more than its part in a second', async () => {
     platform.removeWorker('w-1')
     platform.removeWorker('w-2')
-    platform.store.remove('servers/w-3')
+    platform.removeWorker('w-3')
     const cold = await platform.addWorker('w-cold', 'archive', 'north-1', 60_000)
     await platform.waitUntil(() => entry.lines.some(({ change, subject }) => change === 'upstream-joined' && subject === 'w-cold'))
     const startedAt = platform.clock.now()
--- a/scripts/varySite.mjs
+++ b/scripts/varySite.mjs
@@ -7,6 +7,7 @@
 import { copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { basename, dirname, join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { SeededRandom } from '@umberspar/base/common/random'
 
 const USAGE = 'usage: node scripts/varySite.mjs SITE SEED FOLDER (FOLDER lies outside the repository)'
 const root = fileURLToPath(new URL('..', import.meta.url))
@@ -26,27 +27,16 @@
   { field: 'per_s', least: 0.5, most: 1 }
 ]
 
-/** Numbers from 0 to 1 that depend on the seed alone (mulberry32). */
-export function createNumbers (seed) {
-  let state = seed >>> 0
-  return () => {
-    state = (state + 0x6D2B79F5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state)
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 0x1_0000_0000
-  }
-}
-
 /**
  * @param {string} text a site file
  * @param {number} seed what the copy's figures are drawn from
  * @returns {string} the copy
  */
 export function varySite (text, seed) {
-  const next = createNumbers(seed)
+  const random = new SeededRandom(seed)
   return VARIED.reduce((site, { field, least, most, isWhole = false, floor = 0 }) => {
     // One factor a field: the parts of a site stay in proportion.
-    const factor = least + (most - least) * next()
+    const factor = least + (most - least) * random.next()
     return site.replace(new RegExp(`(\\b${field} = )(\\d+(?:\\.\\d+)?)`, 'g'), (_whole, name, figure) => {
       const varied = Math.max(floor, Number(figure) * factor)
       if (isWhole) return `${name}${Math.round(varied)}`
@@ -62,7 +52,8 @@
   const name = basename(site, '.toml')
   const file = join(folder, `${name}-${seed}.toml`)
   writeFileSync(file, varySite(readFileSync(site, 'utf8'), Number(seed)))
-  for (const sibling of ['wire.json']) copyFileSync(join(dirname(site), sibling), join(folder, sibling))
+  // Site files name this one beside them.
+  copyFileSync(join(dirname(site), 'wire.json'), join(folder, 'wire.json'))
   process.stdout.write(`${file}\n`)
 }
 
