Carry the requests of a connection in their order, end all of them with it

Cause: Node's server hands all requests of a connection over at once and knows only the answer whose turn it is. Ruled out: leaving it to requests' own 'close' events, which Node emits when a request has been read, not when its connection ends; server.closeIdleConnections, which ends connections whose answer has been written and is still on its way.

A stop ends it after the last request passed on; what waits behind counts as not read (new reason in logs). Bad input waits for the answers before it. All requests of a connection end with it, whatever their place.

--- a/packages/entry/src/node/front/callerAnswer.ts
+++ b/packages/entry/src/node/front/callerAnswer.ts
@@ -19,24 +19,41 @@
 /** The answer to one request. */
 export class CallerAnswer {
   private isStarted = false
+  private isClosed = false
+  private onLeave: () => void = () => {}
 
   /**
    * @param response Node's own
    * @param isHead whether the request was HEAD
-   * @param isLeaving whether the process is to stop; callers are then told to connect elsewhere
+   * @param shouldEnd asked as the answer is begun: whether the connection ends with it
    */
-  constructor (private readonly response: ServerResponse, private readonly isHead: boolean, private readonly isLeaving: () => boolean) {
+  constructor (private readonly response: ServerResponse, private readonly isHead: boolean, private readonly shouldEnd: () => boolean) {
     response.sendDate = false
   }
 
+  /** @returns whether its head has been written */
+  get isBegun (): boolean {
+    return this.isStarted
+  }
+
   /** @returns whether the caller can get no answer any more */
   get isGone (): boolean {
-    return this.response.destroyed || this.response.writableEnded
+    return this.isClosed || this.response.destroyed || this.response.writableEnded
   }
 
   /** @param onLeave called if the caller leaves before its answer is whole */
   onDidLeave (onLeave: () => void): void {
-    this.response.on('close', () => { if (!this.response.writableFinished) onLeave() })
+    this.onLeave = onLeave
+  }
+
+  /**
+   * Notes that the connection is gone. Node.js tells it to the answer whose turn it
+   * is, and to none of those behind it.
+   */
+  handleClose (): void {
+    if (this.isClosed) return
+    this.isClosed = true
+    if (!this.response.writableFinished) this.onLeave()
   }
 
   /** @param onDrain called when the caller takes more of a long answer */
@@ -87,7 +104,7 @@
 
   private writeHead (status: number, fields: string[]): void {
     this.isStarted = true
-    if (this.isLeaving()) this.response.shouldKeepAlive = false
+    if (this.shouldEnd()) this.response.shouldKeepAlive = false
     this.response.writeHead(status, fields)
   }
 }
--- a/packages/entry/src/node/front/frontServer.ts
+++ b/packages/entry/src/node/front/frontServer.ts
@@ -2,16 +2,18 @@
  * The callers' listener: finds each request's route, checks it against the
  * operators' limits, reads its body and starts its run.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Instant } from '@umberspar/base/common/clock'
+import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from 'node:http'
+import { Server as NetServer, type Socket } from 'node:net'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { listenAt } from '../address.js'
-import { EndReason } from '../telemetry/requestEvents.js'
+import { EndReason, RequestEnd } from '../telemetry/requestEvents.js'
 import { BodyFailure, hasBody, readBody, RequestBody } from './bodyReader.js'
-import { CallerAnswer } from './callerAnswer.js'
+import type { CallerAnswer } from './callerAnswer.js'
+import { CallerConnection, type CallerExchange, type ConnectionHost } from './callerConnection.js'
 import type { EntryContext } from './entryContext.js'
-import { getRefusal } from './refusals.js'
+import { getRefusal, type Refusal } from './refusals.js'
 import { RequestRun } from './requestRun.js'
 
 /** Node.js refuses longer heads itself, in bytes; the operators' limit below it is checked here. */
@@ -39,20 +41,37 @@
   [EndReason.BodiesFull]: FULL_RETRY_MS
 }
 
+const HEAD_TOO_LARGE_CODE = 'HPE_HEADER_OVERFLOW'
+const HEAD_LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
+const BAD_INPUT = 400
+/** What is answered to input that is no request, by Node's code. */
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+  [HEAD_TOO_LARGE_CODE]: 431,
+  [HEAD_LATE_CODE]: 408
+}
+
 /** The listener for callers. */
-export class FrontServer implements IClosable {
+export class FrontServer implements IClosable, ConnectionHost {
   private readonly server: Server
-  private open = 0
+  private readonly connections = new Map<Socket, CallerConnection>()
 
   /** @param context the process's parts */
   constructor (private readonly context: EntryContext) {
     this.server = createServer({ maxHeaderSize: MOST_HEAD_BYTES, connectionsCheckingInterval: HEAD_CHECK_MS, noDelay: true, requestTimeout: 0 })
+    this.server.on('connection', (socket) => { this.connections.set(socket, new CallerConnection(socket, this)) })
     this.server.on('request', (request, response) => { this.handleRequest(request, response) })
+    this.server.on('clientError', (error, socket) => { this.handleBadInput(error as NodeJS.ErrnoException, socket as Socket) })
+  }
+
+  get clock (): IClock {
+    return this.context.clock
   }
 
-  /** @returns requests that have no whole answer yet */
+  /** @returns requests under way that have no whole answer yet */
   get openRequests (): number {
-    return this.open
+    let open = 0
+    for (const connection of this.connections.values()) open += connection.countOpen()
+    return open
   }
 
   /**
@@ -71,20 +90,39 @@
 
   /** Ends connections on which no request waits. */
   closeIdle (): void {
-    this.server.closeIdleConnections()
+    for (const connection of this.connections.values()) connection.closeIdle()
   }
 
   /** Takes no more connections; open requests go on. */
   close (): void {
-    this.server.close()
-    this.server.closeIdleConnections()
+    // Node's HTTP server would also end connections whose answer has been written and is still on its way out.
+    NetServer.prototype.close.call(this.server)
+    this.closeIdle()
+  }
+
+  isLeaving (): boolean {
+    return this.context.isLeaving()
+  }
+
+  recordNotRead ({ message, arrivedAt }: CallerExchange): void {
+    this.logEnd(message, EndReason.NotRead, { end: RequestEnd.Abandoned, status: 0 }, arrivedAt)
+  }
+
+  removeConnection (socket: Socket): void {
+    this.connections.delete(socket)
   }
 
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
-    const arrivedAt = this.context.clock.now()
-    const answer = new CallerAnswer(response, request.method === 'HEAD', () => this.context.isLeaving())
-    this.open++
-    response.on('close', () => { this.open-- })
+    this.connections.get(request.socket)?.accept(request, response)
+  }
+
+  /** Node.js would answer at once, in place of a request before it on the connection that is still open. */
+  private handleBadInput ({ code = '' }: NodeJS.ErrnoException, socket: Socket): void {
+    const status = STATUS_BY_CODE[code] ?? BAD_INPUT
+    this.connections.get(socket)?.refuseInput(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  }
+
+  startExchange ({ message: request, answer, arrivedAt }: CallerExchange): void {
     const { document } = this.context.view
     if (document === undefined) return this.refuse(request, answer, EndReason.NoConfiguration, arrivedAt)
     if (countHeadBytes(request) > document.limits.headerBytes) return this.refuse(request, answer, EndReason.HeadTooLarge, arrivedAt)
@@ -122,9 +160,13 @@
 
   private refuse (request: IncomingMessage, answer: CallerAnswer, reason: EndReason, arrivedAt: Instant, route?: RoutePolicy): void {
     if (reason === EndReason.CallerLeft) return
-    const { end, status, text } = getRefusal(reason)
+    const refusal = getRefusal(reason)
     const retryAfterMs = RETRY_BY_REASON[reason]
-    answer.writeOwn({ status, text, retryAfterMs })
+    answer.writeOwn({ status: refusal.status, text: refusal.text, retryAfterMs })
+    this.logEnd(request, reason, refusal, arrivedAt, route)
+  }
+
+  private logEnd (request: IncomingMessage, reason: EndReason, { end, status }: Pick<Refusal, 'end' | 'status'>, arrivedAt: Instant, route?: RoutePolicy): void {
     this.context.telemetry.logEnd({
       requestId: this.context.heads.getRequestId(request),
       route: route?.name,
@@ -136,7 +178,7 @@
       offers: 0,
       spanMs: this.context.clock.now() - arrivedAt,
       goalMs: route?.goalMs,
-      retryAfterMs,
+      retryAfterMs: RETRY_BY_REASON[reason],
       configuration: this.context.view.document?.version,
       revision: this.context.getRecordsAge().revision
     })
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -1,7 +1,8 @@
 /** What callers are told when this system itself ends their request. */
 import { EndReason, RequestEnd } from '../telemetry/requestEvents.js'
 
-interface Refusal {
+/** What one reason tells. */
+export interface Refusal {
   readonly end: RequestEnd
   readonly status: number
   readonly text: string
--- a/packages/entry/src/node/telemetry/requestEvents.ts
+++ b/packages/entry/src/node/telemetry/requestEvents.ts
@@ -40,7 +40,9 @@
   WorkerBroke = 'worker-broke',
   /** No answer came in time. */
   NoAnswer = 'no-answer',
-  CallerLeft = 'caller-left'
+  CallerLeft = 'caller-left',
+  /** It came behind others on a connection that ends before its turn; its caller sends it again. */
+  NotRead = 'not-read'
 }
 
 /** How one offer to a worker ended. */
