Let an overwritten entry name no worker, and tell a worker's lives apart

Cause: storeSource dropped items that it could not decode. An evacuation whose value is not JSON was dropped as well. A worker that starts again under its id was taken for the one before: its old address, objects, failures and cold allowance were kept.

A worker's start time tells its lives apart: compared for being another, never with a clock; an entry of a life that has ended changes nothing. A new life begins with a new tracker, no objects at hand and new connections.

--- a/packages/entry/src/node/beliefs/beliefKeeper.ts
+++ b/packages/entry/src/node/beliefs/beliefKeeper.ts
@@ -6,7 +6,7 @@
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { LogLevel } from '@umberspar/base/common/logger'
-import type { EntryView, ViewEvent } from '@umberspar/steering/common/entry/entryView'
+import { type EntryView, ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/entryView'
 import type { RecordChange, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
 import { RecordTable } from '@umberspar/steering/common/entry/recordTable'
 import type { SteeringListener } from '@umberspar/steering/common/ports/steeringSource'
@@ -108,7 +108,8 @@
 
   private logEvent (event: ViewEvent): void {
     this.telemetry.metrics.countChange(event.change)
-    this.telemetry.logger.log(LogLevel.Info, { step: 'update-view', ...event }, 'the view changed')
+    const level = event.change === ViewChange.RecordUnreadable ? LogLevel.Warn : LogLevel.Info
+    this.telemetry.logger.log(level, { step: 'update-view', ...event }, 'the view changed')
     this.onChange(event)
   }
 
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -205,7 +205,8 @@
 
   private handleChange ({ change, subject }: ViewEvent): void {
     if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) this.front.setLimits(this.view.document)
-    if (change === ViewChange.UpstreamLeft) this.pools.remove(subject)
+    // A new life may have another address, and what is open there belongs to the old one.
+    if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
     const isOwnRecordGone = change === ViewChange.NodeLeft && subject === this.node.name
     if (isOwnRecordGone) this.isRegistered = false
     if (!this.isRegistered && !this.isLeaving && this.isReady()) {
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -41,6 +41,11 @@
     private readonly clock: IClock
   ) {}
 
+  /** @returns whether its connections lead to this address */
+  isFor (host: string, port: number): boolean {
+    return this.host === host && this.port === port
+  }
+
   /**
    * @param most connections that this VM may have to the worker
    * @param deadline until when a new one may take to open
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -25,8 +25,9 @@
    */
   read (entry: UpstreamEntry): UpstreamPool {
     let pool = this.pools.get(entry.id)
-    if (pool === undefined) {
-      const { host, port } = splitAddress(entry.address)
+    const { host, port } = splitAddress(entry.address)
+    if (pool === undefined || !pool.isFor(host, port)) {
+      pool?.close()
       pool = new UpstreamPool(host, port, this.rule, this.idleLimit, this.clock)
       this.pools.set(entry.id, pool)
     }
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -20,6 +20,10 @@
   UpstreamJoined = 'upstream-joined',
   UpstreamChanged = 'upstream-changed',
   UpstreamLeft = 'upstream-left',
+  /** The worker started anew under the id that it had. */
+  UpstreamRestarted = 'upstream-restarted',
+  /** A registration was overwritten with something that cannot be read. */
+  RecordUnreadable = 'record-unreadable',
   DomainEvacuated = 'domain-evacuated',
   DomainTakenBack = 'domain-taken-back',
   NodeJoined = 'node-joined',
@@ -32,6 +36,8 @@
   /** The worker's, domain's or node's name, or the configuration's version. */
   readonly subject: string
   readonly revision: number
+  /** Why, where the change alone does not say. */
+  readonly reason?: string
 }
 
 /** What does not change while the process lives. */
@@ -153,16 +159,19 @@
   /**
    * @param entry a worker's registration
    * @param now the present
-   * @returns whether the worker is new
+   * @returns what it changes; undefined if it is of an earlier life than the worker's present one
    */
-  putUpstream (entry: UpstreamEntry, now: Instant): boolean {
+  putUpstream (entry: UpstreamEntry, now: Instant): UpstreamChange | undefined {
     const known = this.trackers.get(entry.id)
-    if (known !== undefined && known.entry.service !== entry.service) this.removeUpstream(entry.id)
-    const tracker = this.trackers.get(entry.id) ?? new UpstreamTracker(entry, now)
+    if (known !== undefined && known.isFormerLife(entry)) return undefined
+    const isNewLife = known !== undefined && known.isOtherLife(entry)
+    if (known !== undefined && (isNewLife || known.entry.service !== entry.service)) this.removeUpstream(entry.id)
+    const tracker = this.trackers.get(entry.id) ?? new UpstreamTracker(entry, now, isNewLife ? known.listLives() : [])
     tracker.update(entry, now)
     this.trackers.set(entry.id, tracker)
     this.readRoster(entry.service).put(tracker)
-    return known === undefined
+    if (known === undefined) return ViewChange.UpstreamJoined
+    return isNewLife ? ViewChange.UpstreamRestarted : ViewChange.UpstreamChanged
   }
 
   /** @param id a worker that is gone */
@@ -215,6 +224,9 @@
   }
 }
 
+/** What a worker's registration changes. */
+type UpstreamChange = ViewChange.UpstreamJoined | ViewChange.UpstreamChanged | ViewChange.UpstreamRestarted
+
 type Applier = (view: EntryView, record: SteeringRecord | undefined, previous: SteeringRecord | undefined, now: Instant) => ViewEvent[]
 
 const APPLIERS: Readonly<Record<RecordKind, Applier>> = {
@@ -225,8 +237,8 @@
   },
   [RecordKind.Upstream]: (view, record, previous, now) => {
     if (record?.kind === RecordKind.Upstream) {
-      const change = view.putUpstream(record.value, now) ? ViewChange.UpstreamJoined : ViewChange.UpstreamChanged
-      return [{ change, subject: record.value.id, revision: record.revision }]
+      const change = view.putUpstream(record.value, now)
+      return change === undefined ? [] : [{ change, subject: record.value.id, revision: record.revision }]
     }
     if (previous?.kind !== RecordKind.Upstream) return []
     view.removeUpstream(previous.value.id)
@@ -249,5 +261,10 @@
     if (previous?.kind !== RecordKind.Node) return []
     view.removeNode(previous.value.name)
     return [{ change: ViewChange.NodeLeft, subject: previous.value.name, revision: previous.revision }]
+  },
+  [RecordKind.Unreadable]: (view, record, previous, now) => {
+    if (record?.kind !== RecordKind.Unreadable) return []
+    const events = previous === undefined || previous.kind === RecordKind.Unreadable ? [] : view.apply({ record: undefined, previous }, now)
+    return [{ change: ViewChange.RecordUnreadable, subject: record.key, revision: record.revision, reason: record.value }, ...events]
   }
 }
--- a/packages/steering/src/common/entry/records.ts
+++ b/packages/steering/src/common/entry/records.ts
@@ -12,9 +12,14 @@
   Draining = 'draining'
 }
 
-/** One worker, by its own registration; each start of a worker has a new id. */
+/** One worker, by its own registration; each start of a worker has a new id or a new start time. */
 export interface UpstreamEntry {
   readonly id: string
+  /**
+   * When it started, by its own wall clock, in whole milliseconds; undefined if it
+   * does not say. Only compared for being another than before: clocks jump.
+   */
+  readonly startedAt?: number
   readonly service: string
   /** `host:port` */
   readonly address: string
@@ -40,7 +45,9 @@
   Document = 'document',
   Upstream = 'upstream',
   Evacuation = 'evacuation',
-  Node = 'node'
+  Node = 'node',
+  /** Overwritten with something that cannot be read: the key names nothing until it can be read again. */
+  Unreadable = 'unreadable'
 }
 
 /** One record as it stands in the store. */
@@ -49,6 +56,8 @@
   | { readonly kind: RecordKind.Upstream, readonly key: string, readonly revision: number, readonly value: UpstreamEntry }
   | { readonly kind: RecordKind.Evacuation, readonly key: string, readonly revision: number, readonly value: string }
   | { readonly kind: RecordKind.Node, readonly key: string, readonly revision: number, readonly value: EntryNode }
+  /** `value` says what is wrong with it. */
+  | { readonly kind: RecordKind.Unreadable, readonly key: string, readonly revision: number, readonly value: string }
 
 /** A record that was deleted. */
 export interface RemovedRecord {
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -62,17 +62,42 @@
   /**
    * @param entry the worker's registration
    * @param now the present, from which its coldness counts
+   * @param formerLives start times of earlier lives under the same id
    */
-  constructor (public entry: UpstreamEntry, now: Instant) {
+  constructor (public entry: UpstreamEntry, now: Instant, private readonly formerLives: readonly number[] = []) {
     this.coldUntil = createDeadline(now, entry.coldMs)
   }
 
+  /** @returns the start times of all lives known under this id, the present one included */
+  listLives (): number[] {
+    const { startedAt } = this.entry
+    return startedAt === undefined ? [...this.formerLives] : [...this.formerLives, startedAt]
+  }
+
+  /**
+   * A registration that was long on its way must not take the place of the one
+   * after it: the worker would count as started once more, with nothing at hand.
+   * @returns whether a registration is of a life that ended before the present one
+   */
+  isFormerLife ({ startedAt }: UpstreamEntry): boolean {
+    return startedAt !== undefined && this.formerLives.includes(startedAt)
+  }
+
+  /**
+   * A worker that started again under its id holds nothing, and knows nothing of
+   * requests that were under way there.
+   * @returns whether a registration is of another life than the present one
+   */
+  isOtherLife ({ startedAt }: UpstreamEntry): boolean {
+    return startedAt !== undefined && this.entry.startedAt !== undefined && startedAt !== this.entry.startedAt
+  }
+
   /**
    * @param entry what the worker now says of itself
    * @param now the present
    */
   update (entry: UpstreamEntry, now: Instant): void {
-    this.entry = entry
+    this.entry = { ...entry, startedAt: entry.startedAt ?? this.entry.startedAt }
     if (entry.coldMs > 0) this.markCold(createDeadline(now, entry.coldMs))
   }
 
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -29,6 +29,8 @@
   readonly isLeaving?: boolean
   /** How long it says that it is cold, in milliseconds. */
   readonly coldMs?: number
+  /** When it started, in milliseconds of Unix time; left out by workers that never start again under one id. */
+  readonly startedAt?: number
 }
 
 /** The addresses of an entry process. */
@@ -59,9 +61,9 @@
   }
 
   /** Writes what a worker says of itself. */
-  putWorker ({ id, service, domain, address, isLeaving = false, coldMs = 0 }: WorkerRecord): void {
+  putWorker ({ id, service, domain, address, isLeaving = false, coldMs = 0, startedAt }: WorkerRecord): void {
     this.services.add(service)
-    this.store.put(`servers/${id}`, { Service: service, Addr: address, Zone: domain, Version: 'v1', Slots: SLOTS, State: isLeaving ? 'draining' : 'ready', ColdLeft: `${coldMs}ms`, Seq: 1 })
+    this.store.put(`servers/${id}`, { Service: service, Addr: address, Zone: domain, Version: 'v1', Slots: SLOTS, State: isLeaving ? 'draining' : 'ready', ColdLeft: `${coldMs}ms`, Seq: 1, born: startedAt })
   }
 
   /** Removes what a worker said of itself. */
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -189,7 +189,12 @@
 
   /** Writes as the operator or a worker does. */
   put (key: string, value: unknown): void {
-    this.state.put(key, JSON.stringify(value))
+    this.putText(key, JSON.stringify(value))
+  }
+
+  /** Writes what may be no JSON, as another writer may. */
+  putText (key: string, text: string): void {
+    this.state.put(key, text)
     this.answerWatches()
   }
 
