Log a request's object with its offers

Whether late answers come from first touches, from objects that moved or from objects that were pushed out could not be told from the logs; now it can.

--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -237,6 +237,7 @@
       worker: tracker.entry.id,
       domain: tracker.entry.domain,
       rank,
+      object: this.key,
       isWarm: candidate.isWarm,
       offer: this.tried.size + 1,
       expectedMs,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -12,7 +12,9 @@
   readonly domain: string
   /** The worker's place in the ranking for the request's object. */
   readonly rank: number
-  /** Whether it was believed to have the object at hand. */
+  /** What identifies the request's object; undefined where workers handle all alike. */
+  readonly object: string | undefined
+  /** Whether the worker was believed to have the object at hand. */
   readonly isWarm: boolean
   readonly offer: number
   readonly expectedMs: number
