--- a/packages/cli/src/common/explainRequest.ts
+++ b/packages/cli/src/common/explainRequest.ts
@@ -84,7 +84,7 @@
     if (end === undefined) return this.own.length === 0 ? 'No line names this request: it reached no entry VM, or its lines were dropped.' : 'It has not ended, or its process was killed before it did.'
     const conclusion = CONCLUSION_BY_REASON[String(end.fields.reason)] ?? `It ended as ${String(end.fields.end)}.`
     const isLate = Number(end.fields.spanMs) > Number(end.fields.goalMs)
-    return isLate ? `${conclusion} It took ${String(end.fields.spanMs)} ms where ${String(end.fields.goalMs)} ms are the goal: compare expectedMs, waitMs and isWarm of its offers.` : conclusion
+    return isLate ? `${conclusion} It took ${String(end.fields.spanMs)} ms where ${String(end.fields.goalMs)} ms are the goal: compare expectedMs, waitMs and handChance of its offers.` : conclusion
   }
 }
 
--- a/packages/entry/src/node/front/offer.ts
+++ b/packages/entry/src/node/front/offer.ts
@@ -2,6 +2,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import type { Choice } from '@umberspar/steering/common/entry/chooseUpstream'
+import { observeAnswer } from '@umberspar/steering/common/entry/offerLesson'
 import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import type { OpenRequest } from '@umberspar/steering/common/entry/upstreamTracker'
 import { OfferEnd } from '../telemetry/requestEvents.js'
@@ -212,12 +213,9 @@
     this.tracker.recordResult(end !== OfferEnd.Answered, now)
     if (end === OfferEnd.OtherWorker) this.tracker.recordUnreachable(now)
     if (end !== OfferEnd.Answered) return
-    const { candidate, expectedMs, waitMs } = this.choice
-    const tookMs = now - this.sentAt
     const { view } = this.context
-    this.tracker.recordSpeed(tookMs / Math.max(1, expectedMs), now)
-    view.readWork(this.request.route, this.service).observe(candidate.isWarm, tookMs - waitMs - candidate.roundTripMs, bytes)
-    if (this.key !== undefined) view.readRoster(this.service).warmth.record(this.key, this.tracker.entry.id, now)
+    const lesson = { choice: this.choice, key: this.key, tookMs: now - this.sentAt, bytes, now }
+    observeAnswer(lesson, view.readRoster(this.service), view.readWork(this.request.route, this.service))
   }
 
   private end (result: OfferResult): void {
--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -5,8 +5,10 @@
  */
 import type { Instant, ITimer } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
+import { shouldOffer } from '@umberspar/steering/common/entry/admission'
 import { type Choice, chooseUpstream } from '@umberspar/steering/common/entry/chooseUpstream'
-import { isRepeatable } from '@umberspar/steering/common/entry/steeringDocument'
+import { computeRetry } from '@umberspar/steering/common/entry/comeBack'
+import { mayOfferAfterRefusal, mayOfferAfterRun, mayOfferAfterUnsent } from '@umberspar/steering/common/entry/offerAgain'
 import { EndReason, OfferEnd, RequestEnd } from '../telemetry/requestEvents.js'
 import type { AnswerHead } from '../upstream/answerParser.js'
 import type { CallerAnswer } from './callerAnswer.js'
@@ -16,28 +18,8 @@
 import type { ReadRequest } from './readRequest.js'
 import { getRefusal } from './refusals.js'
 
-/** Offers that could not be sent are made anew this often; each costs an opening time. */
-const MOST_UNSENT = 3
-/** Offers beyond the route's attempts that workers may refuse: such a refusal is no run. */
-const MOST_REFUSED = 2
-/** Below this expected worth, as a part of a timely answer, a request only takes a slot from others. */
-const LEAST_WORTH = 0.02
-/**
- * In a service without free slots, requests below this chance of an answer in time
- * are refused. All that is sent there takes the same slots; with queues short the
- * same number of answers comes in time, where with long ones all come late, for a
- * fifth of the worth. An object that is not at hand yet does not count against its
- * request: it will be at hand for the next.
- */
-const LEAST_PROMPTNESS = 0.35
-/** From this busyness on a service counts as without free slots. */
-const FULL_BUSYNESS = 0.9
 /** A worker that reached its deadline answers so; this long after the time limit it is not waited for, in milliseconds. */
 const ANSWER_SLACK_MS = 150
-/** The least and the most that a refused caller is asked to wait, in milliseconds. */
-const LEAST_RETRY_MS = 100
-const MOST_RETRY_MS = 1_000
-
 /** One request on its way. */
 export class RequestRun {
   private readonly service: string
@@ -45,8 +27,7 @@
   private readonly latestAt: Deadline
   private readonly tried = new Set<string>()
   private current: Offer | undefined
-  private sent = 0
-  private unsent = 0
+  private readonly counts = { sent: 0, unsent: 0 }
   private mayHaveRun = false
   private fallback: GatheredAnswer | undefined
   private limitTimer: ITimer | undefined
@@ -80,13 +61,13 @@
     const now = clock.now()
     const choice = this.choose(now)
     if (choice === undefined) return this.endWithoutAnswer(EndReason.NoWorker)
-    if (this.isTooLate(choice, now) || this.isCrowded(choice, now)) return this.endWithoutAnswer(EndReason.TooLate, choice)
-    if (this.sent > 0 && !view.readRepeats(this.service).take(now)) return this.endWithoutAnswer(EndReason.RepeatsSpent, choice)
+    if (!this.shouldOffer(choice, now)) return this.endWithoutAnswer(EndReason.TooLate, choice)
+    if (this.counts.sent > 0 && !view.readRepeats(this.service).take(now)) return this.endWithoutAnswer(EndReason.RepeatsSpent, choice)
     this.logOffer(choice, now)
     const { id } = choice.candidate.tracker.entry
     this.tried.add(id)
     this.current = new Offer(this.context, this.request, choice, this.service, this.key, this.latestAt, {
-      onSent: () => { this.sent++ },
+      onSent: () => { this.counts.sent++ },
       onLong: (head) => this.startLong(head),
       onPart: (chunk) => { if (!this.answer.writePart(chunk)) this.current?.pause() },
       onEnd: (result) => { this.handleResult(result) }
@@ -94,15 +75,11 @@
     this.current.start()
   }
 
-  private isTooLate ({ value, expectedMs, waitMs }: Choice, now: Instant): boolean {
-    const { isLearned } = this.context.view.readWork(this.request.route, this.service)
-    return value < LEAST_WORTH && now + (isLearned ? expectedMs : waitMs) > this.latestAt
-  }
-
-  private isCrowded ({ promptness }: Choice, now: Instant): boolean {
+  private shouldOffer (choice: Choice, now: Instant): boolean {
     const { view } = this.context
     const { isLearned } = view.readWork(this.request.route, this.service)
-    return this.sent === 0 && isLearned && promptness < LEAST_PROMPTNESS && view.readRoster(this.service).getBusyness(now) >= FULL_BUSYNESS
+    const busyness = view.readRoster(this.service).getBusyness(now)
+    return shouldOffer(choice, { now, latestAt: this.latestAt, isLearned, wasSent: this.counts.sent > 0, busyness })
   }
 
   private choose (now: Instant): Choice | undefined {
@@ -142,14 +119,14 @@
 
   /** After an offer that was not sent. */
   retryUnsent (): void {
-    this.unsent++
-    if (this.unsent > MOST_UNSENT) this.endWithoutAnswer(EndReason.NoWorker)
-    else this.sendNext()
+    this.counts.unsent++
+    if (mayOfferAfterUnsent(this.counts)) this.sendNext()
+    else this.endWithoutAnswer(EndReason.NoWorker)
   }
 
   /** After a worker that did not run the request. */
   retryRefused (): void {
-    if (this.sent < this.request.route.attempts + MOST_REFUSED - 1) this.sendNext()
+    if (mayOfferAfterRefusal(this.request.route, this.counts)) this.sendNext()
     else this.endWithoutAnswer(EndReason.WorkersRefused)
   }
 
@@ -160,7 +137,7 @@
   retryRun (fallback?: GatheredAnswer): void {
     this.mayHaveRun = true
     this.fallback = fallback ?? this.fallback
-    if (isRepeatable(this.request.route.kind) && this.sent < this.request.route.attempts) this.sendNext()
+    if (mayOfferAfterRun(this.request.route, this.counts)) this.sendNext()
     else this.endWithoutAnswer(EndReason.WorkerBroke)
   }
 
@@ -169,12 +146,7 @@
     if (this.mayHaveRun) return this.endOwn(reason === EndReason.NoAnswer ? reason : EndReason.WorkerBroke)
     // Nothing ran: what would stand for a possible run elsewhere is a plain refusal here.
     const isRefusal = reason !== EndReason.RepeatsSpent && reason !== EndReason.WorkerBroke
-    this.endOwn(isRefusal ? reason : EndReason.WorkersRefused, this.computeRetry(choice))
-  }
-
-  private computeRetry (choice: Choice | undefined): number {
-    const waitMs = Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, (choice?.waitMs ?? 0) / 2))
-    return waitMs * (1 + this.context.random.next() / 2)
+    this.endOwn(isRefusal ? reason : EndReason.WorkersRefused, computeRetry(choice, this.context.random))
   }
 
   private endOwn (reason: EndReason, retryAfterMs?: number): void {
@@ -218,7 +190,7 @@
       status,
       end,
       reason,
-      offers: this.sent,
+      offers: this.counts.sent,
       spanMs: this.context.clock.now() - arrivedAt,
       goalMs: route.goalMs,
       retryAfterMs,
@@ -238,7 +210,8 @@
       domain: tracker.entry.domain,
       rank,
       object: this.key,
-      isWarm: candidate.isWarm,
+      hand: candidate.hand,
+      handChance: candidate.handChance,
       offer: this.tried.size + 1,
       expectedMs,
       waitMs,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -1,5 +1,6 @@
 /** What an entry process tells of its decisions: log lines and metrics from one place. */
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
+import type { HandState } from '@umberspar/steering/common/entry/handChance'
 import type { EntryMetrics } from './entryMetrics.js'
 import { EndReason, OfferEnd, RequestEnd } from './requestEvents.js'
 
@@ -14,8 +15,10 @@
   readonly rank: number
   /** What identifies the request's object; undefined where workers handle all alike. */
   readonly object: string | undefined
-  /** Whether the worker was believed to have the object at hand. */
-  readonly isWarm: boolean
+  /** What was known of the object at the worker. */
+  readonly hand: HandState
+  /** The chance that the worker had it at hand, 0 to 1. */
+  readonly handChance: number
   readonly offer: number
   readonly expectedMs: number
   readonly waitMs: number
@@ -76,6 +79,7 @@
       ...facts,
       expectedMs: toTenths(facts.expectedMs),
       waitMs: toTenths(facts.waitMs),
+      handChance: Math.round(facts.handChance * 100) / 100,
       value: Math.round(facts.value * 1_000) / 1_000,
       failure: Math.round(facts.failure * 100) / 100,
       slowness: Math.round(facts.slowness * 100) / 100,
--- a/packages/steering/src/common/entry/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/chooseUpstream.ts
@@ -7,6 +7,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { Nearness } from './nearness.js'
+import { HandState } from './handChance.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 
 /** What bytes cost, in parts of the worth of one request answered in time, for each kilobyte. */
@@ -23,10 +24,12 @@
   readonly nearness: Nearness
   /** There and back, in milliseconds. */
   readonly roundTripMs: number
-  /** Whether the worker is believed to have the request's object at hand. */
-  readonly isWarm: boolean
-  /** Work on this request, the worker's own speed aside, in milliseconds. */
-  readonly workMs: number
+  /** What is known of the request's object at the worker. */
+  readonly hand: HandState
+  /** The chance that the worker has it at hand, 0 to 1. */
+  readonly handChance: number
+  /** Work on an object that is not at hand, the worker's own speed aside, in milliseconds. */
+  readonly coldWorkMs: number
   /** Work on an object that is at hand, in milliseconds. */
   readonly warmWorkMs: number
   /** Mean work of the service's requests, for those that wait before this one, in milliseconds. */
@@ -101,14 +104,21 @@
   [Nearness.OtherRegion]: ({ otherRegion }) => otherRegion
 }
 
+/** One way in which a request may go. */
+interface Course {
+  readonly waitMs: number
+  readonly expectedMs: number
+}
+
 /** The chance that an answer expected at one instant comes before another, by a logistic curve. */
-function estimateChance (expectedMs: number, limitMs: number, spreadMs: number): number {
+function estimateInTime ({ waitMs, expectedMs }: Course, limitMs: number): number {
+  const spreadMs = 1 + WORK_SPREAD * (expectedMs - waitMs) + WAIT_SPREAD * waitMs
   return 1 / (1 + Math.exp((expectedMs - limitMs) / spreadMs))
 }
 
-function computeSpillCost ({ rank, isWarm }: Candidate, busyness: number): number {
-  if (isWarm || rank === 0) return 0
-  return IDLE_SPILL_COST + (BUSY_SPILL_COST - IDLE_SPILL_COST) * busyness
+function computeSpillCost ({ rank, hand, handChance }: Candidate, busyness: number): number {
+  if (hand === HandState.Remembered || rank === 0) return 0
+  return (1 - handChance) * (IDLE_SPILL_COST + (BUSY_SPILL_COST - IDLE_SPILL_COST) * busyness)
 }
 
 function estimateWait ({ tracker, meanWorkMs }: Candidate, slowness: number, now: Instant): number {
@@ -127,18 +137,20 @@
   const { now } = need
   const slowness = tracker.getSlowness(now) * (tracker.isCold(now) ? COLD_WORKER_FACTOR : 1)
   const waitMs = estimateWait(candidate, slowness, now)
-  const expectedMs = candidate.roundTripMs + waitMs + candidate.workMs * slowness
-  const spreadMs = 1 + WORK_SPREAD * (expectedMs - waitMs) + WAIT_SPREAD * waitMs
-  const inTime = estimateChance(expectedMs, need.goalAt - now, spreadMs)
-  const atAll = estimateChance(expectedMs, need.latestAt - now, spreadMs)
+  const beforeMs = candidate.roundTripMs + waitMs
+  const warm: Course = { waitMs, expectedMs: beforeMs + candidate.warmWorkMs * slowness }
+  const cold: Course = { waitMs, expectedMs: beforeMs + candidate.coldWorkMs * slowness }
+  const { handChance } = candidate
+  const expectedMs = handChance * warm.expectedMs + (1 - handChance) * cold.expectedMs
+  const inTimeIfWarm = estimateInTime(warm, need.goalAt - now)
+  const inTime = handChance * inTimeIfWarm + (1 - handChance) * estimateInTime(cold, need.goalAt - now)
+  const atAll = handChance * estimateInTime(warm, need.latestAt - now) + (1 - handChance) * estimateInTime(cold, need.latestAt - now)
   const worth = (inTime + LATE_WORTH * Math.max(0, atAll - inTime)) * (1 - tracker.getFailure(now))
   const bytesCost = BYTE_COST[nearness](costs) * need.bytes / BYTES_PER_KB
   const bonus = candidate.rank === 0 && tracker.sent === 0 ? FIRST_REQUEST_BONUS : 0
   const spillCost = COST_PER_RANK * candidate.rank + computeSpillCost(candidate, need.busyness)
   const value = worth + bonus - bytesCost - COST_PER_MS * expectedMs - spillCost
-  const promptMs = candidate.roundTripMs + waitMs + candidate.warmWorkMs * slowness
-  const promptness = estimateChance(promptMs, need.goalAt - now, spreadMs)
-  return { candidate, expectedMs, waitMs, value, promptness }
+  return { candidate, expectedMs, waitMs, value, promptness: inTimeIfWarm }
 }
 
 /**
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -3,6 +3,7 @@
 import type { Candidate } from './chooseUpstream.js'
 import { type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainDistances } from './domainDistances.js'
+import { classifyHand, HandChance } from './handChance.js'
 import { KeyRanking } from './keyRanking.js'
 import { computeShares } from './placeShares.js'
 import { UpstreamState } from './records.js'
@@ -48,6 +49,7 @@
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly rankings = new Map<string, KeyRanking>()
   readonly warmth = new WarmthMemory()
+  readonly hands = new HandChance()
   policy: ServicePolicy | undefined
   private busyness = 0
   private busynessUntil: Instant = Number.NEGATIVE_INFINITY
@@ -126,14 +128,16 @@
 
   private buildCandidate (tracker: UpstreamTracker, key: string | undefined, work: WorkEstimate, rank: number, now: Instant): Candidate {
     const { domain, id } = tracker.entry
-    const isWarm = key !== undefined && this.warmth.has(key, id, now)
+    const hand = classifyHand(key !== undefined && this.warmth.has(key, id, now), rank)
     return {
       tracker,
       nearness: this.place.distances.getNearness(domain),
       roundTripMs: this.place.distances.getRoundTrip(domain),
-      isWarm,
-      workMs: work.getWork(isWarm),
-      warmWorkMs: work.getWork(true),
+      hand,
+      // Without an object there is nothing to have at hand.
+      handChance: key === undefined ? 0 : this.hands.get(hand),
+      coldWorkMs: work.getWork(false),
+      warmWorkMs: work.getWork(key !== undefined),
       meanWorkMs: work.getWork(key !== undefined),
       rank
     }
--- a/packages/steering/src/common/entry/workEstimate.ts
+++ b/packages/steering/src/common/entry/workEstimate.ts
@@ -37,6 +37,16 @@
     return isWarm ? this.warmMs : this.coldMs
   }
 
+  /**
+   * Work on an object that is at hand takes a third of the time or less, so that an
+   * answer's time tells which it was, with the middle in proportion as the border.
+   * @param workMs of one answer, in milliseconds, the wait left out
+   * @returns whether the object was at hand
+   */
+  isWarmWork (workMs: number): boolean {
+    return workMs < Math.sqrt(this.warmMs * this.coldMs)
+  }
+
   /**
    * Before, a request must not be refused for how long its work might take: it
    * would never be learned that it takes less.
