Give each call of the tools to an operators' listener a connection of its own

Twelve daemons and their caller share one thread. Held for longer than the listener keeps idle connections, the caller writes its next call on the kept connection, and the listener's overdue timer then ends it unread. A test holds the thread for 4.2 s where idle connections are kept 3 s: read ECONNRESET each time before, passes now. The product's callers are told the span by Keep-Alive, and what is closed unread may be sent again.

Change: the tools' calls keep no connections.

--- a/packages/testing/src/node/deployment/operatorCalls.ts
+++ b/packages/testing/src/node/deployment/operatorCalls.ts
@@ -37,7 +37,8 @@
 
 /** Speaks to operators' listeners by `host:port`. */
 export class OperatorCalls implements IClosable {
-  private readonly agent = new Agent({ keepAliveTimeout: CALL_WITHIN_MS })
+  /** Each call has a connection of its own: a kept one may be ended as idle while the next call is on its way. */
+  private readonly agent = new Agent({ pipelining: 0 })
 
   /**
    * @param address a daemon's operators' listener
