Let the test of kept connections turn the loop once before it holds the thread

Without the turn undici had not put the connection back, and the test passed on the code before as well (seen twice). With it, the code before fails each of three times with 'read ECONNRESET', and the present one passes each of three times.

--- a/packages/testing/test/node/deployment/operatorCalls.test.ts
+++ b/packages/testing/test/node/deployment/operatorCalls.test.ts
@@ -23,6 +23,8 @@
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
     try {
       assert.equal(await calls.readVersion(address), 3)
+      // A whole turn of the loop: both ends have to count the connection as idle.
+      await new Promise((resolve) => { setTimeout(resolve, 1) })
       holdThread(IDLE_MS * 1.4)
       assert.equal(await calls.readVersion(address), 3)
     } finally {
