--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -34,7 +34,11 @@
   /** The operator adds a route and takes the one before it away. */
   ConfigurationChange = 'configuration-change',
   /** A failure domain is evacuated and taken back after the span. */
-  Evacuation = 'evacuation'
+  Evacuation = 'evacuation',
+  /** A worker ends and starts again under its id, elsewhere and cold. */
+  WorkerRestart = 'worker-restart',
+  /** Another writer overwrites a worker's registration for the span; `variant` says with what. */
+  ForeignEntry = 'foreign-entry'
 }
 
 /** One step. */
@@ -67,7 +71,11 @@
 }
 
 const PLANNED_KINDS = [SoakStepKind.EntryStop, SoakStepKind.EntryHangUp, SoakStepKind.WorkerDrain, SoakStepKind.ConfigurationChange, SoakStepKind.Evacuation]
-const ALL_KINDS = Object.values(SoakStepKind)
+/** Drawn by a stream of their own, so that seeds recorded before these kinds came still give the same other steps. */
+const LATER_KINDS = [SoakStepKind.WorkerRestart, SoakStepKind.ForeignEntry]
+const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_KINDS.includes(kind))
+const LATER_SEED_OFFSET = 1_000_003
+const LATER_GAP_MS = 2_500
 
 /** Traffic without any step at the start, and at the end, when everything must be well again, in milliseconds. */
 const LEAD_MS = 2_000
@@ -95,9 +103,11 @@
   return phases
 }
 
-function buildSteps ({ fromMs, untilMs, isPlanned }: SoakPhase, random: IRandomSource): SoakStep[] {
-  const kinds = isPlanned ? PLANNED_KINDS : ALL_KINDS
-  const gapMs = isPlanned ? GAP_MS.planned : GAP_MS.mixed
+function buildSteps (phase: SoakPhase, random: IRandomSource): SoakStep[] {
+  return phase.isPlanned ? addSteps(phase, PLANNED_KINDS, GAP_MS.planned, random) : addSteps(phase, MIXED_KINDS, GAP_MS.mixed, random)
+}
+
+function addSteps ({ fromMs, untilMs, isPlanned }: SoakPhase, kinds: readonly SoakStepKind[], gapMs: number, random: IRandomSource): SoakStep[] {
   const lastMs = isPlanned ? untilMs - STOP_MS : untilMs
   const steps: SoakStep[] = []
   for (let atMs = fromMs; atMs < lastMs; atMs += gapMs * (0.3 + 1.4 * random.next())) {
@@ -116,5 +126,8 @@
   const random = new SeededRandom(seed)
   const untilMs = seconds * 1_000
   const phases = buildPhases(untilMs)
-  return { phases, steps: phases.flatMap((phase) => buildSteps(phase, random)), untilMs }
+  const later = new SeededRandom(seed + LATER_SEED_OFFSET)
+  const mixed = phases.filter(({ isPlanned }) => !isPlanned)
+  const steps = [...phases.flatMap((phase) => buildSteps(phase, random)), ...mixed.flatMap((phase) => addSteps(phase, LATER_KINDS, LATER_GAP_MS, later))]
+  return { phases, steps, untilMs }
 }
--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -6,6 +6,8 @@
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
 import { type ClientAnswer, getAnsweredId, getSeal, isPromisedNotRun, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { PipelinedCaller } from '@umberspar/testing/node/load/pipelinedCaller'
+import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { SoakRule } from '../common/soakRule.js'
 import type { SoakJudge } from './soakJudge.js'
@@ -41,6 +43,10 @@
 const MOST_ATTEMPTS = 3
 const RETRY_MS = 100
 const OBJECTS = 60
+/** The part of operations that send several idempotent requests before the first is answered, and how many. */
+const PIPELINED_PART = 0.15
+const PIPELINE_DEPTH = 4
+const PIPELINE_POLL_MS = 5
 const DENIED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431])
 
 /** The callers of one region and failure domain. */
@@ -66,6 +72,10 @@
   /** Runs one operation to its end. */
   async run (): Promise<void> {
     const kind = chooseWeighted(this.random, this.kinds, ({ weight }) => weight)
+    if (kind.isIdempotent && this.random.next() < PIPELINED_PART) {
+      await this.runPipeline(kind)
+      return
+    }
     const operationId = `${this.place.domain}-${++this.sequence}`
     const deadline = this.clock.now() + DEADLINE_MS
     const failed = new Set<string>()
@@ -82,6 +92,35 @@
     }
   }
 
+  /** Sends several requests on a connection of their own and reads the answers in their order. */
+  private async runPipeline ({ prefix, service, method, bodyLength }: RequestKind): Promise<void> {
+    const entry = await this.chooseEntry(new Set())
+    if (entry === undefined) return
+    const calls = Array.from({ length: PIPELINE_DEPTH }, () => {
+      const id = `${this.place.domain}-${++this.sequence}-p`
+      const path = `${prefix}${Math.floor(this.random.next() * OBJECTS)}`
+      this.judge.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry })
+      return { id, path, key: path, deadlineMs: DEADLINE_MS }
+    })
+    const caller = new PipelinedCaller(this.network.getWay(entry))
+    caller.send(calls)
+    await waitForCondition(this.clock, this.clock.now() + DEADLINE_MS + PATIENCE_MS, PIPELINE_POLL_MS, () => caller.isEnded || caller.answers.length === calls.length)
+    caller.close()
+    for (const [index, { id }] of calls.entries()) this.recordPipelined(id, caller, index)
+  }
+
+  private recordPipelined (requestId: string, { answers, isReset }: PipelinedCaller, index: number): void {
+    const answer = answers[index]
+    if (answer !== undefined) {
+      const kind = this.classifySealed(requestId, { status: answer.status, body: answer.body, seal: answer.seal, id: answer.id })
+      this.judge.recordAnswer(requestId, kind, `pipelined, status ${answer.status}`)
+      return
+    }
+    // What was sent behind an answer that closes the connection counts as not read.
+    const isNotRead = !isReset && answers.length > 0 && answers.at(-1)?.closes === true
+    this.judge.recordAnswer(requestId, isNotRead ? AnswerKind.NotRun : AnswerKind.Failed, `pipelined, ${answers.length} answers, reset: ${isReset}`)
+  }
+
   private async send (kind: RequestKind, operationId: string, requestId: string, entry: string, leftMs: number): Promise<AnswerKind> {
     const { prefix, service, method, isIdempotent, bodyLength } = kind
     const path = `${prefix}${Math.floor(this.random.next() * OBJECTS)}`
@@ -110,9 +149,12 @@
   }
 
   private classify (requestId: string, answer: ClientAnswer): AnswerKind {
-    const { status, body } = answer
+    return this.classifySealed(requestId, { status: answer.status, body: answer.body, seal: getSeal(answer), id: getAnsweredId(answer) })
+  }
+
+  private classifySealed (requestId: string, { status, body, seal, id }: { status: number, body: string, seal: string | undefined, id: string | undefined }): AnswerKind {
     if (status >= 200 && status < 300) {
-      if (getSeal(answer)?.endsWith(`-${requestId}`) !== true || getAnsweredId(answer) !== requestId) return AnswerKind.Crossed
+      if (seal?.endsWith(`-${requestId}`) !== true || id !== requestId) return AnswerKind.Crossed
       return body === this.network.buildBody(requestId) ? AnswerKind.Whole : AnswerKind.Truncated
     }
     return isPromisedNotRun(status) ? AnswerKind.NotRun : AnswerKind.Unknown
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -48,6 +48,8 @@
 /** How far the time of day jumps, either way, in milliseconds. */
 const CLOCK_STEP_MS = 3_600_000
 /** Names of added routes, so that most changes add one that was not there. */
+/** What another writer may leave in place of a registration. */
+const FOREIGN_TEXTS = ['', 'not JSON', '[]', 'null', '{"Service":"archive"}', '{"Service":7,"Addr":"127.0.0.1:1","Zone":"north-1","Slots":-1,"State":"ready"}']
 const ADDED_NAMES = 1_000
 /** A service keeps at least so many workers. */
 const LEAST_WORKERS = 2
@@ -195,7 +197,23 @@
     await waitFor(stage, step.spanMs)
     stage.records.removeEvacuation(domain)
     return true
-  }
+  },
+  [SoakStepKind.WorkerRestart]: async (stage, step) => await runDisturbing(stage, async () => {
+    const gone = chooseWorker(stage, step)
+    if (gone === undefined) return false
+    stage.workers.end(gone)
+    await waitFor(stage, step.spanMs)
+    await stage.workers.startAgain(gone)
+    return true
+  }),
+  [SoakStepKind.ForeignEntry]: async (stage, step) => await runDisturbing(stage, async () => {
+    const worker = chooseWorker(stage, step)
+    if (worker === undefined) return false
+    stage.records.store.putText(`servers/${worker.id}`, choose(FOREIGN_TEXTS, step.variant)!)
+    await waitFor(stage, step.spanMs)
+    stage.workers.renewRecord(worker)
+    return true
+  })
 }
 
 /**
--- a/packages/soak/src/node/soakWorkers.ts
+++ b/packages/soak/src/node/soakWorkers.ts
@@ -16,6 +16,8 @@
   readonly worker: PlatformWorkerStandIn
   readonly way: TcpRelay
   isLeaving: boolean
+  /** When it started, in milliseconds of wall time: tells its lives under one id apart. */
+  readonly startedAt: number
 }
 
 /** Requests a second that a cold worker bears, and what may go beyond: as in the settings of the entry processes. */
@@ -60,19 +62,38 @@
     worker.workMs = LEAST_WORK_MS + (MOST_WORK_MS - LEAST_WORK_MS) * this.random.next()
     const way = new TcpRelay(await worker.listen())
     this.ways.add(way)
-    const started = { id, service, domain, address: await way.start(), worker, way, isLeaving: false }
+    const started = { id, service, domain, address: await way.start(), worker, way, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
     this.all.set(id, started)
     if (isCold) this.judge.setCold(id, { perSecond: COLD_TOLERATED, until: this.clock.now() + COLD_MS })
-    this.records.putWorker({ id, service, domain, address: started.address, coldMs: isCold ? COLD_MS : 0 })
+    this.renewRecord(started, isCold ? COLD_MS : 0)
     return started
   }
 
+  /** Starts a worker that has ended once more, under its id, at another address and cold. */
+  async startAgain (gone: SoakWorker): Promise<void> {
+    const worker = this.createAs(gone.id)
+    worker.workMs = gone.worker.workMs
+    const way = new TcpRelay(await worker.listen())
+    this.ways.add(way)
+    const started = { ...gone, address: await way.start(), worker, way, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
+    this.all.set(gone.id, started)
+    this.judge.setCold(gone.id, { perSecond: COLD_TOLERATED, until: this.clock.now() + COLD_MS })
+    this.renewRecord(started, COLD_MS)
+  }
+
+  /** Writes a worker's registration, unless it is gone or leaves. */
+  renewRecord (worker: SoakWorker, coldMs = 0): void {
+    if (this.all.get(worker.id) !== worker || worker.isLeaving) return
+    const { id, service, domain, address, startedAt } = worker
+    this.records.putWorker({ id, service, domain, address, coldMs, startedAt })
+  }
+
   /** Registers a worker of another service at the address of one that has ended, as platforms reuse addresses. */
   async putAtAddress (old: SoakWorker, service: string): Promise<void> {
     const worker = this.create(service)
     const { id } = worker
     old.way.setTarget(await worker.listen())
-    const started = { ...old, id, service, worker, isLeaving: false }
+    const started = { ...old, id, service, worker, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
     this.all.set(id, started)
     this.records.putWorker({ id, service, domain: old.domain, address: old.address })
   }
@@ -104,7 +125,11 @@
   }
 
   private create (service: string): PlatformWorkerStandIn {
-    const worker = new PlatformWorkerStandIn(`${service}-${++this.started}`, this.judge)
+    return this.createAs(`${service}-${++this.started}`)
+  }
+
+  private createAs (id: string): PlatformWorkerStandIn {
+    const worker = new PlatformWorkerStandIn(id, this.judge)
     worker.buildBody = (requestId) => this.buildBody(requestId)
     return worker
   }
--- a/packages/testing/src/common/policy/loadPattern.ts
+++ b/packages/testing/src/common/policy/loadPattern.ts
@@ -6,6 +6,8 @@
 export enum PatternName {
   /** Objects asked for through several entry VMs, well below what the workers can do. */
   SharedObjects = 'shared-objects',
+  /** The same with three quarters of the slots busy. */
+  BusyWorkers = 'busy-workers',
   /** Everything begins at once with nothing at hand. */
   ColdStart = 'cold-start',
   /** More requests than slots for some seconds. */
@@ -75,6 +77,7 @@
 /** All patterns. */
 export const PATTERNS: Readonly<Record<PatternName, LoadPattern>> = {
   [PatternName.SharedObjects]: USUAL,
+  [PatternName.BusyWorkers]: { ...USUAL, requestsPerSecond: 180 },
   [PatternName.ColdStart]: { ...USUAL, countFromMs: 0, spanMs: 10_000 },
   [PatternName.Burst]: { ...USUAL, abusePart: 0.2, steps: [{ ...FAULT, part: 0, rateFactor: 2.5 }] },
   [PatternName.SlowWorkers]: { ...USUAL, steps: [{ ...FAULT, part: 0.2, slowFactor: 5 }] },
--- a/packages/testing/test/node/usersPlatform/pipelinedCaller.ts
+++ b/packages/testing/src/node/load/pipelinedCaller.ts
@@ -2,7 +2,7 @@
 import { connect, type Socket } from 'node:net'
 import { AnswerParser } from '@umberspar/entry/node/upstream/answerParser'
 import { getHeader } from '@umberspar/entry/node/upstream/rawHeaders'
-import { PLATFORM_HOST } from '../../../src/node/standIns/usersPlatform/platformRecords.js'
+import { PLATFORM_HOST } from '../standIns/usersPlatform/platformRecords.js'
 
 /** One request of a pipeline. */
 export interface PipelinedCall {
@@ -11,6 +11,8 @@
   /** Sent with a length; a request with a body is a POST. */
   readonly body?: string
   readonly deadlineMs?: number
+  /** What identifies its object. */
+  readonly key?: string
 }
 
 /** One answer, as it came. */
@@ -25,8 +27,9 @@
 const DEFAULT_DEADLINE_MS = 3_000
 
 /** @returns a request's bytes */
-export function formatCall ({ id, path, body, deadlineMs = DEFAULT_DEADLINE_MS }: PipelinedCall): string {
-  const head = `${body === undefined ? 'GET' : 'POST'} ${path} HTTP/1.1\r\nHost: ${PLATFORM_HOST}\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\n`
+export function formatCall ({ id, path, body, deadlineMs = DEFAULT_DEADLINE_MS, key }: PipelinedCall): string {
+  const cookie = key === undefined ? '' : `Cookie: X-Umberspar-Affinity-Key=${key}\r\n`
+  const head = `${body === undefined ? 'GET' : 'POST'} ${path} HTTP/1.1\r\nHost: ${PLATFORM_HOST}\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\n${cookie}`
   return body === undefined ? `${head}\r\n` : `${head}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
 }
 
