--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -69,6 +69,8 @@
   arrivals = 0
   /** Requests whose connection ended before they were answered. */
   cancelled = 0
+  /** Requests that it wrote an answer to, a faulty one included. */
+  answered = 0
 
   /**
    * @param id its id, new with each start
@@ -146,6 +148,7 @@
   }
 
   private answer (socket: Socket, requestId: string, fault: WorkerFault): void {
+    this.answered++
     // Told first: what the caller sees next may be due to the fault.
     this.observer?.onRunEnd(this.id, requestId, fault, true)
     ANSWERS[fault](this, socket, requestId)
