--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -2,6 +2,8 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { DeploymentName } from '../../common/load/mixes.js'
+import { PatternName } from '../../common/policy/loadPattern.js'
+import { PolicyName } from '../../common/policy/modelPolicies.js'
 import { printLine } from '../terminal.js'
 import { CONTROL_MEASUREMENT } from './controlMeasurement.js'
 import { DRAIN_MEASUREMENT } from './drainMeasurement.js'
@@ -11,6 +13,7 @@
 import { LOOKUP_MEASUREMENT } from './lookupMeasurement.js'
 import type { Measurement, MeasureOptions } from './measurement.js'
 import { OVERLOAD_MEASUREMENT } from './overloadMeasurement.js'
+import { POLICY_MEASUREMENT } from './policyMeasurement.js'
 import { REQUEST_MEASUREMENT } from './requestMeasurement.js'
 import { WORKER_MEASUREMENT } from './workerMeasurement.js'
 import { CHANGE_SCALE_MEASUREMENT } from './scale/changeScale.js'
@@ -29,6 +32,7 @@
   Limits = 'limits',
   Lookup = 'lookup',
   Overload = 'overload',
+  Policy = 'policy',
   Request = 'request',
   Workers = 'workers',
   Tls = 'tls',
@@ -48,6 +52,7 @@
   [MeasurementName.Limits]: LIMITS_MEASUREMENT,
   [MeasurementName.Lookup]: LOOKUP_MEASUREMENT,
   [MeasurementName.Overload]: OVERLOAD_MEASUREMENT,
+  [MeasurementName.Policy]: POLICY_MEASUREMENT,
   [MeasurementName.Request]: REQUEST_MEASUREMENT,
   [MeasurementName.Workers]: WORKER_MEASUREMENT,
   [MeasurementName.Tls]: TLS_MEASUREMENT,
@@ -83,12 +88,16 @@
     .option('requests', { type: 'number', default: DEFAULT_REQUESTS, describe: 'requests to send, where they are counted' })
     .option('sizes', { type: 'number', array: true, default: DEFAULT_SIZES, describe: 'sizes of fleet, where they vary' })
     .option('seed', { type: 'number', default: 1, describe: 'seed of all that is random' })
+    .option('pattern', { choices: Object.values(PatternName), array: true, default: Object.values(PatternName), describe: 'load patterns of the policy model' })
+    .option('policy', { choices: Object.values(PolicyName), array: true, default: Object.values(PolicyName), describe: 'policies of the policy model' })
+    .option('seeds', { type: 'number', describe: 'seeds that a figure is the mean of, where there are several' })
     .strict()
     .parseSync()
-  const { deployment, seconds, requests, seed, sizes } = parsed
+  const { deployment, seconds, requests, seed, sizes, seeds } = parsed
+  const { pattern: patterns, policy: policies } = parsed
   const measurement = MEASUREMENTS[parsed.name as MeasurementName]
   const rate = parsed.rate ?? measurement.defaultRate ?? DEFAULT_RATE
-  return { measurement, options: { deployment, seconds, rate, requests, seed, sizes } }
+  return { measurement, options: { deployment, seconds, rate, requests, seed, sizes, patterns, policies, seeds } }
 }
 
 async function main (): Promise<void> {
--- a/packages/testing/src/node/measure/measurement.ts
+++ b/packages/testing/src/node/measure/measurement.ts
@@ -1,5 +1,7 @@
 /** What every measurement is given and what it prints. */
 import type { DeploymentName } from '../../common/load/mixes.js'
+import type { PatternName } from '../../common/policy/loadPattern.js'
+import type { PolicyName } from '../../common/policy/modelPolicies.js'
 import type { Column } from '../load/table.js'
 import { formatTable } from '../load/table.js'
 import { printLine, writeLine } from '../terminal.js'
@@ -16,6 +18,11 @@
   readonly sizes: readonly number[]
   /** How many requests to send, where a measurement counts them. */
   readonly requests: number
+  /** Load patterns and policies of the policy model. */
+  readonly patterns: readonly PatternName[]
+  readonly policies: readonly PolicyName[]
+  /** How many seeds a figure is the mean of; undefined for the measurement's own. */
+  readonly seeds?: number
 }
 
 /** One measurement. */
