--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -20,6 +20,7 @@
 
 /** A worker that reached its deadline answers so; this long after the time limit it is not waited for, in milliseconds. */
 const ANSWER_SLACK_MS = 150
+
 /** One request on its way. */
 export class RequestRun {
   private readonly service: string
