Keep the tools' connections to operators' listeners, and send once more what a reset left unread

Change: kept connections as before; a call whose connection was reset is sent once more (reads, and patches with an id of their change).

--- a/packages/testing/src/node/deployment/operatorCalls.ts
+++ b/packages/testing/src/node/deployment/operatorCalls.ts
@@ -34,11 +34,12 @@
 }
 
 const CALL_WITHIN_MS = 10_000
+/** A connection that ended before the answer began. */
+const ENDED_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'])
 
 /** Speaks to operators' listeners by `host:port`. */
 export class OperatorCalls implements IClosable {
-  /** Each call has a connection of its own: a kept one may be ended as idle while the next call is on its way. */
-  private readonly agent = new Agent({ pipelining: 0 })
+  private readonly agent = new Agent({ keepAliveTimeout: CALL_WITHIN_MS })
 
   /**
    * @param address a daemon's operators' listener
@@ -83,7 +84,21 @@
     await this.agent.destroy()
   }
 
+  /**
+   * On a starved thread a listener may end a kept connection as idle while a call is
+   * on its way. Sent once more, no call does harm: they are reads, and patches with
+   * an id of their change.
+   */
   private async call (address: string, method: 'GET' | 'POST', path: string, body?: object): Promise<CallAnswer> {
+    try {
+      return await this.send(address, method, path, body)
+    } catch (thrown) {
+      if (!ENDED_CODES.has(String((thrown as NodeJS.ErrnoException).code))) throw thrown
+      return await this.send(address, method, path, body)
+    }
+  }
+
+  private async send (address: string, method: 'GET' | 'POST', path: string, body?: object): Promise<CallAnswer> {
     const response = await this.agent.request({
       origin: `http://${address}`,
       path,
