--- a/packages/testing/src/node/load/pipelinedCaller.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
@@ -2,7 +2,7 @@
 import { connect, type Socket } from 'node:net'
 import { AnswerParser } from '@umberspar/entry/node/upstream/answerParser'
 import { getHeader } from '@umberspar/entry/node/upstream/rawHeaders'
-import { PLATFORM_HOST } from '../standIns/usersPlatform/platformRecords.js'
+import { PLATFORM_HOST } from './platformRecords.js'
 
 /** One request of a pipeline. */
 export interface PipelinedCall {
--- a/packages/testing/test/node/usersPlatform/pipelineFuzz.test.ts
+++ b/packages/testing/test/node/usersPlatform/pipelineFuzz.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import fc from 'fast-check'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { type PipelinedCall, PipelinedCaller } from '../../../src/node/load/pipelinedCaller.js'
+import { type PipelinedCall, PipelinedCaller } from '../../../src/node/standIns/usersPlatform/pipelinedCaller.js'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 
 const SEED = 20261203
--- a/packages/testing/test/node/usersPlatform/pipelining.test.ts
+++ b/packages/testing/test/node/usersPlatform/pipelining.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 import type { PlatformWorkerStandIn } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
-import { type PipelinedCall, PipelinedCaller } from '../../../src/node/load/pipelinedCaller.js'
+import { type PipelinedCall, PipelinedCaller } from '../../../src/node/standIns/usersPlatform/pipelinedCaller.js'
 
 const LONG_MS = 20_000
 const ROUTES = [
