Register the soak's workers in one place; let the model's VMs keep their names

A worker that starts again was registered by a copy of what a new one does; both go through one method. An answer of a pipeline was taken apart and put together to be classified. The model worked its VMs' names out in three places, and asked each view for a roster that it did not use. The comment on the usual load said two thirds of the slots; 120 requests of 144 ms a second on 36 slots are about half.

The program is not touched.

--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -6,7 +6,7 @@
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
 import { type ClientAnswer, getAnsweredId, getSeal, isPromisedNotRun, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
-import { PipelinedCaller } from '@umberspar/testing/node/standIns/usersPlatform/pipelinedCaller'
+import { type PipelinedAnswer, PipelinedCaller } from '@umberspar/testing/node/standIns/usersPlatform/pipelinedCaller'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { SoakRule } from '../common/soakRule.js'
@@ -112,7 +112,7 @@
   private recordPipelined (requestId: string, { answers, isReset }: PipelinedCaller, index: number): void {
     const answer = answers[index]
     if (answer !== undefined) {
-      const kind = this.classifySealed(requestId, { status: answer.status, body: answer.body, seal: answer.seal, id: answer.id })
+      const kind = this.classifySealed(requestId, answer)
       this.judge.recordAnswer(requestId, kind, `pipelined, status ${answer.status}`)
       return
     }
@@ -152,7 +152,7 @@
     return this.classifySealed(requestId, { status: answer.status, body: answer.body, seal: getSeal(answer), id: getAnsweredId(answer) })
   }
 
-  private classifySealed (requestId: string, { status, body, seal, id }: { status: number, body: string, seal: string | undefined, id: string | undefined }): AnswerKind {
+  private classifySealed (requestId: string, { status, body, seal, id }: Omit<PipelinedAnswer, 'closes'>): AnswerKind {
     if (status >= 200 && status < 300) {
       if (seal?.endsWith(`-${requestId}`) !== true || id !== requestId) return AnswerKind.Crossed
       return body === this.network.buildBody(requestId) ? AnswerKind.Whole : AnswerKind.Truncated
--- a/packages/soak/src/node/soakWorkers.ts
+++ b/packages/soak/src/node/soakWorkers.ts
@@ -58,27 +58,26 @@
    */
   async add (service: string, domain: string, isCold: boolean): Promise<SoakWorker> {
     const worker = this.create(service)
-    const { id } = worker
     worker.workMs = LEAST_WORK_MS + (MOST_WORK_MS - LEAST_WORK_MS) * this.random.next()
-    const way = new TcpRelay(await worker.listen())
-    this.ways.add(way)
-    const started = { id, service, domain, address: await way.start(), worker, way, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
-    this.all.set(id, started)
-    if (isCold) this.judge.setCold(id, { perSecond: COLD_TOLERATED, until: this.clock.now() + COLD_MS })
-    this.renewRecord(started, isCold ? COLD_MS : 0)
-    return started
+    return await this.register(worker, service, domain, isCold)
   }
 
   /** Starts a worker that has ended once more, under its id, at another address and cold. */
   async startAgain (gone: SoakWorker): Promise<void> {
     const worker = this.createAs(gone.id)
     worker.workMs = gone.worker.workMs
+    await this.register(worker, gone.service, gone.domain, true)
+  }
+
+  private async register (worker: PlatformWorkerStandIn, service: string, domain: string, isCold: boolean): Promise<SoakWorker> {
+    const { id } = worker
     const way = new TcpRelay(await worker.listen())
     this.ways.add(way)
-    const started = { ...gone, address: await way.start(), worker, way, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
-    this.all.set(gone.id, started)
-    this.judge.setCold(gone.id, { perSecond: COLD_TOLERATED, until: this.clock.now() + COLD_MS })
-    this.renewRecord(started, COLD_MS)
+    const started = { id, service, domain, address: await way.start(), worker, way, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
+    this.all.set(id, started)
+    if (isCold) this.judge.setCold(id, { perSecond: COLD_TOLERATED, until: this.clock.now() + COLD_MS })
+    this.renewRecord(started, isCold ? COLD_MS : 0)
+    return started
   }
 
   /** Writes a worker's registration, unless it is gone or leaves. */
--- a/packages/testing/src/common/policy/loadPattern.ts
+++ b/packages/testing/src/common/policy/loadPattern.ts
@@ -57,7 +57,7 @@
   readonly steps: readonly PatternStep[]
 }
 
-/** A usual service: warm work takes 0.3 of cold work, which is late by itself; two thirds of the slots are busy. */
+/** A usual service: warm work takes 0.3 of cold work, which is late by itself; about half of the slots are busy. */
 const USUAL: LoadPattern = {
   traits: { slots: 3, queue: 9, keeps: 25, workMs: 480, warmPart: 0.3 },
   workersPerDomain: 2,
--- a/packages/testing/src/common/policy/policyModel.ts
+++ b/packages/testing/src/common/policy/policyModel.ts
@@ -65,8 +65,12 @@
   homeRegions: []
 }
 
-interface ModelVm {
+interface VmPlace {
+  readonly name: string
   readonly domain: string
+}
+
+interface ModelVm extends VmPlace {
   view: EntryView
 }
 
@@ -85,7 +89,7 @@
   private readonly random: SeededRandom
   private readonly regionOf: Map<string, string>
   private readonly workers = new Map<string, { readonly domain: string, readonly worker: ModelWorker }>()
-  private readonly vms: ModelVm[] = []
+  private readonly vms: readonly ModelVm[]
   private readonly route: RoutePolicy
   private rateFactor = 1
   private asked = 0
@@ -106,9 +110,8 @@
         this.workers.set(`${domain}-w${index}`, { domain, worker: new ModelWorker(pattern.traits, this.events, this.random) })
       }
     }
-    for (const domain of this.regionOf.keys()) {
-      for (let index = 0; index < pattern.vmsPerDomain; index++) this.vms.push({ domain, view: this.buildView(domain, `${domain}-v${index}`) })
-    }
+    const places = [...this.regionOf.keys()].flatMap((domain) => Array.from({ length: pattern.vmsPerDomain }, (_, index) => ({ name: `${domain}-v${index}`, domain })))
+    this.vms = places.map((place) => ({ ...place, view: this.buildView(place, places) }))
   }
 
   /** @returns what callers got */
@@ -122,9 +125,9 @@
     return { asked, inTime: inTime / asked, late: late / asked, unserved: 1 - (inTime + late) / asked, worth: (inTime + LATE_WORTH * late) / asked }
   }
 
-  private buildView (domain: string, node: string): EntryView {
+  private buildView ({ name, domain }: VmPlace, places: readonly VmPlace[]): EntryView {
     const view = new EntryView({
-      node,
+      node: name,
       domain,
       regionOf: this.regionOf,
       distances: new DomainDistances(domain, this.regionOf),
@@ -134,15 +137,13 @@
     const now = this.events.now()
     for (const [id, worker] of this.workers) {
       view.putUpstream({ id, service: SERVICE, address: id, domain: worker.domain, slots: this.pattern.traits.slots, state: UpstreamState.Ready, coldMs: 0 }, now)
-      view.readRoster(SERVICE)
     }
-    const names = [...this.regionOf.keys()].flatMap((name) => Array.from({ length: this.pattern.vmsPerDomain }, (_, index) => `${name}-v${index}`))
-    for (const name of names) view.putNode({ name, address: name, peerAddress: name, domain: name.slice(0, name.lastIndexOf('-')) })
+    for (const place of places) view.putNode({ ...place, address: place.name, peerAddress: place.name })
     return view
   }
 
   private clearVms (): void {
-    for (const [index, vm] of this.vms.entries()) vm.view = this.buildView(vm.domain, `${vm.domain}-v${index % this.pattern.vmsPerDomain}`)
+    for (const vm of this.vms) vm.view = this.buildView(vm, this.vms)
   }
 
   private scheduleStep ({ at, until, part, slowFactor, refusedPart, isDown, rateFactor }: LoadPattern['steps'][number]): void {
