Let two entry VMs of each region follow the store and tell the others

Cause: every VM watched the store, so that each change and each idle watch was a priced call of each of 195 VMs.

Change: by rendezvous rank two VMs of each region, in two failure domains, watch; the others hear from two VMs each along a tree of pairs (steering followPlan; entry recordTeller, recordHearer, recordFollower). A VM for which nobody vouches watches the store itself after some 0.8 s. The way of the records travels along, so that no two VMs vouch for each other in a circle. What the store told travels unjudged, with how long the teller still holds back what an outage removed. The first reading is the cheap one, registrations do not wait for a configuration, leases are as long as the settings' bound on naming dead VMs allows, and changes gather for a fifth of the shortest bound in place of a constant.

--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -34,6 +34,10 @@
   seeds: z.array(address),
   /** From the signal to stop until the process must have ended. */
   grace: span,
+  /** Within which changes must be in force on all VMs: of workers, of the configuration, of evacuations. The shortest binds. */
+  changeLimits: z._default(z.array(span).check(z.minLength(1)), [2_000]),
+  /** For which look-ups may name a VM that died. */
+  goneWithin: z._default(span, 4_500),
   /** The longest time that callers may keep a look-up. */
   longestLookupCache: span,
   coldTolerance: z.object({ factor: positive, slack: z.number().check(z.nonnegative()) }),
--- a/packages/entry/src/node/beliefs/beliefKeeper.ts
+++ b/packages/entry/src/node/beliefs/beliefKeeper.ts
@@ -1,19 +1,12 @@
-/**
- * Keeps the view in line with the records: from the store while it answers, else
- * from entry VMs that it still answers. A VM that the store refuses would go on
- * sending to workers that have left; the others know.
- */
+/** Keeps the view in line with the records, from whatever source they come. */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { LogLevel } from '@umberspar/base/common/logger'
 import { type EntryView, ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/entryView'
 import type { RecordChange, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
-import { RecordTable } from '@umberspar/steering/common/entry/recordTable'
-import type { SteeringListener } from '@umberspar/steering/common/ports/steeringSource'
-import type { VouchedSnapshot } from '../peers/vouchedSnapshot.js'
+import { type RecordNews, RecordTable } from '@umberspar/steering/common/entry/recordTable'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import type { RecordsAge } from './recordsAge.js'
-import type { PeerReader } from '../peers/peerReader.js'
 
 /** How often what disappeared during an outage is looked at, in milliseconds. */
 const HELD_CHECK_MS = 250
@@ -22,80 +15,81 @@
 export type ViewListener = (event: ViewEvent) => void
 
 /** Keeps one process's view. */
-export class BeliefKeeper implements SteeringListener, IClosable {
+export class BeliefKeeper implements IClosable {
   private readonly table = new RecordTable()
   private heldTimer: ITimer | undefined
-  private isInTouch = false
+  /** Undefined until it was told either way: records that were read once and not followed since are not current. */
+  private isCurrent: boolean | undefined
   private knownAt: Instant = Number.NEGATIVE_INFINITY
 
   /**
    * @param clock for holding back
    * @param view what is kept
    * @param telemetry told of each change
-   * @param peers asked while the store does not answer
    * @param onChange told of each change
    */
   constructor (
     private readonly clock: IClock,
     private readonly view: EntryView,
     private readonly telemetry: EntryTelemetry,
-    private readonly peers: PeerReader,
     private readonly onChange: ViewListener
   ) {}
 
+  /** @returns the revision up to which everything is known */
+  get revision (): number {
+    return this.table.revision
+  }
+
+  /** @returns how much longer what disappears is held back, in milliseconds */
+  get holdMs (): number {
+    return this.table.getHoldMs(this.clock.now())
+  }
+
   /** @returns how new the records are */
   getRecordsAge (): RecordsAge {
-    return { revision: this.table.revision, ageMs: this.isInTouch ? 0 : Math.max(0, this.clock.now() - this.knownAt) }
+    return { revision: this.table.revision, ageMs: this.isCurrent === true ? 0 : Math.max(0, this.clock.now() - this.knownAt) }
   }
 
-  /** @returns what this VM knows, for a peer */
-  readSnapshot (): VouchedSnapshot {
-    return { revision: this.table.revision, records: this.table.list(), isVouched: this.isInTouch }
+  /** @returns what a VM that knows a revision has to be told; undefined if nothing */
+  readNewsAfter (revision: number): RecordNews | undefined {
+    return this.table.readNewsAfter(revision)
   }
 
-  getRevision (): number {
-    return this.table.revision
+  /**
+   * Takes over whether the records are known to be the newest.
+   * @param isCurrent whether the store, or a VM that vouches for it, tells of changes
+   * @param since until when they are known to have been the newest
+   * @param holdMs for a VM that vouches: how much longer it holds back what disappeared in an outage, in milliseconds
+   */
+  setCurrent (isCurrent: boolean, since: Instant, holdMs?: number): void {
+    const now = this.clock.now()
+    this.knownAt = Math.max(this.knownAt, since)
+    if (isCurrent && holdMs !== undefined) this.table.updateHold(now, holdMs)
+    if (isCurrent === this.isCurrent) return
+    this.isCurrent = isCurrent
+    if (isCurrent) this.table.recordStoreRegained(now, holdMs)
+    else this.table.recordStoreLost(this.knownAt)
+    this.scheduleHeld()
   }
 
-  onSnapshot (snapshot: RecordSnapshot): void {
+  /** Takes over everything that the store held as of a revision. */
+  applySnapshot (snapshot: RecordSnapshot): void {
     this.apply(this.table.applySnapshot(snapshot, this.clock.now()))
   }
 
-  onChanges (changes: RecordChanges): void {
+  /** Takes over what changed in the store. */
+  applyChanges (changes: RecordChanges): void {
     this.apply(this.table.applyChanges(changes, this.clock.now()))
   }
 
-  onLost (reason: string, since: Instant): void {
-    this.knownAt = Math.max(this.knownAt, since)
-    this.isInTouch = false
-    this.table.recordStoreLost(since)
-    this.telemetry.logger.log(LogLevel.Warn, { step: 'follow-store', peer: 'store', reason, revision: this.table.revision }, 'the store does not answer this VM')
-    this.peers.start({
-      getRevision: () => this.table.revision,
-      onSnapshot: (snapshot) => { this.handlePeerSnapshot(snapshot) },
-      onVouched: (revision) => { if (!this.isInTouch && revision === this.table.revision) this.knownAt = this.clock.now() }
-    })
-  }
-
-  onRegained (): void {
-    const { ageMs } = this.getRecordsAge()
-    this.isInTouch = true
-    this.table.recordStoreRegained(this.clock.now())
-    this.peers.stop()
-    this.telemetry.logger.log(LogLevel.Info, { step: 'follow-store', peer: 'store', ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, revision: this.table.revision }, 'the store answers this VM')
-    this.scheduleHeld()
+  /** Takes over what another VM tells. */
+  applyNews (news: RecordNews): void {
+    this.apply(this.table.applyNews(news, this.clock.now()))
   }
 
   /** Follows nothing more. */
   close (): void {
     this.heldTimer?.close()
-    this.peers.stop()
-  }
-
-  private handlePeerSnapshot (snapshot: VouchedSnapshot): void {
-    if (this.isInTouch || !snapshot.isVouched) return
-    this.knownAt = this.clock.now()
-    this.apply(this.table.applySnapshot(snapshot, this.clock.now(), true))
   }
 
   private apply (changes: readonly RecordChange[]): void {
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -14,14 +14,14 @@
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { INodeRegistration, ISteeringSource } from '@umberspar/steering/common/ports/steeringSource'
 import type { EntrySettings } from '../common/entrySettings.js'
+import { RECORDS_PATH } from '../common/recordLines.js'
 import { BeliefKeeper } from './beliefs/beliefKeeper.js'
+import { RecordFollower } from './beliefs/recordFollower.js'
 import { BodyRoom } from './front/bodyReader.js'
 import type { EntryContext } from './front/entryContext.js'
 import { FrontServer } from './front/frontServer.js'
 import { RequestHeads } from './front/requestHead.js'
 import { createLookupHandler, QuestionServer } from './lookup/questionServer.js'
-import { PeerReader, RECORDS_PATH } from './peers/peerReader.js'
-import { createRecordsHandler } from './peers/recordsHandler.js'
 import { EntryStop } from './stop/entryStop.js'
 import type { EntryMetrics } from './telemetry/entryMetrics.js'
 import { EntryTelemetry } from './telemetry/entryTelemetry.js'
@@ -53,8 +53,9 @@
 export class Entry implements IClosable {
   private readonly closing = new CloseStack()
   private readonly view: EntryView
-  /** Follows the records; whoever watches the store's health tells it. */
   readonly keeper: BeliefKeeper
+  /** Follows the records; whoever watches the store's health tells it. */
+  readonly follower: RecordFollower
   private readonly front: FrontServer
   private readonly pools: UpstreamPools
   private readonly telemetry: EntryTelemetry
@@ -66,7 +67,7 @@
 
   /** @param parts what it is built from */
   constructor (private readonly parts: EntryParts) {
-    const { settings, clock, random, logger, metrics, protocol } = parts
+    const { settings, clock, logger, metrics, protocol } = parts
     this.seeds = settings.seeds
     this.regionOf = new Map(Object.entries(settings.regions))
     const distances = new DomainDistances(settings.domain, this.regionOf)
@@ -81,8 +82,8 @@
       budget: { ratio: settings.repeatBudget.ratio, windowMs: settings.repeatBudget.window, slack: settings.repeatBudget.slack }
     })
     this.pools = this.closing.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock))
-    const peers = new PeerReader(clock, random, { listPeers: () => this.listPeers() }, logger)
-    this.keeper = this.closing.add(new BeliefKeeper(clock, this.view, this.telemetry, peers, (event) => { this.handleChange(event) }))
+    this.keeper = this.closing.add(new BeliefKeeper(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
+    this.follower = this.closing.add(this.buildFollower())
     this.front = this.closing.add(new FrontServer(this.buildContext(distances)))
   }
 
@@ -97,7 +98,7 @@
     }
     await this.front.listen(settings.listen.callers)
     this.telemetry.logger.log(LogLevel.Info, { step: 'start', node: settings.node, domain: settings.domain, callers: settings.listen.callers, readiness: protocol.readinessPath }, 'entry process started')
-    source.start(this.keeper)
+    this.follower.start()
   }
 
   /**
@@ -137,6 +138,26 @@
     this.isLeaving = true
     this.telemetry.logger.log(LogLevel.Info, { step: 'stop', openRequests: this.front.openRequests }, 'entry process leaves')
     this.parts.registration.withdraw()
+    this.follower.teller.close()
+  }
+
+  private buildFollower (): RecordFollower {
+    const { clock, random, logger, source } = this.parts
+    return new RecordFollower({
+      clock,
+      random,
+      logger,
+      source,
+      keeper: this.keeper,
+      place: {
+        self: this.node,
+        regionOf: this.regionOf,
+        listNodes: () => this.view.nodes.values(),
+        listSeeds: () => this.seeds,
+        hasConfiguration: () => this.view.document !== undefined
+      },
+      onRead: () => { this.register() }
+    })
   }
 
   private buildContext (distances: DomainDistances): EntryContext {
@@ -164,7 +185,6 @@
     const questions = [
       { address: listen.readiness, path: protocol.readinessPath, handler: () => this.isReady() ? READY : NOT_READY },
       { address: listen.lookups, path: protocol.lookupPath, handler: this.buildLookups() },
-      { address: listen.peers, path: RECORDS_PATH, handler: createRecordsHandler(() => this.keeper.readSnapshot()) },
       { address: listen.metrics, path: METRICS_PATH, handler: async () => ({ status: 200, contentType: METRICS_TYPE, body: await this.parts.metrics.read({ readGauges: () => this.readGauges(), readRepeatsLeft: () => this.readRepeatsLeft() }) }) }
     ]
     return async (address) => {
@@ -172,6 +192,7 @@
       for (const question of questions) {
         if (question.address === address) server.register(question.path, question.handler)
       }
+      if (listen.peers === address) server.registerStream(RECORDS_PATH, (query, response) => { this.follower.teller.accept(query, response) })
       await server.listen(address)
     }
   }
@@ -185,6 +206,8 @@
 
   /** The registered VMs; this one by what it knows of itself, which the store may not have yet or still has. */
   private listServing (): EntryNode[] {
+    // The others have no configuration either then, or this VM knows too little to name them.
+    if (this.view.document === undefined) return []
     const others = [...this.view.nodes.values()].filter(({ name }) => name !== this.node.name)
     return this.isReady() ? [...others, this.node] : others
   }
@@ -197,22 +220,25 @@
     return false
   }
 
-  private listPeers (): string[] {
-    const known = [...this.view.nodes.values()].filter(({ name }) => name !== this.node.name).map(({ peerAddress }) => peerAddress)
-    const own = this.parts.settings.listen.peers
-    return [...new Set([...known, ...this.seeds])].filter((address) => address !== own)
-  }
-
   private handleChange ({ change, subject }: ViewEvent): void {
     if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) this.front.setLimits(this.view.document)
     // A new life may have another address, and what is open there belongs to the old one.
     if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
+    if (change === ViewChange.NodeJoined || change === ViewChange.NodeLeft) this.follower.handleNodesChanged()
     const isOwnRecordGone = change === ViewChange.NodeLeft && subject === this.node.name
-    if (isOwnRecordGone) this.isRegistered = false
-    if (!this.isRegistered && !this.isLeaving && this.isReady()) {
-      this.isRegistered = true
-      this.parts.registration.register(this.node)
-    }
+    if (!isOwnRecordGone) return
+    this.isRegistered = false
+    this.register()
+  }
+
+  /**
+   * Makes this VM known as soon as it has read the records, though it may have to wait
+   * for a configuration: VMs that start together learn from each other.
+   */
+  private register (): void {
+    if (this.isRegistered || this.isLeaving) return
+    this.isRegistered = true
+    this.parts.registration.register(this.node)
   }
 
   private readRepeatsLeft (): Array<readonly [string, number]> {
@@ -230,6 +256,10 @@
       entry_vms_known: this.view.countNodes(),
       workers_known: [...this.view.listTrackers()].length,
       domains_evacuated: this.view.evacuated.size,
+      follows_store: Number(this.follower.isFollowing),
+      record_sources: this.follower.countSources(),
+      record_listeners: this.follower.teller.countListeners(),
+      record_hops: (this.follower.via?.length ?? 0) - 1,
       ready: this.isReady() ? 1 : 0
     }
   }
--- a/packages/entry/src/node/lookup/questionServer.ts
+++ b/packages/entry/src/node/lookup/questionServer.ts
@@ -14,6 +14,9 @@
 /** Answers one path; the query is that of the request. */
 export type PathHandler = (query: URLSearchParams) => PlainAnswer | Promise<PlainAnswer>
 
+/** Answers one path for as long as the asker listens. */
+export type StreamHandler = (query: URLSearchParams, response: ServerResponse) => void
+
 const NOT_FOUND: PlainAnswer = { status: 404, contentType: 'text/plain', body: 'no such path\n' }
 /** Connections of platform and callers are kept while they ask every second or two, in milliseconds. */
 const KEEP_ALIVE_MS = 10_000
@@ -22,6 +25,7 @@
 export class QuestionServer implements IClosable {
   private readonly server: Server
   private readonly handlers = new Map<string, PathHandler>()
+  private readonly streamHandlers = new Map<string, StreamHandler>()
 
   constructor () {
     this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true })
@@ -36,6 +40,14 @@
     this.handlers.set(path, handler)
   }
 
+  /**
+   * @param path the path answered
+   * @param handler what keeps the answer open
+   */
+  registerStream (path: string, handler: StreamHandler): void {
+    this.streamHandlers.set(path, handler)
+  }
+
   /**
    * @param address `host:port`
    * @returns settled when questions can be asked
@@ -55,8 +67,13 @@
     const target = request.url ?? ''
     const queryAt = target.indexOf('?')
     const path = queryAt < 0 ? target : target.slice(0, queryAt)
-    const handler = this.handlers.get(path)
     const query = new URLSearchParams(queryAt < 0 ? '' : target.slice(queryAt + 1))
+    const streamHandler = this.streamHandlers.get(path)
+    if (streamHandler !== undefined) {
+      streamHandler(query, response)
+      return
+    }
+    const handler = this.handlers.get(path)
     Promise.resolve(handler === undefined ? NOT_FOUND : handler(query)).then((answer) => {
       writeAnswer(response, answer)
     }, (thrown: unknown) => {
--- /dev/null
+++ b/packages/entry/src/node/peers/recordTeller.ts
@@ -0,0 +1,133 @@
+/**
+ * Tells other entry VMs of the records as they change: each holds an answer of this
+ * VM open and gets a line for each change, and one now and then that shows that this
+ * VM lives and whether its records are the newest.
+ */
+import type { ServerResponse } from 'node:http'
+import type { IClock, ITimer } from '@umberspar/base/common/clock'
+import type { IClosable } from '@umberspar/base/common/closing'
+import type { RecordNews } from '@umberspar/steering/common/entry/recordTable'
+import { formatRecordLine, type RecordLine } from '../../common/recordLines.js'
+
+/** Between two lines at least, in milliseconds; a VM that hears nothing for three of them asks elsewhere. */
+export const BEAT_MS = 500
+/**
+ * VMs told at once. The tree of sources gives a VM some eight; this many come when
+ * the others of a region are gone.
+ */
+const MOST_LISTENERS = 48
+/**
+ * A VM that reads so slowly that this many bytes wait for it is let go: it comes back
+ * with the revision that it has. A whole telling of 800 records takes 200 kB.
+ */
+const MOST_WAITING_BYTES = 4_194_304
+const OK = 200
+const UNAVAILABLE = 503
+
+/** What this VM knows. */
+export interface TellerSource {
+  readonly revision: number
+  /** See `RecordLine`. */
+  readonly via: readonly string[] | undefined
+  /** See `RecordLine`. */
+  readonly holdMs: number
+  /** @returns what a VM that knows a revision has to be told */
+  readNewsAfter(revision: number): RecordNews | undefined
+}
+
+/** One VM that is told. */
+interface Listener {
+  readonly response: ServerResponse
+  /** The revision up to which it was told. */
+  toldRevision: number
+}
+
+/** Tells the VMs that ask. */
+export class RecordTeller implements IClosable {
+  private readonly listeners = new Set<Listener>()
+  private timer: ITimer | undefined
+  private isClosed = false
+
+  /**
+   * @param clock for the lines that show that this VM lives
+   * @param source what this VM knows
+   */
+  constructor (private readonly clock: IClock, private readonly source: TellerSource) {}
+
+  /** @returns how many VMs are told */
+  countListeners (): number {
+    return this.listeners.size
+  }
+
+  /**
+   * Answers a VM that asks to be told.
+   * @param query `after`: the revision that it knows
+   * @param response the answer, which stays open
+   */
+  accept (query: URLSearchParams, response: ServerResponse): void {
+    if (this.isClosed || this.listeners.size >= MOST_LISTENERS) {
+      response.writeHead(UNAVAILABLE, { 'Content-Length': 0 })
+      response.end()
+      return
+    }
+    const after = Number(query.get('after') ?? 0)
+    const listener = { response, toldRevision: Number.isSafeInteger(after) && after >= 0 ? after : 0 }
+    this.listeners.add(listener)
+    response.on('close', () => { this.listeners.delete(listener) })
+    response.on('error', () => { this.listeners.delete(listener) })
+    response.writeHead(OK, { 'Content-Type': 'application/x-ndjson' })
+    this.sendNews([listener])
+    this.timer ??= this.scheduleBeat()
+  }
+
+  /** Tells all of what has changed, or of where this VM stands now. */
+  publish (): void {
+    this.sendNews(this.listeners)
+  }
+
+  /** Tells nobody any more; they ask others at once. */
+  close (): void {
+    this.isClosed = true
+    this.timer?.close()
+    for (const { response } of this.listeners) response.end()
+    this.listeners.clear()
+  }
+
+  private scheduleBeat (): ITimer {
+    return this.clock.schedule(this.clock.now() + BEAT_MS, () => {
+      this.timer = undefined
+      if (this.isClosed) return
+      this.publish()
+      if (this.listeners.size > 0) this.timer = this.scheduleBeat()
+    })
+  }
+
+  private sendNews (listeners: Iterable<Listener>): void {
+    // Most listeners know the same revision, and a telling of everything is long.
+    const lines = new Map<number, string>()
+    for (const listener of [...listeners]) {
+      let line = lines.get(listener.toldRevision)
+      if (line === undefined) {
+        line = formatRecordLine(this.readLine(listener.toldRevision))
+        lines.set(listener.toldRevision, line)
+      }
+      this.send(listener, line)
+    }
+  }
+
+  private readLine (after: number): RecordLine {
+    const { via, revision, holdMs } = this.source
+    return { via, revision, holdMs, news: this.source.readNewsAfter(after) }
+  }
+
+  private send (listener: Listener, line: string): void {
+    const { response } = listener
+    if (response.writableLength > MOST_WAITING_BYTES) {
+      this.listeners.delete(listener)
+      response.destroy()
+      return
+    }
+    response.write(line)
+    listener.toldRevision = Math.max(listener.toldRevision, this.source.revision)
+  }
+}
--- a/packages/steering/src/common/entry/recordTable.ts
+++ b/packages/steering/src/common/entry/recordTable.ts
@@ -22,11 +22,24 @@
  */
 const LEAST_OUTAGE_MS = 2_000
 
+/** Removals kept for VMs that learn from this one; one that is further behind is told everything. */
+const MOST_REMOVALS = 4_096
+
+/** What a VM that learns from another is told. */
+export interface RecordNews extends RecordChanges {
+  /** Whether `written` is everything, so that what is missing there is gone. */
+  readonly isWhole: boolean
+}
+
 /** Everything that this entry VM believes, by key. */
 export class RecordTable {
   private readonly recordsByKey = new Map<string, SteeringRecord>()
   /** Keys that disappeared while the store was away or just after, with when to believe it; Infinity until the store is back. */
   private readonly removalsByKey = new Map<string, Deadline>()
+  /** Removals by key in the order in which they were learned, held ones included. */
+  private readonly removedByKey = new Map<string, number>()
+  /** Removals up to this revision may have been forgotten, or never been known. */
+  private forgottenRevision = 0
   private storeRevision = 0
   private holdUntil: Deadline = Number.NEGATIVE_INFINITY
   private storeLostAt: Instant | undefined
@@ -45,33 +58,84 @@
   }
 
   /**
-   * Notes that the store answers again.
+   * Notes that the store answers again, or that another VM vouches for what it tells.
    * @param now the present
+   * @param holdMs how much longer that VM holds back what disappeared, in milliseconds;
+   *   undefined for the store, which has judged nothing
    */
-  recordStoreRegained (now: Instant): void {
+  recordStoreRegained (now: Instant, holdMs?: number): void {
     if (this.storeLostAt === undefined) return
     const awayMs = now - this.storeLostAt
     this.storeLostAt = undefined
+    const spanMs = holdMs ?? (awayMs < LEAST_OUTAGE_MS ? 0 : RETURN_SPAN_MS)
     // A short outage just after a long one does not shorten the wait for what the long one lost.
-    this.holdUntil = Math.max(this.holdUntil, awayMs < LEAST_OUTAGE_MS ? now : createDeadline(now, RETURN_SPAN_MS))
+    this.holdUntil = Math.max(this.holdUntil, createDeadline(now, spanMs))
     for (const key of this.removalsByKey.keys()) this.removalsByKey.set(key, this.holdUntil)
   }
 
+  /**
+   * @param now the present
+   * @returns how much longer what disappears is held back, in milliseconds
+   */
+  getHoldMs (now: Instant): number {
+    return Number.isFinite(this.holdUntil) ? Math.max(0, this.holdUntil - now) : 0
+  }
+
+  /**
+   * Holds back what disappears for as long as a VM that this one learns from.
+   * @param now the present
+   * @param holdMs how much longer that VM does so, in milliseconds
+   */
+  updateHold (now: Instant, holdMs: number): void {
+    if (holdMs > 0) this.holdUntil = Math.max(this.holdUntil, createDeadline(now, holdMs))
+  }
+
   /**
    * @param snapshot everything as of its revision
    * @param now the present
-   * @param isSettled whether its sender has judged what disappeared, as a peer has; the store has not
    * @returns the records that changed, appeared or disappeared
    */
-  applySnapshot (snapshot: RecordSnapshot, now: Instant, isSettled = false): RecordChange[] {
+  applySnapshot (snapshot: RecordSnapshot, now: Instant): RecordChange[] {
     if (snapshot.revision < this.storeRevision) return []
+    // What came and went since the revision known before shows in no snapshot.
+    if (snapshot.revision > this.storeRevision) this.forgottenRevision = snapshot.revision
     const present = new Set(snapshot.records.map(({ key }) => key))
     const missing = [...this.recordsByKey.keys()].filter((key) => !present.has(key))
     return this.mergeRecords({
       revision: snapshot.revision,
       written: snapshot.records,
       removed: missing.map((key) => ({ key, revision: snapshot.revision }))
-    }, now, isSettled)
+    }, now)
+  }
+
+  /**
+   * Takes over what another VM tells: the store's own events, not that VM's
+   * judgement of them, so that what disappeared in an outage is held back here as there.
+   * @param news what it tells
+   * @param now the present
+   * @returns the records that changed, appeared or disappeared
+   */
+  applyNews (news: RecordNews, now: Instant): RecordChange[] {
+    if (!news.isWhole) return this.applyChanges(news, now)
+    if (news.revision < this.storeRevision) return []
+    const changes = this.applySnapshot({ revision: news.revision, records: news.written }, now)
+    return [...changes, ...news.removed.flatMap((gone) => this.removeRecord(gone, now))]
+  }
+
+  /**
+   * @param revision what another VM knows already
+   * @returns what it has to be told; undefined if nothing
+   */
+  readNewsAfter (revision: number): RecordNews | undefined {
+    if (revision >= this.storeRevision) return undefined
+    const isWhole = revision < this.forgottenRevision
+    const removals = [...this.removedByKey].map(([key, at]) => ({ key, revision: at }))
+    return {
+      revision: this.storeRevision,
+      isWhole,
+      written: isWhole ? this.list() : this.list().filter((record) => record.revision > revision),
+      removed: isWhole ? removals.filter(({ key }) => this.removalsByKey.has(key)) : removals.filter((gone) => gone.revision > revision)
+    }
   }
 
   /**
@@ -87,7 +151,7 @@
       revision: changes.revision,
       written: changes.written.filter(isNew),
       removed: changes.removed.filter(isNew)
-    }, now, false)
+    }, now)
   }
 
   /**
@@ -119,9 +183,9 @@
     return [...this.recordsByKey.values()]
   }
 
-  private mergeRecords (changes: RecordChanges, now: Instant, isSettled: boolean): RecordChange[] {
+  private mergeRecords (changes: RecordChanges, now: Instant): RecordChange[] {
     const written = changes.written.flatMap((record) => this.putRecord(record))
-    const removed = changes.removed.flatMap((gone) => this.removeRecord(gone, now, isSettled))
+    const removed = changes.removed.flatMap((gone) => this.removeRecord(gone, now))
     this.storeRevision = Math.max(this.storeRevision, changes.revision)
     return [...written, ...removed]
   }
@@ -129,6 +193,7 @@
   private putRecord (record: SteeringRecord): RecordChange[] {
     const previous = this.recordsByKey.get(record.key)
     this.removalsByKey.delete(record.key)
+    if ((this.removedByKey.get(record.key) ?? 0) < record.revision) this.removedByKey.delete(record.key)
     if (previous !== undefined && previous.revision >= record.revision) return []
     if (isOlderDocument(previous, record)) return []
     this.recordsByKey.set(record.key, record)
@@ -142,12 +207,26 @@
     return { record: undefined, previous }
   }
 
-  private removeRecord ({ key, revision }: RemovedRecord, now: Instant, isSettled: boolean): RecordChange[] {
+  /** Notes a removal for VMs that learn from this one. */
+  private recordRemoval ({ key, revision }: RemovedRecord): void {
+    const known = this.removedByKey.get(key) ?? 0
+    this.removedByKey.delete(key)
+    this.removedByKey.set(key, Math.max(known, revision))
+    if (this.removedByKey.size <= MOST_REMOVALS) return
+    const [oldestKey, oldestRevision] = this.removedByKey.entries().next().value!
+    this.removedByKey.delete(oldestKey)
+    this.forgottenRevision = Math.max(this.forgottenRevision, oldestRevision)
+  }
+
+  private removeRecord (gone: RemovedRecord, now: Instant): RecordChange[] {
+    const { key, revision } = gone
     const known = this.recordsByKey.get(key)
-    if (known === undefined || known.revision > revision) return []
     // The configuration is only ever replaced; one that cannot be found is a fault of the reading.
-    if (known.kind === RecordKind.Document) return []
-    const isHeld = !isSettled && (this.storeLostAt !== undefined || !hasPassed(this.holdUntil, now))
+    if (known !== undefined && (known.revision > revision || known.kind === RecordKind.Document)) return []
+    // What this VM never knew, one that learns from it may.
+    this.recordRemoval(gone)
+    if (known === undefined) return []
+    const isHeld = this.storeLostAt !== undefined || !hasPassed(this.holdUntil, now)
     if (!isHeld || !mayReturn(known)) return [this.deleteRecord(key)]
     // Counted from the store's return, not from the removal: what leaves after the return must not be held on top.
     if (!this.removalsByKey.has(key)) this.removalsByKey.set(key, this.storeLostAt === undefined ? this.holdUntil : Infinity)
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -17,10 +17,18 @@
   onRegained(): void
 }
 
-/** Reads the records and follows their changes until closed. */
+/** Reads the records, and follows their changes while asked to, until closed. */
 export interface ISteeringSource extends IClosable {
-  /** @param listener who is told, from now on */
+  /**
+   * Reads everything once, as often as it takes to succeed. What is read may be
+   * seconds old; what follows makes good for it.
+   * @param listener who is told, from now on
+   */
   start(listener: SteeringListener): void
+  /** Reads everything once more, for a VM that does not follow changes. */
+  readAgain(): void
+  /** @param isWatching whether changes are followed from now on */
+  setWatching(isWatching: boolean): void
 }
 
 /** Keeps this entry VM's own record for as long as it serves. */
--- /dev/null
+++ b/packages/steering/test/common/entry/followPlan.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict'
+import fc from 'fast-check'
+import { describe, it } from 'node:test'
+import { type FollowPlan, planFollowing } from '../../../src/common/entry/followPlan.js'
+import type { EntryNode } from '../../../src/common/entry/records.js'
+
+const SEED = 20261203
+/** Three regions with three failure domains each. */
+const REGION_OF = new Map(['a', 'b', 'c'].flatMap((domain) => ['1', '2', '3'].map((region) => [`${domain}${region}`, `r${region}`] as const)))
+
+function createNode (index: number, domain: string): EntryNode {
+  return { name: `vm-${index}`, domain, address: `10.0.0.${index}:1`, peerAddress: `10.0.0.${index}:2` }
+}
+
+function planAll (nodes: readonly EntryNode[], regionOf: ReadonlyMap<string, string> = REGION_OF): Map<string, FollowPlan> {
+  return new Map(nodes.map((node) => [node.name, planFollowing(nodes, node, regionOf)]))
+}
+
+/** The steps from the store to a VM by its first two sources; undefined if it is not reached without the VMs that are gone. */
+function countHops (plans: ReadonlyMap<string, FollowPlan>, gone: ReadonlySet<string>): Map<string, number> {
+  const hops = new Map([...plans].filter(([name, { isFollower }]) => isFollower && !gone.has(name)).map(([name]) => [name, 0]))
+  for (let hop = 1, hasGrown = true; hasGrown; hop++) {
+    hasGrown = false
+    for (const [name, { sources }] of plans) {
+      if (hops.has(name) || gone.has(name)) continue
+      if (!sources.slice(0, 2).some((source) => hops.get(source.name) === hop - 1)) continue
+      hops.set(name, hop)
+      hasGrown = true
+    }
+  }
+  return hops
+}
+
+const fleets = fc.array(fc.constantFrom(...REGION_OF.keys()), { minLength: 1, maxLength: 200 })
+  .map((domains) => domains.map((domain, index) => createNode(index, domain)))
+
+describe('who follows the store', () => {
+  it('is two VMs of each region at most, in two domains where it has two', () => {
+    fc.assert(fc.property(fleets, (nodes) => {
+      const plans = planAll(nodes)
+      for (const region of new Set(REGION_OF.values())) {
+        const members = nodes.filter(({ domain }) => REGION_OF.get(domain) === region)
+        const followers = members.filter(({ name }) => plans.get(name)!.isFollower)
+        assert.equal(followers.length, Math.min(2, members.length))
+        const domains = Math.min(2, new Set(members.map(({ domain }) => domain)).size)
+        assert.equal(new Set(followers.map(({ domain }) => domain)).size, domains)
+      }
+    }), { seed: SEED })
+  })
+
+  it('reaches every VM by its first two sources, also while any one VM is gone and still listed', () => {
+    fc.assert(fc.property(fleets, fc.nat(), (nodes, index) => {
+      const gone = nodes[index % nodes.length]!
+      const plans = planAll(nodes)
+      assert.equal(countHops(plans, new Set()).size, nodes.length)
+      const region = REGION_OF.get(gone.domain)
+      const isOnlyFollower = nodes.filter(({ domain }) => REGION_OF.get(domain) === region).length <= 1
+      if (!isOnlyFollower) assert.equal(countHops(plans, new Set([gone.name])).size, nodes.length - 1)
+    }), { seed: SEED })
+  })
+
+  it('never makes a VM learn from itself, and gives it VMs of other regions to ask', () => {
+    fc.assert(fc.property(fleets, (nodes) => {
+      for (const [name, { sources }] of planAll(nodes)) {
+        assert.ok(!sources.some((source) => source.name === name))
+        assert.equal(new Set(sources).size, sources.length)
+        const regions = new Set(sources.map(({ domain }) => REGION_OF.get(domain)))
+        const own = REGION_OF.get(nodes.find((node) => node.name === name)!.domain)
+        const others = new Set(nodes.map(({ domain }) => REGION_OF.get(domain)).filter((region) => region !== own))
+        for (const region of others) assert.ok(regions.has(region))
+      }
+    }), { seed: SEED })
+  })
+
+  it('stays alike for the others when a VM of another domain comes or goes', () => {
+    fc.assert(fc.property(fleets, fc.nat(), (nodes, index) => {
+      const leaver = nodes[index % nodes.length]!
+      const before = planAll(nodes)
+      if (before.get(leaver.name)!.isFollower) return
+      const after = planAll(nodes.filter((node) => node !== leaver))
+      for (const [name, plan] of after) {
+        const { domain } = nodes.find((node) => node.name === name)!
+        if (domain === leaver.domain) continue
+        assert.deepEqual(plan.sources.slice(0, 2), before.get(name)!.sources.slice(0, 2))
+      }
+    }), { seed: SEED })
+  })
+
+  it('has 42 followers of 4,600 VMs, five steps and eighteen listeners a VM at most', () => {
+    // 21 regions with 82 failure domains, as expected in two years. Each change reaches
+    // every VM; had each watched the store, it would cost 4,600 calls.
+    const domains = Array.from({ length: 82 }, (_, index) => `d${index}`)
+    const regionOf = new Map(domains.map((domain, index) => [domain, `r${index % 21}`]))
+    const nodes = Array.from({ length: 4_600 }, (_, index) => createNode(index, domains[index % 82]!))
+    // Plans are worked out for one region whole; all are built alike.
+    const own = nodes.filter(({ domain }) => regionOf.get(domain) === 'r0')
+    const plans = new Map(own.map((node) => [node.name, planFollowing(nodes, node, regionOf)]))
+    assert.equal([...plans.values()].filter(({ isFollower }) => isFollower).length, 2)
+    const hops = countHops(plans, new Set())
+    assert.equal(hops.size, own.length)
+    assert.ok(Math.max(...hops.values()) <= 5)
+    const listeners = new Map<string, number>()
+    for (const { isFollower, sources } of plans.values()) {
+      if (isFollower) continue
+      for (const { name } of sources.slice(0, 2)) listeners.set(name, (listeners.get(name) ?? 0) + 1)
+    }
+    assert.ok(Math.max(...listeners.values()) <= 18, `${Math.max(...listeners.values())} listeners`)
+  })
+})
--- a/packages/steering/test/common/entry/recordTable.test.ts
+++ b/packages/steering/test/common/entry/recordTable.test.ts
@@ -16,14 +16,15 @@
 
 describe('the records that a VM believes', () => {
   it('never go back to an older configuration, in whatever order messages come', () => {
-    const messages = fc.array(fc.record({ revision: fc.integer({ min: 1, max: 40 }), isSnapshot: fc.boolean(), isSettled: fc.boolean() }), { maxLength: 60 })
+    const messages = fc.array(fc.record({ revision: fc.integer({ min: 1, max: 40 }), way: fc.constantFrom('snapshot', 'changes', 'whole news', 'news') }), { maxLength: 60 })
     fc.assert(fc.property(messages, (list) => {
       const table = new RecordTable()
       let newest = 0
-      for (const { revision, isSnapshot, isSettled } of list) {
+      for (const { revision, way } of list) {
         const record = createDocument(revision, revision)
-        if (isSnapshot) table.applySnapshot({ revision, records: [record] }, 0, isSettled)
-        else table.applyChanges({ revision, written: [record], removed: [] }, 0)
+        if (way === 'snapshot') table.applySnapshot({ revision, records: [record] }, 0)
+        else if (way === 'changes') table.applyChanges({ revision, written: [record], removed: [] }, 0)
+        else table.applyNews({ revision, isWhole: way === 'whole news', written: [record], removed: [] }, 0)
         newest = Math.max(newest, revision)
         const known = table.get('document')
         assert.equal(known?.kind === RecordKind.Document ? known.value.version : 0, newest)
@@ -38,9 +39,9 @@
     const table = new RecordTable()
     table.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
     table.recordStoreLost(0)
-    table.applySnapshot({ revision: 12, records: [] }, 1_000, true)
+    table.recordStoreRegained(2_500, 0)
+    table.applyNews({ revision: 12, isWhole: true, written: [], removed: [] }, 2_500)
     assert.equal(table.get('w/1'), undefined)
-    table.recordStoreRegained(3_000)
     table.applyChanges({ revision: 13, written: [createWorker('1', 8)], removed: [{ key: 'w/1', revision: 10 }] }, 3_000)
     assert.equal(table.get('w/1'), undefined)
   })
@@ -94,7 +95,7 @@
   it('take an older snapshot for nothing', () => {
     const table = new RecordTable()
     table.applySnapshot({ revision: 9, records: [createWorker('1', 9)] }, 0)
-    assert.deepEqual(table.applySnapshot({ revision: 8, records: [] }, 0, true), [])
+    assert.deepEqual(table.applySnapshot({ revision: 8, records: [] }, 0), [])
     assert.notEqual(table.get('w/1'), undefined)
   })
 })
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -11,6 +11,7 @@
 import { EntryMetrics } from '@umberspar/entry/node/telemetry/entryMetrics'
 import { createPlatformEntry } from '@umberspar/users-platform/createEntry'
 import { waitForCondition } from '../../load/polling.js'
+import { TcpRelay } from '../tcpRelay.js'
 import { findEntryAddresses } from './entryProgram.js'
 import { PlatformWorkerStandIn } from './platformWorkerStandIn.js'
 import { askAt, type ClientAnswer, type ClientCall, getAnsweredId, isReadyAt, lookUpAt, sendCall } from './platformClient.js'
@@ -87,6 +88,18 @@
     return { entry, settings, store, lines, text, metrics }
   }
 
+  /**
+   * Leads the other entry processes to this one's listener for peers over a relay, on
+   * which faults of the link can be switched on.
+   * @returns the relay
+   */
+  async addPeerRelay ({ settings }: LocalEntry): Promise<TcpRelay> {
+    const relay = this.closing.add(new TcpRelay(settings.listen.peers))
+    const { node, domain, listen } = settings
+    this.store.put(`entry-vms/${node}`, { address: listen.callers, peerAddress: await relay.start(), domain })
+    return relay
+  }
+
   /** Waits until a condition holds; the test's own time limit ends a wait in vain. */
   async waitUntil (isTrue: () => boolean | Promise<boolean>): Promise<void> {
     await waitForCondition(this.clock, Infinity, POLL_MS, isTrue)
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -104,6 +104,8 @@
       store: { address: store },
       seeds: [...seeds],
       grace: 4_000,
+      changeLimits: [2_000],
+      goneWithin: 3_000,
       longestLookupCache: 5_000,
       coldTolerance: { factor: 1.5, slack: 5 },
       repeatBudget: { ratio: 0.2, window: 10_000, slack: 60 },
