Sort entry VMs once and plan who follows only when VMs come or go

Cause: a profile of a start with 567 workers and 195 VMs: 12 ms of 430 ms went into sorting all names at each VM's record, and the plan was worked out at each change of a source. Change: names are sorted when first asked for after changes; the plan follows the list of VMs.

--- a/packages/entry/src/node/beliefs/recordFollower.ts
+++ b/packages/entry/src/node/beliefs/recordFollower.ts
@@ -124,7 +124,7 @@
     if (!this.isJoined) return
     this.planTimer ??= this.parts.clock.schedule(this.parts.clock.now() + PLAN_MS, () => {
       this.planTimer = undefined
-      this.update()
+      this.updatePlan()
     })
   }
 
@@ -182,7 +182,10 @@
     if (news === undefined) return
     keeper.applyNews(news)
     // Without the store there is nothing to read once more.
-    if (this.isStoreAnswering === false) this.isJoined = true
+    if (!this.isJoined && this.isStoreAnswering === false) {
+      this.isJoined = true
+      this.updatePlan()
+    }
     this.handleRead()
   }
 
@@ -200,13 +203,17 @@
     const names = new Set([...place.listNodes()].map(({ name }) => name))
     const hasOthers = names.size > 1 || (names.size === 1 && !names.has(place.self.name))
     this.isJoined = names.has(place.self.name) || (place.hasConfiguration() && hasOthers)
-    if (this.isJoined) this.update()
+    if (this.isJoined) this.updatePlan()
     else this.joinTimer = clock.schedule(clock.now() + addJitter(random, JOIN_MS, JOIN_JITTER), () => { source.readAgain() })
   }
 
-  private update (): void {
+  private updatePlan (): void {
     const { place } = this.parts
-    if (this.isJoined) this.plan = planFollowing(place.listNodes(), place.self, place.regionOf)
+    this.plan = planFollowing(place.listNodes(), place.self, place.regionOf)
+    this.update()
+  }
+
+  private update (): void {
     this.updateHearer()
     this.updateAlone()
     this.updateWatch()
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -53,16 +53,15 @@
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly repeatWindows = new Map<string, RepeatWindow>()
   private readonly workByRoute = new Map<string, WorkEstimate>()
-  private nodeNames: readonly string[]
+  /** Sorted; undefined after a change, so that a start with hundreds of VMs sorts them once. */
+  private nodeNames: readonly string[] | undefined
   private current: SteeringDocument | undefined
   private table: RouteTable | undefined
   private policies: ReadonlyMap<string, ServicePolicy> = new Map()
   parts = new PartChooser()
 
   /** @param place where this VM is and what it was set to */
-  constructor (private readonly place: ViewPlace) {
-    this.nodeNames = [place.node]
-  }
+  constructor (private readonly place: ViewPlace) {}
 
   /** @returns the configuration in force; undefined before one was read */
   get document (): SteeringDocument | undefined {
@@ -76,7 +75,7 @@
 
   /** @returns how many entry VMs there are, this one included */
   countNodes (): number {
-    return this.nodeNames.length
+    return this.listNodeNames().length
   }
 
   /**
@@ -95,7 +94,7 @@
   readRoster (service: string): ServiceRoster {
     let roster = this.rosters.get(service)
     if (roster === undefined) {
-      roster = new ServiceRoster({ ...this.place, listNodes: () => this.nodeNames })
+      roster = new ServiceRoster({ ...this.place, listNodes: () => this.listNodeNames() })
       roster.policy = this.policies.get(service)
       this.rosters.set(service, roster)
     }
@@ -109,7 +108,7 @@
   readRepeats (service: string): RepeatWindow {
     let window = this.repeatWindows.get(service)
     if (window === undefined) {
-      window = new RepeatWindow(this.place.budget, () => this.nodeNames.length)
+      window = new RepeatWindow(this.place.budget, () => this.countNodes())
       this.repeatWindows.set(service, window)
     }
     return window
@@ -210,17 +209,18 @@
   /** @param node an entry VM that registered itself */
   putNode (node: EntryNode): void {
     this.nodes.set(node.name, node)
-    this.updateNodeNames()
+    this.nodeNames = undefined
   }
 
   /** @param name an entry VM that is gone */
   removeNode (name: string): void {
     this.nodes.delete(name)
-    this.updateNodeNames()
+    this.nodeNames = undefined
   }
 
-  private updateNodeNames (): void {
-    this.nodeNames = [...new Set([this.place.node, ...this.nodes.keys()])].sort()
+  private listNodeNames (): readonly string[] {
+    this.nodeNames ??= [...new Set([this.place.node, ...this.nodes.keys()])].sort()
+    return this.nodeNames
   }
 }
 
