--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -34,6 +34,8 @@
 }
 
 const POLL_MS = 10
+/** No wait of a test takes a tenth of this, also on a busy machine; one in vain would keep its process alive for ever, in milliseconds. */
+const MOST_WAIT_MS = 100_000
 
 /** Keeps lines as an entry process would write them. */
 class MemoryLogger implements ILogger {
@@ -100,9 +102,10 @@
     return relay
   }
 
-  /** Waits until a condition holds; the test's own time limit ends a wait in vain. */
+  /** Waits until a condition holds; rejected if it does not for long. */
   async waitUntil (isTrue: () => boolean | Promise<boolean>): Promise<void> {
-    await waitForCondition(this.clock, Infinity, POLL_MS, isTrue)
+    const holds = await waitForCondition(this.clock, this.clock.now() + MOST_WAIT_MS, POLL_MS, isTrue)
+    if (!holds) throw new Error(`waited in vain for ${MOST_WAIT_MS} ms: ${String(isTrue)}`)
   }
 
   /** Waits until an entry process takes requests. */
