--- a/packages/entry/src/node/beliefs/recordFollower.ts
+++ b/packages/entry/src/node/beliefs/recordFollower.ts
@@ -201,8 +201,7 @@
     if (this.isJoined) return
     const { clock, random, source, place } = this.parts
     const names = new Set([...place.listNodes()].map(({ name }) => name))
-    const hasOthers = names.size > 1 || (names.size === 1 && !names.has(place.self.name))
-    this.isJoined = names.has(place.self.name) || (place.hasConfiguration() && hasOthers)
+    this.isJoined = names.has(place.self.name) || (place.hasConfiguration() && names.size > 0)
     if (this.isJoined) this.updatePlan()
     else this.joinTimer = clock.schedule(clock.now() + addJitter(random, JOIN_MS, JOIN_JITTER), () => { source.readAgain() })
   }
--- a/packages/steering/src/common/entry/followPlan.ts
+++ b/packages/steering/src/common/entry/followPlan.ts
@@ -17,7 +17,7 @@
 import type { EntryNode } from './records.js'
 
 /** One may be paused or die; the other goes on. */
-export const FOLLOWERS_PER_REGION = 2
+const FOLLOWERS_PER_REGION = 2
 /** VMs that share their sources. */
 const GROUP = 2
 /** Pairs that learn from one pair: each VM tells at most eight others of its domain, which reaches 42 VMs in three steps. */
@@ -39,15 +39,25 @@
   return rankByRendezvous(key, [...byName.keys()]).map((name) => byName.get(name)!)
 }
 
-function splitByDomain (nodes: readonly EntryNode[]): Map<string, EntryNode[]> {
-  const domains = new Map<string, EntryNode[]>()
-  for (const node of nodes) domains.set(node.domain, [...domains.get(node.domain) ?? [], node])
-  return domains
+function splitNodes (nodes: readonly EntryNode[], getPart: (node: EntryNode) => string): Map<string, EntryNode[]> {
+  const parts = new Map<string, EntryNode[]>()
+  for (const node of nodes) {
+    const part = getPart(node)
+    const members = parts.get(part)
+    if (members === undefined) parts.set(part, [node])
+    else members.push(node)
+  }
+  return parts
+}
+
+/** The VMs of one failure domain in the order in which they hear. */
+function rankMembers (domain: string, members: readonly EntryNode[]): EntryNode[] {
+  return rankNodes(`follow/${domain}`, members)
 }
 
 /** The followers of one region: the first VM of each of two domains, or the first two of its only one. */
 function chooseFollowers (nodes: readonly EntryNode[]): EntryNode[] {
-  const ranked = [...splitByDomain(nodes)].map(([domain, members]) => rankNodes(`follow/${domain}`, members))
+  const ranked = [...splitNodes(nodes, ({ domain }) => domain)].map(([domain, members]) => rankMembers(domain, members))
   if (ranked.length === 1) return ranked[0]!.slice(0, FOLLOWERS_PER_REGION)
   const heads = ranked.map((members) => members[0]!)
   return rankNodes('follow', heads).slice(0, FOLLOWERS_PER_REGION)
@@ -69,15 +79,11 @@
  */
 export function planFollowing (nodes: Iterable<EntryNode>, self: EntryNode, regionOf: RegionByDomain): FollowPlan {
   const all = [...[...nodes].filter(({ name }) => name !== self.name), self]
-  const regions = new Map<string, EntryNode[]>()
-  for (const node of all) {
-    const region = regionOf.get(node.domain) ?? ''
-    regions.set(region, [...regions.get(region) ?? [], node])
-  }
+  const regions = splitNodes(all, ({ domain }) => regionOf.get(domain) ?? '')
   const ownRegion = regionOf.get(self.domain) ?? ''
   const followersByRegion = new Map([...regions].map(([region, members]) => [region, chooseFollowers(members)]))
   const followers = followersByRegion.get(ownRegion)!
-  const domainMembers = rankNodes(`follow/${self.domain}`, all.filter(({ domain }) => domain === self.domain))
+  const domainMembers = rankMembers(self.domain, all.filter(({ domain }) => domain === self.domain))
   const first = findPairAbove(domainMembers, self.name) ?? followers
   const elsewhere = [...followersByRegion].filter(([region]) => region !== ownRegion).flatMap(([, members]) => members)
   // What remains is ranked anew for each VM, so that VMs that lost the same sources ask different ones.
--- a/packages/steering/src/common/entry/recordTable.ts
+++ b/packages/steering/src/common/entry/recordTable.ts
@@ -78,7 +78,7 @@
    * @returns how much longer what disappears is held back, in milliseconds
    */
   getHoldMs (now: Instant): number {
-    return Number.isFinite(this.holdUntil) ? Math.max(0, this.holdUntil - now) : 0
+    return Math.max(0, this.holdUntil - now)
   }
 
   /**
