Tell each change once, though it is heard from two sources

Cause: each VM hears of a change from two sources; at the second hearing, and at each change of a source or of the store's health, it wrote a line to every listener, also where the line said nothing that the listener had not been told. Change: a line goes out at once to those who lack a revision or were told of another way of the records; the beat goes to all as before. Test: recordTeller.test, of which 'tells each change once' failed before.

--- a/packages/entry/src/node/peers/recordTeller.ts
+++ b/packages/entry/src/node/peers/recordTeller.ts
@@ -40,6 +40,8 @@
   readonly response: ServerResponse
   /** The revision up to which it was told. */
   toldRevision: number
+  /** The way of the records as it was told; another one is told of at once. */
+  toldVia: string | undefined
 }
 
 /** Tells the VMs that ask. */
@@ -71,7 +73,7 @@
       return
     }
     const after = Number(query.get('after') ?? 0)
-    const listener = { response, toldRevision: Number.isSafeInteger(after) && after >= 0 ? after : 0 }
+    const listener: Listener = { response, toldRevision: Number.isSafeInteger(after) && after >= 0 ? after : 0, toldVia: undefined }
     this.listeners.add(listener)
     response.on('close', () => { this.listeners.delete(listener) })
     response.on('error', () => { this.listeners.delete(listener) })
@@ -80,9 +82,11 @@
     this.timer ??= this.scheduleBeat()
   }
 
-  /** Tells all of what has changed, or of where this VM stands now. */
+  /** Tells of what has changed since each was told; nothing to those for whom nothing has. */
   publish (): void {
-    this.sendNews(this.listeners)
+    const { revision } = this.source
+    const via = this.readVia()
+    this.sendNews([...this.listeners].filter(({ toldRevision, toldVia }) => toldRevision < revision || toldVia !== via))
   }
 
   /** Tells nobody any more; they ask others at once. */
@@ -97,7 +101,7 @@
     return this.clock.schedule(this.clock.now() + BEAT_MS, () => {
       this.timer = undefined
       if (this.isClosed) return
-      this.publish()
+      this.sendNews(this.listeners)
       if (this.listeners.size > 0) this.timer = this.scheduleBeat()
     })
   }
@@ -129,5 +133,10 @@
     }
     response.write(line)
     listener.toldRevision = Math.max(listener.toldRevision, this.source.revision)
+    listener.toldVia = this.readVia()
+  }
+
+  private readVia (): string | undefined {
+    return this.source.via?.join(' ')
   }
 }
