--- a/packages/entry/src/node/beliefs/beliefKeeper.ts
+++ b/packages/entry/src/node/beliefs/beliefKeeper.ts
@@ -18,8 +18,7 @@
 export class BeliefKeeper implements IClosable {
   private readonly table = new RecordTable()
   private heldTimer: ITimer | undefined
-  /** Undefined until it was told either way: records that were read once and not followed since are not current. */
-  private isCurrent: boolean | undefined
+  private isCurrent = false
   private knownAt: Instant = Number.NEGATIVE_INFINITY
 
   /**
@@ -47,7 +46,7 @@
 
   /** @returns how new the records are */
   getRecordsAge (): RecordsAge {
-    return { revision: this.table.revision, ageMs: this.isCurrent === true ? 0 : Math.max(0, this.clock.now() - this.knownAt) }
+    return { revision: this.table.revision, ageMs: this.isCurrent ? 0 : Math.max(0, this.clock.now() - this.knownAt) }
   }
 
   /** @returns what a VM that knows a revision has to be told; undefined if nothing */
@@ -66,12 +65,26 @@
     this.knownAt = Math.max(this.knownAt, since)
     if (isCurrent && holdMs !== undefined) this.table.updateHold(now, holdMs)
     if (isCurrent === this.isCurrent) return
-    this.isCurrent = isCurrent
-    if (isCurrent) this.table.recordStoreRegained(now, holdMs)
-    else this.table.recordStoreLost(this.knownAt)
+    if (!isCurrent) {
+      this.recordLost(since)
+      return
+    }
+    this.isCurrent = true
+    this.table.recordStoreRegained(now, holdMs)
     this.scheduleHeld()
   }
 
+  /**
+   * Notes that nobody tells of changes any more. A VM that has only read the store so
+   * far has lost nobody: what its next reading lacks is gone, not held back.
+   * @param since until when the records are known to have been the newest
+   */
+  recordLost (since: Instant): void {
+    this.knownAt = Math.max(this.knownAt, since)
+    this.isCurrent = false
+    this.table.recordStoreLost(this.knownAt)
+  }
+
   /** Takes over everything that the store held as of a revision. */
   applySnapshot (snapshot: RecordSnapshot): void {
     this.apply(this.table.applySnapshot(snapshot, this.clock.now()))
--- a/packages/entry/src/node/beliefs/recordFollower.ts
+++ b/packages/entry/src/node/beliefs/recordFollower.ts
@@ -148,7 +148,7 @@
     logger.log(LogLevel.Warn, { step: 'follow-store', peer: 'store', reason, revision: keeper.revision }, 'the store does not answer this VM')
     this.isStoreAnswering = false
     this.isStoreCurrent = false
-    keeper.setCurrent(this.via !== undefined, since)
+    if (this.via === undefined) keeper.recordLost(since)
     this.update()
   }
 
--- a/packages/testing/test/node/usersPlatform/storeFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/storeFaults.test.ts
@@ -101,6 +101,26 @@
     assert.ok(watches <= 1 + seconds / 4, 'a watch waits for four seconds')
   })
 
+  it('drops at once what its second reading lacks, while it does not know the others yet', async () => {
+    // A VM has just started and serves by its first reading; it reads once more a second
+    // later, and follows only then. A worker that leaves in between stayed in use until
+    // the VM followed, as if the store had been away: half of the requests went to it.
+    const fresh = new LocalPlatform({ 'north-1': 'north' })
+    try {
+      await fresh.addWorker('w-1', 'archive', 'north-1')
+      await fresh.addWorker('w-2', 'archive', 'north-1')
+      fresh.putConfiguration([ROUTE])
+      const only = await fresh.startEntry('vm-1', 'north-1')
+      await fresh.waitUntilReady(only)
+      fresh.removeWorker('w-2')
+      const { revision } = fresh.store.state
+      await fresh.waitUntil(() => only.entry.keeper.revision >= revision)
+      assert.ok(hasSeen(only, 'upstream-left', 'w-2'))
+    } finally {
+      await fresh.close()
+    }
+  })
+
   it('starts from a peer\'s records when the store refuses it from the start', async () => {
     const third = await platform.startEntry('vm-3', 'north-1', [second.settings.listen.peers])
     third.store.setFault(StoreFault.Busy)
