--- a/packages/entry/src/node/front/frontServer.ts
+++ b/packages/entry/src/node/front/frontServer.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
-import type { IClock, Instant } from '@umberspar/base/common/clock'
+import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { AccessEnd } from '@umberspar/steering/common/entry/decideAccess'
 import { addSpread } from '@umberspar/steering/common/entry/comeBack'
@@ -27,9 +27,11 @@
 const IDLE_SLACK_MS = 1_000
 /** A caller that came before any configuration is asked to come back after this, in milliseconds. */
 const EARLY_RETRY_MS = 300
+/** Its request waits so long for it: the first reading takes 70 to 200 ms where the store answers. */
+const EARLY_WAIT_MS = 250
 const FULL_RETRY_MS = 500
 /** Others may know the key; by then this VM may have heard from the store, too. */
-const STALE_RETRY_MS = 500
+const STALE_RETRY_MS = 300
 /** For requests that state no deadline, in milliseconds. */
 const DEFAULT_PATIENCE_MS = 10_000
 /** A field's separator and line end, in bytes. */
@@ -62,6 +64,12 @@
   [HEAD_LATE_CODE]: 408
 }
 
+/** A request that waits for the first configuration. */
+interface EarlyExchange {
+  readonly exchange: CallerExchange
+  readonly timer: ITimer
+}
+
 /** Why a request is refused as it is read, and what is known of it. */
 interface RefusalFacts {
   readonly reason: EndReason
@@ -77,6 +85,8 @@
 export class FrontServer implements IClosable, ConnectionHost {
   private readonly server: Server
   private readonly connections = new Map<Socket, CallerConnection>()
+  /** Requests that came before the first configuration. */
+  private readonly early = new Set<EarlyExchange>()
 
   /** @param context the process's parts */
   constructor (private readonly context: EntryContext) {
@@ -109,6 +119,8 @@
   setLimits ({ limits }: SteeringDocument): void {
     this.server.headersTimeout = limits.headerMs
     this.server.keepAliveTimeout = limits.idleMs + IDLE_SLACK_MS
+    // In the next turn: workers and proof come with the same reading.
+    if (this.early.size > 0) this.clock.schedule(this.clock.now(), () => { this.startEarly() })
   }
 
   /** Ends connections on which no request waits. */
@@ -147,7 +159,7 @@
 
   startExchange ({ message: request, answer, arrivedAt }: CallerExchange): void {
     const { document } = this.context.view
-    if (document === undefined) return this.refuse(request, answer, { reason: EndReason.NoConfiguration, arrivedAt })
+    if (document === undefined) return this.waitForConfiguration({ message: request, answer, arrivedAt })
     if (countHeadBytes(request) > document.limits.headerBytes) return this.refuse(request, answer, { reason: EndReason.HeadTooLarge, arrivedAt })
     const route = this.context.view.findRoute(request.headers.host ?? '', request.url ?? '')
     if (route === undefined) return this.refuse(request, answer, { reason: this.classifyMissingRoute(), arrivedAt })
@@ -163,6 +175,29 @@
     else this.startRun(head, answer, new RequestBody([], 0, this.context.bodyRoom))
   }
 
+  /** The first reading takes one call to the store: refused at once, most callers would have no repeat left. */
+  private waitForConfiguration (exchange: CallerExchange): void {
+    const { clock } = this.context
+    const { message, answer, arrivedAt } = exchange
+    const waiting = {
+      exchange,
+      timer: clock.schedule(arrivedAt + EARLY_WAIT_MS, () => {
+        this.early.delete(waiting)
+        this.refuse(message, answer, { reason: EndReason.NoConfiguration, arrivedAt })
+      })
+    }
+    this.early.add(waiting)
+  }
+
+  private startEarly (): void {
+    const early = [...this.early]
+    this.early.clear()
+    for (const { exchange, timer } of early) {
+      timer.close()
+      if (!exchange.answer.isGone) this.startExchange(exchange)
+    }
+  }
+
   /** A route that was added lately is missing in old records. */
   private classifyMissingRoute (): EndReason {
     return this.context.gate.mayDeny ? EndReason.NoRoute : EndReason.RecordsStale
--- a/packages/entry/src/node/quota/accountQuota.ts
+++ b/packages/entry/src/node/quota/accountQuota.ts
@@ -38,12 +38,23 @@
   listGroups(): ReadonlyArray<readonly QuotaShare[]>
   /** @returns how long what was given may be kept, in milliseconds */
   getStockMs(): number
-  /** @returns what the keeper gives; undefined if nobody keeps the share or answers */
-  ask(question: QuotaQuestion): Promise<QuotaGrant | undefined>
+  /** @returns what the keeper gives, or why it gives nothing */
+  ask(question: QuotaQuestion): Promise<QuotaGrant | NoGrant>
 }
 
-/** A keeper that did not answer is passed over for so long, in milliseconds. */
-const SILENT_MS = 1_000
+/** Why a keeper gave no answer about the account. */
+export enum NoGrant {
+  /** Nobody keeps the share, or whoever was asked does not keep it: another is about to. */
+  NotKept = 'not-kept',
+  /** The keeper does not answer. */
+  Silent = 'silent'
+}
+
+/** How long a share is passed over, in milliseconds. */
+const PASS_OVER_MS: Readonly<Record<NoGrant, number>> = {
+  [NoGrant.NotKept]: 150,
+  [NoGrant.Silent]: 1_000
+}
 /** While keepers do not answer, callers come back after this, in milliseconds. */
 const UNKNOWN_RETRY_MS = 400
 
@@ -120,8 +131,8 @@
     const unused = this.stock.takeUnused(share, askedAt)
     const grant = await this.asker.ask({ share, account: this.account, wanted, unused })
     const now = this.asker.now()
-    if (grant === undefined) {
-      this.silentUntil.set(share, now + SILENT_MS)
+    if (typeof grant === 'string') {
+      this.silentUntil.set(share, now + PASS_OVER_MS[grant])
       return
     }
     if (grant.given === 0) this.emptyUntil.set(share, now + grant.waitMs)
--- a/packages/entry/src/node/quota/accountQuotas.ts
+++ b/packages/entry/src/node/quota/accountQuotas.ts
@@ -8,7 +8,7 @@
 import { listAccountShares, type QuotaShare, splitByNearness } from '@umberspar/steering/common/quota/quotaShares'
 import type { QuotaToken } from '@umberspar/steering/common/quota/quotaStock'
 import type { PathHandler, PlainAnswer } from '../lookup/questionServer.js'
-import { AccountQuota, type QuotaDecision, QuotaEnd, type QuotaListener } from './accountQuota.js'
+import { AccountQuota, NoGrant, type QuotaDecision, QuotaEnd, type QuotaListener } from './accountQuota.js'
 import { QuotaClient } from './quotaClient.js'
 import { parseQuestion, type QuotaQuestion } from './quotaMessages.js'
 import { type ClaimerParts, ShareClaimer } from './shareClaimer.js'
@@ -129,11 +129,11 @@
     return groups
   }
 
-  private async ask (question: QuotaQuestion): Promise<QuotaGrant | undefined> {
+  private async ask (question: QuotaQuestion): Promise<QuotaGrant | NoGrant> {
     const { view, distances } = this.parts
-    if (this.claimer.isKept(question.share)) return this.answer(question)
+    if (this.claimer.isKept(question.share)) return this.answer(question) ?? NoGrant.NotKept
     const keeper = view.shares.get(question.share)?.keeper
-    if (keeper === undefined) return undefined
+    if (keeper === undefined) return NoGrant.NotKept
     const domain = view.nodes.get(keeper.node)?.domain
     return await this.client.ask(keeper.peerAddress, question, domain === undefined ? 0 : distances.getRoundTrip(domain))
   }
--- a/packages/entry/src/node/quota/quotaClient.ts
+++ b/packages/entry/src/node/quota/quotaClient.ts
@@ -4,6 +4,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { QuotaGrant } from '@umberspar/steering/common/quota/quotaBuckets'
 import { splitAddress } from '../address.js'
+import { NoGrant } from './accountQuota.js'
 import { formatQuestion, parseGrant, type QuotaQuestion } from './quotaMessages.js'
 
 /** Beyond the way there and back; a keeper answers from memory, in milliseconds. */
@@ -23,25 +24,25 @@
    * @param address `host:port` of the keeper's listener for other entry VMs
    * @param question what is asked
    * @param roundTripMs the way there and back, in milliseconds
-   * @returns what it gives; undefined if it does not answer or is not the keeper
+   * @returns what it gives, or why it gives nothing
    */
-  async ask (address: string, question: QuotaQuestion, roundTripMs: number): Promise<QuotaGrant | undefined> {
+  async ask (address: string, question: QuotaQuestion, roundTripMs: number): Promise<QuotaGrant | NoGrant> {
     return await new Promise((resolve) => {
       const request = sendRequest({ ...splitAddress(address), path: formatQuestion(question), method: 'POST', agent: this.agent, headers: { 'Content-Length': 0 } }, (response) => {
         let text = ''
         response.setEncoding('utf8')
         response.on('data', (chunk: string) => { text += chunk })
-        response.on('end', () => { settle(response.statusCode === OK ? parseGrant(text) : undefined) })
-        response.on('error', () => { settle(undefined) })
+        response.on('end', () => { settle(response.statusCode === OK ? parseGrant(text) ?? NoGrant.Silent : NoGrant.NotKept) })
+        response.on('error', () => { settle(NoGrant.Silent) })
       })
       const timer = this.clock.schedule(this.clock.now() + roundTripMs + ANSWER_SLACK_MS, () => { request.destroy() })
-      const settle = (grant: QuotaGrant | undefined): void => {
+      const settle = (grant: QuotaGrant | NoGrant): void => {
         timer.close()
         resolve(grant)
       }
       // The asker counts keepers that do not answer and goes on to the next.
-      request.on('error', () => { settle(undefined) })
-      request.on('close', () => { settle(undefined) })
+      request.on('error', () => { settle(NoGrant.Silent) })
+      request.on('close', () => { settle(NoGrant.Silent) })
       request.end()
     })
   }
--- a/packages/entry/src/node/quota/shareClaimer.ts
+++ b/packages/entry/src/node/quota/shareClaimer.ts
@@ -87,8 +87,9 @@
   }
 
   private update (): void {
-    const { view, self, regionOf, buckets, isLeaving } = this.parts
+    const { view, self, regionOf, buckets, registration, isLeaving } = this.parts
     if (!buckets.hasQuotas || isLeaving()) return
+    if (registration.tenure === undefined) return this.scheduleUpdate(GATHER_MS)
     const nodes = [...view.nodes.values()]
     for (const share of this.shares) {
       const delayMs = planClaims(share, nodes, regionOf).get(self.name)
--- a/packages/entry/test/node/quota/quotaWorld.ts
+++ b/packages/entry/test/node/quota/quotaWorld.ts
@@ -18,7 +18,7 @@
 import type { QuotaTolerance } from '@umberspar/steering/common/quota/quotaBudget'
 import { QuotaBuckets, type QuotaGrant } from '@umberspar/steering/common/quota/quotaBuckets'
 import { listAccountShares, splitByNearness } from '@umberspar/steering/common/quota/quotaShares'
-import { AccountQuota, QuotaEnd } from '../../../src/node/quota/accountQuota.js'
+import { AccountQuota, NoGrant, QuotaEnd } from '../../../src/node/quota/accountQuota.js'
 import type { QuotaQuestion } from '../../../src/node/quota/quotaMessages.js'
 import { ShareClaimer } from '../../../src/node/quota/shareClaimer.js'
 
@@ -262,15 +262,15 @@
 
   // The keeper and who asks it.
 
-  private async ask (question: QuotaQuestion): Promise<QuotaGrant | undefined> {
+  private async ask (question: QuotaQuestion): Promise<QuotaGrant | NoGrant> {
     const keeper = this.view.shares.get(question.share)?.keeper
-    if (keeper === undefined) return undefined
+    if (keeper === undefined) return NoGrant.NotKept
     return await new Promise((resolve) => {
       const settle = this.world.returnTo(this, resolve)
-      this.schedule(this.now() + ANSWER_MS, () => { resolve(undefined) })
+      this.schedule(this.now() + ANSWER_MS, () => { resolve(NoGrant.Silent) })
       this.world.send(this.node.name, keeper.node, (vm) => {
         const grant = vm.answer(question)
-        this.world.send(keeper.node, this.node.name, () => { settle(grant) })
+        this.world.send(keeper.node, this.node.name, () => { settle(grant ?? NoGrant.NotKept) })
       })
     })
   }
