--- a/packages/entry/test/node/quota/quotaWorld.test.ts
+++ b/packages/entry/test/node/quota/quotaWorld.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { QuotaWorld, type QuotaWorldFlaws } from './quotaWorld.js'
+import { QuotaWorld } from './quotaWorld.js'
+import type { QuotaWorldFlaws } from './worldVm.js'
 
 const SEEDS = Array.from({ length: 12 }, (_, index) => 1_000 + index)
 const SMALL = { ratePerSecond: 8, burst: 8 }
