Judge accounts and removed keys in the soak

Change: callers belong to an account whose quota is shared out; guests send all the while, and their keys come and go each 6 s; a run for another account, with a caller's key, or of a key taken away over 3 s before is a violation. Not built: the sum of a quota at the soak's workers (the simulated world of the quota's tests checks sums).

--- a/packages/soak/src/common/soakRule.ts
+++ b/packages/soak/src/common/soakRule.ts
@@ -11,6 +11,8 @@
   ColdOverrun = 'cold-overrun',
   /** An entry process ended by itself. */
   EntryEnded = 'entry-ended',
+  /** A request ran whose key had been taken away longer ago than the operators allow. */
+  Revoked = 'revoked',
   /** A proper request got an answer that says it is not allowed. */
   Denied = 'denied',
   /** After all faults had ended, the newest configuration was not in force everywhere. */
--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -9,6 +9,7 @@
 import { type PipelinedAnswer, PipelinedCaller } from '@umberspar/testing/node/standIns/usersPlatform/pipelinedCaller'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
+import { CALLERS, CALLERS_AUTHORIZATION } from '../common/soakAccounts.js'
 import { SoakRule } from '../common/soakRule.js'
 import type { SoakJudge } from './soakJudge.js'
 
@@ -99,8 +100,8 @@
     const calls = Array.from({ length: PIPELINE_DEPTH }, () => {
       const id = `${this.place.domain}-${++this.sequence}-p`
       const path = `${prefix}${Math.floor(this.random.next() * OBJECTS)}`
-      this.judge.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry })
-      return { id, path, key: path, deadlineMs: DEADLINE_MS }
+      this.judge.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: CALLERS.Name })
+      return { id, path, key: path, deadlineMs: DEADLINE_MS, authorization: CALLERS_AUTHORIZATION }
     })
     const caller = new PipelinedCaller(this.network.getWay(entry))
     caller.send(calls)
@@ -124,12 +125,12 @@
   private async send (kind: RequestKind, operationId: string, requestId: string, entry: string, leftMs: number): Promise<AnswerKind> {
     const { prefix, service, method, isIdempotent, bodyLength } = kind
     const path = `${prefix}${Math.floor(this.random.next() * OBJECTS)}`
-    this.judge.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry })
+    this.judge.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: CALLERS.Name })
     const abort = new AbortController()
     const timer = this.clock.schedule(this.clock.now() + leftMs + PATIENCE_MS, () => { abort.abort() })
     try {
       const body = bodyLength === 0 ? undefined : 'u'.repeat(bodyLength)
-      const answer = await sendCall(this.network.getWay(entry), { path, method, id: requestId, key: path, deadlineMs: Math.floor(leftMs), body, signal: abort.signal, agent: this.agent })
+      const answer = await sendCall(this.network.getWay(entry), { path, method, id: requestId, key: path, deadlineMs: Math.floor(leftMs), body, headers: { Authorization: CALLERS_AUTHORIZATION }, signal: abort.signal, agent: this.agent })
       return this.recordAnswer(requestId, answer)
     } catch (thrown) {
       const code = (thrown as NodeJS.ErrnoException).code
--- a/packages/soak/src/node/soakJudge.ts
+++ b/packages/soak/src/node/soakJudge.ts
@@ -7,6 +7,7 @@
 import { AnswerKind, ExecutionEnd, HistoryEventKind } from '@umberspar/testing/common/history/historyEvent'
 import { HistoryChecker, type Violation, ViolationKind } from '@umberspar/testing/common/history/historyChecker'
 import { WorkerFault, type WorkerObserver, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
+import { REVOKE_MS } from '../common/soakAccounts.js'
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
 import type { Calm } from './calm.js'
 
@@ -21,6 +22,8 @@
   readonly bodyLength: number
   /** `host:port` of the entry VM asked. */
   readonly entry: string
+  /** The client account of its key; undefined if it sent none. */
+  readonly account?: string
 }
 
 /** What a cold worker tolerates. */
@@ -50,6 +53,8 @@
   private readonly coldLimits = new Map<string, ColdLimit>()
   private readonly coldArrivals = new Map<string, Instant[]>()
   private readonly leaving = new Set<string>()
+  /** When the keys of client accounts were taken away, by account. */
+  private readonly keysTakenAt = new Map<string, Instant>()
   private readonly bound = new Set<string>()
   private readonly checker = new HistoryChecker((violation) => { this.handleViolation(violation) })
   private nextRun = 0
@@ -133,6 +138,7 @@
     const attempt = this.attempts.get(requestId)
     this.checkAsked(workerId, run, attempt)
     if (attempt === undefined) return
+    this.checkKey(attempt)
     attempt.workers.add(workerId)
     if (attempt.workers.size > MOST_RUNS) this.report(SoakRule.TooManyRuns, requestId, [...attempt.workers].join(' '))
     this.nextRun++
@@ -148,9 +154,28 @@
     this.checker.record({ kind: HistoryEventKind.ExecutionEnded, at, executionId, workerId, end: isAnswered ? ExecutionEnd.Answered : ExecutionEnd.Cancelled })
   }
 
-  private checkAsked (workerId: string, { requestId, method, path, bodyLength }: WorkerRun, attempt: AttemptRecord | undefined): void {
-    if (attempt?.method === method && attempt.path === path && attempt.bodyLength === bodyLength) return
-    this.report(SoakRule.Unasked, requestId, `${workerId} ran ${method} ${path} with ${bodyLength} bytes, sent was ${JSON.stringify(attempt ?? null)}`)
+  /** Notes that the keys of a client account were taken away, as of now. */
+  recordKeysTaken (account: string): void {
+    this.keysTakenAt.set(account, this.clock.now())
+  }
+
+  /** Notes that the account has keys again. */
+  recordKeysGiven (account: string): void {
+    this.keysTakenAt.delete(account)
+  }
+
+  private checkAsked (workerId: string, { requestId, method, path, bodyLength, account, authorization }: WorkerRun, attempt: AttemptRecord | undefined): void {
+    const isAsked = attempt?.method === method && attempt.path === path && attempt.bodyLength === bodyLength
+    const isAccount = account === (attempt?.account ?? '') && authorization === ''
+    if (isAsked && isAccount) return
+    this.report(SoakRule.Unasked, requestId, `${workerId} ran ${method} ${path} with ${bodyLength} bytes for ${account}, a key: ${authorization !== ''}, sent was ${JSON.stringify(attempt ?? null)}`)
+  }
+
+  /** Binds whatever is disturbed: also a VM that is cut off must stop in time. */
+  private checkKey ({ requestId, account = '', sentAt }: AttemptRecord): void {
+    const takenAt = this.keysTakenAt.get(account)
+    if (takenAt === undefined || sentAt <= takenAt + REVOKE_MS) return
+    this.report(SoakRule.Revoked, requestId, `sent ${Math.round(sentAt - takenAt)} ms after the keys of ${account} had been taken away`)
   }
 
   private checkCold (workerId: string): void {
--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -10,11 +10,13 @@
 import { askAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitUntil } from '@umberspar/testing/node/waiting'
+import { CALLERS, GUESTS } from '../common/soakAccounts.js'
 import { planSoak, type SoakPlan, type SoakStepKind } from '../common/soakPlan.js'
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
 import { Calm } from './calm.js'
 import { type RequestKind, SoakCallers } from './soakCallers.js'
 import { SoakEntries } from './soakEntries.js'
+import { SoakGuests } from './soakGuests.js'
 import { SoakJudge } from './soakJudge.js'
 import { runStep, type SoakStage, StepEnd } from './soakSteps.js'
 import { SoakWorkers } from './soakWorkers.js'
@@ -88,7 +90,7 @@
           for (let index = 0; index < WORKERS_PER_DOMAIN; index++) await this.workers.add(service, domain, false)
         }
       }
-      this.records.putConfiguration(PATHS)
+      this.records.putConfiguration(PATHS, undefined, [CALLERS, GUESTS])
       await this.entries.start(this.options.processes)
       await this.runLoad()
       return this.buildResult()
@@ -105,6 +107,18 @@
       getWay: (entry) => this.entries.getWay(entry),
       buildBody: (requestId) => this.workers.buildBody(requestId)
     }, this.judge, this.clock, new SeededRandom(this.options.seed * 100 + index))))
+    const { clock, judge, records } = this
+    const guests = this.closing.add(new SoakGuests({
+      clock,
+      judge,
+      records,
+      random: new SeededRandom(this.options.seed + 1),
+      paths: PATHS,
+      path: `${KINDS[0]!.prefix}guest`,
+      service: KINDS[0]!.service,
+      listWays: () => this.entries.list.map(({ settings }) => this.entries.getWay(settings.listen.callers))
+    }))
+    guests.start(startedAt + this.plan.untilMs - WELL_MS)
     const judging = setInterval(() => { this.judge.updateLeaving() }, JUDGE_MS)
     const load = runOpenLoop({
       clock: this.clock,
--- a/packages/soak/test/node/soakJudge.test.ts
+++ b/packages/soak/test/node/soakJudge.test.ts
@@ -4,6 +4,7 @@
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { ViolationKind } from '@umberspar/testing/common/history/historyChecker'
 import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
+import { REVOKE_MS } from '../../src/common/soakAccounts.js'
 import { SoakRule } from '../../src/common/soakRule.js'
 import { Calm } from '../../src/node/calm.js'
 import { SoakJudge } from '../../src/node/soakJudge.js'
@@ -57,6 +58,31 @@
     assert.deepEqual(listRules(), [SoakRule.Unasked, SoakRule.Unasked])
   })
 
+  it('finds a request that runs for another account, or with the caller\'s key', () => {
+    judge.recordSent({ ...ASSIGN, requestId: 'a', account: 'callers' })
+    judge.onRun('w-1', { ...RUN, requestId: 'a' })
+    judge.recordSent({ ...ASSIGN, operationId: 'op-b', requestId: 'b', account: 'callers' })
+    judge.onRun('w-1', { ...RUN, requestId: 'b', account: 'callers', authorization: 'Bearer key' })
+    judge.recordSent({ ...ASSIGN, operationId: 'op-c', requestId: 'c', account: 'callers' })
+    judge.onRun('w-1', { ...RUN, requestId: 'c', account: 'callers' })
+    assert.deepEqual(listRules(), [SoakRule.Unasked, SoakRule.Unasked])
+  })
+
+  it('finds a run whose key was taken away longer ago than allowed, whatever is disturbed', () => {
+    judge.recordKeysTaken('guests')
+    const send = (requestId: string): void => {
+      judge.recordSent({ ...ASSIGN, operationId: requestId, requestId, account: 'guests' })
+      judge.onRun('w-1', { ...RUN, requestId, account: 'guests' })
+    }
+    clock.stepBy(REVOKE_MS)
+    send('in time')
+    clock.stepBy(1)
+    send('too late')
+    judge.recordKeysGiven('guests')
+    send('given again')
+    assert.deepEqual(judge.violations.map(({ rule, subject }) => [rule, subject]), [[SoakRule.Revoked, 'too late']])
+  })
+
   it('finds a third worker for one attempt', () => {
     judge.recordSent({ ...ASSIGN, isIdempotent: true, requestId: 'a' })
     for (const worker of ['w-1', 'w-2', 'w-3']) judge.onRun(worker, { ...RUN, requestId: 'a' })
--- a/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
@@ -13,6 +13,8 @@
   readonly deadlineMs?: number
   /** What identifies its object. */
   readonly key?: string
+  /** What the `Authorization` field says; left out where callers need no keys. */
+  readonly authorization?: string
 }
 
 /** One answer, as it came. */
@@ -27,9 +29,10 @@
 const DEFAULT_DEADLINE_MS = 3_000
 
 /** @returns a request's bytes */
-export function formatCall ({ id, path, body, deadlineMs = DEFAULT_DEADLINE_MS, key }: PipelinedCall): string {
+export function formatCall ({ id, path, body, deadlineMs = DEFAULT_DEADLINE_MS, key, authorization }: PipelinedCall): string {
+  const credentials = authorization === undefined ? '' : `Authorization: ${authorization}\r\n`
   const cookie = key === undefined ? '' : `Cookie: X-Umberspar-Affinity-Key=${key}\r\n`
-  const head = `${body === undefined ? 'GET' : 'POST'} ${path} HTTP/1.1\r\nHost: ${PLATFORM_HOST}\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\n${cookie}`
+  const head = `${body === undefined ? 'GET' : 'POST'} ${path} HTTP/1.1\r\nHost: ${PLATFORM_HOST}\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\n${cookie}${credentials}`
   return body === undefined ? `${head}\r\n` : `${head}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
 }
 
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -62,6 +62,8 @@
   readonly store = new RecordStoreStandIn()
   private readonly services = new Set<string>()
   private version = 0
+  /** The client accounts of the configurations that follow; undefined where callers need no keys. */
+  accounts: readonly AccountInput[] | undefined
 
   /** @param regions failure domains with their regions */
   constructor (readonly regions: Readonly<Record<string, string>>) {}
@@ -94,10 +96,11 @@
 
   /**
    * Writes the operator's next configuration.
-   * @param accounts left out where callers need no keys
+   * @param accounts from now on; left out if they stay as they are
    * @returns its version
    */
-  putConfiguration (paths: readonly PathInput[], coldPerSecond = 7, accounts?: readonly AccountInput[]): number {
+  putConfiguration (paths: readonly PathInput[], coldPerSecond = 7, accounts = this.accounts): number {
+    this.accounts = accounts
     this.version += 3
     this.store.put('op/config', {
       Version: `r${this.version}`,
