Let the VMs with the largest links watch the store and tell the others

Callers of a VM that watches the store waited while it received a configuration whole, once for each change: 220 kB at 860 routes, a quarter of a second of a link of 7 Mbit/s, with VMs of twenty times the room in the same failure domain. Cause: who watches and who tells was ranked by hash alone. Change: a VM's record tells what its link carries (setting linkMbps, from the platform's template); within a domain and among the heads of domains, links that differ by a factor of two or more go first, alike ones by rank as before. Where all links are alike nothing changes.

--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -47,6 +47,8 @@
   /** How exactly the quotas of client accounts are kept. */
   quotaTolerance: z._default(z.object({ window: span, over: z.number().check(z.nonnegative()), slack: z.number().check(z.nonnegative()) }), { window: 5_000, over: 0.1, slack: 0 }),
   memoryMb: positive,
+  /** What this VM's link carries each way, in megabits a second; left out if that is not known. */
+  linkMbps: z.optional(positive),
   byteCosts: z._default(z.object({ otherDomain: z.number(), otherRegion: z.number() }), { otherDomain: 0.004, otherRegion: 0.013 }),
   logLevel: z._default(z.enum(LogLevel), LogLevel.Info)
 })
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -92,7 +92,7 @@
     this.seeds = settings.seeds
     this.regionOf = new Map(Object.entries(settings.regions))
     const distances = new DomainDistances(settings.domain, this.regionOf)
-    this.node = { name: settings.node, address: settings.listen.callers, peerAddress: settings.listen.peers, domain: settings.domain }
+    this.node = { name: settings.node, address: settings.listen.callers, peerAddress: settings.listen.peers, domain: settings.domain, linkMbps: settings.linkMbps }
     this.telemetry = new EntryTelemetry(logger, metrics)
     this.view = new EntryView({
       node: settings.node,
--- a/packages/entry/test/node/peers/linkWorld.ts
+++ b/packages/entry/test/node/peers/linkWorld.ts
@@ -159,16 +159,16 @@
 
   /**
    * @param perDomain VMs in each failure domain
-   * @param mbps what each VM's link carries each way, in megabits a second
+   * @param readMbps what the link of a domain's VM carries each way, in megabits a second, by its number
    * @param records what all know at the beginning
    */
-  constructor (perDomain: number, mbps: number, records: readonly SteeringRecord[]) {
+  constructor (perDomain: number, readMbps: (index: number) => number, records: readonly SteeringRecord[]) {
     const nodes = [...REGION_OF.keys()].flatMap((domain) => Array.from({ length: perDomain }, (_, index): EntryNode => {
       const name = `vm-${domain}-${index}`
-      return { name, address: name, peerAddress: name, domain }
+      return { name, address: name, peerAddress: name, domain, linkMbps: readMbps(index) }
     }))
     this.revision = Math.max(1, ...records.map(({ revision }) => revision))
-    this.vms = nodes.map((node) => new LinkVm(node, this.clock, mbps))
+    this.vms = nodes.map((node) => new LinkVm(node, this.clock, node.linkMbps!))
     for (const { table } of this.vms) table.applySnapshot({ revision: this.revision, records }, 0)
     for (const vm of this.vms) {
       const { isFollower, sources } = planFollowing(nodes, vm.node, REGION_OF)
--- a/packages/entry/test/node/peers/slowLinks.test.ts
+++ b/packages/entry/test/node/peers/slowLinks.test.ts
@@ -13,6 +13,7 @@
 /** What is left for the way from the VMs that watch the store to all others. */
 const WAY_MS = CHANGE_LIMIT_MS - GATHER_MS - SILENCE_MS
 const LINK_MBPS = 7
+const LARGE_LINK_MBPS = 140
 const VMS_PER_DOMAIN = 10
 const MOST_MS = 30_000
 
@@ -56,7 +57,7 @@
     //   second 14: front-penang-b-4 sent 827 kB and received 4 kB, at 0 % of its processor;
     //   version 17, taken by the store at 12.2 s, was adopted at 12.3 s by the first VM, at
     //   14.8 s by the median and at 17.4 s by the last.
-    const world = new LinkWorld(VMS_PER_DOMAIN, LINK_MBPS, [createRecord(createDocument(14, 860), 14)])
+    const world = new LinkWorld(VMS_PER_DOMAIN, () => LINK_MBPS, [createRecord(createDocument(14, 860), 14)])
     world.write((revision) => createRecord(createDocument(17, 860, { homeRegions: ['a'] }), revision))
     const tookMs = await world.measureUntil(({ version }) => version === 17, MOST_MS)
     assert.ok(tookMs <= WAY_MS, `${tookMs} ms`)
@@ -64,7 +65,7 @@
   })
 
   it('reach all in time when very much changes at once', async () => {
-    const world = new LinkWorld(VMS_PER_DOMAIN, LINK_MBPS, [createRecord(createDocument(12, 4), 12)])
+    const world = new LinkWorld(VMS_PER_DOMAIN, () => LINK_MBPS, [createRecord(createDocument(12, 4), 12)])
     world.write((revision) => createRecord(createDocument(14, 1_404), revision))
     const tookMs = await world.measureUntil(({ version }) => version === 14, MOST_MS)
     assert.ok(tookMs <= WAY_MS, `${tookMs} ms`)
@@ -73,7 +74,7 @@
   it('of workers reach all in time right behind a large change of the configuration', async () => {
     // A worker said that it leaves while a configuration of 860 routes was on its way; 3 s
     // later it still got requests, since the news of it waited behind that configuration.
-    const world = new LinkWorld(VMS_PER_DOMAIN, LINK_MBPS, [createRecord(createDocument(12, 4), 12), createWorker(UpstreamState.Ready, 11)])
+    const world = new LinkWorld(VMS_PER_DOMAIN, () => LINK_MBPS, [createRecord(createDocument(12, 4), 12), createWorker(UpstreamState.Ready, 11)])
     world.write((revision) => createRecord(createDocument(14, 860), revision))
     await world.clock.runFor(50)
     world.write((revision) => createWorker(UpstreamState.Draining, revision))
@@ -88,7 +89,7 @@
   it('reach all in time at the end of a series of changes', async () => {
     // Every change was written to each listener, also while the one before it was still
     // on its way: what all would know at the end waited behind all that was out of date.
-    const world = new LinkWorld(VMS_PER_DOMAIN, LINK_MBPS, [createRecord(createDocument(20, 860), 20)])
+    const world = new LinkWorld(VMS_PER_DOMAIN, () => LINK_MBPS, [createRecord(createDocument(20, 860), 20)])
     for (let version = 21; version <= 30; version++) {
       world.write((revision) => createRecord(createDocument(version, 860 + version * 20), revision))
       await world.clock.runFor(100)
@@ -96,4 +97,14 @@
     const tookMs = await world.measureUntil(({ version }) => version === 30, MOST_MS)
     assert.ok(tookMs <= WAY_MS, `${tookMs} ms`)
   })
+
+  it('are carried by the VMs that have room on their links', async () => {
+    const world = new LinkWorld(VMS_PER_DOMAIN, (index) => index < 2 ? LARGE_LINK_MBPS : LINK_MBPS, [createRecord(createDocument(12, 4), 12)])
+    world.write((revision) => createRecord(createDocument(14, 1_404), revision))
+    const tookMs = await world.measureUntil(({ version }) => version === 14, MOST_MS)
+    assert.ok(tookMs <= WAY_MS, `${tookMs} ms`)
+    for (const { node, sentBytes } of world.vms) {
+      if (node.linkMbps === LINK_MBPS) assert.equal(sentBytes, 0, node.name)
+    }
+  })
 })
--- a/packages/steering/src/common/entry/followPlan.ts
+++ b/packages/steering/src/common/entry/followPlan.ts
@@ -8,7 +8,9 @@
  * election: VMs whose lists differ for a moment follow once too often or ask a VM
  * further up, and both do no harm.
  *
- * Within a failure domain VMs stand in pairs by rendezvous rank. Each VM learns from
+ * Within a failure domain VMs stand in pairs, those with the largest links first and
+ * alike ones by rendezvous rank: who watches the store receives each configuration
+ * whole, and who tells others sends each change several times. Each VM learns from
  * both of the pair above its own, so that one VM that dies, is cut off, or is paused
  * delays nobody. The first pair of a domain learns from the region's two followers,
  * which lie in two domains where the region has two.
@@ -50,9 +52,19 @@
   return parts
 }
 
+/** Links that differ by less than a factor of two count alike, so that the rank spreads the work. */
+function classifyLink ({ linkMbps = 1 }: EntryNode): number {
+  return Math.floor(Math.log2(linkMbps))
+}
+
+/** The VMs with the largest links first. */
+function rankByLink (key: string, nodes: readonly EntryNode[]): EntryNode[] {
+  return rankNodes(key, nodes).sort((left, right) => classifyLink(right) - classifyLink(left))
+}
+
 /** The VMs of one failure domain in the order in which they hear. */
 function rankMembers (domain: string, members: readonly EntryNode[]): EntryNode[] {
-  return rankNodes(`follow/${domain}`, members)
+  return rankByLink(`follow/${domain}`, members)
 }
 
 /** The followers of one region: the first VM of each of two domains, or the first two of its only one. */
@@ -60,7 +72,7 @@
   const ranked = [...splitNodes(nodes, ({ domain }) => domain)].map(([domain, members]) => rankMembers(domain, members))
   if (ranked.length === 1) return ranked[0]!.slice(0, FOLLOWERS_PER_REGION)
   const heads = ranked.map((members) => members[0]!)
-  return rankNodes('follow', heads).slice(0, FOLLOWERS_PER_REGION)
+  return rankByLink('follow', heads).slice(0, FOLLOWERS_PER_REGION)
 }
 
 /** The pair above a VM within its domain; undefined for the first pair. */
--- a/packages/steering/src/common/entry/records.ts
+++ b/packages/steering/src/common/entry/records.ts
@@ -38,6 +38,8 @@
   /** `host:port` of the listener for other entry VMs. */
   readonly peerAddress: string
   readonly domain: string
+  /** What its link carries each way, in megabits a second; undefined if that is not known. */
+  readonly linkMbps?: number | undefined
 }
 
 /** Who keeps one share of the quotas; the store lets one VM at a time claim it. */
--- a/packages/steering/test/common/entry/followPlan.test.ts
+++ b/packages/steering/test/common/entry/followPlan.test.ts
@@ -8,8 +8,8 @@
 /** Three regions with three failure domains each. */
 const REGION_OF = new Map(['a', 'b', 'c'].flatMap((domain) => ['1', '2', '3'].map((region) => [`${domain}${region}`, `r${region}`] as const)))
 
-function createNode (index: number, domain: string): EntryNode {
-  return { name: `vm-${index}`, domain, address: `10.0.0.${index}:1`, peerAddress: `10.0.0.${index}:2` }
+function createNode (index: number, domain: string, linkMbps?: number): EntryNode {
+  return { linkMbps, name: `vm-${index}`, domain, address: `10.0.0.${index}:1`, peerAddress: `10.0.0.${index}:2` }
 }
 
 function planAll (nodes: readonly EntryNode[], regionOf: ReadonlyMap<string, string> = REGION_OF): Map<string, FollowPlan> {
@@ -31,8 +31,8 @@
   return hops
 }
 
-const fleets = fc.array(fc.constantFrom(...REGION_OF.keys()), { minLength: 1, maxLength: 200 })
-  .map((domains) => domains.map((domain, index) => createNode(index, domain)))
+const fleets = fc.array(fc.tuple(fc.constantFrom(...REGION_OF.keys()), fc.constantFrom(undefined, 7, 7.5, 10, 140)), { minLength: 1, maxLength: 200 })
+  .map((places) => places.map(([domain, linkMbps], index) => createNode(index, domain, linkMbps)))
 
 describe('who follows the store', () => {
   it('is two VMs of each region at most, in two domains where it has two', () => {
@@ -48,6 +48,20 @@
     }), { seed: SEED })
   })
 
+  it('is a VM with a large link wherever a domain has one, and such a VM tells the others', () => {
+    // Each change of a configuration of 400 kB reached the VMs that watch the store whole. At
+    // 7 Mbit/s one filled their links for half a second, and their callers' requests waited,
+    // while VMs of the same domain with twenty times the room heard of it from them.
+    fc.assert(fc.property(fleets, (nodes) => {
+      const withLarge = [...nodes, ...[...REGION_OF.keys()].flatMap((domain, index) => [1_000, 1_001].map((base) => createNode(base + 2 * index, domain, 140)))]
+      for (const { isFollower, name, sources } of [...planAll(withLarge)].map(([name, plan]) => ({ name, ...plan }))) {
+        const node = withLarge.find((candidate) => candidate.name === name)!
+        if (isFollower) assert.equal(node.linkMbps, 140)
+        else if (sources[0]!.domain === node.domain && (node.linkMbps ?? 0) < 140 && withLarge.filter(({ domain }) => domain === node.domain).length <= 10) assert.equal(sources[0]!.linkMbps, 140)
+      }
+    }), { seed: SEED })
+  })
+
   it('reaches every VM by its first two sources, also while any one VM is gone and still listed', () => {
     fc.assert(fc.property(fleets, fc.nat(), (nodes, index) => {
       const gone = nodes[index % nodes.length]!
