--- a/packages/steering/src/common/entry/documentParts.ts
+++ b/packages/steering/src/common/entry/documentParts.ts
@@ -60,6 +60,8 @@
   readonly name: string
   readonly value: PartValue
   readonly text: string
+  /** Its share of the digest. */
+  readonly hash: bigint
   /** The store's revision at which it last changed, or a later one. */
   readonly revision: number
 }
@@ -70,12 +72,17 @@
   readonly revision: number
 }
 
+function computeHash (text: string): bigint {
+  return BigInt(`0x${computeHash64(text)}`)
+}
+
 function readName (kind: PartKind, value: PartValue): string {
   return PART_NAMES[kind](value as never)
 }
 
 function createPart (kind: PartKind, value: PartValue, revision: number): Part {
-  return { kind, name: readName(kind, value), value, text: JSON.stringify(value), revision }
+  const text = JSON.stringify(value)
+  return { kind, name: readName(kind, value), value, text, hash: computeHash(`${kind} ${text}`), revision }
 }
 
 function createId ({ kind, name }: { readonly kind: PartKind, readonly name: string }): string {
@@ -94,14 +101,10 @@
   return { version, limits, hasAccounts: accounts !== undefined }
 }
 
-function computeNumber (text: string): bigint {
-  return BigInt(`0x${computeHash64(text)}`)
-}
-
 /** The same whatever the order of the parts, since VMs put them together in different ones. */
 function computeDigest ({ version, limits, hasAccounts }: Frame, parts: Iterable<Part>): string {
-  let sum = computeNumber(JSON.stringify([version, limits, hasAccounts]))
-  for (const { kind, text } of parts) sum ^= computeNumber(`${kind} ${text}`)
+  let sum = computeHash(JSON.stringify([version, limits, hasAccounts]))
+  for (const { hash } of parts) sum ^= hash
   return sum.toString(HEXADECIMAL)
 }
 
@@ -128,8 +131,8 @@
     for (const { kind, value } of listValues(document)) {
       const id = createId({ kind, name: readName(kind, value) })
       const known = this.parts.get(id)
-      const part = known?.value === value ? known : createPart(kind, value, revision)
-      parts.set(id, part.text === known?.text ? known : part)
+      const isKnown = known !== undefined && (known.value === value || known.text === JSON.stringify(value))
+      parts.set(id, isKnown ? known : createPart(kind, value, revision))
       this.removals.delete(id)
     }
     for (const [id, { kind, name }] of this.parts) {
