Number the lines between VMs anew, and tell everything to whoever knows nothing

Cause, found by reading: during a rolling release a VM of the former program would take a line for changes that it knows how to read, pass over the configuration's parts in it, and count itself up to date. Under another path either finds no listener and asks the store. And a VM that asks for everything after a digest that did not fit must get everything from any teller, or it would ask again and again.

--- a/packages/entry/src/common/recordLines.ts
+++ b/packages/entry/src/common/recordLines.ts
@@ -9,8 +9,12 @@
 import type { RecordNews } from '@umberspar/steering/common/entry/recordNews'
 import * as z from 'zod/mini'
 
-/** The path at which an entry VM tells others; `after` in the query is the revision that the asking VM knows. */
-export const RECORDS_PATH = '/v1/records'
+/**
+ * The path at which an entry VM tells others; `after` in the query is the revision that the asking VM knows.
+ * The number rises with each form of the lines that an older program would read wrongly: VMs of
+ * either then do not hear each other while a release is rolled out, and ask the store.
+ */
+export const RECORDS_PATH = '/v2/records'
 
 /** What one line holds. */
 export interface RecordLine {
--- a/packages/steering/src/common/entry/recordTable.ts
+++ b/packages/steering/src/common/entry/recordTable.ts
@@ -145,7 +145,7 @@
    */
   readNewsAfter (revision: number): RecordNews | undefined {
     if (revision >= this.storeRevision) return undefined
-    const isWhole = revision < this.forgottenRevision || this.gaps.some(({ after, until }) => revision > after && revision < until)
+    const isWhole = revision === 0 || revision < this.forgottenRevision || this.gaps.some(({ after, until }) => revision > after && revision < until)
     const removals = [...this.removedByKey].map(([key, at]) => ({ key, revision: at }))
     const written = isWhole ? this.list() : this.list().filter((record) => record.revision > revision)
     const document = isWhole ? undefined : this.readDocumentChange(written, revision)
