--- a/packages/entry/test/node/peers/linkWorld.ts
+++ b/packages/entry/test/node/peers/linkWorld.ts
@@ -46,7 +46,7 @@
   readonly queue: QueuedLine[] = []
   private mustTellDrain = false
 
-  constructor (private readonly sender: LinkVm, private readonly hear: (text: string) => void, readonly receiver: LinkVm) {
+  constructor (private readonly sender: LinkVm, readonly receiver: LinkVm) {
     super()
   }
 
@@ -80,7 +80,7 @@
   }
 
   deliver (text: string | undefined): void {
-    if (text !== undefined) this.hear(text)
+    if (text !== undefined) this.receiver.handleLine(text)
     if (!this.mustTellDrain || this.writableLength > 0) return
     this.mustTellDrain = false
     this.emit('drain')
@@ -111,19 +111,20 @@
     }, { countTold: (bytes) => { this.sentBytes += bytes }, logLongLine: () => {} })
   }
 
-  get version (): number {
-    const record = this.table.list().find(({ kind }) => kind === RecordKind.Document)
-    return record?.kind === RecordKind.Document ? record.value.version : 0
-  }
-
+  /** @returns the configuration that it decides by */
   get document (): SteeringDocument | undefined {
     const record = this.table.list().find(({ kind }) => kind === RecordKind.Document)
     return record?.kind === RecordKind.Document ? record.value : undefined
   }
 
+  /** @returns its version; 0 before there is one */
+  get version (): number {
+    return this.document?.version ?? 0
+  }
+
   /** Tells another VM from now on. */
   addListener (other: LinkVm): void {
-    const answer = new LinkAnswer(this, (text) => { other.handleLine(text) }, other)
+    const answer = new LinkAnswer(this, other)
     this.answers.push(answer)
     this.teller.accept(new URLSearchParams(`after=${other.table.revision}`), answer as unknown as ServerResponse)
   }
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -47,10 +47,13 @@
 const ENTRY_PART = 0.4
 /** How far the time of day jumps, either way, in milliseconds. */
 const CLOCK_STEP_MS = 3_600_000
-/** Names of added routes, so that most changes add one that was not there. */
 /** What another writer may leave in place of a registration. */
 const FOREIGN_TEXTS = ['', 'not JSON', '[]', 'null', '{"Service":"archive"}', '{"Service":7,"Addr":"127.0.0.1:1","Zone":"north-1","Slots":-1,"State":"ready"}']
+/** Names of added routes, so that most changes add one that was not there. */
 const ADDED_NAMES = 1_000
+/** From this target on a configuration is large: it comes and goes with the others, over connections whose buffers it fills. */
+const LARGE_FROM = 0.7
+const LARGE_ROUTES = 1_500
 /** A service keeps at least so many workers. */
 const LEAST_WORKERS = 2
 
@@ -188,7 +191,9 @@
   }),
   [SoakStepKind.ConfigurationChange]: async (stage, step) => {
     const name = `added-${Math.floor(step.variant * ADDED_NAMES)}`
-    stage.records.putConfiguration([...stage.paths, { Name: name, Prefix: `/${name}/`, Service: stage.services[0] }])
+    const length = step.target >= LARGE_FROM ? LARGE_ROUTES : 0
+    const others = Array.from({ length }, (_, index) => ({ Name: `large-${index}`, Prefix: `/large/${index}/`, Service: stage.services[0] }))
+    stage.records.putConfiguration([...stage.paths, { Name: name, Prefix: `/${name}/`, Service: stage.services[0] }, ...others])
     return true
   },
   [SoakStepKind.Evacuation]: async (stage, step) => {
