--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -68,12 +68,15 @@
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
   fault = WorkerFault.None
+  /** Running a request for this path ends the worker. */
+  crashPath: string | undefined
   /** How long a request takes, in milliseconds. */
   workMs = 0
   body = 'the whole answer'
   /** @returns the whole answer to a request; `body` for all if left as it is */
   buildBody: (requestId: string) => string = () => this.body
   readonly runs: WorkerRun[] = []
+  hasCrashed = false
   /** Requests that arrived, refused ones included. */
   arrivals = 0
   /** Requests whose connection ended before they were answered. */
@@ -96,6 +99,12 @@
     return `127.0.0.1:${typeof address === 'object' ? address?.port : ''}`
   }
 
+  /** Ends at once, with everything that is open. */
+  private endAbruptly (): void {
+    this.hasCrashed = true
+    this.close()
+  }
+
   close (): void {
     this.server.close()
     for (const socket of this.sockets) socket.destroy()
@@ -138,6 +147,10 @@
     const run = { requestId, method: method ?? '', path: path ?? '', bodyLength, leftMs: Number(getField(head, 'X-Umberspar-Deadline-Ms')), account: getFields(head, 'X-Umberspar-Tenant'), authorization: getFields(head, 'Authorization') }
     this.observer?.onRun(this.id, run)
     this.runs.push(run)
+    if (run.path === this.crashPath) {
+      this.endAbruptly()
+      return
+    }
     // The fault at its start: a worker that begins to refuse meanwhile must not say of this run that it has not run.
     const { fault } = this
     if (this.workMs === 0) {
