--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -76,6 +76,8 @@
   /** @returns the whole answer to a request; `body` for all if left as it is */
   buildBody: (requestId: string) => string = () => this.body
   readonly runs: WorkerRun[] = []
+  /** The rate limit that its answers name, in requests a second; undefined for none. */
+  rateLimit: number | undefined
   hasCrashed = false
   /** Requests that arrived, refused ones included. */
   arrivals = 0
@@ -183,6 +185,7 @@
       `X-Umberspar-Request-Id: ${requestId}`,
       `X-Umberspar-Instance-Id: ${this.id}`,
       'X-Umberspar-Server-Load: 1,0,4',
+      ...(this.rateLimit === undefined ? [] : [`X-Umberspar-Server-Limit: ${this.rateLimit}`]),
       `Content-Length: ${Buffer.byteLength(body)}`,
       ...(isSealed ? [`X-Umberspar-Server-Seal: seal-${this.id}-${requestId}`] : []),
       ...fields
