Keep the rate limits that workers name, for all entry VMs together

What callers saw: nothing yet; the workers did. Two workers that named limits of 10.1 and 2.7 requests a second got 72 and 33 in 4 s, where 66 and 21 are tolerated.

Cause: the field was not read, so that no decision used it. The class is an overload signal that is not honoured: a limit on a sum, of which each VM sees its own part only, had no division. Ruled out: VMs that keep the limit each by itself, and limits kept too late (nothing reads the field).

Change: each VM sends its part of the limit, counted over any 4 s. All compute the same division, by what each region is meant to bring of the worker's requests, in whole numbers that add up to the limit. VMs without a part try again now and then, within a tenth of it, to see its end. Where rate limits leave no worker, the request is refused at once, with when this VM may send again. Why it works: the sum of the parts is the limit whatever VMs are cut off, since nobody's part depends on a message.

The lines that describe a choice stand in a file of their own.

--- a/packages/cli/src/common/explainRequest.ts
+++ b/packages/cli/src/common/explainRequest.ts
@@ -39,6 +39,7 @@
   'body-late': 'Refused, not run: the caller did not send its body in time.',
   'bodies-full': 'Refused, not run: bodies in memory are at their bound (a burst of uploads, or callers that stall).',
   'no-worker': 'Refused, not run: the VM believed that no worker may take it. Look at the lines on workers joining, leaving and evacuations before it, and at their age.',
+  'rate-limited': 'Refused, not run: no worker may take it, and some only because of the rate limits that they name (limit-rate lines). Retry-After tells when one has room for this VM.',
   'too-late': 'Refused, not run: the best worker was expected to answer after the time limit. Its wait, held requests and slowness stand on the last offers to that service.',
   'workers-refused': 'Refused, not run: the workers that got it said that they did not run it; they were full, or are leaving.',
   quarantined: 'Refused, not run: workers crashed under this request before (quarantine-request lines name its digest and the workers). Find out what in it crashes them; the quarantine ends by itself.',
--- a/packages/entry/src/node/front/offer.ts
+++ b/packages/entry/src/node/front/offer.ts
@@ -228,6 +228,7 @@
     // What another worker at this address says does not concern this one.
     if (head.status === otherWorkerStatus) return
     const perSecond = parseRateLimit(headers.rateLimit.map((name) => getHeader(head.rawHeaders, name)).find((text) => text !== undefined))
+    this.tracker.rateLimitAt = this.context.clock.now()
     if (perSecond === this.tracker.rateLimit) return
     this.tracker.rateLimit = perSecond
     this.context.telemetry.logRateLimit(this.service, this.tracker.entry.id, perSecond)
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -23,6 +23,7 @@
   [EndReason.BodyLate]: { end: RequestEnd.Refused, status: 408, text: 'not run: the request body did not come in time' },
   [EndReason.BodiesFull]: { end: RequestEnd.Refused, status: 503, text: 'not run: no room for the request body' },
   [EndReason.NoWorker]: { end: RequestEnd.Refused, status: 503, text: 'not run: no worker may take the request now' },
+  [EndReason.RateLimited]: { end: RequestEnd.Refused, status: 503, text: 'not run: the workers\' rate limits are exhausted' },
   [EndReason.TooLate]: { end: RequestEnd.Refused, status: 503, text: 'not run: no worker would answer in time' },
   [EndReason.WorkersRefused]: { end: RequestEnd.Refused, status: 503, text: 'not run: the workers refused the request' },
   [EndReason.Quarantined]: { end: RequestEnd.Refused, status: 503, text: 'not run: workers crashed under this request; it is quarantined' },
--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -16,6 +16,7 @@
 import { EndReason, OfferEnd, RequestEnd } from '../telemetry/requestEvents.js'
 import type { AnswerHead } from '../upstream/answerParser.js'
 import type { CallerAnswer } from './callerAnswer.js'
+import { describeChoice } from './describeChoice.js'
 import type { EntryContext } from './entryContext.js'
 import { Offer, type OfferResult } from './offer.js'
 import type { GatheredAnswer } from './answerCollector.js'
@@ -100,7 +101,7 @@
     const homes = mergeHomes(this.request.route, access.account)
     if (homes === undefined) return this.endWithoutAnswer(EndReason.NoHome)
     const choice = this.choose(homes, now)
-    if (choice === undefined) return this.endWithoutAnswer(EndReason.NoWorker)
+    if (choice === undefined) return this.endForWantOfWorkers(now)
     if (!this.shouldOffer(choice, now)) return this.endWithoutAnswer(EndReason.TooLate, choice)
     if (this.counts.sent > 0 && !view.readRepeats(this.service).take(now)) return this.endWithoutAnswer(EndReason.RepeatsSpent, choice)
     this.logOffer(choice, now)
@@ -183,6 +184,12 @@
     else this.endWithoutAnswer(EndReason.WorkerBroke)
   }
 
+  private endForWantOfWorkers (now: Instant): void {
+    const rateWaitMs = this.context.view.readRoster(this.service).getRateWaitMs(now)
+    if (rateWaitMs === undefined || this.mayHaveRun) this.endWithoutAnswer(EndReason.NoWorker)
+    else this.endOwn(EndReason.RateLimited, addSpread(rateWaitMs, this.context.random))
+  }
+
   private endWithoutAnswer (reason: EndReason, choice?: Choice): void {
     if (this.fallback !== undefined) return this.deliver(this.fallback, reason)
     if (this.mayHaveRun) return this.endOwn(reason === EndReason.NoAnswer ? reason : EndReason.WorkerBroke)
@@ -245,27 +252,15 @@
     })
   }
 
-  private logOffer ({ candidate, expectedMs, waitMs, value }: Choice, now: Instant): void {
-    const { tracker, rank } = candidate
+  private logOffer (choice: Choice, now: Instant): void {
     const { revision, ageMs } = this.context.getRecordsAge()
     this.context.telemetry.logOffer({
       requestId: this.request.requestId,
       route: this.request.route.name,
       service: this.service,
-      worker: tracker.entry.id,
-      domain: tracker.entry.domain,
-      rank,
       object: this.key,
-      hand: candidate.hand,
-      handChance: candidate.handChance,
       offer: this.tried.size + 1,
-      expectedMs,
-      waitMs,
-      value,
-      held: tracker.countHeld(now),
-      failure: tracker.getFailure(now),
-      slowness: tracker.getSlowness(now),
-      isCold: tracker.isCold(now),
+      ...describeChoice(choice, now),
       configuration: this.context.view.document?.version ?? 0,
       revision,
       recordsAgeMs: ageMs
--- a/packages/entry/src/node/telemetry/requestEvents.ts
+++ b/packages/entry/src/node/telemetry/requestEvents.ts
@@ -40,6 +40,8 @@
   BodiesFull = 'bodies-full',
   /** No worker may get it: none is registered, all leave, or all were tried. */
   NoWorker = 'no-worker',
+  /** No worker may get it, and some only because of the rate limits that they name. */
+  RateLimited = 'rate-limited',
   /** Every worker is expected to answer too late. */
   TooLate = 'too-late',
   /** The workers refused it, and it may not be offered again. */
--- a/packages/steering/src/common/entry/coldAllowance.ts
+++ b/packages/steering/src/common/entry/coldAllowance.ts
@@ -4,11 +4,10 @@
  * a fixed part of that, found without talk: too small a whole to give each VM one
  * request a second goes to the VMs that rank highest for the worker.
  */
-import type { Instant } from '@umberspar/base/common/clock'
 import { rankByRendezvous } from '../lookup/rendezvous.js'
 
-/** The span over which a cold worker's requests are counted, in milliseconds. */
-const SPAN_MS = 1_000
+/** A cold worker's requests are counted over any span of this length. */
+export const COLD_SPAN_MS = 1_000
 /**
  * The part of what a cold worker bears that is given out. The rest covers entry
  * VMs that know of another number of VMs for the moment, and requests that are on
@@ -38,23 +37,3 @@
   if (each >= 1) return each
   return rankByRendezvous(workerId, nodes).slice(0, whole).includes(node) ? 1 : 0
 }
-
-/** Counts one worker's requests from this VM in any span of a second. */
-export class ColdMeter {
-  private sentAt: Instant[] = []
-
-  /**
-   * @param allowance requests in any second
-   * @param now the present
-   * @returns whether one more may be sent now
-   */
-  hasRoom (allowance: number, now: Instant): boolean {
-    this.sentAt = this.sentAt.filter((at) => now - at < SPAN_MS)
-    return this.sentAt.length < allowance
-  }
-
-  /** @param now when a request was sent */
-  record (now: Instant): void {
-    this.sentAt.push(now)
-  }
-}
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -11,6 +11,7 @@
 import type { EntryNode, RecordChange, ShareKeeper, UpstreamEntry } from './records.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 import { RepeatWindow, type RepeatBudget } from './repeatWindow.js'
+import type { SendingNode } from '../rateLimits/rateAllowance.js'
 import { RouteTable } from './routeTable.js'
 import { type RosterPlace, ServiceRoster } from './serviceRoster.js'
 import type { RoutePolicy, ServicePolicy, SteeringDocument } from './steeringDocument.js'
@@ -32,7 +33,7 @@
 }
 
 /** What does not change while the process lives. */
-export interface ViewPlace extends Omit<RosterPlace, 'listNodes'> {
+export interface ViewPlace extends Omit<RosterPlace, 'listNodes' | 'listSendingNodes'> {
   readonly budget: RepeatBudget
 }
 
@@ -52,6 +53,8 @@
   private readonly workByRoute = new Map<string, WorkEstimate>()
   /** Sorted; undefined after a change, so that a start with hundreds of VMs sorts them once. */
   private nodeNames: readonly string[] | undefined
+  /** The same with their regions. */
+  private sendingNodes: readonly SendingNode[] | undefined
   private current: SteeringDocument | undefined
   private table: RouteTable | undefined
   private accountTable: AccountTable | undefined
@@ -97,7 +100,7 @@
   readRoster (service: string): ServiceRoster {
     let roster = this.rosters.get(service)
     if (roster === undefined) {
-      roster = new ServiceRoster({ ...this.place, listNodes: () => this.listNodeNames() })
+      roster = new ServiceRoster({ ...this.place, listNodes: () => this.listNodeNames(), listSendingNodes: () => this.listSendingNodes() })
       roster.policy = this.policies.get(service)
       this.rosters.set(service, roster)
     }
@@ -212,16 +215,24 @@
   putNode (node: EntryNode): void {
     this.nodes.set(node.name, node)
     this.nodeNames = undefined
+    this.sendingNodes = undefined
   }
 
   /** @param name an entry VM that is gone */
   removeNode (name: string): void {
     this.nodes.delete(name)
     this.nodeNames = undefined
+    this.sendingNodes = undefined
   }
 
   private listNodeNames (): readonly string[] {
     this.nodeNames ??= [...new Set([this.place.node, ...this.nodes.keys()])].sort()
     return this.nodeNames
   }
+
+  private listSendingNodes (): readonly SendingNode[] {
+    const { node, domain, regionOf } = this.place
+    this.sendingNodes ??= this.listNodeNames().map((name) => ({ name, region: regionOf.get(name === node ? domain : this.nodes.get(name)?.domain ?? '') ?? '' }))
+    return this.sendingNodes
+  }
 }
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -1,12 +1,13 @@
 /** The workers of one service, and who of them may get a request for an object. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Candidate } from './chooseUpstream.js'
-import { type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
+import { divideRateLimit, type RateAllowance, type SendingNode } from '../rateLimits/rateAllowance.js'
+import { COLD_SPAN_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainDistances } from './domainDistances.js'
 import { classifyHand, HandChance } from './handChance.js'
 import { KeyRanking } from './keyRanking.js'
-import { computeShares } from './placeShares.js'
-import { UpstreamState } from './records.js'
+import { computeShares, type Shares } from './placeShares.js'
+import { type UpstreamEntry, UpstreamState } from './records.js'
 import type { ServicePolicy } from './steeringDocument.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 import { WarmthMemory } from './warmthMemory.js'
@@ -22,6 +23,8 @@
   readonly coldTolerance: ColdTolerance
   /** @returns the names of all entry VMs, this one included */
   listNodes(): readonly string[]
+  /** @returns the same with their regions; another list after each change */
+  listSendingNodes(): readonly SendingNode[]
 }
 
 /** A request, as far as the choice depends on it. */
@@ -45,6 +48,15 @@
 /** How long the figure is used, in milliseconds; it walks over all workers. */
 const BUSYNESS_MS = 100
 
+const MS_PER_SECOND = 1_000
+
+/** What this VM may send to a worker, and what that was computed from. */
+interface KnownAllowance {
+  readonly limit: number
+  readonly nodes: readonly SendingNode[]
+  readonly allowance: RateAllowance
+}
+
 /** The workers of one service. */
 export class ServiceRoster {
   private readonly trackers = new Map<string, UpstreamTracker>()
@@ -52,6 +64,8 @@
   readonly warmth = new WarmthMemory()
   readonly hands = new HandChance()
   policy: ServicePolicy | undefined
+  private readonly allowances = new Map<string, KnownAllowance>()
+  private sharesByDomain: ReadonlyMap<string, Shares> | undefined
   private busyness = 0
   private busynessUntil: Instant = Number.NEGATIVE_INFINITY
 
@@ -92,19 +106,19 @@
   /** @param tracker a worker that joined, or that changed what it says of itself */
   put (tracker: UpstreamTracker): void {
     this.trackers.set(tracker.entry.id, tracker)
-    this.rankings.clear()
+    this.clearShares()
   }
 
   /** @param workerId a worker that is gone */
   remove (workerId: string): void {
     this.trackers.delete(workerId)
     this.warmth.removeWorker(workerId)
-    this.rankings.clear()
+    this.clearShares()
   }
 
   /** Forgets the rankings, since a failure domain was evacuated or taken back. */
   clearRankings (): void {
-    this.rankings.clear()
+    this.clearShares()
   }
 
   /**
@@ -121,7 +135,7 @@
     for (const [rank, id] of ranks.entries()) {
       if (candidates.length >= RANKED_DEPTH) break
       const tracker = this.trackers.get(id)
-      if (tracker === undefined || request.tried.has(id) || !this.hasColdRoom(tracker, now)) continue
+      if (tracker === undefined || request.tried.has(id) || !this.hasColdRoom(tracker, now) || this.getRateFreeAt(tracker, now) > now) continue
       candidates.push(this.buildCandidate(tracker, request.key, work, rank, now))
     }
     return candidates
@@ -148,7 +162,62 @@
     if (!tracker.isCold(now)) return true
     const perSecond = this.policy?.coldPerSecond ?? 0
     const { node, coldTolerance } = this.place
-    return tracker.coldMeter.hasRoom(computeColdAllowance(perSecond, coldTolerance, tracker.entry.id, this.place.listNodes(), node), now)
+    return tracker.coldMeter.getFreeAt(computeColdAllowance(perSecond, coldTolerance, tracker.entry.id, this.place.listNodes(), node), COLD_SPAN_MS, now) <= now
+  }
+
+  /**
+   * @param now the present
+   * @returns how long rate limits keep this VM from all workers that name one, in milliseconds; undefined if no worker does
+   */
+  getRateWaitMs (now: Instant): number | undefined {
+    let freeAt: Instant | undefined
+    for (const tracker of this.trackers.values()) {
+      if (tracker.rateLimit !== undefined) freeAt = Math.min(freeAt ?? Infinity, this.getRateFreeAt(tracker, now))
+    }
+    return freeAt === undefined ? undefined : freeAt - now
+  }
+
+  /** @returns from when a request may be sent, as far as the worker's rate limit goes */
+  private getRateFreeAt (tracker: UpstreamTracker, now: Instant): Instant {
+    const { rateLimit, rateMeter, rateLimitAt } = tracker
+    if (rateLimit === undefined) return now
+    const { windowMs, perWindow, perSecond, probeIntervalMs } = this.readAllowance(tracker, rateLimit)
+    if (perWindow === 0) return Math.max(now, rateLimitAt + probeIntervalMs)
+    return Math.max(rateMeter.getFreeAt(perWindow, windowMs, now), rateMeter.getFreeAt(perSecond, MS_PER_SECOND, now))
+  }
+
+  private readAllowance ({ entry }: UpstreamTracker, limit: number): RateAllowance {
+    const nodes = this.place.listSendingNodes()
+    const known = this.allowances.get(entry.id)
+    if (known !== undefined && known.limit === limit && known.nodes === nodes) return known.allowance
+    const allowance = divideRateLimit(limit, entry.id, nodes, this.countDemand(entry.id)).get(this.place.node)!
+    this.allowances.set(entry.id, { limit, nodes, allowance })
+    return allowance
+  }
+
+  /** @returns the part of a worker's requests that each region is meant to bring */
+  private countDemand (workerId: string): Map<string, number> {
+    const { regionOf } = this.place
+    this.sharesByDomain ??= computeShares(this.listReady(new Set()), regionOf)
+    const demand = new Map<string, number>()
+    for (const [domain, shares] of this.sharesByDomain) {
+      const region = regionOf.get(domain) ?? ''
+      demand.set(region, (demand.get(region) ?? 0) + (shares.get(workerId) ?? 0))
+    }
+    return demand
+  }
+
+  private listReady (evacuated: ReadonlySet<string>): UpstreamEntry[] {
+    return [...this.trackers.values()]
+      .map(({ entry }) => entry)
+      .filter((entry) => entry.state === UpstreamState.Ready && !evacuated.has(entry.domain))
+      .sort((left, right) => (left.id < right.id ? -1 : 1))
+  }
+
+  private clearShares (): void {
+    this.rankings.clear()
+    this.allowances.clear()
+    this.sharesByDomain = undefined
   }
 
   private readRanking (homeRegions: readonly string[], evacuated: ReadonlySet<string>): KeyRanking {
@@ -163,11 +232,8 @@
 
   private buildRanking (homeRegions: readonly string[], evacuated: ReadonlySet<string>): KeyRanking {
     const { regionOf, domain } = this.place
-    const workers = [...this.trackers.values()]
-      .map(({ entry }) => entry)
-      .filter((entry) => entry.state === UpstreamState.Ready && !evacuated.has(entry.domain))
+    const workers = this.listReady(evacuated)
       .filter((entry) => homeRegions.length === 0 || homeRegions.includes(regionOf.get(entry.domain) ?? ''))
-      .sort((left, right) => (left.id < right.id ? -1 : 1))
     const shares = computeShares(workers, regionOf).get(domain) ?? new Map<string, number>()
     return new KeyRanking(shares)
   }
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -1,7 +1,7 @@
 /** What one entry VM has seen of one worker: its load, how it answers, how cold it is. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
-import { ColdMeter } from './coldAllowance.js'
+import { SendMeter } from '../rateLimits/sendMeter.js'
 import type { UpstreamEntry } from './records.js'
 
 /** The load that a worker reported in an answer. */
@@ -45,7 +45,10 @@
 
 /** One worker as this entry VM sees it. */
 export class UpstreamTracker {
-  readonly coldMeter = new ColdMeter()
+  /** Requests that were sent while the worker was cold. */
+  readonly coldMeter = new SendMeter()
+  /** Requests that were sent while the worker named a rate limit. */
+  readonly rateMeter = new SendMeter()
   private coldUntil: Deadline
   private readonly open = new Set<OpenRequest>()
   private report: LoadReport | undefined
@@ -58,6 +61,8 @@
   private slownessAt: Instant = 0
   /** Requests a second that the worker takes from all entry VMs together; undefined if it names no limit. */
   rateLimit: number | undefined
+  /** When it was named last, or a request was sent to find out whether it still holds. */
+  rateLimitAt: Instant = 0
   /** Requests sent to it; 0 for a worker that never got one. */
   sent = 0
 
@@ -128,6 +133,10 @@
     this.sentSinceReport++
     this.sent++
     if (this.isCold(now)) this.coldMeter.record(now)
+    if (this.rateLimit !== undefined) {
+      this.rateMeter.record(now)
+      this.rateLimitAt = now
+    }
     return request
   }
 
--- /dev/null
+++ b/packages/steering/src/common/rateLimits/rateAllowance.ts
@@ -0,0 +1,58 @@
+/**
+ * How many requests this entry VM may send to a worker that names a rate limit for
+ * all entry VMs together. Every VM divides the limit in the same way, by the part
+ * of the worker's requests that each is expected to bring, so that the sum holds
+ * without messages.
+ */
+import { divideByWeight } from './apportion.js'
+
+/** Limits are kept in any span of this length, or in a longer one for limits that allow less than one request in it. */
+const WINDOW_MS = 4_000
+const MAX_WINDOW_MS = 60_000
+const MS_PER_SECOND = 1_000
+/** The part of a window's requests that may be sent within one second, at least one. */
+const SECOND_PART = 0.5
+/**
+ * VMs that get no part cannot see a limit end. Each tries again now and then; all of
+ * them together stay within this part of the limit.
+ */
+const PROBE_PART = 0.1
+/** Bounds the interval between two tries of one VM. */
+const MIN_PROBE_INTERVAL_MS = 10_000
+const MAX_PROBE_INTERVAL_MS = 600_000
+/** Lower limits, in requests a second, are probed like this one: their end must show some day. */
+const MIN_PROBED_LIMIT = 1
+
+/** One entry VM. */
+export interface SendingNode {
+  readonly name: string
+  readonly region: string
+}
+
+/** What a VM may send. */
+export interface RateAllowance {
+  readonly windowMs: number
+  readonly perWindow: number
+  readonly perSecond: number
+  /** For a VM without a part: from one try to the next. */
+  readonly probeIntervalMs: number
+}
+
+/**
+ * @param limit requests a second
+ * @param workerId the worker
+ * @param nodes all entry VMs
+ * @param demand the part of the worker's requests that each region brings, by region
+ * @returns what each VM may send, by name
+ */
+export function divideRateLimit (limit: number, workerId: string, nodes: readonly SendingNode[], demand: ReadonlyMap<string, number>): Map<string, RateAllowance> {
+  const windowMs = Math.min(MAX_WINDOW_MS, Math.max(WINDOW_MS, MS_PER_SECOND / limit))
+  const total = Math.floor(limit * windowMs / MS_PER_SECOND)
+  const countByRegion = new Map<string, number>()
+  for (const { region } of nodes) countByRegion.set(region, (countByRegion.get(region) ?? 0) + 1)
+  const claimants = nodes.map(({ name, region }) => ({ name, weight: (demand.get(region) ?? 0) / countByRegion.get(region)! }))
+  const parts = divideByWeight(total, claimants, workerId)
+  const without = [...parts.values()].filter((part) => part === 0).length
+  const probeIntervalMs = Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, without * MS_PER_SECOND / (Math.max(MIN_PROBED_LIMIT, limit) * PROBE_PART)))
+  return new Map([...parts].map(([name, perWindow]) => [name, { windowMs, perWindow, perSecond: Math.ceil(perWindow * SECOND_PART), probeIntervalMs }]))
+}
--- a/scripts/lint/verbs.mjs
+++ b/scripts/lint/verbs.mjs
@@ -7,7 +7,7 @@
   // deciding
   'choose', 'compare', 'compute', 'decide', 'divide', 'plan', 'rank', 'classify', 'estimate', 'explain', 'predict',
   // making and changing values
-  'add', 'apply', 'build', 'clear', 'confirm', 'consume', 'create', 'decode', 'encode', 'evict', 'format', 'map', 'mark', 'merge', 'parse', 'remove', 'scale',
+  'add', 'apply', 'build', 'clear', 'confirm', 'consume', 'create', 'decode', 'describe', 'encode', 'evict', 'format', 'map', 'mark', 'merge', 'parse', 'remove', 'scale',
   'set', 'sort', 'split', 'to', 'update',
   // checking
   'assert', 'check', 'expect', 'validate', 'verify',
