Serve routes of kind download, and unknown kinds at most once

Cause: the kinds were a closed list, and a word outside it made the whole configuration unreadable. Now a download may be repeated like any idempotent request, and a route of a kind that this program does not know is served by the most conservative reading: at most once, with a warning that names it. The other way, refusing such routes with 503, would keep the same promises and serve nobody.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -278,7 +278,10 @@
     const { change, subject } = event
     this.quotas.handleChange(change)
     this.quarantine.handleChange(event)
-    if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) this.front.setLimits(this.view.document)
+    if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) {
+      this.front.setLimits(this.view.document)
+      this.telemetry.logUnknownKinds(this.view.document)
+    }
     // A new life may have another address, and what is open there belongs to the old one.
     if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
     if (change === ViewChange.NodeJoined || change === ViewChange.NodeLeft) this.follower.handleNodesChanged()
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -1,6 +1,7 @@
 /** What an entry process tells of its decisions: log lines and metrics from one place. */
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { HandState } from '@umberspar/steering/common/entry/handChance'
+import { RouteKind, type SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import type { EntryMetrics } from './entryMetrics.js'
 import { EndReason, OfferEnd, RequestEnd } from './requestEvents.js'
 
@@ -129,6 +130,13 @@
     this.logger.log(LogLevel.Info, { step: 'limit-rate', peer: worker, service, perSecond }, 'the rate limit that a worker names has changed')
   }
 
+  /** Warns of routes whose kind this program does not know. */
+  logUnknownKinds ({ version, routes }: SteeringDocument): void {
+    const unknown = routes.filter(({ kind }) => kind === RouteKind.Unknown).map(({ name }) => name)
+    if (unknown.length === 0) return
+    this.logger.log(LogLevel.Warn, { step: 'adopt-configuration', configuration: version, routes: unknown.join(' ') }, 'routes of a kind that this program does not know run at most once')
+  }
+
   /** Counts what was written to another entry VM. */
   countTold (bytes: number): void {
     this.metrics.countTold(bytes)
--- a/packages/steering/src/common/entry/steeringDocument.ts
+++ b/packages/steering/src/common/entry/steeringDocument.ts
@@ -11,7 +11,11 @@
   /** Runs at most once. */
   NotIdempotent = 'not-idempotent',
   /** A large body; runs at most once. */
-  Upload = 'upload'
+  Upload = 'upload',
+  /** A large answer; may run more than once. */
+  Download = 'download',
+  /** A kind of a newer configuration: nothing is assumed, so it runs at most once. */
+  Unknown = 'unknown'
 }
 
 /** One service of a route, with its part of the route's requests. */
@@ -100,10 +104,12 @@
   readonly accounts?: readonly AccountPolicy[] | undefined
 }
 
+const REPEATABLE_KINDS: ReadonlySet<RouteKind> = new Set([RouteKind.Idempotent, RouteKind.Download])
+
 /**
  * @param kind a route's kind
  * @returns whether its requests may run more than once
  */
 export function isRepeatable (kind: RouteKind): boolean {
-  return kind === RouteKind.Idempotent
+  return REPEATABLE_KINDS.has(kind)
 }
