--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -25,7 +25,7 @@
 import type { EntryContext } from './front/entryContext.js'
 import { FrontServer } from './front/frontServer.js'
 import { RequestHeads } from './front/requestHead.js'
-import { createLookupHandler, QuestionServer } from './lookup/questionServer.js'
+import { createLookupHandler, METRICS_TYPE, NOT_READY, QuestionServer, READY } from './lookup/questionServer.js'
 import { RequestQuarantine } from './quarantine/requestQuarantine.js'
 import { AccountQuotas } from './quota/accountQuotas.js'
 import { QUOTA_PATH } from './quota/quotaMessages.js'
@@ -56,9 +56,6 @@
 /** How long callers may keep a look-up, in milliseconds, if the operators allow as much: so long a VM that left is still used. */
 const LOOKUP_CACHE_MS = 2_000
 const METRICS_PATH = '/metrics'
-const METRICS_TYPE = 'text/plain; version=0.0.4'
-const READY = { status: 200, contentType: 'text/plain', body: 'ready\n' }
-const NOT_READY = { status: 503, contentType: 'text/plain', body: 'not ready\n' }
 
 /** One entry process. */
 export class Entry implements IClosable {
--- a/packages/entry/src/node/lookup/questionServer.ts
+++ b/packages/entry/src/node/lookup/questionServer.ts
@@ -17,6 +17,10 @@
 /** Answers one path for as long as the asker listens. */
 export type StreamHandler = (query: URLSearchParams, response: ServerResponse) => void
 
+/** The Prometheus text format. */
+export const METRICS_TYPE = 'text/plain; version=0.0.4'
+export const READY: PlainAnswer = { status: 200, contentType: 'text/plain', body: 'ready\n' }
+export const NOT_READY: PlainAnswer = { status: 503, contentType: 'text/plain', body: 'not ready\n' }
 const NOT_FOUND: PlainAnswer = { status: 404, contentType: 'text/plain', body: 'no such path\n' }
 /** Connections of platform and callers are kept while they ask every second or two, in milliseconds. */
 const KEEP_ALIVE_MS = 10_000
