Believe load reports that have more figures than three

Workers of the newest platform append a fourth figure to running, waiting and slots. Reports with another number of figures than three were ignored whole, so that VMs chose by their own open requests alone. The first three are read now, whatever follows. The test fails before (with three figures it passed, with four it did not). A load that comes with 421 belongs to another worker at the address and is not recorded any more, like its rate limit. The fourth figure, how long work takes at the moment, is not used yet.

--- a/packages/entry/src/node/front/offer.ts
+++ b/packages/entry/src/node/front/offer.ts
@@ -43,7 +43,8 @@
 const LEAST_CONNECTIONS = 2
 /** Workers without a bound get no more connections than this from one VM. */
 const UNKNOWN_CONNECTIONS = 16
-const LOAD_FIELDS = 3
+/** Running, waiting, slots; later platforms append further figures. */
+const MIN_LOAD_FIELDS = 3
 const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/
 /** Answers from this status on say that the worker failed the request. */
 const LEAST_FAILED_STATUS = 500
@@ -216,10 +217,12 @@
   }
 
   private recordLoad (head: AnswerHead): void {
-    const text = getHeader(head.rawHeaders, this.context.protocol.headers.load)
-    const fields = text?.split(',').map(Number) ?? []
+    const { headers, otherWorkerStatus } = this.context.protocol
+    // What another worker at this address says does not concern this one.
+    if (head.status === otherWorkerStatus) return
+    const fields = getHeader(head.rawHeaders, headers.load)?.split(',').slice(0, MIN_LOAD_FIELDS).map(Number) ?? []
     const [running, waiting, slots] = fields
-    if (fields.length !== LOAD_FIELDS || !fields.every((field) => Number.isFinite(field) && field >= 0)) return
+    if (fields.length < MIN_LOAD_FIELDS || !fields.every((field) => Number.isFinite(field) && field >= 0)) return
     this.tracker.recordReport({ running: running!, waiting: waiting!, slots: slots! }, this.context.clock.now())
   }
 
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -78,6 +78,8 @@
   readonly runs: WorkerRun[] = []
   /** The rate limit that its answers name, in requests a second; undefined for none. */
   rateLimit: number | undefined
+  /** The load that its answers tell. */
+  load = '1,0,4'
   hasCrashed = false
   /** Requests that arrived, refused ones included. */
   arrivals = 0
@@ -184,7 +186,7 @@
       `HTTP/1.1 ${status} Status`,
       `X-Umberspar-Request-Id: ${requestId}`,
       `X-Umberspar-Instance-Id: ${this.id}`,
-      'X-Umberspar-Server-Load: 1,0,4',
+      `X-Umberspar-Server-Load: ${this.load}`,
       ...(this.rateLimit === undefined ? [] : [`X-Umberspar-Server-Limit: ${this.rateLimit}`]),
       `Content-Length: ${Buffer.byteLength(body)}`,
       ...(isSealed ? [`X-Umberspar-Server-Seal: seal-${this.id}-${requestId}`] : []),
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -133,6 +133,16 @@
     assert.ok(replaced.runs.every(({ requestId }) => requestId.startsWith('id-')))
   })
 
+  // Guards against load reports that are ignored whole because of a figure that a later platform appends.
+  for (const load of ['9,5,4', '9,5,4,130']) {
+    it(`believes a worker that tells its load as ${load}`, async () => {
+      for (const worker of platform.workers.values()) worker.load = load
+      for (const key of ['1', '2', '3', '4', '5', '6', '7', '8']) await platform.call(entry, { path: '/safe/1', id: key, key })
+      const offer = entry.lines.findLast(({ step }) => step === 'offer-request')
+      assert.ok(Number(offer?.held) >= 14)
+    })
+  }
+
   it('sends a cold worker no more than its part in a second', async () => {
     platform.removeWorker('w-1')
     platform.removeWorker('w-2')
