Let workers with rate limits keep the same objects, and use what operators tolerate rather than refuse

Cause: requests moved on from a limited worker as its limit was used up, whichever objects they were for, so that the objects of all were worked on anew elsewhere; and with most workers limited requests were refused while the operators' tolerance of half as much again, and 5 requests in 4 s, stood unused.

Change: a worker whose limit is below its demand keeps as many of its objects as the limit leaves it, by hash, and the others move on for good; bursts, and requests that no worker would get otherwise, may use 0.7 of the tolerated excess (setting rateTolerance).

The tests of real processes run with no tolerance and keep their bounds; the property over fleets checks both sums.

--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -43,6 +43,8 @@
   /** Within which a key that was taken away must run nothing more, at VMs that are cut off too; left out if only VMs that hear of changes are bound. */
   revokeWithin: z.optional(span),
   coldTolerance: z.object({ factor: positive, slack: z.number().check(z.nonnegative()) }),
+  /** How far the rate limits that workers name may be exceeded in any 4 s. */
+  rateTolerance: z._default(z.object({ factor: z.number().check(z.minimum(1)), slack: z.number().check(z.nonnegative()) }), { factor: 1.5, slack: 5 }),
   repeatBudget: z.object({ ratio: z.number().check(z.nonnegative()), window: span, slack: z.number().check(z.nonnegative()) }),
   /** How exactly the quotas of client accounts are kept. */
   quotaTolerance: z._default(z.object({ window: span, over: z.number().check(z.nonnegative()), slack: z.number().check(z.nonnegative()) }), { window: 5_000, over: 0.1, slack: 0 }),
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -91,7 +91,8 @@
       regionOf: this.regionOf,
       distances,
       coldTolerance: settings.coldTolerance,
-      budget: { ratio: settings.repeatBudget.ratio, windowMs: settings.repeatBudget.window, slack: settings.repeatBudget.slack }
+      rateTolerance: settings.rateTolerance,
+      budget: { ...settings.repeatBudget, windowMs: settings.repeatBudget.window }
     })
     this.gate = new AccessGate(this.view, createAccessBounds(settings), () => this.follower.proof.getAgeMs())
     this.quotas = this.closing.add(this.buildQuotas(distances))
@@ -282,8 +283,7 @@
     // A new life may have another address, and what is open there belongs to the old one.
     if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
     if (change === ViewChange.NodeJoined || change === ViewChange.NodeLeft) this.follower.handleNodesChanged()
-    const isOwnRecordGone = change === ViewChange.NodeLeft && subject === this.node.name
-    if (!isOwnRecordGone) return
+    if (change !== ViewChange.NodeLeft || subject !== this.node.name) return
     this.isRegistered = false
     this.register()
   }
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -1,7 +1,8 @@
 /** The workers of one service, and who of them may get a request for an object. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Candidate } from './chooseUpstream.js'
-import { divideRateLimit, type RateAllowance, type SendingNode } from '../rateLimits/rateAllowance.js'
+import { computePairHash } from '../lookup/rendezvous.js'
+import { divideRateLimit, type RateAllowance, type RateTolerance, type SendingNode } from '../rateLimits/rateAllowance.js'
 import { COLD_SPAN_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainDistances } from './domainDistances.js'
 import { classifyHand, HandChance } from './handChance.js'
@@ -21,6 +22,7 @@
   readonly regionOf: ReadonlyMap<string, string>
   readonly distances: DomainDistances
   readonly coldTolerance: ColdTolerance
+  readonly rateTolerance: RateTolerance
   /** @returns the names of all entry VMs, this one included */
   listNodes(): readonly string[]
   /** @returns the same with their regions; another list after each change */
@@ -48,7 +50,16 @@
 /** How long the figure is used, in milliseconds; it walks over all workers. */
 const BUSYNESS_MS = 100
 
-const MS_PER_SECOND = 1_000
+/** Which objects a worker with a rate limit is used for. */
+enum RateUse {
+  /** As many as its limit leaves it, always the same. */
+  Assigned = 'assigned',
+  /** Any. */
+  Tolerated = 'tolerated'
+}
+
+/** One more than the greatest hash. */
+const HASH_RANGE = 0x1_0000_0000
 
 /** What this VM may send to a worker, and what that was computed from. */
 interface KnownAllowance {
@@ -129,13 +140,21 @@
    * @returns the workers that may get it now
    */
   listCandidates (request: RosterRequest, work: WorkEstimate, evacuated: ReadonlySet<string>, now: Instant): Candidate[] {
-    const ranking = this.readRanking(request.homeRegions, evacuated)
-    const ranks = ranking.rank(request.key ?? String(now))
+    const key = request.key ?? String(now)
+    const ranks = this.readRanking(request.homeRegions, evacuated).rank(key)
+    const candidates = this.findCandidates(ranks, key, request, work, now, RateUse.Assigned)
+    // Rather than refuse a caller, workers get other objects too, within what operators tolerate.
+    return candidates.length > 0 ? candidates : this.findCandidates(ranks, key, request, work, now, RateUse.Tolerated)
+  }
+
+  private findCandidates (ranks: readonly string[], key: string, request: RosterRequest, work: WorkEstimate, now: Instant, use: RateUse): Candidate[] {
     const candidates: Candidate[] = []
     for (const [rank, id] of ranks.entries()) {
       if (candidates.length >= RANKED_DEPTH) break
       const tracker = this.trackers.get(id)
-      if (tracker === undefined || request.tried.has(id) || !this.hasColdRoom(tracker, now) || this.getRateFreeAt(tracker, now) > now) continue
+      if (tracker === undefined || request.tried.has(id) || !this.hasColdRoom(tracker, now)) continue
+      if (use === RateUse.Assigned && candidates.length === 0 && tracker.rateLimit !== undefined) tracker.demandMeter.record(now)
+      if (!this.hasRateRoom(tracker, key, now, use)) continue
       candidates.push(this.buildCandidate(tracker, request.key, work, rank, now))
     }
     return candidates
@@ -177,20 +196,31 @@
     return freeAt === undefined ? undefined : freeAt - now
   }
 
-  /** @returns from when a request may be sent, as far as the worker's rate limit goes */
+  private hasRateRoom (tracker: UpstreamTracker, key: string, now: Instant, use: RateUse): boolean {
+    if (tracker.rateLimit === undefined) return true
+    const { windowMs, named, probeIntervalMs } = this.readAllowance(tracker, tracker.rateLimit)
+    if (use === RateUse.Assigned) {
+      // Without a part the request is a try whether the limit still holds; any object will do.
+      if (named === 0) return now >= tracker.rateLimitAt + probeIntervalMs
+      const demand = tracker.demandMeter.count(windowMs, now)
+      if (!isAssigned(key, tracker.entry.id, named / Math.max(1, demand))) return false
+    }
+    return this.getRateFreeAt(tracker, now) <= now
+  }
+
+  /** @returns from when a request may be sent, as far as the worker's rate limit and what operators tolerate go */
   private getRateFreeAt (tracker: UpstreamTracker, now: Instant): Instant {
     const { rateLimit, rateMeter, rateLimitAt } = tracker
     if (rateLimit === undefined) return now
-    const { windowMs, perWindow, perSecond, probeIntervalMs } = this.readAllowance(tracker, rateLimit)
-    if (perWindow === 0) return Math.max(now, rateLimitAt + probeIntervalMs)
-    return Math.max(rateMeter.getFreeAt(perWindow, windowMs, now), rateMeter.getFreeAt(perSecond, MS_PER_SECOND, now))
+    const { windowMs, tolerated, probeIntervalMs } = this.readAllowance(tracker, rateLimit)
+    return tolerated === 0 ? Math.max(now, rateLimitAt + probeIntervalMs) : rateMeter.getFreeAt(tolerated, windowMs, now)
   }
 
   private readAllowance ({ entry }: UpstreamTracker, limit: number): RateAllowance {
     const nodes = this.place.listSendingNodes()
     const known = this.allowances.get(entry.id)
     if (known !== undefined && known.limit === limit && known.nodes === nodes) return known.allowance
-    const allowance = divideRateLimit(limit, entry.id, nodes, this.countDemand(entry.id)).get(this.place.node)!
+    const allowance = divideRateLimit({ perSecond: limit, workerId: entry.id, tolerance: this.place.rateTolerance }, nodes, this.countDemand(entry.id)).get(this.place.node)!
     this.allowances.set(entry.id, { limit, nodes, allowance })
     return allowance
   }
@@ -238,3 +268,13 @@
     return new KeyRanking(shares)
   }
 }
+
+/**
+ * A worker whose limit is below its demand keeps a part of its objects, and the others
+ * move on. If whatever comes too much moved on, the objects of all would be worked on
+ * anew at several workers.
+ * @param part of its objects that it keeps
+ */
+function isAssigned (key: string, workerId: string, part: number): boolean {
+  return computePairHash(key, `limit/${workerId}`) < HASH_RANGE * part
+}
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -49,6 +49,8 @@
   readonly coldMeter = new SendMeter()
   /** Requests that were sent while the worker named a rate limit. */
   readonly rateMeter = new SendMeter()
+  /** Requests that would have gone there first, sent or not, while it named one. */
+  readonly demandMeter = new SendMeter()
   private coldUntil: Deadline
   private readonly open = new Set<OpenRequest>()
   private report: LoadReport | undefined
--- a/packages/steering/src/common/rateLimits/rateAllowance.ts
+++ b/packages/steering/src/common/rateLimits/rateAllowance.ts
@@ -10,8 +10,8 @@
 const WINDOW_MS = 4_000
 const MAX_WINDOW_MS = 60_000
 const MS_PER_SECOND = 1_000
-/** The part of a window's requests that may be sent within one second, at least one. */
-const SECOND_PART = 0.5
+/** The part of the tolerated excess that is given out; the rest covers VMs that know of other VMs for the moment. */
+const GIVEN_EXCESS_PART = 0.7
 /**
  * VMs that get no part cannot see a limit end. Each tries again now and then; all of
  * them together stay within this part of the limit.
@@ -29,30 +29,49 @@
   readonly region: string
 }
 
-/** What a VM may send. */
+/** How far operators let a limit be exceeded. */
+export interface RateTolerance {
+  /** Multiplies the requests that a limit allows. */
+  readonly factor: number
+  /** Is added, in requests in any window. */
+  readonly slack: number
+}
+
+/** What a VM may send in any window. */
 export interface RateAllowance {
   readonly windowMs: number
-  readonly perWindow: number
-  readonly perSecond: number
+  /** Its part of what the worker named. */
+  readonly named: number
+  /** Its part of what operators tolerate; not below the other. */
+  readonly tolerated: number
   /** For a VM without a part: from one try to the next. */
   readonly probeIntervalMs: number
 }
 
+/** What is divided. */
+export interface RateLimit {
+  /** Requests a second. */
+  readonly perSecond: number
+  readonly workerId: string
+  readonly tolerance: RateTolerance
+}
+
 /**
- * @param limit requests a second
- * @param workerId the worker
+ * @param limit what is divided
  * @param nodes all entry VMs
  * @param demand the part of the worker's requests that each region brings, by region
  * @returns what each VM may send, by name
  */
-export function divideRateLimit (limit: number, workerId: string, nodes: readonly SendingNode[], demand: ReadonlyMap<string, number>): Map<string, RateAllowance> {
-  const windowMs = Math.min(MAX_WINDOW_MS, Math.max(WINDOW_MS, MS_PER_SECOND / limit))
-  const total = Math.floor(limit * windowMs / MS_PER_SECOND)
+export function divideRateLimit ({ perSecond, workerId, tolerance }: RateLimit, nodes: readonly SendingNode[], demand: ReadonlyMap<string, number>): Map<string, RateAllowance> {
+  const windowMs = Math.min(MAX_WINDOW_MS, Math.max(WINDOW_MS, MS_PER_SECOND / perSecond))
+  const named = Math.floor(perSecond * windowMs / MS_PER_SECOND)
+  const excess = Math.floor(((tolerance.factor - 1) * named + tolerance.slack) * GIVEN_EXCESS_PART)
   const countByRegion = new Map<string, number>()
   for (const { region } of nodes) countByRegion.set(region, (countByRegion.get(region) ?? 0) + 1)
   const claimants = nodes.map(({ name, region }) => ({ name, weight: (demand.get(region) ?? 0) / countByRegion.get(region)! }))
-  const parts = divideByWeight(total, claimants, workerId)
-  const without = [...parts.values()].filter((part) => part === 0).length
-  const probeIntervalMs = Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, without * MS_PER_SECOND / (Math.max(MIN_PROBED_LIMIT, limit) * PROBE_PART)))
-  return new Map([...parts].map(([name, perWindow]) => [name, { windowMs, perWindow, perSecond: Math.ceil(perWindow * SECOND_PART), probeIntervalMs }]))
+  const namedParts = divideByWeight(named, claimants, workerId)
+  const excessParts = divideByWeight(excess, claimants, `${workerId}/excess`)
+  const without = [...namedParts.values()].filter((part) => part === 0).length
+  const probeIntervalMs = Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, without * MS_PER_SECOND / (Math.max(MIN_PROBED_LIMIT, perSecond) * PROBE_PART)))
+  return new Map([...namedParts].map(([name, part]) => [name, { windowMs, named: part, tolerated: part + excessParts.get(name)!, probeIntervalMs }]))
 }
--- a/packages/steering/src/common/rateLimits/sendMeter.ts
+++ b/packages/steering/src/common/rateLimits/sendMeter.ts
@@ -13,6 +13,16 @@
     if (this.sentAt[0]! <= from) this.sentAt = this.sentAt.filter((at) => at > from)
   }
 
+  /**
+   * @param spanMs a span that ends now, in milliseconds
+   * @param now the present
+   * @returns how many were sent in it
+   */
+  count (spanMs: number, now: Instant): number {
+    this.longestMs = Math.max(this.longestMs, spanMs)
+    return this.sentAt.filter((at) => at > now - spanMs).length
+  }
+
   /**
    * @param most what may be sent in any span
    * @param spanMs its length, in milliseconds
--- a/packages/testing/src/common/policy/policyModel.ts
+++ b/packages/testing/src/common/policy/policyModel.ts
@@ -136,6 +136,7 @@
       regionOf: this.regionOf,
       distances: new DomainDistances(domain, this.regionOf),
       coldTolerance: { factor: 1.5, slack: 5 },
+      rateTolerance: { factor: 1.5, slack: 5 },
       budget: BUDGET
     })
     const now = this.events.now()
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -127,6 +127,7 @@
       goneWithin: 3_000,
       longestLookupCache: 5_000,
       coldTolerance: { factor: 1.5, slack: 5 },
+      rateTolerance: { factor: 1, slack: 0 },
       repeatBudget: { ratio: 0.2, window: 10_000, slack: 60 },
       revokeWithin: 3_000,
       quotaTolerance: { window: 5_000, over: 0.1, slack: 20 },
