Write crash reports in time, and refute a quarantine once only

Found by reading. A report that came within 100 ms of another put off the writing of both, so that a VM at which offers kept breaking off would never have reported. An answer removed the quarantine it refuted at every later writing, one decided on after it included; the request would have reached workers again. A quarantine that comes after the answer which refutes all of its crashes is not applied. Answers that refute a single crash are not reported any more, which saves a write after each crash. A test with real processes shows that a popular request in flight at half of the workers when these end together is not quarantined.

--- a/packages/entry/src/node/quarantine/crashReporter.ts
+++ b/packages/entry/src/node/quarantine/crashReporter.ts
@@ -5,6 +5,7 @@
  */
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
+import type { Deadline } from '@umberspar/base/common/deadline'
 import { runDetached } from '@umberspar/base/common/detached'
 import { ErrorCode } from '@umberspar/base/common/errors'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
@@ -40,11 +41,14 @@
   private crashes: Array<Timed<CrashReport>> = []
   private answers: Array<Timed<AnswerReport>> = []
   private readonly quarantines = new Map<string, Quarantine>()
+  /** Requests whose quarantine this VM refuted. */
+  private readonly releases = new Set<string>()
   private hasFormer = false
   private isChanged = false
   private isWriting = false
   private isClosed = false
   private timer: ITimer | undefined
+  private dueAt: Deadline = Infinity
 
   /** @param parts what it is built from */
   constructor (private readonly parts: ReporterParts) {}
@@ -61,6 +65,7 @@
     this.answers = [...this.answers, this.addExpiry(report)].slice(-MAX_REPORTS)
     this.crashes = this.crashes.filter((crash) => crash.report.digest !== report.digest)
     this.quarantines.delete(report.digest)
+    this.releases.add(report.digest)
     this.isChanged = true
     this.schedule(BATCH_DELAY_MS)
   }
@@ -68,6 +73,7 @@
   /** Writes a quarantine, as often as it takes to succeed. */
   putQuarantine (quarantine: Quarantine): void {
     this.quarantines.set(quarantine.digest, quarantine)
+    this.releases.delete(quarantine.digest)
     this.schedule(0)
   }
 
@@ -82,14 +88,20 @@
 
   private schedule (delayMs: number): void {
     const { clock } = this.parts
-    if (this.isWriting || this.isClosed) return
+    const dueAt = clock.now() + delayMs
+    // A later report must not put off what is due.
+    if (this.isWriting || this.isClosed || dueAt >= this.dueAt) return
     this.timer?.close()
-    this.timer = clock.schedule(clock.now() + delayMs, () => { runDetached(() => this.writeAll(), this.parts.logger, 'report-crashes') })
+    this.dueAt = dueAt
+    this.timer = clock.schedule(dueAt, () => {
+      this.dueAt = Infinity
+      runDetached(() => this.writeAll(), this.parts.logger, 'report-crashes')
+    })
   }
 
   private async writeAll (): Promise<void> {
     this.isWriting = true
-    const isDone = await this.writeQuarantines() && await this.writeReports() && await this.removeRefuted()
+    const isDone = await this.writeQuarantines() && await this.writeReports() && await this.removeReleased()
     this.isWriting = false
     if (!isDone) this.schedule(RETRY_DELAY_MS)
     else if (this.isChanged || this.quarantines.size > 0) this.schedule(BATCH_DELAY_MS)
@@ -131,16 +143,16 @@
     return false
   }
 
-  private async removeRefuted (): Promise<boolean> {
+  private async removeReleased (): Promise<boolean> {
     const { view, writer, logger } = this.parts
-    for (const { report } of this.answers) {
-      const known = view.quarantines.get(report.digest)
-      if (known === undefined) continue
-      const removed = await writer.remove(known)
-      if (!removed.ok && removed.val.code !== ErrorCode.Conflict) {
+    for (const digest of [...this.releases]) {
+      const known = view.quarantines.get(digest)
+      const removed = known === undefined ? undefined : await writer.remove(known)
+      if (removed !== undefined && !removed.ok && removed.val.code !== ErrorCode.Conflict) {
         logError(logger, LogLevel.Warn, removed.val)
         return false
       }
+      this.releases.delete(digest)
     }
     return true
   }
--- a/packages/entry/src/node/quarantine/requestQuarantine.ts
+++ b/packages/entry/src/node/quarantine/requestQuarantine.ts
@@ -20,6 +20,8 @@
 
 /** How long a crash speaks against the requests that the worker held. */
 const REPORT_SPAN_MS = 120_000
+/** An answer refutes fewer crashes than these without being reported: they are far from a quarantine. */
+const MIN_REPORTED_WORKERS = 2
 /** How often expired reports are dropped. */
 const CLEAN_UP_INTERVAL_MS = 10_000
 /** Blocked by reports that are still being checked: by then it is known. */
@@ -105,7 +107,7 @@
     if (workerIds.length === 0) return
     this.table.putAnswer(text, workerIds, now, createDeadline(now, REPORT_SPAN_MS))
     this.table.removeQuarantine(text)
-    this.reporter.addAnswer({ digest: text, workerIds })
+    if (workerIds.length >= MIN_REPORTED_WORKERS) this.reporter.addAnswer({ digest: text, workerIds })
   }
 
   /** Takes over a change of the records. */
@@ -164,7 +166,10 @@
     if (reports === undefined) return
     const now = clock.now()
     const expiresAt = toDeadline(reports.value.expiresAt, clock.getWallTime(), now, REPORT_SPAN_MS)
-    for (const { digest, workerIds } of reports.value.answers) this.table.putAnswer(digest, workerIds, now, expiresAt)
+    for (const { digest, workerIds } of reports.value.answers) {
+      this.table.putAnswer(digest, workerIds, now, expiresAt)
+      this.releaseIfRefuted(digest)
+    }
     const added = reports.value.crashes.filter((report) => this.table.putCrash(report, ReportState.Confirmed, now, expiresAt))
     for (const { digest } of added) this.checkEvidence(digest, now)
     this.scheduleCleanUp()
@@ -190,12 +195,19 @@
     if (quarantine === undefined) return
     const now = clock.now()
     const isNew = this.table.getBlockedUntil(digest, now) === undefined
+    // An answer may have been reported before the quarantine that it refutes.
+    if (this.table.isRefuted(digest, quarantine.value.workerIds)) return
     this.table.putQuarantine(digest, toDeadline(quarantine.value.expiresAt, clock.getWallTime(), now, quarantineSpanMs), now)
     if (isNew) this.logQuarantine(digest, 'record', quarantine.value.workerIds)
     this.scheduleCleanUp()
     this.sweeper.schedule()
   }
 
+  private releaseIfRefuted (digest: string): void {
+    const quarantine = this.parts.view.quarantines.get(digest)
+    if (quarantine !== undefined && this.table.isRefuted(digest, quarantine.value.workerIds)) this.table.removeQuarantine(digest)
+  }
+
   private logQuarantine (digest: string, source: string, workerIds: readonly string[]): void {
     this.parts.logger.log(LogLevel.Warn, { step: 'quarantine-request', digest, source, workers: workerIds.join(' ') }, 'workers crash under a request; it is not sent any more')
   }
--- a/packages/steering/src/common/quarantine/suspectTable.ts
+++ b/packages/steering/src/common/quarantine/suspectTable.ts
@@ -109,6 +109,16 @@
     if (suspect !== undefined) suspect.quarantinedUntil = Number.NEGATIVE_INFINITY
   }
 
+  /**
+   * @param digest a request
+   * @param workerIds workers that are said to have crashed under it
+   * @returns whether answers refute all of that
+   */
+  isRefuted (digest: string, workerIds: readonly string[]): boolean {
+    const refuted = this.suspects.get(digest)?.refuted
+    return refuted !== undefined && workerIds.length > 0 && workerIds.every((workerId) => refuted.has(workerId))
+  }
+
   /**
    * @param digest a request
    * @param now the present
--- a/packages/steering/test/common/quarantine/suspectTable.test.ts
+++ b/packages/steering/test/common/quarantine/suspectTable.test.ts
@@ -40,6 +40,8 @@
     putCrash(table, 'w-1', 1)
     putCrash(table, 'w-2', 2)
     table.putAnswer('a', table.listWorkers('a', 0), 0, LATER)
+    assert.ok(table.isRefuted('a', ['w-1', 'w-2']))
+    assert.ok(!table.isRefuted('a', ['w-2', 'w-3']) && !table.isRefuted('b', ['w-1']))
     assert.equal(table.getNextRound('a', 0), 1)
     putCrash(table, 'w-3', 1)
     putCrash(table, 'w-4', 2)
--- a/packages/testing/test/node/usersPlatform/crashingRequests.test.ts
+++ b/packages/testing/test/node/usersPlatform/crashingRequests.test.ts
@@ -68,6 +68,21 @@
     assert.equal(countCrashed(), MOST_CRASHES)
   })
 
+  // Guards against a quarantine of popular requests that were in flight when many workers lost power.
+  it('is told from one whose workers crashed together', async () => {
+    const workers = [...platform.workers.values()]
+    for (const worker of workers) worker.workMs = 200
+    const inFlight = Array.from({ length: 60 }, (_, index) => platform.call(entries[index % entries.length]!, { path: '/safe/1', id: `popular-${index}`, key: `${index}` }))
+    await platform.waitUntil(() => workers.filter(({ runs }) => runs.length > 0).length >= WORKERS / 2)
+    for (const worker of workers.slice(0, WORKERS / 2)) worker.close()
+    await Promise.all(inFlight)
+    for (const worker of workers) worker.workMs = 0
+    for (const entry of entries) {
+      assert.equal((await platform.call(entry, { path: '/safe/1', id: 'again', key: '1' })).status, 200)
+      assert.ok(!entry.lines.some(({ step }) => step === 'quarantine-request'))
+    }
+  })
+
   // Guards against a quarantine that ends with the process that decided on it.
   it('is refused by a VM that was restarted', async () => {
     await sendUntilRefused('/safe/1')
