--- a/packages/entry/src/node/front/frontServer.ts
+++ b/packages/entry/src/node/front/frontServer.ts
@@ -234,6 +234,7 @@
   }
 
   private logEnd (request: IncomingMessage, { reason, arrivedAt, route, account, retryAfterMs }: RefusalFacts, end: RequestEnd, status: number): void {
+    const { revision, ageMs } = this.context.getRecordsAge()
     this.context.telemetry.logEnd({
       requestId: this.context.heads.getRequestId(request),
       route: route?.name,
@@ -248,7 +249,8 @@
       goalMs: route?.goalMs,
       retryAfterMs,
       configuration: this.context.view.document?.version,
-      revision: this.context.getRecordsAge().revision,
+      revision,
+      recordsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
       proofAgeMs: this.context.gate.loggedProofAgeMs
     })
   }
--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -232,7 +232,7 @@
     this.request.body.release()
     this.returnQuota()
     const { route, requestId, arrivedAt } = this.request
-    const { revision } = this.context.getRecordsAge()
+    const { revision, ageMs } = this.context.getRecordsAge()
     this.context.telemetry.logEnd({
       requestId,
       route: route.name,
@@ -248,6 +248,7 @@
       retryAfterMs,
       configuration: this.context.view.document?.version,
       revision,
+      recordsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
       proofAgeMs: this.context.gate.loggedProofAgeMs
     })
   }
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -64,6 +64,8 @@
   readonly retryAfterMs: number | undefined
   readonly configuration: number | undefined
   readonly revision: number
+  /** How long ago the records were last known to be up to date, in milliseconds; undefined before any were read. */
+  readonly recordsAgeMs: number | undefined
   /** How old the proof was that the records were the newest, in milliseconds; undefined where none is needed. */
   readonly proofAgeMs: number | undefined
 }
