Show that VMs route by stale records: half-open watch, stale first read, homes and denials of any age (red)

What callers saw: requests run by a replaced service, denied with 404 on added routes, and run outside their homes.

A soak of real entry processes that judges it (npm run soak:routing): the operator moves routes to other services and homes all the while, probes show by which version each VM decides, links between VMs and to the store have relays.

--- a/packages/testing/src/node/measure/childProgram.ts
+++ b/packages/testing/src/node/measure/childProgram.ts
@@ -14,6 +14,8 @@
   readonly preloads?: readonly URL[]
   /** Whether its standard output is read, as a log collector would, and its last lines kept; else it goes nowhere. */
   readonly readsOutput?: boolean
+  /** Called with what it writes to standard output, if that is read. */
+  readonly onOutput?: (text: string) => void
 }
 
 /** How a process ended. */
@@ -40,10 +42,13 @@
   /** What the program sends over its channel. */
   readonly onDidSend = this.messages.event
 
-  private constructor (private readonly child: ChildProcess) {
+  private constructor (private readonly child: ChildProcess, onOutput: (text: string) => void) {
     child.on('message', (message) => this.messages.fire(message))
     child.stderr?.setEncoding('utf8').on('data', (text: string) => this.recordErrors(text))
-    child.stdout?.setEncoding('utf8').on('data', (text: string) => this.recordErrors(text))
+    child.stdout?.setEncoding('utf8').on('data', (text: string) => {
+      this.recordErrors(text)
+      onOutput(text)
+    })
     this.exited = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
         this.exit = { code, signal }
@@ -58,13 +63,13 @@
    * @param options how else it is started
    * @returns the running program
    */
-  static spawn (file: URL, args: readonly string[] = [], { variables = {}, preloads = [], readsOutput = false }: ProgramOptions = {}): ChildProgram {
+  static spawn (file: URL, args: readonly string[] = [], { variables = {}, preloads = [], readsOutput = false, onOutput = () => {} }: ProgramOptions = {}): ChildProgram {
     const child = fork(fileURLToPath(file), args, {
       stdio: ['ignore', readsOutput ? 'pipe' : 'ignore', 'pipe', 'ipc'],
       execArgv: preloads.flatMap((preload) => ['--import', preload.href]),
       env: { ...process.env, ...variables }
     })
-    return new ChildProgram(child)
+    return new ChildProgram(child, onOutput)
   }
 
   /** @returns its process id; -1 if it could not be started */
--- a/packages/testing/src/node/standIns/tcpRelay.ts
+++ b/packages/testing/src/node/standIns/tcpRelay.ts
@@ -43,6 +43,8 @@
   private readonly server: Server
   /** Open sockets, with the way of the bytes that come from them. */
   private readonly ways = new Map<Socket, Way>()
+  /** Open sockets that pass nothing any more, whatever becomes of the link. */
+  private readonly silenced = new Set<Socket>()
   private fault = LinkFault.None
   private passed = 0
 
@@ -74,6 +76,14 @@
     }
   }
 
+  /** Makes open connections pass nothing any more, without closing them; new ones work. */
+  holdOpen (): void {
+    for (const socket of this.ways.keys()) {
+      this.silenced.add(socket)
+      socket.pause()
+    }
+  }
+
   /** Leads connections elsewhere from now on; open ones are reset. */
   setTarget (target: string): void {
     this.target = target
@@ -108,6 +118,7 @@
     from.on('error', () => { to.resetAndDestroy() })
     from.on('close', () => {
       this.ways.delete(from)
+      this.silenced.delete(from)
       this.deliver(() => { to.destroySoon() })
     })
     this.hold(from, way)
@@ -125,7 +136,7 @@
   }
 
   private hold (from: Socket, way: Way): void {
-    if (HELD_WAYS[this.fault]?.includes(way) === true) from.pause()
+    if (this.silenced.has(from) || HELD_WAYS[this.fault]?.includes(way) === true) from.pause()
     else from.resume()
   }
 }
--- a/packages/testing/src/node/standIns/usersPlatform/entryProgram.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/entryProgram.ts
@@ -3,7 +3,8 @@
 import { ChildProgram, type ProgramOptions } from '../../measure/childProgram.js'
 import type { EntryAddresses } from './platformRecords.js'
 
-const PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
+/** The entry program as it is built from these sources. */
+export const ENTRY_PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
 const HOSTS = 250
 /** A host for the entry processes that this process starts: one side by side with it must not get the port of one that restarts. */
 const ENTRY_HOST = `127.21.${process.pid % HOSTS + 1}.1`
@@ -22,7 +23,8 @@
  * Starts an entry process as the platform does.
  * @param file the path of its settings file
  * @param options how else it is started
+ * @param program the program; that of another build for comparisons
  */
-export function spawnEntry (file: string, options: Omit<ProgramOptions, 'variables'> = {}): ChildProgram {
-  return ChildProgram.spawn(PROGRAM, [], { ...options, variables: { UMBERSPAR_BOOT: file } })
+export function spawnEntry (file: string, options: ProgramOptions = {}, program = ENTRY_PROGRAM): ChildProgram {
+  return ChildProgram.spawn(program, [], { ...options, variables: { ...options.variables, UMBERSPAR_BOOT: file } })
 }
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -125,9 +125,10 @@
 
 const CALL_HANDLERS: Readonly<Record<string, Handler>> = {
   'GET /umberspar/kv-range': ({ store }, _request, url, _body, response) => {
-    const all = store.state.list(url.searchParams.get('Prefix') ?? '', url.searchParams.get('after') ?? '')
-    const page = all.slice(0, MOST_PAGE_ITEMS)
-    answer(response, 200, JSON.stringify({ items: page.map(toWire), Truncated: all.length > page.length, AsOf: store.state.revision }))
+    const isCheap = url.searchParams.get('Serializable') === '1'
+    const { items, revision } = store.listItems(url.searchParams.get('Prefix') ?? '', url.searchParams.get('after') ?? '', isCheap)
+    const page = items.slice(0, MOST_PAGE_ITEMS)
+    answer(response, 200, JSON.stringify({ items: page.map(toWire), Truncated: items.length > page.length, AsOf: revision }))
   },
   'GET /umberspar/kv-watch': (listener, _request, url, _body, response) => {
     const prefix = url.searchParams.get('Prefix') ?? ''
@@ -174,12 +175,20 @@
 /** The store and the ways to it. */
 export class RecordStoreStandIn implements IClosable {
   readonly state = new RecordStoreState()
+  /** How far serializable reads are behind, in milliseconds. */
+  staleReadMs = 0
   private readonly listeners: RecordStoreListener[] = []
   private readonly timer = setInterval(() => {
     this.state.endDueLeases(performance.now())
     this.answerWatches()
   }, LEASE_CHECK_MS)
 
+  /** @returns the items that a read shows, and the revision that it is as of */
+  listItems (prefix: string, after: string, isCheap: boolean): { readonly items: StoredItem[], readonly revision: number } {
+    if (isCheap && this.staleReadMs > 0) return this.state.listAsOf(prefix, after, performance.now() - this.staleReadMs)
+    return { items: this.state.list(prefix, after), revision: this.state.revision }
+  }
+
   /** Opens one more way to the store. */
   addListener (): RecordStoreListener {
     const listener = new RecordStoreListener(this)
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -34,6 +34,8 @@
   private readonly items = new Map<string, StoredItem>()
   private readonly leases = new Map<number, Lease>()
   private history: StoredItem[] = []
+  /** Every change with the instant at which it was made, for reads of an earlier state; kept when the history is dropped. */
+  private readonly changes: Array<{ readonly item: StoredItem, readonly at: number }> = []
   private droppedUpTo = 0
   private lastLease = 70_000
   revision = 1
@@ -50,6 +52,23 @@
       .sort((left, right) => (left.key < right.key ? -1 : 1))
   }
 
+  /**
+   * @param at an instant, on the clock of `performance`
+   * @returns the items that stood then and the revision of that state
+   */
+  listAsOf (prefix: string, after: string, at: number): { readonly items: StoredItem[], readonly revision: number } {
+    const items = new Map<string, StoredItem>()
+    let revision = 1
+    for (const change of this.changes) {
+      if (change.at > at) break
+      revision = change.item.revision
+      if (change.item.isRemoved) items.delete(change.item.key)
+      else items.set(change.item.key, change.item)
+    }
+    const listed = [...items.values()].filter(({ key }) => key.startsWith(prefix) && key > after)
+    return { items: listed.sort((left, right) => (left.key < right.key ? -1 : 1)), revision }
+  }
+
   /** @returns what changed after a revision, or undefined if that history was dropped */
   listChanges (prefix: string, after: number): StoredItem[] | undefined {
     if (after < this.droppedUpTo) return undefined
@@ -67,7 +86,7 @@
     const revision = ++this.revision
     const item = { key, value, revision, created: this.items.get(key)?.created ?? revision, lease, isRemoved: false }
     this.items.set(key, item)
-    this.history.push(item)
+    this.recordChange(item)
   }
 
   /** Removes without conditions. */
@@ -75,7 +94,7 @@
     const item = this.items.get(key)
     if (item === undefined) return
     this.items.delete(key)
-    this.history.push({ ...item, revision: ++this.revision, isRemoved: true })
+    this.recordChange({ ...item, revision: ++this.revision, isRemoved: true })
   }
 
   /** Runs a transaction whole or not at all. */
@@ -121,4 +140,9 @@
   endAllLeases (): void {
     for (const id of [...this.leases.keys()]) this.endLease(id)
   }
+
+  private recordChange (item: StoredItem): void {
+    this.history.push(item)
+    this.changes.push({ item, at: performance.now() })
+  }
 }
