--- a/packages/entry/src/node/beliefs/proofKeeper.ts
+++ b/packages/entry/src/node/beliefs/proofKeeper.ts
@@ -3,23 +3,15 @@
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { RecordProof, type RevisionReading } from '@umberspar/steering/common/entry/recordProof'
 
-/** What it is kept for. */
-export interface ProofNeed {
-  /** @returns the revision up to which changes are known */
-  readRevision(): number
-  /** @returns whether requests run only by records that are proven to be new */
-  shouldProve(): boolean
-}
-
 /** The proof of one process. */
 export class ProofKeeper {
   private readonly proof = new RecordProof()
 
   /**
    * @param elapsed the clock of all instants of proofs
-   * @param need what it is kept for
+   * @param readRevision gets the revision up to which changes are known
    */
-  constructor (private readonly elapsed: ElapsedClock, private readonly need: ProofNeed) {}
+  constructor (private readonly elapsed: ElapsedClock, private readonly readRevision: () => number) {}
 
   /** @returns how long ago the records were surely the newest, in milliseconds; Infinity if that is not known */
   getAgeMs (): number {
@@ -29,17 +21,17 @@
   /** @returns the same for other VMs; undefined if there is nothing to tell */
   readToldAgeMs (): number | undefined {
     const ageMs = this.getAgeMs()
-    return this.need.shouldProve() && Number.isFinite(ageMs) ? ageMs : undefined
+    return Number.isFinite(ageMs) ? ageMs : undefined
   }
 
   /** Takes over the store's revision. */
   recordReading (reading: RevisionReading): void {
-    this.proof.recordReading(reading, this.need.readRevision())
+    this.proof.recordReading(reading, this.readRevision())
   }
 
   /** Takes over that changes have become known. */
   handleRevision (): void {
-    this.proof.handleRevision(this.need.readRevision())
+    this.proof.handleRevision(this.readRevision())
   }
 
   /**
@@ -48,6 +40,6 @@
    * @param provenAt when that was the newest
    */
   recordTold (revision: number, provenAt: Instant): void {
-    if (revision <= this.need.readRevision()) this.proof.recordTold(provenAt)
+    if (revision <= this.readRevision()) this.proof.recordTold(provenAt)
   }
 }
--- a/packages/entry/src/node/beliefs/recordFollower.ts
+++ b/packages/entry/src/node/beliefs/recordFollower.ts
@@ -50,8 +50,6 @@
   listSeeds(): readonly string[]
   /** @returns whether a configuration is known */
   hasConfiguration(): boolean
-  /** @returns whether requests run only by records that are proven to be new */
-  shouldProve(): boolean
 }
 
 /** What it is built from. */
@@ -91,7 +89,7 @@
   /** @param parts what it is built from */
   constructor (private readonly parts: FollowerParts) {
     const { clock, elapsed, random, telemetry, keeper, place } = parts
-    const proof = new ProofKeeper(elapsed, { readRevision: () => keeper.revision, shouldProve: () => place.shouldProve() })
+    const proof = new ProofKeeper(elapsed, () => keeper.revision)
     this.proof = proof
     const readVia = (): readonly string[] | undefined => this.via
     this.teller = new RecordTeller(clock, {
@@ -214,7 +212,6 @@
 
   private handleRead (): void {
     this.proof.handleRevision()
-    this.updateProving()
     this.teller.publish()
     if (this.hasRead) return
     this.hasRead = true
@@ -278,11 +275,6 @@
     this.isWatching = isWatching
     if (!isWatching) this.isStoreCurrent = false
     this.parts.source.setWatching(isWatching)
-    this.updateProving()
-  }
-
-  private updateProving (): void {
-    this.parts.source.setProving(this.isWatching && this.parts.place.shouldProve())
   }
 
   /** One line for each change of the way that the records take to this VM. */
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -172,8 +172,7 @@
         regionOf: this.regionOf,
         listNodes: () => this.view.nodes.values(),
         listSeeds: () => this.seeds,
-        hasConfiguration: () => this.view.document !== undefined,
-        shouldProve: () => this.view.accounts !== undefined
+        hasConfiguration: () => this.view.document !== undefined
       },
       onRead: () => { this.register() }
     })
--- a/packages/soak/src/node/routing/routingRun.ts
+++ b/packages/soak/src/node/routing/routingRun.ts
@@ -11,7 +11,7 @@
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { askAt, type ClientAnswer, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
-import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
+import { createPath, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { PlatformWorkerStandIn, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
@@ -142,8 +142,7 @@
       { prefix: '/homed/inner/', service: SERVICES[0], homes: HOMES[1 - flip]! },
       ...added.map((index) => ({ prefix: `/added-${index}/`, service: SERVICES[0], homes: [] }))
     ]
-    const paths = rules.map(({ prefix, service, homes }) => ({ Name: prefix.replaceAll('/', '-'), Prefix: prefix, Service: service, HomeRegions: homes, Sticky: false }))
-    const version = this.records.putConfiguration(paths)
+    const version = this.records.putConfiguration(rules.map(({ prefix, service, homes }) => createPath(prefix, service, homes)))
     this.history.add({ version, ackedAt: this.clock.now(), rules })
   }
 
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -33,10 +33,8 @@
   start(listener: SteeringListener): void
   /** Reads everything once more, for a VM that does not follow changes. */
   readAgain(): void
-  /** @param isWatching whether changes are followed from now on */
+  /** @param isWatching whether changes are followed from now on, and the store is asked now and then how far it is */
   setWatching(isWatching: boolean): void
-  /** @param isProving whether the store is asked now and then how far it is */
-  setProving(isProving: boolean): void
 }
 
 /** How long what this VM claimed is surely its own. */
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -57,6 +57,16 @@
 export const PLATFORM_HOST = 'shop.example'
 const SLOTS = 4
 
+/**
+ * @param prefix of the request targets, with slashes at both ends
+ * @param service that serves it
+ * @param homes the regions that alone may serve it; empty if all may
+ * @returns a path whose requests are alike for all workers
+ */
+export function createPath (prefix: string, service: string, homes: readonly string[]): PathInput {
+  return { Name: prefix.replaceAll('/', '-'), Prefix: prefix, Service: service, HomeRegions: homes, Sticky: false }
+}
+
 /** The store and its records. */
 export class PlatformRecords {
   readonly store = new RecordStoreStandIn()
