--- a/packages/steering/test/common/entry/recordTable.test.ts
+++ b/packages/steering/test/common/entry/recordTable.test.ts
@@ -50,7 +50,7 @@
     assert.notEqual(table.applyNews(teller.readNewsAfter(10)!, 0), undefined)
     assert.equal(table.revision, 12)
     assert.deepEqual(table.get('document'), createRoutedDocument(5, 15))
-    teller.applyChanges({ revision: 20, written: [createRoutedDocument(6, 20)], removed: [] }, 0)
+    teller.applyChanges({ revision: 20, written: [createRoutedDocument(5, 15), createRoutedDocument(6, 20)], removed: [] }, 0)
     assert.notEqual(table.applyNews(teller.readNewsAfter(12)!, 0), undefined)
     assert.deepEqual(table.get('document'), createRoutedDocument(6, 20))
   })
