Serve routes and accounts with homes, and deny unknown routes, only under a freshness lease

What callers saw: requests on routes with homes ran outside them, up to seconds after the homes had changed, at VMs that were cut off, paused or refused by the store; proper requests on added routes were denied with 404 there.

Cause: a freshness proof was asked for keys only. Homes were read from records of any age (fail open), and without client accounts no proof was kept at all, so that a 404 came from records of any age, too.

Change: a route or an account with homes is served while the records are proven to be newer than 0.9 of the bound on changes, checked again when the request is sent on; after that 503 records-stale with Retry-After. Unknown routes are refused in the same way, not denied, by stale records. Routes without homes are served by records of any age, as before: gating them too would end all service whenever the store is away, for a change that only they would miss.

--- a/packages/entry/src/node/accounts/accessBounds.ts
+++ b/packages/entry/src/node/accounts/accessBounds.ts
@@ -3,8 +3,8 @@
 import type { EntrySettings } from '../../common/entrySettings.js'
 
 /**
- * The part of the bound on removed keys for which a proof counts; the rest is for
- * clocks that run unevenly and for the way to a worker.
+ * The part of the bounds on removed keys and changed homes for which a proof counts; the
+ * rest is for clocks that run unevenly and for the way to a worker.
  */
 const PROOF_PART = 0.9
 
@@ -13,5 +13,10 @@
  * @returns the bounds
  */
 export function createAccessBounds ({ revokeWithin, changeLimits }: EntrySettings): AccessBounds {
-  return { runWithinMs: revokeWithin === undefined ? Infinity : revokeWithin * PROOF_PART, denyWithinMs: Math.min(...changeLimits) }
+  const changeWithin = Math.min(...changeLimits)
+  return {
+    runWithinMs: revokeWithin === undefined ? Infinity : revokeWithin * PROOF_PART,
+    denyWithinMs: changeWithin,
+    homeWithinMs: changeWithin * PROOF_PART
+  }
 }
--- a/packages/entry/src/node/accounts/accessGate.ts
+++ b/packages/entry/src/node/accounts/accessGate.ts
@@ -1,4 +1,4 @@
-/** Decides for each request whether its caller's key lets it run, when it is read and again whenever it is sent on. */
+/** Decides for each request whether it may run by the records as they are, when it is read and again whenever it is sent on. */
 import type { IncomingMessage } from 'node:http'
 import { type Access, type AccessBounds, decideAccess } from '@umberspar/steering/common/entry/decideAccess'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
@@ -14,9 +14,9 @@
    */
   constructor (private readonly view: EntryView, private readonly bounds: AccessBounds, private readonly getProofAgeMs: () => number) {}
 
-  /** @returns how old the proof of the records is, in whole milliseconds, for log lines; undefined where none is needed or there is none */
+  /** @returns how old the proof of the records is, in whole milliseconds, for log lines; undefined if there is none */
   get loggedProofAgeMs (): number | undefined {
-    const ageMs = this.view.accounts === undefined ? Infinity : this.getProofAgeMs()
+    const ageMs = this.getProofAgeMs()
     return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
   }
 
@@ -27,7 +27,7 @@
 
   /** @returns whether the records are new enough to say that there is no such route */
   get mayDeny (): boolean {
-    return this.view.accounts === undefined || this.getProofAgeMs() <= this.bounds.denyWithinMs
+    return this.getProofAgeMs() <= this.bounds.denyWithinMs
   }
 
   /** @returns the digest of the caller's key; undefined if it sent none that can be read */
@@ -42,9 +42,6 @@
    * @returns whether the request may run at this moment, and for which account
    */
   decide (route: RoutePolicy, keyDigest: string | undefined): Access {
-    const { accounts } = this.view
-    // Where no keys are needed, no proof is kept either.
-    const proofAgeMs = accounts === undefined ? 0 : this.getProofAgeMs()
-    return decideAccess({ accounts, route, keyDigest, proofAgeMs }, this.bounds)
+    return decideAccess({ accounts: this.view.accounts, route, keyDigest, proofAgeMs: this.getProofAgeMs() }, this.bounds)
   }
 }
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -14,7 +14,7 @@
   [EndReason.NoConfiguration]: { end: RequestEnd.Refused, status: 503, text: 'not run: this entry VM has no configuration yet' },
   [EndReason.NoRoute]: { end: RequestEnd.Invalid, status: 404, text: 'no route for this host and path' },
   [EndReason.KeyUnknown]: { end: RequestEnd.Invalid, status: 401, text: 'no client account holds this key' },
-  [EndReason.RecordsStale]: { end: RequestEnd.Refused, status: 503, text: 'not run: this entry VM cannot tell whether the key holds' },
+  [EndReason.RecordsStale]: { end: RequestEnd.Refused, status: 503, text: 'not run: the records of this entry VM are stale' },
   [EndReason.NoHome]: { end: RequestEnd.Refused, status: 503, text: 'not run: no region is a home of both the route and the client account' },
   [EndReason.QuotaSpent]: { end: RequestEnd.Refused, status: 429, text: 'not run: the client account has used its quota up' },
   [EndReason.QuotaUnknown]: { end: RequestEnd.Refused, status: 503, text: 'not run: what is left of the account\'s quota cannot be told' },
--- a/packages/entry/src/node/telemetry/requestEvents.ts
+++ b/packages/entry/src/node/telemetry/requestEvents.ts
@@ -26,7 +26,7 @@
   NoRoute = 'no-route',
   /** No client account holds the caller's key, or it sent none. */
   KeyUnknown = 'key-unknown',
-  /** The records of this VM are too old to tell whether the key still holds. */
+  /** The records of this VM are too old to tell whether the request is still allowed, or where. */
   RecordsStale = 'records-stale',
   /** The homes of route and account have no region in common. */
   NoHome = 'no-home',
--- a/packages/steering/src/common/entry/decideAccess.ts
+++ b/packages/steering/src/common/entry/decideAccess.ts
@@ -1,11 +1,11 @@
 /**
- * Whether a caller's key lets its request run, by records that may be old.
+ * Whether a request may run by records that may be stale.
  *
- * Guards against two failures. A VM that is cut off does not hear that a key was
- * taken away, and no request shows it that it is cut off; so a request with a key
- * runs only while the VM has proof that its records were the newest a short time
- * ago. And a VM whose records are old does not know a key that was added since; it
- * says that it cannot tell, and denies only what the newest records deny.
+ * A VM that is cut off does not hear that a key was taken away or that homes have
+ * changed, and no request shows it that it is cut off. So requests with a key, and those
+ * that only some regions may serve, run only under a freshness lease: while the records
+ * are proven to have been the newest a short time ago. Requests without either run by
+ * records of any age. What stale records do not know is not denied but refused.
  */
 import type { AccountTable } from './accountTable.js'
 import type { AccountPolicy, RoutePolicy } from './steeringDocument.js'
@@ -14,8 +14,10 @@
 export interface AccessBounds {
   /** For a request to run, in milliseconds. */
   readonly runWithinMs: number
-  /** For a key to be called unknown, in milliseconds. */
+  /** For a key or a route to be called unknown, in milliseconds. */
   readonly denyWithinMs: number
+  /** For a request to run that only some regions may serve, in milliseconds. */
+  readonly homeWithinMs: number
 }
 
 /** What is decided by. */
@@ -50,9 +52,15 @@
  * @param bounds how old the proof of the records may be
  * @returns whether the request may run, and for which account
  */
-export function decideAccess ({ accounts, route, keyDigest, proofAgeMs }: AccessCase, { runWithinMs, denyWithinMs }: AccessBounds): Access {
-  if (accounts === undefined) return { end: AccessEnd.Allowed }
-  const account = keyDigest === undefined ? undefined : accounts.findByDigest(keyDigest)
+export function decideAccess (request: AccessCase, bounds: AccessBounds): Access {
+  const { accounts, route, keyDigest, proofAgeMs } = request
+  const account = keyDigest === undefined ? undefined : accounts?.findByDigest(keyDigest)
+  const hasHomes = route.homeRegions.length > 0 || (account !== undefined && account.homeRegions.length > 0)
+  if (hasHomes && proofAgeMs > bounds.homeWithinMs) return { end: AccessEnd.RecordsStale }
+  return accounts === undefined ? { end: AccessEnd.Allowed } : decideKey(request, account, bounds)
+}
+
+function decideKey ({ route, proofAgeMs }: AccessCase, account: AccountPolicy | undefined, { runWithinMs, denyWithinMs }: AccessBounds): Access {
   const mayRun = proofAgeMs <= runWithinMs
   if (route.isOpen) return { end: AccessEnd.Allowed, account: mayRun ? account : undefined }
   if (account !== undefined) return mayRun ? { end: AccessEnd.Allowed, account } : { end: AccessEnd.RecordsStale }
--- a/packages/steering/test/common/entry/decideAccess.test.ts
+++ b/packages/steering/test/common/entry/decideAccess.test.ts
@@ -6,7 +6,7 @@
 import { type AccountPolicy, RouteKind, type RoutePolicy } from '../../../src/common/entry/steeringDocument.js'
 
 const SEED = 20261203
-const BOUNDS = { runWithinMs: 4_500, denyWithinMs: 3_000 }
+const BOUNDS = { runWithinMs: 4_500, denyWithinMs: 3_000, homeWithinMs: 2_700 }
 const ROUTE: RoutePolicy = { name: 'r', host: 'h', prefix: '/', kind: RouteKind.Idempotent, parts: [], timeoutMs: 1, goalMs: 1, attempts: 1, priority: 1, isSticky: false, homeRegions: [], isOpen: false }
 
 function createAccount (name: string, keyDigests: readonly string[], homeRegions: readonly string[] = []): AccountPolicy {
@@ -43,6 +43,23 @@
 })
 
 describe('homes of route and account', () => {
+  it('let a request run only while the records are proven to be new, with or without accounts', () => {
+    // Guards against requests that run outside homes which changed while their VM was cut off.
+    const homed = { ...ROUTE, homeRegions: ['north'] }
+    const accounts = new AccountTable([createAccount('a', ['d1'], ['north'])])
+    const cases = [
+      { accounts: undefined, route: homed, keyDigest: undefined },
+      { accounts, route: homed, keyDigest: 'd1' },
+      { accounts, route: ROUTE, keyDigest: 'd1' },
+      { accounts, route: { ...ROUTE, isOpen: true }, keyDigest: 'd1' }
+    ]
+    for (const request of cases) {
+      assert.equal(decideAccess({ ...request, proofAgeMs: 2_700 }, BOUNDS).end, AccessEnd.Allowed)
+      assert.equal(decideAccess({ ...request, proofAgeMs: 2_701 }, BOUNDS).end, AccessEnd.RecordsStale)
+    }
+    assert.equal(decideAccess({ accounts: undefined, route: ROUTE, keyDigest: undefined, proofAgeMs: Infinity }, BOUNDS).end, AccessEnd.Allowed)
+  })
+
   it('both bind, in any combination', () => {
     const regions = fc.uniqueArray(fc.constantFrom<string>('north', 'south', 'east'))
     fc.assert(fc.property(regions, regions, (routeHomes, accountHomes) => {
