--- a/packages/entry/src/node/front/frontServer.ts
+++ b/packages/entry/src/node/front/frontServer.ts
@@ -250,7 +250,7 @@
       retryAfterMs,
       configuration: this.context.view.document?.version,
       revision,
-      recordsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      recordsAgeMs: ageMs,
       proofAgeMs: this.context.gate.loggedProofAgeMs
     })
   }
--- a/packages/entry/src/node/front/requestRun.ts
+++ b/packages/entry/src/node/front/requestRun.ts
@@ -248,7 +248,7 @@
       retryAfterMs,
       configuration: this.context.view.document?.version,
       revision,
-      recordsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      recordsAgeMs: ageMs,
       proofAgeMs: this.context.gate.loggedProofAgeMs
     })
   }
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -64,9 +64,9 @@
   readonly retryAfterMs: number | undefined
   readonly configuration: number | undefined
   readonly revision: number
-  /** How long ago the records were last known to be up to date, in milliseconds; undefined before any were read. */
-  readonly recordsAgeMs: number | undefined
-  /** How old the proof was that the records were the newest, in milliseconds; undefined where none is needed. */
+  /** How long ago the records were last known to be up to date, in milliseconds; Infinity before any were read. */
+  readonly recordsAgeMs: number
+  /** How old the proof was that the records were the newest, in milliseconds; undefined if there is none. */
   readonly proofAgeMs: number | undefined
 }
 
@@ -153,6 +153,7 @@
   logEnd (facts: EndFacts): void {
     this.metrics.countRequest(facts.kind, facts.end, facts.reason)
     if (facts.service !== undefined) this.metrics.observeLatency(facts.service, facts.end, facts.spanMs)
-    this.logger.log(LEVEL_BY_END[facts.end], { step: 'end-request', ...facts, spanMs: toTenths(facts.spanMs) }, 'request ended')
+    const recordsAgeMs = Number.isFinite(facts.recordsAgeMs) ? Math.round(facts.recordsAgeMs) : undefined
+    this.logger.log(LEVEL_BY_END[facts.end], { step: 'end-request', ...facts, spanMs: toTenths(facts.spanMs), recordsAgeMs }, 'request ended')
   }
 }
