--- a/packages/entry/src/node/front/offer.ts
+++ b/packages/entry/src/node/front/offer.ts
@@ -190,8 +190,11 @@
 
   private handleAnswer (answer: GatheredAnswer): void {
     const end = this.classifyAnswer(answer.head)
-    this.recordLoad(answer.head)
-    this.recordRateLimit(answer.head)
+    // What another worker at this address says does not concern this one.
+    if (end !== OfferEnd.OtherWorker) {
+      this.recordLoad(answer.head)
+      this.recordRateLimit(answer.head)
+    }
     this.recordEnd(end, answer.length)
     this.end({ end, answer, status: answer.head.status })
   }
@@ -217,9 +220,7 @@
   }
 
   private recordLoad (head: AnswerHead): void {
-    const { headers, otherWorkerStatus } = this.context.protocol
-    // What another worker at this address says does not concern this one.
-    if (head.status === otherWorkerStatus) return
+    const { headers } = this.context.protocol
     const fields = getHeader(head.rawHeaders, headers.load)?.split(',').slice(0, MIN_LOAD_FIELDS).map(Number) ?? []
     const [running, waiting, slots] = fields
     if (fields.length < MIN_LOAD_FIELDS || !fields.every((field) => Number.isFinite(field) && field >= 0)) return
@@ -227,9 +228,7 @@
   }
 
   private recordRateLimit (head: AnswerHead): void {
-    const { headers, otherWorkerStatus } = this.context.protocol
-    // What another worker at this address says does not concern this one.
-    if (head.status === otherWorkerStatus) return
+    const { headers } = this.context.protocol
     const perSecond = parseRateLimit(headers.rateLimit.map((name) => getHeader(head.rawHeaders, name)).find((text) => text !== undefined))
     this.tracker.rateLimitAt = this.context.clock.now()
     if (perSecond === this.tracker.rateLimit) return
--- a/packages/steering/src/common/entry/keyRanking.ts
+++ b/packages/steering/src/common/entry/keyRanking.ts
@@ -3,11 +3,9 @@
  * entry VM. A worker is first for a part of the keys that equals its share, and a
  * change of the worker list moves only the keys that it must.
  */
-import { computePairHash } from '../lookup/rendezvous.js'
+import { computePairHash, PAIR_HASH_RANGE } from '../lookup/rendezvous.js'
 import type { Shares } from './placeShares.js'
 
-/** One more than the greatest 32-bit number; with the half added a hash never gives 0 or 1. */
-const HASH_RANGE = 0x1_0000_0000
 /** Rankings kept; a service has far fewer objects in use at an entry VM, and an entry takes about 200 bytes. */
 const MOST_KEPT = 20_000
 
@@ -39,7 +37,8 @@
   private computeRanks (key: string): string[] {
     const ranked: RankedWorker[] = []
     for (const [id, share] of this.shares) {
-      const draw = (computePairHash(key, id) + 0.5) / HASH_RANGE
+      // With the half added a hash never gives 0 or 1.
+      const draw = (computePairHash(key, id) + 0.5) / PAIR_HASH_RANGE
       ranked.push({ id, score: -Math.log(draw) / share })
     }
     ranked.sort((left, right) => left.score - right.score || (left.id < right.id ? -1 : 1))
--- a/packages/steering/src/common/entry/serviceRoster.ts
+++ b/packages/steering/src/common/entry/serviceRoster.ts
@@ -1,7 +1,7 @@
 /** The workers of one service, and who of them may get a request for an object. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Candidate } from './chooseUpstream.js'
-import { computePairHash } from '../lookup/rendezvous.js'
+import { computePairHash, PAIR_HASH_RANGE } from '../lookup/rendezvous.js'
 import { divideRateLimit, type RateAllowance, type RateTolerance, type SendingNode } from '../rateLimits/rateAllowance.js'
 import { COLD_SPAN_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainDistances } from './domainDistances.js'
@@ -58,9 +58,6 @@
   Tolerated = 'tolerated'
 }
 
-/** One more than the greatest hash. */
-const HASH_RANGE = 0x1_0000_0000
-
 /** What this VM may send to a worker, and what that was computed from. */
 interface KnownAllowance {
   readonly limit: number
@@ -273,5 +270,5 @@
  * @param part of its objects that it keeps
  */
 function isAssigned (key: string, workerId: string, part: number): boolean {
-  return computePairHash(key, `limit/${workerId}`) < HASH_RANGE * part
+  return computePairHash(key, `limit/${workerId}`) < PAIR_HASH_RANGE * part
 }
--- a/packages/steering/src/common/lookup/rendezvous.ts
+++ b/packages/steering/src/common/lookup/rendezvous.ts
@@ -4,6 +4,8 @@
  */
 import { computeHash32 } from '../hash/xxHash.js'
 
+/** One more than the greatest hash of a pair. */
+export const PAIR_HASH_RANGE = 0x1_0000_0000
 /** Stands between key and id, so that no two pairs hash the same text. */
 const SEPARATOR = '\u0000'
 
