--- a/packages/soak/src/node/routing/routingEntries.ts
+++ b/packages/soak/src/node/routing/routingEntries.ts
@@ -2,19 +2,16 @@
 import { appendFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
-import { runDetached } from '@umberspar/base/common/detached'
-import { NULL_LOGGER } from '@umberspar/base/common/logger'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
 import type { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
 import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { findEntryAddresses, spawnEntry } from '@umberspar/testing/node/standIns/usersPlatform/entryProgram'
-import { isReadyAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import type { EntryAddresses, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import type { RecordStoreListener } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
+import { EntryProcess } from '../entryProcess.js'
 
 const ENTRY_PRELOAD = new URL('../entryPreload.js', import.meta.url)
 const LINK_PRELOAD = new URL('./linkPreload.js', import.meta.url)
-const ANSWER_WITHIN_MS = 500
 /** The bounds of the users' first deployments, which have no client accounts. */
 const BOUNDS = { changeLimits: [2_500, 2_500, 5_000], goneWithin: 3_000, revokeWithin: undefined }
 
@@ -29,13 +26,7 @@
 }
 
 /** One entry VM. */
-export class RoutingEntry implements IClosable {
-  private program: ChildProgram | undefined
-  private isExpectedToEnd = false
-  private isBusy = false
-  /** How often it was started: regressions are judged within one life. */
-  lives = 0
-
+export class RoutingEntry extends EntryProcess {
   /**
    * @param settings its settings
    * @param store its way into the store's stand-in
@@ -45,63 +36,25 @@
    * @param onEnded called if its process ends by itself
    */
   constructor (
-    readonly settings: EntrySettings,
+    settings: EntrySettings,
     readonly store: RecordStoreListener,
     readonly storeLink: TcpRelay,
     readonly links: ReadonlyMap<string, TcpRelay>,
     private readonly files: RoutingFiles,
-    private readonly onEnded: (node: string, detail: string) => void
-  ) {}
+    onEnded: (node: string, detail: string) => void
+  ) {
+    super(settings, onEnded)
+  }
 
-  /** Starts its process. */
-  start (): void {
+  protected override spawn (): ChildProgram {
+    const { folder, logs, program } = this.files
     const { node } = this.settings
-    const program = spawnEntry(join(this.files.folder, `${node}.json`), {
+    return spawnEntry(join(folder, `${node}.json`), {
       preloads: [ENTRY_PRELOAD, LINK_PRELOAD],
-      variables: { UMBERSPAR_SOAK_LINKS: join(this.files.folder, `${node}.links.json`) },
+      variables: { UMBERSPAR_SOAK_LINKS: join(folder, `${node}.links.json`) },
       readsOutput: true,
-      onOutput: (text) => { if (this.files.logs !== undefined) appendFileSync(join(this.files.logs, `${node}.log`), text) }
-    }, this.files.program)
-    this.program = program
-    this.isExpectedToEnd = false
-    this.lives++
-    runDetached(async () => {
-      const { code, signal } = await program.waitForExit()
-      if (this.program !== program || this.isExpectedToEnd) return
-      this.onEnded(node, `code ${code}, signal ${signal}: ${program.listLastErrors().join(' ')}`)
-      this.start()
-    }, NULL_LOGGER, 'watch-entry')
-  }
-
-  /**
-   * Does something to the process that nothing else may interfere with.
-   * @returns whether it was done; not if something else is going on
-   */
-  async runAlone (act: (program: ChildProgram) => Promise<void>): Promise<boolean> {
-    if (this.isBusy || this.program === undefined) return false
-    this.isBusy = true
-    try {
-      await act(this.program)
-    } finally {
-      this.isBusy = false
-    }
-    return true
-  }
-
-  /** Notes that the process is about to end as ordered. */
-  expectEnd (): void {
-    this.isExpectedToEnd = true
-  }
-
-  /** @returns whether it says that it is ready */
-  async isReady (): Promise<boolean> {
-    return await isReadyAt(this.settings.listen.readiness, AbortSignal.timeout(ANSWER_WITHIN_MS))
-  }
-
-  async close (): Promise<void> {
-    this.expectEnd()
-    this.program?.release()
-    await this.program?.stopAtOnce()
+      onOutput: (text) => { if (logs !== undefined) appendFileSync(join(logs, `${node}.log`), text) }
+    }, program)
   }
 }
 
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -3,29 +3,23 @@
 import { join } from 'node:path'
 import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
-import { runDetached } from '@umberspar/base/common/detached'
-import { LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
+import { LogLevel } from '@umberspar/base/common/logger'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import type { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
 import { findEntryAddresses, spawnEntry } from '@umberspar/testing/node/standIns/usersPlatform/entryProgram'
-import { isReadyAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import type { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import type { RecordStoreListener } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { SoakRule } from '../common/soakRule.js'
+import { EntryProcess } from './entryProcess.js'
 import type { SoakJudge } from './soakJudge.js'
 
-/** An entry process that does not answer a question in this time is not ready, in milliseconds. */
-const ANSWER_WITHIN_MS = 500
 const POLL_MS = 50
 const ENTRY_PRELOAD = new URL('./entryPreload.js', import.meta.url)
 
 /** One entry process and the links to it. */
-export class SoakEntry implements IClosable {
-  private program: ChildProgram | undefined
-  private isExpectedToEnd = false
-  private isBusy = false
+export class SoakEntry extends EntryProcess {
   private changes = 0
 
   /**
@@ -38,47 +32,20 @@
    * @param judge told if the process ends by itself
    */
   constructor (
-    readonly settings: EntrySettings,
+    settings: EntrySettings,
     private readonly file: string,
     readonly way: TcpRelay,
     readonly wayAddress: string,
     readonly storeWay: TcpRelay,
     readonly store: RecordStoreListener,
-    private readonly judge: SoakJudge
-  ) {}
-
-  /** Starts the process. */
-  start (): void {
-    this.writeSettings()
-    const program = spawnEntry(this.file, { preloads: [ENTRY_PRELOAD], readsOutput: true })
-    this.program = program
-    this.isExpectedToEnd = false
-    runDetached(async () => {
-      const { code, signal } = await program.waitForExit()
-      if (this.program !== program || this.isExpectedToEnd) return
-      this.judge.report(SoakRule.EntryEnded, this.settings.node, `code ${code}, signal ${signal}: ${program.listLastErrors().join(' ')}`)
-      this.start()
-    }, NULL_LOGGER, 'watch-entry')
-  }
-
-  /**
-   * Does something to the process that nothing else may interfere with.
-   * @returns whether it was done; not if something else is going on
-   */
-  async runAlone (act: (program: ChildProgram) => Promise<void>): Promise<boolean> {
-    if (this.isBusy || this.program === undefined) return false
-    this.isBusy = true
-    try {
-      await act(this.program)
-    } finally {
-      this.isBusy = false
-    }
-    return true
+    judge: SoakJudge
+  ) {
+    super(settings, (node, detail) => { judge.report(SoakRule.EntryEnded, node, detail) })
   }
 
-  /** Notes that the process is about to end as ordered. */
-  expectEnd (): void {
-    this.isExpectedToEnd = true
+  protected override spawn (): ChildProgram {
+    this.writeSettings()
+    return spawnEntry(this.file, { preloads: [ENTRY_PRELOAD], readsOutput: true })
   }
 
   /** Writes the settings with a change that a running process can take over, and tells it. */
@@ -93,17 +60,6 @@
     this.program?.send({ shiftMs })
   }
 
-  /** @returns whether it says that it is ready */
-  async isReady (): Promise<boolean> {
-    return await isReadyAt(this.settings.listen.readiness, AbortSignal.timeout(ANSWER_WITHIN_MS))
-  }
-
-  async close (): Promise<void> {
-    this.expectEnd()
-    this.program?.release()
-    await this.program?.stopAtOnce()
-  }
-
   private writeSettings (): void {
     const logLevel = this.changes % 2 === 0 ? LogLevel.Info : LogLevel.Warn
     writeFileSync(this.file, JSON.stringify({ ...this.settings, logLevel }))
--- a/packages/steering/src/common/plan/stepTiming.ts
+++ b/packages/steering/src/common/plan/stepTiming.ts
@@ -19,7 +19,7 @@
  */
 const REPORT_PART = 0.7
 /** The holder asks for measurements after this part if reports are missing. */
-const PROBE_PART = 0.85
+const ASK_PART = 0.85
 
 /**
  * @param inForceAt when a step was in force at a node
@@ -36,7 +36,7 @@
  * @returns when the holder asks for what was not reported
  */
 export function computeAskAt (seenAt: Instant, settleMs: number): Deadline {
-  return createDeadline(seenAt, settleMs * PROBE_PART)
+  return createDeadline(seenAt, settleMs * ASK_PART)
 }
 
 /**
