Let the soaks and their stand-ins share what the routing soak had written again

No change of behaviour, no program of an entry VM is touched. Which statuses deny a request, and the configuration's version from the metrics: once in platformClient, for both soaks. The wait for a span: once, in testing/node/waiting. The jitter of steps: base's addJitter, the same formula. The store's stand-in derives its history from the changes that it keeps anyway. A route of a version is called VersionRoute: RoutingRule is what the judge checks.

--- a/packages/soak/src/common/routing/routingHistory.ts
+++ b/packages/soak/src/common/routing/routingHistory.ts
@@ -5,7 +5,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 
 /** One route of a version. */
-export interface RoutingRule {
+export interface VersionRoute {
   readonly prefix: string
   readonly service: string
   /** The regions that alone may serve it; empty if all may. */
@@ -16,7 +16,7 @@
 export interface RoutingVersion {
   readonly version: number
   readonly ackedAt: Instant
-  readonly rules: readonly RoutingRule[]
+  readonly routes: readonly VersionRoute[]
 }
 
 /** Where a request ran, or with which status it was denied. */
@@ -42,23 +42,23 @@
 
 const DENIED_STATUS = 404
 
-/** @returns the rule with the longest prefix that begins the path */
-function findRule ({ rules }: RoutingVersion, path: string): RoutingRule | undefined {
-  let found: RoutingRule | undefined
-  for (const rule of rules) {
-    if (path.startsWith(rule.prefix) && rule.prefix.length > (found?.prefix.length ?? 0)) found = rule
+/** @returns the route with the longest prefix that begins the path */
+function findRoute ({ routes }: RoutingVersion, path: string): VersionRoute | undefined {
+  let found: VersionRoute | undefined
+  for (const route of routes) {
+    if (path.startsWith(route.prefix) && route.prefix.length > (found?.prefix.length ?? 0)) found = route
   }
   return found
 }
 
 function isAllowedBy (version: RoutingVersion, path: string, outcome: RoutingOutcome): boolean {
-  const rule = findRule(version, path)
-  if ('denied' in outcome) return rule === undefined && outcome.denied === DENIED_STATUS
-  return rule?.service === outcome.ran.service
+  const route = findRoute(version, path)
+  if ('denied' in outcome) return route === undefined && outcome.denied === DENIED_STATUS
+  return route?.service === outcome.ran.service
 }
 
 function isHomeBy (version: RoutingVersion, path: string, region: string): boolean {
-  const homes = findRule(version, path)?.homes ?? []
+  const homes = findRoute(version, path)?.homes ?? []
   return homes.length === 0 || homes.includes(region)
 }
 
--- a/packages/soak/src/common/routing/routingPlan.ts
+++ b/packages/soak/src/common/routing/routingPlan.ts
@@ -1,5 +1,5 @@
 /** What goes wrong in a run of the routing soak, and when the operator changes the routes, from its seed alone. */
-import { type IRandomSource, SeededRandom } from '@umberspar/base/common/random'
+import { addJitter, type IRandomSource, SeededRandom } from '@umberspar/base/common/random'
 
 /** What a step does. */
 export enum RoutingFault {
@@ -61,12 +61,7 @@
 const DISCARDED_DRAWS = 32
 /** Each step is followed by a change after up to this, in milliseconds. */
 const MEET_MS = 1_500
-const SPREAD_FROM = 0.3
-const SPREAD = 1.4
-
-function addJitter (gapMs: number, random: IRandomSource): number {
-  return gapMs * (SPREAD_FROM + SPREAD * random.next())
-}
+const STEP_JITTER = 0.7
 
 function chooseGap (random: IRandomSource): number {
   const { least, most } = random.next() < SHORT_PART ? SHORT_GAP_MS : LONG_GAP_MS
@@ -85,7 +80,7 @@
   const untilMs = seconds * 1_000
   const staleReadMs = random.next() < STALE_PART ? MOST_STALE_MS * random.next() : 0
   const steps: RoutingStep[] = []
-  for (let atMs = LEAD_MS; atMs < untilMs - HEAL_MS; atMs += addJitter(STEP_GAP_MS, random)) {
+  for (let atMs = LEAD_MS; atMs < untilMs - HEAL_MS; atMs += addJitter(random, STEP_GAP_MS, STEP_JITTER)) {
     steps.push({
       fault: faults[Math.floor(random.next() * faults.length)]!,
       atMs,
--- a/packages/soak/src/node/routing/routingRun.ts
+++ b/packages/soak/src/node/routing/routingRun.ts
@@ -10,14 +10,14 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
-import { askAt, type ClientAnswer, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { type ClientAnswer, fetchConfigurationVersion, isDenied, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { createPath, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { PlatformWorkerStandIn, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { ContactLedger } from '../../common/routing/contactLedger.js'
 import { planRouting, type RoutingFault, type RoutingPlan } from '../../common/routing/routingPlan.js'
-import { RoutingHistory, type RoutingRule as Rule } from '../../common/routing/routingHistory.js'
+import { RoutingHistory, type VersionRoute } from '../../common/routing/routingHistory.js'
 import { RoutingEntries, type RoutingEntry, type RoutingFiles } from './routingEntries.js'
 import { RoutingJudge, RoutingRule, type RoutingViolation } from './routingJudge.js'
 import { type RoutingStage, runRoutingStep } from './routingSteps.js'
@@ -61,11 +61,7 @@
 /** Routes that were added stay for this many versions. */
 const ADDED_KEPT = 3
 const WORK_MS = 20
-const CONFIGURATION_GAUGE = /umberspar_configuration_version (\d+)/
 const SUCCESS = 200
-const NOT_FOUND = 404
-/** Statuses of our own that say that a proper request is not allowed. */
-const DENIED: ReadonlySet<number> = new Set([400, 401, 403, NOT_FOUND, 413, 431])
 
 interface RunPlace {
   readonly service: string
@@ -134,7 +130,7 @@
     const number = ++this.changes
     const flip = number % 2
     const added = Array.from({ length: Math.min(number, ADDED_KEPT) }, (_, index) => number - index)
-    const rules: Rule[] = [
+    const routes: VersionRoute[] = [
       { prefix: '/steady/', service: SERVICES[0], homes: [] },
       { prefix: '/moving/', service: SERVICES[flip]!, homes: [] },
       { prefix: '/moving/inner/', service: SERVICES[1 - flip]!, homes: [] },
@@ -142,8 +138,8 @@
       { prefix: '/homed/inner/', service: SERVICES[0], homes: HOMES[1 - flip]! },
       ...added.map((index) => ({ prefix: `/added-${index}/`, service: SERVICES[0], homes: [] }))
     ]
-    const version = this.records.putConfiguration(rules.map(({ prefix, service, homes }) => createPath(prefix, service, homes)))
-    this.history.add({ version, ackedAt: this.clock.now(), rules })
+    const version = this.records.putConfiguration(routes.map(({ prefix, service, homes }) => createPath(prefix, service, homes)))
+    this.history.add({ version, ackedAt: this.clock.now(), routes })
   }
 
   private async runFaults (): Promise<void> {
@@ -194,7 +190,7 @@
     const probe = { node, requestId, path, sentAt, endedAt }
     for (const ran of this.runs.get(requestId) ?? []) this.judge.check({ ...probe, outcome: { ran } })
     this.runs.delete(requestId)
-    if (DENIED.has(status)) this.judge.check({ ...probe, outcome: { denied: status } })
+    if (isDenied(status)) this.judge.check({ ...probe, outcome: { denied: status } })
     if (turns === 0) this.judge.count(probe, false, status === SUCCESS)
     // A route is owed only once it must be in force.
     const newest = this.history.newest
@@ -228,8 +224,7 @@
 
   private async readVersion ({ settings }: RoutingEntry): Promise<number> {
     try {
-      const { body } = await askAt(settings.listen.metrics, '/metrics', AbortSignal.timeout(PROBE_WITHIN_MS))
-      return Number(CONFIGURATION_GAUGE.exec(body)?.[1])
+      return await fetchConfigurationVersion(settings.listen.metrics, AbortSignal.timeout(PROBE_WITHIN_MS))
     } catch {
       // It is asked again until the time is over.
       return NaN
--- a/packages/soak/src/node/routing/routingSteps.ts
+++ b/packages/soak/src/node/routing/routingSteps.ts
@@ -3,7 +3,7 @@
 import { LinkFault, type TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import type { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
-import { waitUntil } from '@umberspar/testing/node/waiting'
+import { waitFor } from '@umberspar/testing/node/waiting'
 import type { ContactLedger } from '../../common/routing/contactLedger.js'
 import { RoutingFault, type RoutingStep } from '../../common/routing/routingPlan.js'
 import type { RoutingEntry } from './routingEntries.js'
@@ -28,10 +28,6 @@
   return [...entries, ...entries].slice(from, from + Math.max(1, Math.round(share * entries.length)))
 }
 
-async function waitFor ({ clock }: RoutingStage, spanMs: number): Promise<void> {
-  await waitUntil(clock, clock.now() + spanMs)
-}
-
 /** Runs a disturbance of some VMs; undefined stands for all. */
 async function runDisturbing (stage: RoutingStage, nodes: ReadonlyArray<string | undefined>, act: () => Promise<void>): Promise<void> {
   const disturbances = nodes.map((node) => stage.contacts.start(node, stage.clock.now()))
@@ -59,7 +55,7 @@
     await entry.runAlone(async (program) => {
       entry.expectEnd()
       await program.stopAtOnce()
-      await waitFor(stage, spanMs)
+      await waitFor(stage.clock, spanMs)
       entry.start()
     })
   }))
@@ -82,7 +78,7 @@
     await runDisturbing(stage, listNames(struck), async () => {
       const links = listLinksOf(stage, struck)
       for (const link of links) link.setFault(LinkFault.Silence)
-      await waitFor(stage, step.spanMs)
+      await waitFor(stage.clock, step.spanMs)
       for (const link of links) link.setFault(LinkFault.None)
     })
   },
@@ -92,7 +88,7 @@
     await runDisturbing(stage, [undefined], async () => {
       const fault = REFUSALS[Math.floor(step.target * REFUSALS.length)]!
       for (const { store } of struck) store.setFault(fault)
-      await waitFor(stage, step.spanMs)
+      await waitFor(stage.clock, step.spanMs)
       for (const { store } of struck) store.setFault(StoreFault.None)
     })
   },
@@ -100,7 +96,7 @@
     await runDisturbing(stage, [undefined], async () => {
       stage.holdChanges(true)
       for (const { store } of stage.entries) store.setFault(StoreFault.Silent)
-      await waitFor(stage, step.spanMs)
+      await waitFor(stage.clock, step.spanMs)
       for (const { store } of stage.entries) store.setFault(StoreFault.None)
       stage.holdChanges(false)
     })
@@ -110,7 +106,7 @@
     await runDisturbing(stage, listNames(struck), async () => {
       await Promise.all(struck.map(async (entry) => await entry.runAlone(async (program) => {
         program.hold()
-        await waitFor(stage, step.spanMs)
+        await waitFor(stage.clock, step.spanMs)
         program.release()
       })))
     })
--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -5,7 +5,7 @@
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
-import { type ClientAnswer, getAnsweredId, getSeal, isPromisedNotRun, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { type ClientAnswer, getAnsweredId, getSeal, isDenied, isPromisedNotRun, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { type PipelinedAnswer, PipelinedCaller } from '@umberspar/testing/node/standIns/usersPlatform/pipelinedCaller'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
@@ -48,7 +48,6 @@
 const PIPELINED_PART = 0.15
 const PIPELINE_DEPTH = 4
 const PIPELINE_POLL_MS = 5
-const DENIED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431])
 
 /** The callers of one region and failure domain. */
 export class SoakCallers implements IClosable {
@@ -144,7 +143,7 @@
 
   private recordAnswer (requestId: string, answer: ClientAnswer): AnswerKind {
     const kind = this.classify(requestId, answer)
-    if (DENIED_STATUSES.has(answer.status)) this.judge.report(SoakRule.Denied, requestId, `status ${answer.status}: ${answer.body}`)
+    if (isDenied(answer.status)) this.judge.report(SoakRule.Denied, requestId, `status ${answer.status}: ${answer.body}`)
     this.judge.recordAnswer(requestId, kind, `status ${answer.status}: ${answer.body.slice(0, 80)}`)
     return kind
   }
--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -7,7 +7,7 @@
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { ArrivalPacing, runOpenLoop } from '@umberspar/testing/node/load/loadRunner'
-import { askAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { fetchConfigurationVersion } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { CALLERS, GUESTS } from '../common/soakAccounts.js'
@@ -55,7 +55,6 @@
 /** The last stretch of a run, in which everything works: most requests must be served, in milliseconds. */
 const WELL_MS = 3_000
 const LEAST_SERVED = 0.95
-const CONFIGURATION_GAUGE = /umberspar_configuration_version (\d+)/
 
 /** One run. */
 class SoakRun {
@@ -159,8 +158,7 @@
 
   private async readVersion (address: string): Promise<number | undefined> {
     try {
-      const { body } = await askAt(address, '/metrics')
-      return Number(CONFIGURATION_GAUGE.exec(body)?.[1])
+      return await fetchConfigurationVersion(address)
     } catch (thrown) {
       this.judge.report(SoakRule.NotRecovered, address, `metrics could not be read: ${String(thrown)}`)
       return undefined
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -4,7 +4,7 @@
 import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import type { PathInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
-import { waitUntil } from '@umberspar/testing/node/waiting'
+import { waitFor } from '@umberspar/testing/node/waiting'
 import { type SoakStep, SoakStepKind } from '../common/soakPlan.js'
 import type { Calm } from './calm.js'
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
@@ -61,10 +61,6 @@
   return list[Math.floor(position * list.length)]
 }
 
-async function waitFor (stage: SoakStage, spanMs: number): Promise<void> {
-  await waitUntil(stage.clock, stage.clock.now() + spanMs)
-}
-
 /** A worker whose service can do without it. */
 function chooseWorker ({ workers }: SoakStage, { target }: SoakStep): SoakWorker | undefined {
   const list = workers.list()
@@ -95,13 +91,13 @@
     return await entry.runAlone(async (program) => {
       entry.expectEnd()
       await program.stopAtOnce()
-      await waitFor(stage, step.spanMs)
+      await waitFor(stage.clock, step.spanMs)
       entry.start()
     })
   }),
   [SoakStepKind.EntryPause]: async (stage, step) => await runDisturbing(stage, async () => await chooseEntry(stage, step).runAlone(async (program) => {
     program.hold()
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     program.release()
   })),
   [SoakStepKind.EntryStop]: async (stage, step) => {
@@ -124,7 +120,7 @@
   [SoakStepKind.ClockStep]: async (stage, step) => {
     const entry = chooseEntry(stage, step)
     entry.setTimeShift(step.variant < 0.5 ? CLOCK_STEP_MS : -CLOCK_STEP_MS)
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     entry.setTimeShift(0)
     return true
   },
@@ -132,7 +128,7 @@
     const gone = chooseWorker(stage, step)
     if (gone === undefined) return false
     stage.workers.end(gone)
-    await waitFor(stage, LAPSE_MS)
+    await waitFor(stage.clock, LAPSE_MS)
     stage.workers.removeRecord(gone)
     await stage.workers.add(gone.service, gone.domain, true)
     return true
@@ -142,7 +138,7 @@
     if (leaving === undefined) return false
     stage.workers.startLeaving(leaving)
     await stage.workers.add(leaving.service, leaving.domain, true)
-    await waitFor(stage, LEAVING_MS)
+    await waitFor(stage.clock, LEAVING_MS)
     stage.workers.removeRecord(leaving)
     stage.workers.end(leaving)
     return true
@@ -151,11 +147,11 @@
     const gone = chooseWorker(stage, step)
     if (gone === undefined) return false
     stage.workers.end(gone)
-    await waitFor(stage, LAPSE_MS)
+    await waitFor(stage.clock, LAPSE_MS)
     const others = stage.services.filter((service) => service !== gone.service)
     await stage.workers.putAtAddress(gone, choose(others, step.variant)!)
     // The old registration lapses only after the address has its new holder: meanwhile both stand in the store.
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     stage.workers.removeRecord(gone)
     await stage.workers.add(gone.service, gone.domain, true)
     return true
@@ -164,7 +160,7 @@
     const faulty = chooseWorker(stage, step)
     if (faulty === undefined) return false
     faulty.worker.fault = choose(WORKER_FAULTS, step.variant)!
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     faulty.worker.fault = WorkerFault.None
     return true
   }),
@@ -173,7 +169,7 @@
     const from = Math.floor(step.target * list.length)
     const struck = step.target > ALL_ENTRIES_FROM ? list : [...list, ...list].slice(from, from + Math.ceil(list.length * ENTRY_PART))
     for (const { store } of struck) store.setFault(choose(STORE_FAULTS, step.variant)!)
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     for (const { store } of struck) store.setFault(StoreFault.None)
     return true
   }),
@@ -185,7 +181,7 @@
   [SoakStepKind.LinkFault]: async (stage, step) => await runDisturbing(stage, async () => {
     const link = choose(listLinks(stage), step.target)!
     link.setFault(choose(LINK_FAULTS, step.variant)!)
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     link.setFault(LinkFault.None)
     return true
   }),
@@ -199,7 +195,7 @@
   [SoakStepKind.Evacuation]: async (stage, step) => {
     const domain = choose(stage.domains, step.target)!
     stage.records.putEvacuation(domain)
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     stage.records.removeEvacuation(domain)
     return true
   },
@@ -207,7 +203,7 @@
     const gone = chooseWorker(stage, step)
     if (gone === undefined) return false
     stage.workers.end(gone)
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     await stage.workers.startAgain(gone)
     return true
   }),
@@ -215,7 +211,7 @@
     const worker = chooseWorker(stage, step)
     if (worker === undefined) return false
     stage.records.store.putText(`servers/${worker.id}`, choose(FOREIGN_TEXTS, step.variant)!)
-    await waitFor(stage, step.spanMs)
+    await waitFor(stage.clock, step.spanMs)
     stage.workers.renewRecord(worker)
     return true
   })
--- a/packages/soak/test/common/routing/routingHistory.test.ts
+++ b/packages/soak/test/common/routing/routingHistory.test.ts
@@ -10,8 +10,8 @@
 
 function createHistory (): RoutingHistory {
   const history = new RoutingHistory(APPLY_MS)
-  history.add({ version: 1, ackedAt: 0, rules: [{ prefix: '/a/', service: 'archive', homes: ['north'] }] })
-  history.add({ version: 2, ackedAt: 10_000, rules: [{ prefix: '/a/', service: 'archive', homes: ['south'] }, { prefix: '/a/b/', service: 'desk', homes: [] }] })
+  history.add({ version: 1, ackedAt: 0, routes: [{ prefix: '/a/', service: 'archive', homes: ['north'] }] })
+  history.add({ version: 2, ackedAt: 10_000, routes: [{ prefix: '/a/', service: 'archive', homes: ['south'] }, { prefix: '/a/b/', service: 'desk', homes: [] }] })
   return history
 }
 
--- a/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
@@ -25,6 +25,8 @@
 }
 
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+const DENIED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431])
+const CONFIGURATION_GAUGE = /umberspar_configuration_version (\d+)/
 
 /**
  * Sends a client's request.
@@ -41,6 +43,11 @@
   return NOT_RUN_STATUSES.has(status)
 }
 
+/** @returns whether a status says that a request is not allowed, so that it is not sent again */
+export function isDenied (status: number): boolean {
+  return DENIED_STATUSES.has(status)
+}
+
 /** Asks a listener a question. */
 export async function askAt (address: string, path: string, signal?: AbortSignal): Promise<ClientAnswer> {
   return await send(address, { path, method: 'GET', headers: {}, signal })
@@ -56,6 +63,12 @@
   }
 }
 
+/** @returns the version of the configuration that an entry VM's metrics show; NaN if they show none */
+export async function fetchConfigurationVersion (metricsAddress: string, signal?: AbortSignal): Promise<number> {
+  const { body } = await askAt(metricsAddress, '/metrics', signal)
+  return Number(CONFIGURATION_GAUGE.exec(body)?.[1])
+}
+
 /** Asks, as a client does, which entry VMs to use. @returns their addresses */
 export async function lookUpAt (address: string, region: string, domain: string, signal?: AbortSignal): Promise<string[]> {
   const { status, body } = await askAt(address, `/umberspar/resolve?Name=${PLATFORM_HOST}&Region=${region}&Zone=${domain}`, signal)
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -33,8 +33,7 @@
 export class RecordStoreState {
   private readonly items = new Map<string, StoredItem>()
   private readonly leases = new Map<number, Lease>()
-  private history: StoredItem[] = []
-  /** Every change with the instant at which it was made, for reads of an earlier state; kept when the history is dropped. */
+  /** Every change with the instant at which it was made; reads of an earlier state need those too that watches no longer get. */
   private readonly changes: Array<{ readonly item: StoredItem, readonly at: number }> = []
   private droppedUpTo = 0
   private lastLease = 70_000
@@ -72,13 +71,12 @@
   /** @returns what changed after a revision, or undefined if that history was dropped */
   listChanges (prefix: string, after: number): StoredItem[] | undefined {
     if (after < this.droppedUpTo) return undefined
-    return this.history.filter(({ key, revision }) => revision > after && key.startsWith(prefix))
+    return this.changes.map(({ item }) => item).filter(({ key, revision }) => revision > after && key.startsWith(prefix))
   }
 
   /** Drops all history. */
   clearHistory (): void {
     this.droppedUpTo = this.revision
-    this.history = []
   }
 
   /** Writes without conditions, as the operator and the workers do. */
@@ -142,7 +140,6 @@
   }
 
   private recordChange (item: StoredItem): void {
-    this.history.push(item)
     this.changes.push({ item, at: performance.now() })
   }
 }
--- a/packages/testing/src/node/waiting.ts
+++ b/packages/testing/src/node/waiting.ts
@@ -1,6 +1,15 @@
 /** Waiting on a clock. */
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 
+/**
+ * @param clock the clock to wait on
+ * @param spanMs from now on, in milliseconds
+ * @returns settled once the span is over
+ */
+export async function waitFor (clock: IClock, spanMs: number): Promise<void> {
+  await waitUntil(clock, clock.now() + spanMs)
+}
+
 /**
  * @param clock the clock to wait on
  * @param at the instant to wait for
