Log and count what workers announce in their responses

The head of every response is read for both, late and unsolicited responses included; an answer of another worker at the address (421) and a success without a seal are not the worker's. Kept for each incarnation of a worker, logged (drain-worker, cool-down-worker), counted by gauges that tell a drain by the responses from one by the store, and shown by explain. No decision uses either yet.

--- a/packages/cli/src/common/explainRequest.ts
+++ b/packages/cli/src/common/explainRequest.ts
@@ -10,6 +10,8 @@
   readonly line: LogLine
   /** The VM's last change of its view of the worker that the step names. */
   readonly worker: LogLine | undefined
+  /** The last announcement of that worker in its responses to the VM. */
+  readonly announcement: LogLine | undefined
   /** The VM's last adoption of a configuration. */
   readonly configuration: LogLine | undefined
   /** The VM's last line about its connection to the store. */
@@ -85,6 +87,7 @@
     return {
       line,
       worker: earlierLines.findLast(({ fields }) => typeof worker === 'string' && fields.subject === worker),
+      announcement: earlierLines.findLast(({ step, fields }) => ANNOUNCEMENT_STEPS.has(step) && fields.peer === worker),
       configuration: earlierLines.findLast(({ fields }) => fields.change === 'document-adopted'),
       store: earlierLines.findLast(({ step }) => step === 'follow-store'),
       source: earlierLines.findLast(({ step }) => step === 'choose-source')
@@ -100,8 +103,11 @@
   }
 }
 
+/** Log steps that record what a worker announced in a response. */
+const ANNOUNCEMENT_STEPS: ReadonlySet<string> = new Set(['drain-worker', 'cool-down-worker'])
+
 /** Log steps that record a change in a VM's state. */
-const STATE_STEPS: ReadonlySet<string> = new Set(['update-view', 'follow-store', 'choose-source'])
+const STATE_STEPS: ReadonlySet<string> = new Set(['update-view', 'follow-store', 'choose-source', ...ANNOUNCEMENT_STEPS])
 
 function formatFields (fields: Readonly<Record<string, unknown>>): string {
   return Object.entries(fields)
@@ -121,11 +127,12 @@
  */
 export function formatExplanation ({ requestId, steps, conclusion }: Explanation): string {
   const lines = [`request ${requestId}`]
-  for (const { line, worker, configuration, store, source } of steps) {
+  for (const { line, worker, announcement, configuration, store, source } of steps) {
     lines.push(`${new Date(line.time).toISOString()} ${line.node} ${line.message} (${line.step})`, `    ${formatFields(line.fields)}`)
     lines.push(formatState('configuration', configuration, line.time), formatState('store', store, line.time))
     if (source !== undefined) lines.push(formatState('records', source, line.time))
     if (worker !== undefined) lines.push(formatState('worker', worker, line.time))
+    if (announcement !== undefined) lines.push(formatState('announcement', announcement, line.time))
   }
   return [...lines, conclusion].join('\n')
 }
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -33,6 +33,7 @@
 import { EntryGauges } from './telemetry/entryGauges.js'
 import type { EntryMetrics } from './telemetry/entryMetrics.js'
 import { EntryTelemetry } from './telemetry/entryTelemetry.js'
+import { AdvisoryRecorder } from './upstream/advisoryRecorder.js'
 import { UpstreamPools } from './upstream/upstreamPools.js'
 
 /** The services that an entry process is built from. */
@@ -96,7 +97,7 @@
     })
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
-    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock))
+    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -1,6 +1,7 @@
 /** The values of an entry process's gauges, read when the metrics are fetched. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import type { ViewUpdater } from '../replica/viewUpdater.js'
 import type { RecordSynchronizer } from '../replica/recordSynchronizer.js'
 import type { CallerServer } from '../front/callerServer.js'
@@ -39,7 +40,8 @@
   }
 
   readGauges (): Readonly<Record<string, number>> {
-    const { view, viewUpdater, synchronizer, quotas, quarantine, callerServer, isReady } = this.dependencies
+    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, isReady } = this.dependencies
+    const now = clock.now()
     const { quarantined, suspects } = quarantine.readCounts()
     const { ageMs, revision } = viewUpdater.getRecordsAge()
     return {
@@ -51,6 +53,9 @@
       entry_vms_known: view.countNodes(),
       workers_known: [...view.listTrackers()].length,
       workers_rate_limited: [...view.listTrackers()].filter(({ rateLimit }) => rateLimit !== undefined).length,
+      workers_draining_by_response: [...view.listTrackers()].filter(({ advisory }) => advisory.isDraining).length,
+      workers_draining_by_registration: [...view.listTrackers()].filter(({ registration }) => registration.state === UpstreamState.Draining).length,
+      workers_cooling_down: [...view.listTrackers()].filter(({ advisory }) => advisory.isCoolingDown(now)).length,
       domains_evacuated: view.evacuatedDomains.size,
       quota_shares_kept: quotas.countOwned(),
       requests_quarantined: quarantined,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -139,6 +139,16 @@
     this.logger.log(LogLevel.Info, { step: 'limit-rate', peer: worker, service, perSecond }, 'rate limit announced by a worker changed')
   }
 
+  /** Logs that a worker announced in a response that it drains. The store's registrations are logged as changes of the view. */
+  logDrain (service: string, worker: string): void {
+    this.logger.log(LogLevel.Info, { step: 'drain-worker', peer: worker, service, source: 'response' }, 'worker announced its shutdown in a response')
+  }
+
+  /** Logs that a worker asked for no requests from this VM for a while. */
+  logCoolDown (service: string, worker: string, coolDownMs: number): void {
+    this.logger.log(LogLevel.Info, { step: 'cool-down-worker', peer: worker, service, coolDownMs: Math.round(coolDownMs) }, 'worker asked for a cool-down')
+  }
+
   /** Warns about routes whose kind this version doesn't know. */
   logUnknownKinds ({ version, routes }: SteeringDocument): void {
     const unknownRoutes = routes.filter(({ kind }) => kind === RouteKind.Unknown).map(({ name }) => name)
--- /dev/null
+++ b/packages/entry/src/node/upstream/advisoryRecorder.ts
@@ -0,0 +1,46 @@
+/** Records what workers announce in their responses, and logs it. */
+import type { IClock } from '@umberspar/base/common/clock'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { UpstreamRegistration } from '@umberspar/steering/common/entry/records'
+import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
+import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
+import { parseAdvisorySignals } from './advisorySignals.js'
+import type { IResponseObserver } from './upstreamPools.js'
+import { getHeader } from './rawHeaders.js'
+import type { ResponseHead } from './responseParser.js'
+
+const MIN_SUCCESS_STATUS = 200
+const MIN_REDIRECT_STATUS = 300
+
+/** Dependencies of an {@link AdvisoryRecorder}. */
+export interface AdvisoryRecorderDependencies {
+  readonly clock: IClock
+  readonly view: EntryView
+  readonly protocol: ICallerProtocol
+  readonly telemetry: EntryTelemetry
+}
+
+/** Records the announcements of all workers. */
+export class AdvisoryRecorder implements IResponseObserver {
+  /** @param dependencies the services that it uses */
+  constructor (private readonly dependencies: AdvisoryRecorderDependencies) {}
+
+  handleResponseHead (worker: UpstreamRegistration, head: ResponseHead): void {
+    const { clock, view, protocol, telemetry } = this.dependencies
+    if (!this.isFromWorker(head)) return
+    const { isDraining, coolDownMs } = parseAdvisorySignals(head, protocol.headers)
+    const { id, service } = worker
+    if (isDraining && view.recordDrain(worker)) telemetry.logDrain(service, id)
+    const now = clock.now()
+    if (coolDownMs !== undefined && view.recordCoolDown(worker, createDeadline(now, coolDownMs), now)) telemetry.logCoolDown(service, id, coolDownMs)
+  }
+
+  /** Another worker that uses the address now, or bytes from elsewhere, say nothing about this worker. */
+  private isFromWorker ({ status, rawHeaders }: ResponseHead): boolean {
+    const { misdirectedRequestStatus, headers } = this.dependencies.protocol
+    if (status === misdirectedRequestStatus) return false
+    const isSuccess = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
+    return !isSuccess || getHeader(rawHeaders, headers.seal) !== undefined
+  }
+}
--- a/packages/entry/src/node/upstream/rawHeaders.ts
+++ b/packages/entry/src/node/upstream/rawHeaders.ts
@@ -14,6 +14,19 @@
   return undefined
 }
 
+/**
+ * @param rawHeaders alternating names and values
+ * @param name a field's name, in lower case
+ * @returns all values of the field, in the order received
+ */
+export function listHeaderValues (rawHeaders: readonly string[], name: string): string[] {
+  const values: string[] = []
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]!.toLowerCase() === name) values.push(rawHeaders[index + 1]!)
+  }
+  return values
+}
+
 /** Fields that apply to one connection only. Trailers are not forwarded, so they are not announced either. */
 const CONNECTION_FIELDS: ReadonlySet<string> = new Set([...HOP_BY_HOP_HEADERS, 'trailer'])
 
--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -36,6 +36,9 @@
   readonly isHead: boolean
 }
 
+/** Receives the head of every response of a worker: also of late ones, and of those without a request. */
+export type ResponseHeadListener = (head: ResponseHead) => void
+
 /** How a worker's responses echo the request's id. */
 export interface EchoRule {
   /** The name of the header field, in lower case. */
@@ -70,12 +73,14 @@
   /**
    * @param socket a connected socket
    * @param rule how responses are matched to requests
+   * @param onResponseHead called for the head of each response
    * @param onIdle called when the connection is available for another request
    * @param onClosed called once, when the connection has closed
    */
   constructor (
     private readonly socket: Socket,
     private readonly rule: EchoRule,
+    private readonly onResponseHead: ResponseHeadListener,
     private readonly onIdle: (connection: UpstreamConnection) => void,
     private readonly onClosed: (connection: UpstreamConnection) => void
   ) {
@@ -138,7 +143,8 @@
 
   private handleData (chunk: Buffer): void {
     if (this.exchange === undefined) {
-      // Without a pending request, these bytes would go to the next caller on this connection.
+      // Without a pending request, these bytes would go to the next caller on this connection. Only the head is read.
+      this.parser.read(chunk)
       this.socket.destroy()
       return
     }
@@ -153,6 +159,7 @@
   }
 
   private handleHead (head: ResponseHead): boolean {
+    this.onResponseHead(head)
     const exchange = this.exchange
     if (exchange === undefined) throw new Error('response without a pending request')
     const id = getHeader(head.rawHeaders, this.rule.idHeader)
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -4,7 +4,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { IdleLimit } from './idleLimit.js'
-import { type EchoRule, UpstreamConnection } from './upstreamConnection.js'
+import { type EchoRule, type ResponseHeadListener, UpstreamConnection } from './upstreamConnection.js'
 
 /** Why no connection could be opened. In each case, nothing was sent. */
 export enum OpenFailure {
@@ -30,6 +30,7 @@
    * @param host the worker's IP address
    * @param port the worker's port
    * @param rule how responses are matched to requests
+   * @param onResponseHead called for the head of each response of the worker
    * @param idleLimit limits the reuse of idle connections, in addition to the timeout that the worker announces
    * @param clock for timeouts
    */
@@ -37,6 +38,7 @@
     private readonly host: string,
     private readonly port: number,
     private readonly rule: EchoRule,
+    private readonly onResponseHead: ResponseHeadListener,
     private readonly idleLimit: IdleLimit,
     private readonly clock: IClock
   ) {}
@@ -114,7 +116,7 @@
     socket.on('error', () => { if (!isSettled) settle(OpenFailure.Refused) })
     socket.once('connect', () => {
       if (isSettled) return
-      settle(this.addConnection(new UpstreamConnection(socket, this.rule, (idle) => this.keepIdle(idle), (closed) => this.removeConnection(closed))))
+      settle(this.addConnection(new UpstreamConnection(socket, this.rule, this.onResponseHead, (idle) => this.keepIdle(idle), (closed) => this.removeConnection(closed))))
     })
   }
 
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -4,9 +4,19 @@
 import type { UpstreamRegistration } from '@umberspar/steering/common/entry/records'
 import { splitAddress } from '../address.js'
 import { IdleLimit } from './idleLimit.js'
+import type { ResponseHead } from './responseParser.js'
 import type { EchoRule } from './upstreamConnection.js'
 import { UpstreamPool } from './upstreamPool.js'
 
+/** Receives the head of every response of every worker. */
+export interface IResponseObserver {
+  /**
+   * @param worker the worker as registered when its pool was created
+   * @param head the head of a response on a connection to it
+   */
+  handleResponseHead(worker: UpstreamRegistration, head: ResponseHead): void
+}
+
 /** One pool for each worker id and address. A new worker at the address of a previous one gets new connections. */
 export class UpstreamPools implements IClosable {
   /** Shared by all workers, as the workers of a service drop idle connections after the same time. */
@@ -16,8 +26,13 @@
   /**
    * @param rule how responses are matched to requests
    * @param clock for timeouts
+   * @param observer receives the heads of responses
    */
-  constructor (private readonly rule: EchoRule, private readonly clock: IClock) {}
+  constructor (
+    private readonly rule: EchoRule,
+    private readonly clock: IClock,
+    private readonly observer: IResponseObserver
+  ) {}
 
   /**
    * @param entry a worker
@@ -28,7 +43,7 @@
     const { host, port } = splitAddress(entry.address)
     if (pool === undefined || !pool.isFor(host, port)) {
       pool?.close()
-      pool = new UpstreamPool(host, port, this.rule, this.idleLimit, this.clock)
+      pool = new UpstreamPool(host, port, this.rule, (head) => { this.observer.handleResponseHead(entry, head) }, this.idleLimit, this.clock)
       this.pools.set(entry.id, pool)
     }
     return pool
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -4,7 +4,7 @@
  * domains, and the other entry VMs. It is updated from the records, one change at a time.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { applyRecord } from './applyRecord.js'
 import { AccountTable } from './accountTable.js'
 import { WeightedRoundRobin } from './weightedRoundRobin.js'
@@ -18,6 +18,7 @@
 import { UpstreamTracker } from './upstreamTracker.js'
 import { type UpstreamChange, ViewChange, type ViewEvent } from './viewEvent.js'
 import { ServiceTimeEstimate } from './serviceTimeEstimate.js'
+import type { WorkerAdvisory } from './workerAdvisory.js'
 
 /** The holder of a quota share, and the revision of its claim. */
 export interface ShareClaim {
@@ -187,6 +188,26 @@
     this.pools.get(tracker.registration.service)?.remove(id)
   }
 
+  /**
+   * Records that a worker announced in a response that it drains.
+   * @param worker the worker as it was known when the connection was opened
+   * @returns whether this was not known before
+   */
+  recordDrain (worker: UpstreamRegistration): boolean {
+    return this.findAdvisory(worker)?.recordDrain() ?? false
+  }
+
+  /**
+   * Records that a worker asked for no requests from this VM for a while.
+   * @param worker the worker as it was known when the connection was opened
+   * @param until when it may get requests again
+   * @param now the current time
+   * @returns whether the worker was not cooling down before
+   */
+  recordCoolDown (worker: UpstreamRegistration, until: Deadline, now: Instant): boolean {
+    return this.findAdvisory(worker)?.recordCoolDown(until, now) ?? false
+  }
+
   /** @param domain a failure domain that gets no requests from now on */
   putEvacuation (domain: string): void {
     this.evacuatedDomains.add(domain)
@@ -226,6 +247,12 @@
     this.sendingNodes = undefined
   }
 
+  /** @returns the announcements of the worker's incarnation; undefined if it is another one than the present */
+  private findAdvisory (worker: UpstreamRegistration): WorkerAdvisory | undefined {
+    const tracker = this.trackers.get(worker.id)
+    return tracker === undefined || tracker.isOtherStart(worker) ? undefined : tracker.advisory
+  }
+
   private listNodeNames (): readonly string[] {
     this.nodeNames ??= [...new Set([this.context.node, ...this.nodes.keys()])].sort()
     return this.nodeNames
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -3,6 +3,7 @@
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { SlidingWindowCounter } from '../rateLimits/slidingWindowCounter.js'
 import type { UpstreamRegistration } from './records.js'
+import { WorkerAdvisory } from './workerAdvisory.js'
 
 /** The load that a worker reported with an answer. */
 export interface LoadReport {
@@ -72,8 +73,9 @@
    * @param registration the worker's registration
    * @param now the current time, from which its cold start counts
    * @param earlierStartTimes start times of earlier processes under the same id
+   * @param advisory what the worker announced in its responses
    */
-  constructor (public registration: UpstreamRegistration, now: Instant, private readonly earlierStartTimes: readonly number[] = []) {
+  constructor (public registration: UpstreamRegistration, now: Instant, private readonly earlierStartTimes: readonly number[] = [], readonly advisory = new WorkerAdvisory()) {
     this.coldUntil = createDeadline(now, registration.coldMs)
   }
 
--- a/packages/steering/src/common/ports/callerProtocol.ts
+++ b/packages/steering/src/common/ports/callerProtocol.ts
@@ -19,6 +19,8 @@
   readonly load: string
   /** The requests per second that a worker accepts from all entry VMs together, while its responses contain the field; alternative names. */
   readonly rateLimit: readonly string[]
+  /** Set by a worker on all of its responses from the moment at which it starts to drain; alternative names. */
+  readonly draining: readonly string[]
   /** Set by a worker on its response if it did not run the request. */
   readonly notRun: string
   /** The name of the caller's client account, sent to workers. */
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -78,6 +78,12 @@
   readonly runs: WorkerRun[] = []
   /** The rate limit that its answers name, in requests a second; undefined for none. */
   rateLimit: number | undefined
+  /** Whether its responses announce that it drains. */
+  isDraining = false
+  /** The values of `Retry-After` on its refusals, one field each. */
+  retryAfter: readonly string[] = []
+  /** Whether its refusals say that the request did not run. */
+  saysNotRun = true
   /** The load that its answers tell. */
   load = '1,0,4'
   hasCrashed = false
@@ -145,7 +151,7 @@
     }
     if (this.fault === WorkerFault.Shed) {
       this.observer?.onRefused(this.id, requestId)
-      socket.write(this.format(503, requestId, '', ['X-Umberspar-Not-Run: 1']))
+      socket.write(this.formatRefusal(requestId))
       return
     }
     const run = { requestId, method: method ?? '', path: path ?? '', bodyLength, leftMs: Number(getField(head, 'X-Umberspar-Deadline-Ms')), account: getFields(head, 'X-Umberspar-Tenant'), authorization: getFields(head, 'Authorization') }
@@ -180,6 +186,11 @@
     ANSWERS[fault](this, socket, requestId)
   }
 
+  /** @returns the bytes of a refusal */
+  formatRefusal (requestId: string): string {
+    return this.format(503, requestId, '', [...(this.saysNotRun ? ['X-Umberspar-Not-Run: 1'] : []), ...this.retryAfter.map((value) => `Retry-After: ${value}`)])
+  }
+
   /** @returns an answer's bytes */
   format (status: number, requestId: string, body: string, fields: readonly string[], isSealed = true): string {
     const lines = [
@@ -188,6 +199,7 @@
       `X-Umberspar-Instance-Id: ${this.id}`,
       `X-Umberspar-Server-Load: ${this.load}`,
       ...(this.rateLimit === undefined ? [] : [`X-Umberspar-Server-Limit: ${this.rateLimit}`]),
+      ...(this.isDraining ? ['Server-Leaving: 1'] : []),
       `Content-Length: ${Buffer.byteLength(body)}`,
       ...(isSealed ? [`X-Umberspar-Server-Seal: seal-${this.id}-${requestId}`] : []),
       ...fields
@@ -200,7 +212,7 @@
 
 const ANSWERS: Readonly<Record<WorkerFault, Answer>> = {
   [WorkerFault.None]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [])) },
-  [WorkerFault.Shed]: (worker, socket, requestId) => { socket.write(worker.format(503, requestId, '', ['X-Umberspar-Not-Run: 1'])) },
+  [WorkerFault.Shed]: (worker, socket, requestId) => { socket.write(worker.formatRefusal(requestId)) },
   [WorkerFault.AnswerLost]: (_worker, socket) => { socket.resetAndDestroy() },
   [WorkerFault.Fail]: (worker, socket, requestId) => { socket.write(worker.format(500, requestId, 'failed', [])) },
   [WorkerFault.Extra]: (worker, socket, requestId) => {
--- a/packages/testing/test/node/usersPlatform/explain.test.ts
+++ b/packages/testing/test/node/usersPlatform/explain.test.ts
@@ -64,6 +64,27 @@
     assert.match(formatExplanation(explanation), /worker: the view changed, change=upstream-joined subject=w-1/)
   })
 
+  it('a worker that drains by its responses, and not by its registration', async () => {
+    platform.workers.get('w-1')!.isDraining = true
+    assert.equal((await platform.call(entry, { path: '/a/1', method: 'POST', id: 'first' })).status, 200)
+    const lines = entry.lines.filter(({ step }) => step === 'drain-worker')
+    assert.deepEqual(lines.map(({ peer, source }) => ({ peer, source })), [{ peer: 'w-1', source: 'response' }])
+    const { body } = await platform.ask(entry.settings.listen.metrics, '/metrics')
+    assert.match(body, /umberspar_workers_draining_by_response 1\n/)
+    assert.match(body, /umberspar_workers_draining_by_registration 0\n/)
+  })
+
+  it('a worker that asked for a pause', async () => {
+    const worker = platform.workers.get('w-1')!
+    worker.fault = WorkerFault.Shed
+    worker.retryAfter = ['30']
+    assert.equal((await platform.call(entry, { path: '/a/1', method: 'POST', id: 'refused' })).status, 503)
+    const end = explain('refused').steps.find(({ line }) => line.step === 'end-offer')
+    assert.equal(end?.announcement?.fields.coolDownMs, 30_000)
+    assert.match(formatExplanation(explain('refused')), /announcement: worker asked for a cool-down, peer=w-1/)
+    assert.match((await platform.ask(entry.settings.listen.metrics, '/metrics')).body, /umberspar_workers_cooling_down 1\n/)
+  })
+
   it('says so when no line names the request', () => {
     assert.match(explain('unknown').conclusion, /No line names this request/)
   })
