Stop sending to a worker that announced its shutdown in a response

Callers saw nothing yet: the worker served on. But entry VMs that had forwarded its announcement (Server-Leaving) kept sending it requests until the store's record arrived, 12.5 s later in the users' record; had it exited first, these requests would have been reset.

Cause: drains were known from the store's records alone; no code read what the response says. An advisory signal that is not honoured. Evidence: the worker's arrivals do not change at the announcement (12 a second before and after) and end in the second in which the store acknowledges the drain. Ruled out: a mark that registrations cancel, and requests under way (the rate never falls).

Change: the announcement belongs to the incarnation of the worker. Rankings, shares, readiness and the check before an attempt is sent treat it like a drain from the store; what runs is not cut off.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -12,7 +12,7 @@
 import { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
 import { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
-import { type EntryNode, UpstreamState } from '@umberspar/steering/common/entry/records'
+import type { EntryNode } from '@umberspar/steering/common/entry/records'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { INodeRegistration, IRecordWriter, ISteeringSource } from '@umberspar/steering/common/ports/steeringSource'
 import type { EntrySettings } from '../common/entrySettings.js'
@@ -266,8 +266,8 @@
 
   private isReady (): boolean {
     if (this.isDraining || this.view.document === undefined || !this.accessController.canAdmitKeys) return false
-    for (const { registration } of this.view.listTrackers()) {
-      if (registration.state === UpstreamState.Ready) return true
+    for (const { isDraining } of this.view.listTrackers()) {
+      if (!isDraining) return true
     }
     return false
   }
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -8,7 +8,6 @@
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/chooseUpstream'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { observeResponse } from '@umberspar/steering/common/entry/observeResponse'
-import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import type { InFlightRequest } from '@umberspar/steering/common/entry/upstreamTracker'
 import { AttemptOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
@@ -156,8 +155,8 @@
 
   /** While the connection was opened, the worker may have started to drain, or its failure domain may have been evacuated. */
   private isStillEligible (): boolean {
-    const { registration } = this.tracker
-    if (registration.state !== UpstreamState.Ready || this.context.view.evacuatedDomains.has(registration.domain)) return false
+    const { registration, isDraining } = this.tracker
+    if (isDraining || this.context.view.evacuatedDomains.has(registration.domain)) return false
     return this.context.view.getPool(this.service).has(registration.id)
   }
 
--- /dev/null
+++ b/packages/entry/test/node/front/upstreamAttempt.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict'
+import { Socket } from 'node:net'
+import { beforeEach, describe, it } from 'node:test'
+import { ManualClock } from '@umberspar/base/common/manualClock'
+import { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
+import type { UpstreamChoice } from '@umberspar/steering/common/entry/chooseUpstream'
+import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
+import { EntryView } from '@umberspar/steering/common/entry/entryView'
+import { type UpstreamRegistration, UpstreamState } from '@umberspar/steering/common/entry/records'
+import type { BufferedRequest } from '../../../src/node/front/bufferedRequest.js'
+import type { EntryContext } from '../../../src/node/front/entryContext.js'
+import { UpstreamAttempt, type AttemptResult } from '../../../src/node/front/upstreamAttempt.js'
+import { AttemptOutcome } from '../../../src/node/telemetry/requestOutcomes.js'
+import { UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
+import type { OpenListener } from '../../../src/node/upstream/upstreamPool.js'
+
+const REGIONS = new Map([['north-1', 'north']])
+const WORKER: UpstreamRegistration = { id: 'w-1', service: 'archive', address: '127.0.0.1:1', domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }
+
+describe('an attempt whose connection is being opened', () => {
+  let clock: ManualClock
+  let view: EntryView
+  let finishOpening: OpenListener
+  let results: AttemptResult[]
+  let sent: number
+
+  beforeEach(() => {
+    clock = new ManualClock()
+    const roundTrips = new DomainRoundTrips('north-1', REGIONS)
+    view = new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 } })
+    view.putUpstream(WORKER, clock.now())
+    const context = {
+      clock,
+      view,
+      roundTrips,
+      pools: { getPool: () => ({ open: (_maxConnections: number, _deadline: number, onOpen: OpenListener) => { finishOpening = onOpen } }) },
+      accessController: { decide: () => ({ outcome: AccessOutcome.Allowed }) },
+      telemetry: { logAttemptEnd: () => {} }
+    } as unknown as EntryContext
+    results = []
+    sent = 0
+    const [tracker] = view.listTrackers()
+    const choice = { candidate: { tracker, roundTripMs: 1 }, expectedMs: 10 } as unknown as UpstreamChoice
+    const attempt = new UpstreamAttempt(context, { route: {} } as unknown as BufferedRequest, choice, 'archive', undefined, clock.now() + 1_000, {
+      mayStillSend: () => true,
+      onSent: () => { sent++ },
+      onStreamStart: () => false,
+      onStreamData: () => {},
+      onEnd: (result) => { results.push(result) }
+    })
+    attempt.start()
+  })
+
+  function open (): void {
+    finishOpening(new UpstreamConnection(new Socket(), { idHeader: 'x-id' }, () => {}, () => {}, () => {}), 1)
+  }
+
+  // Guards against a request that is sent after the worker announced its shutdown to another request.
+  it('is withdrawn if the worker announces its shutdown meanwhile', () => {
+    view.recordDrain(WORKER)
+    open()
+    assert.deepEqual(results.map(({ outcome }) => outcome), [AttemptOutcome.Withdrawn])
+    assert.equal(sent, 0)
+  })
+})
--- a/packages/steering/src/common/entry/applyRecord.ts
+++ b/packages/steering/src/common/entry/applyRecord.ts
@@ -32,7 +32,7 @@
       return change === undefined ? [] : [{ change, subject: record.value.id, revision: record.revision }]
     }
     if (previous?.kind !== RecordKind.Upstream) return []
-    view.removeUpstream(previous.value.id)
+    view.removeUpstream(previous.value.id, now)
     return [{ change: ViewChange.UpstreamLeft, subject: previous.value.id, revision: previous.revision }]
   },
   [RecordKind.Evacuation]: (view, record, previous, now) => {
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -17,6 +17,7 @@
 import type { RoutePolicy, ServicePolicy, SteeringDocument } from './steeringDocument.js'
 import { UpstreamTracker } from './upstreamTracker.js'
 import { type UpstreamChange, ViewChange, type ViewEvent } from './viewEvent.js'
+import { DepartedWorkers } from './departedWorkers.js'
 import { ServiceTimeEstimate } from './serviceTimeEstimate.js'
 import type { WorkerAdvisory } from './workerAdvisory.js'
 
@@ -50,6 +51,7 @@
   /** Quarantined requests, by the request's digest. */
   readonly quarantines = new Map<string, StoredRecord<Quarantine>>()
   private readonly trackers = new Map<string, UpstreamTracker>()
+  private readonly departedWorkers = new DepartedWorkers()
   private readonly retryBudgets = new Map<string, SharedRetryBudget>()
   private readonly serviceTimesByRoute = new Map<string, ServiceTimeEstimate>()
   /** Sorted names of the entry VMs; undefined after a change, so that a start with hundreds of VMs sorts them once. */
@@ -171,8 +173,8 @@
     const known = this.trackers.get(registration.id)
     if (known !== undefined && known.isEarlierStart(registration)) return undefined
     const isRestart = known !== undefined && known.isOtherStart(registration)
-    if (known !== undefined && (isRestart || known.registration.service !== registration.service)) this.removeUpstream(registration.id)
-    const tracker = this.trackers.get(registration.id) ?? new UpstreamTracker(registration, now, isRestart ? known.listStartTimes() : [])
+    if (known !== undefined && (isRestart || known.registration.service !== registration.service)) this.removeUpstream(registration.id, now)
+    const tracker = this.trackers.get(registration.id) ?? this.createTracker(registration, now, isRestart ? known.listStartTimes() : [])
     tracker.update(registration, now)
     this.trackers.set(registration.id, tracker)
     this.getPool(registration.service).put(tracker)
@@ -180,10 +182,14 @@
     return isRestart ? ViewChange.UpstreamRestarted : ViewChange.UpstreamChanged
   }
 
-  /** @param id a worker that is no longer registered */
-  removeUpstream (id: string): void {
+  /**
+   * @param id a worker that is no longer registered
+   * @param now the current time
+   */
+  removeUpstream (id: string, now: Instant): void {
     const tracker = this.trackers.get(id)
     if (tracker === undefined) return
+    this.departedWorkers.put(tracker.registration, tracker.advisory, now)
     this.trackers.delete(id)
     this.pools.get(tracker.registration.service)?.remove(id)
   }
@@ -194,7 +200,10 @@
    * @returns whether this was not known before
    */
   recordDrain (worker: UpstreamRegistration): boolean {
-    return this.findAdvisory(worker)?.recordDrain() ?? false
+    if (this.findAdvisory(worker)?.recordDrain() !== true) return false
+    const service = this.trackers.get(worker.id)?.registration.service
+    if (service !== undefined) this.getPool(service).clearRankings()
+    return true
   }
 
   /**
@@ -247,10 +256,17 @@
     this.sendingNodes = undefined
   }
 
-  /** @returns the announcements of the worker's incarnation; undefined if it is another one than the present */
+  private createTracker (registration: UpstreamRegistration, now: Instant, earlierStartTimes: readonly number[]): UpstreamTracker {
+    const departed = this.departedWorkers.find(registration)
+    // Without the start time, the next process under the same id would pass for this one.
+    const startedAt = registration.startedAt ?? departed?.startedAt
+    return new UpstreamTracker({ ...registration, startedAt }, now, earlierStartTimes, departed?.advisory)
+  }
+
+  /** @returns the announcements of the worker's incarnation; undefined if it has been replaced by another one */
   private findAdvisory (worker: UpstreamRegistration): WorkerAdvisory | undefined {
     const tracker = this.trackers.get(worker.id)
-    return tracker === undefined || tracker.isOtherStart(worker) ? undefined : tracker.advisory
+    return tracker === undefined || tracker.isOtherStart(worker) ? this.departedWorkers.find(worker)?.advisory : tracker.advisory
   }
 
   private listNodeNames (): readonly string[] {
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -2,7 +2,8 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { SlidingWindowCounter } from '../rateLimits/slidingWindowCounter.js'
-import type { UpstreamRegistration } from './records.js'
+import { isSameIncarnation } from './departedWorkers.js'
+import { type UpstreamRegistration, UpstreamState } from './records.js'
 import { WorkerAdvisory } from './workerAdvisory.js'
 
 /** The load that a worker reported with an answer. */
@@ -79,6 +80,11 @@
     this.coldUntil = createDeadline(now, registration.coldMs)
   }
 
+  /** @returns whether the worker must get no new requests, by its registration or by its responses */
+  get isDraining (): boolean {
+    return this.registration.state === UpstreamState.Draining || this.advisory.isDraining
+  }
+
   /** @returns the start times of all processes known under this id, the present one included */
   listStartTimes (): number[] {
     const { startedAt } = this.registration
@@ -100,7 +106,7 @@
    * @returns whether a registration is from another process than the present one
    */
   isOtherStart ({ startedAt }: UpstreamRegistration): boolean {
-    return startedAt !== undefined && this.registration.startedAt !== undefined && startedAt !== this.registration.startedAt
+    return !isSameIncarnation(startedAt, this.registration.startedAt)
   }
 
   /**
--- a/packages/steering/src/common/entry/workerPool.ts
+++ b/packages/steering/src/common/entry/workerPool.ts
@@ -8,7 +8,7 @@
 import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
 import { KeyRanking } from './keyRanking.js'
 import { computeWorkerShares, type WorkerShares } from './workerShares.js'
-import { type UpstreamRegistration, UpstreamState } from './records.js'
+import type { UpstreamRegistration } from './records.js'
 import type { ServicePolicy } from './steeringDocument.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 import { CacheAffinity } from './cacheAffinity.js'
@@ -130,7 +130,10 @@
     this.clearShares()
   }
 
-  /** Discards the cached rankings after an evacuation of a failure domain has started or ended. */
+  /**
+   * Discards the cached rankings after an evacuation of a failure domain has started or ended, or
+   * after a worker has announced in a response that it drains.
+   */
   clearRankings (): void {
     this.clearShares()
   }
@@ -241,8 +244,8 @@
 
   private listReady (evacuatedDomains: ReadonlySet<string>): UpstreamRegistration[] {
     return [...this.trackers.values()]
+      .filter(({ isDraining, registration }) => !isDraining && !evacuatedDomains.has(registration.domain))
       .map(({ registration }) => registration)
-      .filter((entry) => entry.state === UpstreamState.Ready && !evacuatedDomains.has(entry.domain))
       .sort((left, right) => (left.id < right.id ? -1 : 1))
   }
 
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -102,9 +102,12 @@
     this.server = createServer((socket) => { this.accept(socket) })
   }
 
-  /** @returns `127.0.0.1:port` once it listens */
-  async listen (): Promise<string> {
-    await new Promise<void>((resolve) => { this.server.listen(0, '127.0.0.1', resolve) })
+  /**
+   * @param port where to listen; any free port if left out
+   * @returns `127.0.0.1:port` once it listens
+   */
+  async listen (port = 0): Promise<string> {
+    await new Promise<void>((resolve) => { this.server.listen(port, '127.0.0.1', resolve) })
     const address = this.server.address()
     return `127.0.0.1:${typeof address === 'object' ? address?.port : ''}`
   }
