--- a/packages/steering/src/common/entry/workerPool.ts
+++ b/packages/steering/src/common/entry/workerPool.ts
@@ -1,8 +1,7 @@
 /** The workers of one service, and the selection of candidates for a request. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Candidate } from './chooseUpstream.js'
-import { computePairHash, PAIR_HASH_RANGE } from '../lookup/rendezvous.js'
-import { divideRateLimit, type RateAllowance, type RateTolerance, type SendingNode } from '../rateLimits/rateAllowance.js'
+import type { RateTolerance, SendingNode } from '../rateLimits/rateAllowance.js'
 import { COLD_WINDOW_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainRoundTrips } from './domainRoundTrips.js'
 import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
@@ -12,6 +11,7 @@
 import type { ServicePolicy } from './steeringDocument.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 import { CacheAffinity } from './cacheAffinity.js'
+import { RateLimitScope, WorkerRateGate } from './workerRateGate.js'
 import type { ServiceTimeEstimate } from './serviceTimeEstimate.js'
 
 /** What a pool needs to know about its entry VM and the entry VMs that share the workers. */
@@ -53,21 +53,6 @@
 /** The saturation is cached this long, since computing it visits all workers. */
 const SATURATION_VALIDITY_MS = 100
 
-/** Which keys may be sent to a worker that reported a rate limit. */
-enum RateLimitScope {
-  /** Only the fixed subset of keys that fits within the limit. */
-  AssignedKeys = 'assigned',
-  /** All keys. */
-  AnyKey = 'tolerated'
-}
-
-/** The rate that this VM may send to a worker, with the inputs it was computed from. */
-interface CachedAllowance {
-  readonly limit: number
-  readonly nodes: readonly SendingNode[]
-  readonly allowance: RateAllowance
-}
-
 /** The workers of one service. */
 export class WorkerPool {
   private readonly trackers = new Map<string, UpstreamTracker>()
@@ -75,13 +60,16 @@
   readonly cacheAffinity = new CacheAffinity()
   readonly cacheHits = new CacheHitEstimator()
   policy: ServicePolicy | undefined
-  private readonly allowancesByWorker = new Map<string, CachedAllowance>()
+  private readonly rateGate: WorkerRateGate
   private sharesByDomain: ReadonlyMap<string, WorkerShares> | undefined
   private saturation = 0
   private saturationValidUntil: Instant = Number.NEGATIVE_INFINITY
 
   /** @param context this entry VM and the VMs that share the workers */
-  constructor (private readonly context: PoolContext) {}
+  constructor (private readonly context: PoolContext) {
+    const { node, rateTolerance } = context
+    this.rateGate = new WorkerRateGate({ node, rateTolerance, listSendingNodes: () => context.listSendingNodes(), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
+  }
 
   /** @returns all registered workers, draining ones included */
   listTrackers (): Iterable<UpstreamTracker> {
@@ -161,7 +149,7 @@
       const tracker = this.trackers.get(id)
       if (tracker === undefined || request.triedWorkers.has(id) || !this.hasColdCapacity(tracker, now)) continue
       if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined) tracker.demandMeter.record(now)
-      if (!this.hasRateCapacity(tracker, key, now, scope)) continue
+      if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
       candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, now))
     }
     return candidates
@@ -199,40 +187,11 @@
   getRateWaitMs (now: Instant): number | undefined {
     let freeAt: Instant | undefined
     for (const tracker of this.trackers.values()) {
-      if (tracker.rateLimit !== undefined) freeAt = Math.min(freeAt ?? Infinity, this.getRateAvailableAt(tracker, now))
+      if (tracker.rateLimit !== undefined) freeAt = Math.min(freeAt ?? Infinity, this.rateGate.getAvailableAt(tracker, now))
     }
     return freeAt === undefined ? undefined : freeAt - now
   }
 
-  private hasRateCapacity (tracker: UpstreamTracker, key: string, now: Instant, scope: RateLimitScope): boolean {
-    if (tracker.rateLimit === undefined) return true
-    const { windowMs, maxRequests: assigned, probeIntervalMs } = this.getAllowance(tracker, tracker.rateLimit)
-    if (scope === RateLimitScope.AssignedKeys) {
-      // Without an assigned rate, the request only probes whether the limit still applies; any key will do.
-      if (assigned === 0) return now >= tracker.rateLimitAt + probeIntervalMs
-      const demand = tracker.demandMeter.count(windowMs, now)
-      if (!isAssigned(key, tracker.registration.id, assigned / Math.max(1, demand))) return false
-    }
-    return this.getRateAvailableAt(tracker, now) <= now
-  }
-
-  /** @returns when the worker's rate limit, with the configured tolerance, permits the next request */
-  private getRateAvailableAt (tracker: UpstreamTracker, now: Instant): Instant {
-    const { rateLimit, rateMeter, rateLimitAt } = tracker
-    if (rateLimit === undefined) return now
-    const { windowMs, maxToleratedRequests, probeIntervalMs } = this.getAllowance(tracker, rateLimit)
-    return maxToleratedRequests === 0 ? Math.max(now, rateLimitAt + probeIntervalMs) : rateMeter.getNextAllowedAt(maxToleratedRequests, windowMs, now)
-  }
-
-  private getAllowance ({ registration }: UpstreamTracker, limit: number): RateAllowance {
-    const nodes = this.context.listSendingNodes()
-    const cached = this.allowancesByWorker.get(registration.id)
-    if (cached !== undefined && cached.limit === limit && cached.nodes === nodes) return cached.allowance
-    const allowance = divideRateLimit({ perSecond: limit, workerId: registration.id, tolerance: this.context.rateTolerance }, nodes, this.computeDemandByDomain(registration.id)).get(this.context.node)!
-    this.allowancesByWorker.set(registration.id, { limit, nodes, allowance })
-    return allowance
-  }
-
   /** @returns the share of each failure domain's requests that is intended for the worker */
   private computeDemandByDomain (workerId: string): Map<string, number> {
     const { regionByDomain } = this.context
@@ -251,7 +210,7 @@
 
   private clearShares (): void {
     this.rankings.clear()
-    this.allowancesByWorker.clear()
+    this.rateGate.clear()
     this.sharesByDomain = undefined
   }
 
@@ -273,13 +232,3 @@
     return new KeyRanking(shares)
   }
 }
-
-/**
- * Whether a worker with a rate limit below its demand keeps a key. It keeps a fixed subset of
- * its keys, and the others move to the next worker. If instead each request beyond the limit
- * moved, all of the keys would be cache misses at several workers.
- * @param keptRatio fraction of its keys that the worker keeps
- */
-function isAssigned (key: string, workerId: string, keptRatio: number): boolean {
-  return computePairHash(key, `limit/${workerId}`) < PAIR_HASH_RANGE * keptRatio
-}
