Honour Retry-After of a worker that refuses a request

The users' rule tolerates two requests within the time that a worker asks for; it got five and more.

Cause: no code read Retry-After of a worker's 503. A refusal only raised the worker's failure rate, which halves in 1.5 s, and a cached object outweighs that: the log shows the worker chosen at failure 0.3 to 0.58. An advisory signal that is not honoured, the same class as the announcement of a shutdown. Ruled out: a signal that is honoured too late (requests come throughout the 3 s) or ends too early (they come from the first moment on).

Change: a cool-down for each incarnation of a worker, known to the VM that got the refusal. It is checked when workers are chosen and again when the connection is open, is not ended by a shorter one, a 200 or a registration, and is no failure. Its slots do not count as free. The first request after it goes ahead of the others for 250 ms or until a response, so that a worker which refuses again refuses one. If nothing else is left, callers are refused at once with the end of the earliest cool-down.

--- a/packages/cli/src/common/explainRequest.ts
+++ b/packages/cli/src/common/explainRequest.ts
@@ -43,6 +43,7 @@
   'bodies-full': 'Refused, not run: the memory for buffered request bodies was full (because of a burst of uploads, or callers that stall).',
   'no-worker': 'Refused, not run: by the view of the VM, no worker may take it. Look at earlier log lines about workers that join or leave and about evacuations, and at their age.',
   'rate-limited': 'Refused, not run: no worker may take it, some of them only because of the rate limits that they declared (see limit-rate lines). Retry-After says when one of them can accept a request from this VM again.',
+  'workers-cooling-down': 'Refused, not run: no worker may take it, some of them only because they asked this VM for a pause (see cool-down-worker lines). Retry-After says when the first pause ends.',
   'too-late': 'Refused, not run: even the best worker was expected to answer after the time limit. See waitMs, held and slowness of the last offers to that service.',
   'workers-refused': 'Refused, not run: the workers that received it reported that they did not run it, because they were full or are leaving.',
   quarantined: 'Refused, not run: workers crashed earlier while they ran this request (quarantine-request lines have its digest and the workers). Find out what in the request crashes them; the quarantine expires by itself.',
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -21,7 +21,7 @@
 import { UpstreamAttempt, type AttemptResult } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
-import { getRefusal, REASON_BY_DENIAL } from './refusals.js'
+import { getRefusal, REASON_BY_DENIAL, REFUSAL_BY_UNAVAILABILITY } from './refusals.js'
 
 /** Statuses whose responses carry `Retry-After`. */
 const RETRY_AFTER_STATUSES: ReadonlySet<number> = new Set([429, 503])
@@ -102,7 +102,7 @@
     const homeRegions = computeHomeRegions(this.request.route, access.account)
     if (homeRegions === undefined) return this.endWithoutResponse(EndReason.NoHomeRegion)
     const choice = this.chooseWorker(homeRegions, now)
-    if (choice === undefined) return this.endWithoutCandidates(now)
+    if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
     if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
     this.logAttempt(choice, now)
@@ -185,10 +185,12 @@
     else this.endWithoutResponse(EndReason.WorkerFailed)
   }
 
-  private endWithoutCandidates (now: Instant): void {
-    const rateWaitMs = this.context.view.getPool(this.service).getRateWaitMs(now)
-    if (rateWaitMs === undefined || this.mayHaveRun) this.endWithoutResponse(EndReason.NoWorker)
-    else this.answerLocally(EndReason.RateLimited, addRetryJitter(rateWaitMs, this.context.random))
+  private endWithoutCandidates (homeRegions: readonly string[], now: Instant): void {
+    const { view, random } = this.context
+    const unavailability = view.getPool(this.service).findUnavailability(homeRegions, view.evacuatedDomains, now)
+    if (unavailability === undefined || this.mayHaveRun) return this.endWithoutResponse(EndReason.NoWorker)
+    const { reason, computeDelayMs } = REFUSAL_BY_UNAVAILABILITY[unavailability.reason]
+    this.answerLocally(reason, computeDelayMs(unavailability.until - now, random))
   }
 
   private endWithoutResponse (reason: EndReason, choice?: UpstreamChoice): void {
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -1,5 +1,8 @@
 /** The responses to requests that this VM refuses or fails itself. */
+import type { IRandomSource } from '@umberspar/base/common/random'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
+import { addRetryJitter, computeCoolDownDelayMs } from '@umberspar/steering/common/entry/retryDelay'
+import { UnavailabilityReason } from '@umberspar/steering/common/entry/unavailability'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 
 /** The response for one reason. */
@@ -24,6 +27,7 @@
   [EndReason.BodyMemoryExhausted]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no room for the request body' },
   [EndReason.NoWorker]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no worker may take the request now' },
   [EndReason.RateLimited]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers\' rate limits are exhausted' },
+  [EndReason.WorkersCoolingDown]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers have asked for a pause' },
   [EndReason.DeadlineUnreachable]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no worker would answer in time' },
   [EndReason.WorkersRefused]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers refused the request' },
   [EndReason.Quarantined]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: workers crashed under this request; it is quarantined' },
@@ -38,6 +42,22 @@
   [AccessOutcome.RecordsStale]: EndReason.RecordsStale
 }
 
+/** How a request is refused that no worker may get now. */
+export interface UnavailabilityRefusal {
+  readonly reason: EndReason
+  /**
+   * @param waitMs time until the first worker may get a request, in milliseconds
+   * @returns the delay before the caller's retry, in milliseconds
+   */
+  readonly computeDelayMs: (waitMs: number, random: IRandomSource) => number
+}
+
+/** The refusals of requests that no worker may get now. */
+export const REFUSAL_BY_UNAVAILABILITY: Readonly<Record<UnavailabilityReason, UnavailabilityRefusal>> = {
+  [UnavailabilityReason.RateLimited]: { reason: EndReason.RateLimited, computeDelayMs: addRetryJitter },
+  [UnavailabilityReason.CoolingDown]: { reason: EndReason.WorkersCoolingDown, computeDelayMs: computeCoolDownDelayMs }
+}
+
 /**
  * @param reason why the request ended
  * @returns the outcome, and the response to the caller
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -51,6 +51,7 @@
 const DECIMAL_NUMBER = /^\d{1,9}(\.\d{1,9})?$/
 /** From this status on, a response means that the worker failed the request. */
 const MIN_FAILURE_STATUS = 500
+const SERVICE_UNAVAILABLE_STATUS = 503
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 
@@ -60,6 +61,9 @@
   [ExchangeFailure.Cancelled]: AttemptOutcome.Cancelled
 }
 
+/** Outcomes of attempts that the worker responded to. */
+const RESPONSE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Answered, AttemptOutcome.FailedByWorker, AttemptOutcome.RefusedByWorker])
+
 /** One attempt. */
 export class UpstreamAttempt {
   private connection: UpstreamConnection | undefined
@@ -145,7 +149,7 @@
     const { route, keyDigest } = this.request
     // Checked again, because opening the connection takes time and the process may have been suspended.
     const access = this.context.accessController.decide(route, keyDigest)
-    if (access.outcome !== AccessOutcome.Allowed || !this.isStillEligible() || !this.listener.mayStillSend()) {
+    if (access.outcome !== AccessOutcome.Allowed || !this.isStillEligible(now) || !this.listener.mayStillSend()) {
       result.close()
       this.end({ outcome: AttemptOutcome.Withdrawn })
       return
@@ -153,10 +157,10 @@
     this.send(result, now, access.account?.name)
   }
 
-  /** While the connection was opened, the worker may have started to drain, or its failure domain may have been evacuated. */
-  private isStillEligible (): boolean {
-    const { registration, isDraining } = this.tracker
-    if (isDraining || this.context.view.evacuatedDomains.has(registration.domain)) return false
+  /** While the connection was opened, the worker may have started to drain or asked for a pause, or its failure domain may have been evacuated. */
+  private isStillEligible (now: Instant): boolean {
+    const { registration, isDraining, advisory } = this.tracker
+    if (isDraining || advisory.isCoolingDown(now) || this.context.view.evacuatedDomains.has(registration.domain)) return false
     return this.context.view.getPool(this.service).has(registration.id)
   }
 
@@ -182,6 +186,7 @@
   private handleStreamStart (head: ResponseHead): boolean {
     if (this.isEnded || this.classifyResponse(head) !== AttemptOutcome.Answered) return false
     this.recordRateLimit(head)
+    this.tracker.advisory.recordResponse(this.sentAt)
     this.isStreaming = this.listener.onStreamStart(head)
     return this.isStreaming
   }
@@ -198,7 +203,7 @@
       this.recordLoad(response.head)
       this.recordRateLimit(response.head)
     }
-    this.recordOutcome(outcome, response.length)
+    this.recordOutcome(outcome, response.length, response.head.status)
     this.end({ outcome, response, status: response.head.status })
   }
 
@@ -239,9 +244,13 @@
     this.context.telemetry.logRateLimit(this.service, this.tracker.registration.id, perSecond)
   }
 
-  private recordOutcome (outcome: AttemptOutcome, bytes: number): void {
+  private recordOutcome (outcome: AttemptOutcome, bytes: number, status?: number): void {
     const now = this.context.clock.now()
-    this.tracker.recordResult(outcome !== AttemptOutcome.Answered, now)
+    const { advisory } = this.tracker
+    if (RESPONSE_OUTCOMES.has(outcome)) advisory.recordResponse(this.sentAt)
+    // A worker that asked for a pause has not failed.
+    const isPauseRequest = status === SERVICE_UNAVAILABLE_STATUS && advisory.isCoolingDown(now)
+    if (!isPauseRequest) this.tracker.recordResult(outcome !== AttemptOutcome.Answered, now)
     if (outcome === AttemptOutcome.AddressReused) this.tracker.recordUnreachable(now)
     if (outcome !== AttemptOutcome.Answered) return
     const { view, quarantine } = this.context
--- a/packages/entry/src/node/telemetry/requestOutcomes.ts
+++ b/packages/entry/src/node/telemetry/requestOutcomes.ts
@@ -42,6 +42,8 @@
   NoWorker = 'no-worker',
   /** No worker is available, some of them only because of the rate limits that they announce. */
   RateLimited = 'rate-limited',
+  /** No worker is available, some of them only because they asked for a pause. */
+  WorkersCoolingDown = 'workers-cooling-down',
   /** Every worker is expected to respond after the deadline. */
   DeadlineUnreachable = 'too-late',
   /** Workers refused the request, and no further attempt is allowed. */
--- a/packages/entry/test/node/front/upstreamAttempt.test.ts
+++ b/packages/entry/test/node/front/upstreamAttempt.test.ts
@@ -62,4 +62,12 @@
     assert.deepEqual(results.map(({ outcome }) => outcome), [AttemptOutcome.Withdrawn])
     assert.equal(sent, 0)
   })
+
+  // Guards against a request that is sent after the worker asked for a pause in its response to another request.
+  it('is withdrawn if the worker asks for a pause meanwhile', () => {
+    view.recordCoolDown(WORKER, clock.now() + 1_000, clock.now())
+    open()
+    assert.deepEqual(results.map(({ outcome }) => outcome), [AttemptOutcome.Withdrawn])
+    assert.equal(sent, 0)
+  })
 })
--- a/packages/steering/src/common/entry/retryDelay.ts
+++ b/packages/steering/src/common/entry/retryDelay.ts
@@ -16,6 +16,8 @@
 const MAX_RETRY_DELAY_MS = 1_000
 /** Fraction of the expected wait after which to retry. By then half of the queue has been served or rejected. */
 const WAIT_RATIO = 0.5
+/** Longest delay for callers whose workers cool down: much longer ones are rarely exact. */
+const MAX_COOL_DOWN_DELAY_MS = 60_000
 /** Random jitter, as a fraction of the delay. */
 const JITTER_RATIO = 0.5
 
@@ -36,3 +38,15 @@
 export function addRetryJitter (waitMs: number, random: IRandomSource): number {
   return Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, waitMs)) * (1 + random.next() * JITTER_RATIO)
 }
+
+/**
+ * Callers that were rejected during the same cool-down must not return together. The jitter
+ * does not grow with the cool-down, as the workers are idle meanwhile.
+ * @param waitMs time until the first worker's cool-down ends, in milliseconds
+ * @param random source of the jitter
+ * @returns the delay before the retry, in milliseconds; never less than `waitMs` unless that is very long
+ */
+export function computeCoolDownDelayMs (waitMs: number, random: IRandomSource): number {
+  const delayMs = Math.min(MAX_COOL_DOWN_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, waitMs))
+  return delayMs + Math.min(MAX_RETRY_DELAY_MS, delayMs) * random.next() * JITTER_RATIO
+}
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -141,6 +141,7 @@
   startRequest (now: Instant, expectedMs: number): InFlightRequest {
     const request = { overdueAt: now + Math.max(MIN_OVERDUE_MS, expectedMs * OVERDUE_RATIO) }
     this.inFlight.add(request)
+    this.advisory.recordRequest(now)
     this.sentSinceReport++
     this.sentCount++
     if (this.isCold(now)) this.coldMeter.record(now)
--- a/packages/steering/src/common/entry/workerAdvisory.ts
+++ b/packages/steering/src/common/entry/workerAdvisory.ts
@@ -3,12 +3,17 @@
  * may learn of it much later, or never, and other entry VMs need not know.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import type { Deadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
+
+/** Workers refuse at once: without a refusal within this time, which covers a round trip between regions, the request was accepted. */
+const TRIAL_MS = 250
 
 /** The announcements of one incarnation. */
 export class WorkerAdvisory {
   private hasAnnouncedDrain = false
   private coolDownUntil: Deadline = Number.NEGATIVE_INFINITY
+  private needsTrial = false
+  private trialUntil: Deadline = Number.NEGATIVE_INFINITY
 
   /** @returns whether the worker announced that it drains; an incarnation never stops draining */
   get isDraining (): boolean {
@@ -22,11 +27,6 @@
     return isFirst
   }
 
-  /** @returns the end of the last cool-down; in the past if the worker is not cooling down */
-  get coolDownEndsAt (): Deadline {
-    return this.coolDownUntil
-  }
-
   /**
    * @param now the current time
    * @returns whether the worker asked for no requests until a later instant
@@ -35,6 +35,20 @@
     return now < this.coolDownUntil
   }
 
+  /**
+   * @param now the current time
+   * @returns whether the worker must get no further request for now: it is cooling down, or has
+   *   just got the first request after that
+   */
+  isPaused (now: Instant): boolean {
+    return now < this.pausedUntil
+  }
+
+  /** @returns when the worker may get a request; in the past if it may now */
+  get pausedUntil (): Deadline {
+    return Math.max(this.coolDownUntil, this.trialUntil)
+  }
+
   /**
    * Records a requested cool-down. A shorter one does not end a longer one.
    * @param until when it ends
@@ -44,6 +58,26 @@
   recordCoolDown (until: Deadline, now: Instant): boolean {
     const isNew = !this.isCoolingDown(now)
     this.coolDownUntil = Math.max(this.coolDownUntil, until)
+    this.needsTrial = true
     return isNew
   }
+
+  /**
+   * Records a request to the worker. The first one after a cool-down is a trial: others must
+   * wait until it is clear that the worker does not refuse it, or they could all be refused.
+   * @param now when it is sent
+   */
+  recordRequest (now: Instant): void {
+    if (!this.needsTrial || this.isCoolingDown(now)) return
+    this.needsTrial = false
+    this.trialUntil = createDeadline(now, TRIAL_MS)
+  }
+
+  /**
+   * Records a response; one to a request that was sent after the cool-down ends the trial.
+   * @param sentAt when its request was sent
+   */
+  recordResponse (sentAt: Instant): void {
+    if (sentAt >= this.coolDownUntil) this.trialUntil = Number.NEGATIVE_INFINITY
+  }
 }
--- a/packages/steering/src/common/entry/workerPool.ts
+++ b/packages/steering/src/common/entry/workerPool.ts
@@ -9,6 +9,7 @@
 import { computeWorkerShares, type WorkerShares } from './workerShares.js'
 import type { UpstreamRegistration } from './records.js'
 import type { ServicePolicy } from './steeringDocument.js'
+import { type Unavailability, UnavailabilityReason } from './unavailability.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 import { CacheAffinity } from './cacheAffinity.js'
 import { RateLimitScope, WorkerRateGate } from './workerRateGate.js'
@@ -93,6 +94,8 @@
     let inFlight = 0
     let slots = 0
     for (const tracker of this.trackers.values()) {
+      // Its slots are not free.
+      if (tracker.advisory.isCoolingDown(now)) continue
       inFlight += Math.min(MAX_IN_FLIGHT_PER_SLOT * tracker.registration.slots, tracker.countInFlight(now))
       slots += tracker.registration.slots
     }
@@ -147,7 +150,7 @@
     for (const [rank, id] of ranks.entries()) {
       if (candidates.length >= MAX_CANDIDATES) break
       const tracker = this.trackers.get(id)
-      if (tracker === undefined || request.triedWorkers.has(id) || !this.hasColdCapacity(tracker, now)) continue
+      if (tracker === undefined || request.triedWorkers.has(id) || tracker.advisory.isPaused(now) || !this.hasColdCapacity(tracker, now)) continue
       if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined) tracker.demandMeter.record(now)
       if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
       candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, now))
@@ -180,30 +183,42 @@
   }
 
   /**
+   * @param homeRegions the only regions that may serve the request; empty if all may
+   * @param evacuatedDomains failure domains that get no requests
    * @param now the current time
-   * @returns how long rate limits keep this VM from sending to any of the workers that
-   *   reported one, in milliseconds; undefined if no worker did
+   * @returns when the first of the workers that rate limits or cool-downs keep from getting
+   *   requests may get one; undefined if there is no such worker
    */
-  getRateWaitMs (now: Instant): number | undefined {
-    let freeAt: Instant | undefined
-    for (const tracker of this.trackers.values()) {
-      if (tracker.rateLimit !== undefined) freeAt = Math.min(freeAt ?? Infinity, this.rateGate.getAvailableAt(tracker, now))
+  findUnavailability (homeRegions: readonly string[], evacuatedDomains: ReadonlySet<string>, now: Instant): Unavailability | undefined {
+    let earliest: Unavailability | undefined
+    for (const tracker of this.listEligible(homeRegions, evacuatedDomains)) {
+      const isPaused = tracker.advisory.isPaused(now)
+      if (!isPaused && tracker.rateLimit === undefined) continue
+      const until = Math.max(now, tracker.advisory.pausedUntil, this.rateGate.getAvailableAt(tracker, now))
+      if (earliest === undefined || until < earliest.until) earliest = { reason: isPaused ? UnavailabilityReason.CoolingDown : UnavailabilityReason.RateLimited, until }
     }
-    return freeAt === undefined ? undefined : freeAt - now
+    return earliest
   }
 
   /** @returns the share of each failure domain's requests that is intended for the worker */
   private computeDemandByDomain (workerId: string): Map<string, number> {
     const { regionByDomain } = this.context
-    this.sharesByDomain ??= computeWorkerShares(this.listReady(new Set()), regionByDomain)
+    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), regionByDomain)
     const demandByDomain = new Map<string, number>()
     for (const [domain, shares] of this.sharesByDomain) demandByDomain.set(domain, shares.get(workerId) ?? 0)
     return demandByDomain
   }
 
-  private listReady (evacuatedDomains: ReadonlySet<string>): UpstreamRegistration[] {
-    return [...this.trackers.values()]
-      .filter(({ isDraining, registration }) => !isDraining && !evacuatedDomains.has(registration.domain))
+  /** @returns the workers that may get requests, if not now then later */
+  private listEligible (homeRegions: readonly string[], evacuatedDomains: ReadonlySet<string>): UpstreamTracker[] {
+    return [...this.trackers.values()].filter(({ isDraining, registration: { domain } }) => {
+      const isHome = homeRegions.length === 0 || homeRegions.includes(this.context.regionByDomain.get(domain) ?? '')
+      return !isDraining && isHome && !evacuatedDomains.has(domain)
+    })
+  }
+
+  private listRegistrations (homeRegions: readonly string[], evacuatedDomains: ReadonlySet<string>): UpstreamRegistration[] {
+    return this.listEligible(homeRegions, evacuatedDomains)
       .map(({ registration }) => registration)
       .sort((left, right) => (left.id < right.id ? -1 : 1))
   }
@@ -226,9 +241,7 @@
 
   private buildRanking (homeRegions: readonly string[], evacuatedDomains: ReadonlySet<string>): KeyRanking {
     const { regionByDomain, domain } = this.context
-    const workers = this.listReady(evacuatedDomains)
-      .filter((registration) => homeRegions.length === 0 || homeRegions.includes(regionByDomain.get(registration.domain) ?? ''))
-    const shares = computeWorkerShares(workers, regionByDomain).get(domain) ?? new Map<string, number>()
+    const shares = computeWorkerShares(this.listRegistrations(homeRegions, evacuatedDomains), regionByDomain).get(domain) ?? new Map<string, number>()
     return new KeyRanking(shares)
   }
 }
--- a/packages/testing/test/node/usersPlatform/coolDowns.test.ts
+++ b/packages/testing/test/node/usersPlatform/coolDowns.test.ts
@@ -58,6 +58,23 @@
     assert.ok(answers.every(({ status }) => status === 200), 'the other worker is free')
   })
 
+  // Guards against a worker that is avoided as failing because it asked for a pause.
+  for (const saysNotRun of [true, false]) {
+    it(`is chosen again when that time is over, and has not failed${saysNotRun ? '' : ', though it did not say that the request had not run'}`, async () => {
+      await sendEach(20)
+      refusing.saysNotRun = saysNotRun
+      await sendUntilRefused(refusing, 0.3)
+      refusing.fault = WorkerFault.None
+      const refusedLines = entry.lines.length
+      await platform.waitUntil(async () => {
+        await sendEach(1)
+        return entry.lines.slice(refusedLines).some(({ step, worker }) => step === 'offer-request' && worker === refusing.id)
+      })
+      const offer = entry.lines.slice(refusedLines).find(({ step, worker }) => step === 'offer-request' && worker === refusing.id)
+      assert.equal(offer?.failure, 0)
+    })
+  }
+
   // Guards against callers that wait inside the VM, or come back too early, while every worker pauses.
   it('has callers refused at once, with the end of the earliest pause, if no other worker is left', async () => {
     for (const [index, worker] of [...platform.workers.values()].entries()) await sendUntilRefused(worker, COOL_DOWN_SECONDS + index * 10)
