Let the soak's process end after a connection was reset while being ended

Cause: resetAndDestroy on a connection whose shutdown is under way. libuv refuses (EINVAL), Node.js (20.20.2) marks the handle as closing all the same, and at its end waits for it without end. Stand-ins and relays do so whenever a reset meets an orderly end. Ruled out: children's pipes (none was open) and sockets of the HTTP agents.

Change: resetSocket closes such a connection without a reset; the lint refuses resetAndDestroy elsewhere. Beside it, programs end explicitly after their output, and a soak that is not over a minute after its planned end is reported with its seed and ends with 2.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -65,6 +65,9 @@
   { object: 'Math', property: 'random', message: 'take randomness from IRandomSource' }
 ]
 
+const CURRENT_DATE = { selector: "NewExpression[callee.name='Date'][arguments.length=0]", message: 'take the time from IClock' }
+const SOCKET_RESET = { selector: "MemberExpression[property.name='resetAndDestroy']", message: 'use resetSocket: a reset of a connection that is being ended keeps the process from ending' }
+
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**', 'docs/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true }),
@@ -79,13 +82,17 @@
       'max-lines-per-function': ['error', { max: 60 }],
       complexity: ['error', 15],
       '@typescript-eslint/no-explicit-any': 'error',
-      'no-restricted-syntax': ['error', { selector: "NewExpression[callee.name='Date'][arguments.length=0]", message: 'take the time from IClock' }]
+      'no-restricted-syntax': ['error', CURRENT_DATE, SOCKET_RESET]
     }
   },
   ...layerConfigs,
   {
     files: ['packages/**/test/**/*.ts', 'platform/test/**/*.ts'],
-    rules: { 'max-lines': ['error', { max: 400 }], 'max-lines-per-function': 'off' }
+    rules: { 'max-lines': ['error', { max: 400 }], 'max-lines-per-function': 'off', 'no-restricted-syntax': ['error', CURRENT_DATE] }
+  },
+  {
+    files: ['packages/testing/src/node/resetSocket.ts'],
+    rules: { 'no-restricted-syntax': ['error', CURRENT_DATE] }
   },
   {
     files: ['packages/base/src/node/systemClock.ts', 'packages/base/src/node/systemRandom.ts', 'packages/soak/src/node/entryPreload.ts'],
--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -1,7 +1,9 @@
 /** `npm run soak -- --seed N --seconds S --processes P`: runs real entry processes under random faults. */
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { endAfterOutput } from '@umberspar/testing/node/endAfterOutput'
 import { printLine, writeLine } from '@umberspar/testing/node/terminal'
+import { startRunGuard } from './runGuard.js'
 import { runSoak } from './soakRun.js'
 
 const DEFAULT_SECONDS = 60
@@ -26,7 +28,9 @@
     .strict()
     .parseSync()
   for (let run = 0; run < runs; run++) {
+    const guard = startRunGuard(seed + run, seconds)
     const result = await runSoak({ seed: seed + run, seconds, processes, rate })
+    guard.close()
     writeLine(JSON.stringify(result))
     printLine(`seed ${result.seed}: ${result.attempts} attempts, ${Object.values(result.steps).reduce((sum, count) => sum + count, 0)} steps, ${result.violations.length} violations`)
     for (const { rule, subject, detail } of result.violations.slice(0, 20)) printLine(`  ${rule} ${subject}: ${detail}`)
@@ -35,3 +39,4 @@
 }
 
 await main()
+endAfterOutput()
--- a/packages/soak/src/node/routing/main.ts
+++ b/packages/soak/src/node/routing/main.ts
@@ -2,8 +2,10 @@
 import { pathToFileURL } from 'node:url'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { endAfterOutput } from '@umberspar/testing/node/endAfterOutput'
 import { printLine, writeLine } from '@umberspar/testing/node/terminal'
 import { RoutingFault } from '../../common/routing/routingPlan.js'
+import { startRunGuard } from '../runGuard.js'
 import { RoutingRule } from './routingChecker.js'
 import { runRouting } from './routingRun.js'
 
@@ -32,7 +34,9 @@
     .strict()
     .parseSync()
   for (let run = 0; run < runs; run++) {
+    const guard = startRunGuard(seed + run, seconds)
     const result = await runRouting({ seed: seed + run, seconds, processes, faults, logs, program: program === undefined ? undefined : pathToFileURL(program) })
+    guard.close()
     writeLine(JSON.stringify(result))
     const counts = Object.values(RoutingRule).map((rule) => `${rule} ${result.violations.filter((violation) => violation.rule === rule).length}`)
     printLine(`seed ${result.seed}: ${result.probes} probes, ${result.changes} versions, ${result.steps.length} steps; ${counts.join(', ')}; routed by a replaced version at disrupted VMs: ${result.outOfContact}`)
@@ -42,3 +46,4 @@
 }
 
 await main()
+endAfterOutput()
--- a/packages/testing/src/node/demo/main.ts
+++ b/packages/testing/src/node/demo/main.ts
@@ -11,6 +11,7 @@
 import { MIX_BY_DEPLOYMENT } from '../../common/load/mixes.js'
 import { LocalDeployment } from '../deployment/localDeployment.js'
 import { RegionalLoad } from '../load/regionalLoad.js'
+import { endAfterOutput } from '../endAfterOutput.js'
 import { printLine, writeLine } from '../terminal.js'
 import { waitUntil } from '../waiting.js'
 import { parseDemoOptions } from './demoOptions.js'
@@ -157,3 +158,4 @@
 }
 
 await main()
+endAfterOutput()
--- a/packages/testing/src/node/measure/main.ts
+++ b/packages/testing/src/node/measure/main.ts
@@ -4,6 +4,7 @@
 import { DeploymentName } from '../../common/load/mixes.js'
 import { PatternName, DEFAULT_PATTERNS } from '../../common/policy/loadPattern.js'
 import { PolicyName } from '../../common/policy/policies.js'
+import { endAfterOutput } from '../endAfterOutput.js'
 import { printLine } from '../terminal.js'
 import { CONTROL_MEASUREMENT } from './controlMeasurement.js'
 import { DRAIN_MEASUREMENT } from './drainMeasurement.js'
@@ -109,3 +110,4 @@
 }
 
 await main()
+endAfterOutput()
--- a/packages/testing/src/node/standIns/tcpRelay.ts
+++ b/packages/testing/src/node/standIns/tcpRelay.ts
@@ -2,6 +2,7 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { IClosable } from '@umberspar/base/common/closing'
+import { resetSocket } from '../resetSocket.js'
 
 /** How a link treats its connections. */
 export enum LinkFault {
@@ -35,7 +36,7 @@
 }
 const ENDERS: Readonly<Partial<Record<LinkFault, (socket: Socket) => void>>> = {
   [LinkFault.Break]: (socket) => { socket.destroy() },
-  [LinkFault.Reset]: (socket) => { socket.resetAndDestroy() }
+  [LinkFault.Reset]: (socket) => { resetSocket(socket) }
 }
 
 /** One way to one address. */
@@ -87,7 +88,7 @@
   /** Leads connections elsewhere from now on; open ones are reset. */
   setTarget (target: string): void {
     this.target = target
-    for (const socket of [...this.ways.keys()]) socket.resetAndDestroy()
+    for (const socket of [...this.ways.keys()]) resetSocket(socket)
   }
 
   async close (): Promise<void> {
@@ -115,7 +116,7 @@
     })
     from.on('end', () => { this.deliver(() => { to.end() }) })
     // A reset on one side is a reset on the other; an ordered end went before.
-    from.on('error', () => { to.resetAndDestroy() })
+    from.on('error', () => { resetSocket(to) })
     from.on('close', () => {
       this.ways.delete(from)
       this.silenced.delete(from)
--- a/packages/testing/src/node/standIns/upstream/answerWriter.ts
+++ b/packages/testing/src/node/standIns/upstream/answerWriter.ts
@@ -3,6 +3,7 @@
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import { waitUntil } from '../../waiting.js'
 import { AnswerFault } from './workerFaults.js'
+import { resetSocket } from '../../resetSocket.js'
 
 /** An answer before it is written. */
 export interface WorkerAnswer {
@@ -54,11 +55,11 @@
 
 const HANDLER_BY_FAULT: Readonly<Record<AnswerFault, AnswerHandler>> = {
   [AnswerFault.ResetBeforeFirstByte]: async (response) => {
-    response.socket?.resetAndDestroy()
+    if (response.socket !== null) resetSocket(response.socket)
   },
   [AnswerFault.ResetAfterFirstByte]: async (response, answer) => {
     await writeHalf(response, answer)
-    response.socket?.resetAndDestroy()
+    if (response.socket !== null) resetSocket(response.socket)
   },
   [AnswerFault.ShortOfContentLength]: async (response, answer) => {
     await writeHalf(response, answer)
--- a/packages/testing/src/node/standIns/upstream/workExchange.ts
+++ b/packages/testing/src/node/standIns/upstream/workExchange.ts
@@ -14,6 +14,7 @@
 import { SlotAnswer } from './slotQueue.js'
 import type { WorkerFaults } from './workerFaults.js'
 import { AnswerFault, chooseFault, RequestFault } from './workerFaults.js'
+import { resetSocket } from '../../resetSocket.js'
 
 /** What an exchange needs of its worker. */
 export interface ExchangeOwner {
@@ -178,7 +179,7 @@
 
   private closeUnrun (): void {
     this.record(ExecutionKind.Refused, StopReason.Fault)
-    this.response.socket?.resetAndDestroy()
+    if (this.response.socket !== null) resetSocket(this.response.socket)
   }
 
   private async refuse (reason: StopReason): Promise<void> {
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net'
 import type { IClosable } from '@umberspar/base/common/closing'
+import { resetSocket } from '../../resetSocket.js'
 
 /** How a worker answers. */
 export enum WorkerFault {
@@ -216,7 +217,7 @@
 const ANSWERS: Readonly<Record<WorkerFault, Answer>> = {
   [WorkerFault.None]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [])) },
   [WorkerFault.Shed]: (worker, socket, requestId) => { socket.write(worker.formatRefusal(requestId)) },
-  [WorkerFault.AnswerLost]: (_worker, socket) => { socket.resetAndDestroy() },
+  [WorkerFault.AnswerLost]: (_worker, socket) => { resetSocket(socket) },
   [WorkerFault.Fail]: (worker, socket, requestId) => { socket.write(worker.format(500, requestId, 'failed', [])) },
   [WorkerFault.Extra]: (worker, socket, requestId) => {
     socket.write(worker.format(200, requestId, worker.buildBody(requestId), []) + worker.format(200, requestId, 'a second answer', []))
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { RecordStoreState, type StoredItem, TransactionEnd } from './recordStoreState.js'
+import { resetSocket } from '../../resetSocket.js'
 
 /** How a listener treats calls. */
 export enum StoreFault {
@@ -115,7 +116,7 @@
   [StoreFault.None]: serve,
   [StoreFault.Busy]: (_listener, _request, _url, _body, response) => { answer(response, 503, EMPTY) },
   [StoreFault.TooMany]: (_listener, _request, _url, _body, response) => { answer(response, 429, EMPTY) },
-  [StoreFault.Reset]: (_listener, request) => { request.socket.resetAndDestroy() },
+  [StoreFault.Reset]: (_listener, request) => { resetSocket(request.socket) },
   [StoreFault.Silent]: () => {},
   [StoreFault.AnswerLost]: (listener, request, url, body, response) => {
     response.end = () => response
