Read decimal values of workers with any number of decimal places

The pattern for Retry-After, and the one for rate limits since it exists, took at most nine decimal places and treated others as absent. Both now use one parser; the parsing of Retry-After moves to steering for the daemon's use.

--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -9,6 +9,8 @@
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { observeResponse } from '@umberspar/steering/common/entry/observeResponse'
 import type { InFlightRequest } from '@umberspar/steering/common/entry/upstreamTracker'
+import { COOL_DOWN_STATUS } from '@umberspar/steering/common/request/coolDown'
+import { parseDecimalNumber } from '@umberspar/steering/common/request/decimalNumber'
 import { AttemptOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import { getHeader } from '../upstream/rawHeaders.js'
@@ -48,10 +50,8 @@
 const DEFAULT_MAX_CONNECTIONS = 16
 /** Running requests, waiting requests, and slots; newer platforms append further fields. */
 const MIN_LOAD_FIELDS = 3
-const DECIMAL_NUMBER = /^\d{1,9}(\.\d{1,9})?$/
 /** From this status on, a response means that the worker failed the request. */
 const MIN_FAILURE_STATUS = 500
-const SERVICE_UNAVAILABLE_STATUS = 503
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 
@@ -237,7 +237,8 @@
 
   private recordRateLimit (head: ResponseHead): void {
     const { headers } = this.context.protocol
-    const perSecond = parseRateLimit(headers.rateLimit.map((name) => getHeader(head.rawHeaders, name)).find((text) => text !== undefined))
+    const limitText = headers.rateLimit.map((name) => getHeader(head.rawHeaders, name)).find((text) => text !== undefined)
+    const perSecond = limitText === undefined ? undefined : parseDecimalNumber(limitText)
     this.tracker.rateLimitAt = this.context.clock.now()
     if (perSecond === this.tracker.rateLimit) return
     this.tracker.rateLimit = perSecond
@@ -249,7 +250,7 @@
     const { advisory } = this.tracker
     if (RESPONSE_OUTCOMES.has(outcome)) advisory.recordResponse(this.sentAt)
     // A worker that asked for a pause has not failed.
-    const isPauseRequest = status === SERVICE_UNAVAILABLE_STATUS && advisory.isCoolingDown(now)
+    const isPauseRequest = status === COOL_DOWN_STATUS && advisory.isCoolingDown(now)
     if (!isPauseRequest) this.tracker.recordResult(outcome !== AttemptOutcome.Answered, now)
     if (outcome === AttemptOutcome.AddressReused) this.tracker.recordUnreachable(now)
     if (outcome !== AttemptOutcome.Answered) return
@@ -277,8 +278,3 @@
     this.listener.onEnd(result)
   }
 }
-
-/** @returns requests per second; undefined if the header is missing or invalid */
-function parseRateLimit (text: string | undefined): number | undefined {
-  return text !== undefined && DECIMAL_NUMBER.test(text) ? Number(text) : undefined
-}
--- a/packages/entry/test/node/upstream/advisorySignals.test.ts
+++ b/packages/entry/test/node/upstream/advisorySignals.test.ts
@@ -22,7 +22,7 @@
   }
 
   const coolDownCases: ReadonlyArray<readonly [string[], number | undefined]> = [
-    [['3'], 3_000], [['0.5'], 500], [[' 2 '], 2_000], [['0'], undefined], [['-3'], undefined], [['soon'], undefined], [[''], undefined],
+    [['3'], 3_000], [['0.5'], 500], [['0.7250000000000001'], 725.0000000000001], [[' 2 '], 2_000], [['0'], undefined], [['-3'], undefined], [['soon'], undefined], [[''], undefined],
     [['1e9'], undefined], [['NaN'], undefined], [['Wed, 21 Oct 2026 07:28:00 GMT'], undefined], [[], undefined],
     [['999999999'], HOUR_MS], [['1', '4', '2'], 4_000], [['1, 4'], 4_000], [['x', '2'], 2_000]
   ]
