Honour Retry-After of refusing workers in the daemon as well

A refusal counted as a load of 100 %, which halves each second.

A worker that refuses with 503 and Retry-After is not chosen, and its slots do not count, until that time is over; it has not failed. With all workers paused, requests are refused at once. Before, by the test: the third request reached a worker that had asked for 60 s; now it is refused, and none arrives. Connection: close is still not taken as a sign of leaving: workers send it on other responses too.

--- a/packages/daemon/src/node/places/placePool.ts
+++ b/packages/daemon/src/node/places/placePool.ts
@@ -213,7 +213,7 @@
     let usableSlots = 0
     let slotsStillInUse = 0
     for (const worker of this.table.list()) {
-      const isUsable = !worker.isDraining && hasPassed(worker.ejectedUntil, now)
+      const isUsable = !worker.isDraining && hasPassed(worker.ejectedUntil, now) && hasPassed(worker.pausedUntil, now)
       if (isUsable) usableSlots += worker.slots
       else slotsStillInUse += worker.inFlight
     }
--- a/packages/daemon/src/node/request/requestRun.ts
+++ b/packages/daemon/src/node/request/requestRun.ts
@@ -12,6 +12,7 @@
 import type { AttemptError, AttemptResponse, IUpstreamTransport } from '@umberspar/adapters/node/upstream/upstreamTransport'
 import { parseOrcaLoad } from '@umberspar/adapters/node/upstream/orca'
 import { AttemptPurpose, type FlowEffect, FlowEffectKind, type FlowEvent, FlowEventKind, FlowPhase, type FlowState, type FlowTimer, type FlowContext } from '@umberspar/steering/common/request/flowTypes'
+import { COOL_DOWN_HEADER, parseCoolDownMs } from '@umberspar/steering/common/request/coolDown'
 import { ResponseState, classifyExchange, SentState } from '@umberspar/steering/common/request/outcomeTable'
 import { createFlow, stepFlow } from '@umberspar/steering/common/request/requestFlow'
 import { computeRetryAfter } from '@umberspar/steering/common/request/retryAfter'
@@ -186,6 +187,8 @@
     const load = parseOrcaLoad(response.headers)
     if (load !== undefined) grant.table.observeLoad(grant.workerId, { utilization: load.utilization, takenAt: now })
     if (response.headers[DRAINING_HEADER] !== undefined) grant.table.markDraining(grant.workerId, true, now)
+    const coolDownMs = parseCoolDownMs(response.status, [response.headers[COOL_DOWN_HEADER] ?? []].flat())
+    if (coolDownMs !== undefined) grant.table.pause(grant.workerId, createDeadline(now, coolDownMs))
     if (isRefusal(response.status, response.headers, this.input.context.settings.refusal)) {
       // Refusals are fast, so by in-flight counts alone an overloaded worker would be preferred.
       grant.table.observeLoad(grant.workerId, { utilization: 1, takenAt: now })
--- a/packages/steering/src/common/workers/chooseWorker.ts
+++ b/packages/steering/src/common/workers/chooseWorker.ts
@@ -101,7 +101,7 @@
 
 function isEligible (worker: WorkerState, now: Instant, excluded: ReadonlySet<string>): boolean {
   if (worker.isDraining || worker.inFlight >= worker.slots) return false
-  if (!hasPassed(worker.ejectedUntil, now) || excluded.has(worker.workerId)) return false
+  if (!hasPassed(worker.ejectedUntil, now) || !hasPassed(worker.pausedUntil, now) || excluded.has(worker.workerId)) return false
   // On probation one request shows whether the worker has recovered; others would fail with it.
   return worker.inFlight === 0 || !isOnProbation(worker, now)
 }
--- a/packages/steering/src/common/workers/workerState.ts
+++ b/packages/steering/src/common/workers/workerState.ts
@@ -62,6 +62,8 @@
   readonly ejectionsInRow: number
   /** The worker gets no requests before this time. */
   readonly ejectedUntil: Deadline
+  /** The worker asked this VM for no requests before this time; it has not failed. */
+  readonly pausedUntil: Deadline
   /** When it last gave a complete response. */
   readonly lastResponseAt: Instant
   readonly consecutiveProbeFailures: number
@@ -101,6 +103,7 @@
     failureRateSamples: 0,
     ejectionsInRow: 0,
     ejectedUntil: DISTANT_PAST,
+    pausedUntil: DISTANT_PAST,
     lastResponseAt: DISTANT_PAST,
     consecutiveProbeFailures: 0,
     unreachableSince: undefined,
--- a/packages/steering/src/common/workers/workerTable.ts
+++ b/packages/steering/src/common/workers/workerTable.ts
@@ -1,6 +1,6 @@
 /** Tracks the state of the workers of one service in one failure domain, as seen by one entry VM. */
 import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { endExcessEjections, listEjectedWorkers, recordFailure, recordProbeFailure, recordSuccess } from './ejection.js'
 import { createWorkerState, DEFAULT_WORKER_POLICY, type LoadReport, type MutableWorkerState, type WorkerPolicy, type WorkerState } from './workerState.js'
 
@@ -172,6 +172,17 @@
     if (state.load === undefined || load.takenAt >= state.load.takenAt) state.load = load
   }
 
+  /**
+   * Records that a worker asked this VM for no requests for a while. A shorter pause does not
+   * end a longer one, and neither does a response.
+   * @param workerId the worker's id
+   * @param until when it may get requests again
+   */
+  pause (workerId: string, until: Deadline): void {
+    const state = this.states.get(workerId)
+    if (state !== undefined) state.pausedUntil = Math.max(state.pausedUntil, until)
+  }
+
   /**
    * Records whether a worker reports that it drains, directly or through a peer. Reports may
    * arrive out of order.
--- a/packages/steering/test/common/workers/workerTable.test.ts
+++ b/packages/steering/test/common/workers/workerTable.test.ts
@@ -36,6 +36,17 @@
 })
 
 describe('WorkerTable', () => {
+  // Guards against a pause that is ended early, or that counts as a failure.
+  it('has a worker that asked for a pause chosen again exactly when it ends', () => {
+    const table = buildTable(['w1', 'w2'])
+    table.pause('w1', 3_000)
+    table.pause('w1', 1_000)
+    table.observeResponse('w1', 500)
+    assert.equal(countChoices(table, 2_999).get('w1'), undefined)
+    assert.ok(countChoices(table, 3_000).get('w1')! > 0)
+    assert.equal(table.countEjected(2_999), 0)
+  })
+
   // When the network to a failure domain is down, every request to every worker fails. If all
   // workers were ejected, the domain would refuse requests until the ejections end although
   // the network has recovered, so at least half of the workers must stay eligible.
--- a/packages/testing/src/node/standIns/upstream/workerFaults.ts
+++ b/packages/testing/src/node/standIns/upstream/workerFaults.ts
@@ -64,6 +64,8 @@
   readonly reportLagSpanMs: number
   /** Probes are never answered. */
   readonly areProbesHung: boolean
+  /** `Retry-After` of refusals, in seconds; undefined if they have none. */
+  readonly retryAfterSeconds: number | undefined
 }
 
 /** No fault at all. */
@@ -79,7 +81,8 @@
   hidesDrain: false,
   reportedUtilization: undefined,
   reportLagSpanMs: 0,
-  areProbesHung: false
+  areProbesHung: false,
+  retryAfterSeconds: undefined
 }
 
 /**
--- a/packages/testing/src/node/standIns/upstreamWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/upstreamWorkerStandIn.ts
@@ -258,7 +258,9 @@
 
   private buildRefusal (): WorkerAnswer {
     const { status, header, value } = this.options.refusal
-    return { status, headers: { [header]: value }, body: Buffer.alloc(0) }
+    const { retryAfterSeconds } = this.faults
+    const retryAfter: Record<string, string> = retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) }
+    return { status, headers: { [header]: value, ...retryAfter }, body: Buffer.alloc(0) }
   }
 
   private buildExchangeOwner (): ExchangeOwner {
--- a/packages/testing/test/node/request/requestPath.test.ts
+++ b/packages/testing/test/node/request/requestPath.test.ts
@@ -104,6 +104,19 @@
     assert.deepEqual(entry.listRuns(), [])
   })
 
+  // Guards against requests to upstream workers that asked for a pause, and callers that wait for its end.
+  it('sends nothing to workers that refused with Retry-After until that time is over, and refuses at once', async () => {
+    entry.platform.fleet.setFaults({ requestFaults: { [RequestFault.Refuse]: 1 }, retryAfterSeconds: 60 })
+    await sendRequest('GET', PLAIN_SERVICE, 'a')
+    await sendRequest('GET', PLAIN_SERVICE, 'b')
+    entry.platform.fleet.setFaults({ requestFaults: {} })
+    const arrivals = entry.executions.length
+    const answer = await sendRequest('GET', PLAIN_SERVICE, 'c')
+    assert.deepEqual([answer.status, answer.body.outcome], [503, 'not-run'])
+    assert.ok(Number(answer.retryAfter) >= 1)
+    assert.equal(entry.executions.length, arrivals)
+  })
+
   // A parent closes the browser while an upload is on its way, and while an answer
   // is awaited. The upstream must be told, and the next request must be served.
   it('cancels the upstream call of a caller that leaves at any byte', async () => {
