Judge drains and pauses that workers announce in the soak

Two kinds of step (drains that only responses announce while the registration is renewed as ready; pauses asked for by one worker or all of a service) are drawn by a stream of their own, so that recorded seeds keep their other steps. A VM is taken to know an announcement once a caller has an answer that proves it.

--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -37,6 +37,10 @@
   Evacuation = 'evacuation',
   /** Ends a worker and restarts it cold, under the same id at another address. */
   WorkerRestart = 'worker-restart',
+  /** A worker announces its drain in its responses only, while its registration is renewed as ready, and ends after a while. */
+  WorkerUnregisteredDrain = 'worker-unregistered-drain',
+  /** A worker, or all of a service, refuses requests and asks for a pause, for the step's duration; `variant` selects its length. */
+  WorkerPause = 'worker-pause',
   /** Overwrites a worker's registration for the step's duration, as a foreign writer might; `variant` selects the text. */
   RegistrationOverwrite = 'foreign-entry'
 }
@@ -73,9 +77,11 @@
 const PLANNED_KINDS = [SoakStepKind.EntryStop, SoakStepKind.EntryReload, SoakStepKind.WorkerDrain, SoakStepKind.ConfigurationChange, SoakStepKind.Evacuation]
 /** Kinds added later. They use a random stream of their own, so that seeds recorded earlier still result in the same steps of the other kinds. */
 const SECOND_STREAM_KINDS = [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite]
-const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !SECOND_STREAM_KINDS.includes(kind))
+const THIRD_STREAM_KINDS = [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause]
+const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !SECOND_STREAM_KINDS.includes(kind) && !THIRD_STREAM_KINDS.includes(kind))
 const SECOND_STREAM_SEED_OFFSET = 1_000_003
-const SECOND_STREAM_GAP_MS = 2_500
+const THIRD_STREAM_SEED_OFFSET = 2_000_003
+const LATER_STREAM_GAP_MS = 2_500
 
 /** Time without steps at the start of the run, and at its end, for recovery. */
 const WARM_UP_MS = 2_000
@@ -128,6 +134,11 @@
   const phases = buildPhases(untilMs)
   const secondRandom = new SeededRandom(seed + SECOND_STREAM_SEED_OFFSET)
   const faultPhases = phases.filter(({ isPlanned }) => !isPlanned)
-  const steps = [...phases.flatMap((phase) => buildSteps(phase, random)), ...faultPhases.flatMap((phase) => addSteps(phase, SECOND_STREAM_KINDS, SECOND_STREAM_GAP_MS, secondRandom))]
+  const thirdRandom = new SeededRandom(seed + THIRD_STREAM_SEED_OFFSET)
+  const steps = [
+    ...phases.flatMap((phase) => buildSteps(phase, random)),
+    ...faultPhases.flatMap((phase) => addSteps(phase, SECOND_STREAM_KINDS, LATER_STREAM_GAP_MS, secondRandom)),
+    ...faultPhases.flatMap((phase) => addSteps(phase, THIRD_STREAM_KINDS, LATER_STREAM_GAP_MS, thirdRandom))
+  ]
   return { phases, steps, untilMs }
 }
--- a/packages/soak/src/common/soakRule.ts
+++ b/packages/soak/src/common/soakRule.ts
@@ -9,6 +9,10 @@
   TooManyRuns = 'too-many-runs',
   /** A cold worker received more requests in a second than it tolerates. */
   ColdLimitExceeded = 'cold-overrun',
+  /** A worker received requests from an entry VM that had passed on the announcement of its drain. */
+  WorkAfterAnnouncedDrain = 'work-after-announced-drain',
+  /** A worker received requests from an entry VM that it had asked for a pause. */
+  PauseIgnored = 'pause-ignored',
   /** An entry process exited unexpectedly. */
   EntryExited = 'entry-ended',
   /** A request ran although its API key had been revoked longer ago than the limit. */
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -6,9 +6,10 @@
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import { AnswerKind, ExecutionEnd, HistoryEventKind } from '@umberspar/testing/common/history/historyEvent'
 import { HistoryChecker, type Violation, ViolationKind } from '@umberspar/testing/common/history/historyChecker'
-import { WorkerFault, type WorkerObserver, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
+import { type Announcement, WorkerFault, type WorkerObserver, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { MAX_REVOCATION_MS } from '../common/soakAccounts.js'
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
+import { AnnouncementChecker } from './announcementChecker.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
 
 /** An attempt of a caller. */
@@ -57,6 +58,7 @@
   private readonly keysRevokedAt = new Map<string, Instant>()
   private readonly announcedDrains = new Set<string>()
   private readonly historyChecker = new HistoryChecker((violation) => { this.handleViolation(violation) })
+  private readonly announcementChecker = new AnnouncementChecker()
   private lastExecutionId = 0
 
   /**
@@ -84,10 +86,20 @@
 
   /** Records the outcome of an attempt at its caller. */
   recordAnswer (requestId: string, answer: AnswerKind, detail: string): void {
+    const attempt = this.attempts.get(requestId)
+    if (attempt !== undefined) this.announcementChecker.recordAnswer(attempt, answer, this.clock.now())
     this.answers.set(answer, (this.answers.get(answer) ?? 0) + 1)
     this.historyChecker.record({ kind: HistoryEventKind.Answered, at: this.clock.now(), requestId, answer, detail })
   }
 
+  /**
+   * Records the start of an entry process.
+   * @param entry an address by which callers know it
+   */
+  recordEntryStart (entry: string): void {
+    this.announcementChecker.recordEntryStart(entry, this.clock.now())
+  }
+
   /** Records the start of a planned stop. */
   recordStopStart (entry: string): void {
     this.historyChecker.record({ kind: HistoryEventKind.StopStarted, at: this.clock.now(), targets: [entry] })
@@ -106,6 +118,7 @@
 
   /** Records that a worker has ended. */
   recordWorkerEnd (workerId: string): void {
+    this.announcementChecker.recordWorkerEnd(workerId)
     this.draining.delete(workerId)
     this.coldLimits.delete(workerId)
   }
@@ -127,8 +140,13 @@
     this.coldLimits.set(workerId, limit)
   }
 
+  onResponse (workerId: string, requestId: string, announcement: Announcement): void {
+    this.announcementChecker.recordResponse(workerId, requestId, announcement, this.clock.now())
+  }
+
   onRefused (workerId: string, requestId: string): void {
     this.checkColdLimit(workerId)
+    this.checkAnnouncements(workerId, this.attempts.get(requestId))
     this.historyChecker.record({ kind: HistoryEventKind.RefusedWhileDraining, at: this.clock.now(), workerId, requestId })
   }
 
@@ -139,6 +157,7 @@
     this.checkSent(workerId, run, attempt)
     if (attempt === undefined) return
     this.checkKey(attempt)
+    this.checkAnnouncements(workerId, attempt)
     attempt.workers.add(workerId)
     if (attempt.workers.size > MAX_WORKERS_PER_ATTEMPT) this.report(SoakRule.TooManyRuns, requestId, [...attempt.workers].join(' '))
     this.lastExecutionId++
@@ -178,6 +197,11 @@
     this.report(SoakRule.RevokedKeyAccepted, requestId, `sent ${Math.round(sentAt - revokedAt)} ms after the API keys of ${account} had been revoked`)
   }
 
+  private checkAnnouncements (workerId: string, attempt: AttemptRecord | undefined): void {
+    if (attempt === undefined) return
+    for (const { rule, detail } of this.announcementChecker.checkArrival(workerId, attempt, this.clock.now())) this.report(rule, attempt.requestId, detail)
+  }
+
   private checkColdLimit (workerId: string): void {
     const limit = this.coldLimits.get(workerId)
     const now = this.clock.now()
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -38,13 +38,14 @@
     readonly callerLinkAddress: string,
     readonly storeLink: TcpRelay,
     readonly store: RecordStoreListener,
-    checker: SoakChecker
+    private readonly checker: SoakChecker
   ) {
     super(settings, (node, detail) => { checker.report(SoakRule.EntryExited, node, detail) })
   }
 
   protected override spawn (): ChildProgram {
     this.writeSettings()
+    for (const address of [this.settings.listen.callers, this.callerLinkAddress]) this.checker.recordEntryStart(address)
     return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD], readsOutput: true })
   }
 
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -39,6 +39,13 @@
 const WORKER_FAULTS = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None)
 /** Time from a worker's announcement until its end. It must serve for at least 2.5 s. */
 const DRAIN_MS = 3_500
+/** How much longer a worker serves whose drain the store does not know of, so that late requests are detected. */
+const UNREGISTERED_DRAIN_MS = 2_500
+/** Steps with at least this `variant` pause all workers of a service. */
+const ALL_PAUSED_MIN_VARIANT = 0.8
+/** Pauses that workers ask for, in seconds; from shorter to longer than the refusals last. */
+const MIN_PAUSE_SECONDS = 0.7
+const PAUSE_RANGE_SECONDS = 3.3
 /** Time until the registration of a crashed worker expires; its address is not reused earlier. */
 const REGISTRATION_EXPIRY_MS = 2_500
 /** Steps with a greater `target` apply a store fault to all entry VMs. */
@@ -206,6 +213,33 @@
     await environment.workers.startAgain(ended)
     return true
   }),
+  [SoakStepKind.WorkerUnregisteredDrain]: async (environment, step) => await runDisruption(environment, async () => {
+    const draining = chooseWorker(environment, step)
+    if (draining === undefined) return false
+    environment.workers.startUnregisteredDrain(draining)
+    await environment.workers.add(draining.service, draining.domain, true)
+    await waitFor(environment.clock, DRAIN_MS)
+    environment.workers.renewReadyRecord(draining)
+    await waitFor(environment.clock, UNREGISTERED_DRAIN_MS)
+    environment.workers.removeRecord(draining)
+    environment.workers.end(draining)
+    return true
+  }),
+  [SoakStepKind.WorkerPause]: async (environment, step) => await runDisruption(environment, async () => {
+    const chosen = chooseWorker(environment, step)
+    if (chosen === undefined) return false
+    const paused = step.variant >= ALL_PAUSED_MIN_VARIANT ? environment.workers.list().filter(({ service }) => service === chosen.service) : [chosen]
+    for (const { worker } of paused) {
+      worker.fault = WorkerFault.Shed
+      worker.retryAfter = [String(MIN_PAUSE_SECONDS + PAUSE_RANGE_SECONDS * step.variant)]
+    }
+    await waitFor(environment.clock, step.spanMs)
+    for (const { worker } of paused) {
+      worker.fault = WorkerFault.None
+      worker.retryAfter = []
+    }
+    return true
+  }),
   [SoakStepKind.RegistrationOverwrite]: async (environment, step) => await runDisruption(environment, async () => {
     const worker = chooseWorker(environment, step)
     if (worker === undefined) return false
--- a/packages/soak/src/node/soakWorkers.ts
+++ b/packages/soak/src/node/soakWorkers.ts
@@ -100,11 +100,24 @@
   /** Announces that a worker drains; it continues to serve. */
   startDrain (draining: SoakWorker): void {
     draining.isLeaving = true
+    draining.worker.isDraining = true
     const { id, service, domain, address } = draining
     this.records.putWorker({ id, service, domain, address, isLeaving: true })
     this.checker.recordDrain(id)
   }
 
+  /** Announces that a worker drains, in its responses only; its registration still says that it is ready. */
+  startUnregisteredDrain (draining: SoakWorker): void {
+    draining.isLeaving = true
+    draining.worker.isDraining = true
+    this.renewReadyRecord(draining)
+  }
+
+  /** Writes the registration of a worker as ready, whatever the worker announces. */
+  renewReadyRecord ({ id, service, domain, address, startedAt }: SoakWorker): void {
+    this.records.putWorker({ id, service, domain, address, startedAt })
+  }
+
   /** Ends a worker and its connections; its registration remains until {@link SoakWorkers.removeRecord}. */
   end (ended: SoakWorker): void {
     ended.isLeaving = true
--- a/packages/soak/test/node/soakChecker.test.ts
+++ b/packages/soak/test/node/soakChecker.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from '@umberspar/base/common/manualClock'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { ViolationKind } from '@umberspar/testing/common/history/historyChecker'
-import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
+import { type Announcement, WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { MAX_REVOCATION_MS } from '../../src/common/soakAccounts.js'
 import { SoakRule } from '../../src/common/soakRule.js'
 import { DisruptionTracker } from '../../src/node/disruptionTracker.js'
@@ -126,4 +126,60 @@
     checker.recordAnswer('b', AnswerKind.Failed, 'ECONNRESET')
     assert.deepEqual(listRules(), [ViolationKind.InterruptedByPlannedStop])
   })
+
+  /** Sends a request that the worker answers with an announcement, and that its caller gets the answer to. */
+  function sendAnnounced (requestId: string, announcement: Announcement, isRefused = false): void {
+    checker.recordSent({ ...ATTEMPT, operationId: requestId, requestId })
+    if (isRefused) checker.onRefused('w-1', requestId)
+    else {
+      checker.onRun('w-1', { ...RUN, requestId })
+      checker.onRunEnd('w-1', requestId, WorkerFault.None, true)
+    }
+    checker.onResponse('w-1', requestId, announcement)
+    clock.stepBy(1)
+    checker.recordAnswer(requestId, isRefused ? AnswerKind.NotRun : AnswerKind.Complete, '')
+  }
+
+  it('reports a request that a VM sends to a worker whose drain it has passed on, until the VM or the worker starts again', () => {
+    const draining = { isDraining: true, coolDownMs: undefined }
+    sendAnnounced('a', draining)
+    clock.stepBy(2_500)
+    sendAnnounced('in time', draining)
+    clock.stepBy(1)
+    sendAnnounced('too late', draining)
+    assert.deepEqual(checker.violations.map(({ rule, subject }) => [rule, subject]), [[SoakRule.WorkAfterAnnouncedDrain, 'too late']])
+    checker.recordEntryStart(ENTRY)
+    clock.stepBy(3_000)
+    sendAnnounced('after the start of the VM', draining)
+    checker.recordWorkerEnd('w-1')
+    clock.stepBy(3_000)
+    sendAnnounced('after the start of the worker', draining)
+    assert.equal(checker.violations.length, 1)
+  })
+
+  it('reports the third request within a pause that a worker asked a VM for, not those that were under way or come later', () => {
+    const pause = { isDraining: false, coolDownMs: 2_000 }
+    const accepting = { isDraining: false, coolDownMs: undefined }
+    sendAnnounced('refused', pause, true)
+    clock.stepBy(400)
+    sendAnnounced('under way', accepting)
+    clock.stepBy(200)
+    for (const requestId of ['first', 'second', 'third']) sendAnnounced(requestId, accepting)
+    clock.stepBy(1_500)
+    sendAnnounced('later', accepting)
+    assert.deepEqual(checker.violations.map(({ rule, subject }) => [rule, subject]), [[SoakRule.PauseIgnored, 'third']])
+  })
+
+  it('does not expect a VM to know a response that may have been lost', () => {
+    checker.recordSent({ ...ATTEMPT, requestId: 'a' })
+    checker.onRun('w-1', { ...RUN, requestId: 'a' })
+    checker.onResponse('w-1', 'a', { isDraining: true, coolDownMs: 60_000 })
+    checker.recordAnswer('a', AnswerKind.Failed, 'ECONNRESET')
+    clock.stepBy(5_000)
+    for (const requestId of ['b', 'c', 'd']) {
+      checker.recordSent({ ...ATTEMPT, operationId: requestId, requestId })
+      checker.onRun('w-1', { ...RUN, requestId })
+    }
+    assert.deepEqual(listRules(), [])
+  })
 })
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -43,8 +43,17 @@
   readonly authorization: string
 }
 
+/** What a response announces beside the answer. */
+export interface Announcement {
+  readonly isDraining: boolean
+  /** How long the worker wants no requests from the VM, in milliseconds; undefined if it did not ask for that. */
+  readonly coolDownMs: number | undefined
+}
+
 /** Who is told what a worker does, when it does it. */
 export interface WorkerObserver {
+  /** A response is about to be written. */
+  onResponse?(workerId: string, requestId: string, announcement: Announcement): void
   /** A request came that the worker refuses without running it. */
   onRefused(workerId: string, requestId: string): void
   onRun(workerId: string, run: WorkerRun): void
@@ -53,6 +62,7 @@
 }
 
 const HEAD_END = '\r\n\r\n'
+const MS_PER_SECOND = 1_000
 const LENGTH = /^content-length: *(\d+)/im
 
 function getField (head: string, name: string): string {
@@ -155,6 +165,7 @@
     }
     if (this.fault === WorkerFault.Shed) {
       this.observer?.onRefused(this.id, requestId)
+      this.reportResponse(requestId, this.retryAfter)
       socket.write(this.formatRefusal(requestId))
       return
     }
@@ -187,9 +198,15 @@
     this.answered++
     // Told first: what the caller sees next may be due to the fault.
     this.observer?.onRunEnd(this.id, requestId, fault, true)
+    this.reportResponse(requestId, [])
     ANSWERS[fault](this, socket, requestId)
   }
 
+  private reportResponse (requestId: string, retryAfter: readonly string[]): void {
+    const coolDownSeconds = retryAfter.map(Number).find(Number.isFinite)
+    this.observer?.onResponse?.(this.id, requestId, { isDraining: this.isDraining, coolDownMs: coolDownSeconds === undefined ? undefined : coolDownSeconds * MS_PER_SECOND })
+  }
+
   /** @returns the bytes of a refusal */
   formatRefusal (requestId: string): string {
     return this.format(503, requestId, '', [...(this.saysNotRun ? ['X-Umberspar-Not-Run: 1'] : []), ...this.retryAfter.map((value) => `Retry-After: ${value}`)])
