--- a/packages/soak/src/node/runGuard.ts
+++ b/packages/soak/src/node/runGuard.ts
@@ -11,12 +11,13 @@
  * Reports a run as failed and ends the process if the run takes much longer than planned.
  * @param seed the seed of the run
  * @param seconds the planned duration
+ * @param marginMs how much longer the run may take, in milliseconds
  * @returns ends the supervision
  */
-export function startRunGuard (seed: number, seconds: number): IClosable {
+export function startRunGuard (seed: number, seconds: number, marginMs = OVERDUE_MARGIN_MS): IClosable {
   const timer = setTimeout(() => {
-    printLine(`seed ${seed}: failed, not ended ${OVERDUE_MARGIN_MS / MS_PER_SECOND} s after its planned end; open: ${process.getActiveResourcesInfo().join(' ')}`)
+    printLine(`seed ${seed}: failed, not ended ${marginMs / MS_PER_SECOND} s after its planned end; open: ${process.getActiveResourcesInfo().join(' ')}`)
     process.exit(OVERDUE_EXIT_CODE)
-  }, seconds * MS_PER_SECOND + OVERDUE_MARGIN_MS)
+  }, seconds * MS_PER_SECOND + marginMs)
   return { close: () => { clearTimeout(timer) } }
 }
--- a/packages/testing/test/node/usersPlatform/closing.test.ts
+++ b/packages/testing/test/node/usersPlatform/closing.test.ts
@@ -3,20 +3,15 @@
 import { LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 import { WorkerFault } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
 import { StoreFault } from '../../../src/node/standIns/usersPlatform/recordStoreStandIn.js'
+import { countOpenResources } from '../openResources.js'
 
 const ROUTES = [{ Name: 'lookups', Prefix: '/safe/', Service: 'archive' }]
 const FAULTS = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.Silent)
 
-/** @returns the numbers of open connections and timers */
-function countResources (): { readonly connections: number, readonly timers: number } {
-  const resources = process.getActiveResourcesInfo()
-  return { connections: resources.filter((name) => name.startsWith('TCP')).length, timers: resources.filter((name) => name === 'Timeout').length }
-}
-
 // Guards against connections and timers that outlive an entry process's graceful shutdown.
 it('an entry process leaves no connection and no timer open after its shutdown', { timeout: 60_000 }, async () => {
   const platform = new LocalPlatform({ 'north-1': 'north', 'south-1': 'south' })
-  const before = countResources()
+  const before = countOpenResources()
   const worker = await platform.addWorker('w-1', 'archive', 'north-1')
   await platform.addWorker('w-2', 'archive', 'south-1')
   platform.putConfiguration(ROUTES)
@@ -29,7 +24,7 @@
   entries[0]!.store.setFault(StoreFault.Silent)
   await Promise.all(entries.map(async ({ entry }) => { await new Promise<void>((resolve) => { entry.stop(() => { resolve() }) }) }))
   await platform.close()
-  await platform.waitUntil(() => countResources().connections === before.connections)
+  await platform.waitUntil(() => countOpenResources().connections === before.connections)
   // The wait's own timer has run; those of the test runner stay.
-  assert.ok(countResources().timers <= before.timers, `${countResources().timers} timers`)
+  assert.ok(countOpenResources().timers <= before.timers, `${countOpenResources().timers} timers`)
 })
