Close the timers of held slots when a place of the daemon closes

The place now owns these timers and closes them. The test failed before (1 timer left after a request that its worker never answered) and passes now.

--- a/packages/daemon/src/node/places/placePool.ts
+++ b/packages/daemon/src/node/places/placePool.ts
@@ -4,7 +4,7 @@
  * the choice of the worker. The shares of all entry VMs never add up to more than
  * a worker's slots, so workers can't be overloaded.
  */
-import type { IClock, Instant } from '@umberspar/base/common/clock'
+import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { ErrorCode, StepError } from '@umberspar/base/common/errors'
@@ -48,6 +48,8 @@
   private workers: Readonly<Record<string, WorkerConfiguration>> = {}
   private refusals = 0
   private readonly demand = new DemandMean()
+  /** Timers of slots that are held for requests which may still run at their workers. */
+  private readonly delayedReleases = new Set<ITimer>()
   /** The latest deadline of all requests that have asked for a slot. */
   latestDeadline: Deadline = -Infinity
   /** Set by the component that borrows slots from peers. */
@@ -190,8 +192,9 @@
     })
   }
 
-  /** Discards all waiting requests. */
+  /** Discards all waiting requests and held slots. */
   close (): void {
+    for (const timer of this.delayedReleases) timer.close()
     this.queue.close()
     this.didRunOut.close()
   }
@@ -262,11 +265,19 @@
         if (!isHeld) return
         isHeld = false
         if (heldUntil === undefined || hasPassed(heldUntil, this.clock.now())) releaseSlot()
-        else this.clock.schedule(heldUntil, releaseSlot)
+        else this.scheduleRelease(heldUntil, releaseSlot)
       }
     }
   }
 
+  private scheduleRelease (heldUntil: Instant, releaseSlot: () => void): void {
+    const timer = this.clock.schedule(heldUntil, () => {
+      this.delayedReleases.delete(timer)
+      releaseSlot()
+    })
+    this.delayedReleases.add(timer)
+  }
+
   /** @param change the coming change of the number of running and waiting requests */
   private updateDemand (change: number): void {
     this.demand.update(Math.max(0, this.inFlight + this.waiting + change), this.clock.now())
