Renew workers' registrations in the soak with what is left of their cold start

The trace: its registration was overwritten 0.8 s after its start and renewed 0.5 s later with no cold time, 1.8 s before the cold start ended. Entry VMs that had dropped the unreadable registration took the worker for warm, as it said. Real workers state what is left (ColdLeft); now these do. The check stays.

--- a/packages/soak/src/node/soakWorkers.ts
+++ b/packages/soak/src/node/soakWorkers.ts
@@ -1,5 +1,5 @@
 /** The workers of a soak run; entry VMs connect to each of them through a relay. */
-import type { IClock } from '@umberspar/base/common/clock'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
@@ -16,6 +16,8 @@
   readonly worker: PlatformWorkerStandIn
   readonly link: TcpRelay
   isLeaving: boolean
+  /** When its cold start ends. */
+  readonly coldUntil: Instant
   /** When it started, in milliseconds of wall-clock time; distinguishes its starts under the same id. */
   readonly startedAt: number
 }
@@ -73,18 +75,18 @@
     const { id } = worker
     const link = new TcpRelay(await worker.listen())
     this.openLinks.add(link)
-    const started = { id, service, domain, address: await link.start(), worker, link, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
+    const address = await link.start()
+    const coldUntil = this.clock.now() + (isCold ? COLD_MS : 0)
+    const started = { id, service, domain, address, worker, link, isLeaving: false, coldUntil, startedAt: Math.floor(this.clock.getWallTime()) }
     this.workersById.set(id, started)
-    if (isCold) this.checker.setCold(id, { perSecond: COLD_LIMIT_PER_SECOND, until: this.clock.now() + COLD_MS })
-    this.renewRecord(started, isCold ? COLD_MS : 0)
+    if (isCold) this.checker.setCold(id, { perSecond: COLD_LIMIT_PER_SECOND, until: coldUntil })
+    this.renewRecord(started)
     return started
   }
 
   /** Writes a worker's registration again, unless the worker is draining or has ended. */
-  renewRecord (worker: SoakWorker, coldMs = 0): void {
-    if (this.workersById.get(worker.id) !== worker || worker.isLeaving) return
-    const { id, service, domain, address, startedAt } = worker
-    this.records.putWorker({ id, service, domain, address, coldMs, startedAt })
+  renewRecord (worker: SoakWorker): void {
+    if (this.workersById.get(worker.id) === worker && !worker.isLeaving) this.putRecord(worker, false)
   }
 
   /** Starts a worker of another service at the address of an ended one, since platforms reuse addresses. */
@@ -92,7 +94,7 @@
     const worker = this.create(service)
     const { id } = worker
     previous.link.setTarget(await worker.listen())
-    const started = { ...previous, id, service, worker, isLeaving: false, startedAt: Math.floor(this.clock.getWallTime()) }
+    const started = { ...previous, id, service, worker, isLeaving: false, coldUntil: this.clock.now(), startedAt: Math.floor(this.clock.getWallTime()) }
     this.workersById.set(id, started)
     this.records.putWorker({ id, service, domain: previous.domain, address: previous.address })
   }
@@ -101,9 +103,8 @@
   startDrain (draining: SoakWorker): void {
     draining.isLeaving = true
     draining.worker.isDraining = true
-    const { id, service, domain, address } = draining
-    this.records.putWorker({ id, service, domain, address, isLeaving: true })
-    this.checker.recordDrain(id)
+    this.putRecord(draining, true)
+    this.checker.recordDrain(draining.id)
   }
 
   /** Announces that a worker drains, in its responses only; its registration still says that it is ready. */
@@ -114,8 +115,8 @@
   }
 
   /** Writes the registration of a worker as ready, whatever the worker announces. */
-  renewReadyRecord ({ id, service, domain, address, startedAt }: SoakWorker): void {
-    this.records.putWorker({ id, service, domain, address, startedAt })
+  renewReadyRecord (worker: SoakWorker): void {
+    this.putRecord(worker, false)
   }
 
   /** Ends a worker and its connections; its registration remains until {@link SoakWorkers.removeRecord}. */
@@ -136,6 +137,11 @@
     await Promise.all([...this.openLinks].map(async (link) => { await link.close() }))
   }
 
+  /** Writes a worker's registration, with what is left of its cold start. */
+  private putRecord ({ id, service, domain, address, startedAt, coldUntil }: SoakWorker, isLeaving: boolean): void {
+    this.records.putWorker({ id, service, domain, address, isLeaving, coldMs: Math.ceil(Math.max(0, coldUntil - this.clock.now())), startedAt })
+  }
+
   private create (service: string): PlatformWorkerStandIn {
     return this.createWithId(`${service}-${++this.startCount}`)
   }
