--- a/packages/soak/src/node/announcementChecker.ts
+++ b/packages/soak/src/node/announcementChecker.ts
@@ -50,6 +50,7 @@
   /** The workers' responses to each request, in their order. */
   private readonly responses = new Map<string, Response[]>()
   private readonly entryStartedAt = new Map<string, Instant>()
+  private readonly workerEndedAt = new Map<string, Instant>()
   private readonly drainsKnownAt = new Map<string, Instant>()
   private readonly pauses = new Map<string, KnownPause[]>()
 
@@ -60,7 +61,8 @@
   }
 
   /** Records the end of a worker; the next process under its id has announced nothing. */
-  recordWorkerEnd (workerId: string): void {
+  recordWorkerEnd (workerId: string, at: Instant): void {
+    this.workerEndedAt.set(workerId, at)
     this.removeKeys((key) => key.endsWith(` ${workerId}`))
   }
 
@@ -73,7 +75,7 @@
 
   /** Records what the caller got. */
   recordAnswer ({ requestId, entry, isIdempotent, sentAt }: SentAttempt, answer: AnswerKind, at: Instant): void {
-    const responses = this.responses.get(requestId) ?? []
+    const responses = (this.responses.get(requestId) ?? []).filter((response) => response.at > (this.workerEndedAt.get(response.workerId) ?? Number.NEGATIVE_INFINITY))
     this.responses.delete(requestId)
     if (sentAt <= (this.entryStartedAt.get(entry) ?? Number.NEGATIVE_INFINITY)) return
     const last = responses.at(-1)
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -118,7 +118,7 @@
 
   /** Records that a worker has ended. */
   recordWorkerEnd (workerId: string): void {
-    this.announcementChecker.recordWorkerEnd(workerId)
+    this.announcementChecker.recordWorkerEnd(workerId, this.clock.now())
     this.draining.delete(workerId)
     this.coldLimits.delete(workerId)
   }
