--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -1,7 +1,7 @@
 /**
- * A worker on the users' platform: seals and identifies its answers, refuses what
- * is meant for another worker, and fails in the ways that faulty workers do. It
- * writes raw bytes, since most of these are no answers in the protocol.
+ * A worker on the users' platform: adds its seal and the request's id to its responses, rejects
+ * requests for another worker, and fails in the ways that faulty workers do. It writes raw
+ * bytes, since most faulty responses violate the protocol.
  */
 import { createServer, type Server, type Socket } from 'node:net'
 import type { IClosable } from '@umberspar/base/common/closing'
@@ -10,7 +10,7 @@
 /** How a worker answers. */
 export enum WorkerFault {
   None = 'none',
-  /** Refuses, truthfully, without running. */
+  /** Refuses the request without running it. */
   Shed = 'shed',
   /** Runs and resets the connection. */
   AnswerLost = 'answer-lost',
@@ -20,7 +20,7 @@
   Extra = 'extra',
   /** Sends an answer to an earlier request first. */
   LateExtra = 'late-extra',
-  /** Sends bytes that are no answer. */
+  /** Sends bytes that are not a response. */
   Rot = 'rot',
   /** Ends the answer too early. */
   Short = 'short',
@@ -37,9 +37,9 @@
   readonly path: string
   readonly bodyLength: number
   readonly leftMs: number
-  /** The client account that it was told; empty if none. */
+  /** The client account that the entry VM named; empty if none. */
   readonly account: string
-  /** What a caller's key came in, which must not reach a worker; empty as it should be. */
+  /** The field with the caller's key, which must not be forwarded; empty if it was not. */
   readonly authorization: string
 }
 
@@ -50,14 +50,14 @@
   readonly coolDownMs: number | undefined
 }
 
-/** Who is told what a worker does, when it does it. */
+/** Observes what a worker does, as it happens. */
 export interface WorkerObserver {
   /** A response is about to be written. */
   onResponse?(workerId: string, requestId: string, announcement: Announcement): void
-  /** A request came that the worker refuses without running it. */
+  /** The worker refuses a request without running it. */
   onRefused(workerId: string, requestId: string): void
   onRun(workerId: string, run: WorkerRun): void
-  /** @param isAnswered whether the worker wrote its answer, a faulty one included */
+  /** @param isAnswered whether the worker wrote a response, even a faulty one */
   onRunEnd(workerId: string, requestId: string, fault: WorkerFault, isAnswered: boolean): void
 }
 
@@ -69,7 +69,7 @@
   return new RegExp(`^${name}: *(.*)$`, 'im').exec(head)?.[1]?.trim() ?? ''
 }
 
-/** All values of a field, so that a second one shows. */
+/** @returns all values of a field, so that a duplicate field is noticed */
 function getFields (head: string, name: string): string {
   return [...head.matchAll(new RegExp(`^${name}: *(.*)$`, 'gim'))].map((match) => match[1]!.trim()).join(', ')
 }
@@ -84,10 +84,10 @@
   /** How long a request takes, in milliseconds. */
   workMs = 0
   body = 'the whole answer'
-  /** @returns the whole answer to a request; `body` for all if left as it is */
+  /** @returns the body of the response to a request; `body` by default */
   buildBody: (requestId: string) => string = () => this.body
   readonly runs: WorkerRun[] = []
-  /** The rate limit that its answers name, in requests a second; undefined for none. */
+  /** The rate limit that its responses announce, in requests per second; undefined for none. */
   rateLimit: number | undefined
   /** Whether its responses announce that it drains. */
   isDraining = false
@@ -95,19 +95,19 @@
   retryAfter: readonly string[] = []
   /** Whether its refusals say that the request did not run. */
   saysNotRun = true
-  /** The load that its answers tell. */
+  /** The load that its responses report. */
   load = '1,0,4'
   hasCrashed = false
   /** Requests that arrived, refused ones included. */
   arrivals = 0
   /** Requests whose connection ended before they were answered. */
   cancelled = 0
-  /** Requests that it wrote an answer to, a faulty one included. */
+  /** Requests that it responded to, including faulty responses. */
   answered = 0
 
   /**
    * @param id its id, new with each start
-   * @param observer told what it does
+   * @param observer observes the worker
    */
   constructor (readonly id: string, private readonly observer?: WorkerObserver) {
     this.server = createServer((socket) => { this.accept(socket) })
@@ -123,7 +123,7 @@
     return `127.0.0.1:${typeof address === 'object' ? address?.port : ''}`
   }
 
-  /** Ends at once, with everything that is open. */
+  /** Crashes: closes the listener and all connections. */
   private endAbruptly (): void {
     this.hasCrashed = true
     this.close()
@@ -176,7 +176,7 @@
       this.endAbruptly()
       return
     }
-    // The fault at its start: a worker that begins to refuse meanwhile must not say of this run that it has not run.
+    // The fault at the start of the run: if the worker begins to refuse meanwhile, it must not deny that this request ran.
     const { fault } = this
     if (this.workMs === 0) {
       this.answer(socket, requestId, fault)
@@ -196,7 +196,7 @@
 
   private answer (socket: Socket, requestId: string, fault: WorkerFault): void {
     this.answered++
-    // Told first: what the caller sees next may be due to the fault.
+    // Reported first, as the fault may cause what the caller observes next.
     this.observer?.onRunEnd(this.id, requestId, fault, true)
     this.reportResponse(requestId, [])
     ANSWERS[fault](this, socket, requestId)
