--- a/packages/testing/src/node/standIns/usersPlatform/entryProgram.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/entryProgram.ts
@@ -1,4 +1,4 @@
-/** Entry processes on the users' platform as programs of their own, and the addresses that they listen at. */
+/** Spawns entry processes for the users' platform and finds addresses for their listeners. */
 import { findFreeAddresses } from '../../deployment/freeAddresses.js'
 import { ChildProgram, type ProgramOptions } from '../../measure/childProgram.js'
 import type { EntryAddresses } from './platformRecords.js'
@@ -6,13 +6,13 @@
 /** The entry program as it is built from these sources. */
 export const ENTRY_PROGRAM = new URL(import.meta.resolve('@umberspar/users-platform/main'))
 const HOSTS = 250
-/** A host for the entry processes that this process starts: one side by side with it must not get the port of one that restarts. */
+/** Differs between test processes, so that another one can't take the port of an entry process that is restarting. */
 const ENTRY_HOST = `127.21.${process.pid % HOSTS + 1}.1`
 const LISTENERS = 3
 
 /**
  * @param store where the entry process reaches the store
- * @returns addresses that nobody listens at
+ * @returns free addresses
  */
 export async function findEntryAddresses (store: string): Promise<EntryAddresses> {
   const [callers = '', questions = '', metrics = ''] = await findFreeAddresses(ENTRY_HOST, LISTENERS)
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -21,7 +21,7 @@
 export type { ClientAnswer, ClientCall } from './platformClient.js'
 export type { PathInput } from './platformRecords.js'
 
-/** One entry process and what it told. */
+/** One entry process with its log lines and metrics. */
 export interface LocalEntry {
   readonly entry: Entry
   readonly settings: EntrySettings
@@ -34,10 +34,10 @@
 }
 
 const POLL_MS = 10
-/** No wait of a test takes a tenth of this, also on a busy machine; one in vain would keep its process alive for ever, in milliseconds. */
+/** Limits waits, so that a condition that never holds fails the test; even on a busy machine they take less than a tenth of it. */
 const MOST_WAIT_MS = 100_000
 
-/** Keeps lines as an entry process would write them. */
+/** Keeps log lines in memory, in the format in which an entry process writes them. */
 class MemoryLogger implements ILogger {
   constructor (private readonly node: string, private readonly clock: SystemClock, private readonly lines: LogContext[], private readonly text: string[]) {}
 
@@ -91,8 +91,8 @@
   }
 
   /**
-   * Leads the other entry processes to this one's listener for peers over a relay, on
-   * which faults of the link can be switched on.
+   * Makes the other entry processes reach this one's peer listener through a relay that can
+   * simulate faults of the link.
    * @returns the relay
    */
   async addPeerRelay ({ settings }: LocalEntry): Promise<TcpRelay> {
@@ -102,13 +102,13 @@
     return relay
   }
 
-  /** Waits until a condition holds; rejected if it does not for long. */
+  /** Waits until a condition holds; rejects after {@link MOST_WAIT_MS}. */
   async waitUntil (isTrue: () => boolean | Promise<boolean>): Promise<void> {
     const holds = await waitForCondition(this.clock, this.clock.now() + MOST_WAIT_MS, POLL_MS, isTrue)
     if (!holds) throw new Error(`waited in vain for ${MOST_WAIT_MS} ms: ${String(isTrue)}`)
   }
 
-  /** Waits until an entry process takes requests. */
+  /** Waits until an entry process reports that it is ready. */
   async waitUntilReady ({ settings }: LocalEntry): Promise<void> {
     await this.waitUntil(async () => await isReadyAt(settings.listen.readiness))
   }
@@ -118,17 +118,17 @@
     return await sendCall(settings.listen.callers, call)
   }
 
-  /** Asks an entry process, as a client does, which ones to use. @returns their addresses */
+  /** Looks up the entry VMs for a failure domain as a client does. @returns their addresses */
   async lookUp ({ settings }: LocalEntry, domain: string): Promise<string[]> {
     return await lookUpAt(settings.listen.lookups, this.regions[domain] ?? '', domain)
   }
 
-  /** @returns the id of the request that an answer belongs to, by the worker's word */
+  /** @returns the request id that the worker echoed in its response */
   getRequestId (answer: ClientAnswer): string {
     return getAnsweredId(answer)
   }
 
-  /** Asks a listener a question. */
+  /** Sends a GET request to a listener. */
   async ask (address: string, path: string): Promise<ClientAnswer> {
     return await askAt(address, path)
   }
--- a/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
@@ -1,4 +1,4 @@
-/** A caller over a raw socket that sends requests before earlier ones are answered, and reads the answers in their order. */
+/** A caller that pipelines requests on a raw socket and reads the responses in order. */
 import { connect, type Socket } from 'node:net'
 import { ResponseParser } from '@umberspar/entry/node/upstream/responseParser'
 import { getHeader } from '@umberspar/entry/node/upstream/rawHeaders'
@@ -11,13 +11,13 @@
   /** Sent with a length; a request with a body is a POST. */
   readonly body?: string
   readonly deadlineMs?: number
-  /** What identifies its object. */
+  /** The affinity key. */
   readonly key?: string
-  /** What the `Authorization` field says; left out where callers need no keys. */
+  /** The value of the `Authorization` field; omitted if callers need no keys. */
   readonly authorization?: string
 }
 
-/** One answer, as it came. */
+/** One response as received. */
 export interface PipelinedAnswer {
   readonly status: number
   readonly id: string | undefined
@@ -68,22 +68,22 @@
     this.sendRaw(calls.map(formatCall).join(''))
   }
 
-  /** Sends bytes as they are. */
+  /** Sends raw bytes. */
   sendRaw (bytes: string): void {
     if (!this.socket.destroyed) this.socket.write(bytes, 'latin1')
   }
 
-  /** Reads no more for the moment. */
+  /** Pauses reading. */
   pause (): void {
     this.socket.pause()
   }
 
-  /** Reads on. */
+  /** Resumes reading. */
   resume (): void {
     this.socket.resume()
   }
 
-  /** Leaves at once. */
+  /** Closes the connection at once. */
   close (): void {
     this.socket.destroy()
   }
--- a/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
@@ -1,8 +1,8 @@
-/** A client of the users' platform: sends requests as the platform's clients do, and asks which entry VMs to use. */
+/** A client of the users' platform: sends requests and looks up entry VMs as the platform's clients do. */
 import { type Agent, request as sendRequest, type IncomingHttpHeaders } from 'node:http'
 import { PLATFORM_HOST } from './platformRecords.js'
 
-/** A call of a client. */
+/** A client's request. */
 export interface ClientCall {
   readonly path: string
   readonly method?: string
@@ -11,13 +11,13 @@
   readonly deadlineMs?: number
   readonly body?: string
   readonly headers?: Record<string, string>
-  /** Leaves when this is aborted. */
+  /** Closes the connection when aborted. */
   readonly signal?: AbortSignal
-  /** Keeps connections; without it each call opens its own. */
+  /** Reuses connections; without it each request opens its own. */
   readonly agent?: Agent
 }
 
-/** What a client got. */
+/** The response that a client received. */
 export interface ClientAnswer {
   readonly status: number
   readonly headers: IncomingHttpHeaders
@@ -38,27 +38,27 @@
   return await send(address, { path, method, headers: fields, body, signal, agent })
 }
 
-/** @returns whether a status promises that the request has not run and never will */
+/** @returns whether a status guarantees that the request has not run and never will */
 export function isPromisedNotRun (status: number): boolean {
   return NOT_RUN_STATUSES.has(status)
 }
 
-/** @returns whether a status says that a request is not allowed, so that it is not sent again */
+/** @returns whether a status rejects the request for good, so that it is not retried */
 export function isDenied (status: number): boolean {
   return DENIED_STATUSES.has(status)
 }
 
-/** Asks a listener a question. */
+/** Sends a GET request to a listener. */
 export async function askAt (address: string, path: string, signal?: AbortSignal): Promise<ClientAnswer> {
   return await send(address, { path, method: 'GET', headers: {}, signal })
 }
 
-/** @returns whether an entry VM says that it is ready; not while nobody listens there or answers */
+/** @returns whether an entry VM reports that it is ready; false if it does not respond */
 export async function isReadyAt (address: string, signal?: AbortSignal): Promise<boolean> {
   try {
     return (await askAt(address, '/umberspar/readyz', signal)).status === 200
   } catch {
-    // It is starting, stopped or paused; whoever waits asks again.
+    // The process is starting, stopped or paused; callers poll.
     return false
   }
 }
@@ -69,13 +69,13 @@
   return Number(CONFIGURATION_GAUGE.exec(body)?.[1])
 }
 
-/** Asks, as a client does, which entry VMs to use. @returns their addresses */
+/** Looks up entry VMs as a client does. @returns their addresses */
 export async function lookUpAt (address: string, region: string, domain: string, signal?: AbortSignal): Promise<string[]> {
   const { status, body } = await askAt(address, `/umberspar/resolve?Name=${PLATFORM_HOST}&Region=${region}&Zone=${domain}`, signal)
   return status === 200 ? (JSON.parse(body) as { Addrs: string[] }).Addrs : []
 }
 
-/** @returns the id of the request that an answer belongs to, by the worker's word */
+/** @returns the request id that the worker echoed in its response */
 export function getAnsweredId ({ headers }: ClientAnswer): string {
   return String(headers['x-umberspar-request-id'])
 }
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -1,12 +1,12 @@
 /**
- * What stands in the store of the users' platform, written as the operator and the
- * workers write it, and the settings that the platform gives an entry process.
+ * The records in the store of the users' platform, in the format in which the operator and
+ * the workers write them, and the settings that the platform passes to an entry process.
  */
 import { LogLevel } from '@umberspar/base/common/logger'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
 import { RecordStoreStandIn } from './recordStoreStandIn.js'
 
-/** One path of the operator's configuration; what is left out is as in `PATH_DEFAULTS`. */
+/** One path of the operator's configuration; omitted fields are as in `PATH_DEFAULTS`. */
 export interface PathInput {
   readonly Name: string
   readonly Prefix: string
@@ -21,7 +21,7 @@
   readonly NoAuth?: boolean
 }
 
-/** One client account of the operator's configuration; what is left out is as in `ACCOUNT_DEFAULTS`. */
+/** One client account of the operator's configuration; omitted fields are as in `ACCOUNT_DEFAULTS`. */
 export interface AccountInput {
   readonly Name: string
   readonly ApiKeys: readonly string[]
@@ -30,16 +30,16 @@
   readonly HomeRegions?: readonly string[]
 }
 
-/** What a worker says of itself. */
+/** A worker's registration. */
 export interface WorkerRecord {
   readonly id: string
   readonly service: string
   readonly domain: string
   readonly address: string
   readonly isLeaving?: boolean
-  /** How long it says that it is cold, in milliseconds. */
+  /** The remaining cold start that it reports, in milliseconds. */
   readonly coldMs?: number
-  /** When it started, in milliseconds of Unix time; left out by workers that never start again under one id. */
+  /** When it started, in milliseconds of Unix time; omitted by workers whose ids are never reused. */
   readonly startedAt?: number
 }
 
@@ -53,7 +53,7 @@
 
 const PATH_DEFAULTS = { Kind: 'idempotent', Timeout: '2000ms', Goal: '500ms', Priority: 1, Attempts: 2, Sticky: true, HomeRegions: [] }
 const ACCOUNT_DEFAULTS = { Priority: 1, RatePerS: 0, Burst: 0, HomeRegions: [] }
-/** The host under which all routes of the stand-in stand. */
+/** The host of all routes of the stand-in. */
 export const PLATFORM_HOST = 'shop.example'
 const SLOTS = 4
 
@@ -61,7 +61,7 @@
  * @param prefix of the request targets, with slashes at both ends
  * @param service that serves it
  * @param homes the regions that alone may serve it; empty if all may
- * @returns a path whose requests are alike for all workers
+ * @returns a path whose requests have no affinity to a worker
  */
 export function createPath (prefix: string, service: string, homes: readonly string[]): PathInput {
   return { Name: prefix.replaceAll('/', '-'), Prefix: prefix, Service: service, HomeRegions: homes, Sticky: false }
@@ -72,7 +72,7 @@
   readonly store = new RecordStoreStandIn()
   private readonly services = new Set<string>()
   private version = 0
-  /** The client accounts of the configurations that follow; undefined where callers need no keys. */
+  /** The client accounts of later configurations; undefined if callers need no keys. */
   accounts: readonly AccountInput[] | undefined
 
   /** @param regions failure domains with their regions */
@@ -83,23 +83,23 @@
     return this.version
   }
 
-  /** Writes what a worker says of itself. */
+  /** Writes a worker's registration. */
   putWorker ({ id, service, domain, address, isLeaving = false, coldMs = 0, startedAt }: WorkerRecord): void {
     this.services.add(service)
     this.store.put(`servers/${id}`, { Service: service, Addr: address, Zone: domain, Version: 'v1', Slots: SLOTS, State: isLeaving ? 'draining' : 'ready', ColdLeft: `${coldMs}ms`, Seq: 1, born: startedAt })
   }
 
-  /** Removes what a worker said of itself. */
+  /** Removes a worker's registration. */
   removeWorker (id: string): void {
     this.store.remove(`servers/${id}`)
   }
 
-  /** Asks that nothing more be sent to the workers of a failure domain. */
+  /** Evacuates a failure domain. */
   putEvacuation (domain: string): void {
     this.store.put(`op/evacuate/${domain}`, {})
   }
 
-  /** Takes a failure domain back. */
+  /** Ends the evacuation of a failure domain. */
   removeEvacuation (domain: string): void {
     this.store.remove(`op/evacuate/${domain}`)
   }
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -1,7 +1,6 @@
 /**
- * The users' store over HTTP, with faults to switch on. Several listeners may
- * share one state: each stands for the way of one entry VM to the store, so that
- * some VMs are refused while others are served.
+ * The users' store over HTTP, with faults to inject. Several listeners share one state, one
+ * for each entry VM, so that some VMs can be refused while others are served.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -9,18 +8,18 @@
 import { RecordStoreState, type StoredItem, TransactionEnd } from './recordStoreState.js'
 import { resetSocket } from '../../resetSocket.js'
 
-/** How a listener treats calls. */
+/** The fault of a listener. */
 export enum StoreFault {
   None = 'none',
-  /** Answers 503; nothing is done. */
+  /** Responds with 503 without executing the call. */
   Busy = 'busy',
-  /** Answers 429; nothing is done. */
+  /** Responds with 429 without executing the call. */
   TooMany = 'too-many',
-  /** Resets the connection; nothing is done. */
+  /** Resets the connection without executing the call. */
   Reset = 'reset',
-  /** Never answers; nothing is done. */
+  /** Never responds and does not execute the call. */
   Silent = 'silent',
-  /** Carries the call out and never answers. */
+  /** Executes the call and never responds. */
   AnswerLost = 'answer-lost'
 }
 
@@ -48,7 +47,7 @@
   response.end(body)
 }
 
-/** One way to the store. */
+/** One listener of the store. */
 export class RecordStoreListener implements IClosable {
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
@@ -79,7 +78,7 @@
     if (fault !== StoreFault.None && fault !== StoreFault.Silent) this.closeWatches()
   }
 
-  /** Resets the connections of watches that wait. */
+  /** Resets the connections of pending watches. */
   closeWatches (): void {
     for (const { response, timer } of this.waiting) {
       clearTimeout(timer)
@@ -173,10 +172,10 @@
   [TransactionEnd.NoLease]: 404
 }
 
-/** The store and the ways to it. */
+/** The store and its listeners. */
 export class RecordStoreStandIn implements IClosable {
   readonly state = new RecordStoreState()
-  /** How far serializable reads are behind, in milliseconds. */
+  /** The staleness of serializable reads, in milliseconds. */
   staleReadMs = 0
   private readonly listeners: RecordStoreListener[] = []
   private readonly timer = setInterval(() => {
@@ -184,13 +183,13 @@
     this.answerWatches()
   }, LEASE_CHECK_MS)
 
-  /** @returns the items that a read shows, and the revision that it is as of */
+  /** @returns the items that a read returns, and their revision */
   listItems (prefix: string, after: string, isCheap: boolean): { readonly items: StoredItem[], readonly revision: number } {
     if (isCheap && this.staleReadMs > 0) return this.state.listAsOf(prefix, after, performance.now() - this.staleReadMs)
     return { items: this.state.list(prefix, after), revision: this.state.revision }
   }
 
-  /** Opens one more way to the store. */
+  /** Adds a listener. */
   addListener (): RecordStoreListener {
     const listener = new RecordStoreListener(this)
     this.listeners.push(listener)
@@ -202,7 +201,7 @@
     this.putText(key, JSON.stringify(value))
   }
 
-  /** Writes what may be no JSON, as another writer may. */
+  /** Writes any text, as a foreign writer might. */
   putText (key: string, text: string): void {
     this.state.put(key, text)
     this.answerWatches()
@@ -214,7 +213,7 @@
     this.answerWatches()
   }
 
-  /** Answers watches for which something changed. */
+  /** Responds to pending watches that have new events. */
   answerWatches (): void {
     for (const listener of this.listeners) {
       if (listener.fault !== StoreFault.None) continue
@@ -226,7 +225,7 @@
     }
   }
 
-  /** @returns whether there was something to answer */
+  /** @returns whether there were events to respond with */
   answerWatch (response: ServerResponse, prefix: string, after: number): boolean {
     const changes = this.state.listChanges(prefix, after)
     if (changes === undefined) answer(response, 410, EMPTY)
@@ -235,7 +234,7 @@
     return true
   }
 
-  /** Answers a watch that waited in vain. */
+  /** Responds to a watch that timed out without events. */
   endWatch (listener: RecordStoreListener, waiting: Waiting): void {
     listener.waiting.delete(waiting)
     if (listener.fault === StoreFault.None) answer(waiting.response, 200, JSON.stringify({ events: [], AsOf: this.state.revision }))
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -1,4 +1,4 @@
-/** What the stand-in of the users' store holds: items, leases, and a history that can be dropped. */
+/** The state of the users' store stand-in: items, leases, and a history that can be compacted. */
 
 /** One item, or its removal. */
 export interface StoredItem {
@@ -10,7 +10,7 @@
   readonly isRemoved: boolean
 }
 
-/** What a transaction asks. */
+/** A transaction. */
 export interface StoreTransaction {
   readonly expected: ReadonlyArray<{ readonly key: string, readonly revision: number }>
   readonly puts: ReadonlyArray<{ readonly key: string, readonly value: string, readonly lease: number }>
@@ -29,17 +29,17 @@
   endsAt: number
 }
 
-/** The state; instants come from outside. */
+/** The state; the current time is passed in. */
 export class RecordStoreState {
   private readonly items = new Map<string, StoredItem>()
   private readonly leases = new Map<number, Lease>()
-  /** Every change with the instant at which it was made; reads of an earlier state need those too that watches no longer get. */
+  /** Every change with its time; reads of an earlier state also need changes that were compacted for watches. */
   private readonly changes: Array<{ readonly item: StoredItem, readonly at: number }> = []
   private droppedUpTo = 0
   private lastLease = 70_000
   revision = 1
 
-  /** @returns the item, if it stands */
+  /** @returns the item, if it exists */
   get (key: string): StoredItem | undefined {
     return this.items.get(key)
   }
@@ -53,7 +53,7 @@
 
   /**
    * @param at an instant, on the clock of `performance`
-   * @returns the items that stood then and the revision of that state
+   * @returns the items at that time and the revision of that state
    */
   listAsOf (prefix: string, after: string, at: number): { readonly items: StoredItem[], readonly revision: number } {
     const items = new Map<string, StoredItem>()
@@ -68,13 +68,13 @@
     return { items: listed.sort((left, right) => (left.key < right.key ? -1 : 1)), revision }
   }
 
-  /** @returns what changed after a revision, or undefined if that history was dropped */
+  /** @returns the changes after a revision, or undefined if they were compacted */
   listChanges (prefix: string, after: number): StoredItem[] | undefined {
     if (after < this.droppedUpTo) return undefined
     return this.changes.map(({ item }) => item).filter(({ key, revision }) => revision > after && key.startsWith(prefix))
   }
 
-  /** Drops all history. */
+  /** Compacts the history. */
   clearHistory (): void {
     this.droppedUpTo = this.revision
   }
@@ -95,7 +95,7 @@
     this.recordChange({ ...item, revision: ++this.revision, isRemoved: true })
   }
 
-  /** Runs a transaction whole or not at all. */
+  /** Executes a transaction atomically. */
   transact ({ expected, puts, removals }: StoreTransaction): TransactionEnd {
     if (expected.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision)) return TransactionEnd.ConditionFailed
     if (puts.some(({ lease }) => lease !== 0 && !this.leases.has(lease))) return TransactionEnd.NoLease
@@ -127,14 +127,14 @@
     return true
   }
 
-  /** Ends the leases whose time is over. */
+  /** Ends expired leases. */
   endDueLeases (now: number): void {
     for (const [id, { endsAt }] of this.leases) {
       if (endsAt <= now) this.endLease(id)
     }
   }
 
-  /** Ends all leases, as an outage may. */
+  /** Ends all leases, as an outage might. */
   endAllLeases (): void {
     for (const id of [...this.leases.keys()]) this.endLease(id)
   }
