Show what a service's retry budget consists of

Change: gauges by service for the requests and retries of the window and the VMs that share the slack. No decision changes.

--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -1,6 +1,7 @@
 /** The values of an entry process's gauges, read when the metrics are fetched. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { RetryBudgetState } from '@umberspar/steering/common/entry/sharedRetryBudget'
 import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import type { ViewUpdater } from '../replica/viewUpdater.js'
 import type { RecordSynchronizer } from '../replica/recordSynchronizer.js'
@@ -34,9 +35,9 @@
   /** @param dependencies the services whose state the gauges show */
   constructor (private readonly dependencies: GaugeDependencies) {}
 
-  readRetryBudgets (): Array<readonly [string, number]> {
+  readRetryBudgets (): Array<readonly [string, RetryBudgetState]> {
     const now = this.dependencies.clock.now()
-    return [...this.dependencies.view.listRetryBudgets()].map(([service, retryWindow]) => [service, retryWindow.countLeft(now)] as const)
+    return [...this.dependencies.view.listRetryBudgets()].map(([service, retryBudget]) => [service, retryBudget.read(now)] as const)
   }
 
   readGauges (): Readonly<Record<string, number>> {
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -1,15 +1,23 @@
 /** The metrics of an entry process, fetched in the Prometheus text format. */
+import type { RetryBudgetState } from '@umberspar/steering/common/entry/sharedRetryBudget'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Upper bounds of the latency buckets: from a response of a warm local worker to the longest time limits. */
 const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5]
 
+const RETRY_BUDGET_GAUGES: Readonly<Record<keyof RetryBudgetState, { readonly name: string, readonly help: string }>> = {
+  left: { name: 'umberspar_repeats_left', help: 'Repeats that could be sent at once by service' },
+  requests: { name: 'umberspar_retry_budget_requests', help: 'Requests of this VM in the window of the retry budget by service' },
+  retries: { name: 'umberspar_retry_budget_retries', help: 'Retries of this VM in the window of the retry budget by service' },
+  slackSharers: { name: 'umberspar_retry_budget_slack_sharers', help: 'VMs among which the slack of the retry budget is divided by service' }
+}
+
 /** Provides the values of gauges when the metrics are fetched. */
 export interface GaugeSource {
   /** @returns values by name; the names contain the units */
   readGauges(): Readonly<Record<string, number>>
-  /** @returns for each service, the number of retries that could be sent at once */
-  readRetryBudgets(): Iterable<readonly [service: string, left: number]>
+  /** @returns the retry budget of each service */
+  readRetryBudgets(): Iterable<readonly [service: string, state: RetryBudgetState]>
 }
 
 /** The metrics of one process. */
@@ -24,7 +32,7 @@
   private readonly lookups
   private readonly droppedLogLines
   private readonly latencySeconds
-  private readonly retryBudgets
+  private readonly retryBudgetGauges
   private readonly gauges = new Map<string, Gauge>()
 
   constructor () {
@@ -35,7 +43,9 @@
     this.viewChanges = new Counter({ name: 'umberspar_view_changes_total', help: 'Changes of what this process believes', labelNames: ['change'], registers })
     this.lookups = new Counter({ name: 'umberspar_lookups_total', help: 'Look-ups by answer', labelNames: ['answer'], registers })
     this.droppedLogLines = new Counter({ name: 'umberspar_log_lines_dropped_total', help: 'Log lines that found no room', labelNames: ['urgency'], registers })
-    this.retryBudgets = new Gauge({ name: 'umberspar_repeats_left', help: 'Repeats that could be sent at once by service', labelNames: ['service'], registers })
+    this.retryBudgetGauges = Object.entries(RETRY_BUDGET_GAUGES).map(([field, { name, help }]) => {
+      return { field: field as keyof RetryBudgetState, gauge: new Gauge({ name, help, labelNames: ['service'], registers }) }
+    })
     this.latencySeconds = new Histogram({ name: 'umberspar_request_seconds', help: 'From the head of a request to the end of its answer', labelNames: ['service', 'end'], buckets: LATENCY_BUCKETS_SECONDS, registers })
   }
 
@@ -80,7 +90,9 @@
    */
   async read (source: GaugeSource): Promise<string> {
     for (const [name, value] of Object.entries(source.readGauges())) this.getGauge(name).set(value)
-    for (const [service, remaining] of source.readRetryBudgets()) this.retryBudgets.set({ service }, remaining)
+    for (const [service, state] of source.readRetryBudgets()) {
+      for (const { field, gauge } of this.retryBudgetGauges) gauge.set({ service }, state[field])
+    }
     return `${await this.gaugeRegistry.metrics()}\n${await this.registry.metrics()}`
   }
 
--- a/packages/steering/src/common/entry/sharedRetryBudget.ts
+++ b/packages/steering/src/common/entry/sharedRetryBudget.ts
@@ -26,6 +26,18 @@
 /** Up to this many recorded requests, expired ones are not removed at each new request, to save time. */
 const MAX_UNPRUNED_REQUESTS = 256
 
+/** What a service's budget consists of at one instant. */
+export interface RetryBudgetState {
+  /** Retries that could be sent now. */
+  readonly left: number
+  /** Requests of this VM in the window. */
+  readonly requests: number
+  /** Retries of this VM in the window. */
+  readonly retries: number
+  /** VMs among which the slack is divided. */
+  readonly slackSharers: number
+}
+
 /** Counts one service's requests and retries. */
 export class SharedRetryBudget {
   private requestTimes: Instant[] = []
@@ -65,6 +77,15 @@
     return Math.max(0, Math.floor(allowed - this.retryTimes.length))
   }
 
+  /**
+   * @param now the current time
+   * @returns what the budget consists of, for metrics
+   */
+  read (now: Instant): RetryBudgetState {
+    const left = this.countLeft(now)
+    return { left, requests: this.requestTimes.length, retries: this.retryTimes.length, slackSharers: this.countNodes() }
+  }
+
   private removeExpired (now: Instant): void {
     const windowStart = now - this.settings.windowMs
     this.requestTimes = this.requestTimes.filter((at) => at > windowStart)
--- a/packages/steering/test/common/entry/sharedRetryBudget.test.ts
+++ b/packages/steering/test/common/entry/sharedRetryBudget.test.ts
@@ -24,7 +24,7 @@
 
   constructor (private readonly count: number) {
     this.views = Array.from({ length: count }, (_, index) => this.createView(index, Number.NEGATIVE_INFINITY))
-    for (let index = 0; index < count; index++) this.fillList(index, Number.NEGATIVE_INFINITY)
+    for (let index = 0; index < count; index++) this.resetList(index, Number.NEGATIVE_INFINITY)
   }
 
   /** Starts another process, which has read nothing yet. */
@@ -38,7 +38,7 @@
   }
 
   /** All VMs are back in the list of one. */
-  fillList (index: number, now: Instant): void {
+  resetList (index: number, now: Instant): void {
     for (const name of this.listOthers(index)) this.views[index]!.applyChange({ record: createNodeRecord(name), previous: undefined }, now)
   }
 
@@ -85,7 +85,7 @@
     sendRequests(fleet, count, 0, 12_000, random)
     for (const restartAt of [12_000, 13_000, 14_000, 15_000]) {
       for (let index = 0; index < count; index++) fleet.startProcess(index, restartAt)
-      for (let index = 0; index < count; index++) fleet.fillList(index, restartAt)
+      for (let index = 0; index < count; index++) fleet.resetList(index, restartAt)
       sendRequests(fleet, count, restartAt, restartAt + 1_000, random)
     }
     sendRequests(fleet, count, 16_000, 40_000, random)
@@ -99,7 +99,7 @@
     const random = new SeededRandom(SEED)
     for (let index = 0; index < count; index++) fleet.startProcess(index, 0)
     sendRequests(fleet, count, 0, 2_000, random)
-    for (let index = 0; index < count; index++) fleet.fillList(index, 2_000)
+    for (let index = 0; index < count; index++) fleet.resetList(index, 2_000)
     sendRequests(fleet, count, 2_000, 30_000, random)
     fleet.checkBudget()
   })
@@ -112,7 +112,7 @@
     sendRequests(fleet, count, 0, 12_000, random)
     for (let index = 0; index < count; index++) fleet.clearList(index, 12_000)
     sendRequests(fleet, count, 12_000, 16_000, random)
-    for (let index = 0; index < count; index++) fleet.fillList(index, 16_000)
+    for (let index = 0; index < count; index++) fleet.resetList(index, 16_000)
     sendRequests(fleet, count, 16_000, 40_000, random)
     fleet.checkBudget()
   })
@@ -126,7 +126,7 @@
       for (const { node, at, lossMs, isRestart, isOfAll } of list) {
         const nodes = isOfAll ? Array.from({ length: count }, (_, index) => index) : [node % count]
         steps.push({ at, run: (now) => { for (const index of nodes) isRestart ? fleet.startProcess(index, now) : fleet.clearList(index, now) } })
-        steps.push({ at: at + lossMs, run: (now) => { for (const index of nodes) fleet.fillList(index, now) } })
+        steps.push({ at: at + lossMs, run: (now) => { for (const index of nodes) fleet.resetList(index, now) } })
       }
       for (let at = 0; at < 50_000; at += gapMs) steps.push({ at, run: (now) => { fleet.handleRequest(Math.floor(random.next() * count), 4, now) } })
       for (const { at, run } of steps.sort((left, right) => left.at - right.at)) run(at)
