Reduce a process's retries for one window, and divide the slack among the VMs of a window

Cause: a divided allowance whose inputs are forgotten. A new process began with an unused budget, though the process before it may have spent it in the same window, and divided the slack among the VMs that it had read so far; a list that shrinks raised each VM's part at once. Change: for one window after the start a process spends the part of the ratio that running processes leave unused (0.3 of it) and no slack; the slack is divided by the largest number of VMs known in the window. Why it works: a window's retries are at most 0.14 of the requests and 36 by processes that run for longer, and 0.06 of the requests by new ones, however often they start. Weighed: a slack that grows over the first window breaks the property. Tests whose entries stand for processes that run for longer say so (startedAt); one more checks a new process.

--- /dev/null
+++ b/packages/entry/src/node/createEntryView.ts
@@ -0,0 +1,25 @@
+/** Creates the view of an entry process from its settings. */
+import type { Instant } from '@umberspar/base/common/clock'
+import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
+import { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { EntrySettings } from '../common/entrySettings.js'
+
+/**
+ * @param settings the settings of the process
+ * @param regionByDomain the region of each failure domain
+ * @param roundTrips the round trip times to the failure domains
+ * @param startedAt when the process started
+ * @returns a view without records
+ */
+export function createEntryView (settings: EntrySettings, regionByDomain: ReadonlyMap<string, string>, roundTrips: DomainRoundTrips, startedAt: Instant): EntryView {
+  return new EntryView({
+    node: settings.node,
+    domain: settings.domain,
+    regionByDomain,
+    roundTrips,
+    coldTolerance: settings.coldTolerance,
+    rateTolerance: settings.rateTolerance,
+    retryBudget: { ...settings.repeatBudget, windowMs: settings.repeatBudget.window },
+    startedAt
+  })
+}
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -3,14 +3,14 @@
  * and metrics, and the graceful shutdown. The adapters for the store and for the protocol of callers
  * are passed in.
  */
-import type { IClock } from '@umberspar/base/common/clock'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { chooseEntryVms } from '@umberspar/steering/common/entry/chooseEntryVms'
 import { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
-import { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
@@ -18,6 +18,7 @@
 import type { EntrySettings } from '../common/entrySettings.js'
 import { RECORDS_PATH } from '../common/recordLines.js'
 import { createAccessBounds } from './accounts/accessBounds.js'
+import { createEntryView } from './createEntryView.js'
 import { AccessController } from './accounts/accessController.js'
 import { ViewUpdater } from './replica/viewUpdater.js'
 import { RecordSynchronizer } from './replica/recordSynchronizer.js'
@@ -43,6 +44,8 @@
   /** Also counts time for which the machine was suspended; the instants of the source are on this clock. */
   readonly elapsed: ElapsedClock
   readonly random: IRandomSource
+  /** When the process started. */
+  readonly startedAt: Instant
   readonly logger: ILogger
   readonly metrics: EntryMetrics
   readonly protocol: ICallerProtocol
@@ -86,15 +89,7 @@
     const roundTrips = new DomainRoundTrips(settings.domain, this.regionByDomain)
     this.node = { name: settings.node, address: settings.listen.callers, peerAddress: settings.listen.peers, domain: settings.domain, linkMbps: settings.linkMbps }
     this.telemetry = new EntryTelemetry(logger, metrics)
-    this.view = new EntryView({
-      node: settings.node,
-      domain: settings.domain,
-      regionByDomain: this.regionByDomain,
-      roundTrips,
-      coldTolerance: settings.coldTolerance,
-      rateTolerance: settings.rateTolerance,
-      retryBudget: { ...settings.repeatBudget, windowMs: settings.repeatBudget.window }
-    })
+    this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })))
--- a/packages/steering/src/common/entry/applyRecord.ts
+++ b/packages/steering/src/common/entry/applyRecord.ts
@@ -44,13 +44,13 @@
     view.removeEvacuation(previous.value, now)
     return [{ change: ViewChange.DomainTakenBack, subject: previous.value, revision: previous.revision }]
   },
-  [RecordKind.Node]: (view, record, previous) => {
+  [RecordKind.Node]: (view, record, previous, now) => {
     if (record?.kind === RecordKind.Node) {
-      view.putNode(record.value)
+      view.putNode(record.value, now)
       return [{ change: ViewChange.NodeJoined, subject: record.value.name, revision: record.revision }]
     }
     if (previous?.kind !== RecordKind.Node) return []
-    view.removeNode(previous.value.name)
+    view.removeNode(previous.value.name, now)
     return [{ change: ViewChange.NodeLeft, subject: previous.value.name, revision: previous.revision }]
   },
   [RecordKind.Share]: (view, record, previous) => {
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -10,6 +10,7 @@
 import { WeightedRoundRobin } from './weightedRoundRobin.js'
 import type { EntryNode, RecordChange, ShareOwner, UpstreamRegistration } from './records.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
+import { RecentMaximum } from './recentMaximum.js'
 import { SharedRetryBudget, type RetryBudgetSettings } from './sharedRetryBudget.js'
 import type { SendingNode } from '../rateLimits/rateAllowance.js'
 import { RouteTable } from './routeTable.js'
@@ -37,6 +38,8 @@
 /** Properties of this VM and settings that don't change while the process runs. */
 export interface ViewContext extends Omit<PoolContext, 'listNodes' | 'listSendingNodes'> {
   readonly retryBudget: RetryBudgetSettings
+  /** When this process started. */
+  readonly startedAt: Instant
 }
 
 /** The view of one entry VM. */
@@ -53,6 +56,8 @@
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly departedWorkers = new DepartedWorkers()
   private readonly retryBudgets = new Map<string, SharedRetryBudget>()
+  /** The number of entry VMs, for allowances that the VMs of the last window have divided among themselves. */
+  private readonly recentNodeCount: RecentMaximum
   private readonly serviceTimesByRoute = new Map<string, ServiceTimeEstimate>()
   /** Sorted names of the entry VMs; undefined after a change, so that a start with hundreds of VMs sorts them once. */
   private nodeNames: readonly string[] | undefined
@@ -65,7 +70,9 @@
   roundRobin = new WeightedRoundRobin()
 
   /** @param context properties of this VM and settings */
-  constructor (private readonly context: ViewContext) {}
+  constructor (private readonly context: ViewContext) {
+    this.recentNodeCount = new RecentMaximum(context.retryBudget.windowMs, this.countNodes())
+  }
 
   /** @returns the configuration in force; undefined before one was read */
   get document (): SteeringDocument | undefined {
@@ -117,7 +124,7 @@
   getRetryBudget (service: string): SharedRetryBudget {
     let retryBudget = this.retryBudgets.get(service)
     if (retryBudget === undefined) {
-      retryBudget = new SharedRetryBudget(this.context.retryBudget, () => this.countNodes())
+      retryBudget = new SharedRetryBudget(this.context.retryBudget, (now) => this.recentNodeCount.get(now), this.context.startedAt)
       this.retryBudgets.set(service, retryBudget)
     }
     return retryBudget
@@ -242,18 +249,28 @@
     }
   }
 
-  /** @param node an entry VM that registered itself */
-  putNode (node: EntryNode): void {
+  /**
+   * @param node an entry VM that registered itself
+   * @param now the current time
+   */
+  putNode (node: EntryNode, now: Instant): void {
     this.nodes.set(node.name, node)
-    this.nodeNames = undefined
-    this.sendingNodes = undefined
+    this.handleNodesChanged(now)
   }
 
-  /** @param name an entry VM that is no longer registered */
-  removeNode (name: string): void {
+  /**
+   * @param name an entry VM that is no longer registered
+   * @param now the current time
+   */
+  removeNode (name: string, now: Instant): void {
     this.nodes.delete(name)
+    this.handleNodesChanged(now)
+  }
+
+  private handleNodesChanged (now: Instant): void {
     this.nodeNames = undefined
     this.sendingNodes = undefined
+    this.recentNodeCount.update(this.countNodes(), now)
   }
 
   private createTracker (registration: UpstreamRegistration, now: Instant, earlierStartTimes: readonly number[]): UpstreamTracker {
--- a/packages/steering/src/common/entry/sharedRetryBudget.ts
+++ b/packages/steering/src/common/entry/sharedRetryBudget.ts
@@ -2,9 +2,12 @@
  * Limits the retries that this entry VM may send for a service.
  *
  * All entry VMs share one budget in a sliding window. Each spends only what its own requests
- * earn, so the sum holds without coordination, whichever VMs are cut off.
+ * earn, so the sum holds without coordination, whichever VMs are cut off. A process that has just
+ * started knows neither what its predecessor has spent in the present window nor all other VMs, so
+ * it spends only the part of the ratio that processes which run for longer leave unused.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 
 /** The configured retry budget. */
 export interface RetryBudgetSettings {
@@ -21,7 +24,9 @@
  * or a change of the configuration, earns retries at one of them only.
  */
 const SPENDABLE_RATIO_FRACTION = 0.7
-/** Fraction of the slack that is divided among the VMs; the rest covers VMs that have just joined or left. */
+/** The same during the first window of a process: what its predecessor can't have spent. */
+const FIRST_WINDOW_RATIO_FRACTION = 1 - SPENDABLE_RATIO_FRACTION
+/** Fraction of the slack that is divided among the VMs; the rest covers VMs that have just joined, left or been cut off. */
 const SPENDABLE_SLACK_FRACTION = 0.6
 /** Up to this many recorded requests, expired ones are not removed at each new request, to save time. */
 const MAX_UNPRUNED_REQUESTS = 256
@@ -42,12 +47,16 @@
 export class SharedRetryBudget {
   private requestTimes: Instant[] = []
   private retryTimes: Instant[] = []
+  private readonly firstWindowEnd: Deadline
 
   /**
    * @param settings the configured budget
-   * @param countNodes returns the number of entry VMs that currently share the slack
+   * @param countSharers returns the number of entry VMs that share the slack: all that may have spent a part of it in the window
+   * @param startedAt when this process started
    */
-  constructor (private readonly settings: RetryBudgetSettings, private readonly countNodes: () => number) {}
+  constructor (private readonly settings: RetryBudgetSettings, private readonly countSharers: (now: Instant) => number, startedAt: Instant) {
+    this.firstWindowEnd = createDeadline(startedAt, settings.windowMs)
+  }
 
   /** @param now when a request arrived */
   recordFirstAttempt (now: Instant): void {
@@ -72,9 +81,7 @@
    */
   countLeft (now: Instant): number {
     this.removeExpired(now)
-    const slack = this.settings.slack * SPENDABLE_SLACK_FRACTION / Math.max(1, this.countNodes())
-    const allowed = this.requestTimes.length * this.settings.ratio * SPENDABLE_RATIO_FRACTION + slack
-    return Math.max(0, Math.floor(allowed - this.retryTimes.length))
+    return Math.max(0, Math.floor(this.computeAllowance(now) - this.retryTimes.length))
   }
 
   /**
@@ -83,7 +90,14 @@
    */
   read (now: Instant): RetryBudgetState {
     const left = this.countLeft(now)
-    return { left, requests: this.requestTimes.length, retries: this.retryTimes.length, slackSharers: this.countNodes() }
+    return { left, requests: this.requestTimes.length, retries: this.retryTimes.length, slackSharers: this.countSharers(now) }
+  }
+
+  private computeAllowance (now: Instant): number {
+    const { ratio, slack } = this.settings
+    const earned = this.requestTimes.length * ratio
+    if (!hasPassed(this.firstWindowEnd, now)) return earned * FIRST_WINDOW_RATIO_FRACTION
+    return earned * SPENDABLE_RATIO_FRACTION + slack * SPENDABLE_SLACK_FRACTION / Math.max(1, this.countSharers(now))
   }
 
   private removeExpired (now: Instant): void {
--- a/packages/steering/test/common/entry/shares.test.ts
+++ b/packages/steering/test/common/entry/shares.test.ts
@@ -107,7 +107,7 @@
     const requests = fc.array(fc.record({ node: fc.nat({ max: 199 }), at: fc.nat({ max: 30_000 }), isRepeat: fc.boolean() }), { minLength: 1, maxLength: 2_000 })
     fc.assert(fc.property(requests, fc.oneof(fc.integer({ min: 1, max: 12 }), fc.integer({ min: 13, max: 200 })), (events, count) => {
       const budget = { ratio: 0.2, windowMs: 10_000, slack: 60 }
-      const windows = Array.from({ length: count }, () => new SharedRetryBudget(budget, () => count))
+      const windows = Array.from({ length: count }, () => new SharedRetryBudget(budget, () => count, Number.NEGATIVE_INFINITY))
       const first: number[] = []
       const repeats: number[] = []
       for (const { node, at, isRepeat } of events.sort((left, right) => left.at - right.at)) {
@@ -132,7 +132,7 @@
     const budget = { ratio: 0.2, windowMs: 10_000, slack: 430 }
     const count = 195
     const perSecond = 107
-    const windows = Array.from({ length: count }, () => new SharedRetryBudget(budget, () => count))
+    const windows = Array.from({ length: count }, () => new SharedRetryBudget(budget, () => count, Number.NEGATIVE_INFINITY))
     const random = new SeededRandom(SEED)
     let sent = 0
     const requestCount = perSecond * budget.windowMs / 1_000
--- a/packages/testing/src/common/policy/policySimulation.ts
+++ b/packages/testing/src/common/policy/policySimulation.ts
@@ -115,7 +115,7 @@
       }
     }
     const locations = [...this.regionOf.keys()].flatMap((domain) => Array.from({ length: pattern.vmsPerDomain }, (_, index) => ({ name: `${domain}-v${index}`, domain })))
-    this.vms = locations.map((location) => ({ ...location, view: this.buildView(location, locations) }))
+    this.vms = locations.map((location) => ({ ...location, view: this.buildView(location, locations, Number.NEGATIVE_INFINITY) }))
   }
 
   /** @returns the result as callers see it */
@@ -129,7 +129,7 @@
     return { requestCount, inTime: inTimeCount / requestCount, late: lateCount / requestCount, unserved: 1 - (inTimeCount + lateCount) / requestCount, worth: (inTimeCount + LATE_ANSWER_WORTH_RATIO * lateCount) / requestCount }
   }
 
-  private buildView ({ name, domain }: VmLocation, locations: readonly VmLocation[]): EntryView {
+  private buildView ({ name, domain }: VmLocation, locations: readonly VmLocation[], startedAt: Instant): EntryView {
     const view = new EntryView({
       node: name,
       domain,
@@ -137,20 +137,21 @@
       roundTrips: new DomainRoundTrips(domain, this.regionOf),
       coldTolerance: { factor: 1.5, slack: 5 },
       rateTolerance: { factor: 1.5, slack: 5 },
-      retryBudget: RETRY_BUDGET
+      retryBudget: RETRY_BUDGET,
+      startedAt
     })
     const now = this.events.now()
     for (const [id, worker] of this.workers) {
       view.putUpstream({ id, service: SERVICE, address: id, domain: worker.domain, slots: this.pattern.traits.slots, state: UpstreamState.Ready, coldMs: 0 }, now)
     }
-    for (const location of locations) view.putNode({ ...location, address: location.name, peerAddress: location.name })
+    for (const location of locations) view.putNode({ ...location, address: location.name, peerAddress: location.name }, now)
     return view
   }
 
   /** Restarts all VMs without state at the given instant; in an outage, requests in flight are lost and retried. */
   private resetVms (restartAt: Instant): void {
     this.outageEndsAt = restartAt
-    for (const vm of this.vms) vm.view = this.buildView(vm, this.vms)
+    for (const vm of this.vms) vm.view = this.buildView(vm, this.vms, this.events.now())
     if (this.pattern.outageMs === undefined) return
     for (const { worker } of this.workers.values()) worker.cancelAll()
     for (const request of this.inFlight) this.startAttempt(request)
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -2,6 +2,7 @@
  * The users' platform on loopback: a store, workers that register themselves, and
  * entry processes in this process, each with its own way to the store.
  */
+import type { Instant } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
 import { type ILogger, type LogContext, LogLevel } from '@umberspar/base/common/logger'
 import { SeededRandom } from '@umberspar/base/common/random'
@@ -77,14 +78,17 @@
     return worker
   }
 
-  /** Starts an entry process. */
-  async startEntry (node: string, domain: string, seeds: readonly string[] = []): Promise<LocalEntry> {
+  /**
+   * Starts an entry process.
+   * @param startedAt when it pretends to have started; by default so long ago that its start limits no budget any more
+   */
+  async startEntry (node: string, domain: string, seeds: readonly string[] = [], startedAt: Instant = Number.NEGATIVE_INFINITY): Promise<LocalEntry> {
     const store = this.store.addListener()
     const settings = this.createSettings(node, domain, await findEntryAddresses(await store.listen()), seeds)
     const lines: LogContext[] = []
     const text: string[] = []
     const metrics = new EntryMetrics()
-    const entry = createPlatformEntry(settings, { clock: this.clock, random: new SeededRandom(1), logger: new MemoryLogger(node, this.clock, lines, text), metrics })
+    const entry = createPlatformEntry(settings, { clock: this.clock, random: new SeededRandom(1), logger: new MemoryLogger(node, this.clock, lines, text), metrics, startedAt })
     this.closing.add(entry)
     await entry.start()
     return { entry, settings, store, lines, text, metrics }
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -119,6 +119,16 @@
     assert.ok(answers.filter(({ status }) => status === 200).length >= 3, 'at most the requests that met both faulty workers fail')
   })
 
+  it('does not retry on a budget that a process before it may have spent', async () => {
+    // Guards against retries beyond the budget of all VMs when processes start again and again.
+    const restarted = await platform.startEntry('vm-2', 'north-1', [], platform.clock.now())
+    await platform.waitUntilReady(restarted)
+    setFault(WorkerFault.Fail)
+    const answer = await platform.call(restarted, { path: '/safe/1', id: 'safe', key: '1' })
+    assert.equal(answer.status, 500)
+    assert.equal(countRuns(), 1)
+  })
+
   it('keeps away from a worker that another service\'s worker has replaced at its address', async () => {
     // A worker ends without a word and its address goes to another service before
     // its registration lapses. The new worker must not run the request, and the
