--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -72,6 +72,8 @@
   readonly store = new RecordStoreStandIn()
   private readonly services = new Set<string>()
   private version = 0
+  /** How often each worker has written its registration. */
+  private readonly sequences = new Map<string, number>()
   /** The client accounts of later configurations; undefined if callers need no keys. */
   accounts: readonly AccountInput[] | undefined
 
@@ -86,7 +88,9 @@
   /** Writes a worker's registration. */
   putWorker ({ id, service, domain, address, isLeaving = false, coldMs = 0, startedAt }: WorkerRecord): void {
     this.services.add(service)
-    this.store.put(`servers/${id}`, { Service: service, Addr: address, Zone: domain, Version: 'v1', Slots: SLOTS, State: isLeaving ? 'draining' : 'ready', ColdLeft: `${coldMs}ms`, Seq: 1, born: startedAt })
+    const sequence = (this.sequences.get(id) ?? 0) + 1
+    this.sequences.set(id, sequence)
+    this.store.put(`servers/${id}`, { Service: service, Addr: address, Zone: domain, Version: 'v1', Slots: SLOTS, State: isLeaving ? 'draining' : 'ready', ColdLeft: `${coldMs}ms`, Seq: sequence, born: startedAt })
   }
 
   /** Removes a worker's registration. */
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { RecordStoreState, type StoredItem, TransactionEnd } from './recordStoreState.js'
+import { RecordStoreState, type StoreCopy, type StoredItem, TransactionEnd } from './recordStoreState.js'
 import { resetSocket } from '../../resetSocket.js'
 
 /** The fault of a listener. */
@@ -87,18 +87,24 @@
     this.waiting.clear()
   }
 
-  close (): void {
+  /** Resets all connections. */
+  closeConnections (): void {
     this.closeWatches()
-    this.server.close()
     for (const socket of this.sockets) socket.destroy()
   }
 
+  close (): void {
+    this.closeConnections()
+    this.server.close()
+  }
+
   private handle (request: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = []
     request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
     request.on('end', () => {
       const url = new URL(request.url ?? '/', 'http://store')
       this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1)
+      if (this.store.sendsEra) response.setHeader('Store-Era', this.store.state.era)
       FAULT_HANDLERS[this.fault](this, request, url, Buffer.concat(chunks).toString(), response)
     })
   }
@@ -177,6 +183,8 @@
   readonly state = new RecordStoreState()
   /** The staleness of serializable reads, in milliseconds. */
   staleReadMs = 0
+  /** Whether all answers name the store's era. */
+  sendsEra = true
   private readonly listeners: RecordStoreListener[] = []
   private readonly timer = setInterval(() => {
     this.state.endDueLeases(performance.now())
@@ -213,6 +221,12 @@
     this.answerWatches()
   }
 
+  /** Comes back from an older copy after a moment in which all connections broke. */
+  resetTo (copy: StoreCopy): void {
+    for (const listener of this.listeners) listener.closeConnections()
+    this.state.resetTo(copy, performance.now())
+  }
+
   /** Responds to pending watches that have new events. */
   answerWatches (): void {
     for (const listener of this.listeners) {
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -17,6 +17,15 @@
   readonly removals: readonly string[]
 }
 
+/** An earlier state of the store, from which it can come back. */
+export interface StoreCopy {
+  readonly revision: number
+  readonly lastLease: number
+  readonly items: ReadonlyMap<string, StoredItem>
+  /** The time to live of each lease, in milliseconds. */
+  readonly leases: ReadonlyMap<number, number>
+}
+
 /** How a transaction ended. */
 export enum TransactionEnd {
   Done = 'done',
@@ -31,13 +40,15 @@
 
 /** The state; the current time is passed in. */
 export class RecordStoreState {
-  private readonly items = new Map<string, StoredItem>()
-  private readonly leases = new Map<number, Lease>()
+  private items = new Map<string, StoredItem>()
+  private leases = new Map<number, Lease>()
   /** Every change with its time; reads of an earlier state also need changes that were compacted for watches. */
-  private readonly changes: Array<{ readonly item: StoredItem, readonly at: number }> = []
+  private changes: Array<{ readonly item: StoredItem, readonly at: number }> = []
   private droppedUpTo = 0
   private lastLease = 70_000
   revision = 1
+  /** How often the store has come back from an older copy, counted from 1. */
+  era = 1
 
   /** @returns the item, if it exists */
   get (key: string): StoredItem | undefined {
@@ -70,10 +81,26 @@
 
   /** @returns the changes after a revision, or undefined if they were compacted */
   listChanges (prefix: string, after: number): StoredItem[] | undefined {
-    if (after < this.droppedUpTo) return undefined
+    if (after < this.droppedUpTo || after > this.revision) return undefined
     return this.changes.map(({ item }) => item).filter(({ key, revision }) => revision > after && key.startsWith(prefix))
   }
 
+  /** @returns a copy of the present state */
+  createCopy (): StoreCopy {
+    return { revision: this.revision, lastLease: this.lastLease, items: new Map(this.items), leases: new Map([...this.leases].map(([id, { ttlMs }]) => [id, ttlMs])) }
+  }
+
+  /** Goes back to a copy: later revisions and lease ids are given out again. */
+  resetTo ({ revision, lastLease, items, leases }: StoreCopy, now: number): void {
+    this.era++
+    this.revision = revision
+    this.lastLease = lastLease
+    this.items = new Map(items)
+    this.leases = new Map([...leases].map(([id, ttlMs]) => [id, { ttlMs, endsAt: now + ttlMs }]))
+    this.changes = this.changes.filter(({ item }) => item.revision <= revision)
+    this.droppedUpTo = Math.min(this.droppedUpTo, revision)
+  }
+
   /** Compacts the history. */
   clearHistory (): void {
     this.droppedUpTo = this.revision
