--- a/packages/entry/src/common/recordLines.ts
+++ b/packages/entry/src/common/recordLines.ts
@@ -6,25 +6,24 @@
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
 import { PartKind } from '@umberspar/steering/common/entry/documentParts'
 import type { RecordUpdate } from '@umberspar/steering/common/entry/recordUpdate'
+import type { StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import * as z from 'zod/mini'
 
 /**
- * The path at which an entry VM streams its records to others; the query parameter `after` is the
- * revision that the receiving VM has. The version in the path is raised with each incompatible change
+ * The path at which an entry VM streams its records to others; the query parameters `era` and
+ * `after` are the position that the receiving VM has. The version in the path is raised with each incompatible change
  * of the format: while a release is rolled out, VMs of different versions then fetch the records from
  * the store instead of from each other.
  */
-export const RECORDS_PATH = '/v3/records'
+export const RECORDS_PATH = '/v4/records'
 
-/** The content of one line. */
-export interface RecordLine {
+/** The content of one line, with the position that the sending VM has. */
+export interface RecordLine extends StorePosition {
   /**
    * The VMs that relayed the records, from the one that reads the store to the sending VM; undefined
    * while the sending VM isn't sure that its records are current.
    */
   readonly via?: readonly string[] | undefined
-  /** The revision that the sending VM has. */
-  readonly revision: number
   /** How much longer the sending VM keeps records that disappeared during an outage of the store, in milliseconds. */
   readonly holdMs: number
   readonly news?: RecordUpdate | undefined
@@ -34,6 +33,7 @@
   readonly proofAgeMs?: number | undefined
 }
 
+const eraSchema = z.int().check(z.nonnegative())
 const revisionSchema = z.int().check(z.nonnegative())
 const recordSchema = z.looseObject({ kind: z.string(), key: z.string(), revision: revisionSchema })
 const documentPartsSchema = z.array(z.looseObject({}))
@@ -50,11 +50,13 @@
 })
 const recordLineSchema = z.object({
   via: z.optional(z.array(z.string())),
+  era: eraSchema,
   revision: revisionSchema,
   holdMs: z.number().check(z.nonnegative()),
   clockMs: z.number(),
   proofAgeMs: z.optional(z.number().check(z.nonnegative())),
   news: z.optional(z.object({
+    era: eraSchema,
     revision: revisionSchema,
     isWhole: z.boolean(),
     gaps: z.array(z.object({ after: revisionSchema, until: revisionSchema })),
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -269,6 +269,7 @@
 
   private handleChange (event: ViewEvent): void {
     const { change, subject } = event
+    if (change === ViewChange.EraBegan) this.dependencies.registration.checkLease()
     this.quotas.handleChange(change)
     this.quarantine.handleChange(event)
     if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) {
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -237,7 +237,7 @@
   }
 
   private logRequestEnd (request: IncomingMessage, { reason, arrivedAt, route, account, retryAfterMs }: RefusalDetails, outcome: RequestOutcome, status: number): void {
-    const { revision, ageMs } = this.context.getRecordsAge()
+    const { era, revision, ageMs } = this.context.getRecordsAge()
     this.context.telemetry.logRequestEnd({
       requestId: this.context.headerRewriter.getRequestId(request),
       route: route?.name,
@@ -252,6 +252,7 @@
       goalMs: route?.goalMs,
       retryAfterMs,
       configuration: this.context.view.document?.version,
+      era,
       revision,
       recordsAgeMs: ageMs,
       proofAgeMs: this.context.accessController.loggedProofAgeMs
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -235,7 +235,7 @@
     this.request.body.release()
     this.returnQuota()
     const { route, requestId, arrivedAt } = this.request
-    const { revision, ageMs } = this.context.getRecordsAge()
+    const { era, revision, ageMs } = this.context.getRecordsAge()
     this.context.telemetry.logRequestEnd({
       requestId,
       route: route.name,
@@ -250,6 +250,7 @@
       goalMs: route.goalMs,
       retryAfterMs,
       configuration: this.context.view.document?.version,
+      era,
       revision,
       recordsAgeMs: ageMs,
       proofAgeMs: this.context.accessController.loggedProofAgeMs
@@ -257,7 +258,7 @@
   }
 
   private logAttempt (choice: UpstreamChoice, now: Instant): void {
-    const { revision, ageMs } = this.context.getRecordsAge()
+    const { era, revision, ageMs } = this.context.getRecordsAge()
     this.context.telemetry.logAttempt({
       requestId: this.request.requestId,
       route: this.request.route.name,
@@ -266,6 +267,7 @@
       offer: this.triedWorkers.size + 1,
       ...describeChoice(choice, now),
       configuration: this.context.view.document?.version ?? 0,
+      era,
       revision,
       recordsAgeMs: ageMs
     })
--- a/packages/entry/src/node/peers/recordPublisher.ts
+++ b/packages/entry/src/node/peers/recordPublisher.ts
@@ -8,6 +8,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { RecordUpdate } from '@umberspar/steering/common/entry/recordUpdate'
+import { isLaterPosition, NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import { formatRecordLine } from '../../common/recordLines.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import { encodeLine } from './compressedLine.js'
@@ -30,22 +31,24 @@
 
 /** The records that are published. */
 export interface PublisherSource {
-  readonly revision: number
+  readonly position: StorePosition
+  /** Whether records are known that the store has lost, so that a VM at the same position may lack them. */
+  readonly hasUnconfirmed: boolean
   /** See {@link RecordLine.via}. */
   readonly via: readonly string[] | undefined
   /** See {@link RecordLine.holdMs}. */
   readonly holdMs: number
   /** See {@link RecordLine.proofAgeMs}. */
   readonly proofAgeMs: number | undefined
-  /** @returns the update for a VM that has the given revision; undefined if there is nothing new */
-  readUpdateAfter(revision: number): RecordUpdate | undefined
+  /** @returns the update for a VM that has the given position; undefined if there is nothing new */
+  readUpdateAfter(position: StorePosition): RecordUpdate | undefined
 }
 
 /** A VM that is subscribed to this one. */
 interface Subscriber {
   readonly response: ServerResponse
-  /** The last revision that was sent. */
-  sentRevision: number
+  /** The last position that was sent. */
+  sentPosition: StorePosition
   /** The last path that was sent. A different one is sent at once. */
   sentVia: string | undefined
   /** The last freshness that was sent: when the records were certainly up to date, on this VM's monotonic clock. */
@@ -54,7 +57,7 @@
   drainDeadline: Deadline | undefined
 }
 
-/** A line, shared by all subscribers that have the same revision. */
+/** A line, shared by all subscribers that have the same position. */
 interface EncodedLine {
   readonly text: string
   readonly bytes: number
@@ -63,6 +66,12 @@
   subscriberCount: number
 }
 
+/** @returns the position that a subscriber names; that of a VM without records if it is invalid */
+function parsePosition (query: URLSearchParams): StorePosition {
+  const [era, revision] = [Number(query.get('era')), Number(query.get('after'))]
+  return [era, revision].every((value) => Number.isSafeInteger(value) && value >= 0) ? { era, revision } : NO_POSITION
+}
+
 /** Publishes this VM's records. */
 export class RecordPublisher implements IClosable {
   private readonly subscribers = new Set<Subscriber>()
@@ -87,7 +96,7 @@
 
   /**
    * Adds a subscriber.
-   * @param query with `after`, the revision that the subscriber has
+   * @param query with `era` and `after`, the position that the subscriber has
    * @param response stays open for the lines
    */
   accept (query: URLSearchParams, response: ServerResponse): void {
@@ -96,8 +105,7 @@
       response.end()
       return
     }
-    const after = Number(query.get('after') ?? 0)
-    const subscriber: Subscriber = { response, sentRevision: Number.isSafeInteger(after) && after >= 0 ? after : 0, sentVia: undefined, sentFreshAsOf: Number.NEGATIVE_INFINITY, drainDeadline: undefined }
+    const subscriber: Subscriber = { response, sentPosition: this.source.hasUnconfirmed ? NO_POSITION : parsePosition(query), sentVia: undefined, sentFreshAsOf: Number.NEGATIVE_INFINITY, drainDeadline: undefined }
     this.subscribers.add(subscriber)
     response.on('close', () => { this.subscribers.delete(subscriber) })
     response.on('error', () => { this.subscribers.delete(subscriber) })
@@ -109,10 +117,10 @@
 
   /** Sends each subscriber what has changed since its last line: records, their path, or a sufficient gain in freshness. */
   publish (): void {
-    const { revision } = this.source
+    const { position } = this.source
     const via = this.formatVia()
     const newerThan = this.computeFreshAsOf() - MIN_FRESHNESS_GAIN_MS
-    this.sendUpdates([...this.subscribers].filter(({ sentRevision, sentVia, sentFreshAsOf }) => sentRevision < revision || sentVia !== via || sentFreshAsOf < newerThan))
+    this.sendUpdates([...this.subscribers].filter(({ sentPosition, sentVia, sentFreshAsOf }) => isLaterPosition(position, sentPosition) || sentVia !== via || sentFreshAsOf < newerThan))
   }
 
   /** Ends all subscriptions. The subscribers switch to other sources at once. */
@@ -136,13 +144,15 @@
   private sendUpdates (targets: Iterable<Subscriber>): void {
     // A line queued behind a pending one would be out of date when it is sent, and would add to the load of the link.
     const subscribers = [...targets].filter(({ drainDeadline }) => drainDeadline === undefined)
-    // Each line is built once: most subscribers have the same revision, and full snapshots are large.
-    const lines = new Map<number, EncodedLine>()
+    // Each line is built once: most subscribers have the same position, and full snapshots are large.
+    const lines = new Map<string, EncodedLine>()
     for (const subscriber of subscribers) {
-      let line = lines.get(subscriber.sentRevision)
+      const { era, revision } = subscriber.sentPosition
+      const key = `${era} ${revision}`
+      let line = lines.get(key)
       if (line === undefined) {
-        line = this.createLine(subscriber.sentRevision)
-        lines.set(subscriber.sentRevision, line)
+        line = this.createLine(subscriber.sentPosition)
+        lines.set(key, line)
       }
       this.send(subscriber, line)
     }
@@ -164,16 +174,16 @@
     }
   }
 
-  private createLine (after: number): EncodedLine {
-    const { via, revision, holdMs, proofAgeMs } = this.source
+  private createLine (after: StorePosition): EncodedLine {
+    const { via, position, holdMs, proofAgeMs } = this.source
     const news = this.source.readUpdateAfter(after)
-    const text = encodeLine(formatRecordLine({ via, revision, holdMs, news, clockMs: this.clock.now(), proofAgeMs }))
+    const text = encodeLine(formatRecordLine({ via, ...position, holdMs, news, clockMs: this.clock.now(), proofAgeMs }))
     return { text, bytes: Buffer.byteLength(text), isWhole: news?.isWhole === true, subscriberCount: 0 }
   }
 
   private logIfLong ({ bytes, isWhole, subscriberCount: listeners }: EncodedLine): void {
     if (bytes < LONG_LINE_BYTES || listeners === 0) return
-    this.telemetry.logLargeRecordUpdate({ revision: this.source.revision, isWhole, bytes, listeners, waitingBytes: this.countWaitingBytes() })
+    this.telemetry.logLargeRecordUpdate({ revision: this.source.position.revision, isWhole, bytes, listeners, waitingBytes: this.countWaitingBytes() })
   }
 
   private send (subscriber: Subscriber, line: EncodedLine): void {
@@ -181,7 +191,7 @@
     if (!hasRoom) subscriber.drainDeadline = createDeadline(this.clock.now(), STALL_TIMEOUT_MS)
     line.subscriberCount++
     this.telemetry.countSentRecordBytes(line.bytes)
-    subscriber.sentRevision = Math.max(subscriber.sentRevision, this.source.revision)
+    if (isLaterPosition(this.source.position, subscriber.sentPosition)) subscriber.sentPosition = this.source.position
     subscriber.sentVia = this.formatVia()
     subscriber.sentFreshAsOf = this.computeFreshAsOf()
   }
--- a/packages/entry/src/node/peers/recordSubscriber.ts
+++ b/packages/entry/src/node/peers/recordSubscriber.ts
@@ -9,6 +9,7 @@
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
+import { NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import type { RecordLine } from '../../common/recordLines.js'
 import { RecordSubscription } from './recordSubscription.js'
 
@@ -24,13 +25,10 @@
 /** Limits renewals of a subscription: right after many VMs start together, every response is late. */
 const MIN_RENEWAL_INTERVAL_MS = 1_000
 
-/** Subscribing after this revision requests a full snapshot. */
-const NO_REVISION = 0
-
 /** Receives the records, and changes of the sources. */
 export interface RecordSubscriberListener {
-  /** @returns the revision that this VM has */
-  getRevision(): number
+  /** @returns the position that this VM has */
+  getPosition(): StorePosition
   /**
    * @param freshAsOf the latest instant at which the publisher's records were certainly up to date, on this VM's {@link ElapsedClock}
    * @returns false if the line does not apply to the records that this VM has, so that a full snapshot is needed
@@ -176,8 +174,8 @@
     source.subscription = this.createSubscription(source)
   }
 
-  private createSubscription (source: Source, revision = this.listener.getRevision()): RecordSubscription {
-    const subscription: RecordSubscription = new RecordSubscription(source.address, revision, this.clock, this.elapsed, {
+  private createSubscription (source: Source, position = this.listener.getPosition()): RecordSubscription {
+    const subscription: RecordSubscription = new RecordSubscription(source.address, position, this.clock, this.elapsed, {
       onLine: (line, freshAsOf) => {
         if (source.replacement === subscription) this.setSubscription(source, subscription)
         this.handleLine(source, line, freshAsOf)
@@ -212,7 +210,9 @@
     const isFirst = !source.hasResponded
     source.hasResponded = true
     // Prevents a cycle: two VMs subscribed to each other would otherwise keep each other current forever.
-    source.via = line.via?.includes(this.node) === true ? undefined : line.via
+    const isCycle = line.via?.includes(this.node) === true
+    const isEarlierEra = line.era < this.listener.getPosition().era
+    source.via = isCycle || isEarlierEra ? undefined : line.via
     const isApplied = this.listener.onLine({ ...line, via: source.via }, freshAsOf)
     if (!isApplied) this.askForSnapshot(source)
     if (!isFirst && wasCurrent === (source.via !== undefined)) return
@@ -225,7 +225,7 @@
     source.replacement?.close()
     source.replacement = undefined
     source.subscription?.close()
-    source.subscription = this.createSubscription(source, NO_REVISION)
+    source.subscription = this.createSubscription(source, NO_POSITION)
   }
 
   private handleEnd (source: Source): void {
--- a/packages/entry/src/node/peers/recordSubscription.ts
+++ b/packages/entry/src/node/peers/recordSubscription.ts
@@ -4,6 +4,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import type { StepError } from '@umberspar/base/common/errors'
+import type { StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import { PeerClock } from '@umberspar/steering/common/entry/peerClock'
 import { parseRecordLine, type RecordLine, RECORDS_PATH } from '../../common/recordLines.js'
 import { splitAddress } from '../address.js'
@@ -36,20 +37,20 @@
 
   /**
    * @param address `host:port` of the other VM's listener for peers
-   * @param revision the revision that this VM has; only later changes are sent
+   * @param position the position that this VM has; only later changes are sent
    * @param clock for timeouts
    * @param elapsed for the freshness of records
    * @param listener receives the lines
    */
   constructor (
     private readonly address: string,
-    revision: number,
+    position: StorePosition,
     private readonly clock: IClock,
     private readonly elapsed: ElapsedClock,
     private readonly listener: SubscriptionListener
   ) {
     this.publisherClock = new PeerClock(elapsed.now())
-    this.request = get({ ...splitAddress(address), path: `${RECORDS_PATH}?after=${revision}`, agent: false }, (response) => { this.handleResponse(response) })
+    this.request = get({ ...splitAddress(address), path: `${RECORDS_PATH}?era=${position.era}&after=${position.revision}`, agent: false }, (response) => { this.handleResponse(response) })
     // Not logged: there are several sources, and the subscriber tries the next one.
     this.request.on('error', () => { this.end(undefined) })
     this.timer = this.scheduleEnd(OPEN_TIMEOUT_MS)
--- a/packages/entry/src/node/quarantine/crashReporter.ts
+++ b/packages/entry/src/node/quarantine/crashReporter.ts
@@ -41,6 +41,8 @@
   private crashes: Array<Expiring<CrashReport>> = []
   private answers: Array<Expiring<AnswerReport>> = []
   private readonly quarantines = new Map<string, Quarantine>()
+  /** Quarantines that this VM has written, to write them again if the store loses them. */
+  private readonly writtenQuarantines = new Map<string, Quarantine>()
   /** Requests whose quarantine is to be removed, as a worker has answered them. */
   private readonly pendingReleases = new Set<string>()
   private hasMergedPrevious = false
@@ -64,6 +66,7 @@
     this.answers = [...this.answers, this.addExpiry(report)].slice(-MAX_REPORTS)
     this.crashes = this.crashes.filter((crash) => crash.report.digest !== report.digest)
     this.quarantines.delete(report.digest)
+    this.writtenQuarantines.delete(report.digest)
     this.pendingReleases.add(report.digest)
     this.isChanged = true
     this.schedule(BATCH_DELAY_MS)
@@ -76,6 +79,17 @@
     this.schedule(0)
   }
 
+  /** Writes everything once more, after the store has come back from an older copy. */
+  writeAgain (): void {
+    const wallTime = this.dependencies.clock.getWallTime()
+    for (const [digest, quarantine] of this.writtenQuarantines) {
+      if (quarantine.expiresAt > wallTime) this.quarantines.set(digest, quarantine)
+      else this.writtenQuarantines.delete(digest)
+    }
+    this.isChanged ||= this.crashes.length > 0 || this.answers.length > 0
+    if (this.isChanged || this.quarantines.size > 0) this.schedule(BATCH_DELAY_MS)
+  }
+
   close (): void {
     this.isClosed = true
     this.timer?.close()
@@ -110,13 +124,17 @@
     const { view, writer, logger } = this.dependencies
     for (const quarantine of [...this.quarantines.values()]) {
       const known = view.quarantines.get(quarantine.digest)
-      const written = await writer.putQuarantine(quarantine, known?.revision ?? 0)
+      // The store does not hold what it has lost, at whatever revision it was known.
+      const expectedRevision = this.writtenQuarantines.has(quarantine.digest) ? 0 : known?.revision ?? 0
+      const written = await writer.putQuarantine(quarantine, expectedRevision)
       // After a conflict, another VM has already written it.
-      if (written.ok || written.val.code === ErrorCode.Conflict) this.quarantines.delete(quarantine.digest)
-      else {
-        logError(logger, LogLevel.Warn, written.val)
-        return false
+      if (written.ok || written.val.code === ErrorCode.Conflict) {
+        this.quarantines.delete(quarantine.digest)
+        this.writtenQuarantines.set(quarantine.digest, quarantine)
+        continue
       }
+      logError(logger, LogLevel.Warn, written.val)
+      return false
     }
     return true
   }
--- a/packages/entry/src/node/quarantine/requestQuarantine.ts
+++ b/packages/entry/src/node/quarantine/requestQuarantine.ts
@@ -112,6 +112,7 @@
     if (change === ViewChange.CrashesReported) this.applyReports(subject)
     if (change === ViewChange.RequestQuarantined) this.applyQuarantine(subject)
     if (change === ViewChange.RequestReleased) this.table.removeQuarantine(subject)
+    if (change === ViewChange.EraBegan) this.reporter.writeAgain()
   }
 
   /** @returns the numbers of quarantined and suspected requests, for metrics */
--- a/packages/entry/src/node/quota/shareClaimer.ts
+++ b/packages/entry/src/node/quota/shareClaimer.ts
@@ -116,7 +116,7 @@
     const freeSince = this.freeSince.get(share) ?? now
     this.freeSince.set(share, freeSince)
     const isDue = claim !== undefined || now >= freeSince + delayMs
-    if (isDue && !this.claiming.has(share)) runDetached(() => this.claim(share, claim?.revision ?? 0), this.dependencies.logger, 'claim-share')
+    if (isDue && this.hasEarlierClaimEnded(claim) && !this.claiming.has(share)) runDetached(() => this.claim(share, claim?.revision ?? 0), this.dependencies.logger, 'claim-share')
     this.scheduleUpdate(RECHECK_INTERVAL_MS)
   }
 
@@ -127,6 +127,19 @@
     return owner.life !== life || this.leaseIds.get(share) !== registration.currentLease?.id
   }
 
+  /**
+   * Guards against a second owner after the store has come back from an older copy, which lacks the claim of an
+   * owner that does not know this yet. Such an owner stops when its lease of the earlier era may have ended.
+   */
+  private hasEarlierClaimEnded (claim: ShareClaim | undefined): boolean {
+    const { registration, view, elapsed } = this.dependencies
+    const era = registration.currentLease?.era
+    if (claim !== undefined && claim.owner.era === era) return true
+    // Until all VMs have registered in this era, or their leases have ended, some may know the earlier one only.
+    const isEarlier = ({ era: other }: { readonly era?: number | undefined }): boolean => other !== undefined && era !== undefined && other < era
+    return elapsed.now() >= registration.earlierLeasesEndAt && ![...view.nodes.values()].some(isEarlier)
+  }
+
   /**
    * Determines since when no VM has granted tokens of the share: a previous process of this
    * VM ended before this one started, and a share is free only after its owner's lease has ended.
@@ -147,7 +160,7 @@
     if (registration.currentLease === undefined) return
     this.claiming.add(share)
     const unusedSince = this.computeUnusedSince(share)
-    const claimed = await registration.claimShare({ share, node: self.name, life, peerAddress: self.peerAddress }, expectedRevision)
+    const claimed = await registration.claimShare({ share, node: self.name, life, peerAddress: self.peerAddress, era: registration.currentLease.era }, expectedRevision)
     this.claiming.delete(share)
     if (claimed.ok) {
       this.leaseIds.set(share, claimed.val)
--- a/packages/entry/src/node/replica/freshnessTracker.ts
+++ b/packages/entry/src/node/replica/freshnessTracker.ts
@@ -1,7 +1,8 @@
-/** Tracks how fresh this VM's records certainly are, from its own reads of the store's revision and from other VMs. */
+/** Tracks how fresh this VM's records certainly are, from its own reads of the store's position and from other VMs. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
-import { FreshnessProof, type RevisionReading } from '@umberspar/steering/common/entry/freshnessProof'
+import { FreshnessProof, type PositionReading } from '@umberspar/steering/common/entry/freshnessProof'
+import { hasReachedPosition, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 
 /** Tracks the freshness of one process's records. */
 export class FreshnessTracker {
@@ -9,9 +10,9 @@
 
   /**
    * @param elapsed the clock of all instants here, which counts suspensions
-   * @param readRevision gets the revision of this VM's records
+   * @param readPosition gets the position of this VM's records
    */
-  constructor (private readonly elapsed: ElapsedClock, private readonly readRevision: () => number) {}
+  constructor (private readonly elapsed: ElapsedClock, private readonly readPosition: () => StorePosition) {}
 
   /** @returns the time since the records were last certainly up to date, in milliseconds; Infinity if they never were */
   getAgeMs (): number {
@@ -24,22 +25,22 @@
     return Number.isFinite(ageMs) ? ageMs : undefined
   }
 
-  /** Records a read of the store's revision. */
-  recordReading (reading: RevisionReading): void {
-    this.freshness.recordReading(reading, this.readRevision())
+  /** Records a read of the store's position. */
+  recordReading (reading: PositionReading): void {
+    this.freshness.recordReading(reading, this.readPosition())
   }
 
-  /** Handles a new revision of this VM's records. */
-  handleRevision (): void {
-    this.freshness.handleRevision(this.readRevision())
+  /** Handles a new position of this VM's records. */
+  handlePosition (): void {
+    this.freshness.handlePosition(this.readPosition())
   }
 
   /**
-   * Records the freshness of another VM's records. It holds for this VM's records too if they have reached the same revision.
-   * @param revision of the other VM's records
-   * @param freshAsOf when that revision was certainly the newest
+   * Records the freshness of another VM's records. It holds for this VM's records too if they have reached the same position.
+   * @param position of the other VM's records
+   * @param freshAsOf when that position was certainly the newest
    */
-  recordPeerFreshness (revision: number, freshAsOf: Instant): void {
-    if (revision <= this.readRevision()) this.freshness.recordPeerProof(freshAsOf)
+  recordPeerFreshness (position: StorePosition, freshAsOf: Instant): void {
+    if (hasReachedPosition(this.readPosition(), position)) this.freshness.recordPeerProof(freshAsOf)
   }
 }
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -15,8 +15,9 @@
 import { LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
 import { type ReplicationPlan, planReplication, type RegionByDomain } from '@umberspar/steering/common/entry/replicationPlan'
-import type { RevisionReading } from '@umberspar/steering/common/entry/freshnessProof'
+import type { PositionReading } from '@umberspar/steering/common/entry/freshnessProof'
 import type { EntryNode, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
+import type { StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import type { ISteeringSource, SteeringSourceListener } from '@umberspar/steering/common/ports/steeringSource'
 import type { RecordLine } from '../../common/recordLines.js'
 import { RecordSubscriber } from '../peers/recordSubscriber.js'
@@ -90,18 +91,19 @@
 
   constructor (private readonly dependencies: RecordSynchronizerDependencies) {
     const { clock, elapsed, random, telemetry, viewUpdater, fleet } = dependencies
-    const freshness = new FreshnessTracker(elapsed, () => viewUpdater.revision)
+    const freshness = new FreshnessTracker(elapsed, () => viewUpdater.position)
     this.freshness = freshness
     const getPath = (): readonly string[] | undefined => this.via
     this.publisher = new RecordPublisher(clock, {
-      get revision () { return viewUpdater.revision },
+      get position () { return viewUpdater.position },
+      get hasUnconfirmed () { return viewUpdater.hasUnconfirmed },
       get via () { return getPath() },
       get holdMs () { return viewUpdater.holdMs },
       get proofAgeMs () { return freshness.getPublishedAgeMs() },
-      readUpdateAfter: (revision) => viewUpdater.readUpdateAfter(revision)
+      readUpdateAfter: (position) => viewUpdater.readUpdateAfter(position)
     }, telemetry)
     this.subscriber = new RecordSubscriber(fleet.self.name, clock, elapsed, random, telemetry.logger, {
-      getRevision: () => viewUpdater.revision,
+      getPosition: () => viewUpdater.position,
       onLine: (line, freshAsOf) => this.handleLine(line, freshAsOf),
       onSourcesChanged: () => { this.update() }
     })
@@ -139,8 +141,8 @@
     })
   }
 
-  getRevision (): number {
-    return this.dependencies.viewUpdater.revision
+  getPosition (): StorePosition {
+    return this.dependencies.viewUpdater.position
   }
 
   onSnapshot (snapshot: RecordSnapshot): void {
@@ -154,14 +156,14 @@
     this.handleStoreRead()
   }
 
-  onRevisionRead (reading: RevisionReading): void {
+  onPositionRead (reading: PositionReading): void {
     this.freshness.recordReading(reading)
     this.publisher.publish()
   }
 
   onStoreLost (reason: string, currentAsOf: Instant): void {
     const { telemetry: { logger }, viewUpdater } = this.dependencies
-    logger.log(LogLevel.Warn, { step: 'follow-store', peer: 'store', reason, revision: viewUpdater.revision }, 'the store does not answer this VM')
+    logger.log(LogLevel.Warn, { step: 'follow-store', peer: 'store', reason, ...viewUpdater.position }, 'the store does not answer this VM')
     this.isStoreReachable = false
     this.isWatchCurrent = false
     if (this.via === undefined) viewUpdater.markStale(currentAsOf)
@@ -171,7 +173,7 @@
   onStoreRecovered (): void {
     const { telemetry: { logger }, viewUpdater } = this.dependencies
     const { ageMs } = viewUpdater.getRecordsAge()
-    logger.log(LogLevel.Info, { step: 'follow-store', peer: 'store', ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, revision: viewUpdater.revision }, 'the store answers this VM')
+    logger.log(LogLevel.Info, { step: 'follow-store', peer: 'store', ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, ...viewUpdater.position }, 'the store answers this VM')
     this.isStoreReachable = true
     this.update()
   }
@@ -191,13 +193,13 @@
     this.handleRead()
   }
 
-  private handleLine ({ via, holdMs, news, revision }: RecordLine, freshAsOf: Instant): boolean {
+  private handleLine ({ via, holdMs, news, era, revision }: RecordLine, freshAsOf: Instant): boolean {
     const { clock, viewUpdater } = this.dependencies
     // Set before the update is applied, so that records which the publisher has finally removed are not held back here.
     if (via !== undefined) viewUpdater.setCurrent(true, clock.now(), holdMs)
     if (news !== undefined && !viewUpdater.applyUpdate(news)) return false
     // The publisher's records are complete up to the revision of the line.
-    this.freshness.recordPeerFreshness(revision, freshAsOf)
+    this.freshness.recordPeerFreshness({ era, revision }, freshAsOf)
     if (news === undefined) {
       this.publisher.publish()
       return true
@@ -212,7 +214,7 @@
   }
 
   private handleRead (): void {
-    this.freshness.handleRevision()
+    this.freshness.handlePosition()
     this.publisher.publish()
     if (this.hasRead) return
     this.hasRead = true
@@ -293,6 +295,6 @@
     if (!this.isFleetKnown || path === this.loggedPath) return
     this.loggedPath = path
     const message = via === undefined ? 'no source of current records' : 'current records reach this VM'
-    logger.log(LogLevel.Info, { step: 'choose-source', via, isFollowing: this.isWatching, revision: viewUpdater.revision }, message)
+    logger.log(LogLevel.Info, { step: 'choose-source', via, isFollowing: this.isWatching, ...viewUpdater.position }, message)
   }
 }
--- a/packages/entry/src/node/replica/recordsAge.ts
+++ b/packages/entry/src/node/replica/recordsAge.ts
@@ -1,8 +1,9 @@
 /** The age of the records that decisions are based on. */
 
-/** Revision and age of the records. */
-export interface RecordsAge {
-  readonly revision: number
+import type { StorePosition } from '@umberspar/steering/common/entry/storePosition'
+
+/** Position and age of the records. */
+export interface RecordsAge extends StorePosition {
   /** Time since they were last known to be current, in milliseconds. */
   readonly ageMs: number
 }
--- a/packages/entry/src/node/replica/viewUpdater.ts
+++ b/packages/entry/src/node/replica/viewUpdater.ts
@@ -5,6 +5,7 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { RecordChange, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
+import { NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import type { RecordUpdate } from '@umberspar/steering/common/entry/recordUpdate'
 import { RecordReplica } from '@umberspar/steering/common/entry/recordReplica'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
@@ -36,9 +37,14 @@
     private readonly onChange: ViewChangeListener
   ) {}
 
-  /** @returns the revision of the records */
-  get revision (): number {
-    return this.table.revision
+  /** @returns the position of the records */
+  get position (): StorePosition {
+    return this.table.position
+  }
+
+  /** @returns whether records are known that the store has lost and that have not been written again yet */
+  get hasUnconfirmed (): boolean {
+    return this.table.hasUnconfirmed
   }
 
   /** @returns for how much longer records that disappear are held back, in milliseconds */
@@ -46,14 +52,14 @@
     return this.table.getRemovalHoldMs(this.clock.now())
   }
 
-  /** @returns the revision and age of the records */
+  /** @returns the position and age of the records */
   getRecordsAge (): RecordsAge {
-    return { revision: this.table.revision, ageMs: this.isCurrent ? 0 : Math.max(0, this.clock.now() - this.currentAsOf) }
+    return { ...this.table.position, ageMs: this.isCurrent ? 0 : Math.max(0, this.clock.now() - this.currentAsOf) }
   }
 
-  /** @returns the update for a VM that has the given revision; undefined if there is nothing new */
-  readUpdateAfter (revision: number): RecordUpdate | undefined {
-    return this.table.buildUpdateAfter(revision)
+  /** @returns the update for a VM that has the given position; undefined if there is nothing new */
+  readUpdateAfter (position: StorePosition): RecordUpdate | undefined {
+    return this.table.buildUpdateAfter(position)
   }
 
   /**
@@ -90,7 +96,9 @@
 
   /** Applies a full snapshot of the store. */
   applySnapshot (snapshot: RecordSnapshot): void {
+    const { era } = this.table.position
     this.apply(this.table.applySnapshot(snapshot, this.clock.now()))
+    this.logEra(era)
   }
 
   /** Applies changes from the store. */
@@ -103,8 +111,10 @@
    * @returns false if the update does not apply to the present records, so that a full snapshot is needed
    */
   applyUpdate (news: RecordUpdate): boolean {
+    const { era } = this.table.position
     const changes = this.table.applyUpdate(news, this.clock.now())
     if (changes !== undefined) this.apply(changes)
+    this.logEra(era)
     return changes !== undefined
   }
 
@@ -113,6 +123,14 @@
     this.holdTimer?.close()
   }
 
+  private logEra (previousEra: number): void {
+    const { era, revision } = this.table.position
+    if (era === previousEra) return
+    if (previousEra === NO_POSITION.era) return
+    this.telemetry.logger.log(LogLevel.Warn, { step: 'begin-era', peer: 'store', era, previousEra, revision }, 'the store has come back from an older copy')
+    this.logEvent({ change: ViewChange.EraBegan, subject: String(era), revision })
+  }
+
   private apply (changes: readonly RecordChange[]): void {
     const now = this.clock.now()
     for (const change of changes) {
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -44,11 +44,12 @@
     const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, isReady } = this.dependencies
     const now = clock.now()
     const { quarantined, suspects } = quarantine.readCounts()
-    const { ageMs, revision } = viewUpdater.getRecordsAge()
+    const { ageMs, era, revision } = viewUpdater.getRecordsAge()
     return {
       requests_open: callerServer.inFlightRequests,
       records_age_seconds: toSeconds(ageMs),
       records_proof_age_seconds: toSeconds(synchronizer.freshness.getAgeMs()),
+      records_era: era,
       records_revision: revision,
       configuration_version: view.document?.version ?? 0,
       entry_vms_known: view.countNodes(),
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -36,6 +36,7 @@
   readonly slowness: number
   readonly isCold: boolean
   readonly configuration: number
+  readonly era: number
   readonly revision: number
   /** Time since the records were last known to be current, in milliseconds. */
   readonly recordsAgeMs: number
@@ -70,6 +71,7 @@
   readonly goalMs: number | undefined
   readonly retryAfterMs: number | undefined
   readonly configuration: number | undefined
+  readonly era: number
   readonly revision: number
   /** Time since the records were last known to be current, in milliseconds; Infinity before any were read. */
   readonly recordsAgeMs: number
--- a/packages/entry/test/node/peers/linkSimulation.ts
+++ b/packages/entry/test/node/peers/linkSimulation.ts
@@ -102,11 +102,12 @@
     this.down = new Link(clock, mbps)
     const { table } = this
     this.publisher = new RecordPublisher(clock, {
-      get revision () { return table.revision },
+      get position () { return table.position },
+      hasUnconfirmed: false,
       via: [node.name],
       holdMs: 0,
       proofAgeMs: undefined,
-      readUpdateAfter: (revision) => table.buildUpdateAfter(revision)
+      readUpdateAfter: (position) => table.buildUpdateAfter(position)
     }, { countSentRecordBytes: (bytes) => { this.sentBytes += bytes }, logLargeRecordUpdate: () => {} })
   }
 
@@ -124,7 +125,7 @@
   addSubscriber (subscriber: LinkVm): void {
     const response = new LinkResponse(this, subscriber)
     this.responses.push(response)
-    this.publisher.accept(new URLSearchParams(`after=${subscriber.table.revision}`), response as unknown as ServerResponse)
+    this.publisher.accept(new URLSearchParams(`era=${subscriber.table.position.era}&after=${subscriber.table.revision}`), response as unknown as ServerResponse)
   }
 
   handleLine (text: string): void {
@@ -168,7 +169,7 @@
     }))
     this.revision = Math.max(1, ...records.map(({ revision }) => revision))
     this.vms = nodes.map((node) => new LinkVm(node, this.clock, node.linkMbps!))
-    for (const { table } of this.vms) table.applySnapshot({ revision: this.revision, records }, 0)
+    for (const { table } of this.vms) table.applySnapshot({ era: 1, revision: this.revision, records }, 0)
     for (const vm of this.vms) {
       const { isFollower, sources } = planReplication(nodes, vm.node, REGION_OF)
       if (isFollower) continue
@@ -182,7 +183,7 @@
     const nodes = this.vms.map(({ node }) => node)
     for (const vm of this.vms) {
       if (!planReplication(nodes, vm.node, REGION_OF).isFollower) continue
-      vm.table.applyChanges({ revision: this.revision, written: [record], removed: [] }, this.clock.now())
+      vm.table.applyChanges({ era: 1, revision: this.revision, written: [record], removed: [] }, this.clock.now())
       vm.publisher.publish()
     }
   }
--- a/packages/entry/test/node/peers/recordPublisher.test.ts
+++ b/packages/entry/test/node/peers/recordPublisher.test.ts
@@ -29,16 +29,17 @@
 
 function createPublisher () {
   const clock = new ManualClock()
-  const state = { revision: 5, via: ['vm-1'] as readonly string[] | undefined, holdMs: 0, proofAgeMs: undefined as number | undefined }
+  const state = { era: 1, revision: 5, hasUnconfirmed: false, via: ['vm-1'] as readonly string[] | undefined, holdMs: 0, proofAgeMs: undefined as number | undefined }
   const publisher = new RecordPublisher(clock, {
-    get revision () { return state.revision },
+    get position () { return { era: state.era, revision: state.revision } },
+    get hasUnconfirmed () { return state.hasUnconfirmed },
     get via () { return state.via },
     get holdMs () { return state.holdMs },
     get proofAgeMs () { return state.proofAgeMs },
-    readUpdateAfter: (revision) => revision >= state.revision ? undefined : { revision: state.revision, isWhole: false, gaps: [], written: [], removed: [] }
+    readUpdateAfter: ({ era, revision }) => era === state.era && revision >= state.revision ? undefined : { era: state.era, revision: state.revision, isWhole: revision === 0, gaps: [], written: [], removed: [] }
   }, { countSentRecordBytes: () => {}, logLargeRecordUpdate: () => {} })
   const response = new RecordingResponse()
-  publisher.accept(new URLSearchParams('after=5'), response as unknown as ServerResponse)
+  publisher.accept(new URLSearchParams('era=1&after=5'), response as unknown as ServerResponse)
   return { clock, state, publisher, response }
 }
 
--- a/packages/entry/test/node/peers/recordSubscriber.test.ts
+++ b/packages/entry/test/node/peers/recordSubscriber.test.ts
@@ -38,7 +38,7 @@
 }
 
 function formatLine (line: Partial<RecordLine>): string {
-  return formatRecordLine({ revision: 5, holdMs: 0, clockMs: 0, ...line })
+  return formatRecordLine({ era: 1, revision: 5, holdMs: 0, clockMs: 0, ...line })
 }
 
 describe('the record subscriber', { timeout: 30_000 }, () => {
@@ -58,7 +58,7 @@
     canApply = () => true
     const logger: ILogger = { log: (level, context) => { if (level === LogLevel.Warn) warnings.push(context) }, createChild: () => logger }
     subscriber = new RecordSubscriber('vm-1', clock, new ElapsedClock(clock), new SeededRandom(1), logger, {
-      getRevision: () => 3,
+      getPosition: () => ({ era: 1, revision: 3 }),
       onLine: (line) => {
         received.push(line)
         onChange()
@@ -91,7 +91,7 @@
     subscriber.subscribeTo([first.address, second.address, third.address])
     await waitUntil(() => subscriber.countSources() === 2)
     assert.deepEqual(subscriber.via, ['a'])
-    assert.deepEqual(first.requestedUrls, ['/v3/records?after=3'])
+    assert.deepEqual(first.requestedUrls, ['/v4/records?era=1&after=3'])
     assert.deepEqual(third.requestedUrls, [])
   })
 
@@ -133,8 +133,17 @@
     })
   }
 
+  it('does not rely on a source that is still in an earlier era of the store', async () => {
+    // Guards against records that seem current because their source has not noticed that the store went back.
+    const earlier = await addPublisher(formatLine({ era: 0, revision: 70, via: ['a'] }))
+    const present = await addPublisher(formatLine({ era: 1, revision: 3, via: ['b'] }))
+    subscriber.subscribeTo([earlier.address, present.address])
+    await waitUntil(() => received.length === 2)
+    assert.deepEqual(subscriber.via, ['b'])
+  })
+
   it('reads lines that arrive in several chunks', async () => {
-    const line = formatLine({ via: ['a'], news: { revision: 5, isWhole: false, gaps: [], written: [], removed: [{ key: 'w/é', revision: 5 }] } })
+    const line = formatLine({ via: ['a'], news: { era: 1, revision: 5, isWhole: false, gaps: [], written: [], removed: [{ key: 'w/é', revision: 5 }] } })
     const publisher = await addPublisher('')
     subscriber.subscribeTo([publisher.address])
     const bytes = Buffer.from(line)
@@ -168,7 +177,7 @@
     canApply = () => received.length > 1
     subscriber.subscribeTo([publisher.address])
     await waitUntil(() => received.length === 2)
-    assert.deepEqual(publisher.requestedUrls, ['/v3/records?after=3', '/v3/records?after=0'])
+    assert.deepEqual(publisher.requestedUrls, ['/v4/records?era=1&after=3', '/v4/records?era=0&after=0'])
     assert.equal(subscriber.countSources(), 1)
   })
 
--- a/packages/entry/test/node/quota/shareClaimer.test.ts
+++ b/packages/entry/test/node/quota/shareClaimer.test.ts
@@ -33,7 +33,9 @@
     register: () => {},
     withdraw: () => {},
     close: () => {},
-    currentLease: { id: 7, until: 60_000 },
+    currentLease: { id: 7, until: 60_000, era: 1 },
+    earlierLeasesEndAt: Number.NEGATIVE_INFINITY,
+    checkLease: () => {},
     claimShare: async (owner, expectedRevision) => {
       claims.push({ owner, expectedRevision })
       return answer()
--- a/packages/entry/test/node/quota/simulatedVm.ts
+++ b/packages/entry/test/node/quota/simulatedVm.ts
@@ -153,7 +153,7 @@
 
   get currentLease (): RegistrationLease | undefined {
     if (this.lease === undefined) return undefined
-    return { id: this.lease, until: this.simulation.flaws.ignoresLeaseEnd === true ? Infinity : this.leaseUntil }
+    return { id: this.lease, until: this.simulation.flaws.ignoresLeaseEnd === true ? Infinity : this.leaseUntil, era: 1 }
   }
 
   async claimShare (owner: ShareOwner, expectedRevision: number): Promise<Result<number, StepError>> {
@@ -169,6 +169,10 @@
     return Err(new StepError({ code: ErrorCode.Conflict, step: 'claim-share', peer: 'store', message: 'claim was lost or refused' }))
   }
 
+  readonly earlierLeasesEndAt = Number.NEGATIVE_INFINITY
+
+  checkLease (): void {}
+
   start (): void {}
 
   register (): void {}
--- a/packages/steering/src/common/entry/freshnessProof.ts
+++ b/packages/steering/src/common/entry/freshnessProof.ts
@@ -3,22 +3,23 @@
  * bound on the time of the store's state that they reflect.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { hasReachedPosition, isLaterPosition, type StorePosition } from './storePosition.js'
 
 /** Limit on readings whose changes have not arrived yet; each usually waits for less than a second. */
 const MAX_PENDING_READINGS = 16
 
-/** The store's revision, as returned for a request. */
-export interface RevisionReading {
+/** The store's position, as returned for a request. */
+export interface PositionReading {
   /** When the request was sent, or earlier. */
   readonly requestedAt: Instant
-  /** The store's revision at some instant after that. */
-  readonly revision: number
+  /** The store's position at some instant after that. */
+  readonly position: StorePosition
 }
 
 /** The freshness proof of one VM. All instants are of a clock that counts suspensions. */
 export class FreshnessProof {
   private latestProvenAt: Instant = Number.NEGATIVE_INFINITY
-  private pendingReadings: RevisionReading[] = []
+  private pendingReadings: PositionReading[] = []
 
   /** @returns an instant at which the records were the newest; negative infinity if none is known */
   get provenAt (): Instant {
@@ -26,26 +27,26 @@
   }
 
   /**
-   * Records a reading of the store's revision. It proves something once all changes up to it
-   * are known.
+   * Records a reading of the store's position. It proves something once all changes up to it
+   * are known. A reading of an earlier era proves nothing about the records of a later one.
    * @param reading the reading
-   * @param knownRevision revision up to which changes are known
+   * @param knownPosition position up to which changes are known
    */
-  recordReading (reading: RevisionReading, knownRevision: number): void {
+  recordReading (reading: PositionReading, knownPosition: StorePosition): void {
     this.pendingReadings.push(reading)
     if (this.pendingReadings.length > MAX_PENDING_READINGS) this.pendingReadings.shift()
-    this.handleRevision(knownRevision)
+    this.handlePosition(knownPosition)
   }
 
   /**
    * Accounts for changes that arrived.
-   * @param knownRevision revision up to which changes are now known
+   * @param knownPosition position up to which changes are now known
    */
-  handleRevision (knownRevision: number): void {
-    for (const { requestedAt, revision } of this.pendingReadings) {
-      if (revision <= knownRevision) this.latestProvenAt = Math.max(this.latestProvenAt, requestedAt)
+  handlePosition (knownPosition: StorePosition): void {
+    for (const { requestedAt, position } of this.pendingReadings) {
+      if (hasReachedPosition(knownPosition, position)) this.latestProvenAt = Math.max(this.latestProvenAt, requestedAt)
     }
-    this.pendingReadings = this.pendingReadings.filter(({ revision }) => revision > knownRevision)
+    this.pendingReadings = this.pendingReadings.filter(({ position }) => isLaterPosition(position, knownPosition))
   }
 
   /**
--- a/packages/steering/src/common/entry/records.ts
+++ b/packages/steering/src/common/entry/records.ts
@@ -5,6 +5,7 @@
  */
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 import type { SteeringDocument } from './steeringDocument.js'
+import type { StorePosition } from './storePosition.js'
 
 /** State of a worker, as it reports it. */
 export enum UpstreamState {
@@ -30,6 +31,8 @@
   readonly state: UpstreamState
   /** Remaining cold start when the worker wrote the record, in milliseconds. */
   readonly coldMs: number
+  /** How often this incarnation had registered when it wrote the record; undefined if it does not count. */
+  readonly sequence?: number
 }
 
 /** The registration of one entry VM. */
@@ -42,6 +45,8 @@
   readonly domain: string
   /** Bandwidth of the VM's link in each direction, in megabits per second; undefined if unknown. */
   readonly linkMbps?: number | undefined
+  /** The store's era in which the VM registered; undefined if it does not say. */
+  readonly era?: number | undefined
 }
 
 /** The holder of one share of the quotas; the store lets one VM at a time claim it. */
@@ -54,6 +59,8 @@
   readonly life: string
   /** `host:port` of the holder's listener for other entry VMs. */
   readonly peerAddress: string
+  /** The store's era in which the claim was made; undefined if the holder does not say. */
+  readonly era?: number | undefined
 }
 
 /** The kinds of record. */
@@ -88,15 +95,13 @@
   readonly revision: number
 }
 
-/** All records as of one revision. */
-export interface RecordSnapshot {
-  readonly revision: number
+/** All records as of one position. */
+export interface RecordSnapshot extends StorePosition {
   readonly records: readonly SteeringRecord[]
 }
 
-/** Changes up to a revision. */
-export interface RecordChanges {
-  readonly revision: number
+/** Changes up to a position. */
+export interface RecordChanges extends StorePosition {
   readonly written: readonly SteeringRecord[]
   readonly removed: readonly RemovedRecord[]
 }
--- a/packages/steering/src/common/entry/viewEvent.ts
+++ b/packages/steering/src/common/entry/viewEvent.ts
@@ -19,7 +19,9 @@
   CrashesReported = 'crashes-reported',
   CrashReportsRemoved = 'crash-reports-removed',
   RequestQuarantined = 'request-quarantined',
-  RequestReleased = 'request-released'
+  RequestReleased = 'request-released',
+  /** The store has come back from an older copy. */
+  EraBegan = 'era-began'
 }
 
 /** One change, with the revision of the record that caused it. */
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -3,18 +3,19 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { StepError } from '@umberspar/base/common/errors'
 import type { Result } from '@umberspar/base/common/result'
-import type { RevisionReading } from '../entry/freshnessProof.js'
+import type { PositionReading } from '../entry/freshnessProof.js'
 import type { EntryNode, RecordChanges, RecordSnapshot, ShareOwner } from '../entry/records.js'
+import type { StorePosition } from '../entry/storePosition.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 
 /** Receives the records and their changes. */
 export interface SteeringSourceListener {
-  /** @returns the revision up to which all changes are known, from any source */
-  getRevision(): number
+  /** @returns the position up to which all changes are known, from any source */
+  getPosition(): StorePosition
   onSnapshot(snapshot: RecordSnapshot): void
   onChanges(changes: RecordChanges): void
-  /** Called with the store's current revision after it was requested. */
-  onRevisionRead(reading: RevisionReading): void
+  /** Called with the store's current position after it was requested. */
+  onPositionRead(reading: PositionReading): void
   /**
    * Called when the source has become unavailable.
    * @param reason a short description of the cause
@@ -35,15 +36,17 @@
   start(listener: SteeringSourceListener): void
   /** Reads all records once more, for a VM that does not watch for changes. */
   readSnapshot(): void
-  /** @param isWatching whether to watch for changes from now on, and to request the store's revision periodically */
+  /** @param isWatching whether to watch for changes from now on, and to request the store's position periodically */
   setWatching(isWatching: boolean): void
 }
 
 /** The lease of this VM's registration; until it ends, what the VM has claimed cannot be taken over by another VM. */
 export interface RegistrationLease {
-  /** Claims that were made under a different id are no longer valid. */
+  /** Distinguishes the leases of this process. Claims that were made under another one are no longer valid. */
   readonly id: number
   readonly until: Instant
+  /** The store's era in which it was created. */
+  readonly era: number
 }
 
 /** Keeps this entry VM's record in the store while the VM serves requests. */
@@ -60,6 +63,13 @@
    * time in which the machine is suspended; undefined while the VM is not registered.
    */
   readonly currentLease: RegistrationLease | undefined
+  /**
+   * From when on no VM grants anything under a lease of an earlier era of the store, by the clock that includes
+   * the time in which the machine is suspended; negative infinity if this process knows of no earlier one.
+   */
+  readonly earlierLeasesEndAt: Instant
+  /** Checks the lease soon, as the store may have lost it. */
+  checkLease(): void
   /**
    * Claims a share of the quotas for as long as this VM's record exists.
    * @param owner the share and the description of this VM
--- a/packages/steering/test/common/entry/documentParts.test.ts
+++ b/packages/steering/test/common/entry/documentParts.test.ts
@@ -40,9 +40,9 @@
 
 /** Updates one replica from another; requests a full update if a partial one does not fit. */
 function applyUpdateFrom (receiver: RecordReplica, sender: RecordReplica): void {
-  const update = sender.buildUpdateAfter(receiver.revision)
+  const update = sender.buildUpdateAfter({ era: 1, revision: receiver.revision })
   if (update === undefined || receiver.applyUpdate(toDecoded(update), 0) !== undefined) return
-  const fullUpdate = sender.buildUpdateAfter(0)
+  const fullUpdate = sender.buildUpdateAfter({ era: 1, revision: 0 })
   assert.notEqual(receiver.applyUpdate(toDecoded(fullUpdate!), 0), undefined)
 }
 
@@ -56,10 +56,10 @@
     const routes = Array.from({ length: 1_000 }, (_, index) => createRoute(`r${index}`, 1_000))
     const sender = new RecordReplica()
     const receiver = new RecordReplica()
-    for (const table of [sender, receiver]) table.applySnapshot({ revision: 5, records: [createRecord(createDocument(1, routes), 5)] }, 0)
+    for (const table of [sender, receiver]) table.applySnapshot({ era: 1, revision: 5, records: [createRecord(createDocument(1, routes), 5)] }, 0)
     const later = createDocument(2, [...routes.slice(2), createRoute('r0', 2_000), createRoute('new', 1_000)])
-    sender.applyChanges({ revision: 6, written: [createRecord(later, 6)], removed: [] }, 0)
-    const update = sender.buildUpdateAfter(5)!
+    sender.applyChanges({ era: 1, revision: 6, written: [createRecord(later, 6)], removed: [] }, 0)
+    const update = sender.buildUpdateAfter({ era: 1, revision: 5 })!
     assert.deepEqual(update.written, [])
     assert.deepEqual(update.document?.written.route.map((value) => (value as RoutePolicy).name), ['r0', 'new'])
     assert.deepEqual(update.document?.removed.route, ['h.example /r1/'])
@@ -70,7 +70,7 @@
     const sender = new RecordReplica()
     const receiver = new RecordReplica()
     for (const [index, accounts] of [undefined, [createAccount('a', ['k'])], [], undefined].entries()) {
-      sender.applyChanges({ revision: index + 5, written: [createRecord(createDocument(index + 1, [], accounts), index + 5)], removed: [] }, 0)
+      sender.applyChanges({ era: 1, revision: index + 5, written: [createRecord(createDocument(index + 1, [], accounts), index + 5)], removed: [] }, 0)
       expectReplicated(receiver, sender)
       const record = receiver.get(KEY)
       assert.deepEqual(record?.kind === RecordKind.Document ? record.value.accounts?.map(({ name }) => name) : 'none', accounts?.map(({ name }) => name))
@@ -85,11 +85,11 @@
     const between = createDocument(2, [createRoute('a', 9_000), createRoute('b', 1_000)])
     const after = createDocument(3, [createRoute('a', 1_000), createRoute('b', 2_000)])
     const sender = new RecordReplica()
-    sender.applySnapshot({ revision: 5, records: [createRecord(before, 5)] }, 0)
-    sender.applyChanges({ revision: 9, written: [createRecord(after, 9)], removed: [] }, 0)
+    sender.applySnapshot({ era: 1, revision: 5, records: [createRecord(before, 5)] }, 0)
+    sender.applyChanges({ era: 1, revision: 9, written: [createRecord(after, 9)], removed: [] }, 0)
     const receiver = new RecordReplica()
-    receiver.applySnapshot({ revision: 7, records: [createRecord(between, 7)] }, 0)
-    assert.equal(receiver.applyUpdate(toDecoded(sender.buildUpdateAfter(7)!), 0), undefined)
+    receiver.applySnapshot({ era: 1, revision: 7, records: [createRecord(between, 7)] }, 0)
+    assert.equal(receiver.applyUpdate(toDecoded(sender.buildUpdateAfter({ era: 1, revision: 7 })!), 0), undefined)
     assert.equal(receiver.revision, 7)
     expectReplicated(receiver, sender)
   })
@@ -115,8 +115,8 @@
         add: (route) => { routes.set(route, createRoute(route, 1)); put() },
         remove: (route) => { if (routes.delete(route)) put() },
         accounts: (route) => { accounts = accounts === undefined ? [createAccount(route, [route])] : accounts.length === 0 ? undefined : []; put() },
-        watch: (_route, one) => { tables[one]!.applyChanges({ revision, written: written.filter((record) => record.revision > tables[one]!.revision), removed: [] }, 0) },
-        read: (_route, one) => { tables[one]!.applySnapshot({ revision, records: [written.at(-1)!] }, 0) },
+        watch: (_route, one) => { tables[one]!.applyChanges({ era: 1, revision, written: written.filter((record) => record.revision > tables[one]!.revision), removed: [] }, 0) },
+        read: (_route, one) => { tables[one]!.applySnapshot({ era: 1, revision, records: [written.at(-1)!] }, 0) },
         update: (_route, one, other) => { expectReplicated(tables[one]!, tables[other]!) },
         restart: (_route, one) => { tables[one] = new RecordReplica() }
       }
@@ -125,7 +125,7 @@
         const handler = actions[action] ?? actions[verb!]!
         handler(route, Number(one), Number(other))
       }
-      tables[0]!.applySnapshot({ revision, records: [written.at(-1)!] }, 0)
+      tables[0]!.applySnapshot({ era: 1, revision, records: [written.at(-1)!] }, 0)
       expectReplicated(tables[2]!, tables[0]!)
       expectReplicated(tables[3]!, tables[2]!)
       for (const table of [tables[2]!, tables[3]!]) assert.deepEqual(toComparable(table), toComparable(tables[0]!))
--- a/packages/steering/test/common/entry/freshnessProof.test.ts
+++ b/packages/steering/test/common/entry/freshnessProof.test.ts
@@ -10,9 +10,9 @@
   it('counts from when the request was sent, once all changes up to the answered revision are known', () => {
     const proof = new FreshnessProof()
     assert.equal(proof.getAgeMs(1_000), Infinity)
-    proof.recordReading({ requestedAt: 1_000, revision: 7 }, 6)
+    proof.recordReading({ requestedAt: 1_000, position: { era: 1, revision: 7 } }, { era: 1, revision: 6 })
     assert.equal(proof.getAgeMs(1_500), Infinity)
-    proof.handleRevision(7)
+    proof.handlePosition({ era: 1, revision: 7 })
     assert.equal(proof.getAgeMs(1_500), 500)
   })
 
@@ -29,10 +29,10 @@
         revision += bySteps
         if (isAnswer) {
           readings.push({ askedAt: now, revision })
-          proof.recordReading({ requestedAt: now, revision }, known)
+          proof.recordReading({ requestedAt: now, position: { era: 1, revision } }, { era: 1, revision: known })
         } else {
           known = Math.min(revision, known + bySteps)
-          proof.handleRevision(known)
+          proof.handlePosition({ era: 1, revision: known })
         }
         const provenTimes = readings.filter((reading) => reading.revision <= known).map(({ askedAt }) => askedAt)
         assert.ok(proof.provenAt <= Math.max(Number.NEGATIVE_INFINITY, ...provenTimes))
@@ -41,6 +41,19 @@
   })
 })
 
+describe('the freshness proof after the store has come back from an older copy', () => {
+  // Guards against a false proof by a revision that was given out before the rollback.
+  it('takes nothing from readings of another era than that of the records', () => {
+    const proof = new FreshnessProof()
+    proof.recordReading({ requestedAt: 1_000, position: { era: 2, revision: 66 } }, { era: 1, revision: 70 })
+    assert.equal(proof.getAgeMs(1_500), Infinity)
+    proof.handlePosition({ era: 2, revision: 66 })
+    assert.equal(proof.getAgeMs(1_500), 500)
+    proof.recordReading({ requestedAt: 1_400, position: { era: 1, revision: 66 } }, { era: 2, revision: 67 })
+    assert.equal(proof.getAgeMs(1_500), 500)
+  })
+})
+
 describe('the clock of a peer', () => {
   it('is never converted to later instants than the true ones, however messages are delayed', () => {
     // A message that reports a recent proof waits in a buffer while this VM is paused. If its arrival time
--- a/packages/steering/test/common/entry/recordReplica.test.ts
+++ b/packages/steering/test/common/entry/recordReplica.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check'
 import { describe, it } from 'node:test'
 import { RecordKind, type SteeringRecord, UpstreamState } from '../../../src/common/entry/records.js'
-import { RecordReplica, REREGISTRATION_GRACE_MS } from '../../../src/common/entry/recordReplica.js'
+import { RecordReplica } from '../../../src/common/entry/recordReplica.js'
+import { REREGISTRATION_GRACE_MS } from '../../../src/common/entry/removalHold.js'
 import { RouteKind } from '../../../src/common/entry/steeringDocument.js'
 
 const SEED = 20261202
@@ -30,9 +31,9 @@
       let newest = 0
       for (const { revision, way } of list) {
         const record = createDocument(revision, revision)
-        if (way === 'snapshot') table.applySnapshot({ revision, records: [record] }, 0)
-        else if (way === 'changes') table.applyChanges({ revision, written: [record], removed: [] }, 0)
-        else table.applyUpdate({ revision, isWhole: way === 'whole news', gaps: [], written: [record], removed: [] }, 0)
+        if (way === 'snapshot') table.applySnapshot({ era: 1, revision, records: [record] }, 0)
+        else if (way === 'changes') table.applyChanges({ era: 1, revision, written: [record], removed: [] }, 0)
+        else table.applyUpdate({ era: 1, revision, isWhole: way === 'whole news', gaps: [], written: [record], removed: [] }, 0)
         newest = Math.max(newest, revision)
         const known = table.get('document')
         assert.equal(known?.kind === RecordKind.Document ? known.value.version : 0, newest)
@@ -44,15 +45,15 @@
     // Guards against a VM that requests full updates repeatedly after its start because no delta fits its
     // configuration.
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 10, records: [createRoutedDocument(5, 15)] }, 0)
+    table.applySnapshot({ era: 1, revision: 10, records: [createRoutedDocument(5, 15)] }, 0)
     const sender = new RecordReplica()
-    sender.applySnapshot({ revision: 10, records: [createRoutedDocument(3, 9)] }, 0)
-    sender.applyChanges({ revision: 12, written: [createRoutedDocument(4, 12)], removed: [] }, 0)
-    assert.notEqual(table.applyUpdate(sender.buildUpdateAfter(10)!, 0), undefined)
+    sender.applySnapshot({ era: 1, revision: 10, records: [createRoutedDocument(3, 9)] }, 0)
+    sender.applyChanges({ era: 1, revision: 12, written: [createRoutedDocument(4, 12)], removed: [] }, 0)
+    assert.notEqual(table.applyUpdate(sender.buildUpdateAfter({ era: 1, revision: 10 })!, 0), undefined)
     assert.equal(table.revision, 12)
     assert.deepEqual(table.get('document'), createRoutedDocument(5, 15))
-    sender.applyChanges({ revision: 20, written: [createRoutedDocument(5, 15), createRoutedDocument(6, 20)], removed: [] }, 0)
-    assert.notEqual(table.applyUpdate(sender.buildUpdateAfter(12)!, 0), undefined)
+    sender.applyChanges({ era: 1, revision: 20, written: [createRoutedDocument(5, 15), createRoutedDocument(6, 20)], removed: [] }, 0)
+    assert.notEqual(table.applyUpdate(sender.buildUpdateAfter({ era: 1, revision: 12 })!, 0), undefined)
     assert.deepEqual(table.get('document'), createRoutedDocument(6, 20))
   })
 
@@ -61,23 +62,23 @@
     // store then sends it the history since revision 5, in which the worker still changes; the worker must not
     // get requests again.
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
+    table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 5)] }, 0)
     table.recordStoreLost(0)
     table.recordStoreRecovered(2_500, 0)
-    table.applyUpdate({ revision: 12, isWhole: true, gaps: [], written: [], removed: [] }, 2_500)
+    table.applyUpdate({ era: 1, revision: 12, isWhole: true, gaps: [], written: [], removed: [] }, 2_500)
     assert.equal(table.get('w/1'), undefined)
-    table.applyChanges({ revision: 13, written: [createWorker('1', 8)], removed: [{ key: 'w/1', revision: 10 }] }, 3_000)
+    table.applyChanges({ era: 1, revision: 13, written: [createWorker('1', 8)], removed: [{ key: 'w/1', revision: 10 }] }, 3_000)
     assert.equal(table.get('w/1'), undefined)
   })
 
   it('keeps a worker whose lease expired during an outage until it may have registered again', () => {
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 5, records: [createWorker('1', 4), createWorker('2', 5)] }, 0)
+    table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 4), createWorker('2', 5)] }, 0)
     table.recordStoreLost(0)
     table.recordStoreRecovered(5_000)
-    table.applyChanges({ revision: 9, written: [], removed: [{ key: 'w/1', revision: 8 }, { key: 'w/2', revision: 9 }] }, 5_000)
+    table.applyChanges({ era: 1, revision: 9, written: [], removed: [{ key: 'w/1', revision: 8 }, { key: 'w/2', revision: 9 }] }, 5_000)
     assert.notEqual(table.get('w/1'), undefined)
-    table.applyChanges({ revision: 10, written: [createWorker('1', 10)], removed: [] }, 6_500)
+    table.applyChanges({ era: 1, revision: 10, written: [createWorker('1', 10)], removed: [] }, 6_500)
     assert.deepEqual(table.applyDueRemovals(5_000 + REREGISTRATION_GRACE_MS).map(({ previous }) => previous?.key), ['w/2'])
     assert.notEqual(table.get('w/1'), undefined, 'it registered again')
   })
@@ -86,18 +87,18 @@
     // The store refuses one VM for 5 s. At 6 s a worker leaves without announcing it; 2.5 s later no VM may send
     // it requests. If the removal started another full grace period, this VM would send requests until 8.1 s.
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 5, records: [createWorker('1', 4), createWorker('2', 5)] }, 0)
+    table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 4), createWorker('2', 5)] }, 0)
     table.recordStoreLost(0)
     table.recordStoreRecovered(5_000)
-    table.applyChanges({ revision: 9, written: [], removed: [{ key: 'w/1', revision: 9 }] }, 6_000)
+    table.applyChanges({ era: 1, revision: 9, written: [], removed: [{ key: 'w/1', revision: 9 }] }, 6_000)
     assert.deepEqual(table.applyDueRemovals(5_000 + REREGISTRATION_GRACE_MS).map(({ previous }) => previous?.key), ['w/1'])
   })
 
   it('removes held records at the end of a short outage', () => {
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 5, records: [createWorker('1', 4)] }, 0)
+    table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 4)] }, 0)
     table.recordStoreLost(0)
-    table.applyChanges({ revision: 9, written: [], removed: [{ key: 'w/1', revision: 9 }] }, 500)
+    table.applyChanges({ era: 1, revision: 9, written: [], removed: [{ key: 'w/1', revision: 9 }] }, 500)
     assert.notEqual(table.get('w/1'), undefined)
     table.recordStoreRecovered(1_000)
     assert.deepEqual(table.applyDueRemovals(1_000).map(({ previous }) => previous?.key), ['w/1'])
@@ -105,19 +106,19 @@
 
   it('removes at once what disappears while the store answers, and draining workers always', () => {
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 5, records: [createWorker('1', 4), createWorker('2', 5, UpstreamState.Draining)] }, 0)
-    table.applyChanges({ revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 100)
+    table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 4), createWorker('2', 5, UpstreamState.Draining)] }, 0)
+    table.applyChanges({ era: 1, revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 100)
     assert.equal(table.get('w/1'), undefined)
     table.recordStoreLost(200)
     table.recordStoreRecovered(9_000)
-    table.applyChanges({ revision: 7, written: [], removed: [{ key: 'w/2', revision: 7 }] }, 9_000)
+    table.applyChanges({ era: 1, revision: 7, written: [], removed: [{ key: 'w/2', revision: 7 }] }, 9_000)
     assert.equal(table.get('w/2'), undefined)
   })
 
   it('ignores an older snapshot', () => {
     const table = new RecordReplica()
-    table.applySnapshot({ revision: 9, records: [createWorker('1', 9)] }, 0)
-    assert.deepEqual(table.applySnapshot({ revision: 8, records: [] }, 0), [])
+    table.applySnapshot({ era: 1, revision: 9, records: [createWorker('1', 9)] }, 0)
+    assert.deepEqual(table.applySnapshot({ era: 1, revision: 8, records: [] }, 0), [])
     assert.notEqual(table.get('w/1'), undefined)
   })
 })
--- a/packages/steering/test/common/entry/recordUpdate.test.ts
+++ b/packages/steering/test/common/entry/recordUpdate.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check'
 import { describe, it } from 'node:test'
 import { RecordKind, type SteeringRecord, UpstreamState } from '../../../src/common/entry/records.js'
-import { RecordReplica, REREGISTRATION_GRACE_MS } from '../../../src/common/entry/recordReplica.js'
+import { RecordReplica } from '../../../src/common/entry/recordReplica.js'
+import { REREGISTRATION_GRACE_MS } from '../../../src/common/entry/removalHold.js'
 
 const SEED = 20261203
 
@@ -16,7 +17,7 @@
 
 /** Updates one replica from another. */
 function applyUpdateFrom (receiver: RecordReplica, sender: RecordReplica, now: number): void {
-  const update = sender.buildUpdateAfter(receiver.revision)
+  const update = sender.buildUpdateAfter({ era: 1, revision: receiver.revision })
   if (update !== undefined) receiver.applyUpdate(update, now)
 }
 
@@ -40,6 +41,7 @@
         const news = history.filter((event) => event.revision > first.revision)
         const newest = new Map(news.map((event) => [event.key, event]))
         first.applyChanges({
+          era: 1,
           revision,
           written: [...newest.values()].flatMap(({ record }) => record ?? []),
           removed: news.filter(({ record }) => record === undefined).map(({ key, revision: at }) => ({ key, revision: at }))
@@ -55,7 +57,7 @@
         'first reads': readStore,
         'first reads after compaction': () => {
           history = []
-          first.applySnapshot({ revision, records: [...store.values()] }, 0)
+          first.applySnapshot({ era: 1, revision, records: [...store.values()] }, 0)
         },
         'second updates': () => { applyUpdateFrom(second, first, 0) },
         'third updates': () => { applyUpdateFrom(third, second, 0) },
@@ -88,12 +90,12 @@
       const tables = Array.from({ length: 4 }, () => new RecordReplica())
       const read = (table: RecordReplica): void => {
         if (table.revision <= droppedUpTo) {
-          table.applySnapshot({ revision, records: [...store.values()] }, 0)
+          table.applySnapshot({ era: 1, revision, records: [...store.values()] }, 0)
           return
         }
         const newest = new Map(events.filter((event) => event.revision > table.revision).map((event) => [event.key, event]))
         const removed = [...newest.values()].filter(({ record }) => record === undefined)
-        table.applyChanges({ revision, written: [...newest.values()].flatMap(({ record }) => record ?? []), removed: removed.map(({ key, revision: at }) => ({ key, revision: at })) }, 0)
+        table.applyChanges({ era: 1, revision, written: [...newest.values()].flatMap(({ record }) => record ?? []), removed: removed.map(({ key, revision: at }) => ({ key, revision: at })) }, 0)
       }
       for (const { action, worker } of list) {
         const [verb, one, other] = action.split(' ')
@@ -121,10 +123,10 @@
     // been cut off and reads a snapshot as of revision 9, after the worker has left: it never knew the worker,
     // and so could not report its removal.
     const sender = new RecordReplica()
-    sender.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
+    sender.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 5)] }, 0)
     const receiver = new RecordReplica()
-    receiver.applySnapshot({ revision: 6, records: [createWorker('1', 5), createWorker('2', 6)] }, 0)
-    sender.applySnapshot({ revision: 9, records: [createWorker('1', 5)] }, 0)
+    receiver.applySnapshot({ era: 1, revision: 6, records: [createWorker('1', 5), createWorker('2', 6)] }, 0)
+    sender.applySnapshot({ era: 1, revision: 9, records: [createWorker('1', 5)] }, 0)
     applyUpdateFrom(receiver, sender, 0)
     assert.deepEqual(listKeysWithRevisions(receiver), ['w/1@5'])
   })
@@ -134,10 +136,10 @@
     // store's other follower.
     const sender = new RecordReplica()
     const relay = new RecordReplica()
-    for (const table of [sender, relay]) table.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
+    for (const table of [sender, relay]) table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 5)] }, 0)
     const receiver = new RecordReplica()
-    receiver.applySnapshot({ revision: 6, records: [createWorker('1', 5), createWorker('2', 6)] }, 0)
-    sender.applySnapshot({ revision: 9, records: [createWorker('1', 5)] }, 0)
+    receiver.applySnapshot({ era: 1, revision: 6, records: [createWorker('1', 5), createWorker('2', 6)] }, 0)
+    sender.applySnapshot({ era: 1, revision: 9, records: [createWorker('1', 5)] }, 0)
     applyUpdateFrom(relay, sender, 0)
     applyUpdateFrom(receiver, relay, 0)
     assert.deepEqual(listKeysWithRevisions(receiver), ['w/1@5'])
@@ -150,9 +152,9 @@
     const sender = new RecordReplica()
     const receiver = new RecordReplica()
     const records = Array.from({ length: 50 }, (_, index) => createWorker(String(index), 5))
-    for (const table of [sender, receiver]) table.applySnapshot({ revision: 5, records }, 0)
-    sender.applySnapshot({ revision: 9, records: [...records.slice(1), createWorker('new', 8)] }, 0)
-    const news = sender.buildUpdateAfter(receiver.revision)
+    for (const table of [sender, receiver]) table.applySnapshot({ era: 1, revision: 5, records }, 0)
+    sender.applySnapshot({ era: 1, revision: 9, records: [...records.slice(1), createWorker('new', 8)] }, 0)
+    const news = sender.buildUpdateAfter({ era: 1, revision: receiver.revision })
     assert.deepEqual({ isWhole: news?.isWhole, written: news?.written.length, removed: news?.removed.length }, { isWhole: false, written: 1, removed: 1 })
     applyUpdateFrom(receiver, sender, 0)
     assert.deepEqual(listKeysWithRevisions(receiver), listKeysWithRevisions(sender))
@@ -165,11 +167,11 @@
     const sender = new RecordReplica()
     const receiver = new RecordReplica()
     for (const table of [sender, receiver]) {
-      table.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
+      table.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 5)] }, 0)
       table.recordStoreLost(0)
     }
     sender.recordStoreRecovered(5_000)
-    sender.applyChanges({ revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 5_000)
+    sender.applyChanges({ era: 1, revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 5_000)
     receiver.recordStoreRecovered(5_100, sender.getRemovalHoldMs(5_100))
     applyUpdateFrom(receiver, sender, 5_100)
     assert.deepEqual(listKeysWithRevisions(receiver), ['w/1@5'])
@@ -179,10 +181,10 @@
 
   it('hold back removals also at a VM that gets a full update after the outage', () => {
     const sender = new RecordReplica()
-    sender.applySnapshot({ revision: 5, records: [createWorker('1', 5)] }, 0)
+    sender.applySnapshot({ era: 1, revision: 5, records: [createWorker('1', 5)] }, 0)
     sender.recordStoreLost(0)
     sender.recordStoreRecovered(5_000)
-    sender.applyChanges({ revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 5_000)
+    sender.applyChanges({ era: 1, revision: 6, written: [], removed: [{ key: 'w/1', revision: 6 }] }, 5_000)
     const receiver = new RecordReplica()
     receiver.updateRemovalHold(5_500, sender.getRemovalHoldMs(5_500))
     applyUpdateFrom(receiver, sender, 5_500)
@@ -192,16 +194,16 @@
 
   it('are full for a VM that is further behind than the remembered removals', () => {
     const sender = new RecordReplica()
-    sender.applySnapshot({ revision: 1, records: [] }, 0)
+    sender.applySnapshot({ era: 1, revision: 1, records: [] }, 0)
     const receiver = new RecordReplica()
-    sender.applyChanges({ revision: 2, written: [createWorker('old', 2)], removed: [] }, 0)
+    sender.applyChanges({ era: 1, revision: 2, written: [createWorker('old', 2)], removed: [] }, 0)
     applyUpdateFrom(receiver, sender, 0)
-    sender.applyChanges({ revision: 3, written: [], removed: [{ key: 'w/old', revision: 3 }] }, 0)
+    sender.applyChanges({ era: 1, revision: 3, written: [], removed: [{ key: 'w/old', revision: 3 }] }, 0)
     for (let revision = 4; revision < 10_004; revision += 2) {
-      sender.applyChanges({ revision, written: [createWorker(String(revision), revision)], removed: [] }, 0)
-      sender.applyChanges({ revision: revision + 1, written: [], removed: [{ key: `w/${revision}`, revision: revision + 1 }] }, 0)
+      sender.applyChanges({ era: 1, revision, written: [createWorker(String(revision), revision)], removed: [] }, 0)
+      sender.applyChanges({ era: 1, revision: revision + 1, written: [], removed: [{ key: `w/${revision}`, revision: revision + 1 }] }, 0)
     }
-    assert.equal(sender.buildUpdateAfter(receiver.revision)?.isWhole, true)
+    assert.equal(sender.buildUpdateAfter({ era: 1, revision: receiver.revision })?.isWhole, true)
     applyUpdateFrom(receiver, sender, 0)
     assert.deepEqual(listKeysWithRevisions(receiver), [])
   })
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -56,6 +56,8 @@
 /** The host of all routes of the stand-in. */
 export const PLATFORM_HOST = 'shop.example'
 const SLOTS = 4
+/** The retry budget in the settings of all entry processes. */
+export const RETRY_BUDGET = { ratio: 0.2, windowMs: 10_000, slack: 60 }
 
 /**
  * @param prefix of the request targets, with slashes at both ends
@@ -142,7 +144,7 @@
       longestLookupCache: 5_000,
       coldTolerance: { factor: 1.5, slack: 5 },
       rateTolerance: { factor: 1, slack: 0 },
-      repeatBudget: { ratio: 0.2, window: 10_000, slack: 60 },
+      repeatBudget: { ratio: RETRY_BUDGET.ratio, window: RETRY_BUDGET.windowMs, slack: RETRY_BUDGET.slack },
       revokeWithin: 3_000,
       quotaTolerance: { window: 5_000, over: 0.1, slack: 20 },
       quarantineSpan: 600_000,
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -32,6 +32,8 @@
 
 const MOST_PAGE_ITEMS = 500
 const LEASE_CHECK_MS = 100
+/** Keys of the operator and of the workers; all others are the entry VMs' own. */
+const WRITER_PREFIXES = ['op/', 'servers/']
 const EMPTY = JSON.stringify({})
 
 type Handler = (listener: RecordStoreListener, request: IncomingMessage, url: URL, body: string, response: ServerResponse) => void
@@ -227,6 +229,25 @@
     this.state.resetTo(copy, performance.now())
   }
 
+  /**
+   * Writes again what the operator and the workers had written or removed before the store went back,
+   * unless they have written it since.
+   * @param lost the state before
+   * @param copy the state that the store came back with
+   */
+  writeAgain (lost: StoreCopy, copy: StoreCopy): void {
+    const present = new Map([...this.state.list(''), ...this.state.listRemovalsAfter(copy.revision)].map((item) => [item.key, item]))
+    const isOwned = (key: string): boolean => WRITER_PREFIXES.some((prefix) => key.startsWith(prefix))
+    const isUnchanged = (key: string): boolean => (present.get(key)?.revision ?? 0) <= copy.revision
+    for (const [key, { value }] of lost.items) {
+      if (isOwned(key) && isUnchanged(key) && this.state.get(key)?.value !== value) this.state.put(key, value)
+    }
+    for (const key of copy.items.keys()) {
+      if (isOwned(key) && isUnchanged(key) && !lost.items.has(key)) this.state.remove(key)
+    }
+    this.answerWatches()
+  }
+
   /** Responds to pending watches that have new events. */
   answerWatches (): void {
     for (const listener of this.listeners) {
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -101,6 +101,11 @@
     this.droppedUpTo = Math.min(this.droppedUpTo, revision)
   }
 
+  /** @returns the removals after a revision */
+  listRemovalsAfter (revision: number): StoredItem[] {
+    return this.changes.map(({ item }) => item).filter((item) => item.isRemoved && item.revision > revision)
+  }
+
   /** Compacts the history. */
   clearHistory (): void {
     this.droppedUpTo = this.revision
--- a/packages/testing/test/node/usersPlatform/foreignEntries.test.ts
+++ b/packages/testing/test/node/usersPlatform/foreignEntries.test.ts
@@ -50,7 +50,7 @@
 
   async function waitUntilSeen (entry: LocalEntry): Promise<void> {
     const revision = platform.store.state.revision
-    await platform.waitUntil(() => entry.entry.viewUpdater.revision >= revision)
+    await platform.waitUntil(() => entry.entry.viewUpdater.position.revision >= revision)
   }
 
   /** @returns which workers get work of 12 objects from an entry VM */
--- a/packages/testing/test/node/usersPlatform/restartedWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/restartedWorkers.test.ts
@@ -86,7 +86,7 @@
     const next = await startAgain(FIRST_START + 7_321)
     platform.store.put('servers/w-1', { ...old, Seq: 99 })
     const revision = platform.store.state.revision
-    await platform.waitUntil(() => entry.entry.viewUpdater.revision >= revision)
+    await platform.waitUntil(() => entry.entry.viewUpdater.position.revision >= revision)
     await callAndReadOffer('after')
     assert.equal(next.runs.length, 1)
     assert.equal(entry.lines.filter(({ change }) => change === 'upstream-restarted').length, 1)
--- a/packages/testing/test/node/usersPlatform/storeFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/storeFaults.test.ts
@@ -117,7 +117,7 @@
       await fresh.waitUntilReady(only)
       fresh.removeWorker('w-2')
       const { revision } = fresh.store.state
-      await fresh.waitUntil(() => only.entry.viewUpdater.revision >= revision)
+      await fresh.waitUntil(() => only.entry.viewUpdater.position.revision >= revision)
       assert.ok(hasSeen(only, 'upstream-left', 'w-2'))
     } finally {
       await fresh.close()
