Let owners of quota shares grant on when the store begins an era

Cause: all claims of an earlier era of the store were dropped when a VM heard of the next one, and others wait until leases of the earlier era have ended, so that nobody granted quotas for the length of a lease (about 5 s): requests of accounts with quotas got 503. Change: an owner keeps its shares until its lease of the earlier era ends, and claims them again at once under its new lease, at the revision known or, if the store has lost the claim, as a new one.

--- a/packages/entry/src/node/quota/shareClaimer.ts
+++ b/packages/entry/src/node/quota/shareClaimer.ts
@@ -53,6 +53,8 @@
   /** Since when each share is known to be free, on the {@link ElapsedClock}. */
   private readonly freeSince = new Map<string, Instant>()
   private readonly claiming = new Set<string>()
+  /** Shares whose claim in the records may be one that the store has lost. */
+  private readonly lostClaims = new Set<string>()
   private timer: ITimer | undefined
 
   constructor (private readonly dependencies: ShareClaimerDependencies) {
@@ -70,8 +72,8 @@
    */
   isOwned (share: string): boolean {
     const { registration, elapsed, isLeaving } = this.dependencies
-    const { currentLease } = registration
-    return currentLease !== undefined && !isLeaving() && this.leaseIds.get(share) === currentLease.id && elapsed.now() < currentLease.until
+    const leaseId = this.leaseIds.get(share)
+    return leaseId !== undefined && !isLeaving() && elapsed.now() < registration.getLeaseEnd(leaseId)
   }
 
   /** Handles a change of VMs, shares or accounts. */
@@ -107,7 +109,7 @@
   private checkShare (share: string, delayMs: number): void {
     const claim = this.dependencies.view.shares.get(share)
     // This VM's own claim may not have arrived with the records yet.
-    const isTaken = claim === undefined ? this.isOwned(share) : !this.isReplaceable(share, claim)
+    const isTaken = claim === undefined ? this.isOwned(share) && this.isClaimedInEra(share) : !this.isReplaceable(share, claim)
     if (isTaken) {
       this.freeSince.delete(share)
       return
@@ -116,15 +118,22 @@
     const freeSince = this.freeSince.get(share) ?? now
     this.freeSince.set(share, freeSince)
     const isDue = claim !== undefined || now >= freeSince + delayMs
-    if (isDue && this.hasEarlierClaimEnded(claim) && !this.claiming.has(share)) runDetached(() => this.claim(share, claim?.revision ?? 0), this.dependencies.logger, 'claim-share')
+    const mayClaim = this.isOwned(share) || this.hasEarlierClaimEnded(claim)
+    const expectedRevision = claim === undefined || this.lostClaims.has(share) ? 0 : claim.revision
+    if (isDue && mayClaim && !this.claiming.has(share)) runDetached(() => this.claim(share, expectedRevision), this.dependencies.logger, 'claim-share')
     this.scheduleUpdate(RECHECK_INTERVAL_MS)
   }
 
   /** @returns whether the claim belongs to a previous process of this VM, or to a previous lease of this one, so that no VM grants tokens under it any more */
   private isReplaceable (share: string, { owner }: ShareClaim): boolean {
-    const { self, life, registration } = this.dependencies
+    const { self, life } = this.dependencies
     if (owner.node !== self.name) return false
-    return owner.life !== life || this.leaseIds.get(share) !== registration.currentLease?.id
+    return owner.life !== life || !this.isClaimedInEra(share)
+  }
+
+  /** @returns whether this VM has claimed the share under its present lease */
+  private isClaimedInEra (share: string): boolean {
+    return this.leaseIds.get(share) === this.dependencies.registration.currentLease?.id
   }
 
   /**
@@ -163,9 +172,15 @@
     const claimed = await registration.claimShare({ share, node: self.name, life, peerAddress: self.peerAddress, era: registration.currentLease.era }, expectedRevision)
     this.claiming.delete(share)
     if (claimed.ok) {
+      // An owner that claims its share again after the store went back goes on with its buckets.
+      if (!this.isOwned(share)) buckets.startShare(share, unusedSince)
+      this.lostClaims.delete(share)
       this.leaseIds.set(share, claimed.val)
-      buckets.startShare(share, unusedSince)
       logger.log(LogLevel.Info, { step: 'claim-share', share }, 'claimed a share of the quotas')
-    } else if (claimed.val.code !== ErrorCode.Conflict) logError(logger, LogLevel.Warn, claimed.val)
+      return
+    }
+    if (claimed.val.code !== ErrorCode.Conflict) logError(logger, LogLevel.Warn, claimed.val)
+    else if (expectedRevision === 0) this.lostClaims.delete(share)
+    else this.lostClaims.add(share)
   }
 }
--- a/packages/entry/test/node/quota/simulatedVm.ts
+++ b/packages/entry/test/node/quota/simulatedVm.ts
@@ -173,6 +173,10 @@
 
   checkLease (): void {}
 
+  getLeaseEnd (id: number): number {
+    return this.currentLease?.id === id ? this.currentLease.until : Number.NEGATIVE_INFINITY
+  }
+
   start (): void {}
 
   register (): void {}
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -68,6 +68,11 @@
    * the time in which the machine is suspended; negative infinity if this process knows of no earlier one.
    */
   readonly earlierLeasesEndAt: Instant
+  /**
+   * @param id the id of a lease of this process, in the present era of the store or the one before
+   * @returns until when what was claimed under it can't be taken over by another VM; negative infinity if it has ended
+   */
+  getLeaseEnd(id: number): Instant
   /** Checks the lease soon, as the store may have lost it. */
   checkLease(): void
   /**
--- a/packages/testing/test/node/usersPlatform/quotas.test.ts
+++ b/packages/testing/test/node/usersPlatform/quotas.test.ts
@@ -47,6 +47,23 @@
     return await callAt(entries[at % entries.length]!, id)
   }
 
+  it('have owners again after the store has come back from a copy without their claims', async () => {
+    // Guards against shares that nobody claims, or that a VM claims under a lease whose id is another VM's.
+    const copy = platform.store.state.createCopy()
+    await start(createAccount(50, 20))
+    const lost = platform.store.state.createCopy()
+    platform.store.resetTo(copy)
+    platform.store.writeAgain(lost, copy)
+    await platform.waitUntil(() => {
+      const claims = platform.store.state.list('entry-quotas/').map(({ value }) => JSON.parse(value) as { node: string, era: number })
+      return claims.length === SHARES && claims.every(({ era }) => era === platform.store.state.era)
+    })
+    await platform.waitUntil(() => entries.every(({ lines }) => lines.some(({ change }) => change === 'era-began')))
+    for (const [id, entry] of entries.entries()) assert.equal((await callAt(entry, id)).status, 200)
+    const leases = new Map(platform.store.state.list('entry-vms/').map(({ key, lease }) => [key, lease]))
+    assert.equal(new Set(leases.values()).size, entries.length, 'each VM has a lease of its own')
+  })
+
   it('hold for all VMs together, and tell when there is room again', async () => {
     // An account sent a hundred requests at once, a third to each VM, with 2 a second and
     // a burst of 10 allowed.
