Let the soak's store go back to an older copy, and count retries by service

Change: a step store-rollback, drawn by a stream of its own so that recorded seeds keep their other steps; a rule retry-budget-exceeded with the users' definition.

--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -42,7 +42,9 @@
   /** A worker, or all of a service, refuses requests and asks for a pause, for the step's duration; `variant` selects its length. */
   WorkerPause = 'worker-pause',
   /** Overwrites a worker's registration for the step's duration, as a foreign writer might; `variant` selects the text. */
-  RegistrationOverwrite = 'foreign-entry'
+  RegistrationOverwrite = 'foreign-entry',
+  /** The store comes back from a copy as old as the step's duration; what was lost is written again, `variant` selects when. */
+  StoreRollback = 'store-rollback'
 }
 
 /** A step of the plan. */
@@ -78,10 +80,13 @@
 /** Kinds added later. They use a random stream of their own, so that seeds recorded earlier still result in the same steps of the other kinds. */
 const SECOND_STREAM_KINDS = [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite]
 const THIRD_STREAM_KINDS = [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause]
-const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !SECOND_STREAM_KINDS.includes(kind) && !THIRD_STREAM_KINDS.includes(kind))
+const FOURTH_STREAM_KINDS = [SoakStepKind.StoreRollback]
+const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !SECOND_STREAM_KINDS.includes(kind) && !THIRD_STREAM_KINDS.includes(kind) && !FOURTH_STREAM_KINDS.includes(kind))
 const SECOND_STREAM_SEED_OFFSET = 1_000_003
 const THIRD_STREAM_SEED_OFFSET = 2_000_003
+const FOURTH_STREAM_SEED_OFFSET = 3_000_003
 const LATER_STREAM_GAP_MS = 2_500
+const ROLLBACK_GAP_MS = 6_000
 
 /** Time without steps at the start of the run, and at its end, for recovery. */
 const WARM_UP_MS = 2_000
@@ -135,10 +140,12 @@
   const secondRandom = new SeededRandom(seed + SECOND_STREAM_SEED_OFFSET)
   const faultPhases = phases.filter(({ isPlanned }) => !isPlanned)
   const thirdRandom = new SeededRandom(seed + THIRD_STREAM_SEED_OFFSET)
+  const fourthRandom = new SeededRandom(seed + FOURTH_STREAM_SEED_OFFSET)
   const steps = [
     ...phases.flatMap((phase) => buildSteps(phase, random)),
     ...faultPhases.flatMap((phase) => addSteps(phase, SECOND_STREAM_KINDS, LATER_STREAM_GAP_MS, secondRandom)),
-    ...faultPhases.flatMap((phase) => addSteps(phase, THIRD_STREAM_KINDS, LATER_STREAM_GAP_MS, thirdRandom))
+    ...faultPhases.flatMap((phase) => addSteps(phase, THIRD_STREAM_KINDS, LATER_STREAM_GAP_MS, thirdRandom)),
+    ...faultPhases.flatMap((phase) => addSteps(phase, FOURTH_STREAM_KINDS, ROLLBACK_GAP_MS, fourthRandom))
   ]
   return { phases, steps, untilMs }
 }
--- a/packages/soak/src/common/soakRule.ts
+++ b/packages/soak/src/common/soakRule.ts
@@ -13,6 +13,8 @@
   WorkAfterAnnouncedDrain = 'work-after-announced-drain',
   /** A worker received requests from an entry VM that it had asked for a pause. */
   PauseIgnored = 'pause-ignored',
+  /** A service got more retries in a window than the budget of all entry VMs allows. */
+  RetryBudgetExceeded = 'retry-budget-exceeded',
   /** An entry process exited unexpectedly. */
   EntryExited = 'entry-ended',
   /** A request ran although its API key had been revoked longer ago than the limit. */
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -6,11 +6,13 @@
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import { AnswerKind, ExecutionEnd, HistoryEventKind } from '@umberspar/testing/common/history/historyEvent'
 import { HistoryChecker, type Violation, ViolationKind } from '@umberspar/testing/common/history/historyChecker'
+import { RETRY_BUDGET } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { type Announcement, WorkerFault, type WorkerObserver, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { MAX_REVOCATION_MS } from '../common/soakAccounts.js'
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
 import { AnnouncementChecker } from './announcementChecker.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
+import { RetryBudgetChecker } from './retryBudgetChecker.js'
 
 /** An attempt of a caller. */
 export interface Attempt {
@@ -59,6 +61,7 @@
   private readonly announcedDrains = new Set<string>()
   private readonly historyChecker = new HistoryChecker((violation) => { this.handleViolation(violation) })
   private readonly announcementChecker = new AnnouncementChecker()
+  private readonly retryBudgetChecker = new RetryBudgetChecker(RETRY_BUDGET)
   private lastExecutionId = 0
 
   /**
@@ -81,6 +84,7 @@
   recordSent (attempt: Attempt): void {
     const at = this.clock.now()
     this.attempts.set(attempt.requestId, { ...attempt, sentAt: at, workers: new Set() })
+    this.retryBudgetChecker.recordRequest(attempt.service, at)
     this.historyChecker.record({ kind: HistoryEventKind.Sent, at, ...attempt })
   }
 
@@ -147,6 +151,7 @@
   onRefused (workerId: string, requestId: string): void {
     this.checkColdLimit(workerId)
     this.checkAnnouncements(workerId, this.attempts.get(requestId))
+    this.checkRetryBudget(this.attempts.get(requestId))
     this.historyChecker.record({ kind: HistoryEventKind.RefusedWhileDraining, at: this.clock.now(), workerId, requestId })
   }
 
@@ -158,6 +163,7 @@
     if (attempt === undefined) return
     this.checkKey(attempt)
     this.checkAnnouncements(workerId, attempt)
+    this.checkRetryBudget(attempt)
     attempt.workers.add(workerId)
     if (attempt.workers.size > MAX_WORKERS_PER_ATTEMPT) this.report(SoakRule.TooManyRuns, requestId, [...attempt.workers].join(' '))
     this.lastExecutionId++
@@ -202,6 +208,12 @@
     for (const { rule, detail } of this.announcementChecker.checkArrival(workerId, attempt, this.clock.now())) this.report(rule, attempt.requestId, detail)
   }
 
+  private checkRetryBudget (attempt: AttemptRecord | undefined): void {
+    if (attempt === undefined) return
+    const detail = this.retryBudgetChecker.checkArrival(attempt.service, attempt.requestId, this.clock.now())
+    if (detail !== undefined) this.report(SoakRule.RetryBudgetExceeded, attempt.service, detail)
+  }
+
   private checkColdLimit (workerId: string): void {
     const limit = this.coldLimits.get(workerId)
     const now = this.clock.now()
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -62,6 +62,8 @@
 const LARGE_CONFIGURATION_MIN_TARGET = 0.7
 const LARGE_CONFIGURATION_ROUTES = 1_500
 const MIN_WORKERS_PER_SERVICE = 2
+/** Within this time, the operator and the workers write again what the store has lost. */
+const MAX_REWRITE_DELAY_MS = 1_800
 
 function chooseAt<T> (list: readonly T[], fraction: number): T | undefined {
   return list[Math.floor(fraction * list.length)]
@@ -247,6 +249,16 @@
     await waitFor(environment.clock, step.spanMs)
     environment.workers.renewRecord(worker)
     return true
+  }),
+  [SoakStepKind.StoreRollback]: async (environment, step) => await runDisruption(environment, async () => {
+    const { store } = environment.records
+    const copy = store.state.createCopy()
+    await waitFor(environment.clock, step.spanMs)
+    const lost = store.state.createCopy()
+    store.resetTo(copy)
+    await waitFor(environment.clock, MAX_REWRITE_DELAY_MS * step.variant)
+    store.writeAgain(lost, copy)
+    return true
   })
 }
 
