Notice the first rollback of a store whose era begins at 0

Change: the first response fixes the era, 0 or none alike; later ones begin an era if they name a later one.

--- a/packages/entry/src/node/quarantine/crashReporter.ts
+++ b/packages/entry/src/node/quarantine/crashReporter.ts
@@ -75,6 +75,7 @@
   /** Writes a quarantine, with retries until it succeeds. */
   putQuarantine (quarantine: Quarantine): void {
     this.quarantines.set(quarantine.digest, quarantine)
+    this.writtenQuarantines.delete(quarantine.digest)
     this.pendingReleases.delete(quarantine.digest)
     this.schedule(0)
   }
--- a/packages/entry/src/node/replica/viewUpdater.ts
+++ b/packages/entry/src/node/replica/viewUpdater.ts
@@ -44,7 +44,7 @@
 
   /** @returns whether records are known that the store has lost and that have not been written again yet */
   get hasUnconfirmed (): boolean {
-    return this.table.hasUnconfirmed
+    return this.table.hasUnconfirmed(this.clock.now())
   }
 
   /** @returns for how much longer records that disappear are held back, in milliseconds */
@@ -96,9 +96,9 @@
 
   /** Applies a full snapshot of the store. */
   applySnapshot (snapshot: RecordSnapshot): void {
-    const { era } = this.table.position
+    const previous = this.table.position
     this.apply(this.table.applySnapshot(snapshot, this.clock.now()))
-    this.logEra(era)
+    this.logEra(previous)
   }
 
   /** Applies changes from the store. */
@@ -111,10 +111,10 @@
    * @returns false if the update does not apply to the present records, so that a full snapshot is needed
    */
   applyUpdate (news: RecordUpdate): boolean {
-    const { era } = this.table.position
+    const previous = this.table.position
     const changes = this.table.applyUpdate(news, this.clock.now())
     if (changes !== undefined) this.apply(changes)
-    this.logEra(era)
+    this.logEra(previous)
     return changes !== undefined
   }
 
@@ -123,10 +123,9 @@
     this.holdTimer?.close()
   }
 
-  private logEra (previousEra: number): void {
+  private logEra ({ era: previousEra, revision: previousRevision }: StorePosition): void {
     const { era, revision } = this.table.position
-    if (era === previousEra) return
-    if (previousEra === NO_POSITION.era) return
+    if (era === previousEra || previousRevision === NO_POSITION.revision) return
     this.telemetry.logger.log(LogLevel.Warn, { step: 'begin-era', peer: 'store', era, previousEra, revision }, 'the store has come back from an older copy')
     this.logEvent({ change: ViewChange.EraBegan, subject: String(era), revision })
   }
--- a/packages/steering/src/common/entry/eraStart.ts
+++ b/packages/steering/src/common/entry/eraStart.ts
@@ -3,6 +3,8 @@
  * copy is no word of the writers: an entry may be missing, replaced or present again in it only
  * because it is older. The writers write again what the store has lost.
  */
+import type { Instant } from '@umberspar/base/common/clock'
+import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { RecordKind, type SteeringRecord, UpstreamState, type UpstreamRegistration } from './records.js'
 
 /** Limit on remembered removals of registrations. */
@@ -36,6 +38,7 @@
 /** The removals that are known, and the revision at which the present era began. */
 export class EraStart {
   private eraRevision = 0
+  private rewriteDeadline: Deadline = Number.NEGATIVE_INFINITY
   private readonly removedRegistrations = new Map<string, UpstreamRegistration>()
 
   /** @returns the revision of the copy; records with a later one were written in the present era */
@@ -43,9 +46,18 @@
     return this.eraRevision
   }
 
-  /** @param revision the revision of the copy that a new era begins with */
-  start (revision: number): void {
+  /** @returns when all writers have had the time to write again what the store has lost */
+  get rewrittenBy (): Deadline {
+    return this.rewriteDeadline
+  }
+
+  /**
+   * @param revision the revision of the copy that a new era begins with
+   * @param now the current time
+   */
+  start (revision: number, now: Instant): void {
     this.eraRevision = revision
+    this.rewriteDeadline = createDeadline(now, REWRITE_GRACE_MS)
   }
 
   /** @param key the key of a record that is in force from now on */
--- a/packages/steering/src/common/entry/recordReplica.ts
+++ b/packages/steering/src/common/entry/recordReplica.ts
@@ -47,9 +47,9 @@
     return this.storePosition.revision
   }
 
-  /** @returns whether records are known that the store's older copy lacked, and that have not been written again yet */
-  get hasUnconfirmed (): boolean {
-    return this.unconfirmedUntil.size > 0
+  /** @returns whether records are known that the store's older copy lacked, and that their writers may still write again */
+  hasUnconfirmed (now: Instant): boolean {
+    return this.unconfirmedUntil.size > 0 && !hasPassed(this.eraStart.rewrittenBy, now)
   }
 
   /**
@@ -117,7 +117,7 @@
     const { era, revision } = copy
     if (this.revision > 0) this.removalHold.holdFor(now, REREGISTRATION_GRACE_MS)
     this.storePosition = { era, revision }
-    this.eraStart.start(revision)
+    this.eraStart.start(revision, now)
     this.removals.reset(revision)
     const copiedByKey = new Map(copy.records.map((record) => [record.key, record]))
     const replaced = this.list().flatMap((record) => this.mergeKnownRecord(record, copiedByKey.get(record.key), revision, now))
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreState.ts
@@ -47,8 +47,8 @@
   private droppedUpTo = 0
   private lastLease = 70_000
   revision = 1
-  /** How often the store has come back from an older copy, counted from 1. */
-  era = 1
+  /** How often the store has come back from an older copy. */
+  era = 0
 
   /** @returns the item, if it exists */
   get (key: string): StoredItem | undefined {
