Let the routing soak's store go back to an older copy

Change: a fault store-rollback in the routing soak, by a random stream of its own; in both soaks the store also loses revisions that nobody writes again.

--- a/packages/soak/src/common/routing/routingPlan.ts
+++ b/packages/soak/src/common/routing/routingPlan.ts
@@ -18,9 +18,16 @@
   /** The processes of all VMs are killed and restarted. */
   KillAll = 'kill-all',
   /** The store compacts its history and closes all watches. */
-  StoreCompact = 'compact'
+  StoreCompact = 'compact',
+  /** The store comes back from a copy as old as the step's duration, and its writers write again what was lost. */
+  StoreRollback = 'store-rollback'
 }
 
+/** Faults added later. By default they use a random stream of their own, so that seeds recorded earlier still result in the same other steps. */
+const LATER_FAULTS = [RoutingFault.StoreRollback]
+const EARLIER_FAULTS = Object.values(RoutingFault).filter((fault) => !LATER_FAULTS.includes(fault))
+const LATER_STREAM_SEED_OFFSET = 1_000_003
+
 /** A step of the plan. */
 export interface RoutingStep {
   readonly fault: RoutingFault
@@ -47,6 +54,7 @@
 const WARM_UP_MS = 3_000
 const RECOVERY_MS = 7_000
 const MEAN_STEP_GAP_MS = 6_000
+const LATER_STEP_GAP_MS = 18_000
 const MIN_STEP_MS = 1_500
 const MAX_STEP_MS = 6_500
 const MIN_ENTRY_RATIO = 0.15
@@ -69,19 +77,15 @@
   return min + (max - min) * random.next()
 }
 
-/**
- * @param seed seed of the random choices; equal arguments result in equal plans
- * @param seconds duration of the run
- * @param faults the faults to choose from
- * @returns the plan
- */
-export function planRouting (seed: number, seconds: number, faults: readonly RoutingFault[] = Object.values(RoutingFault)): RoutingPlan {
+function createRandom (seed: number): IRandomSource {
   const random = new SeededRandom(seed)
   for (let index = 0; index < DISCARDED_DRAWS; index++) random.next()
-  const untilMs = seconds * 1_000
-  const staleReadMs = random.next() < STALE_READ_RATIO ? MAX_STALE_READ_MS * random.next() : 0
+  return random
+}
+
+function buildSteps (faults: readonly RoutingFault[], gapMs: number, untilMs: number, random: IRandomSource): RoutingStep[] {
   const steps: RoutingStep[] = []
-  for (let atMs = WARM_UP_MS; atMs < untilMs - RECOVERY_MS; atMs += addJitter(random, MEAN_STEP_GAP_MS, STEP_JITTER_RATIO)) {
+  for (let atMs = WARM_UP_MS; atMs < untilMs - RECOVERY_MS; atMs += addJitter(random, gapMs, STEP_JITTER_RATIO)) {
     steps.push({
       fault: faults[Math.floor(random.next() * faults.length)]!,
       atMs,
@@ -90,6 +94,21 @@
       target: random.next()
     })
   }
+  return steps
+}
+
+/**
+ * @param seed seed of the random choices; equal arguments result in equal plans
+ * @param seconds duration of the run
+ * @param faults the faults to choose from; all by default
+ * @returns the plan
+ */
+export function planRouting (seed: number, seconds: number, faults?: readonly RoutingFault[]): RoutingPlan {
+  const random = createRandom(seed)
+  const untilMs = seconds * 1_000
+  const staleReadMs = random.next() < STALE_READ_RATIO ? MAX_STALE_READ_MS * random.next() : 0
+  const steps = buildSteps(faults ?? EARLIER_FAULTS, MEAN_STEP_GAP_MS, untilMs, random)
+  if (faults === undefined) steps.push(...buildSteps(LATER_FAULTS, LATER_STEP_GAP_MS, untilMs, createRandom(seed + LATER_STREAM_SEED_OFFSET)))
   const changesMs: number[] = []
   for (let atMs = 0; atMs < untilMs; atMs += chooseGap(random)) changesMs.push(atMs)
   for (const { atMs } of steps) changesMs.push(atMs + MAX_CHANGE_DELAY_MS * random.next())
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -64,6 +64,8 @@
 const MIN_WORKERS_PER_SERVICE = 2
 /** Within this time, the operator and the workers write again what the store has lost. */
 const MAX_REWRITE_DELAY_MS = 1_800
+/** Revisions that the store loses beyond those whose changes are written again. */
+const LOST_REVISIONS = 5
 
 function chooseAt<T> (list: readonly T[], fraction: number): T | undefined {
   return list[Math.floor(fraction * list.length)]
@@ -253,6 +255,7 @@
   [SoakStepKind.StoreRollback]: async (environment, step) => await runDisruption(environment, async () => {
     const { store } = environment.records
     const copy = store.state.createCopy()
+    store.writeUnchanged(LOST_REVISIONS)
     await waitFor(environment.clock, step.spanMs)
     const lost = store.state.createCopy()
     store.resetTo(copy)
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -229,6 +229,16 @@
     this.state.resetTo(copy, performance.now())
   }
 
+  /**
+   * Writes the registrations of workers once more as they are, so that the revision rises by changes that nobody
+   * has to write again after the store has gone back.
+   * @param count how many of them
+   */
+  writeUnchanged (count: number): void {
+    for (const { key, value } of this.state.list('servers/').slice(0, count)) this.state.put(key, value)
+    this.answerWatches()
+  }
+
   /**
    * Writes again what the operator and the workers had written or removed before the store went back,
    * unless they have written it since.
