Give up what a store has lost at all VMs alike, after the same time

Cause: a VM that took an era from another one kept the other's unconfirmed records for ever, as nobody writes or removes them in that era; and a record that the copy held in an older state was not removed by a later read that lacks it. Change: full updates say how much longer the sender keeps its unconfirmed records (class UnconfirmedRecords), and only records that the copy lacked may be missing from later reads. Evidence: two more tests of steering/entry/eraStart, which fail without either part.

--- a/packages/entry/src/common/recordLines.ts
+++ b/packages/entry/src/common/recordLines.ts
@@ -62,6 +62,7 @@
     gaps: z.array(z.object({ after: revisionSchema, until: revisionSchema })),
     written: z.array(recordSchema),
     removed: z.array(z.object({ key: z.string(), revision: revisionSchema })),
+    unconfirmed: z.optional(z.array(z.object({ key: z.string(), remainingMs: z.number().check(z.nonnegative()) }))),
     document: z.optional(documentSchema)
   }))
 })
--- a/packages/entry/src/node/replica/viewUpdater.ts
+++ b/packages/entry/src/node/replica/viewUpdater.ts
@@ -59,7 +59,8 @@
 
   /** @returns the update for a VM that has the given position; undefined if there is nothing new */
   readUpdateAfter (position: StorePosition): RecordUpdate | undefined {
-    return this.table.buildUpdateAfter(position)
+    const update = this.table.buildUpdateAfter(position)
+    return update?.isWhole === true ? { ...update, unconfirmed: this.table.unconfirmed.list(this.clock.now()) } : update
   }
 
   /**
--- a/packages/steering/src/common/entry/recordReplica.ts
+++ b/packages/steering/src/common/entry/recordReplica.ts
@@ -8,9 +8,8 @@
  *   disappear during an outage are kept until shortly after it.
  * - A late message from a peer could restore a record that the store has removed. So nothing
  *   with an older revision than the replica's own replaces anything.
- * - A store that comes back from an older copy lacks records that were acknowledged, and holds
- *   others that were replaced or removed. So what is known stays in force until its writer has
- *   written it again, or has had the time to; see {@link EraStart}.
+ * - A store that comes back from an older copy lacks acknowledged records, and holds others that
+ *   were replaced or removed. So what is known stays in force at first; see {@link EraStart}.
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, hasPassed, type Deadline } from '@umberspar/base/common/deadline'
@@ -21,6 +20,7 @@
 import { RemovalHistory } from './removalHistory.js'
 import { mayReregister, RemovalHold, REREGISTRATION_GRACE_MS } from './removalHold.js'
 import { NO_POSITION, type StorePosition } from './storePosition.js'
+import { UnconfirmedRecords } from './unconfirmedRecords.js'
 
 /** This entry VM's replica of the records, by key. */
 export class RecordReplica {
@@ -33,8 +33,7 @@
   private storePosition = NO_POSITION
   /** What was removed, and what the present era began with. */
   private readonly eraStart = new EraStart()
-  /** Keys of records that the store's older copy lacked, with when they are given up unless they are written again. */
-  private readonly unconfirmedUntil = new Map<string, Deadline>()
+  readonly unconfirmed = new UnconfirmedRecords()
   private readonly removalHold = new RemovalHold()
 
   /** @returns the position up to which everything is known */
@@ -42,14 +41,13 @@
     return this.storePosition
   }
 
-  /** @returns the revision of that position */
   get revision (): number {
     return this.storePosition.revision
   }
 
   /** @returns whether records are known that the store's older copy lacked, and that their writers may still write again */
   hasUnconfirmed (now: Instant): boolean {
-    return this.unconfirmedUntil.size > 0 && !hasPassed(this.eraStart.rewrittenBy, now)
+    return this.unconfirmed.size > 0 && !hasPassed(this.eraStart.rewrittenBy, now)
   }
 
   /**
@@ -99,7 +97,7 @@
     if (snapshot.revision < this.revision) return []
     this.removals.recordSnapshot(this.revision, snapshot.revision)
     const present = new Set(snapshot.records.map(({ key }) => key))
-    const missing = [...this.recordsByKey.keys()].filter((key) => !present.has(key) && !this.unconfirmedUntil.has(key))
+    const missing = [...this.recordsByKey.keys()].filter((key) => !present.has(key) && !this.unconfirmed.mayReturn(key))
     return this.mergeRecords({
       era: snapshot.era,
       revision: snapshot.revision,
@@ -109,9 +107,8 @@
   }
 
   /**
-   * Begins an era with the store's older copy, and keeps in force what is known beyond it. Known
-   * records get the revision of the copy: it is later than the copy's own records and earlier than
-   * whatever is written in the new era.
+   * Begins an era with the store's older copy. Known records get the revision of the copy, which is
+   * later than the copy's own records and earlier than whatever is written in the new era.
    */
   private startEra (copy: RecordSnapshot, now: Instant): RecordChange[] {
     const { era, revision } = copy
@@ -130,7 +127,7 @@
     this.heldRemovalsByKey.delete(known.key)
     if (copied !== undefined && !this.eraStart.isOlderCopy(known, copied)) {
       this.recordsByKey.delete(known.key)
-      this.unconfirmedUntil.delete(known.key)
+      this.unconfirmed.delete(known.key)
       const [change] = this.putRecord(copied)
       const isSame = JSON.stringify(known.value) === JSON.stringify(copied.value)
       return change === undefined || isSame ? [] : [{ record: copied, previous: known }]
@@ -141,7 +138,7 @@
     const rebased = { ...known, revision }
     this.recordsByKey.set(known.key, rebased)
     if (rebased.kind === RecordKind.Document) this.documentParts.putDocument(rebased.value, revision)
-    this.unconfirmedUntil.set(known.key, createDeadline(now, graceMs))
+    this.unconfirmed.put(known.key, createDeadline(now, graceMs))
     return []
   }
 
@@ -159,6 +156,9 @@
     if (era < this.storePosition.era || (update.isWhole && isSameEra && revision < this.revision)) return []
     if (!update.isWhole) return isSameEra || this.revision === 0 ? this.applyDelta(update, now) : undefined
     const changes = this.applySnapshot({ era, revision, records: update.written }, now)
+    for (const { key, remainingMs } of update.unconfirmed ?? []) {
+      if ((this.get(key)?.revision ?? Infinity) <= this.eraStart.revision) this.unconfirmed.put(key, createDeadline(now, remainingMs))
+    }
     return [...changes, ...update.removed.flatMap((removal) => this.removeRecord(removal, now))]
   }
 
@@ -231,13 +231,13 @@
    */
   applyDueRemovals (now: Instant): RecordChange[] {
     if (this.removalHold.isStoreLost) return []
-    const due = [...this.heldRemovalsByKey, ...this.unconfirmedUntil].filter(([, deadline]) => hasPassed(deadline, now))
-    return [...new Set(due.map(([key]) => key))].map((key) => this.deleteRecord(key))
+    const held = [...this.heldRemovalsByKey].filter(([, deadline]) => hasPassed(deadline, now)).map(([key]) => key)
+    return [...new Set([...held, ...this.unconfirmed.listDue(now)])].map((key) => this.deleteRecord(key))
   }
 
   /** @returns whether removals are held for {@link RecordReplica.applyDueRemovals} */
   get hasHeldRemovals (): boolean {
-    return this.heldRemovalsByKey.size > 0 || [...this.unconfirmedUntil.values()].some(Number.isFinite)
+    return this.heldRemovalsByKey.size > 0 || this.unconfirmed.hasDeadlines
   }
 
   /**
@@ -264,7 +264,7 @@
     const previous = this.recordsByKey.get(record.key)
     if (previous === undefined && this.eraStart.isKnownAsRemoved(record)) return []
     this.heldRemovalsByKey.delete(record.key)
-    if (record.revision > this.eraStart.revision) this.unconfirmedUntil.delete(record.key)
+    if (record.revision > this.eraStart.revision) this.unconfirmed.delete(record.key)
     this.removals.removeTombstone(record.key, record.revision)
     if (previous !== undefined && previous.revision >= record.revision) return []
     if (isOlderDocument(previous, record)) return []
@@ -277,7 +277,7 @@
   private deleteRecord (key: string): RecordChange {
     const previous = this.recordsByKey.get(key)
     this.heldRemovalsByKey.delete(key)
-    this.unconfirmedUntil.delete(key)
+    this.unconfirmed.delete(key)
     this.recordsByKey.delete(key)
     if (previous !== undefined) this.eraStart.recordRemoval(previous)
     return { record: undefined, previous }
--- a/packages/steering/test/common/entry/eraStart.test.ts
+++ b/packages/steering/test/common/entry/eraStart.test.ts
@@ -57,6 +57,33 @@
     assert.deepEqual(replica.list().map(({ key }) => key).sort(), ['document', 'servers/b'])
   })
 
+  it('that the copy held in an older state end when a later read lacks them', () => {
+    // Guards against workers that stay for ever because the copy held an older registration of theirs.
+    const replica = new RecordReplica()
+    replica.applySnapshot({ era: 1, revision: 70, records: [createWorker('a', 68, 4)] }, 0)
+    replica.applySnapshot({ era: 2, revision: 66, records: [createWorker('a', 61, 3)] }, 1)
+    replica.applySnapshot({ era: 2, revision: 90, records: [] }, LONG_AFTER_MS)
+    assert.equal(replica.get('servers/a'), undefined)
+  })
+
+  it('that one VM gives up unless they are written again end at the VMs that replicate from it, too', () => {
+    // Guards against workers and evacuations that stay for ever at VMs that do not read the store, or that end too soon there.
+    const reader = new RecordReplica()
+    reader.applySnapshot({ era: 1, revision: 70, records: [createWorker('a', 68, 4), createEvacuation('d', 69), createWorker('b', 69, 2)] }, 0)
+    reader.applySnapshot({ era: 2, revision: 66, records: [] }, 1)
+    const update = { ...reader.buildUpdateAfter({ era: 1, revision: 70 })!, unconfirmed: reader.unconfirmed.list(1_001) }
+    for (const known of [[], [createWorker('a', 68, 4), createEvacuation('d', 69)]]) {
+      const peer = new RecordReplica()
+      if (known.length > 0) peer.applySnapshot({ era: 1, revision: 70, records: known }, 0)
+      peer.applyUpdate(update, 1_100)
+      peer.applyChanges({ era: 2, revision: 67, written: [createWorker('b', 67, 3)], removed: [] }, 1_200)
+      assert.deepEqual(peer.applyDueRemovals(1_300), [])
+      assert.deepEqual(peer.applyDueRemovals(5_000).map(({ previous }) => previous?.key), ['servers/a'])
+      assert.deepEqual(peer.applyDueRemovals(LONG_AFTER_MS).map(({ previous }) => previous?.key), ['op/evacuate/d'])
+      assert.deepEqual(peer.list().map(({ key }) => key), ['servers/b'])
+    }
+  })
+
   it('are not taken from answers or peers of an earlier era', () => {
     const replica = new RecordReplica()
     replica.applySnapshot({ era: 2, revision: 66, records: [createDocument(8, 60)] }, 0)
