Give VMs that read only the older copy what others have kept, and prove nothing by it

Cause, two parts. A VM that had kept a configuration saw no change when it was written again as it was, so that VMs that replicate from it and had started with the older copy never got it, while their proof of freshness was renewed (steering/entry/eraStart, 'reach a VM that has read only the copy', failed before). And between a rollback and the repetition, the store's position proved records as fresh that lack what it had lost. Change: a kept configuration that is written again is sent in full; a proof is not renewed by requests to the store in the first 2.1 s after a VM has seen a new era. Evidence: that test, and freshnessProof.

--- a/packages/entry/src/node/replica/freshnessTracker.ts
+++ b/packages/entry/src/node/replica/freshnessTracker.ts
@@ -2,11 +2,15 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { FreshnessProof, type PositionReading } from '@umberspar/steering/common/entry/freshnessProof'
-import { hasReachedPosition, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
+import { hasReachedPosition, NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
+
+/** Within this time after the store came back from an older copy, its writers write again what it has lost. */
+const REWRITE_MS = 2_100
 
 /** Tracks the freshness of one process's records. */
 export class FreshnessTracker {
   private readonly freshness = new FreshnessProof()
+  private position = NO_POSITION
 
   /**
    * @param elapsed the clock of all instants here, which counts suspensions
@@ -27,12 +31,20 @@
 
   /** Records a read of the store's position. */
   recordReading (reading: PositionReading): void {
-    this.freshness.recordReading(reading, this.readPosition())
+    this.freshness.recordReading(reading, this.updatePosition())
   }
 
   /** Handles a new position of this VM's records. */
   handlePosition (): void {
-    this.freshness.handlePosition(this.readPosition())
+    this.freshness.handlePosition(this.updatePosition())
+  }
+
+  private updatePosition (): StorePosition {
+    const previous = this.position
+    this.position = this.readPosition()
+    const isEraStart = this.position.era !== previous.era && previous.revision > NO_POSITION.revision
+    if (isEraStart) this.freshness.startEra(this.elapsed.now() + REWRITE_MS)
+    return this.position
   }
 
   /**
--- a/packages/entry/src/node/replica/viewUpdater.ts
+++ b/packages/entry/src/node/replica/viewUpdater.ts
@@ -44,7 +44,7 @@
 
   /** @returns whether records are known that the store has lost and that have not been written again yet */
   get hasUnconfirmed (): boolean {
-    return this.table.hasUnconfirmed(this.clock.now())
+    return this.table.unconfirmed.hasAwaited(this.clock.now())
   }
 
   /** @returns for how much longer records that disappear are held back, in milliseconds */
--- a/packages/steering/src/common/entry/documentParts.ts
+++ b/packages/steering/src/common/entry/documentParts.ts
@@ -141,6 +141,16 @@
     this.parts = parts
   }
 
+  /**
+   * Forgets which parts changed when.
+   * @param revision VMs that know less than this need the complete configuration
+   */
+  clear (revision: number): void {
+    this.parts.clear()
+    this.tombstones.clear()
+    this.discardedRevision = revision
+  }
+
   /**
    * @param delta changes from a peer
    * @returns the later configuration; undefined if the delta does not fit the configuration
--- a/packages/steering/src/common/entry/eraStart.ts
+++ b/packages/steering/src/common/entry/eraStart.ts
@@ -3,8 +3,6 @@
  * copy is no word of the writers: an entry may be missing, replaced or present again in it only
  * because it is older. The writers write again what the store has lost.
  */
-import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import { RecordKind, type SteeringRecord, UpstreamState, type UpstreamRegistration } from './records.js'
 
 /** Limit on remembered removals of registrations. */
@@ -12,7 +10,7 @@
 /** Workers write their registrations again within about 2 s, and entry VMs as soon as they notice the era. */
 const REGISTRATION_GRACE_MS = 2_500
 /** For records that their writers write again, but not at once. */
-const REWRITE_GRACE_MS = 15_000
+export const REWRITE_GRACE_MS = 15_000
 
 /** How long a record that the copy lacks stays in force unless it is written again, by its kind, in milliseconds. */
 const GRACE_MS_BY_KIND: Readonly<Record<RecordKind, number>> = {
@@ -38,7 +36,6 @@
 /** The removals that are known, and the revision at which the present era began. */
 export class EraStart {
   private eraRevision = 0
-  private rewriteDeadline: Deadline = Number.NEGATIVE_INFINITY
   private readonly removedRegistrations = new Map<string, UpstreamRegistration>()
 
   /** @returns the revision of the copy; records with a later one were written in the present era */
@@ -46,18 +43,9 @@
     return this.eraRevision
   }
 
-  /** @returns when all writers have had the time to write again what the store has lost */
-  get rewrittenBy (): Deadline {
-    return this.rewriteDeadline
-  }
-
-  /**
-   * @param revision the revision of the copy that a new era begins with
-   * @param now the current time
-   */
-  start (revision: number, now: Instant): void {
+  /** @param revision the revision of the copy that a new era begins with */
+  start (revision: number): void {
     this.eraRevision = revision
-    this.rewriteDeadline = createDeadline(now, REWRITE_GRACE_MS)
   }
 
   /** @param key the key of a record that is in force from now on */
--- a/packages/steering/src/common/entry/freshnessProof.ts
+++ b/packages/steering/src/common/entry/freshnessProof.ts
@@ -20,12 +20,24 @@
 export class FreshnessProof {
   private latestProvenAt: Instant = Number.NEGATIVE_INFINITY
   private pendingReadings: PositionReading[] = []
+  /** Readings of requests that were sent before prove nothing. */
+  private trustedFrom: Instant = Number.NEGATIVE_INFINITY
 
   /** @returns an instant at which the records were the newest; negative infinity if none is known */
   get provenAt (): Instant {
     return this.latestProvenAt
   }
 
+  /**
+   * Begins an era of the store. What it had accepted and lost is unknown to it until the writers
+   * have written it again, so that its position proves nothing before.
+   * @param trustedFrom by when the writers have written again what was lost
+   */
+  startEra (trustedFrom: Instant): void {
+    this.trustedFrom = trustedFrom
+    this.pendingReadings = this.pendingReadings.filter(({ requestedAt }) => requestedAt >= trustedFrom)
+  }
+
   /**
    * Records a reading of the store's position. It proves something once all changes up to it
    * are known. A reading of an earlier era proves nothing about the records of a later one.
@@ -33,7 +45,7 @@
    * @param knownPosition position up to which changes are known
    */
   recordReading (reading: PositionReading, knownPosition: StorePosition): void {
-    this.pendingReadings.push(reading)
+    if (reading.requestedAt >= this.trustedFrom) this.pendingReadings.push(reading)
     if (this.pendingReadings.length > MAX_PENDING_READINGS) this.pendingReadings.shift()
     this.handlePosition(knownPosition)
   }
--- a/packages/steering/src/common/entry/recordReplica.ts
+++ b/packages/steering/src/common/entry/recordReplica.ts
@@ -41,14 +41,7 @@
     return this.storePosition
   }
 
-  get revision (): number {
-    return this.storePosition.revision
-  }
-
-  /** @returns whether records are known that the store's older copy lacked, and that their writers may still write again */
-  hasUnconfirmed (now: Instant): boolean {
-    return this.unconfirmed.size > 0 && !hasPassed(this.eraStart.rewrittenBy, now)
-  }
+  get revision (): number { return this.storePosition.revision }
 
   /**
    * Records that the store does not answer, or refuses this VM.
@@ -69,10 +62,7 @@
     for (const key of this.heldRemovalsByKey.keys()) this.heldRemovalsByKey.set(key, this.removalHold.deadline)
   }
 
-  /**
-   * @param now the current time
-   * @returns how much longer removals are held back, in milliseconds
-   */
+  /** @returns how much longer removals are held back, in milliseconds */
   getRemovalHoldMs (now: Instant): number {
     return this.removalHold.getRemainingMs(now)
   }
@@ -114,8 +104,10 @@
     const { era, revision } = copy
     if (this.revision > 0) this.removalHold.holdFor(now, REREGISTRATION_GRACE_MS)
     this.storePosition = { era, revision }
-    this.eraStart.start(revision, now)
+    this.eraStart.start(revision)
+    this.unconfirmed.startEra(now)
     this.removals.reset(revision)
+    this.documentParts.clear(revision)
     const copiedByKey = new Map(copy.records.map((record) => [record.key, record]))
     const replaced = this.list().flatMap((record) => this.mergeKnownRecord(record, copiedByKey.get(record.key), revision, now))
     const added = copy.records.filter(({ key }) => !this.recordsByKey.has(key)).flatMap((record) => this.putRecord(record))
@@ -156,9 +148,8 @@
     if (era < this.storePosition.era || (update.isWhole && isSameEra && revision < this.revision)) return []
     if (!update.isWhole) return isSameEra || this.revision === 0 ? this.applyDelta(update, now) : undefined
     const changes = this.applySnapshot({ era, revision, records: update.written }, now)
-    for (const { key, remainingMs } of update.unconfirmed ?? []) {
-      if ((this.get(key)?.revision ?? Infinity) <= this.eraStart.revision) this.unconfirmed.put(key, createDeadline(now, remainingMs))
-    }
+    const isOfCopy = (key: string): boolean => (this.get(key)?.revision ?? Infinity) <= this.eraStart.revision
+    for (const { key, remainingMs } of update.unconfirmed ?? []) if (isOfCopy(key)) this.unconfirmed.put(key, createDeadline(now, remainingMs))
     return [...changes, ...update.removed.flatMap((removal) => this.removeRecord(removal, now))]
   }
 
@@ -235,7 +226,7 @@
     return [...new Set([...held, ...this.unconfirmed.listDue(now)])].map((key) => this.deleteRecord(key))
   }
 
-  /** @returns whether removals are held for {@link RecordReplica.applyDueRemovals} */
+  /** @returns whether there are removals for {@link RecordReplica.applyDueRemovals} */
   get hasHeldRemovals (): boolean {
     return this.heldRemovalsByKey.size > 0 || this.unconfirmed.hasDeadlines
   }
@@ -264,16 +255,24 @@
     const previous = this.recordsByKey.get(record.key)
     if (previous === undefined && this.eraStart.isKnownAsRemoved(record)) return []
     this.heldRemovalsByKey.delete(record.key)
-    if (record.revision > this.eraStart.revision) this.unconfirmed.delete(record.key)
+    const isConfirmed = record.revision > this.eraStart.revision && this.unconfirmed.delete(record.key)
     this.removals.removeTombstone(record.key, record.revision)
     if (previous !== undefined && previous.revision >= record.revision) return []
-    if (isOlderDocument(previous, record)) return []
+    if (isOlderDocument(previous, record)) return isConfirmed ? this.confirmDocument(previous!, record.revision) : []
     this.recordsByKey.set(record.key, record)
     this.eraStart.recordWriting(record.key)
     if (record.kind === RecordKind.Document) this.documentParts.putDocument(record.value, record.revision)
     return [{ record, previous }]
   }
 
+  /** Peers that have only read the copy need the configuration, although it is no change here. */
+  private confirmDocument (known: SteeringRecord, revision: number): RecordChange[] {
+    this.recordsByKey.set(known.key, { ...known, revision })
+    this.documentParts.clear(revision)
+    if (known.kind === RecordKind.Document) this.documentParts.putDocument(known.value, revision)
+    return []
+  }
+
   private deleteRecord (key: string): RecordChange {
     const previous = this.recordsByKey.get(key)
     this.heldRemovalsByKey.delete(key)
--- a/packages/steering/src/common/entry/unconfirmedRecords.ts
+++ b/packages/steering/src/common/entry/unconfirmedRecords.ts
@@ -3,7 +3,8 @@
  * holds them in an older state, until their writers write them again or have had the time to.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import { type Deadline, getRemainingMs, hasPassed } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline, getRemainingMs, hasPassed } from '@umberspar/base/common/deadline'
+import { REWRITE_GRACE_MS } from './eraStart.js'
 import type { UnconfirmedRecord } from './recordUpdate.js'
 
 /** The unconfirmed records of one VM. */
@@ -11,9 +12,16 @@
   /** By key, when the record is given up; Infinity if the copy holds it in an older state, as the store then removes it. */
   private readonly deadlines = new Map<string, Deadline>()
 
-  /** @returns the number of unconfirmed records */
-  get size (): number {
-    return this.deadlines.size
+  private rewrittenBy: Deadline = Number.NEGATIVE_INFINITY
+
+  /** @param now when the store's older copy was read */
+  startEra (now: Instant): void {
+    this.rewrittenBy = createDeadline(now, REWRITE_GRACE_MS)
+  }
+
+  /** @returns whether there are unconfirmed records that their writers may still write again */
+  hasAwaited (now: Instant): boolean {
+    return this.deadlines.size > 0 && !hasPassed(this.rewrittenBy, now)
   }
 
   /** @returns whether some records are given up unless they are written again */
@@ -26,9 +34,12 @@
     this.deadlines.set(key, deadline)
   }
 
-  /** @param key the key of a record that was written again or removed */
-  delete (key: string): void {
-    this.deadlines.delete(key)
+  /**
+   * @param key the key of a record that was written again or removed
+   * @returns whether it was unconfirmed
+   */
+  delete (key: string): boolean {
+    return this.deadlines.delete(key)
   }
 
   /** @returns whether the store may lack the record only because it was not written again yet */
--- a/packages/steering/test/common/entry/eraStart.test.ts
+++ b/packages/steering/test/common/entry/eraStart.test.ts
@@ -84,6 +84,18 @@
     }
   })
 
+  it('reach a VM that has read only the copy as soon as the operator writes its configuration again', () => {
+    // Guards against VMs that keep an older configuration, since the one that their source has kept is no change to it.
+    const reader = new RecordReplica()
+    reader.applySnapshot({ era: 1, revision: 70, records: [createDocument(19, 70)] }, 0)
+    reader.applySnapshot({ era: 2, revision: 66, records: [createDocument(8, 60)] }, 1)
+    const started = new RecordReplica()
+    started.applySnapshot({ era: 2, revision: 66, records: [createDocument(8, 60)] }, 1)
+    reader.applyChanges({ era: 2, revision: 67, written: [createDocument(19, 67)], removed: [] }, 2)
+    started.applyUpdate(reader.buildUpdateAfter(started.position)!, 3)
+    assert.equal(getVersion(started), 19)
+  })
+
   it('are not taken from answers or peers of an earlier era', () => {
     const replica = new RecordReplica()
     replica.applySnapshot({ era: 2, revision: 66, records: [createDocument(8, 60)] }, 0)
@@ -108,14 +120,15 @@
 
   it('never return to an older configuration, and end equal at all VMs, however often the store goes back', () => {
     // One VM reads the store, another replicates from it; the store goes back, and the operator writes its newest configuration again.
-    const action = fc.constantFrom('write', 'copy', 'roll back', 'read', 'watch', 'replicate')
+    const action = fc.constantFrom('write', 'write again', 'copy', 'roll back', 'read', 'watch', 'replicate', 'restart')
     fc.assert(fc.property(fc.array(action, { maxLength: 80 }), (list) => {
       let store = { era: 1, revision: 1, version: 1, at: 1 }
       let copy = store
       let newest = 1
       const reader = new RecordReplica()
-      const peer = new RecordReplica()
-      const readStore = (): void => { reader.applySnapshot({ era: store.era, revision: store.revision, records: [createDocument(store.version, store.at)] }, 0) }
+      let peer = new RecordReplica()
+      const readSnapshot = () => ({ era: store.era, revision: store.revision, records: [createDocument(store.version, store.at)] })
+      const readStore = (): void => { reader.applySnapshot(readSnapshot(), 0) }
       const update = (): void => {
         const news = reader.buildUpdateAfter(peer.position)
         if (news !== undefined && peer.applyUpdate(news, 0) === undefined) peer.applyUpdate(reader.buildUpdateAfter({ era: 0, revision: 0 })!, 0)
@@ -125,6 +138,11 @@
           newest++
           store = { ...store, revision: store.revision + 1, version: newest, at: store.revision + 1 }
         },
+        'write again': () => { store = { ...store, revision: store.revision + 1, version: newest, at: store.revision + 1 } },
+        restart: () => {
+          peer = new RecordReplica()
+          peer.applySnapshot(readSnapshot(), 0)
+        },
         copy: () => { copy = store },
         'roll back': () => { store = { ...copy, era: store.era + 1 } },
         read: readStore,
@@ -141,7 +159,7 @@
         assert.ok(getVersion(reader) >= known)
         known = getVersion(reader)
       }
-      actions.write()
+      actions['write again']()
       actions.watch()
       update()
       assert.deepEqual([getVersion(reader), getVersion(peer)], [newest, newest])
--- a/packages/steering/test/common/entry/freshnessProof.test.ts
+++ b/packages/steering/test/common/entry/freshnessProof.test.ts
@@ -52,6 +52,19 @@
     proof.recordReading({ requestedAt: 1_400, position: { era: 1, revision: 66 } }, { era: 2, revision: 67 })
     assert.equal(proof.getAgeMs(1_500), 500)
   })
+
+  // Guards against revoked keys that run at VMs which had not read the revocation when the store lost it.
+  it('takes nothing from readings before the writers have written again what was lost', () => {
+    const proof = new FreshnessProof()
+    proof.recordReading({ requestedAt: 1_000, position: { era: 1, revision: 70 } }, { era: 1, revision: 70 })
+    proof.recordReading({ requestedAt: 1_900, position: { era: 2, revision: 66 } }, { era: 1, revision: 70 })
+    proof.startEra(4_000)
+    proof.handlePosition({ era: 2, revision: 66 })
+    for (const requestedAt of [2_000, 3_999]) proof.recordReading({ requestedAt, position: { era: 2, revision: 66 } }, { era: 2, revision: 66 })
+    assert.equal(proof.getAgeMs(5_000), 4_000)
+    proof.recordReading({ requestedAt: 4_000, position: { era: 2, revision: 66 } }, { era: 2, revision: 66 })
+    assert.equal(proof.getAgeMs(5_000), 1_000)
+  })
 })
 
 describe('the clock of a peer', () => {
