--- a/packages/steering/src/common/entry/eraStart.ts
+++ b/packages/steering/src/common/entry/eraStart.ts
@@ -1,7 +1,7 @@
 /**
- * Decides what the older copy that a store came back from says about records that are known. The
- * copy is no word of the writers: an entry may be missing, replaced or present again in it only
- * because it is older. The writers write again what the store has lost.
+ * Decides what the older copy that a store came back from says about records that are known. An
+ * entry may be missing, replaced or present again in the copy only because it is older, not because
+ * its writer decided so. The writers write again what the store has lost.
  */
 import { RecordKind, type SteeringRecord, UpstreamState, type UpstreamRegistration } from './records.js'
 
--- a/packages/steering/test/common/entry/eraStart.test.ts
+++ b/packages/steering/test/common/entry/eraStart.test.ts
@@ -37,7 +37,7 @@
     assert.deepEqual(replica.position, { era: 2, revision: 66 })
   })
 
-  it('follow the writers\' next word, also at revisions that were given out before', () => {
+  it('follow what the writers write next, also at revisions that were given out before', () => {
     const replica = new RecordReplica()
     replica.applySnapshot({ era: 1, revision: 70, records: [createDocument(19, 70), createWorker('a', 68, 4, UpstreamState.Draining), createEvacuation('d', 69)] }, 0)
     replica.applySnapshot({ era: 2, revision: 66, records: [createDocument(8, 60), createWorker('a', 61, 3), createEvacuation('d', 64)] }, 1)
