Share the soaks' rollback of the store, and list the later random streams in a table

Both soaks had the same eight lines and two constants for a store that goes back; one function serves both. Three streams of steps that came later differed in kinds, seed offset and gap only.

--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -77,16 +77,13 @@
 }
 
 const PLANNED_KINDS = [SoakStepKind.EntryStop, SoakStepKind.EntryReload, SoakStepKind.WorkerDrain, SoakStepKind.ConfigurationChange, SoakStepKind.Evacuation]
-/** Kinds added later. They use a random stream of their own, so that seeds recorded earlier still result in the same steps of the other kinds. */
-const SECOND_STREAM_KINDS = [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite]
-const THIRD_STREAM_KINDS = [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause]
-const FOURTH_STREAM_KINDS = [SoakStepKind.StoreRollback]
-const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !SECOND_STREAM_KINDS.includes(kind) && !THIRD_STREAM_KINDS.includes(kind) && !FOURTH_STREAM_KINDS.includes(kind))
-const SECOND_STREAM_SEED_OFFSET = 1_000_003
-const THIRD_STREAM_SEED_OFFSET = 2_000_003
-const FOURTH_STREAM_SEED_OFFSET = 3_000_003
-const LATER_STREAM_GAP_MS = 2_500
-const ROLLBACK_GAP_MS = 6_000
+/** Kinds added later. They use random streams of their own, so that seeds recorded earlier still result in the same steps of the other kinds. */
+const LATER_STREAMS: ReadonlyArray<{ readonly kinds: readonly SoakStepKind[], readonly seedOffset: number, readonly gapMs: number }> = [
+  { kinds: [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite], seedOffset: 1_000_003, gapMs: 2_500 },
+  { kinds: [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause], seedOffset: 2_000_003, gapMs: 2_500 },
+  { kinds: [SoakStepKind.StoreRollback], seedOffset: 3_000_003, gapMs: 6_000 }
+]
+const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_STREAMS.some(({ kinds }) => kinds.includes(kind)))
 
 /** Time without steps at the start of the run, and at its end, for recovery. */
 const WARM_UP_MS = 2_000
@@ -137,15 +134,11 @@
   const random = new SeededRandom(seed)
   const untilMs = seconds * 1_000
   const phases = buildPhases(untilMs)
-  const secondRandom = new SeededRandom(seed + SECOND_STREAM_SEED_OFFSET)
   const faultPhases = phases.filter(({ isPlanned }) => !isPlanned)
-  const thirdRandom = new SeededRandom(seed + THIRD_STREAM_SEED_OFFSET)
-  const fourthRandom = new SeededRandom(seed + FOURTH_STREAM_SEED_OFFSET)
-  const steps = [
-    ...phases.flatMap((phase) => buildSteps(phase, random)),
-    ...faultPhases.flatMap((phase) => addSteps(phase, SECOND_STREAM_KINDS, LATER_STREAM_GAP_MS, secondRandom)),
-    ...faultPhases.flatMap((phase) => addSteps(phase, THIRD_STREAM_KINDS, LATER_STREAM_GAP_MS, thirdRandom)),
-    ...faultPhases.flatMap((phase) => addSteps(phase, FOURTH_STREAM_KINDS, ROLLBACK_GAP_MS, fourthRandom))
-  ]
+  const laterSteps = LATER_STREAMS.flatMap(({ kinds, seedOffset, gapMs }) => {
+    const streamRandom = new SeededRandom(seed + seedOffset)
+    return faultPhases.flatMap((phase) => addSteps(phase, kinds, gapMs, streamRandom))
+  })
+  const steps = [...phases.flatMap((phase) => buildSteps(phase, random)), ...laterSteps]
   return { phases, steps, untilMs }
 }
--- a/packages/soak/src/node/routing/routingSteps.ts
+++ b/packages/soak/src/node/routing/routingSteps.ts
@@ -6,6 +6,7 @@
 import { waitFor } from '@umberspar/testing/node/waiting'
 import type { DisruptionLog } from '../../common/routing/disruptionLog.js'
 import { RoutingFault, type RoutingStep } from '../../common/routing/routingPlan.js'
+import { runStoreRollback } from '../storeRollback.js'
 import type { RoutingEntry } from './routingEntries.js'
 
 /** The objects that steps act on. */
@@ -64,10 +65,6 @@
 
 /** The platform restarts exited processes after a short delay like this. */
 const RESTART_DELAY_MS = 500
-/** Within this time, the operator and the workers write again what the store has lost. */
-const MAX_REWRITE_DELAY_MS = 1_800
-/** Revisions that the store loses beyond those whose changes are written again. */
-const LOST_REVISIONS = 5
 
 const HANDLERS: Readonly<Record<RoutingFault, StepHandler>> = {
   [RoutingFault.ConnectionsStalled]: async (environment) => {
@@ -131,15 +128,7 @@
   },
   [RoutingFault.StoreRollback]: async (environment, step) => {
     await runDisruption(environment, [undefined], async () => {
-      const { store } = environment.records
-      const copy = store.state.createCopy()
-      store.writeUnchanged(LOST_REVISIONS)
-      await waitFor(environment.clock, step.spanMs)
-      environment.setChangesPaused(true)
-      const lost = store.state.createCopy()
-      store.resetTo(copy)
-      await waitFor(environment.clock, MAX_REWRITE_DELAY_MS * step.share)
-      store.writeAgain(lost, copy)
+      await runStoreRollback(environment.clock, environment.records.store, step.spanMs, step.share, () => { environment.setChangesPaused(true) })
       environment.setChangesPaused(false)
     })
   }
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -10,6 +10,7 @@
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
 import type { SoakChecker } from './soakChecker.js'
 import type { SoakWorker, SoakWorkers } from './soakWorkers.js'
+import { runStoreRollback } from './storeRollback.js'
 
 /** The objects that steps act on. */
 export interface SoakEnvironment {
@@ -62,10 +63,6 @@
 const LARGE_CONFIGURATION_MIN_TARGET = 0.7
 const LARGE_CONFIGURATION_ROUTES = 1_500
 const MIN_WORKERS_PER_SERVICE = 2
-/** Within this time, the operator and the workers write again what the store has lost. */
-const MAX_REWRITE_DELAY_MS = 1_800
-/** Revisions that the store loses beyond those whose changes are written again. */
-const LOST_REVISIONS = 5
 
 function chooseAt<T> (list: readonly T[], fraction: number): T | undefined {
   return list[Math.floor(fraction * list.length)]
@@ -253,14 +250,7 @@
     return true
   }),
   [SoakStepKind.StoreRollback]: async (environment, step) => await runDisruption(environment, async () => {
-    const { store } = environment.records
-    const copy = store.state.createCopy()
-    store.writeUnchanged(LOST_REVISIONS)
-    await waitFor(environment.clock, step.spanMs)
-    const lost = store.state.createCopy()
-    store.resetTo(copy)
-    await waitFor(environment.clock, MAX_REWRITE_DELAY_MS * step.variant)
-    store.writeAgain(lost, copy)
+    await runStoreRollback(environment.clock, environment.records.store, step.spanMs, step.variant)
     return true
   })
 }
