Tell an era's start by one function, and drop a check that can't fail

The freshness tracker and the view updater each compared eras and revisions in the same way; isEraStart serves both. A known record is never remembered as removed, so that putting the copy's record in its place always yields a change. The era and revision of lines between VMs are one shape. No behaviour changes.

--- a/packages/entry/src/common/recordLines.ts
+++ b/packages/entry/src/common/recordLines.ts
@@ -33,8 +33,8 @@
   readonly proofAgeMs?: number | undefined
 }
 
-const eraSchema = z.int().check(z.nonnegative())
 const revisionSchema = z.int().check(z.nonnegative())
+const positionShape = { era: z.int().check(z.nonnegative()), revision: revisionSchema }
 const recordSchema = z.looseObject({ kind: z.string(), key: z.string(), revision: revisionSchema })
 const documentPartsSchema = z.array(z.looseObject({}))
 const namesSchema = z.array(z.string())
@@ -50,14 +50,12 @@
 })
 const recordLineSchema = z.object({
   via: z.optional(z.array(z.string())),
-  era: eraSchema,
-  revision: revisionSchema,
+  ...positionShape,
   holdMs: z.number().check(z.nonnegative()),
   clockMs: z.number(),
   proofAgeMs: z.optional(z.number().check(z.nonnegative())),
   news: z.optional(z.object({
-    era: eraSchema,
-    revision: revisionSchema,
+    ...positionShape,
     isWhole: z.boolean(),
     gaps: z.array(z.object({ after: revisionSchema, until: revisionSchema })),
     written: z.array(recordSchema),
--- a/packages/entry/src/node/replica/freshnessTracker.ts
+++ b/packages/entry/src/node/replica/freshnessTracker.ts
@@ -2,7 +2,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { FreshnessProof, type PositionReading } from '@umberspar/steering/common/entry/freshnessProof'
-import { hasReachedPosition, NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
+import { hasReachedPosition, isEraStart, NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 
 /** Within this time after the store came back from an older copy, its writers write again what it has lost. */
 const REWRITE_MS = 2_100
@@ -42,8 +42,7 @@
   private updatePosition (): StorePosition {
     const previous = this.position
     this.position = this.readPosition()
-    const isEraStart = this.position.era !== previous.era && previous.revision > NO_POSITION.revision
-    if (isEraStart) this.freshness.startEra(this.elapsed.now() + REWRITE_MS)
+    if (isEraStart(previous, this.position)) this.freshness.startEra(this.elapsed.now() + REWRITE_MS)
     return this.position
   }
 
--- a/packages/entry/src/node/replica/viewUpdater.ts
+++ b/packages/entry/src/node/replica/viewUpdater.ts
@@ -5,7 +5,7 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { RecordChange, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
-import { NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
+import { isEraStart, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import type { RecordUpdate } from '@umberspar/steering/common/entry/recordUpdate'
 import { RecordReplica } from '@umberspar/steering/common/entry/recordReplica'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
@@ -124,10 +124,10 @@
     this.holdTimer?.close()
   }
 
-  private logEra ({ era: previousEra, revision: previousRevision }: StorePosition): void {
+  private logEra (previous: StorePosition): void {
     const { era, revision } = this.table.position
-    if (era === previousEra || previousRevision === NO_POSITION.revision) return
-    this.telemetry.logger.log(LogLevel.Warn, { step: 'begin-era', peer: 'store', era, previousEra, revision }, 'the store has come back from an older copy')
+    if (!isEraStart(previous, this.table.position)) return
+    this.telemetry.logger.log(LogLevel.Warn, { step: 'begin-era', peer: 'store', era, previousEra: previous.era, revision }, 'the store has come back from an older copy')
     this.logEvent({ change: ViewChange.EraBegan, subject: String(era), revision })
   }
 
--- a/packages/steering/src/common/entry/recordReplica.ts
+++ b/packages/steering/src/common/entry/recordReplica.ts
@@ -33,6 +33,7 @@
   private storePosition = NO_POSITION
   /** What was removed, and what the present era began with. */
   private readonly eraStart = new EraStart()
+  /** Records that the store has lost, until they are confirmed or given up. */
   readonly unconfirmed = new UnconfirmedRecords()
   private readonly removalHold = new RemovalHold()
 
@@ -120,9 +121,9 @@
     if (copied !== undefined && !this.eraStart.isOlderCopy(known, copied)) {
       this.recordsByKey.delete(known.key)
       this.unconfirmed.delete(known.key)
-      const [change] = this.putRecord(copied)
+      this.putRecord(copied)
       const isSame = JSON.stringify(known.value) === JSON.stringify(copied.value)
-      return change === undefined || isSame ? [] : [{ record: copied, previous: known }]
+      return isSame ? [] : [{ record: copied, previous: known }]
     }
     // The store removes what it holds in an older state when its writer has gone.
     const graceMs = copied === undefined ? getRewriteGraceMs(known) : Infinity
--- a/packages/steering/src/common/entry/storePosition.ts
+++ b/packages/steering/src/common/entry/storePosition.ts
@@ -31,3 +31,12 @@
 export function isLaterPosition (position: StorePosition, other: StorePosition): boolean {
   return position.era === other.era ? position.revision > other.revision : position.era > other.era
 }
+
+/**
+ * @param previous the position that a VM had
+ * @param position the position that it has now
+ * @returns whether the store has come back from an older copy in between
+ */
+export function isEraStart (previous: StorePosition, position: StorePosition): boolean {
+  return position.era !== previous.era && previous.revision > NO_POSITION.revision
+}
