--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -26,6 +26,7 @@
 import type { EntryContext } from './front/entryContext.js'
 import { CallerServer } from './front/callerServer.js'
 import { HeaderRewriter } from './front/headerRewriter.js'
+import { EventLoopMonitor } from './eventLoop/eventLoopMonitor.js'
 import { createLookupHandler, METRICS_CONTENT_TYPE, NOT_READY_RESPONSE, EndpointServer, READY_RESPONSE } from './lookup/endpointServer.js'
 import { RequestQuarantine } from './quarantine/requestQuarantine.js'
 import { AccountQuotas } from './quota/accountQuotas.js'
@@ -75,6 +76,7 @@
   private readonly quarantine: RequestQuarantine
   private readonly pools: UpstreamPools
   private readonly telemetry: EntryTelemetry
+  private readonly eventLoop: EventLoopMonitor
   private readonly node: EntryNode
   private readonly regionByDomain: ReadonlyMap<string, string>
   private isDraining = false
@@ -89,6 +91,7 @@
     const roundTrips = new DomainRoundTrips(settings.domain, this.regionByDomain)
     this.node = { name: settings.node, address: settings.listen.callers, peerAddress: settings.listen.peers, domain: settings.domain, linkMbps: settings.linkMbps }
     this.telemetry = new EntryTelemetry(logger, metrics)
+    this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
@@ -110,6 +113,7 @@
     }
     await this.callerServer.listen(settings.listen.callers)
     this.telemetry.logger.log(LogLevel.Info, { step: 'start', node: settings.node, domain: settings.domain, callers: settings.listen.callers, readiness: protocol.readinessPath }, 'entry process started')
+    this.eventLoop.start()
     registration.start()
     this.synchronizer.start()
   }
@@ -241,7 +245,7 @@
 
   private buildGauges (): EntryGauges {
     const { clock } = this.dependencies
-    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, isReady: () => this.isReady() })
+    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, isReady: () => this.isReady() })
   }
 
   private buildLookupHandler () {
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -8,6 +8,7 @@
 import type { CallerServer } from '../front/callerServer.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
+import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { GaugeSource } from './entryMetrics.js'
 
 /** The value of unknown ages, since a gauge always has a value. */
@@ -23,6 +24,7 @@
   readonly quotas: AccountQuotas
   readonly quarantine: RequestQuarantine
   readonly callerServer: CallerServer
+  readonly eventLoop: EventLoopMonitor
   isReady(): boolean
 }
 
@@ -41,12 +43,13 @@
   }
 
   readGauges (): Readonly<Record<string, number>> {
-    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, isReady } = this.dependencies
+    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, eventLoop, isReady } = this.dependencies
     const now = clock.now()
     const { quarantined, suspects } = quarantine.readCounts()
     const { ageMs, era, revision } = viewUpdater.getRecordsAge()
     return {
       requests_open: callerServer.inFlightRequests,
+      event_loop_delay_seconds: eventLoop.takeLongestDelayMs() / MS_PER_SECOND,
       records_age_seconds: toSeconds(ageMs),
       records_proof_age_seconds: toSeconds(synchronizer.freshness.getAgeMs()),
       records_era: era,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -151,6 +151,11 @@
     this.logger.log(LogLevel.Info, { step: 'cool-down-worker', peer: worker, service, coolDownMs: Math.round(coolDownMs) }, 'worker asked for a cool-down')
   }
 
+  /** Logs that the event loop was late, so that requests and closed connections were read late. */
+  logEventLoopDelay (delayMs: number): void {
+    this.logger.log(LogLevel.Warn, { step: 'delay-event-loop', delayMs: Math.round(delayMs) }, 'event loop was late')
+  }
+
   /** Warns about routes whose kind this version doesn't know. */
   logUnknownKinds ({ version, routes }: SteeringDocument): void {
     const unknownRoutes = routes.filter(({ kind }) => kind === RouteKind.Unknown).map(({ name }) => name)
