Send nothing of what was read late before its caller's end has been read

Callers saw: work went on for callers that had left.

Cause: a request counted as arrived when its head had been parsed, and went to a worker in the same turn of the event loop. When a turn takes long (a burst on a small share of a core, garbage collection, a large configuration, a suspended machine), requests wait in the kernel with the end of their connections behind them, which is read a turn later. The same holds for a connection to a worker that opens in a late turn. Class: acting on an input as if it were from the present, though its age isn't known.

Change: EventLoopMonitor knows until when everything has been read. What is read late counts from the earliest instant at which it may have arrived; requests read late wait for one more poll of all sockets, and nothing is sent to a worker while the last poll was more than 200 ms ago. The end of a caller's sending side is handled at once, no longer when Node.js has closed the connection. A request whose deadline has passed is refused before a worker is chosen and before it is sent. Deferred work runs for 5 ms a turn, so that connections go on being accepted. In a usual turn nothing is deferred; it costs two readings of the clock a request and one timer each 50 ms.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -28,6 +28,7 @@
 import { HeaderRewriter } from './front/headerRewriter.js'
 import { EventLoopMonitor } from './eventLoop/eventLoopMonitor.js'
 import { createLookupHandler, METRICS_CONTENT_TYPE, NOT_READY_RESPONSE, EndpointServer, READY_RESPONSE } from './lookup/endpointServer.js'
+import { ServingNodes } from './lookup/servingNodes.js'
 import { RequestQuarantine } from './quarantine/requestQuarantine.js'
 import { AccountQuotas } from './quota/accountQuotas.js'
 import { QUOTA_PATH } from './quota/quotaMessages.js'
@@ -75,6 +76,7 @@
   readonly quotas: AccountQuotas
   private readonly quarantine: RequestQuarantine
   private readonly pools: UpstreamPools
+  private readonly servingNodes: ServingNodes
   private readonly telemetry: EntryTelemetry
   private readonly eventLoop: EventLoopMonitor
   private readonly node: EntryNode
@@ -94,6 +96,7 @@
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
+    this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
@@ -207,6 +210,7 @@
     return {
       clock,
       random,
+      eventLoop: this.eventLoop,
       protocol,
       headerRewriter: new HeaderRewriter(protocol.headers),
       view: this.view,
@@ -228,7 +232,7 @@
     const { settings, protocol } = this.dependencies
     const { listen } = settings
     const endpoints = [
-      { address: listen.readiness, path: protocol.readinessPath, handler: () => this.isReady() ? READY_RESPONSE : NOT_READY_RESPONSE },
+      { address: listen.readiness, path: protocol.readinessPath, handler: () => this.servingNodes.isReady() ? READY_RESPONSE : NOT_READY_RESPONSE },
       { address: listen.lookups, path: protocol.lookupPath, handler: this.buildLookupHandler() },
       { address: listen.peers, path: QUOTA_PATH, handler: this.quotas.createPeerHandler() },
       { address: listen.metrics, path: METRICS_PATH, handler: async () => ({ status: 200, contentType: METRICS_CONTENT_TYPE, body: await this.dependencies.metrics.read(this.buildGauges()) }) }
@@ -245,32 +249,16 @@
 
   private buildGauges (): EntryGauges {
     const { clock } = this.dependencies
-    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, isReady: () => this.isReady() })
+    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, isReady: () => this.servingNodes.isReady() })
   }
 
   private buildLookupHandler () {
     const cacheMs = Math.min(MAX_LOOKUP_CACHE_MS, this.dependencies.settings.longestLookupCache)
     return createLookupHandler(this.dependencies.protocol, (region, domain) => {
-      return { addresses: chooseEntryVms(this.listServingNodes(), { region, domain }, this.regionByDomain), cacheMs }
+      return { addresses: chooseEntryVms(this.servingNodes.list(), { region, domain }, this.regionByDomain), cacheMs }
     }, (hasAddresses) => { this.telemetry.metrics.countLookup(hasAddresses ? 'named' : 'none') })
   }
 
-  /** The registered VMs. Whether this VM is listed depends on its own state, as its record in the store may lag behind. */
-  private listServingNodes (): EntryNode[] {
-    // Without a configuration, the other VMs have none either, or this VM's records are too incomplete to choose among them.
-    if (this.view.document === undefined) return []
-    const others = [...this.view.nodes.values()].filter(({ name }) => name !== this.node.name)
-    return this.isReady() ? [...others, this.node] : others
-  }
-
-  private isReady (): boolean {
-    if (this.isDraining || this.view.document === undefined || !this.accessController.canAdmitKeys) return false
-    for (const { isDraining } of this.view.listTrackers()) {
-      if (!isDraining) return true
-    }
-    return false
-  }
-
   private handleChange (event: ViewEvent): void {
     const { change, subject } = event
     if (change === ViewChange.EraBegan) this.dependencies.registration.checkLease()
--- a/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
+++ b/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
@@ -4,7 +4,8 @@
  * A turn of the event loop polls all sockets once. While a turn takes long, requests wait in the
  * kernel, and so does the end of a connection whose caller left. Node.js passes on a request before
  * it reads the end of the connection behind it, so that a late process would work for callers that
- * are gone.
+ * are gone. It also accepts one connection in each turn only, so that connections which came during
+ * a delay are accepted long after it.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
@@ -28,10 +29,22 @@
 const MARK_INTERVAL_MS = 50
 /** Longer times without a poll are delays. Must exceed the interval by what a quota of the processor may withhold at a time. */
 const MAX_USUAL_DELAY_MS = 200
-/** A connection that waited is accepted in one poll, its request is read in the next one, and its end in a third. */
+/** Polls after a delay in which what arrived meanwhile is read: a body may take more than one. */
 const POLLS_AFTER_DELAY = 3
-/** Deferred work per turn: longer turns would be delays themselves. */
-const MAX_DEFERRED_WORK_MS = 50
+/** A connection is accepted in one poll, and the request that waited on it is read in the next one. */
+const POLLS_UNTIL_FIRST_REQUEST = 2
+/** Connections that waited longer to be accepted count as if they had waited this long: most of their callers have left. */
+const MAX_ACCEPT_DELAY_MS = 1_000
+/** Deferred work per turn. Short turns, as each one accepts one connection. */
+const MAX_DEFERRED_WORK_MS = 5
+
+/** A connection that waited to be accepted. */
+export interface LateConnection {
+  /** When it may have been opened at the earliest, on the monotonic clock. */
+  readonly openedAt: Instant
+  /** Number of the poll up to which a request that waited on it has been read. */
+  readonly readWithPoll: number
+}
 
 /** The event loop of this process. */
 export class EventLoopMonitor implements IClosable {
@@ -44,6 +57,10 @@
   private delayedSince: Instant | undefined
   private delayMs = 0
   private pollsLeft = 0
+  /** When the connections that still wait to be accepted may have been opened at the earliest; undefined if none wait. */
+  private backlogSince: Instant | undefined
+  private hasAccepted = false
+  private polls = 0
   private isPollExpected = false
   private isClosed = false
   private timer: ITimer | undefined
@@ -74,17 +91,39 @@
     return longestDelayMs
   }
 
-  /** @returns when what is read now may have arrived at the earliest, on the monotonic clock; the present instant unless the event loop is late */
-  getEarliestArrival (): Instant {
+  /**
+   * Records that a connection was accepted.
+   * @returns what is known of it if it may have waited for that; undefined if it was accepted in time
+   */
+  acceptConnection (): LateConnection | undefined {
+    const { clock, elapsed } = this.options
+    const now = elapsed.now()
+    this.checkDelay(now)
+    this.hasAccepted = true
+    if (this.backlogSince === undefined) return undefined
+    const waitedMs = Math.min(MAX_ACCEPT_DELAY_MS, now - this.backlogSince)
+    return { openedAt: clock.now() - waitedMs, readWithPoll: this.polls + POLLS_UNTIL_FIRST_REQUEST }
+  }
+
+  /**
+   * @param connection what is known of the connection if it was accepted late
+   * @returns when what is read from a connection now may have arrived at the earliest, on the monotonic
+   *   clock; the present instant unless the event loop is late
+   */
+  getEarliestArrival (connection?: LateConnection): Instant {
     const now = this.options.elapsed.now()
     this.checkDelay(now)
-    return this.options.clock.now() - (this.delayedSince === undefined ? 0 : now - this.delayedSince)
+    const arrivedAt = this.options.clock.now() - (this.delayedSince === undefined ? 0 : now - this.delayedSince)
+    const hasWaited = connection !== undefined && this.polls <= connection.readWithPoll
+    return hasWaited ? Math.min(arrivedAt, connection.openedAt) : arrivedAt
   }
 
-  /** Runs a function at once, or after the next poll if the event loop is late. */
-  runAfterDelay (callback: () => void): void {
-    this.checkDelay(this.options.elapsed.now())
-    if (this.delayedSince === undefined) callback()
+  /**
+   * Runs a function at once; for something that arrived some time ago, after the next poll.
+   * @param arrivedAt from {@link EventLoopMonitor.getEarliestArrival}
+   */
+  runWhenRead (arrivedAt: Instant, callback: () => void): void {
+    if (this.options.clock.now() - arrivedAt <= MAX_USUAL_DELAY_MS) callback()
     else this.runAfterPoll(callback)
   }
 
@@ -126,6 +165,7 @@
     this.delayMs = Math.max(this.delayMs, now - this.readUntil)
     this.longestDelayMs = Math.max(this.longestDelayMs, this.delayMs)
     this.pollsLeft = POLLS_AFTER_DELAY
+    this.backlogSince ??= this.readUntil
     this.expectPoll()
   }
 
@@ -159,11 +199,8 @@
     if (this.isClosed) return
     const startedAt = this.options.elapsed.now()
     this.checkDelay(startedAt)
-    if (this.markedAt !== undefined) {
-      this.readUntil = this.markedAt
-      this.markedAt = undefined
-      if (this.pollsLeft > 0 && --this.pollsLeft === 0) this.finishDelay()
-    }
+    if (this.markedAt !== undefined) this.handleWholePoll(this.markedAt)
+    this.hasAccepted = false
     this.ready.push(...this.awaiting)
     this.awaiting = this.added
     this.added = []
@@ -176,8 +213,17 @@
     this.scheduleMark()
   }
 
+  /** Handles the end of a poll that began after an instant. */
+  private handleWholePoll (beganAfter: Instant): void {
+    this.readUntil = beganAfter
+    this.markedAt = undefined
+    this.polls++
+    if (!this.hasAccepted) this.backlogSince = undefined
+    if (this.pollsLeft > 0 && --this.pollsLeft === 0) this.finishDelay()
+  }
+
   private hasWork (): boolean {
-    return this.pollsLeft > 0 || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length > 0
+    return this.pollsLeft > 0 || this.backlogSince !== undefined || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length > 0
   }
 
   private runCurrent (): void {
--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -10,7 +10,8 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { IClock, Instant } from '@umberspar/base/common/clock'
+import type { Instant } from '@umberspar/base/common/clock'
+import type { EventLoopMonitor, LateConnection } from '../eventLoop/eventLoopMonitor.js'
 import { CallerResponse } from './callerResponse.js'
 
 /**
@@ -30,13 +31,13 @@
 export interface CallerExchange {
   readonly message: IncomingMessage
   readonly response: CallerResponse
-  /** When its head had been read; time spent in the queue counts against the time limits of the request. */
+  /** When its head may have arrived at the earliest; time spent in queues counts against the time limits of the request. */
   readonly arrivedAt: Instant
 }
 
 /** Handles the requests of connections. */
 export interface ConnectionHost {
-  readonly clock: IClock
+  readonly eventLoop: EventLoopMonitor
   /** Whether the process is draining before it stops. */
   isDraining(): boolean
   /** Handles one request; its response may be written at any time. */
@@ -59,12 +60,16 @@
   private isInputClosed = false
   /** Set when the last response of the connection has started. */
   private isClosing = false
+  private readonly lateConnection: LateConnection | undefined
 
   /**
    * @param socket the connection
    * @param host handles its requests
    */
   constructor (private readonly socket: Socket, private readonly host: ConnectionHost) {
+    this.lateConnection = host.eventLoop.acceptConnection()
+    // Node.js closes a connection whose caller ended its sending side, but only some turns of the event loop later.
+    socket.once('end', () => { this.handleClose() })
     socket.once('close', () => { this.handleClose() })
   }
 
@@ -76,7 +81,7 @@
   /** Accepts the next request of the connection. */
   accept (message: IncomingMessage, serverResponse: ServerResponse): void {
     const response = new CallerResponse(serverResponse, message.method === 'HEAD', () => this.shouldCloseAfter(exchange))
-    const exchange: OrderedExchange = { message, response, arrivedAt: this.host.clock.now(), isStarted: false }
+    const exchange: OrderedExchange = { message, response, arrivedAt: this.host.eventLoop.getEarliestArrival(this.lateConnection), isStarted: false }
     if (this.shouldReject()) return this.host.recordUnprocessed(exchange)
     serverResponse.once('finish', () => { this.remove(exchange) })
     this.exchanges.push(exchange)
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -10,6 +10,7 @@
 import { addRetryJitter } from '@umberspar/steering/common/entry/retryDelay'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { listenAt } from '../address.js'
+import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import { BodyFailure, hasBody, readBody, RequestBody } from './bodyReader.js'
 import type { CallerResponse } from './callerResponse.js'
@@ -95,6 +96,10 @@
     return this.context.clock
   }
 
+  get eventLoop (): EventLoopMonitor {
+    return this.context.eventLoop
+  }
+
   /** @returns the number of running requests whose response isn't complete yet */
   get inFlightRequests (): number {
     let inFlight = 0
@@ -152,7 +157,11 @@
     this.connections.get(socket)?.refuseInput(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   }
 
-  startExchange ({ message: request, response, arrivedAt }: CallerExchange): void {
+  startExchange (exchange: CallerExchange): void {
+    this.eventLoop.runWhenRead(exchange.arrivedAt, () => { if (!exchange.response.isClosed) this.handleExchange(exchange) })
+  }
+
+  private handleExchange ({ message: request, response, arrivedAt }: CallerExchange): void {
     const { document } = this.context.view
     if (document === undefined) return this.waitForConfiguration({ message: request, response, arrivedAt })
     if (countHeaderBytes(request) > document.limits.headerBytes) return this.refuse(request, response, { reason: EndReason.HeadersTooLarge, arrivedAt })
@@ -214,7 +223,7 @@
         if (result instanceof RequestBody) result.release()
         return
       }
-      if (result instanceof RequestBody) this.startForwarding(accepted, response, result)
+      if (result instanceof RequestBody) this.eventLoop.runWhenRead(arrivedAt, () => { this.startForwarding(accepted, response, result) })
       else this.refuse(request, response, { reason: REASON_BY_BODY_FAILURE[result], arrivedAt, route })
     })
   }
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -6,6 +6,7 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { AccessController } from '../accounts/accessController.js'
+import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { RecordsAge } from '../replica/recordsAge.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
@@ -18,6 +19,7 @@
 export interface EntryContext {
   readonly clock: IClock
   readonly random: IRandomSource
+  readonly eventLoop: EventLoopMonitor
   readonly protocol: ICallerProtocol
   readonly headerRewriter: HeaderRewriter
   readonly view: EntryView
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -4,7 +4,7 @@
  * tells whether the request may have run; only an attempt that was sent and not refused sets it.
  */
 import type { Instant, ITimer } from '@umberspar/base/common/clock'
-import type { Deadline } from '@umberspar/base/common/deadline'
+import { type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { shouldAdmit } from '@umberspar/steering/common/entry/admission'
 import { computeHomeRegions } from '@umberspar/steering/common/entry/accountTable'
 import { type UpstreamChoice, chooseUpstream } from '@umberspar/steering/common/entry/chooseUpstream'
@@ -96,6 +96,7 @@
     const { context } = this
     const { clock, view, accessController } = context
     const now = clock.now()
+    if (hasPassed(this.deadline, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable)
     const access = accessController.decide(this.request.route, this.request.keyDigest)
     if (access.outcome !== AccessOutcome.Allowed) return this.endWithoutResponse(REASON_BY_DENIAL[access.outcome])
     if (context.quarantine.getBlockedMs(this.request.digest) > 0) return this.endWithoutResponse(EndReason.Quarantined)
@@ -109,7 +110,7 @@
     const { id } = choice.candidate.tracker.registration
     this.triedWorkers.add(id)
     this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, {
-      mayStillSend: () => this.context.quarantine.getBlockedMs(this.request.digest) === 0,
+      mayStillSend: (sentAt) => !hasPassed(this.deadline, sentAt) && this.context.quarantine.getBlockedMs(this.request.digest) === 0,
       onSent: () => { this.attemptCounts.sent++ },
       onStreamStart: (head) => this.startStream(head),
       onStreamData: (chunk) => { if (!this.response.writeChunk(chunk)) this.currentAttempt?.pause() },
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -32,8 +32,8 @@
 
 /** Controls an attempt and receives its response. */
 export interface AttemptListener {
-  /** Called when the connection is open. @returns whether the request may still be sent */
-  mayStillSend(): boolean
+  /** Called when the connection is open. @returns whether the request may still be sent at this instant */
+  mayStillSend(now: Instant): boolean
   /** Called when the request is sent; from then on it may run. */
   onSent(): void
   onStreamStart(head: ResponseHead): boolean
@@ -142,19 +142,25 @@
       return
     }
     if (openMs > 0) this.context.roundTrips.record(this.tracker.registration.domain, openMs)
+    // The caller may have left, but the end of its connection may not have been read yet.
+    this.context.eventLoop.runWhenCurrent(() => { this.sendIfAllowed(result) })
+  }
+
+  /** Checks again what may have changed while the connection was opened or the process could not run. */
+  private sendIfAllowed (connection: UpstreamConnection): void {
     if (this.isEnded) {
-      result.close()
+      connection.close()
       return
     }
-    const { route, keyDigest } = this.request
-    // Checked again, because opening the connection takes time and the process may have been suspended.
-    const access = this.context.accessController.decide(route, keyDigest)
-    if (access.outcome !== AccessOutcome.Allowed || !this.isStillEligible(now) || !this.listener.mayStillSend()) {
-      result.close()
+    const now = this.context.clock.now()
+    const access = this.context.accessController.decide(this.request.route, this.request.keyDigest)
+    if (access.outcome !== AccessOutcome.Allowed || !this.isStillEligible(now) || !this.listener.mayStillSend(now)) {
+      connection.close()
       this.end({ outcome: AttemptOutcome.Withdrawn })
       return
     }
-    this.send(result, now, access.account?.name)
+    if (connection.isUsable) this.send(connection, now, access.account?.name)
+    else this.end({ outcome: AttemptOutcome.NotSent })
   }
 
   /** While the connection was opened, the worker may have started to drain or asked for a pause, or its failure domain may have been evacuated. */
--- a/packages/entry/test/node/eventLoop/eventLoopMonitor.test.ts
+++ b/packages/entry/test/node/eventLoop/eventLoopMonitor.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import { ElapsedClock } from '@umberspar/base/common/elapsedClock'
-import { EventLoopMonitor } from '../../../src/node/eventLoop/eventLoopMonitor.js'
+import { EventLoopMonitor, type LateConnection } from '../../../src/node/eventLoop/eventLoopMonitor.js'
 
 const TURN_MS = 1
 const LONG_TURN_MS = 1_000
@@ -67,7 +67,7 @@
 
   it('runs work at once while the event loop is in time', () => {
     runTurns(QUIET_MS)
-    monitor.runAfterDelay(() => { ran.push('read') })
+    monitor.runWhenRead(monitor.getEarliestArrival(), () => { ran.push('read') })
     monitor.runWhenCurrent(() => { ran.push('send') })
     assert.deepEqual(ran, ['read', 'send'])
     assert.equal(monitor.getEarliestArrival(), clock.now())
@@ -80,7 +80,7 @@
     let arrivedAt = Number.NaN
     runTurn(LONG_TURN_MS, () => {
       arrivedAt = monitor.getEarliestArrival()
-      monitor.runAfterDelay(() => { ran.push('read') })
+      monitor.runWhenRead(monitor.getEarliestArrival(), () => { ran.push('read') })
       monitor.runWhenCurrent(() => { ran.push('send') })
     })
     assert.deepEqual(ran, [])
@@ -89,19 +89,34 @@
     assert.deepEqual(ran, ['poll', 'send', 'read'])
   })
 
-  it('takes a request on a connection that was accepted late for a late one', () => {
+  it('takes requests on connections that were accepted late for late ones, however many were accepted before', () => {
     runTurns(QUIET_MS)
     const before = clock.now()
-    runTurn(LONG_TURN_MS)
+    let last: LateConnection | undefined
+    runTurn(LONG_TURN_MS, () => { last = monitor.acceptConnection() })
+    for (let connection = 0; connection < 20; connection++) runTurn(TURN_MS, () => { last = monitor.acceptConnection() })
     runTurn(TURN_MS, () => {
-      assert.ok(monitor.getEarliestArrival() <= before)
-      monitor.runAfterDelay(() => { ran.push('read') })
+      assert.ok(monitor.getEarliestArrival(last) <= before + 20 * TURN_MS)
+      monitor.runWhenRead(monitor.getEarliestArrival(last), () => { ran.push('read') })
     })
     assert.deepEqual(ran, [])
     runTurn()
     assert.deepEqual(ran, ['read'])
   })
 
+  it('takes connections for accepted in time once none waits', () => {
+    runTurn(LONG_TURN_MS, () => { monitor.acceptConnection() })
+    runTurns(QUIET_MS)
+    runTurn(TURN_MS, () => { assert.equal(monitor.acceptConnection(), undefined) })
+  })
+
+  it('takes the first request on a connection that was accepted late for one in time if it comes later', () => {
+    let connection: LateConnection | undefined
+    runTurn(LONG_TURN_MS, () => { connection = monitor.acceptConnection() })
+    runTurns(QUIET_MS)
+    assert.equal(monitor.getEarliestArrival(connection), clock.now())
+  })
+
   it('reports a delay once, with its length, and is in time again after it', () => {
     runTurn(LONG_TURN_MS)
     runTurns(QUIET_MS)
@@ -123,7 +138,7 @@
   it('divides deferred work into short turns', () => {
     runTurns(QUIET_MS)
     runTurn(LONG_TURN_MS, () => {
-      for (let index = 0; index < 10; index++) monitor.runAfterDelay(() => { ran.push('read'); clock.current += 40 })
+      for (let index = 0; index < 10; index++) monitor.runWhenRead(monitor.getEarliestArrival(), () => { ran.push('read'); clock.current += 40 })
     })
     runTurn()
     assert.ok(ran.length < 10, `${ran.length} in one turn`)
@@ -132,7 +147,7 @@
   })
 
   it('runs nothing after it was closed', () => {
-    runTurn(LONG_TURN_MS, () => { monitor.runAfterDelay(() => { ran.push('read') }) })
+    runTurn(LONG_TURN_MS, () => { monitor.runWhenRead(monitor.getEarliestArrival(), () => { ran.push('read') }) })
     monitor.close()
     runTurn()
     assert.deepEqual(ran, [])
--- a/packages/entry/test/node/front/upstreamAttempt.test.ts
+++ b/packages/entry/test/node/front/upstreamAttempt.test.ts
@@ -35,6 +35,7 @@
       roundTrips,
       pools: { getPool: () => ({ open: (_maxConnections: number, _deadline: number, onOpen: OpenListener) => { finishOpening = onOpen } }) },
       accessController: { decide: () => ({ outcome: AccessOutcome.Allowed }) },
+      eventLoop: { runWhenCurrent: (callback: () => void) => { callback() } },
       telemetry: { logAttemptEnd: () => {} }
     } as unknown as EntryContext
     results = []
