Count requests on connections that wait to be accepted as late ones, and keep turns short

Cause: Node.js 20 accepts one connection a turn. When connections come faster than turns, they wait in the kernel's queue although no turn is long, and then their request is read a turn before the end of the connection.

Change: a poll without a new connection shows that none waits; a connection that is accepted more than 200 ms after the last such poll counts as late. After each accepted connection the sockets are polled once more, which shows whether another one waits. Work on new requests pauses after 5 ms a turn and goes on in the next one, so that a process with much to do accepts some 200 connections a second.

Two unit tests of a queue that a connection a turn drains, and of divided work.

--- a/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
+++ b/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
@@ -4,8 +4,8 @@
  * A turn of the event loop polls all sockets once. While a turn takes long, requests wait in the
  * kernel, and so does the end of a connection whose caller left. Node.js passes on a request before
  * it reads the end of the connection behind it, so that a late process would work for callers that
- * are gone. It also accepts one connection in each turn only, so that connections which came during
- * a delay are accepted long after it.
+ * are gone. It also accepts one connection in each turn only, so that connections which come faster
+ * than turns wait to be accepted, although no turn takes long.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
@@ -35,8 +35,8 @@
 const POLLS_UNTIL_FIRST_REQUEST = 2
 /** Connections that waited longer to be accepted count as if they had waited this long: most of their callers have left. */
 const MAX_ACCEPT_DELAY_MS = 1_000
-/** Deferred work per turn. Short turns, as each one accepts one connection. */
-const MAX_DEFERRED_WORK_MS = 5
+/** Work on new requests per turn. Short turns, as each one accepts one connection. */
+const MAX_WORK_PER_TURN_MS = 5
 
 /** A connection that waited to be accepted. */
 export interface LateConnection {
@@ -57,9 +57,11 @@
   private delayedSince: Instant | undefined
   private delayMs = 0
   private pollsLeft = 0
-  /** When the connections that still wait to be accepted may have been opened at the earliest; undefined if none wait. */
-  private backlogSince: Instant | undefined
+  /** Connections that were opened before this instant have been accepted. */
+  private acceptedUntil: Instant
   private hasAccepted = false
+  /** When the work on new requests in this turn must pause; undefined if there was none yet. */
+  private workUntil: Instant | undefined
   private polls = 0
   private isPollExpected = false
   private isClosed = false
@@ -76,11 +78,13 @@
   constructor (private readonly options: EventLoopMonitorOptions) {
     this.scheduleAfterPoll = options.scheduleAfterPoll ?? setImmediate
     this.readUntil = options.elapsed.now()
+    this.acceptedUntil = this.readUntil
   }
 
   /** Starts to measure. */
   start (): void {
     this.readUntil = this.options.elapsed.now()
+    this.acceptedUntil = this.readUntil
     this.scheduleMark()
   }
 
@@ -100,9 +104,10 @@
     const now = elapsed.now()
     this.checkDelay(now)
     this.hasAccepted = true
-    if (this.backlogSince === undefined) return undefined
-    const waitedMs = Math.min(MAX_ACCEPT_DELAY_MS, now - this.backlogSince)
-    return { openedAt: clock.now() - waitedMs, readWithPoll: this.polls + POLLS_UNTIL_FIRST_REQUEST }
+    this.expectPoll()
+    const waitedMs = now - this.acceptedUntil
+    if (waitedMs <= MAX_USUAL_DELAY_MS) return undefined
+    return { openedAt: clock.now() - Math.min(MAX_ACCEPT_DELAY_MS, waitedMs), readWithPoll: this.polls + POLLS_UNTIL_FIRST_REQUEST }
   }
 
   /**
@@ -119,12 +124,26 @@
   }
 
   /**
-   * Runs a function at once; for something that arrived some time ago, after the next poll.
+   * Runs a function that begins the work on a request: at once, or in a later turn if this turn has done enough
+   * of such work; after the next poll if the request arrived some time ago.
    * @param arrivedAt from {@link EventLoopMonitor.getEarliestArrival}
    */
   runWhenRead (arrivedAt: Instant, callback: () => void): void {
-    if (this.options.clock.now() - arrivedAt <= MAX_USUAL_DELAY_MS) callback()
-    else this.runAfterPoll(callback)
+    if (this.options.clock.now() - arrivedAt > MAX_USUAL_DELAY_MS) {
+      this.runAfterPoll(callback)
+      return
+    }
+    const now = this.options.elapsed.now()
+    this.workUntil ??= now + MAX_WORK_PER_TURN_MS
+    this.expectPoll()
+    if (this.ready.length === 0 && now < this.workUntil) callback()
+    else this.ready.push(callback)
+  }
+
+  /** @returns whether the event loop is late, or new requests already wait for later turns */
+  isLate (): boolean {
+    this.checkDelay(this.options.elapsed.now())
+    return this.delayedSince !== undefined || this.ready.length > 0
   }
 
   /** Runs a function after all sockets have been polled once more. */
@@ -165,7 +184,6 @@
     this.delayMs = Math.max(this.delayMs, now - this.readUntil)
     this.longestDelayMs = Math.max(this.longestDelayMs, this.delayMs)
     this.pollsLeft = POLLS_AFTER_DELAY
-    this.backlogSince ??= this.readUntil
     this.expectPoll()
   }
 
@@ -200,13 +218,16 @@
     const startedAt = this.options.elapsed.now()
     this.checkDelay(startedAt)
     if (this.markedAt !== undefined) this.handleWholePoll(this.markedAt)
+    const mayMoreWait = this.hasAccepted
     this.hasAccepted = false
     this.ready.push(...this.awaiting)
     this.awaiting = this.added
     this.added = []
     this.runCurrent()
-    this.runReady(startedAt + MAX_DEFERRED_WORK_MS)
-    if (this.hasWork()) {
+    this.workUntil = startedAt + MAX_WORK_PER_TURN_MS
+    this.runReady(this.workUntil)
+    this.workUntil = undefined
+    if (mayMoreWait || this.hasWork()) {
       this.markedAt = this.options.elapsed.now()
       this.expectPoll()
     }
@@ -218,12 +239,12 @@
     this.readUntil = beganAfter
     this.markedAt = undefined
     this.polls++
-    if (!this.hasAccepted) this.backlogSince = undefined
+    if (!this.hasAccepted) this.acceptedUntil = beganAfter
     if (this.pollsLeft > 0 && --this.pollsLeft === 0) this.finishDelay()
   }
 
   private hasWork (): boolean {
-    return this.pollsLeft > 0 || this.backlogSince !== undefined || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length > 0
+    return this.pollsLeft > 0 || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length > 0
   }
 
   private runCurrent (): void {
--- a/packages/entry/test/node/eventLoop/eventLoopMonitor.test.ts
+++ b/packages/entry/test/node/eventLoop/eventLoopMonitor.test.ts
@@ -104,6 +104,31 @@
     assert.deepEqual(ran, ['read'])
   })
 
+  // Guards against requests that waited on connections which were accepted late, although no turn was long.
+  it('takes connections for accepted late while each turn accepts one', () => {
+    runTurns(QUIET_MS)
+    const before = clock.now()
+    let last: LateConnection | undefined
+    for (let connection = 0; connection < 30; connection++) runTurn(10, () => { last = monitor.acceptConnection() })
+    runTurn(10, () => {
+      assert.ok(monitor.getEarliestArrival(last) <= before + 10)
+      monitor.runWhenRead(monitor.getEarliestArrival(last), () => { ran.push('read') })
+    })
+    assert.deepEqual(ran, [])
+    runTurn()
+    assert.deepEqual(ran, ['read'])
+  })
+
+  it('divides the work on requests that were read in time into short turns', () => {
+    runTurns(QUIET_MS)
+    runTurn(TURN_MS, () => {
+      for (let index = 0; index < 10; index++) monitor.runWhenRead(clock.now(), () => { ran.push('read'); clock.current += 4 })
+    })
+    assert.ok(ran.length > 1 && ran.length < 10, `${ran.length} in one turn`)
+    for (let turn = 0; turn < 10; turn++) runTurn()
+    assert.equal(ran.length, 10)
+  })
+
   it('takes connections for accepted in time once none waits', () => {
     runTurn(LONG_TURN_MS, () => { monitor.acceptConnection() })
     runTurns(QUIET_MS)
--- a/packages/entry/test/node/upstream/advisoryRecorder.test.ts
+++ b/packages/entry/test/node/upstream/advisoryRecorder.test.ts
@@ -9,6 +9,7 @@
 import type { EntryTelemetry } from '../../../src/node/telemetry/entryTelemetry.js'
 import { AdvisoryRecorder } from '../../../src/node/upstream/advisoryRecorder.js'
 import { UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
+import { openSocket } from '../../../src/node/upstream/upstreamPool.js'
 import { UpstreamPools } from '../../../src/node/upstream/upstreamPools.js'
 
 const REGIONS = new Map([['north-1', 'north']])
@@ -43,7 +44,7 @@
     worker = { id: 'w-1', service: 'archive', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }
     view.putUpstream(worker, clock.now())
     const telemetry = { logDrain: () => {}, logCoolDown: () => {} } as unknown as EntryTelemetry
-    pools = new UpstreamPools({ idHeader: 'id' }, clock, new AdvisoryRecorder({ clock, view, protocol: PROTOCOL, telemetry }))
+    pools = new UpstreamPools({ idHeader: 'id' }, clock, new AdvisoryRecorder({ clock, view, protocol: PROTOCOL, telemetry }), openSocket)
   })
 
   afterEach(() => {
--- a/packages/entry/test/node/upstream/closeDelimitedReset.test.ts
+++ b/packages/entry/test/node/upstream/closeDelimitedReset.test.ts
@@ -4,7 +4,7 @@
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { IdleLimit } from '../../../src/node/upstream/idleLimit.js'
 import { ExchangeFailure, UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
-import { type OpenFailure, UpstreamPool } from '../../../src/node/upstream/upstreamPool.js'
+import { openSocket, type OpenFailure, UpstreamPool } from '../../../src/node/upstream/upstreamPool.js'
 
 const OPEN_TIMEOUT_MS = 5_000
 
@@ -19,7 +19,7 @@
   const server = new Worker(new URL('./resetServer.js', import.meta.url), { workerData: { isReset, ended } })
   const port = await new Promise<number>((resolve) => { server.once('message', resolve) })
   const clock = new SystemClock()
-  const pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(), clock)
+  const pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(), clock, openSocket)
   const connection = await new Promise<UpstreamConnection | OpenFailure>((resolve) => pool.open(1, clock.now() + OPEN_TIMEOUT_MS, resolve))
   assert.ok(connection instanceof UpstreamConnection)
   const result = await new Promise<ExchangeResult>((resolve) => {
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -17,6 +17,7 @@
 import { PlatformWorkerStandIn } from './platformWorkerStandIn.js'
 import { askAt, type ClientAnswer, type ClientCall, getAnsweredId, isReadyAt, lookUpAt, sendCall } from './platformClient.js'
 import { PlatformRecords } from './platformRecords.js'
+import { WorkerLink } from './workerLink.js'
 import type { RecordStoreListener } from './recordStoreStandIn.js'
 
 export type { ClientAnswer, ClientCall } from './platformClient.js'
@@ -32,6 +33,8 @@
   /** The same as written, in JSON. */
   readonly text: string[]
   readonly metrics: EntryMetrics
+  /** Its way to the workers. */
+  readonly link: WorkerLink
 }
 
 const POLL_MS = 10
@@ -88,10 +91,11 @@
     const lines: LogContext[] = []
     const text: string[] = []
     const metrics = new EntryMetrics()
-    const entry = createPlatformEntry(settings, { clock: this.clock, random: new SeededRandom(1), logger: new MemoryLogger(node, this.clock, lines, text), metrics, startedAt })
+    const link = new WorkerLink()
+    const entry = createPlatformEntry(settings, { clock: this.clock, random: new SeededRandom(1), logger: new MemoryLogger(node, this.clock, lines, text), metrics, startedAt, openWorkerSocket: link.open })
     this.closing.add(entry)
     await entry.start()
-    return { entry, settings, store, lines, text, metrics }
+    return { entry, settings, store, lines, text, metrics, link }
   }
 
   /**
