--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -37,6 +37,7 @@
 import type { EntryMetrics } from './telemetry/entryMetrics.js'
 import { EntryTelemetry } from './telemetry/entryTelemetry.js'
 import { AdvisoryRecorder } from './upstream/advisoryRecorder.js'
+import { openSocket, type SocketOpener } from './upstream/upstreamPool.js'
 import { UpstreamPools } from './upstream/upstreamPools.js'
 
 /** The services that an entry process is built from. */
@@ -53,6 +54,8 @@
   readonly protocol: ICallerProtocol
   readonly source: ISteeringSource
   readonly registration: INodeRegistration
+  /** Opens connections to workers; on the network by default. */
+  readonly openWorkerSocket?: SocketOpener
   readonly writer: IRecordWriter
 }
 
@@ -98,7 +101,7 @@
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
-    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })))
+    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry }), dependencies.openWorkerSocket ?? openSocket))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -1,11 +1,17 @@
 /** A pool of connections to one worker, with idle connections, a limit, and a timeout for opening. */
-import { createConnection } from 'node:net'
+import { createConnection, type Socket } from 'node:net'
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { IdleLimit } from './idleLimit.js'
 import { type EchoRule, type ResponseHeadListener, UpstreamConnection } from './upstreamConnection.js'
 
+/** Begins to open a connection; the socket allows half-open connections and sends without delay. */
+export type SocketOpener = (host: string, port: number) => Socket
+
+/** Opens connections on the network. */
+export const openSocket: SocketOpener = (host, port) => createConnection({ host, port, noDelay: true, allowHalfOpen: true })
+
 /** Why no connection could be opened. In each case, nothing was sent. */
 export enum OpenFailure {
   /** The worker's address refuses connections. */
@@ -33,6 +39,7 @@
    * @param onResponseHead called for the head of each response of the worker
    * @param idleLimit limits the reuse of idle connections, in addition to the timeout that the worker announces
    * @param clock for timeouts
+   * @param openSocket opens the connections
    */
   constructor (
     private readonly host: string,
@@ -40,7 +47,8 @@
     private readonly rule: EchoRule,
     private readonly onResponseHead: ResponseHeadListener,
     private readonly idleLimit: IdleLimit,
-    private readonly clock: IClock
+    private readonly clock: IClock,
+    private readonly openSocket: SocketOpener
   ) {}
 
   /** @returns whether the pool is for the given address */
@@ -99,7 +107,7 @@
 
   private openNew (deadline: Deadline, onOpen: OpenListener): void {
     const startedAt = this.clock.now()
-    const socket = createConnection({ host: this.host, port: this.port, noDelay: true, allowHalfOpen: true })
+    const socket = this.openSocket(this.host, this.port)
     this.opening++
     let isSettled = false
     const settle = (result: UpstreamConnection | OpenFailure): void => {
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -6,7 +6,7 @@
 import { IdleLimit } from './idleLimit.js'
 import type { ResponseHead } from './responseParser.js'
 import type { EchoRule } from './upstreamConnection.js'
-import { UpstreamPool } from './upstreamPool.js'
+import { type SocketOpener, UpstreamPool } from './upstreamPool.js'
 
 /** Receives the head of every response of every worker. */
 export interface IResponseObserver {
@@ -27,11 +27,13 @@
    * @param rule how responses are matched to requests
    * @param clock for timeouts
    * @param observer receives the heads of responses
+   * @param openSocket opens the connections
    */
   constructor (
     private readonly rule: EchoRule,
     private readonly clock: IClock,
-    private readonly observer: IResponseObserver
+    private readonly observer: IResponseObserver,
+    private readonly openSocket: SocketOpener
   ) {}
 
   /**
@@ -43,7 +45,7 @@
     const { host, port } = splitAddress(entry.address)
     if (pool === undefined || !pool.isFor(host, port)) {
       pool?.close()
-      pool = new UpstreamPool(host, port, this.rule, (head) => { this.observer.handleResponseHead(entry, head) }, this.idleLimit, this.clock)
+      pool = new UpstreamPool(host, port, this.rule, (head) => { this.observer.handleResponseHead(entry, head) }, this.idleLimit, this.clock, this.openSocket)
       this.pools.set(entry.id, pool)
     }
     return pool
