--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -8,7 +8,6 @@
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { IRandomSource } from '@umberspar/base/common/random'
-import { chooseEntryVms } from '@umberspar/steering/common/entry/chooseEntryVms'
 import { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
@@ -16,7 +15,6 @@
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { INodeRegistration, IRecordWriter, ISteeringSource } from '@umberspar/steering/common/ports/steeringSource'
 import type { EntrySettings } from '../common/entrySettings.js'
-import { RECORDS_PATH } from '../common/recordLines.js'
 import { createAccessBounds } from './accounts/accessBounds.js'
 import { createEntryView } from './createEntryView.js'
 import { AccessController } from './accounts/accessController.js'
@@ -27,17 +25,19 @@
 import { CallerServer } from './front/callerServer.js'
 import { HeaderRewriter } from './front/headerRewriter.js'
 import { EventLoopMonitor } from './eventLoop/eventLoopMonitor.js'
-import { createLookupHandler, METRICS_CONTENT_TYPE, NOT_READY_RESPONSE, EndpointServer, READY_RESPONSE } from './lookup/endpointServer.js'
+import { listenForEndpoints } from './lookup/entryEndpoints.js'
 import { ServingNodes } from './lookup/servingNodes.js'
 import { RequestQuarantine } from './quarantine/requestQuarantine.js'
 import { AccountQuotas } from './quota/accountQuotas.js'
-import { QUOTA_PATH } from './quota/quotaMessages.js'
 import { GracefulShutdown } from './stop/gracefulShutdown.js'
 import { EntryGauges } from './telemetry/entryGauges.js'
 import type { EntryMetrics } from './telemetry/entryMetrics.js'
+import { RelayPeers } from './relay/relayPeers.js'
+import { RelayServer } from './relay/relayServer.js'
 import { EntryTelemetry } from './telemetry/entryTelemetry.js'
 import { AdvisoryRecorder } from './upstream/advisoryRecorder.js'
 import { openSocket, type SocketOpener } from './upstream/upstreamPool.js'
+import { UpstreamLinks } from './upstream/upstreamLinks.js'
 import { UpstreamPools } from './upstream/upstreamPools.js'
 
 /** The services that an entry process is built from. */
@@ -62,9 +62,6 @@
 /** The share of the memory for request bodies; the rest is for the runtime, responses and sockets. */
 const BODY_MEMORY_RATIO = 0.3
 const BYTES_PER_MB = 1_000_000
-/** How long callers may cache a look-up unless the settings allow less: a VM that drains is still used for that time. */
-const MAX_LOOKUP_CACHE_MS = 2_000
-const METRICS_PATH = '/metrics'
 
 /** An entry process. */
 export class Entry implements IClosable {
@@ -79,6 +76,8 @@
   readonly quotas: AccountQuotas
   private readonly quarantine: RequestQuarantine
   private readonly pools: UpstreamPools
+  private readonly upstreamLinks: UpstreamLinks
+  private readonly relayPeers: RelayPeers
   private readonly servingNodes: ServingNodes
   private readonly telemetry: EntryTelemetry
   private readonly eventLoop: EventLoopMonitor
@@ -102,6 +101,8 @@
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry }), dependencies.openWorkerSocket ?? openSocket))
+    this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, telemetry: this.telemetry }))
+    this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, clock))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
@@ -113,13 +114,21 @@
     const { settings, source, registration, protocol } = this.dependencies
     this.closeStack.add(source)
     this.closeStack.add(registration)
-    const listenForEndpoints = this.buildEndpoints()
-    for (const address of new Set([settings.listen.lookups, settings.listen.readiness, settings.listen.peers, settings.listen.metrics])) {
-      await listenForEndpoints(address)
-    }
+    await listenForEndpoints({
+      settings,
+      protocol,
+      regionByDomain: this.regionByDomain,
+      servingNodes: this.servingNodes,
+      quotaHandler: this.quotas.createPeerHandler(),
+      relayServer: this.buildRelayServer(),
+      publisher: this.synchronizer.publisher,
+      telemetry: this.telemetry,
+      readMetrics: async () => await this.dependencies.metrics.read(this.buildGauges())
+    }, this.closeStack)
     await this.callerServer.listen(settings.listen.callers)
     this.telemetry.logger.log(LogLevel.Info, { step: 'start', node: settings.node, domain: settings.domain, callers: settings.listen.callers, readiness: protocol.readinessPath }, 'entry process started')
     this.eventLoop.start()
+    this.upstreamLinks.start()
     registration.start()
     this.synchronizer.start()
   }
@@ -222,6 +231,10 @@
       quarantine: this.quarantine,
       roundTrips,
       pools: this.pools,
+      links: this.upstreamLinks.links,
+      openAttempts: this.upstreamLinks.openAttempts,
+      relayPeers: this.relayPeers,
+      location: { domain: settings.domain, regionByDomain: this.regionByDomain },
       bodyMemoryBudget: new BodyMemoryBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_RATIO),
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
@@ -230,36 +243,16 @@
     }
   }
 
-  /** @returns a function that starts a server at an address with all endpoints that belong there */
-  private buildEndpoints (): (address: string) => Promise<void> {
-    const { settings, protocol } = this.dependencies
-    const { listen } = settings
-    const endpoints = [
-      { address: listen.readiness, path: protocol.readinessPath, handler: () => this.servingNodes.isReady() ? READY_RESPONSE : NOT_READY_RESPONSE },
-      { address: listen.lookups, path: protocol.lookupPath, handler: this.buildLookupHandler() },
-      { address: listen.peers, path: QUOTA_PATH, handler: this.quotas.createPeerHandler() },
-      { address: listen.metrics, path: METRICS_PATH, handler: async () => ({ status: 200, contentType: METRICS_CONTENT_TYPE, body: await this.dependencies.metrics.read(this.buildGauges()) }) }
-    ]
-    return async (address) => {
-      const server = this.closeStack.add(new EndpointServer())
-      for (const endpoint of endpoints) {
-        if (endpoint.address === address) server.register(endpoint.path, endpoint.handler)
-      }
-      if (listen.peers === address) server.registerStream(RECORDS_PATH, (query, response) => { this.synchronizer.publisher.accept(query, response) })
-      await server.listen(address)
-    }
+  private buildRelayServer (): RelayServer {
+    return new RelayServer({
+      isBusy: () => this.isDraining || this.eventLoop.isLate(),
+      acceptRelayed: (request, response, origin) => { this.callerServer.acceptRelayed(request, response, origin) }
+    }, this.telemetry)
   }
 
   private buildGauges (): EntryGauges {
     const { clock } = this.dependencies
-    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, isReady: () => this.servingNodes.isReady() })
-  }
-
-  private buildLookupHandler () {
-    const cacheMs = Math.min(MAX_LOOKUP_CACHE_MS, this.dependencies.settings.longestLookupCache)
-    return createLookupHandler(this.dependencies.protocol, (region, domain) => {
-      return { addresses: chooseEntryVms(this.servingNodes.list(), { region, domain }, this.regionByDomain), cacheMs }
-    }, (hasAddresses) => { this.telemetry.metrics.countLookup(hasAddresses ? 'named' : 'none') })
+    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, isReady: () => this.servingNodes.isReady() })
   }
 
   private handleChange (event: ViewEvent): void {
@@ -274,6 +267,7 @@
     // A restarted worker may have another address, and open connections belong to the process before the restart.
     if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
     if (change === ViewChange.NodeJoined || change === ViewChange.NodeLeft) this.synchronizer.handleNodesChanged()
+    if (change === ViewChange.NodeLeft) this.relayPeers.remove(subject)
     if (change !== ViewChange.NodeLeft || subject !== this.node.name) return
     this.isRegistered = false
     this.register()
--- a/packages/entry/src/node/front/bufferedRequest.ts
+++ b/packages/entry/src/node/front/bufferedRequest.ts
@@ -3,6 +3,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
+import type { RelayOrigin } from '../../common/relayFields.js'
 import type { RequestBody } from './bodyReader.js'
 import type { RequestDigest } from './requestDigest.js'
 
@@ -14,6 +15,8 @@
   readonly keyDigest: string | undefined
   /** When its headers had been read. */
   readonly arrivedAt: Instant
+  /** What the VM that relayed the request tells about it; undefined for requests of callers. */
+  readonly relayOrigin?: RelayOrigin | undefined
 }
 
 /** A request whose body is completely in memory. */
--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -12,6 +12,7 @@
 import type { Socket } from 'node:net'
 import type { Instant } from '@umberspar/base/common/clock'
 import type { EventLoopMonitor, LateConnection } from '../eventLoop/eventLoopMonitor.js'
+import type { RelayOrigin } from '../../common/relayFields.js'
 import { CallerResponse } from './callerResponse.js'
 
 /**
@@ -33,6 +34,8 @@
   readonly response: CallerResponse
   /** When its head may have arrived at the earliest; time spent in queues counts against the time limits of the request. */
   readonly arrivedAt: Instant
+  /** What the VM that relayed the request tells about it; undefined for requests of callers. */
+  readonly relayOrigin?: RelayOrigin | undefined
 }
 
 /** Handles the requests of connections. */
@@ -60,14 +63,12 @@
   private isInputClosed = false
   /** Set when the last response of the connection has started. */
   private isClosing = false
-  private readonly lateConnection: LateConnection | undefined
-
   /**
    * @param socket the connection
    * @param host handles its requests
+   * @param lateConnection what is known of the connection if it was accepted late
    */
-  constructor (private readonly socket: Socket, private readonly host: ConnectionHost) {
-    this.lateConnection = host.eventLoop.acceptConnection()
+  constructor (private readonly socket: Socket, private readonly host: ConnectionHost, private readonly lateConnection?: LateConnection) {
     // Node.js closes a connection whose caller ended its sending side, but only some turns of the event loop later.
     socket.once('end', () => { this.handleClose() })
     socket.once('close', () => { this.handleClose() })
@@ -78,10 +79,13 @@
     return this.exchanges.filter(({ isStarted }) => isStarted).length
   }
 
-  /** Accepts the next request of the connection. */
-  accept (message: IncomingMessage, serverResponse: ServerResponse): void {
-    const response = new CallerResponse(serverResponse, message.method === 'HEAD', () => this.shouldCloseAfter(exchange))
-    const exchange: OrderedExchange = { message, response, arrivedAt: this.host.eventLoop.getEarliestArrival(this.lateConnection), isStarted: false }
+  /**
+   * Accepts the next request of the connection.
+   * @param relayOrigin what another VM tells about the request; undefined for requests of callers
+   */
+  accept (message: IncomingMessage, serverResponse: ServerResponse, relayOrigin?: RelayOrigin): void {
+    const response = new CallerResponse(serverResponse, message.method === 'HEAD', () => this.shouldCloseAfter(exchange), relayOrigin !== undefined)
+    const exchange: OrderedExchange = { message, response, arrivedAt: this.host.eventLoop.getEarliestArrival(this.lateConnection), isStarted: false, relayOrigin }
     if (this.shouldReject()) return this.host.recordUnprocessed(exchange)
     serverResponse.once('finish', () => { this.remove(exchange) })
     this.exchanges.push(exchange)
--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -1,11 +1,14 @@
 /** Writes the response to one request and reports when the caller disconnects. */
 import type { ServerResponse } from 'node:http'
+import { RELAY_FIELD, RelayOutcome } from '../../common/relayFields.js'
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 
 /** Responses with these statuses have neither a body nor a `Content-Length` (RFC 9110, section 8.6). */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 const MS_PER_SECOND = 1_000
+/** A response of this VM with one of these statuses means that the request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429, 503])
 /** A response with this status names the accepted authentication scheme (RFC 9110, section 11.6.1). */
 const UNAUTHORIZED = 401
 
@@ -15,7 +18,9 @@
   /** One line of text for a human reader. */
   readonly text: string
   /** When the caller may retry, in milliseconds from now. */
-  readonly retryAfterMs?: number
+  readonly retryAfterMs?: number | undefined
+  /** Tells another VM that relayed the request what became of it. */
+  readonly relayOutcome?: RelayOutcome
 }
 
 /** The response to one request. */
@@ -28,8 +33,9 @@
    * @param response the response object of Node.js
    * @param isHead whether the request method was HEAD
    * @param shouldCloseConnection called when the response starts: whether the connection is closed after it
+   * @param isRelayed whether another VM relayed the request
    */
-  constructor (private readonly response: ServerResponse, private readonly isHead: boolean, private readonly shouldCloseConnection: () => boolean) {
+  constructor (private readonly response: ServerResponse, private readonly isHead: boolean, private readonly shouldCloseConnection: () => boolean, readonly isRelayed = false) {
     response.sendDate = false
   }
 
@@ -64,13 +70,13 @@
   }
 
   /** Writes a response that this VM generates itself. */
-  writeLocal ({ status, text, retryAfterMs }: LocalResponse): void {
+  writeLocal ({ status, text, retryAfterMs, relayOutcome }: LocalResponse): void {
     if (this.isHeadWritten || this.isClosed) return
     const body = `${text}\n`
     const fields = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(body))]
     if (retryAfterMs !== undefined) fields.push('Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3))
     if (status === UNAUTHORIZED) fields.push('WWW-Authenticate', 'Bearer')
-    this.writeHead(status, fields)
+    this.writeHead(status, fields, relayOutcome ?? (NOT_RUN_STATUSES.has(status) ? RelayOutcome.Refused : RelayOutcome.Answered))
     this.response.end(this.isHead ? undefined : body)
   }
 
@@ -105,8 +111,9 @@
     this.response.destroy()
   }
 
-  private writeHead (status: number, fields: string[]): void {
+  private writeHead (status: number, fields: string[], relayOutcome = RelayOutcome.Answered): void {
     this.isHeadWritten = true
+    if (this.isRelayed) fields.push(RELAY_FIELD, relayOutcome)
     if (this.shouldCloseConnection()) this.response.shouldKeepAlive = false
     this.response.writeHead(status, fields)
   }
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -10,6 +10,7 @@
 import { addRetryJitter } from '@umberspar/steering/common/entry/retryDelay'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { listenAt } from '../address.js'
+import type { RelayOrigin } from '../../common/relayFields.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import { BodyFailure, hasBody, readBody, RequestBody } from './bodyReader.js'
@@ -19,6 +20,7 @@
 import { getRefusal, REASON_BY_DENIAL } from './refusals.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import { RequestDigest } from './requestDigest.js'
+import { logRequestEnd } from './requestLog.js'
 import { ProxiedRequest } from './proxiedRequest.js'
 
 /** Node.js rejects longer request heads itself; the lower configured limit is checked by {@link CallerServer}. */
@@ -87,7 +89,7 @@
   /** @param context the shared services of the process */
   constructor (private readonly context: EntryContext) {
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS, noDelay: true, requestTimeout: 0 })
-    this.server.on('connection', (socket) => { this.connections.set(socket, new CallerConnection(socket, this)) })
+    this.server.on('connection', (socket) => { this.connections.set(socket, new CallerConnection(socket, this, this.eventLoop.acceptConnection())) })
     this.server.on('request', (request, response) => { this.handleRequest(request, response) })
     this.server.on('clientError', (error, socket) => { this.handleClientError(error as NodeJS.ErrnoException, socket as Socket) })
   }
@@ -139,14 +141,29 @@
     return this.context.isDraining()
   }
 
-  recordUnprocessed ({ message, arrivedAt }: CallerExchange): void {
-    this.logRequestEnd(message, { reason: EndReason.NotProcessed, arrivedAt }, RequestOutcome.Abandoned, 0)
+  recordUnprocessed ({ message, response, arrivedAt }: CallerExchange): void {
+    this.logEnd(message, response, { reason: EndReason.NotProcessed, arrivedAt }, RequestOutcome.Abandoned, 0)
   }
 
   removeConnection (socket: Socket): void {
     this.connections.delete(socket)
   }
 
+  /**
+   * Accepts a request that another entry VM relayed.
+   * @param request the request, with the target that the caller sent
+   * @param response its response
+   * @param origin what the other VM tells about it
+   */
+  acceptRelayed (request: IncomingMessage, response: ServerResponse, origin: RelayOrigin): void {
+    let connection = this.connections.get(request.socket)
+    if (connection === undefined) {
+      connection = new CallerConnection(request.socket, this)
+      this.connections.set(request.socket, connection)
+    }
+    connection.accept(request, response, origin)
+  }
+
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
     this.connections.get(request.socket)?.accept(request, response)
   }
@@ -161,19 +178,21 @@
     this.eventLoop.runWhenRead(exchange.arrivedAt, () => { if (!exchange.response.isClosed) this.handleExchange(exchange) })
   }
 
-  private handleExchange ({ message: request, response, arrivedAt }: CallerExchange): void {
+  private handleExchange (exchange: CallerExchange): void {
+    const { message: request, response, arrivedAt, relayOrigin } = exchange
     const { document } = this.context.view
-    if (document === undefined) return this.waitForConfiguration({ message: request, response, arrivedAt })
-    if (countHeaderBytes(request) > document.limits.headerBytes) return this.refuse(request, response, { reason: EndReason.HeadersTooLarge, arrivedAt })
+    if (document === undefined) return this.waitForConfiguration(exchange)
+    // The VM that relayed a request has checked its fields, to which it added others, and the quota.
+    if (relayOrigin === undefined && countHeaderBytes(request) > document.limits.headerBytes) return this.refuse(request, response, { reason: EndReason.HeadersTooLarge, arrivedAt })
     const route = this.context.view.findRoute(request.headers.host ?? '', request.url ?? '')
     if (route === undefined) return this.refuse(request, response, { reason: this.classifyMissingRoute(), arrivedAt })
     const keyDigest = this.context.accessController.readKeyDigest(request)
     const access = this.context.accessController.decide(route, keyDigest)
     if (access.outcome !== AccessOutcome.Allowed) return this.refuse(request, response, { reason: REASON_BY_DENIAL[access.outcome], arrivedAt, route })
-    const exhaustedMs = access.account === undefined ? 0 : this.context.quotas.getExhaustedMs(access.account)
+    const exhaustedMs = access.account === undefined || relayOrigin !== undefined ? 0 : this.context.quotas.getExhaustedMs(access.account)
     if (exhaustedMs > 0) return this.refuse(request, response, { reason: EndReason.QuotaExhausted, arrivedAt, route, account: access.account?.name, retryAfterMs: addRetryJitter(exhaustedMs, this.context.random) })
     if (Number(request.headers['content-length'] ?? 0) > document.limits.bodyBytes) return this.refuse(request, response, { reason: EndReason.BodyTooLarge, arrivedAt, route })
-    const accepted: AcceptedRequest = { message: request, route, keyDigest, arrivedAt }
+    const accepted: AcceptedRequest = { message: request, route, keyDigest, arrivedAt, relayOrigin }
     if (hasBody(request)) this.readBodyThenForward(accepted, response, document)
     else this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
   }
@@ -242,30 +261,12 @@
     const { status, text, outcome } = getRefusal(details.reason)
     const { retryAfterMs = RETRY_AFTER_MS_BY_REASON[details.reason] } = details
     response.writeLocal({ status, text, retryAfterMs })
-    this.logRequestEnd(request, { ...details, retryAfterMs }, outcome, status)
+    this.logEnd(request, response, { ...details, retryAfterMs }, outcome, status)
   }
 
-  private logRequestEnd (request: IncomingMessage, { reason, arrivedAt, route, account, retryAfterMs }: RefusalDetails, outcome: RequestOutcome, status: number): void {
-    const { era, revision, ageMs } = this.context.getRecordsAge()
-    this.context.telemetry.logRequestEnd({
-      requestId: this.context.headerRewriter.getRequestId(request),
-      route: route?.name,
-      service: undefined,
-      account,
-      kind: route?.kind ?? 'none',
-      status,
-      end: outcome,
-      reason,
-      offers: 0,
-      spanMs: this.context.clock.now() - arrivedAt,
-      goalMs: route?.goalMs,
-      retryAfterMs,
-      configuration: this.context.view.document?.version,
-      era,
-      revision,
-      recordsAgeMs: ageMs,
-      proofAgeMs: this.context.accessController.loggedProofAgeMs
-    })
+  private logEnd (request: IncomingMessage, { isRelayed }: CallerResponse, { reason, arrivedAt, route, account, retryAfterMs }: RefusalDetails, outcome: RequestOutcome, status: number): void {
+    const requestId = this.context.headerRewriter.getRequestId(request)
+    logRequestEnd(this.context, { requestId, route, service: undefined, account, status, outcome, reason, attempts: 0, arrivedAt, retryAfterMs, isRelayed })
   }
 }
 
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -4,10 +4,13 @@
 import type { ByteCosts } from '@umberspar/steering/common/entry/chooseUpstream'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { AccessController } from '../accounts/accessController.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { RecordsAge } from '../replica/recordsAge.js'
+import type { RelayPeers } from '../relay/relayPeers.js'
+import type { OpenAttempts } from './openAttempts.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
@@ -15,6 +18,12 @@
 import type { BodyMemoryBudget } from './bodyReader.js'
 import type { HeaderRewriter } from './headerRewriter.js'
 
+/** Where this VM is. */
+export interface VmLocation {
+  readonly domain: string
+  readonly regionByDomain: ReadonlyMap<string, string>
+}
+
 /** The shared services of one process. */
 export interface EntryContext {
   readonly clock: IClock
@@ -28,6 +37,12 @@
   readonly quarantine: RequestQuarantine
   readonly roundTrips: DomainRoundTrips
   readonly pools: UpstreamPools
+  /** Whether this VM reaches the workers of each service. */
+  readonly links: WorkerLinks
+  readonly openAttempts: OpenAttempts
+  readonly relayPeers: RelayPeers
+  /** This VM's failure domain and the regions of all. */
+  readonly location: VmLocation
   readonly bodyMemoryBudget: BodyMemoryBudget
   readonly byteCosts: ByteCosts
   readonly telemetry: EntryTelemetry
--- a/packages/entry/src/node/front/headerRewriter.ts
+++ b/packages/entry/src/node/front/headerRewriter.ts
@@ -2,10 +2,12 @@
 import type { IncomingMessage } from 'node:http'
 import type { HeaderNames } from '@umberspar/steering/common/ports/callerProtocol'
 import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
+import { formatRelayOrigin, RELAY_FIELD, RELAY_PATH, type RelayOrigin } from '../../common/relayFields.js'
 import { getHeader, removeConnectionFields } from '../upstream/rawHeaders.js'
 
 const DIGITS = /^\d{1,9}$/
-const NO_FIELDS: ReadonlySet<string> = new Set()
+/** Fields of responses that are not passed on to callers. */
+const RESERVED_RESPONSE_FIELDS: ReadonlySet<string> = new Set([RELAY_FIELD])
 
 /** The caller of a request. */
 export interface CallerIdentity {
@@ -27,7 +29,7 @@
 
   /** @param names the deployment's header names */
   constructor (private readonly names: HeaderNames) {
-    this.reservedFields = new Set([names.deadlineMs, names.expectedWorker, names.account])
+    this.reservedFields = new Set([names.deadlineMs, names.expectedWorker, names.account, RELAY_FIELD])
     this.reservedFieldsAndKey = new Set([...this.reservedFields, 'authorization'])
     this.preservedFields = new Set([names.requestId, names.deadlineMs, names.seal, names.notRun])
     this.affinityCookiePattern = new RegExp(`(?:^|;)\\s*${names.affinityCookie}=([^;]*)`, 'i')
@@ -59,13 +61,30 @@
    * @returns the request head for the worker, including the final empty line
    */
   formatRequestHead (request: IncomingMessage, bodyLength: number, worker: string, remainingMs: number, { hasKeys, account }: CallerIdentity): string {
-    const fields = removeConnectionFields(request.rawHeaders, hasKeys ? this.reservedFieldsAndKey : this.reservedFields, this.preservedFields)
-    let head = `${request.method} ${request.url} HTTP/1.1\r\n`
+    const head = this.formatCommonHead(request, request.url ?? '', bodyLength, remainingMs, hasKeys ? this.reservedFieldsAndKey : this.reservedFields)
+    const accountField = account === undefined ? '' : `${this.names.account}: ${account}\r\n`
+    return `${head}${accountField}${this.names.expectedWorker}: ${worker}\r\n\r\n`
+  }
+
+  /**
+   * @param request the request as received
+   * @param bodyLength length of its body in bytes
+   * @param remainingMs how long the caller still waits, in milliseconds
+   * @param origin what the other entry VM must know about the request
+   * @returns the request head for another entry VM, which checks the caller's key itself; including the final empty line
+   */
+  formatRelayHead (request: IncomingMessage, bodyLength: number, remainingMs: number, origin: RelayOrigin): string {
+    const head = this.formatCommonHead(request, `${RELAY_PATH}${request.url}`, bodyLength, remainingMs, this.reservedFields)
+    return `${head}${RELAY_FIELD}: ${formatRelayOrigin(origin)}\r\n\r\n`
+  }
+
+  private formatCommonHead (request: IncomingMessage, target: string, bodyLength: number, remainingMs: number, removedFields: ReadonlySet<string>): string {
+    const fields = removeConnectionFields(request.rawHeaders, removedFields, this.preservedFields)
+    let head = `${request.method} ${target} HTTP/1.1\r\n`
     for (let index = 0; index < fields.length; index += 2) head += `${fields[index]}: ${fields[index + 1]}\r\n`
     const hasBodyFraming = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
     if (hasBodyFraming) head += `Content-Length: ${bodyLength}\r\n`
-    if (account !== undefined) head += `${this.names.account}: ${account}\r\n`
-    return `${head}${this.names.deadlineMs}: ${Math.max(1, Math.floor(remainingMs))}\r\n${this.names.expectedWorker}: ${worker}\r\n\r\n`
+    return `${head}${this.names.deadlineMs}: ${Math.max(1, Math.floor(remainingMs))}\r\n`
   }
 
   /**
@@ -73,6 +92,6 @@
    * @returns the headers to send to the caller, without `Content-Length`
    */
   listResponseFields (rawHeaders: readonly string[]): string[] {
-    return removeConnectionFields(rawHeaders, NO_FIELDS, this.preservedFields)
+    return removeConnectionFields(rawHeaders, RESERVED_RESPONSE_FIELDS, this.preservedFields)
   }
 }
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -9,24 +9,28 @@
 import { computeHomeRegions } from '@umberspar/steering/common/entry/accountTable'
 import { type UpstreamChoice, chooseUpstream } from '@umberspar/steering/common/entry/chooseUpstream'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { computeRetryDelayMs, addRetryJitter } from '@umberspar/steering/common/entry/retryDelay'
+import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retryDelay'
 import { mayRetryAfterRefusal, mayRetryAfterPossibleRun, mayRetryAfterUnsent } from '@umberspar/steering/common/entry/mayRetry'
-import type { QuotaToken } from '@umberspar/steering/common/quota/quotaTokenPool'
-import { QuotaOutcome } from '../quota/accountQuota.js'
+import { RelayOutcome } from '../../common/relayFields.js'
 import { EndReason, AttemptOutcome, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import type { CallerResponse } from './callerResponse.js'
-import { describeChoice } from './describeChoice.js'
 import type { EntryContext } from './entryContext.js'
-import { UpstreamAttempt, type AttemptResult } from './upstreamAttempt.js'
+import type { AttemptListener, AttemptResult, IAttempt } from './attempt.js'
+import { RelayAttempt } from '../relay/relayAttempt.js'
+import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
+import { RequestQuota } from './requestQuota.js'
+import { logAttempt, logRequestEnd } from './requestLog.js'
 import { getRefusal, REASON_BY_DENIAL, REFUSAL_BY_UNAVAILABILITY } from './refusals.js'
 
 /** Statuses whose responses carry `Retry-After`. */
 const RETRY_AFTER_STATUSES: ReadonlySet<number> = new Set([429, 503])
 /** How long after the deadline a response is still awaited: a worker that reached the deadline reports it by its response. */
 const RESPONSE_SLACK_MS = 150
+/** VMs to which one request is relayed, one after another. */
+const MAX_RELAYS = 2
 
 /** One request that is being forwarded. */
 export class ProxiedRequest {
@@ -34,13 +38,12 @@
   private readonly affinityKey: string | undefined
   private readonly deadline: Deadline
   private readonly triedWorkers = new Set<string>()
-  private currentAttempt: UpstreamAttempt | undefined
+  private currentAttempt: IAttempt | undefined
   /** `refused` attempts were sent, so they count as `sent` too. */
-  private readonly attemptCounts = { sent: 0, unsent: 0, refused: 0 }
-  /** Name of the caller's client account. */
-  private accountName: string | undefined
-  /** What the request took from the quota of the account. */
-  private quotaToken: QuotaToken | undefined
+  private readonly attemptCounts: { sent: number, unsent: number, refused: number }
+  /** Attempts by way of other VMs. */
+  private relays = 0
+  private readonly quota: RequestQuota
   private mayHaveRun = false
   private fallbackResponse: BufferedResponse | undefined
   private deadlineTimer: ITimer | undefined
@@ -52,8 +55,11 @@
    * @param response the response to the caller
    */
   constructor (private readonly context: EntryContext, private readonly request: BufferedRequest, private readonly response: CallerResponse) {
-    const { route, arrivedAt, callerDeadline } = request
-    this.service = context.view.roundRobin.chooseService(route)
+    const { route, arrivedAt, callerDeadline, relayOrigin } = request
+    const hasChosenService = route.parts.some(({ service }) => service === relayOrigin?.service)
+    this.service = hasChosenService ? relayOrigin!.service : context.view.roundRobin.chooseService(route)
+    this.attemptCounts = { sent: relayOrigin?.attempts ?? 0, unsent: 0, refused: 0 }
+    this.quota = new RequestQuota(context, request)
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
     this.deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
   }
@@ -63,32 +69,22 @@
     this.response.onDidDisconnect(() => { this.handleDisconnect() })
     this.response.onDidDrain(() => { this.currentAttempt?.resume() })
     // Once per request, sent or not: the retry budget grows with requests, not with attempts to open a connection.
-    this.context.view.getRetryBudget(this.service).recordFirstAttempt(this.context.clock.now())
+    if (this.request.relayOrigin === undefined) this.context.view.getRetryBudget(this.service).recordFirstAttempt(this.context.clock.now())
     this.deadlineTimer = this.context.clock.schedule(this.deadline + RESPONSE_SLACK_MS, () => { this.handleDeadline() })
     const blockedMs = this.context.quarantine.getBlockedMs(this.request.digest)
     if (blockedMs > 0) this.answerLocally(EndReason.Quarantined, blockedMs)
-    else this.takeQuota()
-  }
-
-  /** Called once per request: retries don't count against the quota. */
-  private takeQuota (): void {
-    const { account } = this.context.accessController.decide(this.request.route, this.request.keyDigest)
-    this.accountName = account?.name
-    if (account === undefined) return this.startNextAttempt()
-    this.context.quotas.take(account, ({ outcome, token, waitMs }) => {
-      this.quotaToken = token
-      if (this.isEnded) this.returnQuota()
-      else if (outcome === QuotaOutcome.Granted) this.startNextAttempt()
-      else this.answerLocally(outcome === QuotaOutcome.Exhausted ? EndReason.QuotaExhausted : EndReason.QuotaUnknown, addRetryJitter(waitMs, this.context.random))
-    })
+    else {
+      this.quota.take(() => {
+        // It may have been taken after the request has ended.
+        if (this.isEnded) this.returnQuota()
+        else this.startNextAttempt()
+      }, (reason, retryAfterMs) => { if (!this.isEnded) this.answerLocally(reason, retryAfterMs) })
+    }
   }
 
   /** Returns what was taken from the quota if the request has certainly not run. */
   private returnQuota (): void {
-    const { quotaToken, accountName } = this
-    this.quotaToken = undefined
-    const hasNotRun = this.attemptCounts.sent === this.attemptCounts.refused
-    if (quotaToken !== undefined && accountName !== undefined && hasNotRun) this.context.quotas.return(accountName, quotaToken)
+    if (this.attemptCounts.sent === this.attemptCounts.refused) this.quota.return()
   }
 
   private startNextAttempt (): void {
@@ -102,21 +98,41 @@
     if (context.quarantine.getBlockedMs(this.request.digest) > 0) return this.endWithoutResponse(EndReason.Quarantined)
     const homeRegions = computeHomeRegions(this.request.route, access.account)
     if (homeRegions === undefined) return this.endWithoutResponse(EndReason.NoHomeRegion)
+    const isDisconnected = context.links.isDisconnected(this.service)
+    if (isDisconnected && !context.links.isResponding(this.service, now)) return this.startRelay(homeRegions)
     const choice = this.chooseWorker(homeRegions, now)
+    if (isDisconnected && (choice === undefined || !context.pools.hasIdle(choice.candidate.tracker.registration.id))) return this.startRelay(homeRegions)
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
     if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
-    this.logAttempt(choice, now)
+    logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.triedWorkers.size + 1, choice, now })
     const { id } = choice.candidate.tracker.registration
     this.triedWorkers.add(id)
-    this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, {
+    this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, this.createListener())
+    this.currentAttempt.start()
+  }
+
+  /** Has another VM send the request to a worker, as this VM reaches none. */
+  private startRelay (homeRegions: readonly string[]): void {
+    const { relayPeers, location, telemetry } = this.context
+    const { requestId, relayOrigin } = this.request
+    if (relayOrigin !== undefined) return this.answerLocally(EndReason.RelayUnable)
+    const node = this.relays < MAX_RELAYS ? relayPeers.choose(this.service, { ...location, homeRegions }) : undefined
+    if (node === undefined) return this.endWithoutResponse(EndReason.NoWorker)
+    this.relays++
+    telemetry.logRelay(requestId, this.service, node.name, this.attemptCounts.sent)
+    this.currentAttempt = new RelayAttempt(this.context, this.request, node, this.service, this.attemptCounts.sent, this.deadline, this.createListener())
+    this.currentAttempt.start()
+  }
+
+  private createListener (): AttemptListener {
+    return {
       mayStillSend: (sentAt) => !hasPassed(this.deadline, sentAt) && this.context.quarantine.getBlockedMs(this.request.digest) === 0,
       onSent: () => { this.attemptCounts.sent++ },
       onStreamStart: (head) => this.startStream(head),
       onStreamData: (chunk) => { if (!this.response.writeChunk(chunk)) this.currentAttempt?.pause() },
       onEnd: (result) => { this.handleAttemptResult(result) }
-    })
-    this.currentAttempt.start()
+    }
   }
 
   private shouldAttempt (choice: UpstreamChoice, now: Instant): boolean {
@@ -168,6 +184,21 @@
     else this.endWithoutResponse(EndReason.NoWorker)
   }
 
+  /** Retries after another VM could not take the request. */
+  retryRelay (): void {
+    // It has not reached a worker.
+    this.attemptCounts.sent--
+    this.startNextAttempt()
+  }
+
+  /** Passes on the response of another VM that refused the request. */
+  deliverRefusal ({ head, body, length }: BufferedResponse): void {
+    this.attemptCounts.refused++
+    if (this.mayHaveRun) return this.endWithoutResponse(EndReason.WorkerFailed)
+    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length)
+    this.finishRequest(RequestOutcome.Refused, EndReason.WorkersRefused, head.status)
+  }
+
   /** Retries after a worker refused to run the request. */
   retryRefused (): void {
     this.attemptCounts.refused++
@@ -205,7 +236,8 @@
 
   private answerLocally (reason: EndReason, retryAfterMs?: number): void {
     const { outcome, status, text } = getRefusal(reason)
-    this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined })
+    const relayOutcome = reason === EndReason.RelayUnable ? { relayOutcome: RelayOutcome.Unable } : {}
+    this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, ...relayOutcome })
     this.finishRequest(outcome, reason, status, retryAfterMs)
   }
 
@@ -235,43 +267,8 @@
     this.deadlineTimer?.close()
     this.request.body.release()
     this.returnQuota()
-    const { route, requestId, arrivedAt } = this.request
-    const { era, revision, ageMs } = this.context.getRecordsAge()
-    this.context.telemetry.logRequestEnd({
-      requestId,
-      route: route.name,
-      service: this.service,
-      account: this.accountName,
-      kind: route.kind,
-      status,
-      end: outcome,
-      reason,
-      offers: this.attemptCounts.sent,
-      spanMs: this.context.clock.now() - arrivedAt,
-      goalMs: route.goalMs,
-      retryAfterMs,
-      configuration: this.context.view.document?.version,
-      era,
-      revision,
-      recordsAgeMs: ageMs,
-      proofAgeMs: this.context.accessController.loggedProofAgeMs
-    })
-  }
-
-  private logAttempt (choice: UpstreamChoice, now: Instant): void {
-    const { era, revision, ageMs } = this.context.getRecordsAge()
-    this.context.telemetry.logAttempt({
-      requestId: this.request.requestId,
-      route: this.request.route.name,
-      service: this.service,
-      object: this.affinityKey,
-      offer: this.triedWorkers.size + 1,
-      ...describeChoice(choice, now),
-      configuration: this.context.view.document?.version ?? 0,
-      era,
-      revision,
-      recordsAgeMs: ageMs
-    })
+    const { route, requestId, arrivedAt, relayOrigin } = this.request
+    logRequestEnd(this.context, { requestId, route, service: this.service, account: this.quota.accountName, status, outcome, reason, attempts: this.attemptCounts.sent, arrivedAt, retryAfterMs, isRelayed: relayOrigin !== undefined })
   }
 }
 
@@ -286,6 +283,8 @@
   [AttemptOutcome.FailedByWorker]: (request, { response }) => { request.retryPossiblyRun(response) },
   [AttemptOutcome.RefusedByWorker]: (request) => { request.retryRefused() },
   [AttemptOutcome.AddressReused]: (request) => { request.retryRefused() },
+  [AttemptOutcome.RefusedByRelay]: (request, { response }) => { request.deliverRefusal(response!) },
+  [AttemptOutcome.RelayUnable]: (request) => { request.retryRelay() },
   [AttemptOutcome.NotSent]: (request) => { request.retryUnsent() },
   [AttemptOutcome.Withdrawn]: (request) => { request.retryUnsent() },
   [AttemptOutcome.ConnectionLost]: (request, { isStreaming, status }) => {
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -30,6 +30,7 @@
   [EndReason.WorkersCoolingDown]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers have asked for a pause' },
   [EndReason.DeadlineUnreachable]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no worker would answer in time' },
   [EndReason.WorkersRefused]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers refused the request' },
+  [EndReason.RelayUnable]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: this entry VM can\'t take relayed requests now' },
   [EndReason.Quarantined]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: workers crashed under this request; it is quarantined' },
   [EndReason.RetryBudgetExhausted]: { outcome: RequestOutcome.Failed, status: 502, text: 'the worker broke off; the request may have run' },
   [EndReason.WorkerFailed]: { outcome: RequestOutcome.Failed, status: 502, text: 'the worker broke off; the request may have run' },
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -9,6 +9,7 @@
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { observeResponse } from '@umberspar/steering/common/entry/observeResponse'
 import type { InFlightRequest } from '@umberspar/steering/common/entry/upstreamTracker'
+import { isRetryable } from '@umberspar/steering/common/entry/steeringDocument'
 import { COOL_DOWN_STATUS } from '@umberspar/steering/common/request/coolDown'
 import { parseDecimalNumber } from '@umberspar/steering/common/request/decimalNumber'
 import { AttemptOutcome } from '../telemetry/requestOutcomes.js'
@@ -16,34 +17,12 @@
 import { getHeader } from '../upstream/rawHeaders.js'
 import { ExchangeFailure, UpstreamConnection } from '../upstream/upstreamConnection.js'
 import { OpenFailure } from '../upstream/upstreamPool.js'
+import { CONNECT_SLACK_MS } from '../upstream/connectSlack.js'
 import { ResponseCollector, type BufferedResponse } from './responseCollector.js'
+import type { AttemptListener, AttemptResult, IAttempt } from './attempt.js'
 import type { EntryContext } from './entryContext.js'
 import type { BufferedRequest } from './bufferedRequest.js'
 
-/** The result of an attempt. */
-export interface AttemptResult {
-  readonly outcome: AttemptOutcome
-  /** The worker's response, unless it was streamed. */
-  readonly response?: BufferedResponse
-  readonly status?: number
-  /** Whether part of the response was already streamed. */
-  readonly isStreaming?: boolean
-}
-
-/** Controls an attempt and receives its response. */
-export interface AttemptListener {
-  /** Called when the connection is open. @returns whether the request may still be sent at this instant */
-  mayStillSend(now: Instant): boolean
-  /** Called when the request is sent; from then on it may run. */
-  onSent(): void
-  onStreamStart(head: ResponseHead): boolean
-  onStreamData(chunk: Buffer): void
-  /** Called once, when the attempt has ended. */
-  onEnd(result: AttemptResult): void
-}
-
-/** How much longer than the round trip time opening a connection may take. */
-const CONNECT_SLACK_MS = 250
 /** Each VM may open at least this many connections to a worker, however many VMs share the limit. */
 const MIN_CONNECTIONS_PER_WORKER = 2
 /** Limit on the connections from one VM to a worker if the service sets none. */
@@ -65,7 +44,7 @@
 const RESPONSE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Answered, AttemptOutcome.FailedByWorker, AttemptOutcome.RefusedByWorker])
 
 /** One attempt. */
-export class UpstreamAttempt {
+export class UpstreamAttempt implements IAttempt {
   private connection: UpstreamConnection | undefined
   private collector: ResponseCollector | undefined
   private openRequest: InFlightRequest | undefined
@@ -96,7 +75,6 @@
     private readonly listener: AttemptListener
   ) {}
 
-  /** @returns whether the request has been sent, so that it may run */
   get isSent (): boolean {
     return this.connection !== undefined
   }
@@ -105,7 +83,6 @@
     return this.choice.candidate.tracker
   }
 
-  /** Starts the attempt. */
   start (): void {
     const { clock, view, pools } = this.context
     const now = clock.now()
@@ -117,19 +94,23 @@
     pools.getPool(this.tracker.registration).open(maxOwnConnections, connectDeadline, (result, openMs) => { this.handleOpen(result, openMs) })
   }
 
-  /** Cancels the attempt; the worker notices it by the closed connection. */
   cancel (): void {
     if (this.isEnded) return
     this.end({ outcome: AttemptOutcome.Cancelled })
     this.connection?.cancel()
   }
 
-  /** Pauses reading of a streamed response. */
+  /** Ends the attempt without a response if its connection has been silent and the request may be repeated. */
+  cancelSilent (): void {
+    if (this.isEnded || this.collector?.hasHead !== false || !isRetryable(this.request.route.kind)) return
+    this.end({ outcome: AttemptOutcome.ConnectionLost, isStreaming: false })
+    this.connection?.cancel()
+  }
+
   pause (): void {
     this.connection?.pause()
   }
 
-  /** Resumes reading of a streamed response. */
   resume (): void {
     this.connection?.resume()
   }
@@ -137,15 +118,23 @@
   private handleOpen (result: UpstreamConnection | OpenFailure, openMs: number): void {
     const now = this.context.clock.now()
     if (!(result instanceof UpstreamConnection)) {
-      if (result !== OpenFailure.Full && !this.isEnded) this.tracker.recordUnreachable(now)
+      if (result !== OpenFailure.Full) this.recordOpenFailure(openMs, now)
       this.end({ outcome: AttemptOutcome.NotSent })
       return
     }
-    if (openMs > 0) this.context.roundTrips.record(this.tracker.registration.domain, openMs)
+    if (openMs > 0) {
+      this.context.roundTrips.record(this.tracker.registration.domain, openMs)
+      this.context.links.recordOpened(this.service, this.tracker.registration.id)
+    }
     // The caller may have left, but the end of its connection may not have been read yet.
     this.context.eventLoop.runWhenCurrent(() => { this.sendIfAllowed(result) })
   }
 
+  private recordOpenFailure (openMs: number, now: Instant): void {
+    this.context.links.recordOpenFailure(this.service, this.tracker.registration.id, now - openMs, now)
+    if (!this.isEnded) this.tracker.recordUnreachable(now)
+  }
+
   /** Checks again what may have changed while the connection was opened or the process could not run. */
   private sendIfAllowed (connection: UpstreamConnection): void {
     if (this.isEnded) {
@@ -186,6 +175,7 @@
     const remainingMs = this.deadline - now - this.choice.candidate.roundTripMs / 2
     const head = this.context.headerRewriter.formatRequestHead(message, body.length, this.tracker.registration.id, remainingMs, { hasKeys: this.context.view.accounts !== undefined, account: accountName })
     this.listener.onSent()
+    this.context.openAttempts.add(this.service, this)
     connection.send({ head, body: body.chunks, requestId, isHead: message.method === 'HEAD' }, this.collector)
   }
 
@@ -254,7 +244,10 @@
   private recordOutcome (outcome: AttemptOutcome, bytes: number, status?: number): void {
     const now = this.context.clock.now()
     const { advisory } = this.tracker
-    if (RESPONSE_OUTCOMES.has(outcome)) advisory.recordResponse(this.sentAt)
+    if (RESPONSE_OUTCOMES.has(outcome)) {
+      advisory.recordResponse(this.sentAt)
+      this.context.links.recordResponse(this.service, now)
+    }
     // A worker that asked for a pause has not failed.
     const isPauseRequest = status === COOL_DOWN_STATUS && advisory.isCoolingDown(now)
     if (!isPauseRequest) this.tracker.recordResult(outcome !== AttemptOutcome.Answered, now)
@@ -269,6 +262,7 @@
   private end (result: AttemptResult): void {
     if (this.isEnded) return
     this.isEnded = true
+    this.context.openAttempts.remove(this.service, this)
     if (this.openRequest !== undefined) this.tracker.finishRequest(this.openRequest)
     const spanMs = this.sentAt === 0 ? 0 : this.context.clock.now() - this.sentAt
     this.context.telemetry.logAttemptEnd({
--- a/packages/entry/src/node/lookup/endpointServer.ts
+++ b/packages/entry/src/node/lookup/endpointServer.ts
@@ -15,6 +15,9 @@
 export type PathHandler = (query: URLSearchParams) => PlainResponse | Promise<PlainResponse>
 
 /** Handles requests for one path with a response that stays open until the client disconnects. */
+/** Handles requests below one path, whatever their method and body. */
+export type RawHandler = (request: IncomingMessage, response: ServerResponse) => void
+
 export type StreamHandler = (query: URLSearchParams, response: ServerResponse) => void
 
 /** The content type of the Prometheus text format. */
@@ -24,6 +27,8 @@
 const NOT_FOUND_RESPONSE: PlainResponse = { status: 404, contentType: 'text/plain', body: 'no such path\n' }
 /** Keeps connections open between requests: the platform and callers send one every second or two. */
 const KEEP_ALIVE_TIMEOUT_MS = 10_000
+/** Heads of relayed requests may be as long as those of callers, and have further fields. */
+const MAX_HEADER_BYTES = 81_920
 
 /** An HTTP server for short requests; several kinds of endpoints may share an address. */
 export class EndpointServer implements IClosable {
@@ -31,8 +36,11 @@
   private readonly handlers = new Map<string, PathHandler>()
   private readonly streamHandlers = new Map<string, StreamHandler>()
 
+  /** By the first part of the target. */
+  private readonly rawHandlers: Array<readonly [string, RawHandler]> = []
+
   constructor () {
-    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true })
+    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 })
     this.server.on('request', (request, response) => { this.handleRequest(request, response) })
   }
 
@@ -68,9 +76,23 @@
     this.server.closeAllConnections()
   }
 
+  /**
+   * Registers a handler for all requests below a path.
+   * @param prefix the path
+   * @param handler handles the requests, and reads their bodies
+   */
+  registerRaw (prefix: string, handler: RawHandler): void {
+    this.rawHandlers.push([prefix, handler])
+  }
+
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
-    request.resume()
     const target = request.url ?? ''
+    const rawHandler = this.rawHandlers.find(([prefix]) => target.startsWith(prefix))?.[1]
+    if (rawHandler !== undefined) {
+      rawHandler(request, response)
+      return
+    }
+    request.resume()
     const queryIndex = target.indexOf('?')
     const path = queryIndex < 0 ? target : target.slice(0, queryIndex)
     const query = new URLSearchParams(queryIndex < 0 ? '' : target.slice(queryIndex + 1))
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -2,6 +2,7 @@
 import type { IClock } from '@umberspar/base/common/clock'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { RetryBudgetState } from '@umberspar/steering/common/entry/sharedRetryBudget'
+import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import type { ViewUpdater } from '../replica/viewUpdater.js'
 import type { RecordSynchronizer } from '../replica/recordSynchronizer.js'
@@ -9,6 +10,7 @@
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
+import type { RelayPeers } from '../relay/relayPeers.js'
 import type { GaugeSource } from './entryMetrics.js'
 
 /** The value of unknown ages, since a gauge always has a value. */
@@ -25,6 +27,8 @@
   readonly quarantine: RequestQuarantine
   readonly callerServer: CallerServer
   readonly eventLoop: EventLoopMonitor
+  readonly links: WorkerLinks
+  readonly relayPeers: RelayPeers
   isReady(): boolean
 }
 
@@ -43,7 +47,7 @@
   }
 
   readGauges (): Readonly<Record<string, number>> {
-    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, eventLoop, isReady } = this.dependencies
+    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, eventLoop, links, relayPeers, isReady } = this.dependencies
     const now = clock.now()
     const { quarantined, suspects } = quarantine.readCounts()
     const { ageMs, era, revision } = viewUpdater.getRecordsAge()
@@ -61,6 +65,8 @@
       workers_draining_by_response: [...view.listTrackers()].filter(({ advisory }) => advisory.isDraining).length,
       workers_draining_by_registration: [...view.listTrackers()].filter(({ registration }) => registration.state === UpstreamState.Draining).length,
       workers_cooling_down: [...view.listTrackers()].filter(({ advisory }) => advisory.isCoolingDown(now)).length,
+      services_disconnected: links.listDisconnected().length,
+      relayed_requests_open: relayPeers.inFlightRequests,
       domains_evacuated: view.evacuatedDomains.size,
       quota_shares_kept: quotas.countOwned(),
       requests_quarantined: quarantined,
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -29,6 +29,7 @@
   private readonly requests
   private readonly attempts
   private readonly viewChanges
+  private readonly relays
   private readonly lookups
   private readonly droppedLogLines
   private readonly latencySeconds
@@ -41,6 +42,7 @@
     this.requests = new Counter({ name: 'umberspar_requests_total', help: 'Requests by kind, end and reason', labelNames: ['kind', 'end', 'reason'], registers })
     this.attempts = new Counter({ name: 'umberspar_offers_total', help: 'Offers of requests to workers by service and end', labelNames: ['service', 'end'], registers })
     this.viewChanges = new Counter({ name: 'umberspar_view_changes_total', help: 'Changes of what this process believes', labelNames: ['change'], registers })
+    this.relays = new Counter({ name: 'umberspar_relays_total', help: 'Requests relayed between entry VMs by direction and end', labelNames: ['direction', 'end'], registers })
     this.lookups = new Counter({ name: 'umberspar_lookups_total', help: 'Look-ups by answer', labelNames: ['answer'], registers })
     this.droppedLogLines = new Counter({ name: 'umberspar_log_lines_dropped_total', help: 'Log lines that found no room', labelNames: ['urgency'], registers })
     this.retryBudgetGauges = Object.entries(RETRY_BUDGET_GAUGES).map(([field, { name, help }]) => {
@@ -49,6 +51,11 @@
     this.latencySeconds = new Histogram({ name: 'umberspar_request_seconds', help: 'From the head of a request to the end of its answer', labelNames: ['service', 'end'], buckets: LATENCY_BUCKETS_SECONDS, registers })
   }
 
+  /** @param direction `sent` or `received` */
+  countRelay (direction: string, end: string): void {
+    this.relays.inc({ direction, end })
+  }
+
   /** Counts a request that has ended. */
   countRequest (kind: string, end: string, reason: string): void {
     this.requests.inc({ kind, end, reason })
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -2,6 +2,7 @@
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { CacheState } from '@umberspar/steering/common/entry/cacheHitEstimator'
 import { RouteKind, type SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
+import { LinkState } from '@umberspar/steering/common/entry/workerLinks'
 import type { EntryMetrics } from './entryMetrics.js'
 import { EndReason, AttemptOutcome, RequestOutcome } from './requestOutcomes.js'
 
@@ -54,6 +55,17 @@
   readonly status: number | undefined
 }
 
+/** The log fields of the end of an attempt by way of another VM. */
+export interface RelayEndLogFields {
+  readonly requestId: string | undefined
+  readonly service: string
+  /** The other VM's name. */
+  readonly relay: string
+  readonly end: AttemptOutcome
+  readonly spanMs: number
+  readonly status: number | undefined
+}
+
 /** The log fields of the end of a request. */
 export interface RequestEndLogFields {
   readonly requestId: string | undefined
@@ -70,6 +82,8 @@
   readonly spanMs: number
   readonly goalMs: number | undefined
   readonly retryAfterMs: number | undefined
+  /** Whether another VM relayed the request; undefined if not. */
+  readonly isRelayed: true | undefined
   readonly configuration: number | undefined
   readonly era: number
   readonly revision: number
@@ -136,6 +150,29 @@
     this.logger.log(LogLevel.Warn, { step: 'end-offer', peer: worker, ...fields, spanMs: toTenths(spanMs) }, 'attempt ended without a response to forward')
   }
 
+  /** Logs that a request is relayed to another VM. */
+  logRelay (requestId: string | undefined, service: string, relay: string, attempts: number): void {
+    this.logger.log(LogLevel.Info, { step: 'relay-request', requestId, service, peer: relay, attempts }, 'request relayed to another entry VM')
+  }
+
+  /** Counts the end of an attempt by way of another VM. It is logged only if there is no response to forward. */
+  logRelayEnd ({ relay, ...fields }: RelayEndLogFields): void {
+    this.metrics.countRelay('sent', fields.end)
+    if (fields.end === AttemptOutcome.Answered) return
+    this.logger.log(LogLevel.Warn, { step: 'end-relay', peer: relay, ...fields, spanMs: toTenths(fields.spanMs) }, 'relayed request ended without a worker\'s response')
+  }
+
+  /** Counts a request that another VM relayed to this one. */
+  countRelayed (outcome: string): void {
+    this.metrics.countRelay('received', outcome)
+  }
+
+  /** Logs that this VM can't open connections to the workers of a service any more, or can again. */
+  logLinkState (service: string, state: LinkState): void {
+    const isLost = state === LinkState.Disconnected
+    this.logger.log(isLost ? LogLevel.Warn : LogLevel.Info, { step: isLost ? 'disconnect-workers' : 'reconnect-workers', service }, isLost ? 'workers of a service can\'t be reached' : 'workers of a service can be reached again')
+  }
+
   /** Logs that a worker announced another rate limit, or none any more. */
   logRateLimit (service: string, worker: string, perSecond: number | undefined): void {
     this.logger.log(LogLevel.Info, { step: 'limit-rate', peer: worker, service, perSecond }, 'rate limit announced by a worker changed')
--- a/packages/entry/src/node/telemetry/requestOutcomes.ts
+++ b/packages/entry/src/node/telemetry/requestOutcomes.ts
@@ -48,6 +48,8 @@
   DeadlineUnreachable = 'too-late',
   /** Workers refused the request, and no further attempt is allowed. */
   WorkersRefused = 'workers-refused',
+  /** This VM can't take the relayed request of another one. */
+  RelayUnable = 'relay-unable',
   /** The request crashed workers before. */
   Quarantined = 'quarantined',
   /** The request could be retried, but the retry budget is exhausted. */
@@ -68,6 +70,10 @@
   RefusedByWorker = 'refused-by-worker',
   /** Another worker uses the address now. */
   AddressReused = 'other-worker',
+  /** Another VM took the request and refused to send it to a worker. */
+  RefusedByRelay = 'refused-by-relay',
+  /** Another VM can't take requests now; it did not send it to a worker. */
+  RelayUnable = 'relay-unable',
   /** No connection could be opened; nothing was sent. */
   NotSent = 'not-sent',
   /** The attempt was no longer allowed when the connection was open; nothing was sent. */
--- /dev/null
+++ b/packages/entry/src/node/upstream/connectSlack.ts
@@ -0,0 +1,2 @@
+/** How much longer than the round trip time opening a connection may take, in milliseconds. */
+export const CONNECT_SLACK_MS = 250
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -1,6 +1,6 @@
 /** A pool of connections to one worker, with idle connections, a limit, and a timeout for opening. */
 import { createConnection, type Socket } from 'node:net'
-import type { IClock } from '@umberspar/base/common/clock'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import type { IdleLimit } from './idleLimit.js'
@@ -88,6 +88,18 @@
     })
   }
 
+  /** @returns whether a request can be sent without opening a connection */
+  hasIdle (): boolean {
+    return this.idle.some(({ isUsable }) => isUsable)
+  }
+
+  /** Closes the connections that have been idle since before an instant. */
+  closeIdle (idleSince: Instant): void {
+    for (const connection of [...this.idle]) {
+      if ((connection.idleSince ?? idleSince) < idleSince) connection.close()
+    }
+  }
+
   /** Closes idle connections now, and the others after their response. */
   close (): void {
     this.isClosed = true
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -1,5 +1,5 @@
 /** The connection pools of all workers. */
-import type { IClock } from '@umberspar/base/common/clock'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { UpstreamRegistration } from '@umberspar/steering/common/entry/records'
 import { splitAddress } from '../address.js'
@@ -51,6 +51,22 @@
     return pool
   }
 
+  /**
+   * @param workerId a worker
+   * @returns whether a request can be sent to it without opening a connection
+   */
+  hasIdle (workerId: string): boolean {
+    return this.pools.get(workerId)?.hasIdle() === true
+  }
+
+  /**
+   * Closes the idle connections to a worker that have been idle since before an instant.
+   * @param workerId a worker
+   */
+  closeSilent (workerId: string, idleSince: Instant): void {
+    this.pools.get(workerId)?.closeIdle(idleSince)
+  }
+
   /** @param workerId a worker that receives no more requests; its open requests continue */
   remove (workerId: string): void {
     this.pools.get(workerId)?.close()
--- a/packages/entry/test/node/front/upstreamAttempt.test.ts
+++ b/packages/entry/test/node/front/upstreamAttempt.test.ts
@@ -7,9 +7,12 @@
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { type UpstreamRegistration, UpstreamState } from '@umberspar/steering/common/entry/records'
+import { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import type { BufferedRequest } from '../../../src/node/front/bufferedRequest.js'
 import type { EntryContext } from '../../../src/node/front/entryContext.js'
-import { UpstreamAttempt, type AttemptResult } from '../../../src/node/front/upstreamAttempt.js'
+import type { AttemptResult } from '../../../src/node/front/attempt.js'
+import { OpenAttempts } from '../../../src/node/front/openAttempts.js'
+import { UpstreamAttempt } from '../../../src/node/front/upstreamAttempt.js'
 import { AttemptOutcome } from '../../../src/node/telemetry/requestOutcomes.js'
 import { UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
 import type { OpenListener } from '../../../src/node/upstream/upstreamPool.js'
@@ -36,6 +39,8 @@
       pools: { getPool: () => ({ open: (_maxConnections: number, _deadline: number, onOpen: OpenListener) => { finishOpening = onOpen } }) },
       accessController: { decide: () => ({ outcome: AccessOutcome.Allowed }) },
       eventLoop: { runWhenCurrent: (callback: () => void) => { callback() } },
+      links: new WorkerLinks(() => 1, () => {}),
+      openAttempts: new OpenAttempts(),
       telemetry: { logAttemptEnd: () => {} }
     } as unknown as EntryContext
     results = []
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/upstreamTracker.ts
@@ -227,7 +227,11 @@
     return Math.max(this.inFlight.size, this.lastReport.running + this.lastReport.waiting + this.sentSinceReport)
   }
 
-  private hasOverdueRequest (now: Instant): boolean {
+  /**
+   * @param now the current time
+   * @returns whether a request has been awaiting its answer much longer than expected
+   */
+  hasOverdueRequest (now: Instant): boolean {
     // Requests are in the order in which they were sent; later ones are rarely due earlier.
     const oldest = this.inFlight.values().next().value
     return oldest !== undefined && oldest.overdueAt <= now
--- a/packages/steering/src/common/entry/workerPool.ts
+++ b/packages/steering/src/common/entry/workerPool.ts
@@ -77,6 +77,13 @@
     return this.trackers.values()
   }
 
+  /** @returns the number of workers that may get requests */
+  countAvailable (): number {
+    let count = 0
+    for (const { isDraining } of this.trackers.values()) if (!isDraining) count++
+    return count
+  }
+
   /**
    * @param workerId a worker
    * @returns whether it is registered
