Count a broken connection as a crash only if this VM reaches other workers

Cause: a worker to which no new connection opens after one broke counted as crashed, although the VM reached none. Now up to three workers without failures are probed as well, unless a worker has been heard from since; the crash counts if one answers.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -214,7 +214,7 @@
 
   private buildQuarantine (): RequestQuarantine {
     const { clock, logger, writer, settings } = this.dependencies
-    return new RequestQuarantine({ clock, logger, writer, view: this.view, pools: this.pools, node: settings.node, quarantineDurationMs: settings.quarantineSpan })
+    return new RequestQuarantine({ clock, links: this.upstreamLinks.links, logger, writer, view: this.view, pools: this.pools, node: settings.node, quarantineDurationMs: settings.quarantineSpan })
   }
 
   private buildContext (roundTrips: DomainRoundTrips): EntryContext {
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -124,7 +124,7 @@
     }
     if (openMs > 0) {
       this.context.roundTrips.record(this.tracker.registration.domain, openMs)
-      this.context.links.recordOpened(this.service, this.tracker.registration.id)
+      this.context.links.recordOpened(this.service, this.tracker.registration.id, now)
     }
     // The caller may have left, but the end of its connection may not have been read yet.
     this.context.eventLoop.runWhenCurrent(() => { this.sendIfAllowed(result) })
--- a/packages/entry/src/node/quarantine/requestQuarantine.ts
+++ b/packages/entry/src/node/quarantine/requestQuarantine.ts
@@ -9,6 +9,7 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { UpstreamRegistration } from '@umberspar/steering/common/entry/records'
+import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import type { IRecordWriter } from '@umberspar/steering/common/ports/steeringSource'
 import type { CrashReport } from '@umberspar/steering/common/quarantine/crashReport'
 import { ReportState, SuspectTable, toDeadline } from '@umberspar/steering/common/quarantine/suspectTable'
@@ -26,6 +27,8 @@
 const PENDING_RETRY_DELAY_MS = 1_000
 /** A worker that accepts no connection within this time counts as crashed. */
 const CHECK_TIMEOUT_MS = 500
+/** Workers without failures that must not be reachable either before a failed connection counts as the VM's own. */
+const COMPARED_WORKERS = 3
 
 /** Dependencies of a {@link RequestQuarantine}. */
 export interface RequestQuarantineDependencies {
@@ -38,6 +41,8 @@
   /** How long a request stays quarantined, in milliseconds. */
   readonly quarantineDurationMs: number
   readonly pools: UpstreamPools
+  /** Tells whether this VM reaches workers at all. */
+  readonly links: WorkerLinks
 }
 
 /** An attempt that ended because the connection to the worker broke. */
@@ -140,10 +145,36 @@
       this.checks.delete(key)
       for (const listener of listeners) listener(isListening)
     }
-    const { view, pools, clock } = this.dependencies
+    const { view, pools, clock, links } = this.dependencies
     // A removed worker has no pool any more and needs no check.
-    if (view.getPool(worker.service).has(worker.id)) pools.getPool(worker).probe(createDeadline(clock.now(), CHECK_TIMEOUT_MS), settle)
-    else settle(false)
+    if (!view.getPool(worker.service).has(worker.id)) return settle(false)
+    const startedAt = clock.now()
+    pools.getPool(worker).probe(createDeadline(startedAt, CHECK_TIMEOUT_MS), (isListening) => {
+      if (isListening || links.hasContactSince(startedAt)) settle(isListening)
+      else this.checkOthers(worker, (isAnyListening) => { settle(!isAnyListening) })
+    })
+  }
+
+  /** A VM that reaches no other worker either has lost its links; the worker may well be running. */
+  private checkOthers ({ id }: UpstreamRegistration, onResult: (isAnyListening: boolean) => void): void {
+    const { view, pools, clock } = this.dependencies
+    const now = clock.now()
+    const others = [...view.listTrackers()]
+      .filter(({ isDraining, registration }) => !isDraining && registration.id !== id)
+      .sort((left, right) => left.getFailureRate(now) - right.getFailureRate(now))
+      .slice(0, COMPARED_WORKERS)
+    // A failure of the only worker can't be told from one of its link.
+    if (others.length === 0) return onResult(false)
+    let failed = 0
+    let isSettled = false
+    for (const { registration } of others) {
+      pools.getPool(registration).probe(createDeadline(now, CHECK_TIMEOUT_MS), (isListening) => {
+        if (!isListening) failed++
+        if (isSettled || (!isListening && failed < others.length)) return
+        isSettled = true
+        onResult(isListening)
+      })
+    }
   }
 
   private confirmCrash (report: CrashReport, service: string): void {
--- a/packages/entry/src/node/upstream/linkProber.ts
+++ b/packages/entry/src/node/upstream/linkProber.ts
@@ -94,7 +94,7 @@
       const { registration } = trackers[(first + index) % trackers.length]!
       const deadline = createDeadline(now, roundTrips.getRoundTripMs(registration.domain) + CONNECT_SLACK_MS)
       pools.getPool(registration).probe(deadline, (isListening) => {
-        if (isListening) links.recordOpened(service, registration.id)
+        if (isListening) links.recordOpened(service, registration.id, clock.now())
         else links.recordOpenFailure(service, registration.id, now, clock.now())
       })
     }
--- a/packages/steering/src/common/entry/workerLinks.ts
+++ b/packages/steering/src/common/entry/workerLinks.ts
@@ -41,6 +41,7 @@
 /** The links of one VM to the workers of all services. */
 export class WorkerLinks {
   private readonly links = new Map<string, ServiceLink>()
+  private lastContactAt: Instant = Number.NEGATIVE_INFINITY
 
   /**
    * @param countWorkers the number of workers of a service that may get requests
@@ -80,12 +81,21 @@
     return this.links.get(service)?.lastResponseAt ?? Number.NEGATIVE_INFINITY
   }
 
+  /**
+   * @param since an instant
+   * @returns whether any worker has responded or accepted a connection since then, so that this VM has not lost all of its links
+   */
+  hasContactSince (since: Instant): boolean {
+    return this.lastContactAt >= since
+  }
+
   /**
    * Records a response of a worker.
    * @param service its service
    * @param now the current time
    */
   recordResponse (service: string, now: Instant): void {
+    this.lastContactAt = now
     this.getLink(service).lastResponseAt = now
   }
 
@@ -93,8 +103,10 @@
    * Records that a connection was opened.
    * @param service the worker's service
    * @param worker the worker's id
+   * @param now the current time
    */
-  recordOpened (service: string, worker: string): void {
+  recordOpened (service: string, worker: string, now: Instant): void {
+    this.lastContactAt = now
     const link = this.getLink(service)
     if (link.state === LinkState.Disconnected) {
       link.reopened.add(worker)
