--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
+import { EndpointServer } from '@umberspar/entry/node/lookup/endpointServer'
+import { findFreeAddresses } from '../../../src/node/deployment/freeAddresses.js'
 import { type ClientAnswer, type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
+import { LinkFault } from '../../../src/node/standIns/tcpRelay.js'
 import { WorkerLinkFault } from '../../../src/node/standIns/usersPlatform/workerLink.js'
 
 const DOMAINS = { 'north-1': 'north', 'north-2': 'north', 'south-1': 'south' }
@@ -12,6 +15,7 @@
 ]
 const PATHS = ROUTES.map(({ Prefix }) => `${Prefix}1`)
 const WORK_MS = 20
+const KEY = 'key-of-the-families'
 const LONG_MS = 30_000
 /** So many crashed workers are evidence against a request. */
 const CRASHED_WORKERS = 3
@@ -62,6 +66,39 @@
     while (platform.clock.now() < until) await sendEach(entry, 4)
   }
 
+  /** Cuts a VM off from all workers and waits until it has noticed. */
+  async function breakLinks (entry: LocalEntry): Promise<void> {
+    entry.link.setFault(WorkerLinkFault.Hang)
+    await platform.waitUntil(async () => {
+      await sendEach(entry, 4)
+      return countSteps(entry, 'disconnect-workers') === SERVICES.length
+    })
+  }
+
+  /** @returns the number of runs of requests whose ids begin with a prefix */
+  function countRuns (prefix = ''): number {
+    return [...platform.workers.values()].flatMap(({ runs }) => runs).filter(({ requestId }) => requestId.startsWith(prefix)).length
+  }
+
+  function listAddresses (service: string, domain = ''): string[] {
+    return [...platform.workers.keys()]
+      .filter((id) => id.startsWith(service) && id.endsWith(domain))
+      .map((id) => (JSON.parse(platform.store.state.get(`servers/${id}`)!.value) as { Addr: string }).Addr)
+  }
+
+  /** Each request ran as it was sent; what must not be repeated ran once at most. */
+  function assertUnchanged (): void {
+    const runsById = new Map<string, number>()
+    for (const { requestId, path, method, bodyLength } of [...platform.workers.values()].flatMap(({ runs }) => runs)) {
+      const isSafe = path === PATHS[0]
+      assert.ok(PATHS.includes(path), path)
+      assert.equal(method, isSafe ? 'GET' : 'POST')
+      assert.equal(bodyLength, isSafe ? 0 : `body of ${requestId}`.length)
+      runsById.set(requestId, (runsById.get(requestId) ?? 0) + 1)
+      assert.ok(isSafe || runsById.get(requestId) === 1, `${requestId} ran twice`)
+    }
+  }
+
   function countSteps ({ lines }: LocalEntry, step: string): number {
     return lines.filter((line) => line.step === step).length
   }
@@ -78,9 +115,162 @@
       await sendUntil(entry!, platform.clock.now() + STABILITY_MS)
       const answers = await sendEach(entry!, TRIES)
       assert.equal(countStatus(answers, 200), answers.length, `statuses ${answers.map(({ status }) => status).join(' ')}`)
+      assertUnchanged()
     })
   }
 
+  it('sends requests itself again once connections open', async () => {
+    const [entry] = entries
+    await breakLinks(entry!)
+    entry!.link.setFault(WorkerLinkFault.None)
+    await platform.waitUntil(() => countSteps(entry!, 'reconnect-workers') === countSteps(entry!, 'disconnect-workers'))
+    const relays = countSteps(entry!, 'relay-request')
+    const answers = await sendEach(entry!, TRIES)
+    assert.equal(countStatus(answers, 200), answers.length)
+    assert.equal(countSteps(entry!, 'relay-request'), relays)
+  })
+
+  it('sends requests for a service that it reaches itself, and relays those of another one', async () => {
+    const [entry] = entries
+    entry!.link.setFault(WorkerLinkFault.Hang, listAddresses('ledger'))
+    await sendUntil(entry!, platform.clock.now() + STABILITY_MS)
+    const answers = await sendEach(entry!, TRIES)
+    assert.equal(countStatus(answers, 200), answers.length)
+    const relayed = entry!.lines.filter(({ step }) => step === 'relay-request').map(({ service }) => service)
+    assert.deepEqual([...new Set(relayed)], ['ledger'])
+  })
+
+  it('sends requests to the workers that it reaches while those of a failure domain are lost', async () => {
+    const [entry] = entries
+    entry!.link.setFault(WorkerLinkFault.Hang, listAddresses('', 'north-1'))
+    await sendUntil(entry!, platform.clock.now() + STABILITY_MS)
+    const answers = await sendEach(entry!, TRIES)
+    assert.equal(countStatus(answers, 200), answers.length)
+    assert.equal(countSteps(entry!, 'relay-request'), 0)
+  })
+
+  // Guards against requests that VMs pass to each other, and look-ups without addresses, when the workers are gone for all.
+  it('refuses at once if no other VM reaches the workers either', async () => {
+    for (const entry of entries) entry.link.setFault(WorkerLinkFault.Hang)
+    await Promise.all(entries.map(async (entry) => { await sendUntil(entry, platform.clock.now() + STABILITY_MS) }))
+    const relays = entries.map((entry) => countSteps(entry, 'relay-request'))
+    const startedAt = platform.clock.now()
+    const answers = (await Promise.all(entries.map(async (entry) => await sendEach(entry, TRIES)))).flat()
+    const seconds = Math.ceil((platform.clock.now() - startedAt) / 1_000)
+    assert.equal(countStatus(answers, 503), answers.length)
+    assert.ok(answers.every(({ headers }) => Number(headers['retry-after']) > 0))
+    // Each VM asks each other one about once a second for each service.
+    for (const [index, entry] of entries.entries()) {
+      assert.ok(countSteps(entry, 'relay-request') - relays[index]! <= SERVICES.length * (entries.length - 1) * (seconds + 1))
+    }
+    assert.equal((await platform.lookUp(entries[0]!, 'north-1')).length, 1)
+  })
+
+  it('cancels a request at its worker when the caller leaves', async () => {
+    const [entry] = entries
+    await breakLinks(entry!)
+    for (const worker of platform.workers.values()) worker.workMs = LONG_MS
+    const running = countRuns()
+    const leaving = new AbortController()
+    const answer = platform.call(entry!, { path: '/safe/leaves', id: 'leaves', deadlineMs: 60_000, signal: leaving.signal })
+    await platform.waitUntil(() => countRuns() > running)
+    leaving.abort()
+    await assert.rejects(answer)
+    await platform.waitUntil(() => [...platform.workers.values()].some(({ cancelled }) => cancelled > 0))
+  })
+
+  it('answers 502 for a request that must not be repeated, and repeats another one, when the other VM is lost', async () => {
+    const [entry, ...others] = entries
+    const relays = await Promise.all(others.map(async (other) => await platform.addPeerRelay(other)))
+    await breakLinks(entry!)
+    for (const worker of platform.workers.values()) worker.workMs = 500
+    for (const [path, status, runs] of [['/unsafe/lost', 502, 1], ['/safe/lost', 200, 2]] as const) {
+      const running = countRuns()
+      const answer = platform.call(entry!, { path, id: `lost-${status}`, method: status === 502 ? 'POST' : 'GET', deadlineMs: 60_000 })
+      await platform.waitUntil(() => countRuns() > running)
+      for (const relay of relays) relay.setFault(LinkFault.Reset)
+      for (const relay of relays) relay.setFault(LinkFault.None)
+      assert.equal((await answer).status, status)
+      assert.equal(countRuns(), running + runs)
+    }
+  })
+
+  // Guards against requests that a planned stop of the other VM cuts off.
+  it('gets the answers to its requests from a VM that drains, and sends it no further ones', async () => {
+    const [entry, near, far] = entries
+    await breakLinks(entry!)
+    for (const worker of platform.workers.values()) worker.workMs = 700
+    const answers = Array.from({ length: 12 }, async (_, index) => await platform.call(entry!, { path: '/unsafe/drain', id: `drain-${index}`, method: 'POST', deadlineMs: 60_000 }))
+    await platform.waitUntil(() => countRuns('drain-') === 12)
+    const stopped = new Promise<void>((resolve) => { near!.entry.stop(() => { resolve() }) })
+    const later = Array.from({ length: 12 }, async (_, index) => await platform.call(entry!, { path: '/unsafe/drain', id: `later-${index}`, method: 'POST', deadlineMs: 60_000 }))
+    assert.ok((await Promise.all([...answers, ...later])).every(({ status }) => status === 200))
+    assert.equal(near!.lines.filter(({ step, requestId }) => step === 'offer-request' && String(requestId).startsWith('later-')).length, 0)
+    assert.ok(countSteps(far!, 'offer-request') > 0)
+    await stopped
+  })
+
+  // Guards against requests whose body leaves the regions that may have it.
+  it('relays requests of routes with homes only to VMs there', async () => {
+    const [entry] = entries
+    platform.putConfiguration([...ROUTES, { Name: 'homed', Prefix: '/home/', Service: 'ledger', Kind: 'upload', HomeRegions: ['south'] }])
+    await platform.waitUntil(() => entries.every(({ lines }) => lines.filter(({ change }) => change === 'document-adopted').length > 1))
+    await breakLinks(entry!)
+    for (let index = 0; index < 20; index++) {
+      assert.equal((await platform.call(entry!, { path: '/home/1', id: `home-${index}`, method: 'POST', body: 'at home' })).status, 200)
+    }
+    const relays = entry!.lines.filter(({ step, requestId }) => step === 'relay-request' && String(requestId).startsWith('home-')).map(({ peer }) => peer)
+    assert.deepEqual([...new Set(relays)], ['vm-2'])
+  })
+
+  it('does without VMs of a build that knows no relays', async () => {
+    const [entry] = entries
+    const old = new EndpointServer()
+    const [address] = await findFreeAddresses('127.0.0.1', 1)
+    await old.listen(address!)
+    platform.store.put('entry-vms/vm-old', { address, peerAddress: address, domain: 'north-1' })
+    await platform.waitUntil(() => entry!.lines.some(({ change, subject }) => change === 'node-joined' && subject === 'vm-old'))
+    await breakLinks(entry!)
+    const answers = await sendEach(entry!, TRIES)
+    assert.equal(countStatus(answers, 200), answers.length)
+    assert.ok(entry!.lines.some(({ step, peer }) => step === 'relay-request' && peer === 'vm-old'))
+    old.close()
+  })
+
+  it('has keys checked by both VMs and keeps them from workers', async () => {
+    const [entry] = entries
+    const headers = { Authorization: `Bearer ${KEY}` }
+    const callOnce = async (id: string): Promise<number> => (await platform.call(entry!, { path: '/safe/keyed', id, headers })).status
+    platform.putConfiguration(ROUTES, 7, [{ Name: 'families', ApiKeys: [KEY], RatePerS: 100, Burst: 100 }])
+    await platform.waitUntil(async () => await callOnce('before') === 200)
+    // Requests without a key find out that the workers can't be reached.
+    entry!.link.setFault(WorkerLinkFault.Hang)
+    platform.putConfiguration([...ROUTES, { Name: 'open', Prefix: '/open/', Service: 'archive', NoAuth: true }])
+    await platform.waitUntil(async () => (await platform.call(entry!, { path: '/open/1', id: 'open' })).status === 200 && countSteps(entry!, 'relay-request') > 0)
+    const statuses: number[] = []
+    for (let index = 0; index < TRIES; index++) statuses.push(await callOnce(`keyed-${index}`))
+    assert.deepEqual(new Set(statuses), new Set([200]))
+    const runs = [...platform.workers.values()].flatMap((worker) => worker.runs).filter(({ requestId }) => requestId.startsWith('keyed-'))
+    assert.equal(runs.length, TRIES)
+    assert.ok(runs.every(({ account, authorization }) => account === 'families' && authorization === ''))
+    platform.putConfiguration(ROUTES, 7, [{ Name: 'families', ApiKeys: ['another key'], RatePerS: 100, Burst: 100 }])
+    await platform.waitUntil(async () => await callOnce('removed') === 401)
+    const running = countRuns('removed')
+    for (let index = 0; index < TRIES; index++) assert.equal(await callOnce('removed'), 401)
+    assert.equal(countRuns('removed'), running)
+  })
+
+  // Guards against callers that pass themselves off as entry VMs.
+  it('takes nothing that a caller sends for a relayed request', async () => {
+    const [entry] = entries
+    assert.equal((await platform.call(entry!, { path: '/v1/relay/safe/1', id: 'forged-1', headers: { 'umberspar-relay': '0 archive' } })).status, 404)
+    const answer = await platform.call(entry!, { path: '/safe/1', id: 'forged-2', headers: { 'umberspar-relay': '9 ledger' } })
+    assert.equal(answer.status, 200)
+    assert.equal(answer.headers['umberspar-relay'], undefined)
+    await breakLinks(entry!)
+    assert.equal((await sendOne(entry!, '/safe/1')).headers['umberspar-relay'], undefined)
+  })
+
   // Guards against a quarantine of requests whose connections broke because this VM lost its links.
   it('does not take requests whose connections were reset for ones that crash workers', async () => {
     const [entry] = entries
