Let the soaks cut single entry processes off from all workers

A preload treats a process's connections to workers as hanging, reset, or refused, on a message from the soak; other processes keep theirs. Both soaks have the step in a random stream of its own, so that recorded seeds keep their other steps. In the routing soak it is no disruption: such a VM must route by current records all the same. The prober asks pools instead of grouping all workers each time; one table maps failures of exchanges.

--- a/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
+++ b/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
@@ -140,10 +140,10 @@
     else this.ready.push(callback)
   }
 
-  /** @returns whether the event loop is late, or new requests already wait for later turns */
+  /** @returns whether the event loop is late */
   isLate (): boolean {
     this.checkDelay(this.options.elapsed.now())
-    return this.delayedSince !== undefined || this.ready.length > 0
+    return this.delayedSince !== undefined
   }
 
   /** Runs a function after all sockets have been polled once more. */
--- a/packages/entry/src/node/front/attempt.ts
+++ b/packages/entry/src/node/front/attempt.ts
@@ -1,9 +1,17 @@
 /** One attempt to have a request run, at a worker or by way of another entry VM. */
 import type { Instant } from '@umberspar/base/common/clock'
-import type { AttemptOutcome } from '../telemetry/requestOutcomes.js'
+import { AttemptOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
+import { ExchangeFailure } from '../upstream/upstreamConnection.js'
 import type { BufferedResponse } from './responseCollector.js'
 
+/** How an attempt ends whose exchange failed. */
+export const OUTCOME_BY_FAILURE: Readonly<Record<ExchangeFailure, AttemptOutcome>> = {
+  [ExchangeFailure.Broken]: AttemptOutcome.ConnectionLost,
+  [ExchangeFailure.InvalidResponse]: AttemptOutcome.MalformedResponse,
+  [ExchangeFailure.Cancelled]: AttemptOutcome.Cancelled
+}
+
 /** The result of an attempt. */
 export interface AttemptResult {
   readonly outcome: AttemptOutcome
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -19,7 +19,7 @@
 import { OpenFailure } from '../upstream/upstreamPool.js'
 import { CONNECT_SLACK_MS } from '../upstream/connectSlack.js'
 import { ResponseCollector, type BufferedResponse } from './responseCollector.js'
-import type { AttemptListener, AttemptResult, IAttempt } from './attempt.js'
+import { type AttemptListener, type AttemptResult, type IAttempt, OUTCOME_BY_FAILURE } from './attempt.js'
 import type { EntryContext } from './entryContext.js'
 import type { BufferedRequest } from './bufferedRequest.js'
 
@@ -34,12 +34,6 @@
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 
-const OUTCOME_BY_FAILURE: Readonly<Record<ExchangeFailure, AttemptOutcome>> = {
-  [ExchangeFailure.Broken]: AttemptOutcome.ConnectionLost,
-  [ExchangeFailure.InvalidResponse]: AttemptOutcome.MalformedResponse,
-  [ExchangeFailure.Cancelled]: AttemptOutcome.Cancelled
-}
-
 /** Outcomes of attempts that the worker responded to. */
 const RESPONSE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Answered, AttemptOutcome.FailedByWorker, AttemptOutcome.RefusedByWorker])
 
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -3,7 +3,7 @@
 import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
 import { parseRelayOutcome, RELAY_FIELD, RelayOutcome } from '../../common/relayFields.js'
-import type { AttemptListener, IAttempt } from '../front/attempt.js'
+import { type AttemptListener, type IAttempt, OUTCOME_BY_FAILURE } from '../front/attempt.js'
 import type { BufferedRequest } from '../front/bufferedRequest.js'
 import type { EntryContext } from '../front/entryContext.js'
 import { type BufferedResponse, ResponseCollector } from '../front/responseCollector.js'
@@ -11,18 +11,12 @@
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import { CONNECT_SLACK_MS } from '../upstream/connectSlack.js'
-import { ExchangeFailure, UpstreamConnection } from '../upstream/upstreamConnection.js'
+import { UpstreamConnection } from '../upstream/upstreamConnection.js'
 import type { OpenFailure } from '../upstream/upstreamPool.js'
 
 /** Limit on the connections of this VM to another one for relayed requests. */
 const MAX_CONNECTIONS = 128
 
-const OUTCOME_BY_FAILURE: Readonly<Record<ExchangeFailure, AttemptOutcome>> = {
-  [ExchangeFailure.Broken]: AttemptOutcome.ConnectionLost,
-  [ExchangeFailure.InvalidResponse]: AttemptOutcome.MalformedResponse,
-  [ExchangeFailure.Cancelled]: AttemptOutcome.Cancelled
-}
-
 const OUTCOME_BY_RELAY_OUTCOME: Readonly<Record<RelayOutcome, AttemptOutcome>> = {
   [RelayOutcome.Answered]: AttemptOutcome.Answered,
   [RelayOutcome.Refused]: AttemptOutcome.RefusedByRelay,
--- a/packages/entry/src/node/upstream/linkProber.ts
+++ b/packages/entry/src/node/upstream/linkProber.ts
@@ -9,7 +9,7 @@
 import type { IRandomSource } from '@umberspar/base/common/random'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
-import type { UpstreamTracker } from '@umberspar/steering/common/entry/upstreamTracker'
+import type { WorkerPool } from '@umberspar/steering/common/entry/workerPool'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import { CONNECT_SLACK_MS } from './connectSlack.js'
 import type { UpstreamPools } from './upstreamPools.js'
@@ -50,9 +50,9 @@
 
   /** Probes the services that still count as connected, after another one has been disconnected. */
   checkOthers (): void {
-    const { links, clock } = this.options
-    for (const [service, trackers] of this.listTrackersByService()) {
-      if (!links.isDisconnected(service)) this.probe(service, trackers, PROBED_WORKERS, clock.now())
+    const { links, clock, view } = this.options
+    for (const [service, pool] of view.pools) {
+      if (!links.isDisconnected(service)) this.probe(service, pool, PROBED_WORKERS, clock.now())
     }
   }
 
@@ -71,23 +71,27 @@
   }
 
   private check (): void {
-    const { links, clock, pools } = this.options
+    const { links, clock, view } = this.options
     const now = clock.now()
-    for (const [service, trackers] of this.listTrackersByService()) {
+    for (const [service, pool] of view.pools) {
       if (links.isDisconnected(service)) {
-        // Requests would wait for responses on connections that have become silent.
-        if (!links.isResponding(service, now)) for (const { registration } of trackers) pools.closeSilent(registration.id, now - SILENCE_MS)
-        this.probe(service, trackers, REPROBED_WORKERS, now)
-      } else if (now - links.getLastResponseAt(service) >= SILENCE_MS) {
-        const overdue = trackers.filter((tracker) => tracker.hasOverdueRequest(now))
-        if (overdue.length > 0) this.probe(service, trackers, PROBED_WORKERS, now)
+        if (!links.isResponding(service, now)) this.closeSilent(pool, now)
+        this.probe(service, pool, REPROBED_WORKERS, now)
+      } else if (now - links.getLastResponseAt(service) >= SILENCE_MS && hasOverdueRequest(pool, now)) {
+        this.probe(service, pool, PROBED_WORKERS, now)
       }
     }
   }
 
-  private probe (service: string, trackers: readonly UpstreamTracker[], count: number, now: Instant): void {
+  /** Requests on these connections would wait for responses in vain. */
+  private closeSilent (pool: WorkerPool, now: Instant): void {
+    for (const { registration } of pool.listTrackers()) this.options.pools.closeSilent(registration.id, now - SILENCE_MS)
+  }
+
+  private probe (service: string, pool: WorkerPool, count: number, now: Instant): void {
     if (now < (this.nextProbeAt.get(service) ?? 0)) return
     this.nextProbeAt.set(service, now + REPROBE_INTERVAL_MS)
+    const trackers = [...pool.listTrackers()].filter(({ isDraining }) => !isDraining)
     const { random, roundTrips, pools, links, clock } = this.options
     const first = Math.floor(random.next() * trackers.length)
     for (let index = 0; index < Math.min(count, trackers.length); index++) {
@@ -99,16 +103,9 @@
       })
     }
   }
+}
 
-  private listTrackersByService (): Map<string, UpstreamTracker[]> {
-    const trackersByService = new Map<string, UpstreamTracker[]>()
-    for (const tracker of this.options.view.listTrackers()) {
-      if (tracker.isDraining) continue
-      const { service } = tracker.registration
-      const trackers = trackersByService.get(service)
-      if (trackers === undefined) trackersByService.set(service, [tracker])
-      else trackers.push(tracker)
-    }
-    return trackersByService
-  }
+function hasOverdueRequest (pool: WorkerPool, now: Instant): boolean {
+  for (const tracker of pool.listTrackers()) if (tracker.hasOverdueRequest(now)) return true
+  return false
 }
--- a/packages/soak/src/common/routing/routingPlan.ts
+++ b/packages/soak/src/common/routing/routingPlan.ts
@@ -20,13 +20,17 @@
   /** The store compacts its history and closes all watches. */
   StoreCompact = 'compact',
   /** The store comes back from a copy as old as the step's duration, and its writers write again what was lost. */
-  StoreRollback = 'store-rollback'
+  StoreRollback = 'store-rollback',
+  /** Some VMs are partitioned from all workers, but not from callers, the store and the other VMs. */
+  WorkersUnreachable = 'workers-unreachable'
 }
 
-/** Faults added later. By default they use a random stream of their own, so that seeds recorded earlier still result in the same other steps. */
-const LATER_FAULTS = [RoutingFault.StoreRollback]
-const EARLIER_FAULTS = Object.values(RoutingFault).filter((fault) => !LATER_FAULTS.includes(fault))
-const LATER_STREAM_SEED_OFFSET = 1_000_003
+/** Faults added later. By default they use random streams of their own, so that seeds recorded earlier still result in the same other steps. */
+const LATER_STREAMS: ReadonlyArray<{ readonly faults: readonly RoutingFault[], readonly seedOffset: number }> = [
+  { faults: [RoutingFault.StoreRollback], seedOffset: 1_000_003 },
+  { faults: [RoutingFault.WorkersUnreachable], seedOffset: 2_000_003 }
+]
+const EARLIER_FAULTS = Object.values(RoutingFault).filter((fault) => !LATER_STREAMS.some(({ faults }) => faults.includes(fault)))
 
 /** A step of the plan. */
 export interface RoutingStep {
@@ -108,7 +112,9 @@
   const untilMs = seconds * 1_000
   const staleReadMs = random.next() < STALE_READ_RATIO ? MAX_STALE_READ_MS * random.next() : 0
   const steps = buildSteps(faults ?? EARLIER_FAULTS, MEAN_STEP_GAP_MS, untilMs, random)
-  if (faults === undefined) steps.push(...buildSteps(LATER_FAULTS, LATER_STEP_GAP_MS, untilMs, createRandom(seed + LATER_STREAM_SEED_OFFSET)))
+  if (faults === undefined) {
+    for (const stream of LATER_STREAMS) steps.push(...buildSteps(stream.faults, LATER_STEP_GAP_MS, untilMs, createRandom(seed + stream.seedOffset)))
+  }
   const changesMs: number[] = []
   for (let atMs = 0; atMs < untilMs; atMs += chooseGap(random)) changesMs.push(atMs)
   for (const { atMs } of steps) changesMs.push(atMs + MAX_CHANGE_DELAY_MS * random.next())
--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -44,7 +44,9 @@
   /** Overwrites a worker's registration for the step's duration, as a foreign writer might; `variant` selects the text. */
   RegistrationOverwrite = 'foreign-entry',
   /** The store comes back from a copy as old as the step's duration; what was lost is written again, `variant` selects when. */
-  StoreRollback = 'store-rollback'
+  StoreRollback = 'store-rollback',
+  /** Cuts some entry VMs off from all workers for the step's duration; `variant` selects how. */
+  WorkersUnreachable = 'workers-unreachable'
 }
 
 /** A step of the plan. */
@@ -81,7 +83,8 @@
 const LATER_STREAMS: ReadonlyArray<{ readonly kinds: readonly SoakStepKind[], readonly seedOffset: number, readonly gapMs: number }> = [
   { kinds: [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite], seedOffset: 1_000_003, gapMs: 2_500 },
   { kinds: [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause], seedOffset: 2_000_003, gapMs: 2_500 },
-  { kinds: [SoakStepKind.StoreRollback], seedOffset: 3_000_003, gapMs: 6_000 }
+  { kinds: [SoakStepKind.StoreRollback], seedOffset: 3_000_003, gapMs: 6_000 },
+  { kinds: [SoakStepKind.WorkersUnreachable], seedOffset: 4_000_003, gapMs: 6_000 }
 ]
 const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_STREAMS.some(({ kinds }) => kinds.includes(kind)))
 
--- a/packages/soak/src/node/entryPreload.ts
+++ b/packages/soak/src/node/entryPreload.ts
@@ -8,6 +8,6 @@
 
 Date.now = () => readTime() + shiftMs
 
-process.on('message', (message: { readonly shiftMs?: number }) => { shiftMs = message.shiftMs ?? 0 })
+process.on('message', (message: { readonly shiftMs?: number }) => { shiftMs = message.shiftMs ?? shiftMs })
 process.on('disconnect', () => { process.exit() })
 process.channel?.unref()
--- a/packages/soak/src/node/entryProcess.ts
+++ b/packages/soak/src/node/entryProcess.ts
@@ -4,6 +4,8 @@
 import { NULL_LOGGER } from '@umberspar/base/common/logger'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
 import type { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
+import type { WorkerLinkFault } from '@umberspar/testing/node/standIns/usersPlatform/workerLink'
+import type { WorkerLinkMessage } from './workerLinkPreload.js'
 import { isReadyAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 
 const READINESS_TIMEOUT_MS = 500
@@ -52,6 +54,15 @@
     return true
   }
 
+  /**
+   * Cuts the running process off from workers, or ends that.
+   * @param fault how its connections to them are treated from now on
+   * @param addresses `host:port` of the workers
+   */
+  setWorkerLink (fault: WorkerLinkFault, addresses: readonly string[]): void {
+    this.program?.send({ workerLink: { fault, addresses } satisfies WorkerLinkMessage })
+  }
+
   /** Marks the next exit of the process as expected, so that it is neither reported nor followed by a restart. */
   expectExit (): void {
     this.isExitExpected = true
--- a/packages/soak/src/node/routing/routingEntries.ts
+++ b/packages/soak/src/node/routing/routingEntries.ts
@@ -11,6 +11,7 @@
 import { EntryProcess } from '../entryProcess.js'
 
 const ENTRY_PRELOAD = new URL('../entryPreload.js', import.meta.url)
+const WORKER_LINK_PRELOAD = new URL('../workerLinkPreload.js', import.meta.url)
 const LINK_PRELOAD = new URL('./linkPreload.js', import.meta.url)
 /** The time limits of the users' first deployments, which have no client accounts. */
 const DEPLOYMENT_LIMITS = { changeLimits: [2_500, 2_500, 5_000], goneWithin: 3_000, revokeWithin: undefined }
@@ -50,7 +51,7 @@
     const { folder, logs, program } = this.files
     const { node } = this.settings
     return spawnEntry(join(folder, `${node}.json`), {
-      preloads: [ENTRY_PRELOAD, LINK_PRELOAD],
+      preloads: [ENTRY_PRELOAD, LINK_PRELOAD, WORKER_LINK_PRELOAD],
       variables: { UMBERSPAR_SOAK_LINKS: join(folder, `${node}.links.json`) },
       readsOutput: true,
       onOutput: (text) => { if (logs !== undefined) appendFileSync(join(logs, `${node}.log`), text) }
--- a/packages/soak/src/node/routing/routingRun.ts
+++ b/packages/soak/src/node/routing/routingRun.ts
@@ -79,6 +79,7 @@
   private readonly plan: RoutingPlan
   private readonly entries: RoutingEntries
   private readonly workerLinks: TcpRelay[] = []
+  private readonly workerAddresses: string[] = []
   private readonly workerLocations = new Map<string, RunLocation>()
   private readonly runsByRequest = new Map<string, RunLocation[]>()
   private readonly statuses: Record<string, number> = {}
@@ -119,7 +120,9 @@
         const link = this.closing.add(new TcpRelay(await worker.listen()))
         this.workerLinks.push(link)
         this.workerLocations.set(worker.id, { service, region })
-        this.records.putWorker({ id: worker.id, service, domain, address: await link.start() })
+        const address = await link.start()
+        this.workerAddresses.push(address)
+        this.records.putWorker({ id: worker.id, service, domain, address })
       }
     }
   }
@@ -149,6 +152,7 @@
       records: this.records,
       entries: this.entries.list,
       workerLinks: this.workerLinks,
+      workerAddresses: this.workerAddresses,
       setChangesPaused: (isPaused) => { this.areChangesPaused = isPaused }
     }
     const until = startedAt + this.plan.untilMs
--- a/packages/soak/src/node/routing/routingSteps.ts
+++ b/packages/soak/src/node/routing/routingSteps.ts
@@ -2,6 +2,7 @@
 import type { IClock } from '@umberspar/base/common/clock'
 import { LinkFault, type TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import type { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
+import { WorkerLinkFault } from '@umberspar/testing/node/standIns/usersPlatform/workerLink'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { waitFor } from '@umberspar/testing/node/waiting'
 import type { DisruptionLog } from '../../common/routing/disruptionLog.js'
@@ -16,12 +17,15 @@
   readonly records: PlatformRecords
   readonly entries: readonly RoutingEntry[]
   readonly workerLinks: readonly TcpRelay[]
+  /** `host:port` of the workers. */
+  readonly workerAddresses: readonly string[]
   /** Pauses or resumes the operator's configuration changes; they are paused while the store is unresponsive. */
   setChangesPaused(isPaused: boolean): void
 }
 
 type StepHandler = (environment: RoutingEnvironment, step: RoutingStep) => Promise<void>
 
+const WORKER_LINK_FAULTS = Object.values(WorkerLinkFault).filter((fault) => fault !== WorkerLinkFault.None)
 const REFUSAL_FAULTS = [StoreFault.Busy, StoreFault.TooMany, StoreFault.Reset, StoreFault.Silent]
 
 function chooseEntries ({ entries }: RoutingEnvironment, { share, target }: RoutingStep): RoutingEntry[] {
@@ -126,6 +130,14 @@
       environment.records.store.state.clearHistory()
     })
   },
+  // Not a disruption: a VM without workers serves as promised by way of another one.
+  [RoutingFault.WorkersUnreachable]: async (environment, step) => {
+    const affected = chooseEntries(environment, step)
+    const fault = WORKER_LINK_FAULTS[Math.floor(step.target * WORKER_LINK_FAULTS.length)]!
+    for (const entry of affected) entry.setWorkerLink(fault, environment.workerAddresses)
+    await waitFor(environment.clock, step.spanMs)
+    for (const entry of affected) entry.setWorkerLink(WorkerLinkFault.None, [])
+  },
   [RoutingFault.StoreRollback]: async (environment, step) => {
     await runDisruption(environment, [undefined], async () => {
       await runStoreRollback(environment.clock, environment.records.store, step.spanMs, step.share, () => { environment.setChangesPaused(true) })
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -17,6 +17,7 @@
 
 const POLL_INTERVAL_MS = 50
 const ENTRY_PRELOAD = new URL('./entryPreload.js', import.meta.url)
+const WORKER_LINK_PRELOAD = new URL('./workerLinkPreload.js', import.meta.url)
 
 /** An entry process and its links. */
 export class SoakEntry extends EntryProcess {
@@ -46,7 +47,7 @@
   protected override spawn (): ChildProgram {
     this.writeSettings()
     for (const address of [this.settings.listen.callers, this.callerLinkAddress]) this.checker.recordEntryStart(address)
-    return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD], readsOutput: true })
+    return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD, WORKER_LINK_PRELOAD], readsOutput: true })
   }
 
   /** Writes settings with a change that a running process can apply, and sends it SIGHUP to reload them. */
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -3,6 +3,7 @@
 import { LinkFault, type TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import type { PathInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
+import { WorkerLinkFault } from '@umberspar/testing/node/standIns/usersPlatform/workerLink'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { waitFor } from '@umberspar/testing/node/waiting'
 import { type SoakStep, SoakStepKind } from '../common/soakPlan.js'
@@ -37,6 +38,7 @@
 
 const STORE_FAULTS = [StoreFault.Busy, StoreFault.TooMany, StoreFault.Reset, StoreFault.Silent, StoreFault.AnswerLost]
 const LINK_FAULTS = [LinkFault.Delay, LinkFault.Reset, LinkFault.CutThere, LinkFault.CutBack, LinkFault.Silence]
+const WORKER_LINK_FAULTS = Object.values(WorkerLinkFault).filter((fault) => fault !== WorkerLinkFault.None)
 const WORKER_FAULTS = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None)
 /** Time from a worker's announcement until its end. It must serve for at least 2.5 s. */
 const DRAIN_MS = 3_500
@@ -51,7 +53,7 @@
 const REGISTRATION_EXPIRY_MS = 2_500
 /** Steps with a greater `target` apply a store fault to all entry VMs. */
 const ALL_ENTRIES_MIN_TARGET = 0.6
-/** Ratio of entry VMs affected by the other store faults. */
+/** Ratio of entry VMs affected by the other store faults, and by lost links to workers. */
 const AFFECTED_ENTRY_RATIO = 0.4
 /** Offset by which the wall clock is shifted, forwards or backwards. */
 const CLOCK_STEP_MS = 3_600_000
@@ -88,6 +90,11 @@
   return chooseAt(entries.list, target)!
 }
 
+function chooseSomeEntries ({ entries: { list } }: SoakEnvironment, { target }: SoakStep): SoakEntry[] {
+  const firstIndex = Math.floor(target * list.length)
+  return [...list, ...list].slice(firstIndex, firstIndex + Math.ceil(list.length * AFFECTED_ENTRY_RATIO))
+}
+
 function listLinks ({ entries, workers }: SoakEnvironment): TcpRelay[] {
   return [...entries.list.flatMap(({ callerLink, storeLink }) => [callerLink, storeLink]), ...workers.list().map(({ link }) => link)]
 }
@@ -172,9 +179,7 @@
     return true
   }),
   [SoakStepKind.StoreFault]: async (environment, step) => await runDisruption(environment, async () => {
-    const { list } = environment.entries
-    const firstIndex = Math.floor(step.target * list.length)
-    const affected = step.target > ALL_ENTRIES_MIN_TARGET ? list : [...list, ...list].slice(firstIndex, firstIndex + Math.ceil(list.length * AFFECTED_ENTRY_RATIO))
+    const affected = step.target > ALL_ENTRIES_MIN_TARGET ? environment.entries.list : chooseSomeEntries(environment, step)
     for (const { store } of affected) store.setFault(chooseAt(STORE_FAULTS, step.variant)!)
     await waitFor(environment.clock, step.spanMs)
     for (const { store } of affected) store.setFault(StoreFault.None)
@@ -249,6 +254,14 @@
     environment.workers.renewRecord(worker)
     return true
   }),
+  [SoakStepKind.WorkersUnreachable]: async (environment, step) => await runDisruption(environment, async () => {
+    const affected = chooseSomeEntries(environment, step)
+    const addresses = environment.workers.list().map(({ address }) => address)
+    for (const entry of affected) entry.setWorkerLink(chooseAt(WORKER_LINK_FAULTS, step.variant)!, addresses)
+    await waitFor(environment.clock, step.spanMs)
+    for (const entry of affected) entry.setWorkerLink(WorkerLinkFault.None, [])
+    return true
+  }),
   [SoakStepKind.StoreRollback]: async (environment, step) => await runDisruption(environment, async () => {
     await runStoreRollback(environment.clock, environment.records.store, step.spanMs, step.variant)
     return true
--- a/packages/testing/src/node/standIns/usersPlatform/workerLink.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerLink.ts
@@ -17,6 +17,28 @@
   return Object.assign(new Error(code), { code })
 }
 
+/** Treats an open connection as the fault does; bytes that were held pass when there is none any more. */
+export function applyWorkerLinkFault (fault: WorkerLinkFault, socket: Socket): void {
+  if (fault === WorkerLinkFault.Hang) {
+    socket.cork()
+    socket.pause()
+  } else if (fault === WorkerLinkFault.Reset) {
+    socket.destroy(createError('ECONNRESET'))
+  } else if (fault === WorkerLinkFault.None && socket.writableCorked > 0) {
+    socket.uncork()
+    socket.resume()
+  }
+}
+
+/**
+ * Treats a connection that is to be opened as the fault does.
+ * @returns the socket, which is never connected
+ */
+export function refuseConnection (fault: WorkerLinkFault, socket: Socket): Socket {
+  if (fault === WorkerLinkFault.RefuseNew) setImmediate(() => { socket.destroy(createError('ECONNREFUSED')) })
+  return socket
+}
+
 /** The connections of one entry process to workers. */
 export class WorkerLink {
   private readonly sockets = new Set<Socket>()
@@ -29,9 +51,7 @@
   readonly open: SocketOpener = (host, port) => {
     this.asked++
     if (this.fault === WorkerLinkFault.None || this.ports?.has(port) === false) return this.keep(createConnection({ host, port, noDelay: true, allowHalfOpen: true }))
-    const socket = new Socket({ allowHalfOpen: true })
-    if (this.fault === WorkerLinkFault.RefuseNew) setImmediate(() => { socket.destroy(createError('ECONNREFUSED')) })
-    return socket
+    return refuseConnection(this.fault, new Socket({ allowHalfOpen: true }))
   }
 
   /**
@@ -43,19 +63,7 @@
     this.ports = addresses === undefined ? undefined : new Set(addresses.map((address) => Number(address.split(':')[1])))
     for (const socket of this.sockets) {
       if (fault !== WorkerLinkFault.None && this.ports?.has(socket.remotePort ?? 0) === false) continue
-      this.apply(fault, socket)
-    }
-  }
-
-  private apply (fault: WorkerLinkFault, socket: Socket): void {
-    if (fault === WorkerLinkFault.Hang) {
-      socket.cork()
-      socket.pause()
-    } else if (fault === WorkerLinkFault.Reset) {
-      socket.destroy(createError('ECONNRESET'))
-    } else if (fault === WorkerLinkFault.None && socket.writableCorked > 0) {
-      socket.uncork()
-      socket.resume()
+      applyWorkerLinkFault(fault, socket)
     }
   }
 
