Read what a worker announces in a relayed response

The other VM now names the worker in its field, and the relaying VM records the announcement like that of its own connections. Test: learns from a relayed response that its worker drains. Names in the field are encoded.

--- a/packages/entry/src/common/relayFields.ts
+++ b/packages/entry/src/common/relayFields.ts
@@ -26,12 +26,19 @@
   readonly service: string
 }
 
+/** What became of a relayed request. */
+export interface RelayResult {
+  readonly outcome: RelayOutcome
+  /** The worker whose response this is; undefined if it is the VM's own. */
+  readonly worker?: string | undefined
+}
+
 const ORIGIN = /^(\d{1,3}) (.+)$/
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(RelayOutcome))
 
 /** @returns the field's value in a request */
 export function formatRelayOrigin ({ attempts, service }: RelayOrigin): string {
-  return `${attempts} ${service}`
+  return `${attempts} ${encodeURIComponent(service)}`
 }
 
 /**
@@ -40,13 +47,29 @@
  */
 export function parseRelayOrigin (value: string | undefined): RelayOrigin | undefined {
   const match = ORIGIN.exec(value ?? '')
-  return match === null ? undefined : { attempts: Number(match[1]), service: match[2]! }
+  return match === null ? undefined : { attempts: Number(match[1]), service: decodePart(match[2]!) }
+}
+
+/** @returns the field's value in a response */
+export function formatRelayResult ({ outcome, worker }: RelayResult): string {
+  return worker === undefined ? outcome : `${outcome} ${encodeURIComponent(worker)}`
 }
 
 /**
  * @param value the field's value in a response
  * @returns what it tells; {@link RelayOutcome.Unable} if it is missing, as the response then doesn't come from a relay
  */
-export function parseRelayOutcome (value: string | undefined): RelayOutcome {
-  return OUTCOMES.has(value ?? '') ? value as RelayOutcome : RelayOutcome.Unable
+export function parseRelayResult (value: string | undefined): RelayResult {
+  const [outcome = '', worker] = (value ?? '').split(' ')
+  if (!OUTCOMES.has(outcome)) return { outcome: RelayOutcome.Unable }
+  return { outcome: outcome as RelayOutcome, worker: worker === undefined ? undefined : decodePart(worker) }
+}
+
+function decodePart (text: string): string {
+  try {
+    return decodeURIComponent(text)
+  } catch {
+    // Not encoded by an entry VM; it then names no service and no worker.
+    return text
+  }
 }
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -75,6 +75,7 @@
   /** The quotas of client accounts. */
   readonly quotas: AccountQuotas
   private readonly quarantine: RequestQuarantine
+  private readonly advisoryRecorder: AdvisoryRecorder
   private readonly pools: UpstreamPools
   private readonly upstreamLinks: UpstreamLinks
   private readonly relayPeers: RelayPeers
@@ -100,7 +101,8 @@
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
-    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry }), dependencies.openWorkerSocket ?? openSocket))
+    this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
+    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
     this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, telemetry: this.telemetry }))
     this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, clock))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
@@ -233,6 +235,7 @@
       pools: this.pools,
       links: this.upstreamLinks.links,
       openAttempts: this.upstreamLinks.openAttempts,
+      advisoryRecorder: this.advisoryRecorder,
       relayPeers: this.relayPeers,
       location: { domain: settings.domain, regionByDomain: this.regionByDomain },
       bodyMemoryBudget: new BodyMemoryBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_RATIO),
--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -1,6 +1,6 @@
 /** Writes the response to one request and reports when the caller disconnects. */
 import type { ServerResponse } from 'node:http'
-import { RELAY_FIELD, RelayOutcome } from '../../common/relayFields.js'
+import { formatRelayResult, RELAY_FIELD, RelayOutcome, type RelayResult } from '../../common/relayFields.js'
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 
@@ -76,24 +76,30 @@
     const fields = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(body))]
     if (retryAfterMs !== undefined) fields.push('Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3))
     if (status === UNAUTHORIZED) fields.push('WWW-Authenticate', 'Bearer')
-    this.writeHead(status, fields, relayOutcome ?? (NOT_RUN_STATUSES.has(status) ? RelayOutcome.Refused : RelayOutcome.Answered))
+    this.writeHead(status, fields, { outcome: relayOutcome ?? (NOT_RUN_STATUSES.has(status) ? RelayOutcome.Refused : RelayOutcome.Answered) })
     this.response.end(this.isHead ? undefined : body)
   }
 
-  /** Writes a worker's complete response. */
-  writeComplete (head: ResponseHead, fields: string[], body: readonly Buffer[], length: number): void {
+  /**
+   * Writes a worker's complete response.
+   * @param worker the worker's id, for the VM that relayed the request; undefined if it isn't known
+   */
+  writeComplete (head: ResponseHead, fields: string[], body: readonly Buffer[], length: number, worker?: string): void {
     if (this.isHeadWritten || this.isClosed) return
     const contentLength = this.isHead ? getHeader(head.rawHeaders, 'content-length') : String(length)
     if (contentLength !== undefined && !BODILESS_STATUSES.has(head.status)) fields.push('Content-Length', contentLength)
-    this.writeHead(head.status, fields)
+    this.writeHead(head.status, fields, { outcome: RelayOutcome.Answered, worker })
     this.response.end(body.length === 1 ? body[0] : Buffer.concat(body as Buffer[]))
   }
 
-  /** Starts to stream a worker's response. */
-  startStream (head: ResponseHead, fields: string[]): void {
+  /**
+   * Starts to stream a worker's response.
+   * @param worker the worker's id, for the VM that relayed the request; undefined if it isn't known
+   */
+  startStream (head: ResponseHead, fields: string[], worker?: string): void {
     const contentLength = getHeader(head.rawHeaders, 'content-length')
     if (contentLength !== undefined) fields.push('Content-Length', contentLength)
-    this.writeHead(head.status, fields)
+    this.writeHead(head.status, fields, { outcome: RelayOutcome.Answered, worker })
   }
 
   /** @returns whether more can be written at once; otherwise wait for the drain callback */
@@ -111,9 +117,9 @@
     this.response.destroy()
   }
 
-  private writeHead (status: number, fields: string[], relayOutcome = RelayOutcome.Answered): void {
+  private writeHead (status: number, fields: string[], relayResult: RelayResult): void {
     this.isHeadWritten = true
-    if (this.isRelayed) fields.push(RELAY_FIELD, relayOutcome)
+    if (this.isRelayed) fields.push(RELAY_FIELD, formatRelayResult(relayResult))
     if (this.shouldCloseConnection()) this.response.shouldKeepAlive = false
     this.response.writeHead(status, fields)
   }
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -14,6 +14,7 @@
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
+import type { AdvisoryRecorder } from '../upstream/advisoryRecorder.js'
 import type { UpstreamPools } from '../upstream/upstreamPools.js'
 import type { BodyMemoryBudget } from './bodyReader.js'
 import type { HeaderRewriter } from './headerRewriter.js'
@@ -40,6 +41,8 @@
   /** Whether this VM reaches the workers of each service. */
   readonly links: WorkerLinks
   readonly openAttempts: OpenAttempts
+  /** Records what workers announce in their responses. */
+  readonly advisoryRecorder: AdvisoryRecorder
   readonly relayPeers: RelayPeers
   /** This VM's failure domain and the regions of all. */
   readonly location: VmLocation
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -39,6 +39,7 @@
   private readonly deadline: Deadline
   private readonly triedWorkers = new Set<string>()
   private currentAttempt: IAttempt | undefined
+  private lastWorker: string | undefined
   /** `refused` attempts were sent, so they count as `sent` too. */
   private readonly attemptCounts: { sent: number, unsent: number, refused: number }
   /** Attempts by way of other VMs. */
@@ -106,8 +107,8 @@
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
     if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
     logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.triedWorkers.size + 1, choice, now })
-    const { id } = choice.candidate.tracker.registration
-    this.triedWorkers.add(id)
+    this.lastWorker = choice.candidate.tracker.registration.id
+    this.triedWorkers.add(this.lastWorker)
     this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, this.createListener())
     this.currentAttempt.start()
   }
@@ -161,7 +162,7 @@
   /** Forwards a worker's complete response to the caller. */
   deliver (response: BufferedResponse, reason = EndReason.None): void {
     const { head, body, length } = response
-    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length)
+    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length, this.lastWorker)
     this.finishRequest(RequestOutcome.Answered, reason, head.status)
   }
 
@@ -242,7 +243,7 @@
   }
 
   private startStream (head: ResponseHead): boolean {
-    this.response.startStream(head, this.context.headerRewriter.listResponseFields(head.rawHeaders))
+    this.response.startStream(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), this.lastWorker)
     return true
   }
 
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -2,7 +2,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
-import { parseRelayOutcome, RELAY_FIELD, RelayOutcome } from '../../common/relayFields.js'
+import { parseRelayResult, RELAY_FIELD, RelayOutcome } from '../../common/relayFields.js'
 import { type AttemptListener, type IAttempt, OUTCOME_BY_FAILURE } from '../front/attempt.js'
 import type { BufferedRequest } from '../front/bufferedRequest.js'
 import type { EntryContext } from '../front/entryContext.js'
@@ -112,17 +112,25 @@
   }
 
   private handleStreamStart (head: ResponseHead): boolean {
-    if (this.isEnded || parseRelayOutcome(getHeader(head.rawHeaders, RELAY_FIELD)) !== RelayOutcome.Answered) return false
+    if (this.isEnded || this.readOutcome(head) !== RelayOutcome.Answered) return false
     this.isStreaming = this.listener.onStreamStart(head)
     return this.isStreaming
   }
 
   private handleResponse (response: BufferedResponse): void {
-    const outcome = OUTCOME_BY_RELAY_OUTCOME[parseRelayOutcome(getHeader(response.head.rawHeaders, RELAY_FIELD))]
+    const outcome = OUTCOME_BY_RELAY_OUTCOME[this.readOutcome(response.head)]
     if (outcome === AttemptOutcome.RelayUnable) this.context.relayPeers.recordUnable(this.node, this.service)
     this.end(outcome, response)
   }
 
+  /** Reads what became of the request, and what the worker announced with its response. */
+  private readOutcome (head: ResponseHead): RelayOutcome {
+    const { outcome, worker } = parseRelayResult(getHeader(head.rawHeaders, RELAY_FIELD))
+    const tracker = worker === undefined ? undefined : this.context.view.getPool(this.service).find(worker)
+    if (tracker !== undefined) this.context.advisoryRecorder.handleResponseHead(tracker.registration, head)
+    return outcome
+  }
+
   private end (outcome: AttemptOutcome, response?: BufferedResponse): void {
     if (this.isEnded) return
     this.isEnded = true
--- a/packages/steering/src/common/entry/workerPool.ts
+++ b/packages/steering/src/common/entry/workerPool.ts
@@ -84,6 +84,14 @@
     return count
   }
 
+  /**
+   * @param workerId a worker
+   * @returns the worker as this VM observed it; undefined if it is not registered
+   */
+  find (workerId: string): UpstreamTracker | undefined {
+    return this.trackers.get(workerId)
+  }
+
   /**
    * @param workerId a worker
    * @returns whether it is registered
--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -210,6 +210,17 @@
     await stopped
   })
 
+  // Guards against requests to a draining worker from a VM that passed on its announcement without reading it.
+  it('learns from a relayed response that its worker drains', async () => {
+    const [entry] = entries
+    await breakLinks(entry!)
+    for (const worker of platform.workers.values()) worker.isDraining = worker.id.endsWith('north-1')
+    await platform.waitUntil(async () => {
+      await sendEach(entry!, 4)
+      return entry!.lines.some(({ step, peer }) => step === 'drain-worker' && String(peer).endsWith('north-1'))
+    })
+  })
+
   // Guards against requests whose body leaves the regions that may have it.
   it('relays requests of routes with homes only to VMs there', async () => {
     const [entry] = entries
