--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -210,6 +210,15 @@
     await stopped
   })
 
+  // Guards against an interim response that is taken for the final one, so that the request is sent once more.
+  it('relays a request whose caller expects to be told to continue, once', async () => {
+    const [entry] = entries
+    await breakLinks(entry!)
+    const { status } = await platform.call(entry!, { path: '/up/expects', id: 'expects', method: 'POST', body: 'a body', headers: { Expect: '100-continue' } })
+    assert.equal(status, 200)
+    assert.equal(countRuns('expects'), 1)
+  })
+
   // Guards against requests to a draining worker from a VM that passed on its announcement without reading it.
   it('learns from a relayed response that its worker drains', async () => {
     const [entry] = entries
