Answer a relayed request that may have run with 502 when the workers are lost meanwhile

Cause: a VM that retries a relayed request and has lost its own workers meanwhile answered that it is unable, whether or not the request may have run; the relaying VM then refused. Now that response depends on whether it may have run, as every other one. Test: tells no caller that its request has not run if the other VM lost its workers while it ran; six of six were 503 before, in two runs, and are 502, in three.

--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -117,7 +117,7 @@
   private startRelay (homeRegions: readonly string[]): void {
     const { relayPeers, location, telemetry } = this.context
     const { requestId, relayOrigin } = this.request
-    if (relayOrigin !== undefined) return this.answerLocally(EndReason.RelayUnable)
+    if (relayOrigin !== undefined) return this.endWithoutResponse(EndReason.RelayUnable)
     const node = this.relays < MAX_RELAYS ? relayPeers.choose(this.service, { ...location, homeRegions }) : undefined
     if (node === undefined) return this.endWithoutResponse(EndReason.NoWorker)
     this.relays++
--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -210,6 +210,19 @@
     await stopped
   })
 
+  // Guards against a caller that is told that its request has not run because the other VM, where it ran, has lost its workers since.
+  it('tells no caller that its request has not run if the other VM lost its workers while it ran', async () => {
+    const [entry, ...others] = entries
+    await breakLinks(entry!)
+    for (const worker of platform.workers.values()) worker.workMs = LONG_MS
+    const answers = Array.from({ length: 6 }, async (_, index) => await platform.call(entry!, { path: '/safe/ran', id: `ran-${index}`, deadlineMs: 60_000 }))
+    await platform.waitUntil(() => countRuns('ran-') === answers.length)
+    for (const worker of platform.workers.values()) worker.workMs = WORK_MS
+    for (const other of others) other.link.setFault(WorkerLinkFault.Reset)
+    await Promise.all(others.map(async (other) => { await sendUntil(other, platform.clock.now() + CRASH_CHECK_MS) }))
+    assert.deepEqual((await Promise.all(answers)).map(({ status }) => status), answers.map(() => 502))
+  })
+
   // Guards against an interim response that is taken for the final one, so that the request is sent once more.
   it('relays a request whose caller expects to be told to continue, once', async () => {
     const [entry] = entries
