Tie the worker that a relayed response names to that response

Caught in reading: an error response that is passed on because the next attempt failed too was attributed to the worker tried last, so that a draining announcement would have counted against a healthy worker. The response now carries its worker. The test failed before.

--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -161,8 +161,8 @@
 
   /** Forwards a worker's complete response to the caller. */
   deliver (response: BufferedResponse, reason = EndReason.None): void {
-    const { head, body, length } = response
-    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length, this.lastWorker)
+    const { head, body, length, worker } = response
+    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length, worker)
     this.finishRequest(RequestOutcome.Answered, reason, head.status)
   }
 
--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -3,6 +3,7 @@
 import { EndpointServer } from '@umberspar/entry/node/lookup/endpointServer'
 import { findFreeAddresses } from '../../../src/node/deployment/freeAddresses.js'
 import { type ClientAnswer, type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
+import { WorkerFault } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
 import { LinkFault } from '../../../src/node/standIns/tcpRelay.js'
 import { WorkerLinkFault } from '../../../src/node/standIns/usersPlatform/workerLink.js'
 
@@ -243,6 +244,21 @@
     })
   })
 
+  // Guards against a healthy worker that counts as draining because of another one's response.
+  it('learns from a relayed error response that its worker drains, not the one tried after it', async () => {
+    const [entry] = entries
+    await breakLinks(entry!)
+    for (const worker of platform.workers.values()) {
+      worker.isDraining = worker.id.endsWith('north-1')
+      worker.fault = worker.isDraining ? WorkerFault.Fail : WorkerFault.AnswerLost
+    }
+    await platform.waitUntil(async () => {
+      await platform.call(entry!, { path: '/safe/fails', id: `fails-${requests++}` })
+      return entry!.lines.some(({ step }) => step === 'drain-worker')
+    })
+    assert.ok(entry!.lines.filter(({ step }) => step === 'drain-worker').every(({ peer }) => String(peer).endsWith('north-1')))
+  })
+
   // Guards against requests whose body leaves the regions that may have it.
   it('relays requests of routes with homes only to VMs there', async () => {
     const [entry] = entries
