Tell each other of draining and paused workers along a relay

The request's field now names the workers to leave out (at most 64), the response's field the announcements of the workers that were tried; they replace the worker's id.

--- a/packages/entry/src/common/relayFields.ts
+++ b/packages/entry/src/common/relayFields.ts
@@ -24,21 +24,34 @@
   readonly attempts: number
   /** The service that was chosen for it. */
   readonly service: string
+  /** Ids of workers that must not get it as far as the relaying VM knows: they drain, asked for a pause, or are in an evacuated failure domain. */
+  readonly excludedWorkers: readonly string[]
+}
+
+/** What a worker announced to the VM that sent it a relayed request. */
+export interface WorkerAnnouncement {
+  readonly worker: string
+  readonly isDraining: boolean
+  /** How much longer it wants no requests, in milliseconds; 0 if it does. */
+  readonly coolDownMs: number
 }
 
 /** What became of a relayed request. */
 export interface RelayResult {
   readonly outcome: RelayOutcome
-  /** The worker whose response this is; undefined if it is the VM's own. */
-  readonly worker?: string | undefined
+  readonly announcements: readonly WorkerAnnouncement[]
 }
 
-const ORIGIN = /^(\d{1,3}) (.+)$/
+/** Limit on the workers that are named in a field, to bound its length. */
+const MAX_WORKERS = 64
+const DRAINING_MARK = 'draining'
+const ORIGIN = /^(\d{1,3}) (\S+)(?: (\S+))?$/
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(RelayOutcome))
 
 /** @returns the field's value in a request */
-export function formatRelayOrigin ({ attempts, service }: RelayOrigin): string {
-  return `${attempts} ${encodeURIComponent(service)}`
+export function formatRelayOrigin ({ attempts, service, excludedWorkers }: RelayOrigin): string {
+  const workers = excludedWorkers.slice(0, MAX_WORKERS).map(encodeURIComponent).join(',')
+  return `${attempts} ${encodeURIComponent(service)}${workers === '' ? '' : ` ${workers}`}`
 }
 
 /**
@@ -46,13 +59,15 @@
  * @returns what it tells; undefined if it is missing or invalid
  */
 export function parseRelayOrigin (value: string | undefined): RelayOrigin | undefined {
-  const match = ORIGIN.exec(value ?? '')
-  return match === null ? undefined : { attempts: Number(match[1]), service: decodePart(match[2]!) }
+  const [, attempts, service, workers] = ORIGIN.exec(value ?? '') ?? []
+  if (attempts === undefined || service === undefined) return undefined
+  return { attempts: Number(attempts), service: decodePart(service), excludedWorkers: workers?.split(',').map(decodePart) ?? [] }
 }
 
 /** @returns the field's value in a response */
-export function formatRelayResult ({ outcome, worker }: RelayResult): string {
-  return worker === undefined ? outcome : `${outcome} ${encodeURIComponent(worker)}`
+export function formatRelayResult ({ outcome, announcements }: RelayResult): string {
+  const parts = announcements.map(({ worker, isDraining, coolDownMs }) => `${encodeURIComponent(worker)}=${isDraining ? DRAINING_MARK : Math.ceil(coolDownMs)}`)
+  return [outcome, ...parts].join(' ')
 }
 
 /**
@@ -60,9 +75,10 @@
  * @returns what it tells; {@link RelayOutcome.Unable} if it is missing, as the response then doesn't come from a relay
  */
 export function parseRelayResult (value: string | undefined): RelayResult {
-  const [outcome = '', worker] = (value ?? '').split(' ')
-  if (!OUTCOMES.has(outcome)) return { outcome: RelayOutcome.Unable }
-  return { outcome: outcome as RelayOutcome, worker: worker === undefined ? undefined : decodePart(worker) }
+  const [outcome = '', ...parts] = (value ?? '').split(' ')
+  if (!OUTCOMES.has(outcome)) return { outcome: RelayOutcome.Unable, announcements: [] }
+  const announcements = parts.map((part) => part.split('=')).map(([worker = '', text = '']) => ({ worker: decodePart(worker), isDraining: text === DRAINING_MARK, coolDownMs: Number(text) || 0 }))
+  return { outcome: outcome as RelayOutcome, announcements }
 }
 
 function decodePart (text: string): string {
--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -1,6 +1,6 @@
 /** Writes the response to one request and reports when the caller disconnects. */
 import type { ServerResponse } from 'node:http'
-import { formatRelayResult, RELAY_FIELD, RelayOutcome, type RelayResult } from '../../common/relayFields.js'
+import { formatRelayResult, RELAY_FIELD, RelayOutcome, type WorkerAnnouncement } from '../../common/relayFields.js'
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 
@@ -19,8 +19,8 @@
   readonly text: string
   /** When the caller may retry, in milliseconds from now. */
   readonly retryAfterMs?: number | undefined
-  /** Tells another VM that relayed the request what became of it. */
-  readonly relayOutcome?: RelayOutcome
+  /** Whether another VM that relayed the request should ask a third one. */
+  readonly isUnable?: boolean
 }
 
 /** The response to one request. */
@@ -28,6 +28,7 @@
   private isHeadWritten = false
   private isConnectionClosed = false
   private onDisconnect: () => void = () => {}
+  private listAnnouncements: () => readonly WorkerAnnouncement[] = () => []
 
   /**
    * @param response the response object of Node.js
@@ -54,6 +55,11 @@
     this.onDisconnect = onDisconnect
   }
 
+  /** @param listAnnouncements called when the response to a relayed request starts: what the workers that were tried have announced */
+  setAnnouncements (listAnnouncements: () => readonly WorkerAnnouncement[]): void {
+    this.listAnnouncements = listAnnouncements
+  }
+
   /**
    * Handles the end of the connection. Node.js reports it only to the response that is
    * currently being sent, not to the pipelined ones behind it.
@@ -70,36 +76,30 @@
   }
 
   /** Writes a response that this VM generates itself. */
-  writeLocal ({ status, text, retryAfterMs, relayOutcome }: LocalResponse): void {
+  writeLocal ({ status, text, retryAfterMs, isUnable = false }: LocalResponse): void {
     if (this.isHeadWritten || this.isClosed) return
     const body = `${text}\n`
     const fields = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(body))]
     if (retryAfterMs !== undefined) fields.push('Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3))
     if (status === UNAUTHORIZED) fields.push('WWW-Authenticate', 'Bearer')
-    this.writeHead(status, fields, { outcome: relayOutcome ?? (NOT_RUN_STATUSES.has(status) ? RelayOutcome.Refused : RelayOutcome.Answered) })
+    this.writeHead(status, fields, isUnable ? RelayOutcome.Unable : NOT_RUN_STATUSES.has(status) ? RelayOutcome.Refused : RelayOutcome.Answered)
     this.response.end(this.isHead ? undefined : body)
   }
 
-  /**
-   * Writes a worker's complete response.
-   * @param worker the worker's id, for the VM that relayed the request; undefined if it isn't known
-   */
-  writeComplete (head: ResponseHead, fields: string[], body: readonly Buffer[], length: number, worker?: string): void {
+  /** Writes a worker's complete response. */
+  writeComplete (head: ResponseHead, fields: string[], body: readonly Buffer[], length: number): void {
     if (this.isHeadWritten || this.isClosed) return
     const contentLength = this.isHead ? getHeader(head.rawHeaders, 'content-length') : String(length)
     if (contentLength !== undefined && !BODILESS_STATUSES.has(head.status)) fields.push('Content-Length', contentLength)
-    this.writeHead(head.status, fields, { outcome: RelayOutcome.Answered, worker })
+    this.writeHead(head.status, fields)
     this.response.end(body.length === 1 ? body[0] : Buffer.concat(body as Buffer[]))
   }
 
-  /**
-   * Starts to stream a worker's response.
-   * @param worker the worker's id, for the VM that relayed the request; undefined if it isn't known
-   */
-  startStream (head: ResponseHead, fields: string[], worker?: string): void {
+  /** Starts to stream a worker's response. */
+  startStream (head: ResponseHead, fields: string[]): void {
     const contentLength = getHeader(head.rawHeaders, 'content-length')
     if (contentLength !== undefined) fields.push('Content-Length', contentLength)
-    this.writeHead(head.status, fields, { outcome: RelayOutcome.Answered, worker })
+    this.writeHead(head.status, fields)
   }
 
   /** @returns whether more can be written at once; otherwise wait for the drain callback */
@@ -117,9 +117,9 @@
     this.response.destroy()
   }
 
-  private writeHead (status: number, fields: string[], relayResult: RelayResult): void {
+  private writeHead (status: number, fields: string[], outcome = RelayOutcome.Answered): void {
     this.isHeadWritten = true
-    if (this.isRelayed) fields.push(RELAY_FIELD, formatRelayResult(relayResult))
+    if (this.isRelayed) fields.push(RELAY_FIELD, formatRelayResult({ outcome, announcements: this.listAnnouncements() }))
     if (this.shouldCloseConnection()) this.response.shouldKeepAlive = false
     this.response.writeHead(status, fields)
   }
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -11,12 +11,12 @@
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retryDelay'
 import { mayRetryAfterRefusal, mayRetryAfterPossibleRun, mayRetryAfterUnsent } from '@umberspar/steering/common/entry/mayRetry'
-import { RelayOutcome } from '../../common/relayFields.js'
 import { EndReason, AttemptOutcome, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { EntryContext } from './entryContext.js'
 import type { AttemptListener, AttemptResult, IAttempt } from './attempt.js'
+import { listAnnouncements } from '../relay/relayAdvisories.js'
 import { RelayAttempt } from '../relay/relayAttempt.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
@@ -37,9 +37,9 @@
   private readonly service: string
   private readonly affinityKey: string | undefined
   private readonly deadline: Deadline
-  private readonly triedWorkers = new Set<string>()
+  /** Also those that the VM which relayed the request excludes. */
+  private readonly triedWorkers: Set<string>
   private currentAttempt: IAttempt | undefined
-  private lastWorker: string | undefined
   /** `refused` attempts were sent, so they count as `sent` too. */
   private readonly attemptCounts: { sent: number, unsent: number, refused: number }
   /** Attempts by way of other VMs. */
@@ -59,6 +59,7 @@
     const { route, arrivedAt, callerDeadline, relayOrigin } = request
     const hasChosenService = route.parts.some(({ service }) => service === relayOrigin?.service)
     this.service = hasChosenService ? relayOrigin!.service : context.view.roundRobin.chooseService(route)
+    this.triedWorkers = new Set(relayOrigin?.excludedWorkers)
     this.attemptCounts = { sent: relayOrigin?.attempts ?? 0, unsent: 0, refused: 0 }
     this.quota = new RequestQuota(context, request)
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
@@ -68,6 +69,7 @@
   /** Starts to forward the request. */
   start (): void {
     this.response.onDidDisconnect(() => { this.handleDisconnect() })
+    this.response.setAnnouncements(() => listAnnouncements(this.context, this.service, this.triedWorkers))
     this.response.onDidDrain(() => { this.currentAttempt?.resume() })
     // Once per request, sent or not: the retry budget grows with requests, not with attempts to open a connection.
     if (this.request.relayOrigin === undefined) this.context.view.getRetryBudget(this.service).recordFirstAttempt(this.context.clock.now())
@@ -106,9 +108,8 @@
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
     if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
-    logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.triedWorkers.size + 1, choice, now })
-    this.lastWorker = choice.candidate.tracker.registration.id
-    this.triedWorkers.add(this.lastWorker)
+    logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.attemptCounts.sent + this.attemptCounts.unsent + 1, choice, now })
+    this.triedWorkers.add(choice.candidate.tracker.registration.id)
     this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, this.createListener())
     this.currentAttempt.start()
   }
@@ -161,8 +162,8 @@
 
   /** Forwards a worker's complete response to the caller. */
   deliver (response: BufferedResponse, reason = EndReason.None): void {
-    const { head, body, length, worker } = response
-    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length, worker)
+    const { head, body, length } = response
+    this.response.writeComplete(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), body, length)
     this.finishRequest(RequestOutcome.Answered, reason, head.status)
   }
 
@@ -237,13 +238,12 @@
 
   private answerLocally (reason: EndReason, retryAfterMs?: number): void {
     const { outcome, status, text } = getRefusal(reason)
-    const relayOutcome = reason === EndReason.RelayUnable ? { relayOutcome: RelayOutcome.Unable } : {}
-    this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, ...relayOutcome })
+    this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, isUnable: reason === EndReason.RelayUnable })
     this.finishRequest(outcome, reason, status, retryAfterMs)
   }
 
   private startStream (head: ResponseHead): boolean {
-    this.response.startStream(head, this.context.headerRewriter.listResponseFields(head.rawHeaders), this.lastWorker)
+    this.response.startStream(head, this.context.headerRewriter.listResponseFields(head.rawHeaders))
     return true
   }
 
--- a/packages/entry/src/node/front/responseCollector.ts
+++ b/packages/entry/src/node/front/responseCollector.ts
@@ -14,8 +14,6 @@
   readonly head: ResponseHead
   readonly body: readonly Buffer[]
   readonly length: number
-  /** The worker whose response it is; undefined if another VM received it. */
-  readonly worker?: string
 }
 
 /** Receives the response, either at once or as a stream. */
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -194,7 +194,7 @@
       this.recordRateLimit(response.head)
     }
     this.recordOutcome(outcome, response.length, response.head.status)
-    this.end({ outcome, response: { ...response, worker: this.tracker.registration.id }, status: response.head.status })
+    this.end({ outcome, response, status: response.head.status })
   }
 
   private handleFailure (failure: ExchangeFailure, isStreaming: boolean): void {
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -7,6 +7,7 @@
 import type { BufferedRequest } from '../front/bufferedRequest.js'
 import type { EntryContext } from '../front/entryContext.js'
 import { type BufferedResponse, ResponseCollector } from '../front/responseCollector.js'
+import { listExcludedWorkers, recordAnnouncements } from './relayAdvisories.js'
 import { AttemptOutcome } from '../telemetry/requestOutcomes.js'
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
@@ -106,7 +107,7 @@
     })
     const { message, body, requestId } = this.request
     const remainingMs = this.deadline - now - this.roundTripMs / 2
-    const head = this.context.headerRewriter.formatRelayHead(message, body.length, remainingMs, { attempts: this.attempts, service: this.service })
+    const head = this.context.headerRewriter.formatRelayHead(message, body.length, remainingMs, { attempts: this.attempts, service: this.service, excludedWorkers: listExcludedWorkers(this.context, this.service) })
     this.listener.onSent()
     connection.send({ head, body: body.chunks, requestId, isHead: message.method === 'HEAD' }, collector)
   }
@@ -123,11 +124,10 @@
     this.end(outcome, response)
   }
 
-  /** Reads what became of the request, and what the worker announced with its response. */
+  /** Reads what became of the request, and what workers announced to the other VM meanwhile. */
   private readOutcome (head: ResponseHead): RelayOutcome {
-    const { outcome, worker } = parseRelayResult(getHeader(head.rawHeaders, RELAY_FIELD))
-    const tracker = worker === undefined ? undefined : this.context.view.getPool(this.service).find(worker)
-    if (tracker !== undefined) this.context.advisoryRecorder.handleResponseHead(tracker.registration, head)
+    const { outcome, announcements } = parseRelayResult(getHeader(head.rawHeaders, RELAY_FIELD))
+    recordAnnouncements(this.context, this.service, announcements)
     return outcome
   }
 
--- a/packages/entry/src/node/upstream/advisoryRecorder.ts
+++ b/packages/entry/src/node/upstream/advisoryRecorder.ts
@@ -5,7 +5,7 @@
 import type { UpstreamRegistration } from '@umberspar/steering/common/entry/records'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
-import { parseAdvisorySignals } from './advisorySignals.js'
+import { type AdvisorySignals, parseAdvisorySignals } from './advisorySignals.js'
 import type { IResponseObserver } from './upstreamPools.js'
 import { getHeader } from './rawHeaders.js'
 import type { ResponseHead } from './responseParser.js'
@@ -27,9 +27,16 @@
   constructor (private readonly dependencies: AdvisoryRecorderDependencies) {}
 
   handleResponseHead (worker: UpstreamRegistration, head: ResponseHead): void {
-    const { clock, view, protocol, telemetry } = this.dependencies
-    if (!this.isFromWorker(head)) return
-    const { isDraining, coolDownMs } = parseAdvisorySignals(head, protocol.headers)
+    if (this.isFromWorker(head)) this.record(worker, parseAdvisorySignals(head, this.dependencies.protocol.headers))
+  }
+
+  /**
+   * Records what a worker announced.
+   * @param worker the worker
+   * @param signals what it announced to this VM, or to one that sent it a request of this VM
+   */
+  record (worker: UpstreamRegistration, { isDraining, coolDownMs }: AdvisorySignals): void {
+    const { clock, view, telemetry } = this.dependencies
     const { id, service } = worker
     if (isDraining && view.recordDrain(worker)) telemetry.logDrain(service, id)
     const now = clock.now()
--- a/packages/entry/test/node/front/requestQuota.test.ts
+++ b/packages/entry/test/node/front/requestQuota.test.ts
@@ -35,5 +35,5 @@
 
 // Guards against relayed requests that two VMs take from the quota.
 it('a relayed request is not taken from the quota again', () => {
-  assert.deepEqual(countTaken({ relayOrigin: { attempts: 0, service: 'archive' } }), { taken: 0, returned: 0, isAllowed: true })
+  assert.deepEqual(countTaken({ relayOrigin: { attempts: 0, service: 'archive', excludedWorkers: [] } }), { taken: 0, returned: 0, isAllowed: true })
 })
--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -259,6 +259,26 @@
     assert.ok(entry!.lines.filter(({ step }) => step === 'drain-worker').every(({ peer }) => String(peer).endsWith('north-1')))
   })
 
+  // Guards against requests to workers that asked the relaying VM for a pause.
+  it('keeps the pauses that workers asked either VM for', async () => {
+    const [entry] = entries
+    const paused = [...platform.workers.values()].filter(({ id }) => id.startsWith('archive'))
+    for (const worker of paused) {
+      worker.fault = WorkerFault.Shed
+      worker.retryAfter = ['30']
+    }
+    const isPaused = (each: LocalEntry): boolean => new Set(each.lines.filter(({ step }) => step === 'cool-down-worker').map(({ peer }) => peer)).size === paused.length
+    await platform.waitUntil(async () => {
+      await sendEach(entry!, 6)
+      return isPaused(entry!)
+    })
+    const arrivals = paused.reduce((sum, worker) => sum + worker.arrivals, 0)
+    await breakLinks(entry!)
+    const answers = await sendEach(entry!, TRIES)
+    assert.ok(answers.every(({ status }) => status === 200 || status === 503))
+    assert.equal(paused.reduce((sum, worker) => sum + worker.arrivals, 0), arrivals)
+  })
+
   // Guards against requests whose body leaves the regions that may have it.
   it('relays requests of routes with homes only to VMs there', async () => {
     const [entry] = entries
