Conclude nothing about links from connections that had no time to open

Found in reading the change: a connection that isn't open when the caller's deadline passes, or whose time-out fires in a late turn before its opening is read, counted as evidence that the VM has lost its links, so that an overloaded VM would have relayed its requests to others. Such failures no longer count; a VM that isn't ready takes no relayed requests; requests in flight are counted with the connection pool they use.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -103,7 +103,7 @@
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
-    this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, telemetry: this.telemetry }))
+    this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, eventLoop: this.eventLoop, telemetry: this.telemetry }))
     this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, clock))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
@@ -248,7 +248,7 @@
 
   private buildRelayServer (): RelayServer {
     return new RelayServer({
-      isBusy: () => this.isDraining || this.eventLoop.isLate(),
+      isBusy: () => !this.servingNodes.isReady() || this.eventLoop.isLate(),
       acceptRelayed: (request, response, origin) => { this.callerServer.acceptRelayed(request, response, origin) }
     }, this.telemetry)
   }
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -46,6 +46,8 @@
   /** How long the connection had been idle; undefined for a new connection. */
   private idleMs: number | undefined
   private isEnded = false
+  /** Whether the caller's deadline leaves less time to open a connection than the worker is given. */
+  private isOpeningLimited = false
   /** The round of this attempt for crash reports; see `SuspectTable`. */
   private round = 1
   isStreaming = false
@@ -84,8 +86,9 @@
     this.openRequest = this.tracker.startRequest(now, this.choice.expectedMs)
     const maxConnections = view.getPool(this.service).policy?.maxConnections ?? 0
     const maxOwnConnections = maxConnections === 0 ? DEFAULT_MAX_CONNECTIONS : Math.max(MIN_CONNECTIONS_PER_WORKER, Math.floor(maxConnections / view.countNodes()))
-    const connectDeadline = Math.min(this.deadline, createDeadline(now, this.choice.candidate.roundTripMs + CONNECT_SLACK_MS))
-    pools.getPool(this.tracker.registration).open(maxOwnConnections, connectDeadline, (result, openMs) => { this.handleOpen(result, openMs) })
+    const connectDeadline = createDeadline(now, this.choice.candidate.roundTripMs + CONNECT_SLACK_MS)
+    this.isOpeningLimited = this.deadline < connectDeadline
+    pools.getPool(this.tracker.registration).open(maxOwnConnections, Math.min(this.deadline, connectDeadline), (result, openMs) => { this.handleOpen(result, openMs) })
   }
 
   cancel (): void {
@@ -112,7 +115,7 @@
   private handleOpen (result: UpstreamConnection | OpenFailure, openMs: number): void {
     const now = this.context.clock.now()
     if (!(result instanceof UpstreamConnection)) {
-      if (result !== OpenFailure.Full) this.recordOpenFailure(openMs, now)
+      if (result !== OpenFailure.Full) this.recordOpenFailure(result, openMs, now)
       this.end({ outcome: AttemptOutcome.NotSent })
       return
     }
@@ -124,8 +127,11 @@
     this.context.eventLoop.runWhenCurrent(() => { this.sendIfAllowed(result) })
   }
 
-  private recordOpenFailure (openMs: number, now: Instant): void {
-    this.context.links.recordOpenFailure(this.service, this.tracker.registration.id, now - openMs, now)
+  private recordOpenFailure (failure: OpenFailure, openMs: number, now: Instant): void {
+    const { links, eventLoop } = this.context
+    // The connection may be open although that has not been read yet.
+    const isConclusive = failure === OpenFailure.Refused || !(this.isOpeningLimited || eventLoop.isLate())
+    if (isConclusive) links.recordOpenFailure(this.service, this.tracker.registration.id, now - openMs, now)
     if (!this.isEnded) this.tracker.recordUnreachable(now)
   }
 
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -27,7 +27,7 @@
 /** One attempt by way of another VM. */
 export class RelayAttempt implements IAttempt {
   private connection: UpstreamConnection | undefined
-  private isStarted = false
+  private finishRequest: () => void = () => {}
   private isEnded = false
   private startedAt: Instant = 0
   isStreaming = false
@@ -58,8 +58,7 @@
   start (): void {
     const { clock, relayPeers } = this.context
     this.startedAt = clock.now()
-    this.isStarted = true
-    relayPeers.startRequest(this.node)
+    this.finishRequest = relayPeers.startRequest(this.node)
     relayPeers.getPool(this.node).open(MAX_CONNECTIONS, Math.min(this.deadline, createDeadline(this.startedAt, this.roundTripMs + CONNECT_SLACK_MS)), (result) => { this.handleOpen(result) })
   }
 
@@ -134,7 +133,7 @@
   private end (outcome: AttemptOutcome, response?: BufferedResponse): void {
     if (this.isEnded) return
     this.isEnded = true
-    if (this.isStarted) this.context.relayPeers.finishRequest(this.node)
+    this.finishRequest()
     this.context.telemetry.logRelayEnd({ requestId: this.request.requestId, service: this.service, relay: this.node.name, end: outcome, spanMs: this.context.clock.now() - this.startedAt, status: response?.head.status })
     this.listener.onEnd({ outcome, response, status: response?.head.status, isStreaming: this.isStreaming })
   }
--- a/packages/entry/src/node/relay/relayPeers.ts
+++ b/packages/entry/src/node/relay/relayPeers.ts
@@ -65,15 +65,14 @@
     return this.getPeer(node).pool
   }
 
-  /** Records that a request is relayed to a VM. */
-  startRequest (node: EntryNode): void {
-    this.getPeer(node).inFlight++
-  }
-
-  /** Records that a relayed request has ended in any way. */
-  finishRequest ({ name }: EntryNode): void {
-    const peer = this.peers.get(name)
-    if (peer !== undefined) peer.inFlight--
+  /**
+   * Records that a request is relayed to a VM.
+   * @returns called once, when the request has ended in any way
+   */
+  startRequest (node: EntryNode): () => void {
+    const peer = this.getPeer(node)
+    peer.inFlight++
+    return () => { peer.inFlight-- }
   }
 
   /** Records that a VM can't take requests of a service now. */
--- a/packages/entry/src/node/relay/relayServer.ts
+++ b/packages/entry/src/node/relay/relayServer.ts
@@ -10,7 +10,7 @@
 
 /** Handles the requests that were accepted. */
 export interface RelayedRequestHandler {
-  /** Whether this VM is draining, or too late with its own requests. */
+  /** Whether this VM isn't ready, or late with its own requests. */
   isBusy(): boolean
   /** Handles a request whose target is as the caller sent it. */
   acceptRelayed(request: IncomingMessage, response: ServerResponse, origin: RelayOrigin): void
--- a/packages/entry/src/node/upstream/linkProber.ts
+++ b/packages/entry/src/node/upstream/linkProber.ts
@@ -12,6 +12,7 @@
 import type { WorkerPool } from '@umberspar/steering/common/entry/workerPool'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import { CONNECT_SLACK_MS } from './connectSlack.js'
+import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { UpstreamPools } from './upstreamPools.js'
 
 /** What the prober uses. */
@@ -22,6 +23,7 @@
   readonly links: WorkerLinks
   readonly pools: UpstreamPools
   readonly roundTrips: DomainRoundTrips
+  readonly eventLoop: EventLoopMonitor
 }
 
 const CHECK_INTERVAL_MS = 250
@@ -92,14 +94,14 @@
     if (now < (this.nextProbeAt.get(service) ?? 0)) return
     this.nextProbeAt.set(service, now + REPROBE_INTERVAL_MS)
     const trackers = [...pool.listTrackers()].filter(({ isDraining }) => !isDraining)
-    const { random, roundTrips, pools, links, clock } = this.options
+    const { random, roundTrips, pools, links, clock, eventLoop } = this.options
     const first = Math.floor(random.next() * trackers.length)
     for (let index = 0; index < Math.min(count, trackers.length); index++) {
       const { registration } = trackers[(first + index) % trackers.length]!
       const deadline = createDeadline(now, roundTrips.getRoundTripMs(registration.domain) + CONNECT_SLACK_MS)
       pools.getPool(registration).probe(deadline, (isListening) => {
         if (isListening) links.recordOpened(service, registration.id, clock.now())
-        else links.recordOpenFailure(service, registration.id, now, clock.now())
+        else if (!eventLoop.isLate()) links.recordOpenFailure(service, registration.id, now, clock.now())
       })
     }
   }
