Forward no body whose caller left while it was read late

Found in reading the change: a request whose body had been read waited for one more poll after a delay, but nobody looked whether the caller had left by then; callers that sent 400 kB and closed had their uploads run. Requests that are dropped for that are now logged and counted as abandoned. Test: bodies that take several polls to read; failed before (10 of 11 cases pass), passes now.

--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -175,7 +175,16 @@
   }
 
   startExchange (exchange: CallerExchange): void {
-    this.eventLoop.runWhenRead(exchange.arrivedAt, () => { if (!exchange.response.isClosed) this.handleExchange(exchange) })
+    this.runUnlessLeft(exchange, () => { this.handleExchange(exchange) })
+  }
+
+  /** Runs a function unless the caller has left, as far as can be known once what was read late is followed by another poll. */
+  private runUnlessLeft ({ message, response, arrivedAt }: CallerExchange, callback: () => void, onLeft = (): void => {}): void {
+    this.eventLoop.runWhenRead(arrivedAt, () => {
+      if (!response.isClosed) return callback()
+      onLeft()
+      this.logEnd(message, response, { reason: EndReason.CallerDisconnected, arrivedAt }, RequestOutcome.Abandoned, 0)
+    })
   }
 
   private handleExchange (exchange: CallerExchange): void {
@@ -242,7 +251,7 @@
         if (result instanceof RequestBody) result.release()
         return
       }
-      if (result instanceof RequestBody) this.eventLoop.runWhenRead(arrivedAt, () => { this.startForwarding(accepted, response, result) })
+      if (result instanceof RequestBody) this.runUnlessLeft({ message: request, response, arrivedAt }, () => { this.startForwarding(accepted, response, result) }, () => { result.release() })
       else this.refuse(request, response, { reason: REASON_BY_BODY_FAILURE[result], arrivedAt, route })
     })
   }
--- a/packages/testing/test/node/usersPlatform/callersThatLeft.test.ts
+++ b/packages/testing/test/node/usersPlatform/callersThatLeft.test.ts
@@ -14,6 +14,7 @@
 const SHORT_DEADLINE_MS = 300
 const LONG_DEADLINE_MS = 60_000
 const BODY = 'x'.repeat(20_000)
+const LONG_BODY = 'x'.repeat(400_000)
 
 /** The requests of each connection, `perConnection` on each. */
 function createCalls (path: string, perConnection = 1, details: Partial<PipelinedCall> = {}): PipelinedCall[][] {
@@ -56,6 +57,7 @@
     ['reset their new connections', createCalls('/safe/1'), Departure.Reset],
     ['ended their sending side', createCalls('/safe/1'), Departure.HalfClose],
     ['had sent bodies', createCalls('/up/1', 1, { body: BODY }), Departure.Close],
+    ['had sent bodies that take several polls to read', createCalls('/up/1', 1, { body: LONG_BODY }), Departure.Close],
     ['had sent requests that must not be repeated', createCalls('/unsafe/1'), Departure.Close],
     ['had pipelined requests', createCalls('/safe/1', 3), Departure.Close],
     ['stayed until after their deadline', createCalls('/safe/1', 1, { deadlineMs: SHORT_DEADLINE_MS }), Departure.Stay]
