Correct the comment on the pause that a worker asked for

It said that 0 means that the worker wants no requests; 0 means that it asked for no pause. No code changes; lint, build and relayFields pass.

--- a/packages/entry/src/common/relayFields.ts
+++ b/packages/entry/src/common/relayFields.ts
@@ -32,7 +32,7 @@
 export interface WorkerAnnouncement {
   readonly worker: string
   readonly isDraining: boolean
-  /** How much longer it wants no requests, in milliseconds; 0 if it does. */
+  /** How much longer it wants no requests, in milliseconds; 0 if it asked for no pause. */
   readonly coolDownMs: number
 }
 
