Keep a configuration in force at VMs that start after the store has lost it

What callers saw: after the store had come back from an older copy, and while nobody wrote the newest configuration again (or somebody wrote an older one), VMs that started afterwards answered 404, a final answer, for routes that all others served, and ran requests by the older configuration, for good. After a rolling restart of the fleet an accepted configuration was gone.

Cause: VMs compared what they know by the store's revision only. A VM that has read the copy has reached the same revision as those that know the lost configuration, so neither side had anything to send; whoever watches the store hears of no other VM at all. An older configuration that is written again also counted as the confirmation of the newer one.

A new test with real records, five VMs and two rounds of restarts failed on in both variants: in the first round when an older configuration was written again, in the second one otherwise.

Change: the operators' version orders configurations, whatever their revisions. VMs tell the version in their lines and in their registrations, which are written anew at each era in any case, so that an ordinary change costs no further call. VMs of the build before say no version and are treated as before.

--- a/packages/entry/src/common/recordLines.ts
+++ b/packages/entry/src/common/recordLines.ts
@@ -31,6 +31,8 @@
   readonly clockMs: number
   /** How long before that the sending VM's records were last proven current, in milliseconds; undefined if they never were. */
   readonly proofAgeMs?: number | undefined
+  /** The version of the sending VM's configuration; undefined if it has none, or does not say. */
+  readonly configurationVersion?: number | undefined
 }
 
 const revisionSchema = z.int().check(z.nonnegative())
@@ -54,6 +56,7 @@
   holdMs: z.number().check(z.nonnegative()),
   clockMs: z.number(),
   proofAgeMs: z.optional(z.number().check(z.nonnegative())),
+  configurationVersion: z.optional(z.int()),
   news: z.optional(z.object({
     ...positionShape,
     isWhole: z.boolean(),
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -12,6 +12,7 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
+import type { SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { INodeRegistration, IRecordWriter, ISteeringSource } from '@umberspar/steering/common/ports/steeringSource'
 import type { EntrySettings } from '../common/entrySettings.js'
@@ -82,7 +83,7 @@
   private readonly servingNodes: ServingNodes
   private readonly telemetry: EntryTelemetry
   private readonly eventLoop: EventLoopMonitor
-  private readonly node: EntryNode
+  private node: EntryNode
   private readonly regionByDomain: ReadonlyMap<string, string>
   private isDraining = false
   private isRegistered = false
@@ -98,7 +99,7 @@
     this.telemetry = new EntryTelemetry(logger, metrics)
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
-    this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.synchronizer.freshness.getAgeMs())
+    this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.view.isConfigurationOutdated ? Infinity : this.synchronizer.freshness.getAgeMs())
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
@@ -189,7 +190,8 @@
         regionByDomain: this.regionByDomain,
         listNodes: () => this.view.nodes.values(),
         listSeeds: () => this.seeds,
-        hasConfiguration: () => this.view.document !== undefined
+        hasConfiguration: () => this.view.document !== undefined,
+        listNodesWithNewerConfiguration: () => this.view.nodeLists.listNewerThan(this.view.document?.version ?? 0)
       },
       onFirstRead: () => { this.register() }
     })
@@ -266,6 +268,8 @@
     if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) {
       this.callerServer.setLimits(this.view.document)
       this.telemetry.logUnknownKinds(this.view.document)
+      this.synchronizer.handleConfigurationChanged()
+      this.updateRegistration(this.view.document)
     }
     // A restarted worker may have another address, and open connections belong to the process before the restart.
     if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
@@ -276,6 +280,12 @@
     this.register()
   }
 
+  /** VMs that start later learn from the registration of a configuration that the store has lost. */
+  private updateRegistration ({ version }: SteeringDocument): void {
+    this.node = { ...this.node, configurationVersion: version }
+    if (this.isRegistered && !this.isDraining) this.dependencies.registration.update(this.node, this.viewUpdater.isConfigurationUnconfirmed)
+  }
+
   /**
    * Registers this VM as soon as it has read the records, even before it has a configuration, so that
    * VMs that start at the same time can find each other.
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -189,7 +189,7 @@
 
   private handleExchange (exchange: CallerExchange): void {
     const { message: request, response, arrivedAt, relayOrigin } = exchange
-    const { document } = this.context.view
+    const document = this.getNewestDocument()
     if (document === undefined) return this.waitForConfiguration(exchange)
     // The VM that relayed a request has checked its fields, to which it added others, and the quota.
     if (relayOrigin === undefined && countHeaderBytes(request) > document.limits.headerBytes) return this.refuse(request, response, { reason: EndReason.HeadersTooLarge, arrivedAt })
@@ -206,9 +206,15 @@
     else this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
   }
 
+  /** @returns the configuration; undefined if there is none yet, or if another entry VM has a newer one */
+  private getNewestDocument (): SteeringDocument | undefined {
+    const { document, isConfigurationOutdated } = this.context.view
+    return isConfigurationOutdated ? undefined : document
+  }
+
   /**
-   * Queues a request until the first configuration is there. That takes one call to the store; if
-   * requests were refused meanwhile, most callers would have no retry left.
+   * Queues a request until the first configuration is there, or the newer one that another entry VM has.
+   * That takes one call; if requests were refused meanwhile, most callers would have no retry left.
    */
   private waitForConfiguration (exchange: CallerExchange): void {
     const { clock } = this.context
@@ -217,7 +223,7 @@
       exchange,
       timer: clock.schedule(arrivedAt + CONFIGURATION_WAIT_MS, () => {
         this.pendingExchanges.delete(pending)
-        this.refuse(message, response, { reason: EndReason.NoConfiguration, arrivedAt })
+        this.refuse(message, response, { reason: this.context.view.document === undefined ? EndReason.NoConfiguration : EndReason.RecordsStale, arrivedAt })
       })
     }
     this.pendingExchanges.add(pending)
--- a/packages/entry/src/node/peers/recordPublisher.ts
+++ b/packages/entry/src/node/peers/recordPublisher.ts
@@ -40,6 +40,8 @@
   readonly holdMs: number
   /** See {@link RecordLine.proofAgeMs}. */
   readonly proofAgeMs: number | undefined
+  /** See {@link RecordLine.configurationVersion}. */
+  readonly configurationVersion: number | undefined
   /** @returns the update for a VM that has the given position; undefined if there is nothing new */
   readUpdateAfter(position: StorePosition): RecordUpdate | undefined
 }
@@ -175,9 +177,9 @@
   }
 
   private createLine (after: StorePosition): EncodedLine {
-    const { via, position, holdMs, proofAgeMs } = this.source
+    const { via, position, holdMs, proofAgeMs, configurationVersion } = this.source
     const news = this.source.readUpdateAfter(after)
-    const text = encodeLine(formatRecordLine({ via, ...position, holdMs, news, clockMs: this.clock.now(), proofAgeMs }))
+    const text = encodeLine(formatRecordLine({ via, ...position, holdMs, news, clockMs: this.clock.now(), proofAgeMs, configurationVersion }))
     return { text, bytes: Buffer.byteLength(text), isWhole: news?.isWhole === true, subscriberCount: 0 }
   }
 
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -14,15 +14,16 @@
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
-import { type ReplicationPlan, planReplication, type RegionByDomain } from '@umberspar/steering/common/entry/replicationPlan'
+import { type ReplicationPlan, planReplication } from '@umberspar/steering/common/entry/replicationPlan'
 import type { PositionReading } from '@umberspar/steering/common/entry/freshnessProof'
-import type { EntryNode, RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
+import type { RecordChanges, RecordSnapshot } from '@umberspar/steering/common/entry/records'
 import type { StorePosition } from '@umberspar/steering/common/entry/storePosition'
 import type { ISteeringSource, SteeringSourceListener } from '@umberspar/steering/common/ports/steeringSource'
 import type { RecordLine } from '../../common/recordLines.js'
 import { RecordSubscriber } from '../peers/recordSubscriber.js'
 import { RecordPublisher } from '../peers/recordPublisher.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
+import { type FleetInfo, listNewerSources } from './fleetInfo.js'
 import type { ViewUpdater } from './viewUpdater.js'
 import { FreshnessTracker } from './freshnessTracker.js'
 
@@ -42,18 +43,6 @@
 /** Spreads the load of VMs that lost the same sources. */
 const FALLBACK_JITTER_RATIO = 0.25
 
-/** This VM and the other entry VMs of the deployment. */
-export interface FleetInfo {
-  readonly self: EntryNode
-  readonly regionByDomain: RegionByDomain
-  /** @returns the known entry VMs */
-  listNodes(): Iterable<EntryNode>
-  /** @returns `host:port` of the seed VMs, which are tried last */
-  listSeeds(): readonly string[]
-  /** @returns whether a configuration has been read */
-  hasConfiguration(): boolean
-}
-
 /** Dependencies of a {@link RecordSynchronizer}. */
 export interface RecordSynchronizerDependencies {
   readonly clock: IClock
@@ -84,6 +73,8 @@
   private isWatchCurrent = false
   private isWatching = false
   private isFallbackActive = false
+  /** Whether this VM subscribes to others because they have a newer configuration. */
+  private isFetchingConfiguration = false
   private loggedPath = ''
   private planTimer: ITimer | undefined
   private rereadTimer: ITimer | undefined
@@ -100,6 +91,7 @@
       get via () { return getPath() },
       get holdMs () { return viewUpdater.holdMs },
       get proofAgeMs () { return freshness.getPublishedAgeMs() },
+      get configurationVersion () { return viewUpdater.configurationVersion },
       readUpdateAfter: (position) => viewUpdater.readUpdateAfter(position)
     }, telemetry)
     this.subscriber = new RecordSubscriber(fleet.self.name, clock, elapsed, random, telemetry.logger, {
@@ -141,10 +133,13 @@
     })
   }
 
-  getPosition (): StorePosition {
-    return this.dependencies.viewUpdater.position
+  /** Ends the subscriptions that were needed for a newer configuration only. */
+  handleConfigurationChanged (): void {
+    if (this.isFetchingConfiguration) this.handleNodesChanged()
   }
 
+  getPosition (): StorePosition { return this.dependencies.viewUpdater.position }
+
   onSnapshot (snapshot: RecordSnapshot): void {
     this.dependencies.viewUpdater.applySnapshot(snapshot)
     this.handleStoreRead()
@@ -193,11 +188,13 @@
     this.handleRead()
   }
 
-  private handleLine ({ via, holdMs, news, era, revision }: RecordLine, freshAsOf: Instant): boolean {
+  private handleLine ({ via, holdMs, news, era, revision, configurationVersion = 0 }: RecordLine, freshAsOf: Instant): boolean {
     const { clock, viewUpdater } = this.dependencies
     // Set before the update is applied, so that records which the publisher has finally removed are not held back here.
     if (via !== undefined) viewUpdater.setCurrent(true, clock.now(), holdMs)
     if (news !== undefined && !viewUpdater.applyUpdate(news)) return false
+    // Positions prove nothing about a configuration that the store has lost.
+    if (configurationVersion > (viewUpdater.configurationVersion ?? 0)) return news?.isWhole === true || era !== viewUpdater.position.era
     // The publisher's records are complete up to the revision of the line.
     this.freshness.recordPeerFreshness({ era, revision }, freshAsOf)
     if (news === undefined) {
@@ -258,7 +255,9 @@
     const needsPeers = this.isFleetKnown ? !this.plan.isFollower || this.isStoreReachable === false : this.isStoreReachable === false
     const planned = this.plan.sources.map(({ peerAddress }) => peerAddress)
     const seeds = fleet.listSeeds().filter((address) => address !== fleet.self.peerAddress)
-    this.subscriber.subscribeTo(needsPeers ? [...planned, ...seeds] : [])
+    const newerSources = listNewerSources(fleet)
+    this.isFetchingConfiguration = newerSources.length > 0
+    this.subscriber.subscribeTo(needsPeers ? [...newerSources, ...planned, ...seeds] : newerSources)
   }
 
   /** Starts watching the store when this VM has had no current source for a while. */
--- a/packages/entry/src/node/replica/viewUpdater.ts
+++ b/packages/entry/src/node/replica/viewUpdater.ts
@@ -42,6 +42,16 @@
     return this.table.position
   }
 
+  /** @returns the version of the configuration in force; undefined before one was read */
+  get configurationVersion (): number | undefined {
+    return this.view.document?.version
+  }
+
+  /** @returns whether the configuration in force is newer than the one that the store holds */
+  get isConfigurationUnconfirmed (): boolean {
+    return this.table.isDocumentUnconfirmed
+  }
+
   /** @returns whether records are known that the store has lost and that have not been written again yet */
   get hasUnconfirmed (): boolean {
     return this.table.unconfirmed.hasAwaited(this.clock.now())
@@ -133,12 +143,20 @@
 
   private apply (changes: readonly RecordChange[]): void {
     const now = this.clock.now()
+    const wasOutdated = this.view.isConfigurationOutdated
     for (const change of changes) {
       for (const event of this.view.applyChange(change, now)) this.logEvent(event)
     }
+    if (this.view.isConfigurationOutdated !== wasOutdated) this.logConfigurationState(!wasOutdated)
     this.scheduleRelease()
   }
 
+  private logConfigurationState (isOutdated: boolean): void {
+    const context = { step: 'compare-configurations', version: this.configurationVersion, newestVersion: this.view.nodeLists.newestVersion, ...this.table.position }
+    const message = isOutdated ? 'another entry VM has a newer configuration than this one' : 'no other entry VM has a newer configuration any more'
+    this.telemetry.logger.log(isOutdated ? LogLevel.Warn : LogLevel.Info, context, message)
+  }
+
   private logEvent (event: ViewEvent): void {
     this.telemetry.metrics.countChange(event.change)
     const level = event.change === ViewChange.RecordUnreadable ? LogLevel.Warn : LogLevel.Info
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -59,6 +59,7 @@
       records_era: era,
       records_revision: revision,
       configuration_version: view.document?.version ?? 0,
+      configuration_version_registered: view.nodeLists.newestVersion,
       entry_vms_known: view.countNodes(),
       workers_known: [...view.listTrackers()].length,
       workers_rate_limited: [...view.listTrackers()].filter(({ rateLimit }) => rateLimit !== undefined).length,
--- a/packages/entry/test/node/peers/linkSimulation.ts
+++ b/packages/entry/test/node/peers/linkSimulation.ts
@@ -107,6 +107,7 @@
       via: [node.name],
       holdMs: 0,
       proofAgeMs: undefined,
+      configurationVersion: undefined,
       readUpdateAfter: (position) => table.buildUpdateAfter(position)
     }, { countSentRecordBytes: (bytes) => { this.sentBytes += bytes }, logLargeRecordUpdate: () => {} })
   }
--- a/packages/entry/test/node/peers/recordPublisher.test.ts
+++ b/packages/entry/test/node/peers/recordPublisher.test.ts
@@ -36,6 +36,7 @@
     get via () { return state.via },
     get holdMs () { return state.holdMs },
     get proofAgeMs () { return state.proofAgeMs },
+    configurationVersion: undefined,
     readUpdateAfter: ({ era, revision }) => era === state.era && revision >= state.revision ? undefined : { era: state.era, revision: state.revision, isWhole: revision === 0, gaps: [], written: [], removed: [] }
   }, { countSentRecordBytes: () => {}, logLargeRecordUpdate: () => {} })
   const response = new RecordingResponse()
--- a/packages/entry/test/node/quota/shareClaimer.test.ts
+++ b/packages/entry/test/node/quota/shareClaimer.test.ts
@@ -38,6 +38,7 @@
   const registration: INodeRegistration = {
     start: () => {},
     register: () => {},
+    update: () => {},
     withdraw: () => {},
     close: () => {},
     get currentLease () { return lease.present },
--- a/packages/entry/test/node/quota/simulatedVm.ts
+++ b/packages/entry/test/node/quota/simulatedVm.ts
@@ -181,6 +181,8 @@
 
   register (): void {}
 
+  update (): void {}
+
   withdraw (): void {}
 
   close (): void {}
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -12,7 +12,7 @@
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 import { RecentMaximum } from './recentMaximum.js'
 import { SharedRetryBudget, type RetryBudgetSettings } from './sharedRetryBudget.js'
-import type { SendingNode } from '../rateLimits/rateAllowance.js'
+import { EntryNodeLists } from './entryNodeLists.js'
 import { RouteTable } from './routeTable.js'
 import { type PoolContext, WorkerPool } from './workerPool.js'
 import type { RoutePolicy, ServicePolicy, SteeringDocument } from './steeringDocument.js'
@@ -46,6 +46,8 @@
 export class EntryView {
   readonly pools = new Map<string, WorkerPool>()
   readonly nodes = new Map<string, EntryNode>()
+  /** What follows from the nodes. */
+  readonly nodeLists: EntryNodeLists
   readonly evacuatedDomains = new Set<string>()
   /** Claims of quota shares, by the share's name. */
   readonly shares = new Map<string, ShareClaim>()
@@ -59,10 +61,6 @@
   /** The number of entry VMs, for allowances that the VMs of the last window have divided among themselves. */
   private readonly recentNodeCount: RecentMaximum
   private readonly serviceTimesByRoute = new Map<string, ServiceTimeEstimate>()
-  /** Sorted names of the entry VMs; undefined after a change, so that a start with hundreds of VMs sorts them once. */
-  private nodeNames: readonly string[] | undefined
-  /** The same entry VMs with their failure domains. */
-  private sendingNodes: readonly SendingNode[] | undefined
   private currentDocument: SteeringDocument | undefined
   private routeTable: RouteTable | undefined
   private accountTable: AccountTable | undefined
@@ -71,6 +69,7 @@
 
   /** @param context properties of this VM and settings */
   constructor (private readonly context: ViewContext) {
+    this.nodeLists = new EntryNodeLists(context.node, context.domain, this.nodes)
     this.recentNodeCount = new RecentMaximum(context.retryBudget.windowMs, this.countNodes())
   }
 
@@ -79,6 +78,11 @@
     return this.currentDocument
   }
 
+  /** @returns whether another entry VM has a newer configuration, which the store may have lost */
+  get isConfigurationOutdated (): boolean {
+    return this.nodeLists.newestVersion > (this.currentDocument?.version ?? 0)
+  }
+
   /** @returns the client accounts; undefined where callers need no keys */
   get accounts (): AccountTable | undefined {
     return this.accountTable
@@ -91,7 +95,7 @@
 
   /** @returns the number of entry VMs, this one included */
   countNodes (): number {
-    return this.listNodeNames().length
+    return this.nodeLists.names.length
   }
 
   /**
@@ -110,7 +114,7 @@
   getPool (service: string): WorkerPool {
     let pool = this.pools.get(service)
     if (pool === undefined) {
-      pool = new WorkerPool({ ...this.context, listNodes: () => this.listNodeNames(), listSendingNodes: () => this.listSendingNodes() })
+      pool = new WorkerPool({ ...this.context, listNodes: () => this.nodeLists.names, listSendingNodes: () => this.nodeLists.sendingNodes })
       pool.policy = this.policiesByService.get(service)
       this.pools.set(service, pool)
     }
@@ -268,8 +272,7 @@
   }
 
   private handleNodesChanged (now: Instant): void {
-    this.nodeNames = undefined
-    this.sendingNodes = undefined
+    this.nodeLists.clear()
     this.recentNodeCount.update(this.countNodes(), now)
   }
 
@@ -285,15 +288,4 @@
     const tracker = this.trackers.get(worker.id)
     return tracker === undefined || tracker.isOtherStart(worker) ? this.departedWorkers.find(worker)?.advisory : tracker.advisory
   }
-
-  private listNodeNames (): readonly string[] {
-    this.nodeNames ??= [...new Set([this.context.node, ...this.nodes.keys()])].sort()
-    return this.nodeNames
-  }
-
-  private listSendingNodes (): readonly SendingNode[] {
-    const { node, domain } = this.context
-    this.sendingNodes ??= this.listNodeNames().map((name) => ({ name, domain: name === node ? domain : this.nodes.get(name)?.domain ?? '' }))
-    return this.sendingNodes
-  }
 }
--- a/packages/steering/src/common/entry/eraStart.ts
+++ b/packages/steering/src/common/entry/eraStart.ts
@@ -3,7 +3,7 @@
  * entry may be missing, replaced or present again in the copy only because it is older, not because
  * its writer decided so. The writers write again what the store has lost.
  */
-import { RecordKind, type SteeringRecord, UpstreamState, type UpstreamRegistration } from './records.js'
+import { type DocumentRecord, RecordKind, type SteeringRecord, UpstreamState, type UpstreamRegistration } from './records.js'
 
 /** Limit on remembered removals of registrations. */
 const MAX_REMOVED_REGISTRATIONS = 4_096
@@ -67,7 +67,7 @@
    * @returns whether the copy's record is an earlier one of the same writer
    */
   isOlderCopy (known: SteeringRecord, copied: SteeringRecord): boolean {
-    if (known.kind === RecordKind.Document) return isOlderDocument(known, copied)
+    if (known.kind === RecordKind.Document) return copied.kind === RecordKind.Document && isNewerDocument(copied, known)
     return known.kind === RecordKind.Upstream && copied.kind === RecordKind.Upstream && isEarlierRegistration(copied.value, known.value)
   }
 
@@ -83,12 +83,12 @@
 }
 
 /**
- * @param known the known record under a key
- * @param record another record under the key
- * @returns whether both are configurations and the other one is not newer
+ * @param known a configuration
+ * @param other another one
+ * @returns whether the other one is newer, by the order of the operators, which holds in all eras
  */
-export function isOlderDocument (known: SteeringRecord | undefined, record: SteeringRecord): boolean {
-  return known?.kind === RecordKind.Document && record.kind === RecordKind.Document && known.value.version >= record.value.version
+export function isNewerDocument (known: DocumentRecord, other: DocumentRecord): boolean {
+  return other.value.version > known.value.version
 }
 
 function isEarlierRegistration (registration: UpstreamRegistration, other: UpstreamRegistration): boolean {
--- a/packages/steering/src/common/entry/recordReplica.ts
+++ b/packages/steering/src/common/entry/recordReplica.ts
@@ -13,8 +13,8 @@
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, hasPassed, type Deadline } from '@umberspar/base/common/deadline'
-import { type DocumentDelta, DocumentParts } from './documentParts.js'
-import { EraStart, getRewriteGraceMs, isOlderDocument } from './eraStart.js'
+import { DocumentReplica } from './documentReplica.js'
+import { EraStart, getRewriteGraceMs } from './eraStart.js'
 import type { RecordUpdate } from './recordUpdate.js'
 import { type RecordChange, type RecordChanges, RecordKind, type RecordSnapshot, type RemovedRecord, type SteeringRecord } from './records.js'
 import { RemovalHistory } from './removalHistory.js'
@@ -28,13 +28,12 @@
   /** Keys removed during or just after an outage, with when the removal takes effect; Infinity until the store is back. */
   private readonly heldRemovalsByKey = new Map<string, Deadline>()
   private readonly removals = new RemovalHistory()
-  /** The current configuration in parts, for building deltas. */
-  private readonly documentParts = new DocumentParts()
   private storePosition = NO_POSITION
   /** What was removed, and what the present era began with. */
   private readonly eraStart = new EraStart()
   /** Records that the store has lost, until they are confirmed or given up. */
   readonly unconfirmed = new UnconfirmedRecords()
+  private readonly document = new DocumentReplica(this.recordsByKey, this.unconfirmed, this.eraStart)
   private readonly removalHold = new RemovalHold()
 
   /** @returns the position up to which everything is known */
@@ -44,6 +43,11 @@
 
   get revision (): number { return this.storePosition.revision }
 
+  /** @returns whether the configuration is newer than the one that the store holds */
+  get isDocumentUnconfirmed (): boolean {
+    return this.document.isUnconfirmed
+  }
+
   /**
    * Records that the store does not answer, or refuses this VM.
    * @param since when it answered last
@@ -108,7 +112,7 @@
     this.eraStart.start(revision)
     this.unconfirmed.startEra(now)
     this.removals.reset(revision)
-    this.documentParts.clear(revision)
+    this.document.clear(revision)
     const copiedByKey = new Map(copy.records.map((record) => [record.key, record]))
     const replaced = this.list().flatMap((record) => this.mergeKnownRecord(record, copiedByKey.get(record.key), revision, now))
     const added = copy.records.filter(({ key }) => !this.recordsByKey.has(key)).flatMap((record) => this.putRecord(record))
@@ -130,7 +134,7 @@
     if (graceMs === 0) return [this.deleteRecord(known.key)]
     const rebased = { ...known, revision }
     this.recordsByKey.set(known.key, rebased)
-    if (rebased.kind === RecordKind.Document) this.documentParts.putDocument(rebased.value, revision)
+    if (rebased.kind === RecordKind.Document) this.document.keep(rebased)
     this.unconfirmed.put(known.key, createDeadline(now, graceMs))
     return []
   }
@@ -146,7 +150,8 @@
   applyUpdate (update: RecordUpdate, now: Instant): RecordChange[] | undefined {
     const { era, revision } = update
     const isSameEra = era === this.storePosition.era
-    if (era < this.storePosition.era || (update.isWhole && isSameEra && revision < this.revision)) return []
+    if (era < this.storePosition.era) return []
+    if (update.isWhole && isSameEra && revision < this.revision) return this.document.putNewer(update.written, this.revision)
     if (!update.isWhole) return isSameEra || this.revision === 0 ? this.applyDelta(update, now) : undefined
     const changes = this.applySnapshot({ era, revision, records: update.written }, now)
     const isOfCopy = (key: string): boolean => (this.get(key)?.revision ?? Infinity) <= this.eraStart.revision
@@ -156,16 +161,13 @@
 
   private applyDelta (delta: RecordUpdate, now: Instant): RecordChange[] | undefined {
     const { document: documentDelta } = delta
-    // A separate read of the operators' records may have brought a later configuration than the other records.
-    const knownRevision = documentDelta === undefined ? 0 : Math.max(this.revision, this.get(documentDelta.key)?.revision ?? 0)
-    const isNewDocument = documentDelta !== undefined && documentDelta.revision > knownRevision
-    const value = isNewDocument ? this.documentParts.mergeDelta(documentDelta) : undefined
-    if (isNewDocument && value === undefined) return undefined
+    const isNewer = documentDelta !== undefined && this.document.isNewer(documentDelta, this.revision)
+    const record = isNewer ? this.document.mergeDelta(documentDelta) : undefined
+    if (isNewer && record === undefined) return undefined
     for (const gap of delta.gaps) this.removals.putGap(gap)
-    if (value === undefined) return this.applyChanges(delta, now)
-    const { key, revision } = documentDelta!
-    const changes = this.applyChanges({ ...delta, written: [...delta.written, { kind: RecordKind.Document, key, revision, value }] }, now)
-    if (this.get(key)?.value === value) this.documentParts.markChanged(documentDelta!)
+    if (record === undefined) return this.applyChanges(delta, now)
+    const changes = this.applyChanges({ ...delta, written: [...delta.written, record] }, now)
+    this.document.markMerged(documentDelta!, record)
     return changes
   }
 
@@ -180,7 +182,7 @@
     const isWhole = revision === 0 || this.removals.mayLackRemovalsAfter(revision)
     const tombstones = this.removals.listTombstones()
     const written = isWhole ? this.list() : this.list().filter((record) => record.revision > revision)
-    const document = isWhole ? undefined : this.buildDocumentDelta(written, revision)
+    const document = isWhole ? undefined : this.document.buildDeltaAfter(written, revision)
     return {
       ...this.storePosition,
       isWhole,
@@ -191,11 +193,6 @@
     }
   }
 
-  private buildDocumentDelta (written: readonly SteeringRecord[], knownRevision: number): DocumentDelta | undefined {
-    const record = written.find(({ kind }) => kind === RecordKind.Document)
-    return record?.kind === RecordKind.Document ? this.documentParts.buildDeltaAfter(record.value, record, knownRevision) : undefined
-  }
-
   /**
    * Applies changes from the store. Events up to the known revision are ignored: a peer may
    * have announced a removal that the store's own events reach only later, after the writing
@@ -256,24 +253,15 @@
     const previous = this.recordsByKey.get(record.key)
     if (previous === undefined && this.eraStart.isKnownAsRemoved(record)) return []
     this.heldRemovalsByKey.delete(record.key)
-    const isConfirmed = record.revision > this.eraStart.revision && this.unconfirmed.delete(record.key)
     this.removals.removeTombstone(record.key, record.revision)
+    if (record.kind === RecordKind.Document) return this.document.put(record, this.revision)
+    if (record.revision > this.eraStart.revision) this.unconfirmed.delete(record.key)
     if (previous !== undefined && previous.revision >= record.revision) return []
-    if (isOlderDocument(previous, record)) return isConfirmed ? this.confirmDocument(previous!, record.revision) : []
     this.recordsByKey.set(record.key, record)
     this.eraStart.recordWriting(record.key)
-    if (record.kind === RecordKind.Document) this.documentParts.putDocument(record.value, record.revision)
     return [{ record, previous }]
   }
 
-  /** Peers that have only read the copy need the configuration, although it is no change here. */
-  private confirmDocument (known: SteeringRecord, revision: number): RecordChange[] {
-    this.recordsByKey.set(known.key, { ...known, revision })
-    this.documentParts.clear(revision)
-    if (known.kind === RecordKind.Document) this.documentParts.putDocument(known.value, revision)
-    return []
-  }
-
   private deleteRecord (key: string): RecordChange {
     const previous = this.recordsByKey.get(key)
     this.heldRemovalsByKey.delete(key)
--- a/packages/steering/src/common/entry/records.ts
+++ b/packages/steering/src/common/entry/records.ts
@@ -47,6 +47,8 @@
   readonly linkMbps?: number | undefined
   /** The store's era in which the VM registered; undefined if it does not say. */
   readonly era?: number | undefined
+  /** The version of the configuration that the VM had when it registered; undefined if it had none, or does not say. */
+  readonly configurationVersion?: number | undefined
 }
 
 /** The holder of one share of the quotas; the store lets one VM at a time claim it. */
@@ -77,9 +79,17 @@
   Unreadable = 'unreadable'
 }
 
+/** The configuration. */
+export interface DocumentRecord {
+  readonly kind: RecordKind.Document
+  readonly key: string
+  readonly revision: number
+  readonly value: SteeringDocument
+}
+
 /** One record of the store. */
 export type SteeringRecord =
-  | { readonly kind: RecordKind.Document, readonly key: string, readonly revision: number, readonly value: SteeringDocument }
+  | DocumentRecord
   | { readonly kind: RecordKind.Upstream, readonly key: string, readonly revision: number, readonly value: UpstreamRegistration }
   | { readonly kind: RecordKind.Evacuation, readonly key: string, readonly revision: number, readonly value: string }
   | { readonly kind: RecordKind.Node, readonly key: string, readonly revision: number, readonly value: EntryNode }
--- a/packages/steering/src/common/entry/replicationPlan.ts
+++ b/packages/steering/src/common/entry/replicationPlan.ts
@@ -40,7 +40,12 @@
 /** Regions by failure domain. */
 export type RegionByDomain = ReadonlyMap<string, string>
 
-function rankNodes (key: string, nodes: readonly EntryNode[]): EntryNode[] {
+/**
+ * @param key ranks the same VMs differently for each value
+ * @param nodes entry VMs
+ * @returns the VMs by their rendezvous rank
+ */
+export function rankNodes (key: string, nodes: readonly EntryNode[]): EntryNode[] {
   const byName = new Map(nodes.map((node) => [node.name, node]))
   return rankByRendezvous(key, [...byName.keys()]).map((name) => byName.get(name)!)
 }
--- a/packages/steering/src/common/entry/unconfirmedRecords.ts
+++ b/packages/steering/src/common/entry/unconfirmedRecords.ts
@@ -42,6 +42,11 @@
     return this.deadlines.delete(key)
   }
 
+  /** @returns whether the store lacks the record or holds it in an older state */
+  has (key: string): boolean {
+    return this.deadlines.has(key)
+  }
+
   /** @returns whether the store may lack the record only because it was not written again yet */
   mayReturn (key: string): boolean {
     return Number.isFinite(this.deadlines.get(key))
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -58,6 +58,12 @@
    * @param node the description of this VM
    */
   register(node: EntryNode): void
+  /**
+   * Replaces the description of this VM.
+   * @param node the description from now on
+   * @param mustWrite whether to write it soon; otherwise it is written when the record is written for another reason
+   */
+  update(node: EntryNode, mustWrite: boolean): void
   /**
    * Until when this VM's claims are certain to last, by the clock that includes the
    * time in which the machine is suspended; undefined while the VM is not registered.
--- a/packages/steering/test/common/entry/recordReplica.test.ts
+++ b/packages/steering/test/common/entry/recordReplica.test.ts
@@ -41,6 +41,45 @@
     }), { seed: SEED })
   })
 
+  it('never returns to an older configuration, whatever eras and revisions messages have', () => {
+    // Guards against an accepted configuration that is undone after the store has come back from an older copy.
+    const fields = { version: fc.integer({ min: 1, max: 20 }), revision: fc.integer({ min: 1, max: 20 }), ahead: fc.integer({ min: 0, max: 5 }), era: fc.integer({ min: 1, max: 3 }) }
+    const messages = fc.array(fc.record({ ...fields, way: fc.constantFrom('snapshot', 'changes', 'whole news', 'news') }), { maxLength: 40 })
+    fc.assert(fc.property(messages, (list) => {
+      const table = new RecordReplica()
+      let newest = 0
+      for (const { version, revision, ahead, era, way } of list) {
+        const position = { era, revision: revision + ahead }
+        const written = [createRoutedDocument(version, revision)]
+        if (way === 'snapshot') table.applySnapshot({ ...position, records: written }, 0)
+        else if (way === 'changes') table.applyChanges({ ...position, written, removed: [] }, 0)
+        else table.applyUpdate({ ...position, isWhole: way === 'whole news', gaps: [], written, removed: [] }, 0)
+        const known = table.get('document')
+        const knownVersion = known?.kind === RecordKind.Document ? known.value.version : 0
+        assert.ok(knownVersion >= newest, `version ${knownVersion} after ${newest}`)
+        if (way === 'whole news' && era === table.position.era) assert.ok(knownVersion >= version, `version ${knownVersion} after ${version} of a peer`)
+        newest = knownVersion
+      }
+    }), { seed: SEED })
+  })
+
+  it('passes on a configuration that the store has lost, as long as the store does not hold it again', () => {
+    const lost = new RecordReplica()
+    lost.applySnapshot({ era: 1, revision: 50, records: [createRoutedDocument(2, 50)] }, 0)
+    lost.applySnapshot({ era: 2, revision: 40, records: [createRoutedDocument(1, 30)] }, 0)
+    assert.equal(lost.isDocumentUnconfirmed, true)
+    lost.applyChanges({ era: 2, revision: 60, written: [createRoutedDocument(1, 60)], removed: [] }, 0)
+    assert.equal(lost.isDocumentUnconfirmed, true)
+    const later = new RecordReplica()
+    later.applySnapshot({ era: 2, revision: 70, records: [createRoutedDocument(1, 60)] }, 0)
+    assert.notEqual(later.applyUpdate(lost.buildUpdateAfter({ era: 0, revision: 0 })!, 0), undefined)
+    assert.deepEqual(later.get('document'), createRoutedDocument(2, 70))
+    assert.equal(later.isDocumentUnconfirmed, true)
+    later.applyChanges({ era: 2, revision: 80, written: [createRoutedDocument(2, 80)], removed: [] }, 0)
+    assert.equal(later.isDocumentUnconfirmed, false)
+    assert.deepEqual(later.get('document'), createRoutedDocument(2, 80))
+  })
+
   it('keeps a configuration that was read ahead of the other records when a peer sends earlier ones', () => {
     // Guards against a VM that requests full updates repeatedly after its start because no delta fits its
     // configuration.
--- a/packages/testing/test/node/usersPlatform/storeRollbacks.test.ts
+++ b/packages/testing/test/node/usersPlatform/storeRollbacks.test.ts
@@ -105,6 +105,41 @@
     }
   })
 
+  for (const isOlderRewritten of [false, true]) {
+    it(`keeps a lost configuration in force at VMs that start afterwards${isOlderRewritten ? ', though an older one is written again' : ''}`, async () => {
+      // Guards against a configuration that was accepted and is undone by restarts after a rollback.
+      const copy = platform.store.state.createCopy()
+      putRoutes(ROUTE, ADDED)
+      await waitForAll((entry) => isServed(entry, '/b/1'))
+      platform.store.resetTo(copy)
+      await waitForAll(({ entry }) => entry.viewUpdater.position.era === platform.store.state.era)
+      if (isOlderRewritten) platform.store.putText('op/config', copy.items.get('op/config')!.value)
+      // Twice, so that in the end no process runs that has read the configuration from the store.
+      for (const round of [1, 2]) {
+        const earlier = entries
+        entries = []
+        for (const { settings: { node } } of earlier.slice(0, 3)) entries.push(await platform.startEntry(`${node}-${round}`, 'north-1'))
+        await waitForAll((entry) => isServed(entry, '/b/1'))
+        for (const { entry } of earlier) await new Promise<void>((resolve) => { entry.stop(() => { resolve() }) })
+        await waitForAll((entry) => isServed(entry, '/b/1'))
+      }
+    })
+  }
+
+  it('denies nothing by an older configuration than the one that another VM has registered with', async () => {
+    // Guards against 404 for a route that all others serve, from a VM that starts while it can't reach the others.
+    const { newestVersion } = platform
+    platform.store.put('entry-vms/vm-cut-off', { address: '127.0.0.1:1', peerAddress: '127.0.0.1:1', domain: 'north-1', configurationVersion: newestVersion + 1 })
+    entries = [...entries, await platform.startEntry('vm-late', 'north-1')]
+    await waitForAll(({ lines }) => lines.some(({ step }) => step === 'compare-configurations'))
+    for (const entry of entries) {
+      const answers = await Promise.all(['/a/1', '/b/1'].map(async (path) => await platform.call(entry, { path })))
+      assert.deepEqual(answers.map(({ status }) => status), [503, 503])
+    }
+    platform.store.remove('entry-vms/vm-cut-off')
+    await waitForAll(async (entry) => await isServed(entry, '/a/1') && (await platform.call(entry, { path: '/b/1' })).status === 404)
+  })
+
   it('takes what the writers take back afterwards', async () => {
     // Guards against remembering for ever what its writer has taken back after the rollback.
     platform.putEvacuation('north-1')
