--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -12,7 +12,6 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
-import type { SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { INodeRegistration, IRecordWriter, ISteeringSource } from '@umberspar/steering/common/ports/steeringSource'
 import type { EntrySettings } from '../common/entrySettings.js'
@@ -20,6 +19,7 @@
 import { createEntryView } from './createEntryView.js'
 import { AccessController } from './accounts/accessController.js'
 import { ViewUpdater } from './replica/viewUpdater.js'
+import { NodeRegistrar } from './replica/nodeRegistrar.js'
 import { RecordSynchronizer } from './replica/recordSynchronizer.js'
 import { BodyMemoryBudget } from './front/bodyReader.js'
 import type { EntryContext } from './front/entryContext.js'
@@ -83,10 +83,10 @@
   private readonly servingNodes: ServingNodes
   private readonly telemetry: EntryTelemetry
   private readonly eventLoop: EventLoopMonitor
-  private node: EntryNode
+  private readonly node: EntryNode
+  private readonly registrar: NodeRegistrar
   private readonly regionByDomain: ReadonlyMap<string, string>
   private isDraining = false
-  private isRegistered = false
   private seeds: readonly string[]
 
   /** @param dependencies the services that it is built from */
@@ -96,6 +96,7 @@
     this.regionByDomain = new Map(Object.entries(settings.regions))
     const roundTrips = new DomainRoundTrips(settings.domain, this.regionByDomain)
     this.node = { name: settings.node, address: settings.listen.callers, peerAddress: settings.listen.peers, domain: settings.domain, linkMbps: settings.linkMbps }
+    this.registrar = new NodeRegistrar(dependencies.registration, this.node)
     this.telemetry = new EntryTelemetry(logger, metrics)
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
@@ -172,7 +173,7 @@
   private startDraining (): void {
     this.isDraining = true
     this.telemetry.logger.log(LogLevel.Info, { step: 'stop', openRequests: this.callerServer.inFlightRequests }, 'entry process is draining')
-    this.dependencies.registration.withdraw()
+    this.registrar.withdraw()
     this.synchronizer.publisher.close()
   }
 
@@ -193,7 +194,7 @@
         hasConfiguration: () => this.view.document !== undefined,
         listNodesWithNewerConfiguration: () => this.view.nodeLists.listNewerThan(this.view.document?.version ?? 0)
       },
-      onFirstRead: () => { this.register() }
+      onFirstRead: () => { this.registrar.register() }
     })
   }
 
@@ -269,30 +270,13 @@
       this.callerServer.setLimits(this.view.document)
       this.telemetry.logUnknownKinds(this.view.document)
       this.synchronizer.handleConfigurationChanged()
-      this.updateRegistration(this.view.document)
+      this.registrar.setConfigurationVersion(this.view.document.version, this.viewUpdater.isConfigurationUnconfirmed)
     }
     // A restarted worker may have another address, and open connections belong to the process before the restart.
     if (change === ViewChange.UpstreamLeft || change === ViewChange.UpstreamRestarted) this.pools.remove(subject)
     if (change === ViewChange.NodeJoined || change === ViewChange.NodeLeft) this.synchronizer.handleNodesChanged()
     if (change === ViewChange.NodeLeft) this.relayPeers.remove(subject)
     if (change !== ViewChange.NodeLeft || subject !== this.node.name) return
-    this.isRegistered = false
-    this.register()
-  }
-
-  /** VMs that start later learn from the registration of a configuration that the store has lost. */
-  private updateRegistration ({ version }: SteeringDocument): void {
-    this.node = { ...this.node, configurationVersion: version }
-    if (this.isRegistered && !this.isDraining) this.dependencies.registration.update(this.node, this.viewUpdater.isConfigurationUnconfirmed)
-  }
-
-  /**
-   * Registers this VM as soon as it has read the records, even before it has a configuration, so that
-   * VMs that start at the same time can find each other.
-   */
-  private register (): void {
-    if (this.isRegistered || this.isDraining) return
-    this.isRegistered = true
-    this.dependencies.registration.register(this.node)
+    this.registrar.registerAgain()
   }
 }
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -24,6 +24,7 @@
 import { RecordPublisher } from '../peers/recordPublisher.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import { type FleetInfo, listNewerSources } from './fleetInfo.js'
+import { PublishedRecords } from './publishedRecords.js'
 import type { ViewUpdater } from './viewUpdater.js'
 import { FreshnessTracker } from './freshnessTracker.js'
 
@@ -84,16 +85,7 @@
     const { clock, elapsed, random, telemetry, viewUpdater, fleet } = dependencies
     const freshness = new FreshnessTracker(elapsed, () => viewUpdater.position)
     this.freshness = freshness
-    const getPath = (): readonly string[] | undefined => this.via
-    this.publisher = new RecordPublisher(clock, {
-      get position () { return viewUpdater.position },
-      get hasUnconfirmed () { return viewUpdater.hasUnconfirmed },
-      get via () { return getPath() },
-      get holdMs () { return viewUpdater.holdMs },
-      get proofAgeMs () { return freshness.getPublishedAgeMs() },
-      get configurationVersion () { return viewUpdater.configurationVersion },
-      readUpdateAfter: (position) => viewUpdater.readUpdateAfter(position)
-    }, telemetry)
+    this.publisher = new RecordPublisher(clock, new PublishedRecords(viewUpdater, freshness, () => this.via), telemetry)
     this.subscriber = new RecordSubscriber(fleet.self.name, clock, elapsed, random, telemetry.logger, {
       getPosition: () => viewUpdater.position,
       onLine: (line, freshAsOf) => this.handleLine(line, freshAsOf),
