Let timeouts of peers wait until what has arrived was read

What callers saw: an entry VM that could not run for 1.5 s or more dropped all other VMs that it hears from, and the store, as soon as it ran again, and had no proof that its records are current until it had connected anew: 503 for keys, homes and paths without a route meanwhile.

Cause: Node.js runs timers before it polls the sockets. A timeout that became due while the process could not run ended a connection whose lines and answers were waiting in the socket.

A peer that is silent is found one poll later.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -26,6 +26,7 @@
 import { CallerServer } from './front/callerServer.js'
 import { HeaderRewriter } from './front/headerRewriter.js'
 import { EventLoopMonitor } from './eventLoop/eventLoopMonitor.js'
+import { TimeoutClock } from './eventLoop/timeoutClock.js'
 import { listenForEndpoints } from './lookup/entryEndpoints.js'
 import { ServingNodes } from './lookup/servingNodes.js'
 import { RequestQuarantine } from './quarantine/requestQuarantine.js'
@@ -82,7 +83,8 @@
   private readonly relayPeers: RelayPeers
   private readonly servingNodes: ServingNodes
   private readonly telemetry: EntryTelemetry
-  private readonly eventLoop: EventLoopMonitor
+  /** Knows when what arrived has been read. */
+  readonly eventLoop: EventLoopMonitor
   private readonly node: EntryNode
   private readonly registrar: NodeRegistrar
   private readonly regionByDomain: ReadonlyMap<string, string>
@@ -181,6 +183,7 @@
     const { clock, elapsed, random, source } = this.dependencies
     return new RecordSynchronizer({
       clock,
+      timeoutClock: new TimeoutClock(clock, () => this.eventLoop),
       elapsed,
       random,
       telemetry: this.telemetry,
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -47,6 +47,8 @@
 /** Dependencies of a {@link RecordSynchronizer}. */
 export interface RecordSynchronizerDependencies {
   readonly clock: IClock
+  /** For timeouts of other VMs. */
+  readonly timeoutClock: IClock
   readonly elapsed: ElapsedClock
   readonly random: IRandomSource
   readonly telemetry: EntryTelemetry
@@ -82,11 +84,11 @@
   private fallbackTimer: ITimer | undefined
 
   constructor (private readonly dependencies: RecordSynchronizerDependencies) {
-    const { clock, elapsed, random, telemetry, viewUpdater, fleet } = dependencies
+    const { clock, timeoutClock, elapsed, random, telemetry, viewUpdater, fleet } = dependencies
     const freshness = new FreshnessTracker(elapsed, () => viewUpdater.position)
     this.freshness = freshness
     this.publisher = new RecordPublisher(clock, new PublishedRecords(viewUpdater, freshness, () => this.via), telemetry)
-    this.subscriber = new RecordSubscriber(fleet.self.name, clock, elapsed, random, telemetry.logger, {
+    this.subscriber = new RecordSubscriber(fleet.self.name, timeoutClock, elapsed, random, telemetry.logger, {
       getPosition: () => viewUpdater.position,
       onLine: (line, freshAsOf) => this.handleLine(line, freshAsOf),
       onSourcesChanged: () => { this.update() }
