Decide on stale records only after a newer proof could be read

What callers saw: after each pause of an entry VM that was longer than its proof of fresh records lasts (2 to 2.7 s), requests with keys, on routes with homes and for paths without a route got 503 "the records of this entry VM are stale", although the newer proof lay in the VM's sockets or came within milliseconds: 17 ms later the same requests were served.

Cause: a request was decided in the turn of the event loop in which it was read; what proves the records to be current is read in the same poll or the one after. A follower's next proof takes one more call to the store.

Change: such a request waits for a proof for at most 250 ms, and only where one is expected: the store or a VM with current records reports changes to this VM, and the store has not just come back from an older copy. A follower reads the store's position at once, at most every 200 ms. New counter umberspar_proof_waits_total{end}.

The check of requests moved to requestChecker, the handlers of attempts to attemptHandlers.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -18,6 +18,7 @@
 import { createAccessBounds } from './accounts/accessBounds.js'
 import { createEntryView } from './createEntryView.js'
 import { AccessController } from './accounts/accessController.js'
+import { ProofWaiter } from './accounts/proofWaiter.js'
 import { ViewUpdater } from './replica/viewUpdater.js'
 import { NodeRegistrar } from './replica/nodeRegistrar.js'
 import { RecordSynchronizer } from './replica/recordSynchronizer.js'
@@ -74,6 +75,7 @@
   readonly synchronizer: RecordSynchronizer
   private readonly callerServer: CallerServer
   private readonly accessController: AccessController
+  private readonly proofWaiter: ProofWaiter
   /** The quotas of client accounts. */
   readonly quotas: AccountQuotas
   private readonly quarantine: RequestQuarantine
@@ -112,6 +114,9 @@
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
+    const proofSource = { isProofExpected: () => this.synchronizer.isProofExpected, askForProof: () => { dependencies.source.readPosition() } }
+    this.proofWaiter = this.closeStack.add(new ProofWaiter(clock, proofSource, (end) => { metrics.countProofWait(end) }))
+    this.synchronizer.freshness.onDidProve(() => { this.proofWaiter.handleProof() })
     this.callerServer = this.closeStack.add(new CallerServer(this.buildContext(roundTrips)))
   }
 
@@ -235,6 +240,7 @@
       headerRewriter: new HeaderRewriter(protocol.headers),
       view: this.view,
       accessController: this.accessController,
+      proofWaiter: this.proofWaiter,
       quotas: this.quotas,
       quarantine: this.quarantine,
       roundTrips,
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -4,11 +4,10 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
-import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
+import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { addRetryJitter } from '@umberspar/steering/common/entry/retryDelay'
-import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
+import type { Deadline } from '@umberspar/base/common/deadline'
+import type { SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { listenAt } from '../address.js'
 import type { RelayOrigin } from '../../common/relayFields.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
@@ -17,8 +16,9 @@
 import type { CallerResponse } from './callerResponse.js'
 import { CallerConnection, type CallerExchange, type ConnectionHost } from './callerConnection.js'
 import type { EntryContext } from './entryContext.js'
-import { getRefusal, REASON_BY_DENIAL } from './refusals.js'
+import { getRefusal } from './refusals.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
+import { checkRequest, type RefusalDetails } from './requestChecker.js'
 import { RequestDigest } from './requestDigest.js'
 import { logRequestEnd } from './requestLog.js'
 import { ProxiedRequest } from './proxiedRequest.js'
@@ -38,9 +38,6 @@
 const STALE_RECORDS_RETRY_AFTER_MS = 300
 /** For requests that state no deadline. */
 const DEFAULT_CALLER_TIMEOUT_MS = 10_000
-/** The separator and the line end of a header field. */
-const FIELD_OVERHEAD_BYTES = 4
-
 const REASON_BY_BODY_FAILURE: Readonly<Record<BodyFailure, EndReason>> = {
   [BodyFailure.TooLarge]: EndReason.BodyTooLarge,
   [BodyFailure.MemoryExhausted]: EndReason.BodyMemoryExhausted,
@@ -68,17 +65,6 @@
   readonly timer: ITimer
 }
 
-/** Why a request is refused before it is forwarded, and what is known about it. */
-interface RefusalDetails {
-  readonly reason: EndReason
-  readonly arrivedAt: Instant
-  readonly route?: RoutePolicy
-  /** Name of the caller's client account. */
-  readonly account?: string | undefined
-  /** When the caller may retry, in milliseconds from now; by default the value for the reason. */
-  readonly retryAfterMs?: number | undefined
-}
-
 /** The HTTP server for callers. */
 export class CallerServer implements IClosable, ConnectionHost {
   private readonly server: Server
@@ -187,25 +173,28 @@
     })
   }
 
-  private handleExchange (exchange: CallerExchange): void {
-    const { message: request, response, arrivedAt, relayOrigin } = exchange
+  /** @param proofDeadline when the request gives up waiting for a newer proof; undefined if it has not waited yet */
+  private handleExchange (exchange: CallerExchange, proofDeadline?: Deadline): void {
+    const { message, response } = exchange
     const document = this.getNewestDocument()
     if (document === undefined) return this.waitForConfiguration(exchange)
-    // The VM that relayed a request has checked its fields, to which it added others, and the quota.
-    if (relayOrigin === undefined && countHeaderBytes(request) > document.limits.headerBytes) return this.refuse(request, response, { reason: EndReason.HeadersTooLarge, arrivedAt })
-    const route = this.context.view.findRoute(request.headers.host ?? '', request.url ?? '')
-    if (route === undefined) return this.refuse(request, response, { reason: this.classifyMissingRoute(), arrivedAt })
-    const keyDigest = this.context.accessController.readKeyDigest(request)
-    const access = this.context.accessController.decide(route, keyDigest)
-    if (access.outcome !== AccessOutcome.Allowed) return this.refuse(request, response, { reason: REASON_BY_DENIAL[access.outcome], arrivedAt, route })
-    const exhaustedMs = access.account === undefined || relayOrigin !== undefined ? 0 : this.context.quotas.getExhaustedMs(access.account)
-    if (exhaustedMs > 0) return this.refuse(request, response, { reason: EndReason.QuotaExhausted, arrivedAt, route, account: access.account?.name, retryAfterMs: addRetryJitter(exhaustedMs, this.context.random) })
-    if (Number(request.headers['content-length'] ?? 0) > document.limits.bodyBytes) return this.refuse(request, response, { reason: EndReason.BodyTooLarge, arrivedAt, route })
-    const accepted: AcceptedRequest = { message: request, route, keyDigest, arrivedAt, relayOrigin }
-    if (hasBody(request)) this.readBodyThenForward(accepted, response, document)
+    const checked = checkRequest(this.context, exchange, document)
+    if (checked.ok) return this.acceptRequest(checked.val, response, document)
+    if (checked.val.reason === EndReason.RecordsStale && this.waitForProof(exchange, proofDeadline)) return
+    this.refuse(message, response, checked.val)
+  }
+
+  private acceptRequest (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
+    if (hasBody(accepted.message)) this.readBodyThenForward(accepted, response, document)
     else this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
   }
 
+  private waitForProof (exchange: CallerExchange, deadline = this.context.proofWaiter.createDeadline()): boolean {
+    return this.context.proofWaiter.wait(deadline, () => {
+      this.runUnlessLeft(exchange, () => { this.handleExchange(exchange, deadline) })
+    })
+  }
+
   /** @returns the configuration; undefined if there is none yet, or if another entry VM has a newer one */
   private getNewestDocument (): SteeringDocument | undefined {
     const { document, isConfigurationOutdated } = this.context.view
@@ -238,11 +227,6 @@
     }
   }
 
-  /** A missing route may have been added recently if the records are stale. */
-  private classifyMissingRoute (): EndReason {
-    return this.context.accessController.canConfirmAbsence ? EndReason.NoRoute : EndReason.RecordsStale
-  }
-
   private readBodyThenForward (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
     const { message: request, route, arrivedAt } = accepted
     const deadline = arrivedAt + Math.min(route.timeoutMs, this.context.headerRewriter.getCallerTimeoutMs(request) ?? DEFAULT_CALLER_TIMEOUT_MS)
@@ -284,9 +268,3 @@
     logRequestEnd(this.context, { requestId, route, service: undefined, account, status, outcome, reason, attempts: 0, arrivedAt, retryAfterMs, isRelayed })
   }
 }
-
-function countHeaderBytes (request: IncomingMessage): number {
-  let bytes = (request.method?.length ?? 0) + (request.url?.length ?? 0)
-  for (const text of request.rawHeaders) bytes += text.length
-  return bytes + request.rawHeaders.length / 2 * FIELD_OVERHEAD_BYTES
-}
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -7,6 +7,7 @@
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { AccessController } from '../accounts/accessController.js'
+import type { ProofWaiter } from '../accounts/proofWaiter.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { RecordsAge } from '../replica/recordsAge.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
@@ -34,6 +35,7 @@
   readonly headerRewriter: HeaderRewriter
   readonly view: EntryView
   readonly accessController: AccessController
+  readonly proofWaiter: ProofWaiter
   readonly quotas: AccountQuotas
   readonly quarantine: RequestQuarantine
   readonly roundTrips: DomainRoundTrips
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -11,11 +11,12 @@
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retryDelay'
 import { mayRetryAfterRefusal, mayRetryAfterPossibleRun, mayRetryAfterUnsent } from '@umberspar/steering/common/entry/mayRetry'
-import { EndReason, AttemptOutcome, RequestOutcome } from '../telemetry/requestOutcomes.js'
+import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { EntryContext } from './entryContext.js'
 import type { AttemptListener, AttemptResult, IAttempt } from './attempt.js'
+import { ATTEMPT_HANDLERS } from './attemptHandlers.js'
 import { listAnnouncements } from '../relay/relayAdvisories.js'
 import { RelayAttempt } from '../relay/relayAttempt.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
@@ -48,6 +49,8 @@
   private mayHaveRun = false
   private fallbackResponse: BufferedResponse | undefined
   private deadlineTimer: ITimer | undefined
+  /** When the request gives up waiting for a newer proof; undefined if it has not waited yet. */
+  private proofDeadline: Deadline | undefined
   private isEnded = false
 
   /**
@@ -93,14 +96,11 @@
   private startNextAttempt (): void {
     if (this.isEnded) return
     const { context } = this
-    const { clock, view, accessController } = context
+    const { clock, view } = context
     const now = clock.now()
     if (hasPassed(this.deadline, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable)
-    const access = accessController.decide(this.request.route, this.request.keyDigest)
-    if (access.outcome !== AccessOutcome.Allowed) return this.endWithoutResponse(REASON_BY_DENIAL[access.outcome])
-    if (context.quarantine.getBlockedMs(this.request.digest) > 0) return this.endWithoutResponse(EndReason.Quarantined)
-    const homeRegions = computeHomeRegions(this.request.route, access.account)
-    if (homeRegions === undefined) return this.endWithoutResponse(EndReason.NoHomeRegion)
+    const homeRegions = this.checkAccess()
+    if (homeRegions === undefined) return
     const isDisconnected = context.links.isDisconnected(this.service)
     if (isDisconnected && !context.links.isResponding(this.service, now)) return this.startRelay(homeRegions)
     const choice = this.chooseWorker(homeRegions, now)
@@ -114,6 +114,29 @@
     this.currentAttempt.start()
   }
 
+  /** @returns the regions that may serve the request; undefined if it can't be sent now, because it waits for a proof or has ended */
+  private checkAccess (): readonly string[] | undefined {
+    const access = this.context.accessController.decide(this.request.route, this.request.keyDigest)
+    if (access.outcome === AccessOutcome.RecordsStale && this.waitForProof()) return undefined
+    const homeRegions = computeHomeRegions(this.request.route, access.account)
+    const denial = this.findDenial(access.outcome, homeRegions)
+    if (denial === undefined) return homeRegions
+    this.endWithoutResponse(denial)
+    return undefined
+  }
+
+  private findDenial (outcome: AccessOutcome, homeRegions: readonly string[] | undefined): EndReason | undefined {
+    if (outcome !== AccessOutcome.Allowed) return REASON_BY_DENIAL[outcome]
+    if (this.context.quarantine.getBlockedMs(this.request.digest) > 0) return EndReason.Quarantined
+    return homeRegions === undefined ? EndReason.NoHomeRegion : undefined
+  }
+
+  private waitForProof (): boolean {
+    const { proofWaiter } = this.context
+    this.proofDeadline ??= proofWaiter.createDeadline()
+    return proofWaiter.wait(this.proofDeadline, () => { this.startNextAttempt() })
+  }
+
   /** Has another VM send the request to a worker, as this VM reaches none. */
   private startRelay (homeRegions: readonly string[]): void {
     const { relayPeers, location, telemetry } = this.context
@@ -157,7 +180,7 @@
   private handleAttemptResult (result: AttemptResult): void {
     this.currentAttempt = undefined
     if (this.isEnded) return
-    HANDLER_BY_OUTCOME[result.outcome](this, result)
+    ATTEMPT_HANDLERS[result.outcome](this, result)
   }
 
   /** Forwards a worker's complete response to the caller. */
@@ -272,29 +295,3 @@
     logRequestEnd(this.context, { requestId, route, service: this.service, account: this.quota.accountName, status, outcome, reason, attempts: this.attemptCounts.sent, arrivedAt, retryAfterMs, isRelayed: relayOrigin !== undefined })
   }
 }
-
-type AttemptResultHandler = (request: ProxiedRequest, result: AttemptResult) => void
-
-/** How a request continues after each outcome of an attempt. */
-const HANDLER_BY_OUTCOME: Readonly<Record<AttemptOutcome, AttemptResultHandler>> = {
-  [AttemptOutcome.Answered]: (request, { response, status }) => {
-    if (response === undefined) request.finishStream(status ?? 0)
-    else request.deliver(response)
-  },
-  [AttemptOutcome.FailedByWorker]: (request, { response }) => { request.retryPossiblyRun(response) },
-  [AttemptOutcome.RefusedByWorker]: (request) => { request.retryRefused() },
-  [AttemptOutcome.AddressReused]: (request) => { request.retryRefused() },
-  [AttemptOutcome.RefusedByRelay]: (request, { response }) => { request.deliverRefusal(response!) },
-  [AttemptOutcome.RelayUnable]: (request) => { request.retryRelay() },
-  [AttemptOutcome.NotSent]: (request) => { request.retryUnsent() },
-  [AttemptOutcome.Withdrawn]: (request) => { request.retryUnsent() },
-  [AttemptOutcome.ConnectionLost]: (request, { isStreaming, status }) => {
-    if (isStreaming) request.cancelStream(status ?? 0)
-    else request.retryPossiblyRun()
-  },
-  [AttemptOutcome.MalformedResponse]: (request, { isStreaming, status }) => {
-    if (isStreaming) request.cancelStream(status ?? 0)
-    else request.retryPossiblyRun()
-  },
-  [AttemptOutcome.Cancelled]: () => {}
-}
--- a/packages/entry/src/node/replica/freshnessTracker.ts
+++ b/packages/entry/src/node/replica/freshnessTracker.ts
@@ -1,6 +1,7 @@
 /** Tracks how fresh this VM's records certainly are, from its own reads of the store's position and from other VMs. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
+import { Emitter } from '@umberspar/base/common/event'
 import { FreshnessProof, type PositionReading } from '@umberspar/steering/common/entry/freshnessProof'
 import { hasReachedPosition, isEraStart, NO_POSITION, type StorePosition } from '@umberspar/steering/common/entry/storePosition'
 
@@ -11,6 +12,10 @@
 export class FreshnessTracker {
   private readonly freshness = new FreshnessProof()
   private position = NO_POSITION
+  private readonly proofs = new Emitter<undefined>()
+
+  /** The records have been proven current at a later instant than before. */
+  readonly onDidProve = this.proofs.event
 
   /**
    * @param elapsed the clock of all instants here, which counts suspensions
@@ -29,14 +34,25 @@
     return Number.isFinite(ageMs) ? ageMs : undefined
   }
 
+  /** @returns whether the store's position proves something; not at once after the store came back from an older copy */
+  get mayProve (): boolean {
+    return this.freshness.trustedFrom <= this.elapsed.now()
+  }
+
   /** Records a read of the store's position. */
   recordReading (reading: PositionReading): void {
-    this.freshness.recordReading(reading, this.updatePosition())
+    this.updateProof(() => { this.freshness.recordReading(reading, this.updatePosition()) })
   }
 
   /** Handles a new position of this VM's records. */
   handlePosition (): void {
-    this.freshness.handlePosition(this.updatePosition())
+    this.updateProof(() => { this.freshness.handlePosition(this.updatePosition()) })
+  }
+
+  private updateProof (update: () => void): void {
+    const { provenAt } = this.freshness
+    update()
+    if (this.freshness.provenAt > provenAt) this.proofs.fire(undefined)
   }
 
   private updatePosition (): StorePosition {
@@ -52,6 +68,6 @@
    * @param freshAsOf when that position was certainly the newest
    */
   recordPeerFreshness (position: StorePosition, freshAsOf: Instant): void {
-    if (hasReachedPosition(this.readPosition(), position)) this.freshness.recordPeerProof(freshAsOf)
+    if (hasReachedPosition(this.readPosition(), position)) this.updateProof(() => { this.freshness.recordPeerProof(freshAsOf) })
   }
 }
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -108,6 +108,11 @@
     return this.isWatching
   }
 
+  /** @returns whether a newer proof that the records are current is expected within moments */
+  get isProofExpected (): boolean {
+    return this.via !== undefined && this.freshness.mayProve
+  }
+
   /** @returns the number of current sources among other VMs */
   countSources (): number {
     return this.subscriber.countSources()
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -31,6 +31,7 @@
   private readonly viewChanges
   private readonly relays
   private readonly lookups
+  private readonly proofWaits
   private readonly droppedLogLines
   private readonly latencySeconds
   private readonly retryBudgetGauges
@@ -44,6 +45,7 @@
     this.viewChanges = new Counter({ name: 'umberspar_view_changes_total', help: 'Changes of what this process believes', labelNames: ['change'], registers })
     this.relays = new Counter({ name: 'umberspar_relays_total', help: 'Requests relayed between entry VMs by direction and end', labelNames: ['direction', 'end'], registers })
     this.lookups = new Counter({ name: 'umberspar_lookups_total', help: 'Look-ups by answer', labelNames: ['answer'], registers })
+    this.proofWaits = new Counter({ name: 'umberspar_proof_waits_total', help: 'Requests that waited for a newer proof that the records are current', labelNames: ['end'], registers })
     this.droppedLogLines = new Counter({ name: 'umberspar_log_lines_dropped_total', help: 'Log lines that found no room', labelNames: ['urgency'], registers })
     this.retryBudgetGauges = Object.entries(RETRY_BUDGET_GAUGES).map(([field, { name, help }]) => {
       return { field: field as keyof RetryBudgetState, gauge: new Gauge({ name, help, labelNames: ['service'], registers }) }
@@ -86,6 +88,11 @@
     this.lookups.inc({ answer })
   }
 
+  /** Counts the wait of a request for a newer proof that the records are current. */
+  countProofWait (end: string): void {
+    this.proofWaits.inc({ end })
+  }
+
   /** Counts a dropped log line. */
   countDroppedLogLine (urgency: string): void {
     this.droppedLogLines.inc({ urgency })
--- a/packages/steering/src/common/entry/freshnessProof.ts
+++ b/packages/steering/src/common/entry/freshnessProof.ts
@@ -21,20 +21,25 @@
   private latestProvenAt: Instant = Number.NEGATIVE_INFINITY
   private pendingReadings: PositionReading[] = []
   /** Readings of requests that were sent before prove nothing. */
-  private trustedFrom: Instant = Number.NEGATIVE_INFINITY
+  private trustedSince: Instant = Number.NEGATIVE_INFINITY
 
   /** @returns an instant at which the records were the newest; negative infinity if none is known */
   get provenAt (): Instant {
     return this.latestProvenAt
   }
 
+  /** @returns from when on readings prove something; negative infinity if all do */
+  get trustedFrom (): Instant {
+    return this.trustedSince
+  }
+
   /**
    * Begins an era of the store. What it had accepted and lost is unknown to it until the writers
    * have written it again, so that its position proves nothing before.
    * @param trustedFrom by when the writers have written again what was lost
    */
   startEra (trustedFrom: Instant): void {
-    this.trustedFrom = trustedFrom
+    this.trustedSince = trustedFrom
     this.pendingReadings = this.pendingReadings.filter(({ requestedAt }) => requestedAt >= trustedFrom)
   }
 
@@ -45,7 +50,7 @@
    * @param knownPosition position up to which changes are known
    */
   recordReading (reading: PositionReading, knownPosition: StorePosition): void {
-    if (reading.requestedAt >= this.trustedFrom) this.pendingReadings.push(reading)
+    if (reading.requestedAt >= this.trustedSince) this.pendingReadings.push(reading)
     if (this.pendingReadings.length > MAX_PENDING_READINGS) this.pendingReadings.shift()
     this.handlePosition(knownPosition)
   }
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -38,6 +38,8 @@
   readSnapshot(): void
   /** @param isWatching whether to watch for changes from now on, and to request the store's position periodically */
   setWatching(isWatching: boolean): void
+  /** Reads the store's position at once, while watching for changes. */
+  readPosition(): void
 }
 
 /** The lease of this VM's registration; until it ends, what the VM has claimed cannot be taken over by another VM. */
--- a/packages/testing/test/node/usersPlatform/followers.test.ts
+++ b/packages/testing/test/node/usersPlatform/followers.test.ts
@@ -81,6 +81,16 @@
     await waitUntilTold(entries)
   })
 
+  for (const stallMs of [2_000, 3_000, 4_000]) {
+    it(`deny a path without a route right after none of them could run for ${stallMs} ms`, async () => {
+      // Guards against 503 for what is read before the newer proof that the records are current.
+      const until = platform.clock.now() + stallMs
+      while (platform.clock.now() < until);
+      const answers = await Promise.all(entries.map(async (entry) => await platform.call(entry, { path: '/missing/1', deadlineMs: 60_000 })))
+      assert.deepEqual(answers.map(({ status }) => status), entries.map(() => 404))
+    })
+  }
+
   it('hear of a change when a follower has died', async () => {
     const [gone] = listFollowers(listIn('north'))
     await gone!.entry.close()
