Let deadlines of requests wait until the workers' answers were read

What callers saw: 504, and for requests that may not be repeated no way to know whether they ran, from an entry VM that could not run past the route's timeout, although the worker's whole answer was waiting in the VM's socket and the caller still waited.

The deadline of a request, the time-out of a body, the opening of connections to workers and to other VMs, and questions to the VMs that keep shares of a quota use the same clock now. For the last three no test shows the effect.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -85,6 +85,7 @@
   private readonly relayPeers: RelayPeers
   private readonly servingNodes: ServingNodes
   private readonly telemetry: EntryTelemetry
+  private readonly timeoutClock: IClock
   /** Knows when what arrived has been read. */
   readonly eventLoop: EventLoopMonitor
   private readonly node: EntryNode
@@ -103,14 +104,15 @@
     this.registrar = new NodeRegistrar(dependencies.registration, this.node)
     this.telemetry = new EntryTelemetry(logger, metrics)
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
+    this.timeoutClock = new TimeoutClock(clock, () => this.eventLoop)
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.view.isConfigurationOutdated ? Infinity : this.synchronizer.freshness.getAgeMs())
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
-    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, clock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
+    this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, this.timeoutClock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
     this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, eventLoop: this.eventLoop, telemetry: this.telemetry }))
-    this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, clock))
+    this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, this.timeoutClock))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
@@ -188,7 +190,7 @@
     const { clock, elapsed, random, source } = this.dependencies
     return new RecordSynchronizer({
       clock,
-      timeoutClock: new TimeoutClock(clock, () => this.eventLoop),
+      timeoutClock: this.timeoutClock,
       elapsed,
       random,
       telemetry: this.telemetry,
@@ -211,6 +213,7 @@
     const { window, over, slack } = settings.quotaTolerance
     return new AccountQuotas({
       clock,
+      timeoutClock: this.timeoutClock,
       elapsed,
       logger,
       registration,
@@ -234,6 +237,7 @@
     const { settings, clock, random, protocol } = this.dependencies
     return {
       clock,
+      timeoutClock: this.timeoutClock,
       random,
       eventLoop: this.eventLoop,
       protocol,
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -231,7 +231,7 @@
     const { message: request, route, arrivedAt } = accepted
     const deadline = arrivedAt + Math.min(route.timeoutMs, this.context.headerRewriter.getCallerTimeoutMs(request) ?? DEFAULT_CALLER_TIMEOUT_MS)
     let isExpired = false
-    const timer = this.context.clock.schedule(deadline, () => {
+    const timer = this.context.timeoutClock.schedule(deadline, () => {
       isExpired = true
       this.refuse(request, response, { reason: EndReason.BodyTimeout, arrivedAt, route })
     })
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -29,6 +29,8 @@
 /** The shared services of one process. */
 export interface EntryContext {
   readonly clock: IClock
+  /** For timeouts of workers and callers. */
+  readonly timeoutClock: IClock
   readonly random: IRandomSource
   readonly eventLoop: EventLoopMonitor
   readonly protocol: ICallerProtocol
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -76,7 +76,7 @@
     this.response.onDidDrain(() => { this.currentAttempt?.resume() })
     // Once per request, sent or not: the retry budget grows with requests, not with attempts to open a connection.
     if (this.request.relayOrigin === undefined) this.context.view.getRetryBudget(this.service).recordFirstAttempt(this.context.clock.now())
-    this.deadlineTimer = this.context.clock.schedule(this.deadline + RESPONSE_SLACK_MS, () => { this.handleDeadline() })
+    this.deadlineTimer = this.context.timeoutClock.schedule(this.deadline + RESPONSE_SLACK_MS, () => { this.handleDeadline() })
     const blockedMs = this.context.quarantine.getBlockedMs(this.request.digest)
     if (blockedMs > 0) this.answerLocally(EndReason.Quarantined, blockedMs)
     else {
--- a/packages/entry/src/node/quota/accountQuotas.ts
+++ b/packages/entry/src/node/quota/accountQuotas.ts
@@ -1,4 +1,5 @@
 /** The quotas of all accounts at one VM: requests tokens from share owners, and grants tokens of the shares that this VM owns. */
+import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
 import { ViewChange } from '@umberspar/steering/common/entry/viewEvent'
@@ -15,6 +16,8 @@
 
 /** Options of {@link AccountQuotas}. */
 export interface AccountQuotasDependencies extends Omit<ShareClaimerDependencies, 'buckets'> {
+  /** For timeouts of the VMs that keep shares. */
+  readonly timeoutClock: IClock
   readonly roundTrips: DomainRoundTrips
   readonly tolerance: QuotaTolerance
 }
@@ -36,7 +39,7 @@
   constructor (private readonly dependencies: AccountQuotasDependencies) {
     this.buckets = new QuotaBucketTable(dependencies.tolerance, dependencies.regionByDomain)
     this.claimer = new ShareClaimer({ ...dependencies, buckets: this.buckets })
-    this.client = new QuotaClient(dependencies.clock)
+    this.client = new QuotaClient(dependencies.timeoutClock)
   }
 
   /** @returns the number of shares that this VM owns */
