Trust a store that may just have gone back only as far as other VMs do

What callers saw: a VM that started after the store had come back from an older copy sent requests into a failure domain whose evacuation the copy lacked, and ran requests with a key that the lost configuration had removed, until the operator wrote both again.

A new process takes the position of the store as a proof of fresh records at once; processes that have seen the era begin wait 2.1 s for the writers. A VM that watches the store hears of no other VM, and a whole update of a peer that is some revisions behind was dropped with the lost records in it, which later deltas don't repeat.

Change: in an era above 0, a process that has read nothing of an earlier one proves nothing by its own reads for 2.1 s, and subscribes to others for that time even if it watches the store. Evacuations and quarantines that a peer keeps unconfirmed are taken over whatever the positions; not workers, which must not come back. Where the store never went back nothing changes.

--- a/packages/entry/src/node/replica/freshnessTracker.ts
+++ b/packages/entry/src/node/replica/freshnessTracker.ts
@@ -12,6 +12,8 @@
 export class FreshnessTracker {
   private readonly freshness = new FreshnessProof()
   private position = NO_POSITION
+  /** Whether this process has read nothing of an earlier era. */
+  private hasJoinedEra = false
   private readonly proofs = new Emitter<undefined>()
 
   /** The records have been proven current at a later instant than before. */
@@ -39,6 +41,11 @@
     return this.freshness.trustedFrom <= this.elapsed.now()
   }
 
+  /** @returns whether only other VMs can prove something: this one has started in an era that may have begun a moment ago */
+  get needsPeerProof (): boolean {
+    return this.hasJoinedEra && !this.mayProve
+  }
+
   /** Records a read of the store's position. */
   recordReading (reading: PositionReading): void {
     this.updateProof(() => { this.freshness.recordReading(reading, this.updatePosition()) })
@@ -58,7 +65,10 @@
   private updatePosition (): StorePosition {
     const previous = this.position
     this.position = this.readPosition()
-    if (isEraStart(previous, this.position)) this.freshness.startEra(this.elapsed.now() + REWRITE_MS)
+    if (previous.era === this.position.era) return this.position
+    // A process that has just started can't tell how long ago the era began.
+    this.hasJoinedEra = !isEraStart(previous, this.position)
+    this.freshness.startEra(this.elapsed.now() + REWRITE_MS)
     return this.position
   }
 
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -152,6 +152,8 @@
 
   onPositionRead (reading: PositionReading): void {
     this.freshness.recordReading(reading)
+    // What other VMs know beyond the store is needed at the start of an era only.
+    if (this.isFleetKnown) this.updateSubscriber()
     this.publisher.publish()
   }
 
@@ -251,7 +253,7 @@
 
   private updateSubscriber (): void {
     const { fleet } = this.dependencies
-    const needsPeers = this.isFleetKnown ? !this.plan.isFollower || this.isStoreReachable === false : this.isStoreReachable === false
+    const needsPeers = this.isStoreReachable === false || (this.isFleetKnown && (!this.plan.isFollower || this.freshness.needsPeerProof))
     const planned = this.plan.sources.map(({ peerAddress }) => peerAddress)
     const seeds = fleet.listSeeds().filter((address) => address !== fleet.self.peerAddress)
     const newerSources = listNewerSources(fleet)
--- a/packages/steering/src/common/entry/eraStart.ts
+++ b/packages/steering/src/common/entry/eraStart.ts
@@ -12,6 +12,9 @@
 /** For records that their writers write again, but not at once. */
 export const REWRITE_GRACE_MS = 15_000
 
+/** Lost records that a VM takes over from a peer that is behind it: too long in force, they cost only room. */
+export const KINDS_KEPT_FOR_PEERS: ReadonlySet<RecordKind> = new Set([RecordKind.Evacuation, RecordKind.Quarantine])
+
 /** How long a record that the copy lacks stays in force unless it is written again, by its kind, in milliseconds. */
 const GRACE_MS_BY_KIND: Readonly<Record<RecordKind, number>> = {
   // A configuration is only ever replaced by a later version.
--- a/packages/steering/src/common/entry/recordReplica.ts
+++ b/packages/steering/src/common/entry/recordReplica.ts
@@ -14,7 +14,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, hasPassed, type Deadline } from '@umberspar/base/common/deadline'
 import { DocumentReplica } from './documentReplica.js'
-import { EraStart, getRewriteGraceMs } from './eraStart.js'
+import { EraStart, getRewriteGraceMs, KINDS_KEPT_FOR_PEERS } from './eraStart.js'
 import type { RecordUpdate } from './recordUpdate.js'
 import { type RecordChange, type RecordChanges, RecordKind, type RecordSnapshot, type RemovedRecord, type SteeringRecord } from './records.js'
 import { RemovalHistory } from './removalHistory.js'
@@ -37,16 +37,12 @@
   private readonly removalHold = new RemovalHold()
 
   /** @returns the position up to which everything is known */
-  get position (): StorePosition {
-    return this.storePosition
-  }
+  get position (): StorePosition { return this.storePosition }
 
   get revision (): number { return this.storePosition.revision }
 
   /** @returns whether the configuration is newer than the one that the store holds */
-  get isDocumentUnconfirmed (): boolean {
-    return this.document.isUnconfirmed
-  }
+  get isDocumentUnconfirmed (): boolean { return this.document.isUnconfirmed }
 
   /**
    * Records that the store does not answer, or refuses this VM.
@@ -151,7 +147,7 @@
     const { era, revision } = update
     const isSameEra = era === this.storePosition.era
     if (era < this.storePosition.era) return []
-    if (update.isWhole && isSameEra && revision < this.revision) return this.document.putNewer(update.written, this.revision)
+    if (update.isWhole && isSameEra && revision < this.revision) return [...this.document.putNewer(update.written, this.revision), ...this.putLost(update, now)]
     if (!update.isWhole) return isSameEra || this.revision === 0 ? this.applyDelta(update, now) : undefined
     const changes = this.applySnapshot({ era, revision, records: update.written }, now)
     const isOfCopy = (key: string): boolean => (this.get(key)?.revision ?? Infinity) <= this.eraStart.revision
@@ -159,6 +155,21 @@
     return [...changes, ...update.removed.flatMap((removal) => this.removeRecord(removal, now))]
   }
 
+  /**
+   * Puts evacuations and quarantines in force that the store has lost. Positions say nothing about these; they
+   * end if their writers do not write them again.
+   */
+  private putLost ({ written, unconfirmed = [] }: RecordUpdate, now: Instant): RecordChange[] {
+    const remainingByKey = new Map(unconfirmed.map(({ key, remainingMs }) => [key, remainingMs]))
+    const removedKeys = new Set(this.removals.listTombstones().map(({ key }) => key))
+    const lost = written.filter(({ kind, key }) => KINDS_KEPT_FOR_PEERS.has(kind) && remainingByKey.has(key) && !this.recordsByKey.has(key) && !removedKeys.has(key))
+    for (const { key } of lost) this.unconfirmed.put(key, createDeadline(now, remainingByKey.get(key)!))
+    return lost.map((record) => {
+      this.recordsByKey.set(record.key, record)
+      return { record, previous: undefined }
+    })
+  }
+
   private applyDelta (delta: RecordUpdate, now: Instant): RecordChange[] | undefined {
     const { document: documentDelta } = delta
     const isNewer = documentDelta !== undefined && this.document.isNewer(documentDelta, this.revision)
--- a/packages/steering/test/common/entry/eraStart.test.ts
+++ b/packages/steering/test/common/entry/eraStart.test.ts
@@ -57,6 +57,23 @@
     assert.deepEqual(replica.list().map(({ key }) => key).sort(), ['document', 'servers/b'])
   })
 
+  it('that a peer keeps for a while are in force at a VM that has read more of the copy\'s era, and end there too', () => {
+    // Guards against requests into an emptied failure domain from a VM that starts after the rollback.
+    const keeper = new RecordReplica()
+    keeper.applySnapshot({ era: 1, revision: 70, records: [createEvacuation('d', 69), createWorker('a', 68, 4)] }, 0)
+    keeper.applySnapshot({ era: 2, revision: 66, records: [] }, 1)
+    const update = { ...keeper.buildUpdateAfter({ era: 0, revision: 0 })!, unconfirmed: keeper.unconfirmed.list(2) }
+    const joined = new RecordReplica()
+    joined.applySnapshot({ era: 2, revision: 68, records: [] }, 2)
+    assert.deepEqual(joined.applyUpdate(update, 2)?.map(({ record }) => record?.key), ['op/evacuate/d'])
+    assert.deepEqual(joined.applyDueRemovals(LONG_AFTER_MS).map(({ previous }) => previous?.key), ['op/evacuate/d'])
+    const rewritten = new RecordReplica()
+    rewritten.applySnapshot({ era: 2, revision: 68, records: [createEvacuation('d', 67)] }, 2)
+    assert.deepEqual(rewritten.applyUpdate(update, 2), [])
+    rewritten.applyChanges({ era: 2, revision: 69, written: [], removed: [{ key: 'op/evacuate/d', revision: 69 }] }, 3)
+    assert.deepEqual(rewritten.applyUpdate(update, 4), [])
+  })
+
   it('that the copy held in an older state end when a later read lacks them', () => {
     // Guards against workers that stay for ever because the copy held an older registration of theirs.
     const replica = new RecordReplica()
--- a/packages/testing/test/node/usersPlatform/storeRollbacks.test.ts
+++ b/packages/testing/test/node/usersPlatform/storeRollbacks.test.ts
@@ -126,6 +126,39 @@
     })
   }
 
+  it('keeps a lost evacuation in force at VMs that start afterwards', async () => {
+    // Guards against requests into an emptied failure domain from a VM that has read only the copy.
+    const copy = platform.store.state.createCopy()
+    platform.putEvacuation('north-2')
+    await waitForAll(({ entry }) => entry.viewUpdater.position.revision === platform.store.state.revision)
+    platform.store.resetTo(copy)
+    await waitForAll(({ entry }) => entry.viewUpdater.position.era === platform.store.state.era)
+    const late = [await platform.startEntry('vm-late-1', 'north-2'), await platform.startEntry('vm-late-2', 'north-2')]
+    for (const entry of late) {
+      await platform.waitUntil(() => entry.entry.synchronizer.countSources() > 0)
+      assert.ok(!(await countWorkersUsed(entry)).has('w-4'))
+    }
+  })
+
+  it('admits no key at once that the store may have lost the removal of', async () => {
+    // Guards against a removed key that runs at a VM which starts just after the rollback.
+    const key = 'key-of-families-7a6b'
+    const headers = { Authorization: `Bearer ${key}` }
+    platform.putConfiguration([ROUTE], 7, [{ Name: 'families', ApiKeys: [key] }])
+    await waitForAll(({ entry }) => entry.viewUpdater.position.revision === platform.store.state.revision)
+    const copy = platform.store.state.createCopy()
+    platform.putConfiguration([ROUTE], 7, [])
+    for (const { entry } of entries) await entry.close()
+    for (const { settings: { node } } of entries) platform.store.remove(`entry-vms/${node}`)
+    platform.store.resetTo({ ...copy, items: new Map([...copy.items].filter(([name]) => !name.startsWith('entry-vms/'))) })
+    const late = await platform.startEntry('vm-late', 'north-1')
+    await platform.waitUntil(() => late.entry.viewUpdater.position.revision > 0)
+    const statuses = await Promise.all(Array.from({ length: 20 }, async () => (await platform.call(late, { path: '/a/1', headers })).status))
+    assert.deepEqual([...new Set(statuses)], [503])
+    platform.putConfiguration([ROUTE], 7, [])
+    await platform.waitUntil(async () => (await platform.call(late, { path: '/a/1', headers })).status === 401)
+  })
+
   it('denies nothing by an older configuration than the one that another VM has registered with', async () => {
     // Guards against 404 for a route that all others serve, from a VM that starts while it can't reach the others.
     const { newestVersion } = platform
