--- a/packages/entry/src/node/accounts/proofWaiter.ts
+++ b/packages/entry/src/node/accounts/proofWaiter.ts
@@ -7,10 +7,10 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 
-/** How long a request waits for a newer proof. Reading the store's position takes 5 to 80 ms. */
+/** Longest time for which a request waits for a newer proof. */
 const PROOF_WAIT_MS = 250
-/** Between two requests for a newer proof, each of which is a call to the store. */
-const MIN_REQUEST_INTERVAL_MS = 200
+/** Shortest time between two reads of the store's position that waiting requests cause. */
+const MIN_READ_INTERVAL_MS = 200
 
 /** Where proofs come from. */
 export interface ProofSource {
@@ -34,7 +34,7 @@
 /** The requests of one process that wait for a newer proof. */
 export class ProofWaiter implements IClosable {
   private waiting: Waiting[] = []
-  private nextRequestAt: Deadline = Number.NEGATIVE_INFINITY
+  private nextReadAt: Deadline = Number.NEGATIVE_INFINITY
 
   /**
    * @param clock limits the waits
@@ -59,8 +59,8 @@
     if (hasPassed(until, now) || !this.source.isProofExpected()) return false
     const waiting = { callback, timer: this.clock.schedule(until, () => { this.release(waiting) }) }
     this.waiting.push(waiting)
-    if (hasPassed(this.nextRequestAt, now)) {
-      this.nextRequestAt = now + MIN_REQUEST_INTERVAL_MS
+    if (hasPassed(this.nextReadAt, now)) {
+      this.nextReadAt = now + MIN_READ_INTERVAL_MS
       this.source.askForProof()
     }
     return true
