Ask in one place for the configuration that requests may run by

CallerServer and ServingNodes each combined "there is one" with "no other VM has a newer one"; both use EntryView.newestDocument now. The list of VMs with a newer configuration, which a VM that watches the store asks for at each probe, is built only if there is one. The comment of StreamHandler stands at its type again, from which RawHandler had parted it.

--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -38,6 +38,7 @@
 const STALE_RECORDS_RETRY_AFTER_MS = 300
 /** For requests that state no deadline. */
 const DEFAULT_CALLER_TIMEOUT_MS = 10_000
+
 const REASON_BY_BODY_FAILURE: Readonly<Record<BodyFailure, EndReason>> = {
   [BodyFailure.TooLarge]: EndReason.BodyTooLarge,
   [BodyFailure.MemoryExhausted]: EndReason.BodyMemoryExhausted,
@@ -176,7 +177,7 @@
   /** @param proofDeadline when the request gives up waiting for a newer proof; undefined if it has not waited yet */
   private handleExchange (exchange: CallerExchange, proofDeadline?: Deadline): void {
     const { message, response } = exchange
-    const document = this.getNewestDocument()
+    const document = this.context.view.newestDocument
     if (document === undefined) return this.waitForConfiguration(exchange)
     const checked = checkRequest(this.context, exchange, document)
     if (checked.ok) return this.acceptRequest(checked.val, response, document)
@@ -195,12 +196,6 @@
     })
   }
 
-  /** @returns the configuration; undefined if there is none yet, or if another entry VM has a newer one */
-  private getNewestDocument (): SteeringDocument | undefined {
-    const { document, isConfigurationOutdated } = this.context.view
-    return isConfigurationOutdated ? undefined : document
-  }
-
   /**
    * Queues a request until the first configuration is there, or the newer one that another entry VM has.
    * That takes one call; if requests were refused meanwhile, most callers would have no retry left.
--- a/packages/entry/src/node/lookup/endpointServer.ts
+++ b/packages/entry/src/node/lookup/endpointServer.ts
@@ -14,10 +14,10 @@
 /** Handles requests for one path. */
 export type PathHandler = (query: URLSearchParams) => PlainResponse | Promise<PlainResponse>
 
-/** Handles requests for one path with a response that stays open until the client disconnects. */
 /** Handles requests below one path, whatever their method and body. */
 export type RawHandler = (request: IncomingMessage, response: ServerResponse) => void
 
+/** Handles requests for one path with a response that stays open until the client disconnects. */
 export type StreamHandler = (query: URLSearchParams, response: ServerResponse) => void
 
 /** The content type of the Prometheus text format. */
--- a/packages/entry/src/node/lookup/servingNodes.ts
+++ b/packages/entry/src/node/lookup/servingNodes.ts
@@ -25,7 +25,7 @@
 
   /** @returns whether this VM serves callers */
   isReady (): boolean {
-    if (this.state.isDraining() || this.view.document === undefined || this.view.isConfigurationOutdated || !this.state.canAdmitKeys()) return false
+    if (this.state.isDraining() || this.view.newestDocument === undefined || !this.state.canAdmitKeys()) return false
     for (const { isDraining } of this.view.listTrackers()) {
       if (!isDraining) return true
     }
--- a/packages/steering/src/common/entry/entryNodeLists.ts
+++ b/packages/steering/src/common/entry/entryNodeLists.ts
@@ -38,7 +38,7 @@
    * @returns the other entry VMs that have registered with a newer one
    */
   listNewerThan (version: number): EntryNode[] {
-    return this.listOthers().filter(({ configurationVersion = 0 }) => configurationVersion > version)
+    return this.newestVersion > version ? this.listOthers().filter(({ configurationVersion = 0 }) => configurationVersion > version) : []
   }
 
   /** Builds the lists again when they are needed, after a change of the nodes. */
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -78,6 +78,11 @@
     return this.currentDocument
   }
 
+  /** @returns the configuration in force; undefined before one was read, and while another entry VM has a newer one */
+  get newestDocument (): SteeringDocument | undefined {
+    return this.isConfigurationOutdated ? undefined : this.currentDocument
+  }
+
   /** @returns whether another entry VM has a newer configuration, which the store may have lost */
   get isConfigurationOutdated (): boolean {
     return this.nodeLists.newestVersion > (this.currentDocument?.version ?? 0)
