--- a/packages/entry/src/node/createEntryView.ts
+++ b/packages/entry/src/node/createEntryView.ts
@@ -1,6 +1,6 @@
 /** Creates the view of an entry process from its settings. */
 import type { Instant } from '@umberspar/base/common/clock'
-import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
+import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { EntrySettings } from '../common/entrySettings.js'
 
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -1,10 +1,10 @@
 /** The services that the request handling of an entry process shares. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IRandomSource } from '@umberspar/base/common/random'
-import type { ByteCosts } from '@umberspar/steering/common/entry/chooseUpstream'
-import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
+import type { ByteCosts } from '@umberspar/steering/common/entry/workers/chooseUpstream'
+import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
-import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
+import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { AccessController } from '../accounts/accessController.js'
 import type { ProofWaiter } from '../accounts/proofWaiter.js'
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -1,8 +1,8 @@
 /** The responses to requests that this VM refuses or fails itself. */
 import type { IRandomSource } from '@umberspar/base/common/random'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { addRetryJitter, computeCoolDownDelayMs } from '@umberspar/steering/common/entry/retryDelay'
-import { UnavailabilityReason } from '@umberspar/steering/common/entry/unavailability'
+import { addRetryJitter, computeCoolDownDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
+import { UnavailabilityReason } from '@umberspar/steering/common/entry/admission/unavailability'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 
 /** The response for one reason. */
--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -2,7 +2,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { addRetryJitter } from '@umberspar/steering/common/entry/retryDelay'
+import { addRetryJitter } from '@umberspar/steering/common/entry/retry/retryDelay'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { EndReason } from '../telemetry/requestOutcomes.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
--- a/packages/entry/src/node/front/requestLog.ts
+++ b/packages/entry/src/node/front/requestLog.ts
@@ -1,5 +1,5 @@
 /** Writes the log lines of requests and attempts, with the records on which they were decided. */
-import type { UpstreamChoice } from '@umberspar/steering/common/entry/chooseUpstream'
+import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import type { Instant } from '@umberspar/base/common/clock'
 import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
 import type { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
--- a/packages/entry/src/node/front/requestQuota.ts
+++ b/packages/entry/src/node/front/requestQuota.ts
@@ -1,5 +1,5 @@
 /** What one request takes from the quota of its caller's client account. */
-import { addRetryJitter } from '@umberspar/steering/common/entry/retryDelay'
+import { addRetryJitter } from '@umberspar/steering/common/entry/retry/retryDelay'
 import type { QuotaToken } from '@umberspar/steering/common/quota/quotaTokenPool'
 import { QuotaOutcome } from '../quota/accountQuota.js'
 import { EndReason } from '../telemetry/requestOutcomes.js'
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -5,10 +5,10 @@
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
-import type { UpstreamChoice } from '@umberspar/steering/common/entry/chooseUpstream'
+import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { observeResponse } from '@umberspar/steering/common/entry/observeResponse'
-import type { InFlightRequest } from '@umberspar/steering/common/entry/upstreamTracker'
+import { observeResponse } from '@umberspar/steering/common/entry/workers/observeResponse'
+import type { InFlightRequest } from '@umberspar/steering/common/entry/workers/upstreamTracker'
 import { isRetryable } from '@umberspar/steering/common/entry/steeringDocument'
 import { COOL_DOWN_STATUS } from '@umberspar/steering/common/request/coolDown'
 import { parseDecimalNumber } from '@umberspar/steering/common/request/decimalNumber'
--- a/packages/entry/src/node/quota/accountQuotas.ts
+++ b/packages/entry/src/node/quota/accountQuotas.ts
@@ -1,7 +1,7 @@
 /** The quotas of all accounts at one VM: requests tokens from share owners, and grants tokens of the shares that this VM owns. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import type { DomainRoundTrips } from '@umberspar/steering/common/entry/domainRoundTrips'
+import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import { ViewChange } from '@umberspar/steering/common/entry/viewEvent'
 import type { AccountPolicy } from '@umberspar/steering/common/entry/steeringDocument'
 import { QuotaBucketTable, type QuotaGrant } from '@umberspar/steering/common/quota/quotaBucketTable'
--- a/packages/entry/src/node/relay/relayAdvisories.ts
+++ b/packages/entry/src/node/relay/relayAdvisories.ts
@@ -1,5 +1,5 @@
 /** What two entry VMs tell each other about workers with a relayed request: each may have heard of a drain or a pause before the other. */
-import type { UpstreamTracker } from '@umberspar/steering/common/entry/upstreamTracker'
+import type { UpstreamTracker } from '@umberspar/steering/common/entry/workers/upstreamTracker'
 import type { WorkerAnnouncement } from '../../common/relayFields.js'
 import type { EntryContext } from '../front/entryContext.js'
 
--- a/packages/entry/src/node/relay/relayPeers.ts
+++ b/packages/entry/src/node/relay/relayPeers.ts
@@ -2,7 +2,7 @@
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
-import { chooseRelay, type RelayScope } from '@umberspar/steering/common/entry/chooseRelay'
+import { chooseRelay, type RelayScope } from '@umberspar/steering/common/entry/relay/chooseRelay'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
 import { splitAddress } from '../address.js'
 import { IdleLimit } from '../upstream/idleLimit.js'
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -1,8 +1,8 @@
 /** The values of an entry process's gauges, read when the metrics are fetched. */
 import type { IClock } from '@umberspar/base/common/clock'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
-import type { RetryBudgetState } from '@umberspar/steering/common/entry/sharedRetryBudget'
-import type { WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
+import type { RetryBudgetState } from '@umberspar/steering/common/entry/retry/sharedRetryBudget'
+import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
 import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import type { ViewUpdater } from '../replica/viewUpdater.js'
 import type { RecordSynchronizer } from '../replica/recordSynchronizer.js'
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -1,5 +1,5 @@
 /** The metrics of an entry process, fetched in the Prometheus text format. */
-import type { RetryBudgetState } from '@umberspar/steering/common/entry/sharedRetryBudget'
+import type { RetryBudgetState } from '@umberspar/steering/common/entry/retry/sharedRetryBudget'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Upper bounds of the latency buckets: from a response of a warm local worker to the longest time limits. */
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -1,8 +1,8 @@
 /** Writes the log lines and metrics of an entry process. */
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
-import type { CacheState } from '@umberspar/steering/common/entry/cacheHitEstimator'
+import type { CacheState } from '@umberspar/steering/common/entry/workers/cacheHitEstimator'
 import { RouteKind, type SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
-import { LinkState } from '@umberspar/steering/common/entry/workerLinks'
+import { LinkState } from '@umberspar/steering/common/entry/workers/workerLinks'
 import type { EntryMetrics } from './entryMetrics.js'
 import { EndReason, AttemptOutcome, RequestOutcome } from './requestOutcomes.js'
 
--- a/packages/entry/src/node/upstream/upstreamLinks.ts
+++ b/packages/entry/src/node/upstream/upstreamLinks.ts
@@ -1,6 +1,6 @@
 /** Observes whether this VM reaches the workers of each service, and acts when that changes. */
 import type { IClosable } from '@umberspar/base/common/closing'
-import { LinkState, WorkerLinks } from '@umberspar/steering/common/entry/workerLinks'
+import { LinkState, WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
 import { OpenAttempts } from '../front/openAttempts.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import { LinkProber, type LinkProberOptions } from './linkProber.js'
--- a/packages/steering/src/common/entry/admission.ts
+++ b/packages/steering/src/common/entry/admission/admission.ts
@@ -8,7 +8,7 @@
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
-import type { UpstreamChoice } from './chooseUpstream.js'
+import type { UpstreamChoice } from '../workers/chooseUpstream.js'
 
 /** The properties of a request, beside its chosen worker, that decide on its admission. */
 export interface AdmissionRequest {
--- a/packages/steering/src/common/entry/keyRanking.ts
+++ b/packages/steering/src/common/entry/placement/keyRanking.ts
@@ -3,7 +3,7 @@
  * entry VM. A worker ranks first for a fraction of the keys that equals its share, and a
  * change of the worker list moves as few keys as possible.
  */
-import { computePairHash, PAIR_HASH_RANGE } from '../lookup/rendezvous.js'
+import { computePairHash, PAIR_HASH_RANGE } from '../../lookup/rendezvous.js'
 import type { WorkerShares } from './workerShares.js'
 
 /** Limit on cached rankings, about 200 bytes each. Far fewer objects of a service are in use at an entry VM. */
--- a/packages/steering/src/common/entry/chooseRelay.ts
+++ b/packages/steering/src/common/entry/relay/chooseRelay.ts
@@ -4,8 +4,8 @@
  * The VMs share the relayed requests by how many of them they have, and near ones come first: a
  * request that crosses regions twice is late, but a single VM of the own domain must not get all.
  */
-import { classifyProximity, Proximity } from './proximity.js'
-import type { EntryNode } from './records.js'
+import { classifyProximity, Proximity } from '../placement/proximity.js'
+import type { EntryNode } from '../records.js'
 
 /** An entry VM that requests may be relayed to. */
 export interface RelayCandidate {
--- a/packages/steering/src/common/entry/mayRetry.ts
+++ b/packages/steering/src/common/entry/retry/mayRetry.ts
@@ -4,7 +4,7 @@
  * Workers may reject a fraction of their requests, break connections or lose answers. Each
  * retry draws on a budget shared by all entry VMs, and may execute the request once more.
  */
-import { isRetryable, type RoutePolicy } from './steeringDocument.js'
+import { isRetryable, type RoutePolicy } from '../steeringDocument.js'
 
 /** Limit on retries after attempts that could not be sent. Each costs the time to open a connection. */
 const MAX_UNSENT_ATTEMPTS = 3
--- a/packages/steering/src/common/entry/retryDelay.ts
+++ b/packages/steering/src/common/entry/retry/retryDelay.ts
@@ -5,7 +5,7 @@
  * the same delay, they would return together and find the same queue.
  */
 import type { IRandomSource } from '@umberspar/base/common/random'
-import type { UpstreamChoice } from './chooseUpstream.js'
+import type { UpstreamChoice } from '../workers/chooseUpstream.js'
 
 /** Shortest delay that a rejected caller is asked to wait. */
 const MIN_RETRY_DELAY_MS = 100
--- a/packages/steering/src/common/entry/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/workers/chooseUpstream.ts
@@ -8,7 +8,7 @@
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
-import { Proximity } from './proximity.js'
+import { Proximity } from '../placement/proximity.js'
 import { CacheState } from './cacheHitEstimator.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 
--- a/packages/steering/src/common/entry/coldAllowance.ts
+++ b/packages/steering/src/common/entry/workers/coldAllowance.ts
@@ -6,7 +6,7 @@
  * small for one request per second from each VM, only the VMs that rank highest for the worker
  * send to it.
  */
-import { rankByRendezvous } from '../lookup/rendezvous.js'
+import { rankByRendezvous } from '../../lookup/rendezvous.js'
 
 /** Length of the sliding window in which a cold worker's requests are counted. */
 export const COLD_WINDOW_MS = 1_000
--- a/packages/steering/src/common/entry/departedWorkers.ts
+++ b/packages/steering/src/common/entry/workers/departedWorkers.ts
@@ -5,7 +5,7 @@
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
-import type { UpstreamRegistration } from './records.js'
+import type { UpstreamRegistration } from '../records.js'
 import type { WorkerAdvisory } from './workerAdvisory.js'
 
 /** Longer than most outages of the store and most shutdowns last. */
--- a/packages/steering/src/common/entry/serviceTimeEstimate.ts
+++ b/packages/steering/src/common/entry/workers/serviceTimeEstimate.ts
@@ -3,7 +3,7 @@
  * are estimated separately, since a hit takes a third of the time or less where workers cache
  * objects.
  */
-import type { RoutePolicy } from './steeringDocument.js'
+import type { RoutePolicy } from '../steeringDocument.js'
 
 /** Weight of the newest answer. */
 const SMOOTHING_FACTOR = 0.05
--- a/packages/steering/src/common/entry/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/workers/upstreamTracker.ts
@@ -1,9 +1,9 @@
 /** What one entry VM has observed of one worker: its load, failures, speed and cold start. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
-import { SlidingWindowCounter } from '../rateLimits/slidingWindowCounter.js'
+import { SlidingWindowCounter } from '../../rateLimits/slidingWindowCounter.js'
 import { isSameIncarnation } from './departedWorkers.js'
-import { type UpstreamRegistration, UpstreamState } from './records.js'
+import { type UpstreamRegistration, UpstreamState } from '../records.js'
 import { WorkerAdvisory } from './workerAdvisory.js'
 
 /** The load that a worker reported with an answer. */
--- a/packages/steering/src/common/entry/workerRateGate.ts
+++ b/packages/steering/src/common/entry/workers/workerRateGate.ts
@@ -1,7 +1,7 @@
 /** Keeps the requests that this entry VM sends to a worker within its part of the rate limit that the worker reported. */
 import type { Instant } from '@umberspar/base/common/clock'
-import { computePairHash, PAIR_HASH_RANGE } from '../lookup/rendezvous.js'
-import { divideRateLimit, type RateAllowance, type RateTolerance, type SendingNode } from '../rateLimits/rateAllowance.js'
+import { computePairHash, PAIR_HASH_RANGE } from '../../lookup/rendezvous.js'
+import { divideRateLimit, type RateAllowance, type RateTolerance, type SendingNode } from '../../rateLimits/rateAllowance.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 
 /** Which keys may be sent to a worker that reported a rate limit. */
--- a/packages/steering/test/common/entry/shares.test.ts
+++ b/packages/steering/test/common/entry/placement/shares.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict'
 import fc from 'fast-check'
 import { describe, it } from 'node:test'
-import { computeColdAllowance } from '../../../src/common/entry/coldAllowance.js'
-import { KeyRanking } from '../../../src/common/entry/keyRanking.js'
-import { computeWorkerShares, type WorkerCapacity, type WorkerShares } from '../../../src/common/entry/workerShares.js'
+import { computeColdAllowance } from '../../../../src/common/entry/workers/coldAllowance.js'
+import { KeyRanking } from '../../../../src/common/entry/placement/keyRanking.js'
+import { computeWorkerShares, type WorkerCapacity, type WorkerShares } from '../../../../src/common/entry/placement/workerShares.js'
 import { SeededRandom } from '@umberspar/base/common/random'
-import { SharedRetryBudget } from '../../../src/common/entry/sharedRetryBudget.js'
+import { SharedRetryBudget } from '../../../../src/common/entry/retry/sharedRetryBudget.js'
 
 const SEED = 20261202
 const REGIONS = new Map([['a-1', 'a'], ['a-2', 'a'], ['b-1', 'b'], ['b-2', 'b'], ['c-1', 'c']])
--- a/packages/steering/test/common/entry/chooseRelay.test.ts
+++ b/packages/steering/test/common/entry/relay/chooseRelay.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { chooseRelay, type RelayCandidate } from '../../../src/common/entry/chooseRelay.js'
+import { chooseRelay, type RelayCandidate } from '../../../../src/common/entry/relay/chooseRelay.js'
 
 const SEED = 520_002
 const REGIONS = new Map([['north-1', 'north'], ['north-2', 'north'], ['south-1', 'south']])
--- a/packages/steering/test/common/entry/sharedRetryBudget.test.ts
+++ b/packages/steering/test/common/entry/retry/sharedRetryBudget.test.ts
@@ -3,9 +3,9 @@
 import { describe, it } from 'node:test'
 import type { Instant } from '@umberspar/base/common/clock'
 import { SeededRandom } from '@umberspar/base/common/random'
-import { DomainRoundTrips } from '../../../src/common/entry/domainRoundTrips.js'
-import { EntryView } from '../../../src/common/entry/entryView.js'
-import { RecordKind, type SteeringRecord } from '../../../src/common/entry/records.js'
+import { DomainRoundTrips } from '../../../../src/common/entry/placement/domainRoundTrips.js'
+import { EntryView } from '../../../../src/common/entry/entryView.js'
+import { RecordKind, type SteeringRecord } from '../../../../src/common/entry/records.js'
 
 const SEED = 20261203
 const SERVICE = 'status'
--- a/packages/steering/test/common/entry/workerAdvisory.test.ts
+++ b/packages/steering/test/common/entry/workers/workerAdvisory.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { DomainRoundTrips } from '../../../src/common/entry/domainRoundTrips.js'
-import { EntryView } from '../../../src/common/entry/entryView.js'
-import { type UpstreamRegistration, UpstreamState } from '../../../src/common/entry/records.js'
-import { UnavailabilityReason } from '../../../src/common/entry/unavailability.js'
-import { RouteKind, type RoutePolicy } from '../../../src/common/entry/steeringDocument.js'
+import { DomainRoundTrips } from '../../../../src/common/entry/placement/domainRoundTrips.js'
+import { EntryView } from '../../../../src/common/entry/entryView.js'
+import { type UpstreamRegistration, UpstreamState } from '../../../../src/common/entry/records.js'
+import { UnavailabilityReason } from '../../../../src/common/entry/admission/unavailability.js'
+import { RouteKind, type RoutePolicy } from '../../../../src/common/entry/steeringDocument.js'
 
 const REGIONS = new Map([['north-1', 'north']])
 const ROUTE: RoutePolicy = { name: 'lookups', prefix: '/', kind: RouteKind.Idempotent } as unknown as RoutePolicy
--- a/packages/steering/test/common/entry/workerLinks.test.ts
+++ b/packages/steering/test/common/entry/workers/workerLinks.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
 import fc from 'fast-check'
-import { LinkState, WorkerLinks } from '../../../src/common/entry/workerLinks.js'
+import { LinkState, WorkerLinks } from '../../../../src/common/entry/workers/workerLinks.js'
 
 const SEED = 520_001
 const WORKERS = 12
--- a/packages/testing/src/common/policy/policies.ts
+++ b/packages/testing/src/common/policy/policies.ts
@@ -1,8 +1,8 @@
 /** The steering policies to compare: the product's, simpler ones, and the product's without one of its mechanisms. */
-import { shouldAdmit } from '@umberspar/steering/common/entry/admission'
-import { chooseUpstream, estimateChoice } from '@umberspar/steering/common/entry/chooseUpstream'
-import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retryDelay'
-import { CacheState } from '@umberspar/steering/common/entry/cacheHitEstimator'
+import { shouldAdmit } from '@umberspar/steering/common/entry/admission/admission'
+import { chooseUpstream, estimateChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
+import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
+import { CacheState } from '@umberspar/steering/common/entry/workers/cacheHitEstimator'
 import type { UpstreamChooser, SteeringPolicy } from './policySimulation.js'
 
 /** The names of policies on the command line. */
