Check workers in contact before concluding that links are lost

Callers got 503 from all VMs after half of a service's workers crashed: three refused connections in a row made each VM conclude that it had lost its links, cancel what was in flight at the healthy workers, relay to VMs that had concluded the same, and reject with no-worker.

WorkerLinks now asks for a check of workers that were in contact lately before it concludes; one connection that opens ends the doubt, and three that fail confirm the loss, so that kept connections beside refused new ones are still told from crashes. Timed-out connections only wait for a check if responses arrived since the first failure. The prober tries the workers that have not failed first. If no relay can take a request and own workers may be reachable, the VM tries these.

The deadline for opening a connection, which stood in three places, is computed by connectSlack.createConnectDeadline.

--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -9,6 +9,7 @@
 import { computeHomeRegions } from '@umberspar/steering/common/entry/accountTable'
 import { type UpstreamChoice, chooseUpstream } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
+import type { EntryNode } from '@umberspar/steering/common/entry/records'
 import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
 import { mayRetryAfterRefusal, mayRetryAfterPossibleRun, mayRetryAfterUnsent } from '@umberspar/steering/common/entry/retry/mayRetry'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
@@ -19,6 +20,8 @@
 import { ATTEMPT_HANDLERS } from './attemptHandlers.js'
 import { listAnnouncements } from '../relay/relayAdvisories.js'
 import { RelayAttempt } from '../relay/relayAttempt.js'
+import { chooseRelayPath } from '../relay/relayChoice.js'
+import { hasIdleConnection, listWithoutIdleConnection } from './idleConnections.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
@@ -30,8 +33,6 @@
 const RETRY_AFTER_STATUSES: ReadonlySet<number> = new Set([429, 503])
 /** How long after the deadline a response is still awaited: a worker that reached the deadline reports it by its response. */
 const RESPONSE_SLACK_MS = 150
-/** VMs to which one request is relayed, one after another. */
-const MAX_RELAYS = 2
 
 /** One request that is being forwarded. */
 export class ProxiedRequest {
@@ -102,9 +103,12 @@
     const homeRegions = this.checkAccess()
     if (homeRegions === undefined) return
     const isDisconnected = context.links.isDisconnected(this.service)
-    if (isDisconnected && !context.links.isResponding(this.service, now)) return this.startRelay(homeRegions)
-    const choice = this.chooseWorker(homeRegions, now)
-    if (isDisconnected && (choice === undefined || !context.pools.hasIdle(choice.candidate.tracker.registration.id))) return this.startRelay(homeRegions)
+    let choice = !isDisconnected || context.links.isResponding(this.service, now) ? this.chooseWorker(homeRegions, now) : undefined
+    if (isDisconnected && !hasIdleConnection(context, choice)) {
+      const path = chooseRelayPath(context, { service: this.service, homeRegions, relays: this.relays, isRelayed: this.request.relayOrigin !== undefined }, now)
+      if (path !== undefined) return typeof path === 'string' ? this.endWithoutResponse(path) : this.startRelay(path)
+      choice = this.chooseWorker(homeRegions, now, listWithoutIdleConnection(context, this.service, this.triedWorkers)) ?? this.chooseWorker(homeRegions, now)
+    }
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
     if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
@@ -138,14 +142,9 @@
   }
 
   /** Has another VM send the request to a worker, as this VM reaches none. */
-  private startRelay (homeRegions: readonly string[]): void {
-    const { relayPeers, location, telemetry } = this.context
-    const { requestId, relayOrigin } = this.request
-    if (relayOrigin !== undefined) return this.endWithoutResponse(EndReason.RelayUnable)
-    const node = this.relays < MAX_RELAYS ? relayPeers.choose(this.service, { ...location, homeRegions }) : undefined
-    if (node === undefined) return this.endWithoutResponse(EndReason.NoWorker)
+  private startRelay (node: EntryNode): void {
     this.relays++
-    telemetry.logRelay(requestId, this.service, node.name, this.attemptCounts.sent)
+    this.context.telemetry.logRelay(this.request.requestId, this.service, node.name, this.attemptCounts.sent)
     this.currentAttempt = new RelayAttempt(this.context, this.request, node, this.service, this.attemptCounts.sent, this.deadline, this.createListener())
     this.currentAttempt.start()
   }
@@ -167,12 +166,12 @@
     return shouldAdmit(choice, { now, deadline: this.deadline, hasEnoughSamples, wasSent: this.attemptCounts.sent > 0, saturation })
   }
 
-  private chooseWorker (homeRegions: readonly string[], now: Instant): UpstreamChoice | undefined {
+  private chooseWorker (homeRegions: readonly string[], now: Instant, triedWorkers: ReadonlySet<string> = this.triedWorkers): UpstreamChoice | undefined {
     const { view, byteCosts } = this.context
     const { route, body, arrivedAt } = this.request
     const work = view.getServiceTimes(route, this.service)
     const pool = view.getPool(this.service)
-    const candidates = pool.listCandidates({ homeRegions, key: this.affinityKey, triedWorkers: this.triedWorkers }, work, view.evacuatedDomains, now)
+    const candidates = pool.listCandidates({ homeRegions, key: this.affinityKey, triedWorkers }, work, view.evacuatedDomains, now)
     const choiceContext = { now, goalAt: arrivedAt + route.goalMs, deadline: this.deadline, bytes: body.length + work.getMeanResponseBytes(), saturation: pool.getSaturation(now) }
     return chooseUpstream(candidates, choiceContext, byteCosts)
   }
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -4,7 +4,7 @@
  * offer, as the worker may refuse it.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
+import type { Deadline } from '@umberspar/base/common/deadline'
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { observeResponse } from '@umberspar/steering/common/entry/workers/observeResponse'
@@ -17,7 +17,7 @@
 import { getHeader } from '../upstream/rawHeaders.js'
 import { ExchangeFailure, UpstreamConnection } from '../upstream/upstreamConnection.js'
 import { OpenFailure } from '../upstream/upstreamPool.js'
-import { CONNECT_SLACK_MS } from '../upstream/connectSlack.js'
+import { createConnectDeadline } from '../upstream/connectSlack.js'
 import { ResponseCollector, type BufferedResponse } from './responseCollector.js'
 import { type AttemptListener, type AttemptResult, type IAttempt, OUTCOME_BY_FAILURE } from './attempt.js'
 import type { EntryContext } from './entryContext.js'
@@ -86,7 +86,7 @@
     this.openRequest = this.tracker.startRequest(now, this.choice.expectedMs)
     const maxConnections = view.getPool(this.service).policy?.maxConnections ?? 0
     const maxOwnConnections = maxConnections === 0 ? DEFAULT_MAX_CONNECTIONS : Math.max(MIN_CONNECTIONS_PER_WORKER, Math.floor(maxConnections / view.countNodes()))
-    const connectDeadline = createDeadline(now, this.choice.candidate.roundTripMs + CONNECT_SLACK_MS)
+    const connectDeadline = createConnectDeadline(now, this.choice.candidate.roundTripMs)
     this.isOpeningLimited = this.deadline < connectDeadline
     pools.getPool(this.tracker.registration).open(maxOwnConnections, Math.min(this.deadline, connectDeadline), (result, openMs) => { this.handleOpen(result, openMs) })
   }
@@ -131,7 +131,7 @@
     const { links, eventLoop } = this.context
     // The connection may be open although that has not been read yet.
     const isConclusive = failure === OpenFailure.Refused || !(this.isOpeningLimited || eventLoop.isLate())
-    if (isConclusive) links.recordOpenFailure(this.service, this.tracker.registration.id, now - openMs, now)
+    if (isConclusive) links.recordOpenFailure(this.service, this.tracker.registration.id, now - openMs, now, failure === OpenFailure.Refused)
     if (!this.isEnded) this.tracker.recordUnreachable(now)
   }
 
@@ -246,7 +246,7 @@
     const { advisory } = this.tracker
     if (RESPONSE_OUTCOMES.has(outcome)) {
       advisory.recordResponse(this.sentAt)
-      this.context.links.recordResponse(this.service, now)
+      this.context.links.recordResponse(this.service, now, this.tracker.registration.id)
     }
     // A worker that asked for a pause has not failed.
     const isPauseRequest = status === COOL_DOWN_STATUS && advisory.isCoolingDown(now)
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to have another entry VM send a request to a worker. */
 import type { Instant } from '@umberspar/base/common/clock'
-import { createDeadline, type Deadline } from '@umberspar/base/common/deadline'
+import type { Deadline } from '@umberspar/base/common/deadline'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
 import { parseRelayResult, RELAY_FIELD, RelayOutcome } from '../../common/relayFields.js'
 import { type AttemptListener, type IAttempt, OUTCOME_BY_FAILURE } from '../front/attempt.js'
@@ -11,7 +11,7 @@
 import { AttemptOutcome } from '../telemetry/requestOutcomes.js'
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
-import { CONNECT_SLACK_MS } from '../upstream/connectSlack.js'
+import { createConnectDeadline } from '../upstream/connectSlack.js'
 import { UpstreamConnection } from '../upstream/upstreamConnection.js'
 import type { OpenFailure } from '../upstream/upstreamPool.js'
 
@@ -59,7 +59,7 @@
     const { clock, relayPeers } = this.context
     this.startedAt = clock.now()
     this.finishRequest = relayPeers.startRequest(this.node)
-    relayPeers.getPool(this.node).open(MAX_CONNECTIONS, Math.min(this.deadline, createDeadline(this.startedAt, this.roundTripMs + CONNECT_SLACK_MS)), (result) => { this.handleOpen(result) })
+    relayPeers.getPool(this.node).open(MAX_CONNECTIONS, Math.min(this.deadline, createConnectDeadline(this.startedAt, this.roundTripMs)), (result) => { this.handleOpen(result) })
   }
 
   cancel (): void {
--- a/packages/entry/src/node/upstream/linkProber.ts
+++ b/packages/entry/src/node/upstream/linkProber.ts
@@ -1,18 +1,19 @@
 /**
  * Opens connections to workers to find out whether this VM reaches them: when a service has become
- * silent although requests await responses, and while its workers can't be reached. No request is
- * used for that. Connections that open are kept for the next requests.
+ * silent although requests await responses, when some workers fail while others were in contact
+ * lately, and while its workers can't be reached. No request is used for that. Connections that open are kept for the next requests.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { createDeadline } from '@umberspar/base/common/deadline'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { UpstreamTracker } from '@umberspar/steering/common/entry/workers/upstreamTracker'
 import type { WorkerPool } from '@umberspar/steering/common/entry/workers/workerPool'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
-import { CONNECT_SLACK_MS } from './connectSlack.js'
+import { createConnectDeadline } from './connectSlack.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
+import { OpenFailure } from './upstreamPool.js'
 import type { UpstreamPools } from './upstreamPools.js'
 
 /** What the prober uses. */
@@ -58,6 +59,22 @@
     }
   }
 
+  /**
+   * Opens connections to workers that were in contact lately, those with open connections first: the
+   * connections of a crashed worker are closed.
+   * @param service the service
+   * @param workers its workers, the one with the latest contact first
+   */
+  checkWorkers (service: string, workers: readonly string[]): void {
+    if (this.isClosed) return
+    const { pools, view, clock } = this.options
+    const now = clock.now()
+    const trackers = workers.map((worker) => view.getPool(service).find(worker)).filter((tracker) => tracker?.isDraining === false) as UpstreamTracker[]
+    const hasOpen = ({ registration }: UpstreamTracker): boolean => pools.hasOpen(registration.id)
+    const checked = [...trackers.filter((tracker) => hasOpen(tracker)), ...trackers.filter((tracker) => !hasOpen(tracker))].slice(0, PROBED_WORKERS)
+    for (const tracker of checked) this.open(service, tracker, now)
+  }
+
   close (): void {
     this.isClosed = true
     this.timer?.close()
@@ -93,17 +110,29 @@
   private probe (service: string, pool: WorkerPool, count: number, now: Instant): void {
     if (now < (this.nextProbeAt.get(service) ?? 0)) return
     this.nextProbeAt.set(service, now + REPROBE_INTERVAL_MS)
+    for (const tracker of this.listProbed(service, pool).slice(0, count)) this.open(service, tracker, now)
+  }
+
+  /** Begins with workers that have not failed or whose failure is longest ago, as some may have crashed; at random among equals. */
+  private listProbed (service: string, pool: WorkerPool): UpstreamTracker[] {
+    const { random, links } = this.options
     const trackers = [...pool.listTrackers()].filter(({ isDraining }) => !isDraining)
-    const { random, roundTrips, pools, links, clock, eventLoop } = this.options
     const first = Math.floor(random.next() * trackers.length)
-    for (let index = 0; index < Math.min(count, trackers.length); index++) {
-      const { registration } = trackers[(first + index) % trackers.length]!
-      const deadline = createDeadline(now, roundTrips.getRoundTripMs(registration.domain) + CONNECT_SLACK_MS)
-      pools.getPool(registration).probe(deadline, (isListening) => {
-        if (isListening) links.recordOpened(service, registration.id, clock.now())
-        else if (!eventLoop.isLate()) links.recordOpenFailure(service, registration.id, now, clock.now())
-      })
-    }
+    const getFailedAt = ({ registration }: UpstreamTracker): Instant => links.getFailedAt(service, registration.id)
+    return [...trackers.slice(first), ...trackers.slice(0, first)].sort((left, right) => {
+      const [leftAt, rightAt] = [getFailedAt(left), getFailedAt(right)]
+      return leftAt === rightAt ? 0 : leftAt - rightAt
+    })
+  }
+
+  private open (service: string, { registration }: UpstreamTracker, now: Instant): void {
+    const { roundTrips, pools, links, clock, eventLoop } = this.options
+    const deadline = createConnectDeadline(now, roundTrips.getRoundTripMs(registration.domain))
+    pools.getPool(registration).probe(deadline, (isListening, failure) => {
+      const isRefused = failure === OpenFailure.Refused
+      if (isListening) links.recordOpened(service, registration.id, clock.now())
+      else if (isRefused || !eventLoop.isLate()) links.recordOpenFailure(service, registration.id, now, clock.now(), isRefused)
+    })
   }
 }
 
--- a/packages/entry/src/node/upstream/upstreamLinks.ts
+++ b/packages/entry/src/node/upstream/upstreamLinks.ts
@@ -18,7 +18,7 @@
 
   /** @param options what they are built from */
   constructor (private readonly options: UpstreamLinksOptions) {
-    this.links = new WorkerLinks((service) => options.view.getPool(service).countAvailable(), (service, state) => { this.handleChange(service, state) })
+    this.links = new WorkerLinks((service) => options.view.getPool(service).countAvailable(), (service, state) => { this.handleChange(service, state) }, (service, workers) => { this.prober.checkWorkers(service, workers) })
     this.prober = new LinkProber({ ...options, links: this.links })
   }
 
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -25,6 +25,9 @@
 /** Called once with a connection or the reason why there is none, and how long opening took in milliseconds; 0 for an idle connection. */
 export type OpenListener = (result: UpstreamConnection | OpenFailure, openMs: number) => void
 
+/** Called once with whether the worker is listening, and why not. */
+export type ProbeListener = (isListening: boolean, failure: OpenFailure | undefined) => void
+
 /** The connections to one worker. */
 export class UpstreamPool implements IClosable {
   private idle: UpstreamConnection[] = []
@@ -78,13 +81,13 @@
   /**
    * Opens a connection to determine whether the worker is still listening. The connection is kept for the next request.
    * @param deadline the time limit for opening the connection
-   * @param onResult called once
+   * @param onResult called once, with the reason if the worker is not listening
    */
-  probe (deadline: Deadline, onResult: (isListening: boolean) => void): void {
+  probe (deadline: Deadline, onResult: ProbeListener): void {
     this.openNew(deadline, (result) => {
       const isListening = result instanceof UpstreamConnection
       if (isListening) this.keepIdle(result)
-      onResult(isListening)
+      onResult(isListening, isListening ? undefined : result)
     })
   }
 
@@ -93,6 +96,11 @@
     return this.idle.some(({ isUsable }) => isUsable)
   }
 
+  /** @returns whether any connection is open, idle or in use */
+  hasOpen (): boolean {
+    return this.all.size > 0
+  }
+
   /** Closes the connections that have been idle since before an instant. */
   closeIdle (idleSince: Instant): void {
     for (const connection of [...this.idle]) {
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -59,6 +59,14 @@
     return this.pools.get(workerId)?.hasIdle() === true
   }
 
+  /**
+   * @param workerId a worker
+   * @returns whether a connection to it is open, idle or in use
+   */
+  hasOpen (workerId: string): boolean {
+    return this.pools.get(workerId)?.hasOpen() === true
+  }
+
   /**
    * Closes the idle connections to a worker that have been idle since before an instant.
    * @param workerId a worker
--- a/packages/steering/src/common/entry/workers/workerLinks.ts
+++ b/packages/steering/src/common/entry/workers/workerLinks.ts
@@ -3,9 +3,11 @@
  *
  * A failed connection tells little about its worker, as the VM may have lost its links to all of
  * them. Connections to several workers that fail one after another, while none opens, tell that it
- * has. Whether connections that are already open still work is a separate question.
+ * has, unless other workers were in contact lately: these are checked first, as the workers that
+ * failed may have crashed. Whether connections that are already open still work is a separate question.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 
 /** Whether connections to the workers of a service can be opened. */
 export enum LinkState {
@@ -16,6 +18,9 @@
 /** Reports that the state of a service's links changed. */
 export type LinkListener = (service: string, state: LinkState) => void
 
+/** Asks to open connections to these workers, the one with the latest contact first, and to record the results. */
+export type LinkCheckListener = (service: string, workers: readonly string[]) => void
+
 /** Workers, of those that the service has, to which connections must fail before the service counts as disconnected. */
 const FAILED_WORKERS = 3
 /** Workers, of those that the service has, to which connections must open before it counts as connected again. */
@@ -26,16 +31,42 @@
 const RESPONSE_LIFETIME_MS = 1_500
 /** Responses that were under way when the links were cut arrive within this time of the first failure. */
 const LATE_RESPONSE_MS = 100
+/** Checks without a result by then are started again with the next failure. */
+const CHECK_TIMEOUT_MS = 1_000
+
+interface OpenFailureRecord {
+  readonly at: Instant
+  /** Whether the address refused the connection, as it does if only the worker's process has ended. */
+  readonly isRefused: boolean
+}
+
+interface LinkCheck {
+  readonly until: Deadline
+  /** Workers that must fail before the service counts as disconnected. */
+  readonly needed: number
+  /** Workers that failed although they had been in contact shortly before. */
+  readonly failed: Set<string>
+}
 
 interface ServiceLink {
   state: LinkState
-  /** When opening the last connection to each worker failed; empty after a connection was opened. */
-  failedAt: Map<string, Instant>
+  /** The last failure to open a connection to each worker; empty after a connection was opened. */
+  failures: Map<string, OpenFailureRecord>
   /** When opening the first of these connections began. */
   failingSince: Instant
   /** Workers to which connections were opened while the service was disconnected. */
   reopened: Set<string>
   lastResponseAt: Instant
+  /** When each worker last responded or accepted a connection. */
+  readonly contacts: Map<string, Contact>
+  /** The check before the service counts as disconnected; undefined if there is none. */
+  check: LinkCheck | undefined
+}
+
+interface Contact {
+  at: Instant
+  /** Negative infinity if it has only accepted a connection. */
+  respondedAt: Instant
 }
 
 /** The links of one VM to the workers of all services. */
@@ -46,8 +77,13 @@
   /**
    * @param countWorkers the number of workers of a service that may get requests
    * @param onChange called when the state of a service's links has changed
+   * @param onCheck called when workers must be checked before a service counts as disconnected
    */
-  constructor (private readonly countWorkers: (service: string) => number, private readonly onChange: LinkListener) {}
+  constructor (
+    private readonly countWorkers: (service: string) => number,
+    private readonly onChange: LinkListener,
+    private readonly onCheck: LinkCheckListener = () => {}
+  ) {}
 
   /**
    * @param service a service
@@ -70,7 +106,41 @@
   isResponding (service: string, now: Instant): boolean {
     const link = this.links.get(service)
     if (link === undefined) return false
-    return now - link.lastResponseAt <= RESPONSE_LIFETIME_MS && (link.failedAt.size === 0 || link.lastResponseAt > link.failingSince + LATE_RESPONSE_MS)
+    return now - link.lastResponseAt <= RESPONSE_LIFETIME_MS && (link.failures.size === 0 || link.lastResponseAt > link.failingSince + LATE_RESPONSE_MS)
+  }
+
+  /**
+   * @param service a disconnected service
+   * @param now the current time
+   * @returns whether its workers may be reachable all the same, so that a request is better attempted than rejected
+   */
+  mayBeReachable (service: string, now: Instant): boolean {
+    const link = this.links.get(service)
+    if (link === undefined) return false
+    return this.isResponding(service, now) || (hasOnlyRefusals(link) && this.listRecentContacts(service, now).length > 0)
+  }
+
+  /**
+   * @param service a service
+   * @param now the current time
+   * @returns the workers that were in contact lately and did not fail since, the one with the latest contact first
+   */
+  listRecentContacts (service: string, now: Instant): string[] {
+    const link = this.links.get(service)
+    if (link === undefined) return []
+    return [...link.contacts]
+      .filter(([worker, { at }]) => now - at <= RESPONSE_LIFETIME_MS && !link.failures.has(worker))
+      .sort(([, left], [, right]) => right.at - left.at)
+      .map(([worker]) => worker)
+  }
+
+  /**
+   * @param service a service
+   * @param worker one of its workers
+   * @returns when opening a connection to it last failed; negative infinity if it has not failed since one was opened
+   */
+  getFailedAt (service: string, worker: string): Instant {
+    return this.links.get(service)?.failures.get(worker)?.at ?? Number.NEGATIVE_INFINITY
   }
 
   /**
@@ -93,10 +163,13 @@
    * Records a response of a worker.
    * @param service its service
    * @param now the current time
+   * @param worker the worker's id; without it the response counts for the service only
    */
-  recordResponse (service: string, now: Instant): void {
+  recordResponse (service: string, now: Instant, worker?: string): void {
     this.lastContactAt = now
-    this.getLink(service).lastResponseAt = now
+    const link = this.getLink(service)
+    link.lastResponseAt = now
+    if (worker !== undefined) link.contacts.set(worker, { at: now, respondedAt: now })
   }
 
   /**
@@ -108,11 +181,17 @@
   recordOpened (service: string, worker: string, now: Instant): void {
     this.lastContactAt = now
     const link = this.getLink(service)
+    for (const [known, { at }] of link.contacts) {
+      if (now - at > RESPONSE_LIFETIME_MS) link.contacts.delete(known)
+    }
+    link.contacts.set(worker, { at: now, respondedAt: link.contacts.get(worker)?.respondedAt ?? Number.NEGATIVE_INFINITY })
     if (link.state === LinkState.Disconnected) {
+      link.failures.delete(worker)
       link.reopened.add(worker)
       if (link.reopened.size < Math.min(REOPENED_WORKERS, this.countWorkers(service))) return
     }
-    link.failedAt.clear()
+    link.failures.clear()
+    link.check = undefined
     this.setState(service, link, LinkState.Connected)
   }
 
@@ -122,31 +201,58 @@
    * @param worker the worker's id
    * @param startedAt when opening it began
    * @param now the current time
+   * @param isRefused whether the address refused the connection, rather than leaving it without an answer
    */
-  recordOpenFailure (service: string, worker: string, startedAt: Instant, now: Instant): void {
+  recordOpenFailure (service: string, worker: string, startedAt: Instant, now: Instant, isRefused = false): void {
     const link = this.getLink(service)
     link.reopened.clear()
-    for (const [failed, at] of link.failedAt) {
-      if (now - at > FAILURE_LIFETIME_MS) link.failedAt.delete(failed)
+    for (const [failed, { at }] of link.failures) {
+      if (now - at > FAILURE_LIFETIME_MS) link.failures.delete(failed)
+    }
+    if (link.failures.size === 0) link.failingSince = startedAt
+    if (link.check !== undefined && this.listRecentContacts(service, now).includes(worker)) link.check.failed.add(worker)
+    link.failures.set(worker, { at: now, isRefused })
+    if (link.state === LinkState.Disconnected || link.failures.size < Math.min(FAILED_WORKERS, Math.max(1, this.countWorkers(service)))) return
+    if (!this.shouldCheckFirst(service, link, now)) this.setState(service, link, LinkState.Disconnected)
+  }
+
+  /** @returns whether workers that were in contact lately contradict the failures and have not failed themselves */
+  private shouldCheckFirst (service: string, link: ServiceLink, now: Instant): boolean {
+    const contacts = this.listContradictions(service, link, now)
+    if (contacts.length === 0 || (link.check !== undefined && link.check.failed.size >= link.check.needed)) return false
+    if (link.check === undefined || hasPassed(link.check.until, now)) {
+      link.check = { until: createDeadline(now, CHECK_TIMEOUT_MS), needed: Math.min(FAILED_WORKERS, contacts.length), failed: link.check?.failed ?? new Set() }
+      this.onCheck(service, contacts)
     }
-    if (link.failedAt.size === 0) link.failingSince = startedAt
-    link.failedAt.set(worker, now)
-    if (link.failedAt.size >= Math.min(FAILED_WORKERS, Math.max(1, this.countWorkers(service)))) this.setState(service, link, LinkState.Disconnected)
+    return true
+  }
+
+  private listContradictions (service: string, link: ServiceLink, now: Instant): string[] {
+    const contacts = this.listRecentContacts(service, now)
+    // Connections without an answer tell that links are cut, unless responses arrive that were not under way at the cut.
+    if (hasOnlyRefusals(link)) return contacts
+    return contacts.filter((worker) => link.contacts.get(worker)!.respondedAt > link.failingSince + LATE_RESPONSE_MS)
   }
 
   private setState (service: string, link: ServiceLink, state: LinkState): void {
     if (link.state === state) return
     link.state = state
     link.reopened.clear()
+    link.check = undefined
     this.onChange(service, state)
   }
 
   private getLink (service: string): ServiceLink {
     let link = this.links.get(service)
     if (link === undefined) {
-      link = { state: LinkState.Connected, failedAt: new Map(), failingSince: 0, reopened: new Set(), lastResponseAt: Number.NEGATIVE_INFINITY }
+      link = { state: LinkState.Connected, failures: new Map(), failingSince: 0, reopened: new Set(), lastResponseAt: Number.NEGATIVE_INFINITY, contacts: new Map(), check: undefined }
       this.links.set(service, link)
     }
     return link
   }
 }
+
+function hasOnlyRefusals ({ failures }: ServiceLink): boolean {
+  for (const { isRefused } of failures.values()) if (!isRefused) return false
+  return true
+}
