Avoid another VM only after a conclusive failure to connect to it

RelayAttempt marked a VM unreachable for 2 s whenever no connection was opened: also when all 128 connections to it were in use, when the caller's deadline ended the opening early, and when this VM's event loop was late and may not have read that the connection was open. Now only a refusal, or no answer within the whole time for opening on a punctual event loop, counts; UpstreamAttempt judges workers in the same way.

--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -13,7 +13,7 @@
 import type { ResponseHead } from '../upstream/responseParser.js'
 import { createConnectDeadline } from '../upstream/connectSlack.js'
 import { UpstreamConnection } from '../upstream/upstreamConnection.js'
-import type { OpenFailure } from '../upstream/upstreamPool.js'
+import { OpenFailure } from '../upstream/upstreamPool.js'
 
 /** Limit on the connections of this VM to another one for relayed requests. */
 const MAX_CONNECTIONS = 128
@@ -29,6 +29,8 @@
   private connection: UpstreamConnection | undefined
   private finishRequest: () => void = () => {}
   private isEnded = false
+  /** Whether the deadline ends the opening of a connection before a slow one could be open. */
+  private isOpeningLimited = false
   private startedAt: Instant = 0
   isStreaming = false
 
@@ -59,7 +61,9 @@
     const { clock, relayPeers } = this.context
     this.startedAt = clock.now()
     this.finishRequest = relayPeers.startRequest(this.node)
-    relayPeers.getPool(this.node).open(MAX_CONNECTIONS, Math.min(this.deadline, createConnectDeadline(this.startedAt, this.roundTripMs)), (result) => { this.handleOpen(result) })
+    const connectDeadline = createConnectDeadline(this.startedAt, this.roundTripMs)
+    this.isOpeningLimited = this.deadline < connectDeadline
+    relayPeers.getPool(this.node).open(MAX_CONNECTIONS, Math.min(this.deadline, connectDeadline), (result) => { this.handleOpen(result) })
   }
 
   cancel (): void {
@@ -82,13 +86,18 @@
 
   private handleOpen (result: UpstreamConnection | OpenFailure): void {
     if (!(result instanceof UpstreamConnection)) {
-      this.context.relayPeers.recordUnreachable(this.node)
+      if (this.isConclusive(result)) this.context.relayPeers.recordUnreachable(this.node)
       this.end(AttemptOutcome.NotSent)
       return
     }
     this.context.eventLoop.runWhenCurrent(() => { this.sendIfAllowed(result) })
   }
 
+  /** Unless refused, the connection may be open although that has not been read yet, or would have been open later. */
+  private isConclusive (failure: OpenFailure): boolean {
+    return failure === OpenFailure.Refused || (failure === OpenFailure.TimedOut && !this.isOpeningLimited && !this.context.eventLoop.isLate())
+  }
+
   private sendIfAllowed (connection: UpstreamConnection): void {
     const now = this.context.clock.now()
     if (this.isEnded || !this.listener.mayStillSend(now) || !connection.isUsable) {
