Relay to VMs that have not said to have lost the service

When 6 of 8 VMs lost their workers at once, each asked up to two others in turn, often two in the same state, and rejected the request.

The exchange between VMs is not wired here; without one nothing changes.

--- a/packages/entry/src/node/relay/relayPeers.ts
+++ b/packages/entry/src/node/relay/relayPeers.ts
@@ -32,12 +32,14 @@
    * @param listNodes the registered entry VMs
    * @param rule how responses are matched to requests
    * @param clock for timeouts
+   * @param listVmsWithout lists the VMs that have said that they don't reach a service's workers
    */
   constructor (
     private readonly self: string,
     private readonly listNodes: () => Iterable<EntryNode>,
     private readonly rule: EchoRule,
-    private readonly clock: IClock
+    private readonly clock: IClock,
+    private readonly listVmsWithout: (service: string) => ReadonlySet<string> = () => new Set()
   ) {}
 
   /** @returns the number of relayed requests that other VMs have not answered yet */
@@ -54,9 +56,10 @@
    */
   choose (service: string, scope: RelayScope): EntryNode | undefined {
     const now = this.clock.now()
+    const vmsWithout = this.listVmsWithout(service)
     const candidates = [...this.listNodes()]
       .filter(({ name }) => name !== this.self && this.canAsk(name, service, now))
-      .map((node) => ({ node, inFlight: this.peers.get(node.name)?.inFlight ?? 0 }))
+      .map((node) => ({ node, inFlight: this.peers.get(node.name)?.inFlight ?? 0, hasLostService: vmsWithout.has(node.name) }))
     return chooseRelay(candidates, scope)
   }
 
--- a/packages/steering/src/common/entry/relay/chooseRelay.ts
+++ b/packages/steering/src/common/entry/relay/chooseRelay.ts
@@ -3,6 +3,7 @@
  *
  * The VMs share the relayed requests by how many of them they have, and near ones come first: a
  * request that crosses regions twice is late, but a single VM of the own domain must not get all.
+ * VMs that are said to have lost the service come after all others.
  */
 import { classifyProximity, Proximity } from '../placement/proximity.js'
 import type { EntryNode } from '../records.js'
@@ -12,6 +13,8 @@
   readonly node: EntryNode
   /** Requests of this VM that it has not answered yet. */
   readonly inFlight: number
+  /** Whether it has said lately that it doesn't reach the workers either. */
+  readonly hasLostService: boolean
 }
 
 /** Where this VM is, and where the request may go. */
@@ -36,14 +39,16 @@
  * @returns the VM to relay the request to; undefined if there is none
  */
 export function chooseRelay (candidates: Iterable<RelayCandidate>, { domain, regionByDomain, homeRegions }: RelayScope): EntryNode | undefined {
-  let best: EntryNode | undefined
+  let best: RelayCandidate | undefined
   let bestLoad = Number.POSITIVE_INFINITY
-  for (const { node, inFlight } of candidates) {
+  for (const candidate of candidates) {
+    const { node, inFlight, hasLostService } = candidate
     if (homeRegions.length > 0 && !homeRegions.includes(regionByDomain.get(node.domain) ?? '')) continue
     const load = inFlight + HANDICAP[classifyProximity(domain, node.domain, regionByDomain)]
-    if (load >= bestLoad) continue
-    best = node
+    const isPreferred = best === undefined || (best.hasLostService === hasLostService ? load < bestLoad : !hasLostService)
+    if (!isPreferred) continue
+    best = candidate
     bestLoad = load
   }
-  return best
+  return best?.node
 }
--- a/packages/steering/test/common/entry/relay/chooseRelay.test.ts
+++ b/packages/steering/test/common/entry/relay/chooseRelay.test.ts
@@ -8,7 +8,7 @@
 const SCOPE = { domain: 'north-1', regionByDomain: REGIONS, homeRegions: [] }
 
 function createCandidate (name: string, domain: string, inFlight = 0): RelayCandidate {
-  return { node: { name, address: '127.0.0.1:1', peerAddress: '127.0.0.1:2', domain }, inFlight }
+  return { node: { name, address: '127.0.0.1:1', peerAddress: '127.0.0.1:2', domain }, inFlight, hasLostService: false }
 }
 
 describe('chooseRelay', () => {
