Reserve a part of the retry budget for returned callers

While workers reject most requests, first arrivals spent the whole retry budget, and callers that came back after a refusal found it empty and were lost. The time that a caller has left now tells returned callers from first arrivals, and a part of the budget is reserved for those that are lost if they are refused. The total is bounded as before.

--- a/packages/entry/src/node/front/bufferedRequest.ts
+++ b/packages/entry/src/node/front/bufferedRequest.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
+import type { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
 import type { RelayOrigin } from '../../common/relayFields.js'
 import type { RequestBody } from './bodyReader.js'
@@ -15,6 +16,8 @@
   readonly keyDigest: string | undefined
   /** When its headers had been read. */
   readonly arrivedAt: Instant
+  /** Whether its caller was refused before and has come back; undefined if that can't be told. */
+  readonly visit?: CallerVisit | undefined
   /** What the VM that relayed the request tells about it; undefined for requests of callers. */
   readonly relayOrigin?: RelayOrigin | undefined
 }
--- /dev/null
+++ b/packages/entry/src/node/front/callerReturns.ts
@@ -0,0 +1,39 @@
+/** Keeps account of callers that are refused and come back, and of the retries kept for them. */
+import type { Instant } from '@umberspar/base/common/clock'
+import { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
+import { chooseRetryClaim } from '@umberspar/steering/common/entry/retry/retryClaim'
+import type { BufferedRequest } from './bufferedRequest.js'
+import type { EntryContext } from './entryContext.js'
+
+/** The attempt that a request would be retried with. */
+export interface RetryRequest {
+  readonly now: Instant
+  /** Whether an attempt may have executed the request. */
+  readonly mayHaveRun: boolean
+  /** Time that the caller has left, in milliseconds. */
+  readonly timeLeftMs: number
+  /** Expected time until the answer to the next attempt arrives, in milliseconds. */
+  readonly expectedMs: number
+}
+
+/**
+ * Records that a request arrived, once, whether it is sent or not: the retry budget grows with
+ * requests, not with attempts to open a connection. The VM that relayed a request has counted it.
+ */
+export function recordArrival ({ view, clock }: EntryContext, { relayOrigin, visit }: BufferedRequest, service: string): void {
+  if (relayOrigin !== undefined) return
+  const retryBudget = view.getRetryBudget(service)
+  retryBudget.recordFirstAttempt(clock.now())
+  if (visit === CallerVisit.Returned) retryBudget.recordReturn()
+}
+
+/** Records that a request was refused, so that its caller may come back. */
+export function recordRefusal ({ view, clock }: EntryContext, { route, visit }: BufferedRequest, service: string): void {
+  view.callerTimes.get(route.name).recordRefusal(clock.now())
+  if (visit === CallerVisit.First) view.getRetryBudget(service).recordRefusal()
+}
+
+/** @returns whether the retry budget allows one more attempt for a request */
+export function takeRetry ({ view }: EntryContext, { visit }: BufferedRequest, service: string, { now, ...retry }: RetryRequest): boolean {
+  return view.getRetryBudget(service).take(now, chooseRetryClaim({ visit, ...retry }))
+}
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -22,6 +22,7 @@
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
+import { recordArrival, recordRefusal, takeRetry } from './callerReturns.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
 import { getRefusal, REASON_BY_DENIAL, REFUSAL_BY_UNAVAILABILITY } from './refusals.js'
@@ -74,8 +75,7 @@
     this.response.onDidDisconnect(() => { this.handleDisconnect() })
     this.response.setAnnouncements(() => listAnnouncements(this.context, this.service, this.triedWorkers))
     this.response.onDidDrain(() => { this.currentAttempt?.resume() })
-    // Once per request, sent or not: the retry budget grows with requests, not with attempts to open a connection.
-    if (this.request.relayOrigin === undefined) this.context.view.getRetryBudget(this.service).recordFirstAttempt(this.context.clock.now())
+    recordArrival(this.context, this.request, this.service)
     this.deadlineTimer = this.context.timeoutClock.schedule(this.deadline + RESPONSE_SLACK_MS, () => { this.handleDeadline() })
     const blockedMs = this.context.quarantine.getBlockedMs(this.request.digest)
     if (blockedMs > 0) this.answerLocally(EndReason.Quarantined, blockedMs)
@@ -96,8 +96,7 @@
   private startNextAttempt (): void {
     if (this.isEnded) return
     const { context } = this
-    const { clock, view } = context
-    const now = clock.now()
+    const now = context.clock.now()
     if (hasPassed(this.deadline, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable)
     const homeRegions = this.checkAccess()
     if (homeRegions === undefined) return
@@ -107,7 +106,8 @@
     if (isDisconnected && (choice === undefined || !context.pools.hasIdle(choice.candidate.tracker.registration.id))) return this.startRelay(homeRegions)
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
-    if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
+    const retry = { now, mayHaveRun: this.mayHaveRun, timeLeftMs: this.deadline - now, expectedMs: choice.expectedMs }
+    if (this.attemptCounts.sent > 0 && !takeRetry(context, this.request, this.service, retry)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
     logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.attemptCounts.sent + this.attemptCounts.unsent + 1, choice, now })
     this.triedWorkers.add(choice.candidate.tracker.registration.id)
     this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, this.createListener())
@@ -262,6 +262,7 @@
   private answerLocally (reason: EndReason, retryAfterMs?: number): void {
     const { outcome, status, text } = getRefusal(reason)
     this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, isUnable: reason === EndReason.RelayUnable })
+    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, this.request, this.service)
     this.finishRequest(outcome, reason, status, retryAfterMs)
   }
 
--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -31,7 +31,7 @@
  * @returns the request with its route, or why it is refused
  */
 export function checkRequest (context: EntryContext, { message, arrivedAt, relayOrigin }: CallerExchange, document: SteeringDocument): Result<AcceptedRequest, RefusalDetails> {
-  const { accessController, quotas, random, view } = context
+  const { accessController, clock, headerRewriter, quotas, random, view } = context
   // The VM that relayed a request has checked its fields, to which it added others, and the quota.
   const isRelayed = relayOrigin !== undefined
   if (!isRelayed && countHeaderBytes(message.rawHeaders, message.method, message.url) > document.limits.headerBytes) return Err({ reason: EndReason.HeadersTooLarge, arrivedAt })
@@ -44,7 +44,9 @@
   const exhaustedMs = account === undefined || isRelayed ? 0 : quotas.getExhaustedMs(account)
   if (exhaustedMs > 0) return Err({ reason: EndReason.QuotaExhausted, arrivedAt, route, account: account?.name, retryAfterMs: addRetryJitter(exhaustedMs, random) })
   if (Number(message.headers['content-length'] ?? 0) > document.limits.bodyBytes) return Err({ reason: EndReason.BodyTooLarge, arrivedAt, route })
-  return Ok({ message, route, keyDigest, arrivedAt, relayOrigin })
+  // Relayed requests have less time left without having been refused.
+  const visit = isRelayed ? undefined : view.callerTimes.get(route.name).observe(headerRewriter.getCallerTimeoutMs(message), clock.now())
+  return Ok({ message, route, keyDigest, arrivedAt, visit, relayOrigin })
 }
 
 function countHeaderBytes (rawHeaders: readonly string[], method = '', target = ''): number {
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -7,6 +7,7 @@
 
 const RETRY_BUDGET_GAUGES: Readonly<Record<keyof RetryBudgetState, { readonly name: string, readonly help: string }>> = {
   left: { name: 'umberspar_repeats_left', help: 'Repeats that could be sent at once by service' },
+  reserved: { name: 'umberspar_retry_budget_reserved', help: 'Retries among those left that only callers may use that are lost if they are refused, by service' },
   requests: { name: 'umberspar_retry_budget_requests', help: 'Requests of this VM in the window of the retry budget by service' },
   retries: { name: 'umberspar_retry_budget_retries', help: 'Retries of this VM in the window of the retry budget by service' },
   slackSharers: { name: 'umberspar_retry_budget_slack_sharers', help: 'VMs among which the slack of the retry budget is divided by service' }
--- a/packages/steering/src/common/entry/retry/retryDelay.ts
+++ b/packages/steering/src/common/entry/retry/retryDelay.ts
@@ -8,7 +8,9 @@
 import type { UpstreamChoice } from '../workers/chooseUpstream.js'
 
 /** Shortest delay that a rejected caller is asked to wait. */
-const MIN_RETRY_DELAY_MS = 100
+export const MIN_RETRY_DELAY_MS = 100
+/** Callers honour longer delays only up to this fraction of the time that they have left. */
+export const MAX_RETRY_DELAY_RATIO = 1 / 3
 /**
  * Longest delay. Callers accept up to a third of the time they have left, which is 0.7 to 1 s
  * for the shortest deadlines.
--- a/packages/steering/src/common/entry/retry/sharedRetryBudget.ts
+++ b/packages/steering/src/common/entry/retry/sharedRetryBudget.ts
@@ -5,9 +5,15 @@
  * earn, so the sum holds without coordination, whichever VMs are cut off. A process that has just
  * started knows neither what its predecessor has spent in the present window nor all other VMs, so
  * it spends only the part of the ratio that processes which run for longer leave unused.
+ *
+ * A part is reserved for callers that are lost if they are refused, such as those that were refused
+ * before. Otherwise, when workers reject many requests, first arrivals spend all of it, and those
+ * that come back find nothing left.
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { RetryClaim } from './retryClaim.js'
+import { ReturnRatio } from './returnRatio.js'
 
 /** The configured retry budget. */
 export interface RetryBudgetSettings {
@@ -28,6 +34,10 @@
 const FIRST_WINDOW_RATIO_FRACTION = 1 - SPENDABLE_RATIO_FRACTION
 /** Fraction of the slack that is divided among the VMs; the rest covers VMs that have just joined, left or been cut off. */
 const SPENDABLE_SLACK_FRACTION = 0.6
+/** Fraction of the allowance that is reserved if all refused callers come back; less is if fewer do. */
+const RESERVED_RATIO = 0.5
+/** Retries reserved for each one that callers with a claim to the whole budget asked for in the window. */
+const RESERVED_PER_RECENT_CLAIM = 1.5
 /** Up to this many recorded requests, expired ones are not removed at each new request, to save time. */
 const MAX_UNPRUNED_REQUESTS = 256
 
@@ -35,6 +45,8 @@
 export interface RetryBudgetState {
   /** Retries that could be sent now. */
   readonly left: number
+  /** Retries among these that are reserved for callers that are lost if they are refused. */
+  readonly reserved: number
   /** Requests of this VM in the window. */
   readonly requests: number
   /** Retries of this VM in the window. */
@@ -47,6 +59,11 @@
 export class SharedRetryBudget {
   private requestTimes: Instant[] = []
   private retryTimes: Instant[] = []
+  /** The retries of callers with a claim to the whole budget. */
+  private claimedRetryTimes: Instant[] = []
+  /** When such callers asked for a retry. */
+  private claimTimes: Instant[] = []
+  private readonly returnRatio = new ReturnRatio()
   private readonly firstWindowEnd: Deadline
 
   /**
@@ -67,14 +84,30 @@
   /**
    * Takes one retry from the budget.
    * @param now the current time
+   * @param claim the part of the budget that the request may draw on
    * @returns whether the retry may be sent
    */
-  take (now: Instant): boolean {
-    if (this.countLeft(now) < 1) return false
+  take (now: Instant, claim = RetryClaim.Whole): boolean {
+    const isWhole = claim === RetryClaim.Whole
+    const left = this.countLeft(now)
+    const reserved = isWhole ? 0 : this.countReserved(now)
+    if (isWhole) this.claimTimes.push(now)
+    if (left - reserved < 1) return false
     this.retryTimes.push(now)
+    if (isWhole) this.claimedRetryTimes.push(now)
     return true
   }
 
+  /** A caller was refused that could come back. */
+  recordRefusal (): void {
+    this.returnRatio.recordRefusal()
+  }
+
+  /** A caller that was refused before has come back. */
+  recordReturn (): void {
+    this.returnRatio.recordReturn()
+  }
+
   /**
    * @param now the current time
    * @returns the number of retries that could be sent now
@@ -90,7 +123,15 @@
    */
   read (now: Instant): RetryBudgetState {
     const left = this.countLeft(now)
-    return { left, requests: this.requestTimes.length, retries: this.retryTimes.length, slackSharers: this.countSharers(now) }
+    return { left, reserved: Math.min(left, this.countReserved(now)), requests: this.requestTimes.length, retries: this.retryTimes.length, slackSharers: this.countSharers(now) }
+  }
+
+  /** @returns the number of retries that only callers with a claim to the whole budget may send now */
+  private countReserved (now: Instant): number {
+    const allowance = this.computeAllowance(now)
+    const expected = RESERVED_RATIO * this.returnRatio.value * allowance
+    const reserved = Math.min(allowance, Math.max(expected, RESERVED_PER_RECENT_CLAIM * this.claimTimes.length))
+    return Math.max(0, reserved - this.claimedRetryTimes.length)
   }
 
   private computeAllowance (now: Instant): number {
@@ -104,5 +145,7 @@
     const windowStart = now - this.settings.windowMs
     this.requestTimes = this.requestTimes.filter((at) => at > windowStart)
     this.retryTimes = this.retryTimes.filter((at) => at > windowStart)
+    this.claimedRetryTimes = this.claimedRetryTimes.filter((at) => at > windowStart)
+    this.claimTimes = this.claimTimes.filter((at) => at > windowStart)
   }
 }
