Tell refused callers when room is expected

Retry-After was half of one worker's wait with jitter, at most 1 s, whatever the caller's time: callers that were refused together came back together. Each refusal now takes the next place of the room that this VM expects, by its own rate of answers; at most a third of the caller's time, and no place is kept for a caller that can't be answered in time. The inputs stand in the log line.

--- a/packages/entry/src/node/front/callerReturns.ts
+++ b/packages/entry/src/node/front/callerReturns.ts
@@ -1,7 +1,10 @@
 /** Keeps account of callers that are refused and come back, and of the retries kept for them. */
 import type { Instant } from '@umberspar/base/common/clock'
+import type { Deadline } from '@umberspar/base/common/deadline'
 import { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
+import type { ExpectedRoom } from '@umberspar/steering/common/entry/retry/retryDelay'
 import { chooseRetryClaim } from '@umberspar/steering/common/entry/retry/retryClaim'
+import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
 import type { BufferedRequest } from './bufferedRequest.js'
 import type { EntryContext } from './entryContext.js'
 
@@ -29,7 +32,7 @@
 
 /** Records that a request was refused, so that its caller may come back. */
 export function recordRefusal ({ view, clock }: EntryContext, { route, visit }: BufferedRequest, service: string): void {
-  view.callerTimes.get(route.name).recordRefusal(clock.now())
+  view.callerReturns.getTimes(route.name).recordRefusal(clock.now())
   if (visit === CallerVisit.First) view.getRetryBudget(service).recordRefusal()
 }
 
@@ -37,3 +40,31 @@
 export function takeRetry ({ view }: EntryContext, { visit }: BufferedRequest, service: string, { now, ...retry }: RetryRequest): boolean {
   return view.getRetryBudget(service).take(now, chooseRetryClaim({ visit, ...retry }))
 }
+
+/** When a refused caller may return, and why. */
+export interface PlannedReturn {
+  /** Delay before its return, in milliseconds. */
+  readonly retryAfterMs: number
+  readonly inputs: RefusalInputs
+}
+
+/** A caller that is refused. */
+export interface ReturningCaller {
+  /** Undefined if it can't be told. */
+  readonly visit?: CallerVisit | undefined
+  /** When the caller stops waiting. */
+  readonly callerDeadline: Deadline
+}
+
+/**
+ * Plans the return of a caller that is refused.
+ * @param service the service that has no room for its request
+ * @param room the room that is expected there
+ */
+export function planReturn ({ view, clock, random }: EntryContext, { visit, callerDeadline }: ReturningCaller, service: string, room: ExpectedRoom): PlannedReturn {
+  const now = clock.now()
+  const { left, reserved } = view.getRetryBudget(service).read(now)
+  const { delayMs } = view.callerReturns.getSchedule(service).reserve({ ...room, now, deadline: callerDeadline }, random)
+  const inputs = { visit, roomAfterMs: Math.max(0, Math.round(room.roomAt - now)), repeatsLeft: left, repeatsReserved: Math.floor(reserved) }
+  return { retryAfterMs: delayMs, inputs }
+}
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -255,7 +255,7 @@
     const { status, text, outcome } = getRefusal(details.reason)
     const { retryAfterMs = RETRY_AFTER_MS_BY_REASON[details.reason] } = details
     response.writeLocal({ status, text, retryAfterMs })
-    if (details.route !== undefined && outcome === RequestOutcome.Refused) this.context.view.callerTimes.get(details.route.name).recordRefusal(this.clock.now())
+    if (details.route !== undefined && outcome === RequestOutcome.Refused) this.context.view.callerReturns.getTimes(details.route.name).recordRefusal(this.clock.now())
     this.logEnd(request, response, { ...details, retryAfterMs }, outcome, status)
   }
 
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -6,11 +6,10 @@
 import type { Instant, ITimer } from '@umberspar/base/common/clock'
 import { type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { shouldAdmit } from '@umberspar/steering/common/entry/admission/admission'
-import { computeHomeRegions } from '@umberspar/steering/common/entry/accountTable'
-import { type UpstreamChoice, chooseUpstream } from '@umberspar/steering/common/entry/workers/chooseUpstream'
-import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
+import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
+import { estimateRoom, type ExpectedRoom } from '@umberspar/steering/common/entry/retry/retryDelay'
 import { mayRetryAfterRefusal, mayRetryAfterPossibleRun, mayRetryAfterUnsent } from '@umberspar/steering/common/entry/retry/mayRetry'
+import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import type { CallerResponse } from './callerResponse.js'
@@ -22,10 +21,12 @@
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
-import { recordArrival, recordRefusal, takeRetry } from './callerReturns.js'
+import { planReturn, recordArrival, recordRefusal, takeRetry } from './callerReturns.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
-import { getRefusal, REASON_BY_DENIAL, REFUSAL_BY_UNAVAILABILITY } from './refusals.js'
+import { chooseWorker } from './workerChoice.js'
+import { checkAccess } from './requestAccess.js'
+import { getRefusal, REASON_BY_UNAVAILABILITY } from './refusals.js'
 
 /** Statuses whose responses carry `Retry-After`. */
 const RETRY_AFTER_STATUSES: ReadonlySet<number> = new Set([429, 503])
@@ -42,6 +43,7 @@
   /** Also those that the VM which relayed the request excludes. */
   private readonly triedWorkers: Set<string>
   private currentAttempt: IAttempt | undefined
+  private lastChoice: UpstreamChoice | undefined
   /** `refused` attempts were sent, so they count as `sent` too. */
   private readonly attemptCounts: { sent: number, unsent: number, refused: number }
   /** Attempts by way of other VMs. */
@@ -106,31 +108,23 @@
     if (isDisconnected && (choice === undefined || !context.pools.hasIdle(choice.candidate.tracker.registration.id))) return this.startRelay(homeRegions)
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
     if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
-    const retry = { now, mayHaveRun: this.mayHaveRun, timeLeftMs: this.deadline - now, expectedMs: choice.expectedMs }
+    const retry = { now, mayHaveRun: this.mayHaveRun, timeLeftMs: this.request.callerDeadline - now, expectedMs: choice.expectedMs }
     if (this.attemptCounts.sent > 0 && !takeRetry(context, this.request, this.service, retry)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
     logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.attemptCounts.sent + this.attemptCounts.unsent + 1, choice, now })
     this.triedWorkers.add(choice.candidate.tracker.registration.id)
+    this.lastChoice = choice
     this.currentAttempt = new UpstreamAttempt(this.context, this.request, choice, this.service, this.affinityKey, this.deadline, this.createListener())
     this.currentAttempt.start()
   }
 
   /** @returns the regions that may serve the request; undefined if it can't be sent now, because it waits for a proof or has ended */
   private checkAccess (): readonly string[] | undefined {
-    const access = this.context.accessController.decide(this.request.route, this.request.keyDigest)
-    if (access.outcome === AccessOutcome.RecordsStale && this.waitForProof()) return undefined
-    const homeRegions = computeHomeRegions(this.request.route, access.account)
-    const denial = this.findDenial(access.outcome, homeRegions)
-    if (denial === undefined) return homeRegions
-    this.endWithoutResponse(denial)
+    const access = checkAccess(this.context, this.request)
+    if (access.ok) return access.val
+    if (access.val !== EndReason.RecordsStale || !this.waitForProof()) this.endWithoutResponse(access.val)
     return undefined
   }
 
-  private findDenial (outcome: AccessOutcome, homeRegions: readonly string[] | undefined): EndReason | undefined {
-    if (outcome !== AccessOutcome.Allowed) return REASON_BY_DENIAL[outcome]
-    if (this.context.quarantine.getBlockedMs(this.request.digest) > 0) return EndReason.Quarantined
-    return homeRegions === undefined ? EndReason.NoHomeRegion : undefined
-  }
-
   private waitForProof (): boolean {
     const { proofWaiter } = this.context
     this.proofDeadline ??= proofWaiter.createDeadline()
@@ -168,13 +162,8 @@
   }
 
   private chooseWorker (homeRegions: readonly string[], now: Instant): UpstreamChoice | undefined {
-    const { view, byteCosts } = this.context
-    const { route, body, arrivedAt } = this.request
-    const work = view.getServiceTimes(route, this.service)
-    const pool = view.getPool(this.service)
-    const candidates = pool.listCandidates({ homeRegions, key: this.affinityKey, triedWorkers: this.triedWorkers }, work, view.evacuatedDomains, now)
-    const choiceContext = { now, goalAt: arrivedAt + route.goalMs, deadline: this.deadline, bytes: body.length + work.getMeanResponseBytes(), saturation: pool.getSaturation(now) }
-    return chooseUpstream(candidates, choiceContext, byteCosts)
+    const { service, affinityKey, deadline, triedWorkers, request: { route, arrivedAt, body } } = this
+    return chooseWorker(this.context, { route, service, affinityKey, arrivedAt, deadline, bodyBytes: body.length, homeRegions, triedWorkers }, now)
   }
 
   private handleAttemptResult (result: AttemptResult): void {
@@ -243,27 +232,31 @@
   }
 
   private endWithoutCandidates (homeRegions: readonly string[], now: Instant): void {
-    const { view, random } = this.context
+    const { view } = this.context
     const unavailability = view.getPool(this.service).findUnavailability(homeRegions, view.evacuatedDomains, now)
     if (unavailability === undefined || this.mayHaveRun) return this.endWithoutResponse(EndReason.NoWorker)
-    const { reason, computeDelayMs } = REFUSAL_BY_UNAVAILABILITY[unavailability.reason]
-    this.answerLocally(reason, computeDelayMs(unavailability.until - now, random))
+    this.refuse(REASON_BY_UNAVAILABILITY[unavailability.reason], { roomAt: unavailability.until, expectedMs: 0 })
   }
 
-  private endWithoutResponse (reason: EndReason, choice?: UpstreamChoice): void {
+  private endWithoutResponse (reason: EndReason, choice = this.lastChoice): void {
     if (this.fallbackResponse !== undefined) return this.deliver(this.fallbackResponse, reason)
     if (this.mayHaveRun) return this.answerLocally(reason === EndReason.NoResponse ? reason : EndReason.WorkerFailed)
     // The request has not run, so reasons that mean it may have run are replaced by a refusal.
     const hasOwnRefusal = reason !== EndReason.RetryBudgetExhausted && reason !== EndReason.WorkerFailed
+    this.refuse(hasOwnRefusal ? reason : EndReason.WorkersRefused, estimateRoom(choice, this.context.clock.now()))
+  }
+
+  private refuse (reason: EndReason, room: ExpectedRoom): void {
+    const { retryAfterMs, inputs } = planReturn(this.context, this.request, this.service, room)
     const blockedMs = reason === EndReason.Quarantined ? this.context.quarantine.getBlockedMs(this.request.digest) : 0
-    this.answerLocally(hasOwnRefusal ? reason : EndReason.WorkersRefused, Math.max(blockedMs, computeRetryDelayMs(choice, this.context.random)))
+    this.answerLocally(reason, Math.max(blockedMs, retryAfterMs), inputs)
   }
 
-  private answerLocally (reason: EndReason, retryAfterMs?: number): void {
+  private answerLocally (reason: EndReason, retryAfterMs?: number, inputs?: RefusalInputs): void {
     const { outcome, status, text } = getRefusal(reason)
     this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, isUnable: reason === EndReason.RelayUnable })
     if (outcome === RequestOutcome.Refused) recordRefusal(this.context, this.request, this.service)
-    this.finishRequest(outcome, reason, status, retryAfterMs)
+    this.finishRequest(outcome, reason, status, retryAfterMs, inputs)
   }
 
   private startStream (head: ResponseHead): boolean {
@@ -286,13 +279,14 @@
     this.endWithoutResponse(this.mayHaveRun ? EndReason.NoResponse : EndReason.DeadlineUnreachable)
   }
 
-  private finishRequest (outcome: RequestOutcome, reason: EndReason, status: number, retryAfterMs?: number): void {
+  private finishRequest (outcome: RequestOutcome, reason: EndReason, status: number, retryAfterMs?: number, refusalInputs?: RefusalInputs): void {
     if (this.isEnded) return
     this.isEnded = true
+    if (outcome === RequestOutcome.Answered) this.context.view.callerReturns.getSchedule(this.service).recordAnswer(this.context.clock.now())
     this.deadlineTimer?.close()
     this.request.body.release()
     this.returnQuota()
     const { route, requestId, arrivedAt, relayOrigin } = this.request
-    logRequestEnd(this.context, { requestId, route, service: this.service, account: this.quota.accountName, status, outcome, reason, attempts: this.attemptCounts.sent, arrivedAt, retryAfterMs, isRelayed: relayOrigin !== undefined })
+    logRequestEnd(this.context, { requestId, route, service: this.service, account: this.quota.accountName, status, outcome, reason, attempts: this.attemptCounts.sent, arrivedAt, retryAfterMs, isRelayed: relayOrigin !== undefined, refusalInputs })
   }
 }
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -1,7 +1,5 @@
 /** The responses to requests that this VM refuses or fails itself. */
-import type { IRandomSource } from '@umberspar/base/common/random'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
-import { addRetryJitter, computeCoolDownDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
 import { UnavailabilityReason } from '@umberspar/steering/common/entry/admission/unavailability'
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 
@@ -43,20 +41,10 @@
   [AccessOutcome.RecordsStale]: EndReason.RecordsStale
 }
 
-/** How a request is refused that no worker may get now. */
-export interface UnavailabilityRefusal {
-  readonly reason: EndReason
-  /**
-   * @param waitMs time until the first worker may get a request, in milliseconds
-   * @returns the delay before the caller's retry, in milliseconds
-   */
-  readonly computeDelayMs: (waitMs: number, random: IRandomSource) => number
-}
-
-/** The refusals of requests that no worker may get now. */
-export const REFUSAL_BY_UNAVAILABILITY: Readonly<Record<UnavailabilityReason, UnavailabilityRefusal>> = {
-  [UnavailabilityReason.RateLimited]: { reason: EndReason.RateLimited, computeDelayMs: addRetryJitter },
-  [UnavailabilityReason.CoolingDown]: { reason: EndReason.WorkersCoolingDown, computeDelayMs: computeCoolDownDelayMs }
+/** The reason recorded for a request that no worker may get now. */
+export const REASON_BY_UNAVAILABILITY: Readonly<Record<UnavailabilityReason, EndReason>> = {
+  [UnavailabilityReason.RateLimited]: EndReason.RateLimited,
+  [UnavailabilityReason.CoolingDown]: EndReason.WorkersCoolingDown
 }
 
 /**
--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -45,7 +45,7 @@
   if (exhaustedMs > 0) return Err({ reason: EndReason.QuotaExhausted, arrivedAt, route, account: account?.name, retryAfterMs: addRetryJitter(exhaustedMs, random) })
   if (Number(message.headers['content-length'] ?? 0) > document.limits.bodyBytes) return Err({ reason: EndReason.BodyTooLarge, arrivedAt, route })
   // Relayed requests have less time left without having been refused.
-  const visit = isRelayed ? undefined : view.callerTimes.get(route.name).observe(headerRewriter.getCallerTimeoutMs(message), clock.now())
+  const visit = isRelayed ? undefined : view.callerReturns.getTimes(route.name).observe(headerRewriter.getCallerTimeoutMs(message), clock.now())
   return Ok({ message, route, keyDigest, arrivedAt, visit, relayOrigin })
 }
 
--- a/packages/entry/src/node/front/requestLog.ts
+++ b/packages/entry/src/node/front/requestLog.ts
@@ -2,6 +2,7 @@
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import type { Instant } from '@umberspar/base/common/clock'
 import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
+import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
 import type { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import { describeChoice } from './describeChoice.js'
 import type { EntryContext } from './entryContext.js'
@@ -22,6 +23,8 @@
   readonly retryAfterMs: number | undefined
   /** Whether another VM relayed the request to this one. */
   readonly isRelayed: boolean
+  /** What its refusal was decided on; undefined if it was not refused for lack of room. */
+  readonly refusalInputs?: RefusalInputs | undefined
 }
 
 /** An attempt at a worker. */
@@ -39,7 +42,7 @@
 /** Logs and counts the end of a request. */
 export function logRequestEnd (context: EntryContext, end: RequestEnd): void {
   const { era, revision, ageMs } = context.getRecordsAge()
-  const { requestId, route, service, account, status, outcome, reason, attempts, arrivedAt, retryAfterMs, isRelayed } = end
+  const { requestId, route, service, account, status, outcome, reason, attempts, arrivedAt, retryAfterMs, isRelayed, refusalInputs } = end
   context.telemetry.logRequestEnd({
     requestId,
     route: route?.name,
@@ -54,6 +57,7 @@
     goalMs: route?.goalMs,
     retryAfterMs,
     isRelayed: isRelayed ? true : undefined,
+    ...refusalInputs,
     configuration: context.view.document?.version,
     era,
     revision,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -1,5 +1,6 @@
 /** Writes the log lines and metrics of an entry process. */
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
+import type { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import type { CacheState } from '@umberspar/steering/common/entry/workers/cacheHitEstimator'
 import { RouteKind, type SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { LinkState } from '@umberspar/steering/common/entry/workers/workerLinks'
@@ -66,8 +67,20 @@
   readonly status: number | undefined
 }
 
+/** What the refusal of a request was decided on. */
+export interface RefusalInputs {
+  /** Whether the caller came for the first time or had returned; undefined if that could not be told. */
+  readonly visit: CallerVisit | undefined
+  /** Expected time until the service has room, in milliseconds. */
+  readonly roomAfterMs: number
+  /** Retries that could be sent to the service. */
+  readonly repeatsLeft: number
+  /** Of these, those reserved for callers that are lost if they are refused. */
+  readonly repeatsReserved: number
+}
+
 /** The log fields of the end of a request. */
-export interface RequestEndLogFields {
+export interface RequestEndLogFields extends Partial<RefusalInputs> {
   readonly requestId: string | undefined
   readonly route: string | undefined
   readonly service: string | undefined
--- a/packages/steering/src/common/entry/admission/admission.ts
+++ b/packages/steering/src/common/entry/admission/admission.ts
@@ -34,7 +34,7 @@
  */
 const MIN_ON_TIME_PROBABILITY = 0.35
 /** Saturation from which a service counts as without free slots. */
-const FULL_SATURATION = 0.9
+export const FULL_SATURATION = 0.9
 
 /**
  * Until the service time is known, only the wait counts. Otherwise an initial estimate that is
--- a/packages/steering/src/common/entry/admission/callerTimes.ts
+++ b/packages/steering/src/common/entry/admission/callerTimes.ts
@@ -91,23 +91,3 @@
     this.thresholdMs = sorted[Math.floor(sorted.length * LOW_QUANTILE)]! - MIN_RETRY_DELAY_MS
   }
 }
-
-/** The times that callers of each route have. */
-export class CallerTimesByRoute {
-  private readonly timesByRoute = new Map<string, CallerTimes>()
-
-  /** @returns the times that callers of a route have */
-  get (route: string): CallerTimes {
-    let times = this.timesByRoute.get(route)
-    if (times === undefined) {
-      times = new CallerTimes()
-      this.timesByRoute.set(route, times)
-    }
-    return times
-  }
-
-  /** @param routes the routes that are left; what is known of others is discarded */
-  keep (routes: ReadonlySet<string>): void {
-    for (const route of this.timesByRoute.keys()) if (!routes.has(route)) this.timesByRoute.delete(route)
-  }
-}
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -10,8 +10,8 @@
 import { WeightedRoundRobin } from './weightedRoundRobin.js'
 import type { EntryNode, RecordChange, ShareOwner, UpstreamRegistration } from './records.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
-import { CallerTimesByRoute } from './admission/callerTimes.js'
 import { RecentMaximum } from './recentMaximum.js'
+import { CallerReturns } from './retry/callerReturns.js'
 import { SharedRetryBudget, type RetryBudgetSettings } from './retry/sharedRetryBudget.js'
 import { EntryNodeLists } from './entryNodeLists.js'
 import { RouteTable } from './routeTable.js'
@@ -56,7 +56,7 @@
   readonly crashReports = new Map<string, StoredRecord<CrashReports>>()
   /** Quarantined requests, by the request's digest. */
   readonly quarantines = new Map<string, StoredRecord<Quarantine>>()
-  readonly callerTimes = new CallerTimesByRoute()
+  readonly callerReturns = new CallerReturns()
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly departedWorkers = new DepartedWorkers()
   private readonly retryBudgets = new Map<string, SharedRetryBudget>()
@@ -179,7 +179,7 @@
     this.roundRobin = new WeightedRoundRobin()
     this.policiesByService = new Map(document.services.map((policy) => [policy.name, policy]))
     for (const [service, pool] of this.pools) pool.policy = this.policiesByService.get(service)
-    this.callerTimes.keep(new Set(document.routes.map(({ name }) => name)))
+    this.callerReturns.keep(new Set(document.routes.map(({ name }) => name)), new Set(this.policiesByService.keys()))
   }
 
   /**
--- a/packages/testing/src/common/policy/policies.ts
+++ b/packages/testing/src/common/policy/policies.ts
@@ -1,7 +1,6 @@
 /** The steering policies to compare: the product's, simpler ones, and the product's without one of its mechanisms. */
 import { shouldAdmit } from '@umberspar/steering/common/entry/admission/admission'
 import { chooseUpstream, estimateChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
-import { computeRetryDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
 import { CacheState } from '@umberspar/steering/common/entry/workers/cacheHitEstimator'
 import type { UpstreamChooser, SteeringPolicy } from './policySimulation.js'
 
@@ -35,7 +34,7 @@
   return chooseByWorth(candidates.map((candidate) => ({ ...candidate, cacheHitProbability: candidate.cacheState === CacheState.RecentlyUsed ? 1 : 0 })), need)
 }
 
-const CURRENT_POLICY: SteeringPolicy = { choose: chooseByWorth, shouldOffer: shouldAdmit, computeRetry: computeRetryDelayMs }
+const CURRENT_POLICY: SteeringPolicy = { choose: chooseByWorth, shouldOffer: shouldAdmit }
 
 /** All policies. */
 export const POLICIES: Readonly<Record<PolicyName, SteeringPolicy>> = {
--- a/packages/testing/src/common/policy/policySimulation.ts
+++ b/packages/testing/src/common/policy/policySimulation.ts
@@ -6,7 +6,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { SeededRandom } from '@umberspar/base/common/random'
 import type { shouldAdmit } from '@umberspar/steering/common/entry/admission/admission'
-import type { computeRetryDelayMs } from '@umberspar/steering/common/entry/retry/retryDelay'
+import { estimateRoom } from '@umberspar/steering/common/entry/retry/retryDelay'
 import type { Candidate, UpstreamChoice, ChoiceContext } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import { EntryView } from '@umberspar/steering/common/entry/entryView'
@@ -25,7 +25,6 @@
 export interface SteeringPolicy {
   readonly choose: UpstreamChooser
   readonly shouldOffer: typeof shouldAdmit
-  readonly computeRetry: typeof computeRetryDelayMs
 }
 
 /** The result of a simulation; all but the count are shares of the requests, between 0 and 1. */
@@ -212,7 +211,7 @@
     const choice = this.policy.choose(candidates, need)
     const isAdmitted = choice !== undefined && this.policy.shouldOffer(choice, { now, deadline: latestAt, hasEnoughSamples: work.hasEnoughSamples, wasSent: triedWorkerIds.size > 0, saturation: busyness })
     if (!isAdmitted || (triedWorkerIds.size > 0 && !view.getRetryBudget(SERVICE).take(now))) {
-      this.handleRefusal(request, this.policy.computeRetry(choice, this.random))
+      this.handleRefusal(vm, request, choice)
       return
     }
     this.sendTo(vm, request, triedWorkerIds, choice, latestAt)
@@ -234,11 +233,12 @@
       tracker.recordResult(!hasRun, now)
       if (!hasRun) {
         if (mayRetryAfterRefusal(this.route, { sent: triedWorkerIds.size, unsent: 0 })) this.sendNext(vm, request, triedWorkerIds)
-        else this.handleRefusal(request, this.policy.computeRetry(choice, this.random))
+        else this.handleRefusal(vm, request, choice)
         return
       }
       const roster = vm.view.getPool(SERVICE)
       observeResponse({ choice, key: request.key, tookMs: now - sentAt, bytes: 5_000, now }, roster, vm.view.getServiceTimes(this.route, SERVICE))
+      vm.view.callerReturns.getSchedule(SERVICE).recordAnswer(now)
       this.finish(request, now)
     }
     this.events.schedule(sentAt + networkDelayMs, () => {
@@ -246,11 +246,13 @@
     })
   }
 
-  private handleRefusal (request: SimulatedRequest, retryAfterMs: number): void {
+  private handleRefusal (vm: SimulatedVm, request: SimulatedRequest, choice: UpstreamChoice | undefined): void {
     if (request.retriesLeft === 0 || request.isDone) return
     request.retriesLeft--
     const now = this.events.now()
-    const remainingMs = request.startedAt + this.pattern.callerTimeoutMs - now
+    const deadline = request.startedAt + this.pattern.callerTimeoutMs
+    const { delayMs: retryAfterMs } = vm.view.callerReturns.getSchedule(SERVICE).reserve({ ...estimateRoom(choice, now), now, deadline }, this.random)
+    const remainingMs = deadline - now
     const retryDelayMs = request.isRetriedImmediately ? 0 : Math.min(retryAfterMs, remainingMs * MAX_RETRY_DELAY_RATIO)
     this.events.schedule(now + retryDelayMs + 2 * IN_REGION_DELAY_MS, () => { this.startAttempt(request) })
   }
