Refuse uploads that can't be served before their body is read

An upload of 60 kB whose service had no worker, paused workers or queues longer than its deadline was read whole and then refused. It is refused when its head has arrived; Node.js discards the rest of its body, and the connection is closed if that does not arrive within 10 s.

--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -45,6 +45,11 @@
     return this.isHeadWritten
   }
 
+  /** @returns whether the complete response has been handed to the operating system */
+  get isSent (): boolean {
+    return this.response.writableFinished
+  }
+
   /** @returns whether nothing more can be written to the caller */
   get isClosed (): boolean {
     return this.isConnectionClosed || this.response.destroyed || this.response.writableEnded
--- a/packages/entry/src/node/front/callerReturns.ts
+++ b/packages/entry/src/node/front/callerReturns.ts
@@ -4,8 +4,9 @@
 import { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import type { ExpectedRoom } from '@umberspar/steering/common/entry/retry/retryDelay'
 import { chooseRetryClaim } from '@umberspar/steering/common/entry/retry/retryClaim'
+import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
 import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
-import type { BufferedRequest } from './bufferedRequest.js'
+import type { AcceptedRequest } from './bufferedRequest.js'
 import type { EntryContext } from './entryContext.js'
 
 /** The attempt that a request would be retried with. */
@@ -23,21 +24,29 @@
  * Records that a request arrived, once, whether it is sent or not: the retry budget grows with
  * requests, not with attempts to open a connection. The VM that relayed a request has counted it.
  */
-export function recordArrival ({ view, clock }: EntryContext, { relayOrigin, visit }: BufferedRequest, service: string): void {
+export function recordArrival ({ view, clock }: EntryContext, { relayOrigin, visit }: AcceptedRequest, service: string): void {
   if (relayOrigin !== undefined) return
   const retryBudget = view.getRetryBudget(service)
   retryBudget.recordFirstAttempt(clock.now())
   if (visit === CallerVisit.Returned) retryBudget.recordReturn()
 }
 
+/** A request that is refused, as far as it is known. */
+export interface RefusedRequest {
+  readonly route?: RoutePolicy | undefined
+  readonly service?: string | undefined
+  /** Undefined if it can't be told. */
+  readonly visit?: CallerVisit | undefined
+}
+
 /** Records that a request was refused, so that its caller may come back. */
-export function recordRefusal ({ view, clock }: EntryContext, { route, visit }: BufferedRequest, service: string): void {
-  view.callerReturns.getTimes(route.name).recordRefusal(clock.now())
-  if (visit === CallerVisit.First) view.getRetryBudget(service).recordRefusal()
+export function recordRefusal ({ view, clock }: EntryContext, { route, service, visit }: RefusedRequest): void {
+  if (route !== undefined) view.callerReturns.getTimes(route.name).recordRefusal(clock.now())
+  if (service !== undefined && visit === CallerVisit.First) view.getRetryBudget(service).recordRefusal()
 }
 
 /** @returns whether the retry budget allows one more attempt for a request */
-export function takeRetry ({ view }: EntryContext, { visit }: BufferedRequest, service: string, { now, ...retry }: RetryRequest): boolean {
+export function takeRetry ({ view }: EntryContext, { visit }: AcceptedRequest, service: string, { now, ...retry }: RetryRequest): boolean {
   return view.getRetryBudget(service).take(now, chooseRetryClaim({ visit, ...retry }))
 }
 
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -14,7 +14,9 @@
 import { EndReason, RequestOutcome } from '../telemetry/requestOutcomes.js'
 import { BodyFailure, hasBody, readBody, RequestBody } from './bodyReader.js'
 import type { CallerResponse } from './callerResponse.js'
+import { recordRefusal } from './callerReturns.js'
 import { CallerConnection, type CallerExchange, type ConnectionHost } from './callerConnection.js'
+import { findEarlyRefusal } from './earlyRefusal.js'
 import type { EntryContext } from './entryContext.js'
 import { getRefusal } from './refusals.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
@@ -36,6 +38,8 @@
 const BODY_MEMORY_RETRY_AFTER_MS = 500
 /** `Retry-After` while the records are stale: other VMs may have newer ones, and this VM may have updated its own by then. */
 const STALE_RECORDS_RETRY_AFTER_MS = 300
+/** How long the rest of the body of a refused request may take to arrive. */
+const UNREAD_BODY_TIMEOUT_MS = 10_000
 /** For requests that state no deadline. */
 const DEFAULT_CALLER_TIMEOUT_MS = 10_000
 
@@ -186,8 +190,10 @@
   }
 
   private acceptRequest (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
-    if (hasBody(accepted.message)) this.readBodyThenForward(accepted, response, document)
-    else this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
+    if (!hasBody(accepted.message)) return this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
+    const refusal = findEarlyRefusal(this.context, accepted, this.getCallerDeadline(accepted))
+    if (refusal === undefined) this.readBodyThenForward(accepted, response, document)
+    else this.refuse(accepted.message, response, refusal)
   }
 
   private waitForProof (exchange: CallerExchange, deadline = this.context.proofWaiter.createDeadline()): boolean {
@@ -224,7 +230,7 @@
 
   private readBodyThenForward (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
     const { message: request, route, arrivedAt } = accepted
-    const deadline = arrivedAt + Math.min(route.timeoutMs, this.context.headerRewriter.getCallerTimeoutMs(request) ?? DEFAULT_CALLER_TIMEOUT_MS)
+    const deadline = Math.min(arrivedAt + route.timeoutMs, this.getCallerDeadline(accepted))
     let isExpired = false
     const timer = this.context.timeoutClock.schedule(deadline, () => {
       isExpired = true
@@ -243,24 +249,37 @@
 
   private startForwarding (accepted: AcceptedRequest, response: CallerResponse, body: RequestBody): void {
     const { headerRewriter } = this.context
-    const { message, arrivedAt } = accepted
-    const callerDeadline = arrivedAt + (headerRewriter.getCallerTimeoutMs(message) ?? DEFAULT_CALLER_TIMEOUT_MS)
     const digest = new RequestDigest({ ...accepted, body })
-    const request = { ...accepted, requestId: headerRewriter.getRequestId(message), body, digest, callerDeadline }
+    const request = { ...accepted, requestId: headerRewriter.getRequestId(accepted.message), body, digest, callerDeadline: this.getCallerDeadline(accepted) }
     new ProxiedRequest(this.context, request, response).start()
   }
 
+  private getCallerDeadline ({ message, arrivedAt }: AcceptedRequest): Deadline {
+    return arrivedAt + (this.context.headerRewriter.getCallerTimeoutMs(message) ?? DEFAULT_CALLER_TIMEOUT_MS)
+  }
+
   private refuse (request: IncomingMessage, response: CallerResponse, details: RefusalDetails): void {
     if (details.reason === EndReason.CallerDisconnected) return
     const { status, text, outcome } = getRefusal(details.reason)
     const { retryAfterMs = RETRY_AFTER_MS_BY_REASON[details.reason] } = details
     response.writeLocal({ status, text, retryAfterMs })
-    if (details.route !== undefined && outcome === RequestOutcome.Refused) this.context.view.callerReturns.getTimes(details.route.name).recordRefusal(this.clock.now())
+    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, details)
+    if (!request.complete) this.endUnreadBody(request, response)
     this.logEnd(request, response, { ...details, retryAfterMs }, outcome, status)
   }
 
-  private logEnd (request: IncomingMessage, { isRelayed }: CallerResponse, { reason, arrivedAt, route, account, retryAfterMs }: RefusalDetails, outcome: RequestOutcome, status: number): void {
+  /**
+   * Node.js reads and discards the rest of a body whose request was answered, so that it isn't taken for
+   * another request. A caller that stops sending must not keep the connection.
+   */
+  private endUnreadBody (request: IncomingMessage, response: CallerResponse): void {
+    this.context.timeoutClock.schedule(this.clock.now() + UNREAD_BODY_TIMEOUT_MS, () => {
+      if (!request.complete && response.isSent) request.socket.destroy()
+    })
+  }
+
+  private logEnd (request: IncomingMessage, { isRelayed }: CallerResponse, { reason, arrivedAt, route, service, account, retryAfterMs, refusalInputs }: RefusalDetails, outcome: RequestOutcome, status: number): void {
     const requestId = this.context.headerRewriter.getRequestId(request)
-    logRequestEnd(this.context, { requestId, route, service: undefined, account, status, outcome, reason, attempts: 0, arrivedAt, retryAfterMs, isRelayed })
+    logRequestEnd(this.context, { requestId, route, service, account, status, outcome, reason, attempts: 0, arrivedAt, retryAfterMs, isRelayed, refusalInputs })
   }
 }
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -255,7 +255,7 @@
   private answerLocally (reason: EndReason, retryAfterMs?: number, inputs?: RefusalInputs): void {
     const { outcome, status, text } = getRefusal(reason)
     this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, isUnable: reason === EndReason.RelayUnable })
-    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, this.request, this.service)
+    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, { ...this.request, service: this.service })
     this.finishRequest(outcome, reason, status, retryAfterMs, inputs)
   }
 
--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -1,9 +1,11 @@
 /** Checks a request whose head has been read: its route, the caller's key and quota, and the configured limits. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
+import type { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { addRetryJitter } from '@umberspar/steering/common/entry/retry/retryDelay'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
+import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
 import { EndReason } from '../telemetry/requestOutcomes.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import type { CallerExchange } from './callerConnection.js'
@@ -18,10 +20,16 @@
   readonly reason: EndReason
   readonly arrivedAt: Instant
   readonly route?: RoutePolicy
+  /** The service that it would be sent to, if that is known. */
+  readonly service?: string | undefined
+  /** Whether the caller had returned; undefined if that can't be told. */
+  readonly visit?: CallerVisit | undefined
   /** Name of the caller's client account. */
   readonly account?: string | undefined
   /** When the caller may retry, in milliseconds from now; by default the value for the reason. */
   readonly retryAfterMs?: number | undefined
+  /** What the refusal was decided on, for its log line. */
+  readonly refusalInputs?: RefusalInputs | undefined
 }
 
 /**
