--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -1,9 +1,11 @@
 /** Checks a request whose head has been read: its route, the caller's key and quota, and the configured limits. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
+import type { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { addRetryJitter } from '@umberspar/steering/common/entry/retry/retryDelay'
 import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
+import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
 import { EndReason } from '../telemetry/requestOutcomes.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import type { CallerExchange } from './callerConnection.js'
@@ -18,10 +20,16 @@
   readonly reason: EndReason
   readonly arrivedAt: Instant
   readonly route?: RoutePolicy
+  /** The service that it would be sent to, if that is known. */
+  readonly service?: string | undefined
+  /** Whether the caller had returned; undefined if that can't be told. */
+  readonly visit?: CallerVisit | undefined
   /** Name of the caller's client account. */
   readonly account?: string | undefined
   /** When the caller may retry, in milliseconds from now; by default the value for the reason. */
   readonly retryAfterMs?: number | undefined
+  /** What the refusal was decided on, for its log line. */
+  readonly refusalInputs?: RefusalInputs | undefined
 }
 
 /**
@@ -31,7 +39,7 @@
  * @returns the request with its route, or why it is refused
  */
 export function checkRequest (context: EntryContext, { message, arrivedAt, relayOrigin }: CallerExchange, document: SteeringDocument): Result<AcceptedRequest, RefusalDetails> {
-  const { accessController, quotas, random, view } = context
+  const { accessController, clock, headerRewriter, quotas, random, view } = context
   // The VM that relayed a request has checked its fields, to which it added others, and the quota.
   const isRelayed = relayOrigin !== undefined
   if (!isRelayed && countHeaderBytes(message.rawHeaders, message.method, message.url) > document.limits.headerBytes) return Err({ reason: EndReason.HeadersTooLarge, arrivedAt })
@@ -44,7 +52,9 @@
   const exhaustedMs = account === undefined || isRelayed ? 0 : quotas.getExhaustedMs(account)
   if (exhaustedMs > 0) return Err({ reason: EndReason.QuotaExhausted, arrivedAt, route, account: account?.name, retryAfterMs: addRetryJitter(exhaustedMs, random) })
   if (Number(message.headers['content-length'] ?? 0) > document.limits.bodyBytes) return Err({ reason: EndReason.BodyTooLarge, arrivedAt, route })
-  return Ok({ message, route, keyDigest, arrivedAt, relayOrigin })
+  // Relayed requests have less time left without having been refused.
+  const visit = isRelayed ? undefined : view.callerReturns.getTimes(route.name).observe(headerRewriter.getCallerTimeoutMs(message), clock.now())
+  return Ok({ message, route, keyDigest, arrivedAt, visit, relayOrigin })
 }
 
 function countHeaderBytes (rawHeaders: readonly string[], method = '', target = ''): number {
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -12,6 +12,7 @@
 import type { ShareClaim, StoredRecord } from './storedRecord.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 import { RecentMaximum } from './recentMaximum.js'
+import { CallerReturns } from './retry/callerReturns.js'
 import { SharedRetryBudget, type RetryBudgetSettings } from './retry/sharedRetryBudget.js'
 import { EntryNodeLists } from './entryNodeLists.js'
 import { RouteTable } from './routeTable.js'
@@ -43,6 +44,7 @@
   readonly crashReports = new Map<string, StoredRecord<CrashReports>>()
   /** Quarantined requests, by the request's digest. */
   readonly quarantines = new Map<string, StoredRecord<Quarantine>>()
+  readonly callerReturns = new CallerReturns()
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly departedWorkers = new DepartedWorkers()
   private readonly retryBudgets = new Map<string, SharedRetryBudget>()
@@ -173,6 +175,7 @@
     this.roundRobin = new WeightedRoundRobin()
     this.policiesByService = new Map(document.services.map((policy) => [policy.name, policy]))
     for (const [service, pool] of this.pools) pool.policy = this.policiesByService.get(service)
+    this.callerReturns.keep(new Set(document.routes.map(({ name }) => name)), new Set(this.policiesByService.keys()))
   }
 
   /**
