Compute worker shares by region, from measured demand where it is known

Placement gave every failure domain the same demand. Without the setting, or without rows, demand counts as equal as before. No tests yet, no measured result.

--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -52,6 +52,8 @@
   quotaTolerance: z._default(z.object({ window: duration, over: z.number().check(z.nonnegative()), slack: z.number().check(z.nonnegative()) }), { window: 5_000, over: 0.1, slack: 0 }),
   /** How long a request that crashes workers stays quarantined. */
   quarantineSpan: z._default(duration, 600_000),
+  /** The part of a region's requests that placement by demand may move to other regions within two seconds. If omitted, demand counts as equal in all failure domains. */
+  maxShift: z.optional(z.number().check(z.positive(), z.maximum(1))),
   memoryMb: positiveNumber,
   /** Bandwidth of this VM's network link in each direction, in megabits per second; omitted if unknown. */
   linkMbps: z.optional(positiveNumber),
--- a/packages/entry/src/node/createEntryView.ts
+++ b/packages/entry/src/node/createEntryView.ts
@@ -19,6 +19,7 @@
     roundTrips,
     coldTolerance: settings.coldTolerance,
     rateTolerance: settings.rateTolerance,
+    maxShift: settings.maxShift,
     retryBudget: { ...settings.repeatBudget, windowMs: settings.repeatBudget.window },
     startedAt
   })
--- a/packages/entry/src/node/quota/accountQuota.ts
+++ b/packages/entry/src/node/quota/accountQuota.ts
@@ -8,7 +8,7 @@
 import type { QuotaGrant } from '@umberspar/steering/common/quota/quotaBucketTable'
 import type { QuotaShare } from '@umberspar/steering/common/quota/quotaShares'
 import { QuotaTokenPool, type QuotaToken } from '@umberspar/steering/common/quota/quotaTokenPool'
-import { RequestRate } from '@umberspar/steering/common/quota/requestRate'
+import { RequestRate } from '@umberspar/steering/common/rateLimits/requestRate'
 import type { QuotaRequest } from './quotaMessages.js'
 
 /** Whether a request is within the account's quota. */
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -5,8 +5,9 @@
 import { COLD_WINDOW_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainRoundTrips } from '../placement/domainRoundTrips.js'
 import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
+import { DemandPlacement, type PlacedWorker } from '../placement/demandPlacement.js'
 import { KeyRanking } from '../placement/keyRanking.js'
-import { computeWorkerShares, type WorkerShares } from '../placement/workerShares.js'
+import { computeWorkerShares, countDomains, type WorkerShares } from '../placement/workerShares.js'
 import type { UpstreamRegistration } from '../records.js'
 import type { ServicePolicy } from '../steeringDocument.js'
 import { type Unavailability, UnavailabilityReason } from '../admission/unavailability.js'
@@ -24,6 +25,8 @@
   readonly roundTrips: DomainRoundTrips
   readonly coldTolerance: ColdTolerance
   readonly rateTolerance: RateTolerance
+  /** The part of a region's requests that placement by demand may move to other regions within two seconds; undefined if demand counts as equal everywhere. */
+  readonly maxShift?: number | undefined
   /** @returns the names of all entry VMs, this one included */
   listNodes(): readonly string[]
   /** @returns the entry VMs with their failure domains; a new array after each change */
@@ -61,6 +64,8 @@
   readonly cacheAffinity = new CacheAffinity()
   readonly cacheHits = new CacheHitEstimator()
   policy: ServicePolicy | undefined
+  /** Undefined if demand counts as equal everywhere. */
+  readonly placement: DemandPlacement | undefined
   private readonly rateGate: WorkerRateGate
   private sharesByDomain: ReadonlyMap<string, WorkerShares> | undefined
   private saturation = 0
@@ -68,7 +73,8 @@
 
   /** @param context this entry VM and the VMs that share the workers */
   constructor (private readonly context: PoolContext) {
-    const { node, rateTolerance } = context
+    const { node, rateTolerance, maxShift, regionByDomain } = context
+    this.placement = maxShift === undefined ? undefined : new DemandPlacement(maxShift, regionByDomain)
     this.rateGate = new WorkerRateGate({ node, rateTolerance, listSendingNodes: () => context.listSendingNodes(), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
   }
 
@@ -144,6 +150,23 @@
     this.clearShares()
   }
 
+  /**
+   * Lets the placement follow the demand.
+   * @param perSecondByRegion requests per second for the service by region; undefined if unknown
+   * @param evacuatedDomains failure domains that get no requests
+   * @param now the current time
+   * @returns whether the shares of the workers have changed
+   */
+  updateDemand (perSecondByRegion: ReadonlyMap<string, number> | undefined, evacuatedDomains: ReadonlySet<string>, now: Instant): boolean {
+    const listWorkers = (homeRegions: readonly string[]): PlacedWorker[] => this.listEligible(homeRegions, evacuatedDomains).map((tracker) => {
+      const { id, domain, slots } = tracker.registration
+      return { id, domain, slots, isPaused: tracker.advisory.isPaused(now), isCold: tracker.isCold(now) }
+    })
+    const hasChanged = this.placement?.update({ perSecondByRegion, coldPerSecond: this.policy?.coldPerSecond ?? 0, listWorkers }, now) ?? false
+    if (hasChanged) this.clearShares()
+    return hasChanged
+  }
+
   /**
    * @param request the request
    * @param serviceTimes service times of the request's route
@@ -215,12 +238,18 @@
     return earliest
   }
 
-  /** @returns the share of each failure domain's requests that is intended for the worker */
+  /** @returns the requests of each failure domain that are intended for the worker, relative to each other */
   private computeDemandByDomain (workerId: string): Map<string, number> {
     const { regionByDomain } = this.context
-    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), regionByDomain)
+    const demand = this.placement?.demand
+    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), regionByDomain, demand)
+    const domainCounts = countDomains(regionByDomain)
     const demandByDomain = new Map<string, number>()
-    for (const [domain, shares] of this.sharesByDomain) demandByDomain.set(domain, shares.get(workerId) ?? 0)
+    for (const [domain, shares] of this.sharesByDomain) {
+      const region = regionByDomain.get(domain)!
+      const perDomain = demand === undefined ? 1 : (demand.demandByRegion.get(region) ?? 0) / domainCounts.get(region)!
+      demandByDomain.set(domain, perDomain * (shares.get(workerId) ?? 0))
+    }
     return demandByDomain
   }
 
@@ -256,7 +285,8 @@
 
   private buildRanking (homeRegions: readonly string[], evacuatedDomains: ReadonlySet<string>): KeyRanking {
     const { regionByDomain, domain } = this.context
-    const shares = computeWorkerShares(this.listRegistrations(homeRegions, evacuatedDomains), regionByDomain).get(domain) ?? new Map<string, number>()
+    this.placement?.addHomeRegions(homeRegions)
+    const shares = computeWorkerShares(this.listRegistrations(homeRegions, evacuatedDomains), regionByDomain, this.placement?.demand).get(domain) ?? new Map<string, number>()
     return new KeyRanking(shares)
   }
 }
--- a/packages/steering/src/common/quota/requestRate.ts
+++ b/packages/steering/src/common/rateLimits/requestRate.ts
@@ -1,4 +1,4 @@
-/** Estimates an account's request rate, so that tokens for several requests can be asked for at once. */
+/** Estimates a request rate: of an account, so that tokens for several requests can be asked for at once, or of a service. */
 import type { Instant } from '@umberspar/base/common/clock'
 
 /** Time constant of the average, long enough for accounts with few requests per second. */
@@ -9,7 +9,10 @@
   private count = 0
   private updatedAt: Instant = 0
 
-  /** @param now when a request asked for a token */
+  /** @param averagingWindowMs the time constant of the average, in milliseconds */
+  constructor (private readonly averagingWindowMs = AVERAGING_WINDOW_MS) {}
+
+  /** @param now when a request arrived */
   record (now: Instant): void {
     this.count = this.computeDecayedCount(now) + 1
     this.updatedAt = now
@@ -21,10 +24,10 @@
    * @returns how many requests are expected in it
    */
   estimate (now: Instant, spanMs: number): number {
-    return this.computeDecayedCount(now) * spanMs / AVERAGING_WINDOW_MS
+    return this.computeDecayedCount(now) * spanMs / this.averagingWindowMs
   }
 
   private computeDecayedCount (now: Instant): number {
-    return this.count * Math.exp((this.updatedAt - now) / AVERAGING_WINDOW_MS)
+    return this.count * Math.exp((this.updatedAt - now) / this.averagingWindowMs)
   }
 }
