Follow measured demand in steps, and report what arrives

The steps of a VM are limited for its own region only, and a region counts with its highest part of the demand of the last 40 s for its own requests: limited for all regions at once, the small region held back the large ones, and its workers were overloaded whenever its demand rose again.

--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -12,6 +12,15 @@
   slackSharers: { name: 'umberspar_retry_budget_slack_sharers', help: 'VMs among which the slack of the retry budget is divided by service' }
 }
 
+/** The demand of one region for one service, and what its workers can serve. */
+export interface RegionPlacement {
+  readonly service: string
+  readonly region: string
+  /** Undefined if unknown. */
+  readonly perSecond: number | undefined
+  readonly usableSlots: number
+}
+
 /** Provides the values of gauges when the metrics are fetched. */
 export interface GaugeSource {
   /** @returns values by name; the names contain the units */
@@ -33,6 +42,10 @@
   private readonly lookups
   private readonly proofWaits
   private readonly droppedLogLines
+  private readonly placementSteps
+  private readonly movedObjects
+  private readonly regionDemand
+  private readonly regionSlots
   private readonly latencySeconds
   private readonly retryBudgetGauges
   private readonly gauges = new Map<string, Gauge>()
@@ -47,6 +60,10 @@
     this.lookups = new Counter({ name: 'umberspar_lookups_total', help: 'Look-ups by answer', labelNames: ['answer'], registers })
     this.proofWaits = new Counter({ name: 'umberspar_proof_waits_total', help: 'Requests that waited for a newer proof that the records are current', labelNames: ['end'], registers })
     this.droppedLogLines = new Counter({ name: 'umberspar_log_lines_dropped_total', help: 'Log lines that found no room', labelNames: ['urgency'], registers })
+    this.placementSteps = new Counter({ name: 'umberspar_placement_steps_total', help: 'Changes of the shares of workers that followed demand', labelNames: ['service'], registers })
+    this.movedObjects = new Counter({ name: 'umberspar_objects_moved_total', help: 'Estimated objects in use at this VM that followed demand to workers of another region', labelNames: ['service'], registers })
+    this.regionDemand = new Gauge({ name: 'umberspar_region_demand_per_second', help: 'Requests per second by region, as far as known', labelNames: ['service', 'region'], registers })
+    this.regionSlots = new Gauge({ name: 'umberspar_region_usable_slots', help: 'Slots of the workers of a region that can be used now', labelNames: ['service', 'region'], registers })
     this.retryBudgetGauges = Object.entries(RETRY_BUDGET_GAUGES).map(([field, { name, help }]) => {
       return { field: field as keyof RetryBudgetState, gauge: new Gauge({ name, help, labelNames: ['service'], registers }) }
     })
@@ -93,6 +110,19 @@
     this.proofWaits.inc({ end })
   }
 
+  /** Sets the gauges of one region and service; unknown demand has no gauge. */
+  setRegionPlacement ({ service, region, perSecond, usableSlots }: RegionPlacement): void {
+    this.regionSlots.set({ service, region }, usableSlots)
+    if (perSecond === undefined) this.regionDemand.remove({ service, region })
+    else this.regionDemand.set({ service, region }, perSecond)
+  }
+
+  /** Counts a change of the shares of a service's workers that followed demand. */
+  countPlacementStep (service: string, movedObjects: number): void {
+    this.placementSteps.inc({ service })
+    this.movedObjects.inc({ service }, movedObjects)
+  }
+
   /** Counts a dropped log line. */
   countDroppedLogLine (urgency: string): void {
     this.droppedLogLines.inc({ urgency })
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -3,6 +3,7 @@
 import type { CacheState } from '@umberspar/steering/common/entry/workers/cacheHitEstimator'
 import { RouteKind, type SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { LinkState } from '@umberspar/steering/common/entry/workers/workerLinks'
+import type { PlacementState } from '@umberspar/steering/common/entry/placement/demandPlacement'
 import type { EntryMetrics } from './entryMetrics.js'
 import { EndReason, AttemptOutcome, RequestOutcome } from './requestOutcomes.js'
 
@@ -118,6 +119,15 @@
   return Math.round(value * 10) / 10
 }
 
+function toThousandths (value: number): number {
+  return Math.round(value * 1_000) / 1_000
+}
+
+/** @returns the values by region, such as `north=3.5 south=2`; undefined if there are none */
+function formatByRegion (values: ReadonlyMap<string, number> | undefined): string | undefined {
+  return values === undefined ? undefined : [...values].map(([region, value]) => `${region}=${toThousandths(value)}`).join(' ')
+}
+
 /** Logs and counts requests, attempts, and changes of the view of the deployment. */
 export class EntryTelemetry {
   /**
@@ -188,6 +198,24 @@
     this.logger.log(LogLevel.Info, { step: 'cool-down-worker', peer: worker, service, coolDownMs: Math.round(coolDownMs) }, 'worker asked for a cool-down')
   }
 
+  /** Sets the gauges of a service's placement, and logs and counts it if it has changed. */
+  logPlacement (service: string, { perSecondByRegion, usableSlotsByRegion, step, movedObjects }: PlacementState): void {
+    for (const [region, usableSlots] of usableSlotsByRegion) {
+      this.metrics.setRegionPlacement({ service, region, perSecond: perSecondByRegion?.get(region), usableSlots })
+    }
+    if (step === undefined) return
+    this.metrics.countPlacementStep(service, movedObjects)
+    this.logger.log(LogLevel.Info, {
+      step: 'move-placement',
+      service,
+      demand: formatByRegion(perSecondByRegion),
+      usableSlots: formatByRegion(usableSlotsByRegion),
+      inForce: formatByRegion(step.demand?.demandByRegion),
+      movedRatio: toThousandths(step.movedRatio),
+      movedObjects
+    }, 'placement of requests changed with demand')
+  }
+
   /** Logs that the event loop was late, so that requests and closed connections were read late. */
   logEventLoopDelay (delayMs: number): void {
     this.logger.log(LogLevel.Warn, { step: 'delay-event-loop', delayMs: Math.round(delayMs) }, 'event loop was late')
--- a/packages/steering/src/common/entry/placement/demandMeter.ts
+++ b/packages/steering/src/common/entry/placement/demandMeter.ts
@@ -3,13 +3,11 @@
  * to other VMs.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import { RequestRate } from '../../rateLimits/requestRate.js'
+import { AVERAGING_WINDOW_MS, RequestRate } from '../../rateLimits/requestRate.js'
 
 const MS_PER_SECOND = 1_000
-/** Time constant of the measured rates. */
-const AVERAGING_WINDOW_MS = 3_000
 /** Until a meter has run this long, its rates are too low. */
-const WARM_UP_MS = 2 * AVERAGING_WINDOW_MS
+const WARM_UP_MS = 3 * AVERAGING_WINDOW_MS
 /** Limit on measured services. */
 const MAX_SERVICES = 64
 /** Limit on the text of a row; a message between VMs holds several rows. */
@@ -36,7 +34,7 @@
     let rate = this.rates.get(service)
     if (rate === undefined) {
       if (this.rates.size >= MAX_SERVICES) this.removeSlowest(now)
-      rate = new RequestRate(AVERAGING_WINDOW_MS)
+      rate = new RequestRate()
       this.rates.set(service, rate)
     }
     rate.record(now)
--- a/packages/steering/src/common/entry/placement/demandPlacement.ts
+++ b/packages/steering/src/common/entry/placement/demandPlacement.ts
@@ -23,6 +23,8 @@
   readonly perSecondByRegion: ReadonlyMap<string, number> | undefined
   /** Limit on the requests per second of a worker in its cold start. */
   readonly coldPerSecond: number
+  /** The number of objects in use at this VM. */
+  readonly objectCount: number
   /**
    * @param homeRegions the only regions that may serve requests; empty if all may
    * @returns the workers that may get the requests
@@ -38,6 +40,8 @@
   readonly usableSlotsByRegion: ReadonlyMap<string, number>
   /** The change of the placement; undefined if there was none. */
   readonly step: PlacementStep | undefined
+  /** Estimated number of objects in use at this VM that the change moved to workers of another region. */
+  readonly movedObjects: number
 }
 
 /** The placement of one service. */
@@ -49,10 +53,11 @@
 
   /**
    * @param maxShift the part of a region's requests that may move to other regions within two seconds
+   * @param domain this VM's failure domain
    * @param regionByDomain all failure domains with their regions
    */
-  constructor (maxShift: number, private readonly regionByDomain: ReadonlyMap<string, string>) {
-    this.steps = new DemandSteps(maxShift, regionByDomain)
+  constructor (maxShift: number, domain: string, private readonly regionByDomain: ReadonlyMap<string, string>) {
+    this.steps = new DemandSteps(maxShift, regionByDomain.get(domain) ?? '', regionByDomain)
   }
 
   /** @returns the demand in force; undefined if it is equal in all domains */
@@ -79,7 +84,7 @@
     const measured = perSecondByRegion === undefined ? undefined : { demandByRegion: perSecondByRegion, usableByRegion }
     const divisions = [...this.homeSets.values()].map((homeRegions) => buildDivision(input.listWorkers(homeRegions), this.regionByDomain))
     const step = this.steps.step(measured, divisions, now)
-    this.state = { perSecondByRegion, usableSlotsByRegion, step }
+    this.state = { perSecondByRegion, usableSlotsByRegion, step, movedObjects: Math.round((step?.movedRatio ?? 0) * input.objectCount) }
     return step !== undefined
   }
 
--- a/packages/steering/src/common/entry/placement/demandSteps.ts
+++ b/packages/steering/src/common/entry/placement/demandSteps.ts
@@ -1,13 +1,14 @@
 /**
  * Decides which demand the shares of a service's workers are computed from. It follows the measured
- * demand in steps, each of which moves a limited part of any region's requests to other regions, and
- * ignores small changes: objects that move to another worker are cache misses there.
+ * demand in steps, each of which moves a limited part of the requests to other regions, and ignores
+ * small changes: objects that move to another worker are cache misses there.
  *
- * Each VM limits the steps of its own requests. The limit therefore holds for the sum of all VMs, also
- * when they know different rows.
+ * Each VM limits the steps of its own region's requests, so that a region with fast changes doesn't
+ * slow down the others. The limit holds for the sum of all VMs, also when they know different rows.
  */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { RecentMaximum } from '../recentMaximum.js'
 import { countDomains, type RegionDemand, type RegionDivision } from './workerShares.js'
 
 /** Minimum time between two steps; the limit on shifts applies to windows of this length. */
@@ -25,6 +26,12 @@
 const USABLE_QUANTUM = 0.125
 /** The last known demand is used for this long; then it becomes equal in all domains, in steps. */
 const LAST_KNOWN_VALIDITY_MS = 15_000
+/**
+ * A region counts with its highest part of the demand of this time for its own requests. Its workers
+ * then have room when its demand rises again, which a small region can't make fast enough, and
+ * objects don't move back for a short time.
+ */
+const PEAK_WINDOW_MS = 40_000
 /** Halvings of the interval in which the longest permitted step is searched. */
 const SEARCH_ROUNDS = 8
 
@@ -35,7 +42,7 @@
 export interface PlacementStep {
   /** Undefined if it is equal in all domains. */
   readonly demand: RegionDemand | undefined
-  /** The largest part of a region's requests that moves to other regions. */
+  /** The part of this region's requests that moves to other regions. */
   readonly movedRatio: number
 }
 
@@ -47,13 +54,15 @@
   private goal: RegionDemand
   private current: RegionDemand
   private goalValidUntil: Deadline = Number.NEGATIVE_INFINITY
+  private readonly ownPeak = new RecentMaximum(PEAK_WINDOW_MS, 0)
   private nextStepAt: Instant = Number.NEGATIVE_INFINITY
 
   /**
    * @param maxShift the part of a region's requests that may move to other regions within two seconds
+   * @param region the region of this VM
    * @param regionByDomain all failure domains with their regions
    */
-  constructor (maxShift: number, regionByDomain: ReadonlyMap<string, string>) {
+  constructor (maxShift: number, private readonly region: string, regionByDomain: ReadonlyMap<string, string>) {
     this.maxMovedRatio = STEP_RATIO * maxShift
     this.evenDemand = { demandByRegion: scaleToSum(countDomains(regionByDomain)), usableByRegion: new Map([...new Set(regionByDomain.values())].map((region) => [region, 1])) }
     this.goal = this.evenDemand
@@ -72,11 +81,12 @@
    * @returns the change; undefined if there is none
    */
   step (measured: RegionDemand | undefined, divisions: readonly DivisionFunction[], now: Instant): PlacementStep | undefined {
+    const rounded = measured === undefined ? undefined : this.mapToQuanta(measured, now)
     if (now < this.nextStepAt) return undefined
-    this.updateGoal(measured, now)
+    this.updateGoal(rounded, now)
     if (this.current === this.goal) return undefined
     const before = divisions.map((compute) => compute(this.demand))
-    const computeMoved = (demand: RegionDemand): number => Math.max(0, ...divisions.map((compute, index) => computeMovedRatio(before[index]!, compute(demand === this.evenDemand ? undefined : demand))))
+    const computeMoved = (demand: RegionDemand): number => Math.max(0, ...divisions.map((compute, index) => computeMovedRatio(before[index]!, compute(demand === this.evenDemand ? undefined : demand), this.region)))
     const next = this.findNext(computeMoved)
     if (next === undefined) return undefined
     const movedRatio = computeMoved(next)
@@ -85,8 +95,7 @@
     return { demand: this.demand, movedRatio }
   }
 
-  private updateGoal (measured: RegionDemand | undefined, now: Instant): void {
-    const rounded = measured === undefined ? undefined : this.mapToQuanta(measured)
+  private updateGoal (rounded: RegionDemand | undefined, now: Instant): void {
     if (rounded !== undefined) {
       this.goalValidUntil = createDeadline(now, LAST_KNOWN_VALIDITY_MS)
       if (isOtherDemand(this.goal, rounded)) this.goal = rounded
@@ -107,32 +116,33 @@
     return next
   }
 
-  private mapToQuanta ({ demandByRegion, usableByRegion }: RegionDemand): RegionDemand | undefined {
+  private mapToQuanta ({ demandByRegion, usableByRegion }: RegionDemand, now: Instant): RegionDemand | undefined {
     const regions = [...this.evenDemand.demandByRegion.keys()]
     const total = regions.reduce((sum, region) => sum + (demandByRegion.get(region) ?? 0), 0)
     if (!(total > 0 && total < Infinity)) return undefined
-    const toUsable = (ratio: number): number => Math.min(1, Math.max(USABLE_QUANTUM, USABLE_QUANTUM * Math.round(ratio / USABLE_QUANTUM)))
-    return {
-      // A region with hardly any demand keeps a part: a row of zeros must not leave its shares undefined.
-      demandByRegion: scaleToSum(new Map(regions.map((region) => [region, Math.max(DEMAND_QUANTUM, DEMAND_QUANTUM * Math.round((demandByRegion.get(region) ?? 0) / total / DEMAND_QUANTUM))]))),
-      usableByRegion: new Map(regions.map((region) => [region, toUsable(usableByRegion.get(region) ?? 1)]))
-    }
+    // A region with hardly any demand keeps a part: without supply, nothing would limit its shares.
+    const parts = new Map(regions.map((region) => [region, Math.max(DEMAND_QUANTUM, DEMAND_QUANTUM * Math.round((demandByRegion.get(region) ?? 0) / total / DEMAND_QUANTUM))]))
+    this.ownPeak.update(parts.get(this.region) ?? 0, now)
+    if (parts.has(this.region)) parts.set(this.region, this.ownPeak.get(now))
+    return { demandByRegion: scaleToSum(parts), usableByRegion: new Map(regions.map((region) => [region, toUsable(usableByRegion.get(region) ?? 1)])) }
   }
 }
 
+/** @returns the usable part of a region's slots, rounded */
+function toUsable (ratio: number): number {
+  return Math.min(1, Math.max(USABLE_QUANTUM, USABLE_QUANTUM * Math.round(ratio / USABLE_QUANTUM)))
+}
+
 /**
  * @param before the part of each region's requests that each region serves
  * @param after the same after a change
- * @returns the largest part of a region's requests that moves to other regions
+ * @param region where the requests arrive
+ * @returns the part of the region's requests that moves to other regions
  */
-export function computeMovedRatio (before: RegionDivision, after: RegionDivision): number {
-  let largest = 0
-  for (const [region, parts] of after) {
-    let moved = 0
-    for (const [servedBy, part] of parts) moved += Math.max(0, part - (before.get(region)?.get(servedBy) ?? 0))
-    largest = Math.max(largest, moved)
-  }
-  return largest
+export function computeMovedRatio (before: RegionDivision, after: RegionDivision, region: string): number {
+  let moved = 0
+  for (const [servedBy, part] of after.get(region) ?? []) moved += Math.max(0, part - (before.get(region)?.get(servedBy) ?? 0))
+  return moved
 }
 
 function isOtherDemand (known: RegionDemand, measured: RegionDemand): boolean {
--- a/packages/steering/src/common/entry/placement/keyRanking.ts
+++ b/packages/steering/src/common/entry/placement/keyRanking.ts
@@ -21,6 +21,11 @@
   /** @param shares each worker's share of the requests */
   constructor (private readonly shares: WorkerShares) {}
 
+  /** The number of objects that were ranked, as far as cached. */
+  get keyCount (): number {
+    return this.ranksByKey.size
+  }
+
   /**
    * @param key identifies the object
    * @returns worker ids, the first choice first
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -73,8 +73,8 @@
 
   /** @param context this entry VM and the VMs that share the workers */
   constructor (private readonly context: PoolContext) {
-    const { node, rateTolerance, maxShift, regionByDomain } = context
-    this.placement = maxShift === undefined ? undefined : new DemandPlacement(maxShift, regionByDomain)
+    const { node, domain, rateTolerance, maxShift, regionByDomain } = context
+    this.placement = maxShift === undefined ? undefined : new DemandPlacement(maxShift, domain, regionByDomain)
     this.rateGate = new WorkerRateGate({ node, rateTolerance, listSendingNodes: () => context.listSendingNodes(), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
   }
 
@@ -162,7 +162,8 @@
       const { id, domain, slots } = tracker.registration
       return { id, domain, slots, isPaused: tracker.advisory.isPaused(now), isCold: tracker.isCold(now) }
     })
-    const hasChanged = this.placement?.update({ perSecondByRegion, coldPerSecond: this.policy?.coldPerSecond ?? 0, listWorkers }, now) ?? false
+    const objectCount = [...this.rankings.values()].reduce((sum, { keyCount }) => sum + keyCount, 0)
+    const hasChanged = this.placement?.update({ perSecondByRegion, coldPerSecond: this.policy?.coldPerSecond ?? 0, objectCount, listWorkers }, now) ?? false
     if (hasChanged) this.clearShares()
     return hasChanged
   }
--- a/packages/steering/src/common/rateLimits/requestRate.ts
+++ b/packages/steering/src/common/rateLimits/requestRate.ts
@@ -2,16 +2,13 @@
 import type { Instant } from '@umberspar/base/common/clock'
 
 /** Time constant of the average, long enough for accounts with few requests per second. */
-const AVERAGING_WINDOW_MS = 2_000
+export const AVERAGING_WINDOW_MS = 2_000
 
 /** A request rate with exponential decay. */
 export class RequestRate {
   private count = 0
   private updatedAt: Instant = 0
 
-  /** @param averagingWindowMs the time constant of the average, in milliseconds */
-  constructor (private readonly averagingWindowMs = AVERAGING_WINDOW_MS) {}
-
   /** @param now when a request arrived */
   record (now: Instant): void {
     this.count = this.computeDecayedCount(now) + 1
@@ -24,10 +21,10 @@
    * @returns how many requests are expected in it
    */
   estimate (now: Instant, spanMs: number): number {
-    return this.computeDecayedCount(now) * spanMs / this.averagingWindowMs
+    return this.computeDecayedCount(now) * spanMs / AVERAGING_WINDOW_MS
   }
 
   private computeDecayedCount (now: Instant): number {
-    return this.count * Math.exp((this.updatedAt - now) / this.averagingWindowMs)
+    return this.count * Math.exp((this.updatedAt - now) / AVERAGING_WINDOW_MS)
   }
 }
