--- a/packages/steering/src/common/entry/placement/demandSteps.ts
+++ b/packages/steering/src/common/entry/placement/demandSteps.ts
@@ -18,6 +18,10 @@
  * once, up to twice the net change moves.
  */
 const STEP_RATIO = 0.4
+/** The smallest step while demand changes, as a part of the longest one: each step has all objects ranked again. */
+const MIN_STEP_RATIO = 0.4
+/** Once the demand has not changed for this long, smaller steps are taken too, so that all VMs arrive at the same shares. */
+const SETTLE_MS = 10_000
 /** Regions' parts of the demand are rounded to multiples of this, so that VMs follow the same values. */
 const DEMAND_QUANTUM = 0.01
 /** Changes of a region's part of the demand below this are ignored. */
@@ -55,6 +59,7 @@
   private current: RegionDemand
   private goalValidUntil: Deadline = Number.NEGATIVE_INFINITY
   private readonly ownPeak = new RecentMaximum(PEAK_WINDOW_MS, 0)
+  private settledAt: Deadline = Number.NEGATIVE_INFINITY
   private nextStepAt: Instant = Number.NEGATIVE_INFINITY
 
   /**
@@ -90,6 +95,7 @@
     const next = this.findNext(computeMoved)
     if (next === undefined) return undefined
     const movedRatio = computeMoved(next)
+    if (movedRatio < MIN_STEP_RATIO * this.maxMovedRatio && !hasPassed(this.settledAt, now)) return undefined
     this.current = next
     this.nextStepAt = now + STEP_INTERVAL_MS
     return { demand: this.demand, movedRatio }
@@ -98,8 +104,13 @@
   private updateGoal (rounded: RegionDemand | undefined, now: Instant): void {
     if (rounded !== undefined) {
       this.goalValidUntil = createDeadline(now, LAST_KNOWN_VALIDITY_MS)
-      if (isOtherDemand(this.goal, rounded)) this.goal = rounded
-    } else if (hasPassed(this.goalValidUntil, now)) this.goal = this.evenDemand
+      if (isOtherDemand(this.goal, rounded)) this.setGoal(rounded, now)
+    } else if (hasPassed(this.goalValidUntil, now) && this.goal !== this.evenDemand) this.setGoal(this.evenDemand, now)
+  }
+
+  private setGoal (goal: RegionDemand, now: Instant): void {
+    this.goal = goal
+    this.settledAt = createDeadline(now, SETTLE_MS)
   }
 
   /** @returns the longest step towards the goal that moves no more than permitted; undefined if there is none */
