--- a/packages/steering/src/common/entry/placement/demandPlacement.ts
+++ b/packages/steering/src/common/entry/placement/demandPlacement.ts
@@ -3,7 +3,7 @@
  * in force, and the demand and capacity by region that operators see.
  */
 import type { Instant } from '@umberspar/base/common/clock'
-import { DemandSteps, type PlacementStep } from './demandSteps.js'
+import { DemandSteps, type DivisionFunction, type PlacementStep } from './demandSteps.js'
 import { buildDivision, type RegionDemand, type WorkerCapacity } from './workerShares.js'
 
 /** Limit on the sets of home regions for which steps are limited; each set is of a route or account. */
@@ -82,8 +82,8 @@
     const usableSlotsByRegion = this.addUsableSlots(workers, input)
     const usableByRegion = new Map([...slotsByRegion].map(([region, slots]) => [region, slots === 0 ? 1 : usableSlotsByRegion.get(region)! / slots]))
     const measured = perSecondByRegion === undefined ? undefined : { demandByRegion: perSecondByRegion, usableByRegion }
-    const divisions = [...this.homeSets.values()].map((homeRegions) => buildDivision(input.listWorkers(homeRegions), this.regionByDomain))
-    const step = this.steps.step(measured, divisions, now)
+    const buildDivisions = (): DivisionFunction[] => [...this.homeSets.values()].map((homeRegions) => buildDivision(input.listWorkers(homeRegions), this.regionByDomain))
+    const step = this.steps.step(measured, buildDivisions, now)
     this.state = { perSecondByRegion, usableSlotsByRegion, step, movedObjects: Math.round((step?.movedRatio ?? 0) * input.objectCount) }
     return step !== undefined
   }
--- a/packages/steering/src/common/entry/placement/demandSteps.ts
+++ b/packages/steering/src/common/entry/placement/demandSteps.ts
@@ -81,15 +81,16 @@
 
   /**
    * @param measured the measured demand; undefined if it is unknown
-   * @param divisions the groups of requests for which the step is limited
+   * @param buildDivisions builds the divisions of the groups of requests for which the step is limited
    * @param now the current time
    * @returns the change; undefined if there is none
    */
-  step (measured: RegionDemand | undefined, divisions: readonly DivisionFunction[], now: Instant): PlacementStep | undefined {
+  step (measured: RegionDemand | undefined, buildDivisions: () => readonly DivisionFunction[], now: Instant): PlacementStep | undefined {
     const rounded = measured === undefined ? undefined : this.mapToQuanta(measured, now)
     if (now < this.nextStepAt) return undefined
     this.updateGoal(rounded, now)
     if (this.current === this.goal) return undefined
+    const divisions = buildDivisions()
     const before = divisions.map((compute) => compute(this.demand))
     const computeMoved = (demand: RegionDemand): number => Math.max(0, ...divisions.map((compute, index) => computeMovedRatio(before[index]!, compute(demand === this.evenDemand ? undefined : demand), this.region)))
     const next = this.findNext(computeMoved)
--- a/packages/steering/test/common/entry/placement/demandSteps.test.ts
+++ b/packages/steering/test/common/entry/placement/demandSteps.test.ts
@@ -29,7 +29,7 @@
       const changes: Array<{ readonly at: number, readonly divisions: readonly RegionDivision[] }> = [{ at: Number.NEGATIVE_INFINITY, divisions: DIVISIONS.map((compute) => compute(undefined)) }]
       for (const { afterMs, measured } of history) {
         now += afterMs
-        if (steps.step(measured, DIVISIONS, now) === undefined) continue
+        if (steps.step(measured, () => DIVISIONS, now) === undefined) continue
         const divisions = DIVISIONS.map((compute) => compute(steps.demand))
         const last = changes.at(-1)!
         assert.ok(now - last.at >= STEP_INTERVAL_MS)
@@ -50,7 +50,7 @@
       const computeParts = (): number[] => REGION_NAMES.map((servedBy) => vms.reduce((sum, { steps }, index) => sum + weights[index]! * DIVISIONS[0]!(steps.demand).get('c')!.get(servedBy)! / total, 0))
       let before = computeParts()
       for (let round = 0; round < 20; round++) {
-        for (const { history, steps } of vms) steps.step(history[round % history.length]!.measured, DIVISIONS, round * STEP_INTERVAL_MS)
+        for (const { history, steps } of vms) steps.step(history[round % history.length]!.measured, () => DIVISIONS, round * STEP_INTERVAL_MS)
         const after = computeParts()
         const moved = after.reduce((sum, value, column) => sum + Math.max(0, value - before[column]!), 0)
         assert.ok(2 * moved <= MAX_SHIFT, `${moved} moved`)
@@ -64,12 +64,12 @@
       const run = (history: typeof first): DemandSteps => {
         const steps = new DemandSteps(MAX_SHIFT, 'c', REGIONS)
         let now = 0
-        for (const { afterMs, measured } of history) steps.step(measured, DIVISIONS, now += afterMs)
+        for (const { afterMs, measured } of history) steps.step(measured, () => DIVISIONS, now += afterMs)
         return steps
       }
       assert.deepEqual(run(first).demand, run(first).demand)
       const settle = (steps: DemandSteps, from: number): RegionDemand | undefined => {
-        for (let index = 0; index < 200; index++) steps.step(last, DIVISIONS, from + index * STEP_INTERVAL_MS)
+        for (let index = 0; index < 200; index++) steps.step(last, () => DIVISIONS, from + index * STEP_INTERVAL_MS)
         return steps.demand
       }
       const [left, right] = [settle(run(first), 1e6), settle(run(second), 1e6)]
@@ -85,7 +85,7 @@
     const steps = new DemandSteps(MAX_SHIFT, 'c', REGIONS)
     for (let index = 0; index < 50; index++) {
       const noise = (index % 2 === 0 ? 1 : -1) * 0.05
-      assert.equal(steps.step(createDemand([100 * (1 + noise), 100 * (1 - noise), 100]), DIVISIONS, index * 1_000), undefined)
+      assert.equal(steps.step(createDemand([100 * (1 + noise), 100 * (1 - noise), 100]), () => DIVISIONS, index * 1_000), undefined)
     }
     assert.equal(steps.demand, undefined)
   })
@@ -94,18 +94,18 @@
     // Guards against all rows missing: neither a jump at once nor a division by demand of long ago.
     const steps = new DemandSteps(MAX_SHIFT, 'c', REGIONS)
     let now = 0
-    for (; now < 60_000; now += 1_000) steps.step(createDemand([180, 90, 30]), DIVISIONS, now)
+    for (; now < 60_000; now += 1_000) steps.step(createDemand([180, 90, 30]), () => DIVISIONS, now)
     const known = steps.demand
     assert.ok(known !== undefined)
     const silentFrom = now
-    for (; now < silentFrom + 10_000; now += 1_000) assert.equal(steps.step(undefined, DIVISIONS, now), undefined)
+    for (; now < silentFrom + 10_000; now += 1_000) assert.equal(steps.step(undefined, () => DIVISIONS, now), undefined)
     assert.equal(steps.demand, known)
-    for (; now < silentFrom + 60_000; now += 1_000) steps.step(undefined, DIVISIONS, now)
+    for (; now < silentFrom + 60_000; now += 1_000) steps.step(undefined, () => DIVISIONS, now)
     assert.equal(steps.demand, undefined)
   })
 
   it('follow rows that are not usable no more than missing ones', () => {
     const steps = new DemandSteps(MAX_SHIFT, 'c', REGIONS)
-    for (const values of [[0, 0, 0], [NaN, 1, 1], [Infinity, 1, 1]]) assert.equal(steps.step(createDemand(values), DIVISIONS, 0), undefined)
+    for (const values of [[0, 0, 0], [NaN, 1, 1], [Infinity, 1, 1]]) assert.equal(steps.step(createDemand(values), () => DIVISIONS, 0), undefined)
   })
 })
