--- a/packages/steering/src/common/quota/requestRate.ts
+++ b/packages/steering/src/common/rateLimits/requestRate.ts
@@ -1,15 +1,15 @@
-/** Estimates an account's request rate, so that tokens for several requests can be asked for at once. */
+/** Estimates a request rate: of an account, so that tokens for several requests can be asked for at once, or of a service. */
 import type { Instant } from '@umberspar/base/common/clock'
 
 /** Time constant of the average, long enough for accounts with few requests per second. */
-const AVERAGING_WINDOW_MS = 2_000
+export const AVERAGING_WINDOW_MS = 2_000
 
 /** A request rate with exponential decay. */
 export class RequestRate {
   private count = 0
   private updatedAt: Instant = 0
 
-  /** @param now when a request asked for a token */
+  /** @param now when a request arrived */
   record (now: Instant): void {
     this.count = this.computeDecayedCount(now) + 1
     this.updatedAt = now
