--- /dev/null
+++ b/packages/steering/src/common/entry/admission/usageContent.ts
@@ -0,0 +1,110 @@
+/**
+ * The content of the rows in which VMs tell each other the usage of services: `[[service, priority, asked, owed, served, [[account,
+ * asked], ...]], ...]`. Its size is bounded whatever the number of accounts; the lightest accounts are left out first.
+ */
+import type { Instant } from '@umberspar/base/common/clock'
+import { type DomainAggregation, type ExchangeContent, type ExchangeRow, ExchangeTopic } from '../exchange/exchangeRow.js'
+import { listHeaviest, MAX_TOLD_ACCOUNTS, mergeUsages, type PriorityUsage, type Usage } from './serviceUsage.js'
+
+/** Limit on the content of one row, in bytes of JSON; a message has 1,200. */
+export const MAX_CONTENT_BYTES = 1_000
+/** Limits on what is believed of other VMs. */
+const MAX_PARTS = 64
+const MAX_ACCOUNTS = 64
+const MAX_NAME_LENGTH = 200
+const MAX_COUNT = 1_000_000
+/** Rows of a VM that are older are left out of its failure domain's sum. */
+export const USAGE_VALIDITY_MS = 4_000
+
+interface UsagePart { readonly service: string, readonly priority: number, readonly usage: PriorityUsage }
+
+function formatCount (count: number): number {
+  return Math.round(count * 10) / 10
+}
+
+function encodePart ({ service, priority, usage }: UsagePart, limit: number): ExchangeContent {
+  const accounts = listHeaviest(usage.accounts, limit).map(([name, asked]) => [name, formatCount(asked)])
+  return [service, priority, formatCount(usage.asked), formatCount(usage.owed), formatCount(usage.served), accounts]
+}
+
+function countBytes (content: ExchangeContent): number {
+  let bytes = 0
+  // UTF-8 without Node.js APIs.
+  for (const character of JSON.stringify(content)) {
+    const code = character.codePointAt(0)!
+    bytes += code < 0x80 ? 1 : code < 0x800 ? 2 : code < 0x10000 ? 3 : 4
+  }
+  return bytes
+}
+
+/**
+ * @param usage the usage to tell
+ * @returns the content of its row; undefined if there is none
+ */
+export function encodeUsage (usage: Usage): ExchangeContent | undefined {
+  const parts: UsagePart[] = []
+  for (const [service, byPriority] of usage) for (const [priority, part] of byPriority) parts.push({ service, priority, usage: part })
+  parts.sort((left, right) => right.usage.asked - left.usage.asked)
+  while (parts.length > 0) {
+    for (let limit = MAX_TOLD_ACCOUNTS; limit >= 0; limit = limit === 0 ? -1 : limit >> 1) {
+      const content = parts.map((part) => encodePart(part, limit))
+      if (countBytes(content) <= MAX_CONTENT_BYTES) return content
+    }
+    parts.pop()
+  }
+  return undefined
+}
+
+function isCount (value: unknown): value is number {
+  return typeof value === 'number' && value >= 0 && value <= MAX_COUNT
+}
+
+function isName (value: unknown): value is string {
+  return typeof value === 'string' && value.length > 0 && value.length <= MAX_NAME_LENGTH
+}
+
+function decodeAccounts (content: unknown, asked: number): Map<string, number> {
+  const accounts = new Map<string, number>()
+  if (!Array.isArray(content)) return accounts
+  for (const entry of content.slice(0, MAX_ACCOUNTS) as unknown[]) {
+    // An account can't have asked more than all accounts together.
+    if (Array.isArray(entry) && isName(entry[0]) && isCount(entry[1])) accounts.set(entry[0], Math.min(asked, entry[1]))
+  }
+  return accounts
+}
+
+/**
+ * @param content the content of a row of another VM; what it should not contain is left out
+ * @returns the usage
+ */
+export function decodeUsage (content: unknown): Usage {
+  const usage = new Map<string, Map<number, PriorityUsage>>()
+  if (!Array.isArray(content)) return usage
+  for (const part of content.slice(0, MAX_PARTS) as unknown[]) {
+    if (!Array.isArray(part)) continue
+    const [service, priority, asked, owed, served, accounts] = part as unknown[]
+    if (!isName(service) || !isCount(priority) || !isCount(asked) || !isCount(owed) || !isCount(served)) continue
+    const byPriority = usage.get(service) ?? new Map<number, PriorityUsage>()
+    byPriority.set(priority, { asked, owed: Math.min(asked, owed), served: Math.min(asked, owed, served), accounts: decodeAccounts(accounts, asked) })
+    usage.set(service, byPriority)
+  }
+  return usage
+}
+
+/**
+ * @param rows rows of the usage of different VMs or failure domains
+ * @param now the current time
+ * @returns the sum of those that are recent
+ */
+export function mergeUsageRows (rows: Iterable<ExchangeRow>, now: Instant): Usage {
+  const usages: Usage[] = []
+  for (const { content, at } of rows) if (Math.abs(now - at) <= USAGE_VALIDITY_MS) usages.push(decodeUsage(content))
+  return mergeUsages(usages)
+}
+
+/** Sums up the usage of a failure domain's VMs. */
+export const USAGE_AGGREGATION: DomainAggregation = {
+  from: ExchangeTopic.VmUsage,
+  to: ExchangeTopic.DomainUsage,
+  compute: (rows, now) => encodeUsage(mergeUsageRows(rows, now))
+}
