Refuse by rank at services without room

Cause: an overflow kind with a loose goal is served before urgent requests with a tight one, and one account that sends many times its usual fills the queues of all.

--- /dev/null
+++ b/packages/entry/src/node/admission/usageReporter.ts
@@ -0,0 +1,53 @@
+/**
+ * Tells other entry VMs what is asked of each service at this VM, by priority and by its heaviest client accounts. The
+ * size of what is told doesn't depend on the number of accounts; names of accounts are told, never their keys.
+ */
+import type { IClock, ITimer } from '@umberspar/base/common/clock'
+import type { IClosable } from '@umberspar/base/common/closing'
+import { createDeadline } from '@umberspar/base/common/deadline'
+import type { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
+import { encodeUsage, USAGE_AGGREGATION } from '@umberspar/steering/common/entry/admission/usageContent'
+import { ExchangeTopic, type IFleetExchange } from '@umberspar/steering/common/entry/exchange/exchangeRow'
+
+/** Time between two rows, in milliseconds. */
+const REPORT_INTERVAL_MS = 1_000
+
+/** What the reporter is built from. */
+export interface UsageReporterDependencies {
+  readonly clock: IClock
+  readonly exchange: Pick<IFleetExchange, 'publish' | 'addAggregation'>
+  readonly gates: ServiceGates
+  /** This VM's name. */
+  readonly node: string
+}
+
+/** Publishes the usage at this VM while there is any. */
+export class UsageReporter implements IClosable {
+  private timer: ITimer | undefined
+
+  /** @param dependencies what it is built from */
+  constructor (private readonly dependencies: UsageReporterDependencies) {
+    dependencies.exchange.addAggregation(USAGE_AGGREGATION)
+  }
+
+  /** Begins to publish. */
+  start (): void {
+    const { clock } = this.dependencies
+    this.timer = clock.schedule(createDeadline(clock.now(), REPORT_INTERVAL_MS), () => {
+      this.publish()
+      this.start()
+    })
+  }
+
+  /** Ends publishing. */
+  close (): void {
+    this.timer?.close()
+  }
+
+  private publish (): void {
+    const { clock, exchange, gates, node } = this.dependencies
+    const now = clock.now()
+    const content = encodeUsage(gates.readUsage(now))
+    if (content !== undefined) exchange.publish({ topic: ExchangeTopic.VmUsage, key: node, content, at: now })
+  }
+}
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -8,6 +8,8 @@
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
 import type { IRandomSource } from '@umberspar/base/common/random'
+import { FleetUsage } from '@umberspar/steering/common/entry/admission/fleetUsage'
+import { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
 import { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
@@ -81,6 +83,7 @@
   private readonly quarantine: RequestQuarantine
   private readonly advisoryRecorder: AdvisoryRecorder
   private readonly pools: UpstreamPools
+  private readonly gates: ServiceGates
   private readonly upstreamLinks: UpstreamLinks
   private readonly relayPeers: RelayPeers
   private readonly servingNodes: ServingNodes
@@ -110,6 +113,7 @@
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(this.buildQuotas(roundTrips))
     this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
+    this.gates = new ServiceGates(new FleetUsage(undefined, settings.domain), dependencies.random)
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, this.timeoutClock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
     this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, eventLoop: this.eventLoop, telemetry: this.telemetry }))
     this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, this.timeoutClock))
@@ -249,6 +253,7 @@
       quarantine: this.quarantine,
       roundTrips,
       pools: this.pools,
+      gates: this.gates,
       links: this.upstreamLinks.links,
       openAttempts: this.upstreamLinks.openAttempts,
       advisoryRecorder: this.advisoryRecorder,
@@ -271,7 +276,7 @@
 
   private buildGauges (): EntryGauges {
     const { clock } = this.dependencies
-    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, isReady: () => this.servingNodes.isReady() })
+    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, isReady: () => this.servingNodes.isReady(), gates: this.gates })
   }
 
   private handleChange (event: ViewEvent): void {
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -14,6 +14,7 @@
 import type { OpenAttempts } from './openAttempts.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
+import type { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import type { AdvisoryRecorder } from '../upstream/advisoryRecorder.js'
 import type { UpstreamPools } from '../upstream/upstreamPools.js'
@@ -42,6 +43,8 @@
   readonly quarantine: RequestQuarantine
   readonly roundTrips: DomainRoundTrips
   readonly pools: UpstreamPools
+  /** Which requests yield at services without enough room. */
+  readonly gates: ServiceGates
   /** Whether this VM reaches the workers of each service. */
   readonly links: WorkerLinks
   readonly openAttempts: OpenAttempts
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -22,6 +22,7 @@
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
+import { RequestAdmission } from './requestAdmission.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
 import { getRefusal, REASON_BY_DENIAL, REFUSAL_BY_UNAVAILABILITY } from './refusals.js'
@@ -46,6 +47,7 @@
   /** Attempts by way of other VMs. */
   private relays = 0
   private readonly quota: RequestQuota
+  private readonly admission: RequestAdmission
   private mayHaveRun = false
   private fallbackResponse: BufferedResponse | undefined
   private deadlineTimer: ITimer | undefined
@@ -65,6 +67,7 @@
     this.triedWorkers = new Set(relayOrigin?.excludedWorkers)
     this.attemptCounts = { sent: relayOrigin?.attempts ?? 0, unsent: 0, refused: 0 }
     this.quota = new RequestQuota(context, request)
+    this.admission = new RequestAdmission(context, request, this.service)
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
     this.deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
   }
@@ -95,8 +98,7 @@
 
   private startNextAttempt (): void {
     if (this.isEnded) return
-    const { context } = this
-    const { clock, view } = context
+    const { context, context: { clock, view } } = this
     const now = clock.now()
     if (hasPassed(this.deadline, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable)
     const homeRegions = this.checkAccess()
@@ -106,7 +108,8 @@
     const choice = this.chooseWorker(homeRegions, now)
     if (isDisconnected && (choice === undefined || !context.pools.hasIdle(choice.candidate.tracker.registration.id))) return this.startRelay(homeRegions)
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
-    if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
+    const refusal = this.admission.findRefusal(choice, this.attemptCounts.sent, now) ?? (this.shouldAttempt(choice, now) ? undefined : EndReason.DeadlineUnreachable)
+    if (refusal !== undefined) return this.endWithoutResponse(refusal, choice)
     if (this.attemptCounts.sent > 0 && !view.getRetryBudget(this.service).take(now)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
     logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.attemptCounts.sent + this.attemptCounts.unsent + 1, choice, now })
     this.triedWorkers.add(choice.candidate.tracker.registration.id)
@@ -139,8 +142,7 @@
 
   /** Has another VM send the request to a worker, as this VM reaches none. */
   private startRelay (homeRegions: readonly string[]): void {
-    const { relayPeers, location, telemetry } = this.context
-    const { requestId, relayOrigin } = this.request
+    const { context: { relayPeers, location, telemetry }, request: { requestId, relayOrigin } } = this
     if (relayOrigin !== undefined) return this.endWithoutResponse(EndReason.RelayUnable)
     const node = this.relays < MAX_RELAYS ? relayPeers.choose(this.service, { ...location, homeRegions }) : undefined
     if (node === undefined) return this.endWithoutResponse(EndReason.NoWorker)
@@ -291,6 +293,7 @@
     this.deadlineTimer?.close()
     this.request.body.release()
     this.returnQuota()
+    this.admission.recordEnd(reason)
     const { route, requestId, arrivedAt, relayOrigin } = this.request
     logRequestEnd(this.context, { requestId, route, service: this.service, account: this.quota.accountName, status, outcome, reason, attempts: this.attemptCounts.sent, arrivedAt, retryAfterMs, isRelayed: relayOrigin !== undefined })
   }
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -29,6 +29,8 @@
   [EndReason.RateLimited]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers\' rate limits are exhausted' },
   [EndReason.WorkersCoolingDown]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers have asked for a pause' },
   [EndReason.DeadlineUnreachable]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no worker would answer in time' },
+  [EndReason.PriorityYielded]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: more urgent requests need the room' },
+  [EndReason.AccountOverShare]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the client account has its share of the room' },
   [EndReason.WorkersRefused]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the workers refused the request' },
   [EndReason.RelayUnable]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: this entry VM can\'t take relayed requests now' },
   [EndReason.Quarantined]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: workers crashed under this request; it is quarantined' },
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -1,5 +1,6 @@
 /** The values of an entry process's gauges, read when the metrics are fetched. */
 import type { IClock } from '@umberspar/base/common/clock'
+import type { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { RetryBudgetState } from '@umberspar/steering/common/entry/retry/sharedRetryBudget'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
@@ -11,7 +12,7 @@
 import type { AccountQuotas } from '../quota/accountQuotas.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
-import type { GaugeSource } from './entryMetrics.js'
+import type { AccountShareState, GaugeSource } from './entryMetrics.js'
 
 /** The value of unknown ages, since a gauge always has a value. */
 const UNKNOWN_AGE_SECONDS = -1
@@ -29,6 +30,7 @@
   readonly eventLoop: EventLoopMonitor
   readonly links: WorkerLinks
   readonly relayPeers: RelayPeers
+  readonly gates: ServiceGates
   isReady(): boolean
 }
 
@@ -46,6 +48,10 @@
     return [...this.dependencies.view.listRetryBudgets()].map(([service, retryBudget]) => [service, retryBudget.read(now)] as const)
   }
 
+  readAccountShares (): AccountShareState[] {
+    return [...this.dependencies.gates.list()].flatMap(([service, gate]) => gate.listOverShare().map((account) => ({ service, ...account })))
+  }
+
   readGauges (): Readonly<Record<string, number>> {
     const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, eventLoop, links, relayPeers, isReady } = this.dependencies
     const now = clock.now()
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -12,12 +12,26 @@
   slackSharers: { name: 'umberspar_retry_budget_slack_sharers', help: 'VMs among which the slack of the retry budget is divided by service' }
 }
 
+/** A client account over its fair share of a service; use and share are relative to all requests of the priority. */
+export interface AccountShareState {
+  readonly service: string
+  readonly priority: number
+  readonly account: string
+  readonly use: number
+  readonly share: number
+}
+
+/** Accounts over their share that are listed for all services together. */
+const MAX_LISTED_ACCOUNTS = 32
+
 /** Provides the values of gauges when the metrics are fetched. */
 export interface GaugeSource {
   /** @returns values by name; the names contain the units */
   readGauges(): Readonly<Record<string, number>>
   /** @returns the retry budget of each service */
   readRetryBudgets(): Iterable<readonly [service: string, state: RetryBudgetState]>
+  /** @returns the accounts that are over their share; none if missing */
+  readAccountShares?(): readonly AccountShareState[]
 }
 
 /** The metrics of one process. */
@@ -35,6 +49,9 @@
   private readonly droppedLogLines
   private readonly latencySeconds
   private readonly retryBudgetGauges
+  private readonly yields
+  private readonly accountUse
+  private readonly accountShare
   private readonly gauges = new Map<string, Gauge>()
 
   constructor () {
@@ -50,6 +67,10 @@
     this.retryBudgetGauges = Object.entries(RETRY_BUDGET_GAUGES).map(([field, { name, help }]) => {
       return { field: field as keyof RetryBudgetState, gauge: new Gauge({ name, help, labelNames: ['service'], registers }) }
     })
+    this.yields = new Counter({ name: 'umberspar_yields_total', help: 'Requests refused by their rank at services without room by service, reason and priority', labelNames: ['service', 'reason', 'priority'], registers })
+    const accountLabels = ['service', 'priority', 'account']
+    this.accountUse = new Gauge({ name: 'umberspar_account_use_ratio', help: 'What an account over its fair share asks, relative to all requests of the priority', labelNames: accountLabels, registers })
+    this.accountShare = new Gauge({ name: 'umberspar_account_fair_share_ratio', help: 'The fair share of an account that is over it, relative to all requests of the priority', labelNames: accountLabels, registers })
     this.latencySeconds = new Histogram({ name: 'umberspar_request_seconds', help: 'From the head of a request to the end of its answer', labelNames: ['service', 'end'], buckets: LATENCY_BUCKETS_SECONDS, registers })
   }
 
@@ -58,6 +79,11 @@
     this.relays.inc({ direction, end })
   }
 
+  /** Counts a request that was refused by its rank. */
+  countYield (service: string, reason: string, priority: number): void {
+    this.yields.inc({ service, reason, priority })
+  }
+
   /** Counts a request that has ended. */
   countRequest (kind: string, end: string, reason: string): void {
     this.requests.inc({ kind, end, reason })
@@ -107,9 +133,19 @@
     for (const [service, state] of source.readRetryBudgets()) {
       for (const { field, gauge } of this.retryBudgetGauges) gauge.set({ service }, state[field])
     }
+    this.setAccountShares(source.readAccountShares?.() ?? [])
     return `${await this.gaugeRegistry.metrics()}\n${await this.registry.metrics()}`
   }
 
+  private setAccountShares (states: readonly AccountShareState[]): void {
+    this.accountUse.reset()
+    this.accountShare.reset()
+    for (const { service, priority, account, use, share } of states.slice(0, MAX_LISTED_ACCOUNTS)) {
+      this.accountUse.set({ service, priority, account }, use)
+      this.accountShare.set({ service, priority, account }, share)
+    }
+  }
+
   private getGauge (name: string): Gauge {
     let gauge = this.gauges.get(name)
     if (gauge === undefined) {
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -93,6 +93,26 @@
   readonly proofAgeMs: number | undefined
 }
 
+/** The log fields of a request that was refused by its rank, with what the decision was based on. */
+export interface YieldLogFields {
+  readonly requestId: string | undefined
+  readonly service: string
+  readonly route: string
+  readonly reason: EndReason
+  readonly priority: number
+  readonly account: string | undefined
+  readonly saturation: number
+  readonly onTimeProbability: number
+  /** The part of what is asked of the service that has to be refused. */
+  readonly shortageRatio: number
+  /** The part of such requests that is admitted. */
+  readonly admittedRatio: number
+  readonly accountUse: number | undefined
+  readonly accountShare: number | undefined
+  /** Age of what other VMs told, in milliseconds. */
+  readonly knowledgeAgeMs: number | undefined
+}
+
 /** The log fields of a large record update that was sent to other VMs. */
 export interface LargeUpdateLogFields {
   readonly revision: number
@@ -118,6 +138,10 @@
   return Math.round(value * 10) / 10
 }
 
+function toHundredths (value: number): number {
+  return Math.round(value * 100) / 100
+}
+
 /** Logs and counts requests, attempts, and changes of the view of the deployment. */
 export class EntryTelemetry {
   /**
@@ -210,6 +234,23 @@
     this.logger.log(LogLevel.Info, { step: 'tell-records', ...fields }, 'large record update sent to other VMs')
   }
 
+  /** Logs and counts a request that was refused by its rank. */
+  logYield ({ outcome: _, ...fields }: YieldLogFields & { readonly outcome: unknown }): void {
+    this.metrics.countYield(fields.service, fields.reason, fields.priority)
+    const context = {
+      step: 'yield-request',
+      ...fields,
+      saturation: toHundredths(fields.saturation),
+      onTimeProbability: toHundredths(fields.onTimeProbability),
+      shortageRatio: toHundredths(fields.shortageRatio),
+      admittedRatio: toHundredths(fields.admittedRatio),
+      accountUse: fields.accountUse === undefined ? undefined : toHundredths(fields.accountUse),
+      accountShare: fields.accountShare === undefined ? undefined : toHundredths(fields.accountShare),
+      knowledgeAgeMs: fields.knowledgeAgeMs === undefined ? undefined : Math.round(fields.knowledgeAgeMs)
+    }
+    this.logger.log(LogLevel.Warn, context, 'request yields at a service without room')
+  }
+
   /** Logs and counts the end of a request. */
   logRequestEnd (fields: RequestEndLogFields): void {
     this.metrics.countRequest(fields.kind, fields.end, fields.reason)
--- a/packages/entry/src/node/telemetry/requestOutcomes.ts
+++ b/packages/entry/src/node/telemetry/requestOutcomes.ts
@@ -46,6 +46,10 @@
   WorkersCoolingDown = 'workers-cooling-down',
   /** Every worker is expected to respond after the deadline. */
   DeadlineUnreachable = 'too-late',
+  /** The service has no room, and more urgent requests need it. */
+  PriorityYielded = 'priority-yielded',
+  /** The service has no room, and the client account asks for more than its fair share of it. */
+  AccountOverShare = 'account-over-share',
   /** Workers refused the request, and no further attempt is allowed. */
   WorkersRefused = 'workers-refused',
   /** This VM can't take the relayed request of another one. */
--- a/packages/steering/src/common/entry/admission/fairShare.ts
+++ b/packages/steering/src/common/entry/admission/fairShare.ts
@@ -24,6 +24,8 @@
 
 /** How many times the equal share an account has to ask to be heavy. */
 const HEAVY_RATIO = 1.5
+/** How far beyond that, in square roots of the equal share, so that chance makes no account heavy. */
+const CHANCE_MARGIN = 3
 /** Weighted number of recent requests below which an account isn't known to be heavy. */
 const MIN_HEAVY_COUNT = 6
 
@@ -49,7 +51,8 @@
 export function computeFairShare ({ total, accounts, servedRatio }: AccountDemand, room: number): FairShare {
   const sharers = accounts.size
   if (room >= total || sharers < 2) return NOBODY_OVER
-  const minHeavy = Math.max(MIN_HEAVY_COUNT, HEAVY_RATIO * total / sharers)
+  const equalShare = total / sharers
+  const minHeavy = Math.max(MIN_HEAVY_COUNT, HEAVY_RATIO * equalShare + CHANCE_MARGIN * Math.sqrt(equalShare))
   const heavy = new Map([...accounts].filter(([, asked]) => asked > minHeavy))
   const heavyTotal = [...heavy.values()].reduce((sum, asked) => sum + asked, 0)
   const others = total - heavyTotal
--- a/packages/steering/src/common/entry/admission/serviceGate.ts
+++ b/packages/steering/src/common/entry/admission/serviceGate.ts
@@ -147,7 +147,7 @@
 
   /** Callers that came back borrow from later first arrivals. */
   private takeCredit (name: string, ratio: number, hasReturned: boolean): boolean {
-    const credit = Math.min(1, (this.credits.get(name) ?? this.random.next()) + ratio)
+    const credit = (this.credits.get(name) ?? this.random.next()) + ratio
     const isAdmitted = credit >= (hasReturned ? 0 : 1)
     this.credits.set(name, isAdmitted ? credit - 1 : credit)
     return isAdmitted
