--- a/packages/entry/src/node/front/requestAdmission.ts
+++ b/packages/entry/src/node/front/requestAdmission.ts
@@ -21,7 +21,7 @@
  * @returns its rank, by the configuration in force
  */
 export function buildRank (context: EntryContext, { route, keyDigest }: BufferedRequest): RequestRank {
-  const account = keyDigest === undefined ? undefined : context.view.accounts?.findByDigest(keyDigest)
+  const { account } = context.accessController.decide(route, keyDigest)
   return { priority: account?.priority ?? route.priority, account: account?.name, hasReturned: false }
 }
 
--- a/packages/steering/src/common/entry/admission/fleetUsage.ts
+++ b/packages/steering/src/common/entry/admission/fleetUsage.ts
@@ -14,7 +14,7 @@
 }
 
 /** The rows are summed up again after this time. */
-const REFRESH_MS = 250
+const REFRESH_MS = 500
 
 /** The usage of all services. */
 export class FleetUsage {
--- a/packages/steering/test/common/entry/admission/overloadReplay.test.ts
+++ b/packages/steering/test/common/entry/admission/overloadReplay.test.ts
@@ -36,7 +36,7 @@
   return quiet.reduce((sum, { served }) => sum + served, 0) / quiet.reduce((sum, { asked }) => sum + asked, 0)
 }
 
-function replay (streams: readonly Stream[], seed: number, options: Partial<ReplayOptions> = {}): OverloadReplay {
+function runReplay (streams: readonly Stream[], seed: number, options: Partial<ReplayOptions> = {}): OverloadReplay {
   return new OverloadReplay(streams, { ...OPTIONS, seed, ...options }).run()
 }
 
@@ -48,9 +48,9 @@
   for (const factor of [1.7, 2.2]) {
     for (const seed of SEEDS) {
       it(`serves urgent requests no less often than overflow at ${factor} times, seed ${seed}`, () => {
-        const played = replay(listKinds(factor), seed)
+        const played = runReplay(listKinds(factor), seed)
         assert.ok(played.getServedRatio('urgent') >= played.getServedRatio('overflow') - PRIORITY_TOLERANCE, JSON.stringify([...played.tallies]))
-        assert.ok(played.getServedRatio('urgent') > replay(listKinds(factor), seed, { isGated: false }).getServedRatio('urgent') + 0.1)
+        assert.ok(played.getServedRatio('urgent') > runReplay(listKinds(factor), seed, { isGated: false }).getServedRatio('urgent') + 0.1)
       })
     }
   }
@@ -58,7 +58,7 @@
   it('does not starve the less urgent kind', () => {
     // Guards against a kind that is served less than a quarter as often as all requests.
     for (const seed of SEEDS) {
-      const played = replay(listKinds(2.2), seed)
+      const played = runReplay(listKinds(2.2), seed)
       const all = [...played.tallies.values()].reduce((sum, { served }) => sum + served, 0) / [...played.tallies.values()].reduce((sum, { asked }) => sum + asked, 0)
       assert.ok(played.getServedRatio('overflow') >= all / 4, JSON.stringify([...played.tallies]))
     }
@@ -66,25 +66,25 @@
 
   it('limits nobody while there is room', () => {
     for (const seed of SEEDS) {
-      const played = replay(listKinds(1), seed, { slots: 60 })
+      const played = runReplay(listKinds(1), seed, { slots: 60 })
       assert.equal(countYields(played), 0)
     }
     for (const seed of SEEDS) {
-      for (const { refusedWithRoom } of replay(listKinds(2.2), seed).tallies.values()) assert.equal(refusedWithRoom, 0)
+      for (const { refusedWithRoom } of runReplay(listKinds(2.2), seed).tallies.values()) assert.equal(refusedWithRoom, 0)
     }
   })
 
   it('decides as without ranks where one priority occurs', () => {
     for (const seed of SEEDS) {
       const streams = listKinds(2.2).slice(0, 1)
-      assert.equal(countYields(replay(streams, seed)), 0)
+      assert.equal(countYields(runReplay(streams, seed)), 0)
     }
   })
 
   it('keeps the order of priorities while workers refuse 55 % for 8 s', () => {
     // Workers refuse by chance, so the ratios of one play vary by more than the tolerance.
     const seeds = Array.from({ length: 16 }, (_, index) => SEEDS[0]! + index)
-    const played = seeds.map((seed) => replay(listKinds(1.7), seed, { durationMs: 11_000, getRefusedRatio: (at) => at >= BURST_FROM_MS ? 0.55 : 0 }))
+    const played = seeds.map((seed) => runReplay(listKinds(1.7), seed, { durationMs: 11_000, getRefusedRatio: (at) => at >= BURST_FROM_MS ? 0.55 : 0 }))
     const getMean = (name: string): number => played.reduce((sum, each) => sum + each.getServedRatio(name), 0) / played.length
     assert.ok(getMean('urgent') >= getMean('overflow') - PRIORITY_TOLERANCE, `${getMean('urgent')} and ${getMean('overflow')}`)
   })
@@ -94,8 +94,8 @@
   for (const seed of SEEDS) {
     it(`serves quiet accounts as without it, 20 accounts, seed ${seed}`, () => {
       const options = { countFromMs: BURST_FROM_MS + 1_500 }
-      const without = getQuietRatio(replay(listAccounts(20, 4, 1), seed, options))
-      const beside = replay(listAccounts(20, 4, 8), seed, options)
+      const without = getQuietRatio(runReplay(listAccounts(20, 4, 1), seed, options))
+      const beside = runReplay(listAccounts(20, 4, 8), seed, options)
       assert.ok(getQuietRatio(beside) >= without - 0.05, `${getQuietRatio(beside)} beside it, ${without} without it`)
       // Its fair share is what one of 20 accounts may have of the 100 requests a second that there is room for.
       const { asked, served } = beside.tallies.get('account-0')!
@@ -104,12 +104,12 @@
     })
 
     it(`refuses none of 77 like accounts as over its share, seed ${seed}`, () => {
-      assert.equal(countYields(replay(listAccounts(77, 2, 1), seed)), 0)
+      assert.equal(countYields(runReplay(listAccounts(77, 2, 1), seed)), 0)
     })
   }
 
   it('finds the account without the exchange where one VM has enough requests', () => {
-    const played = replay(listAccounts(20, 4, 8), SEEDS[0]!, { vms: 1, hasExchange: false })
+    const played = runReplay(listAccounts(20, 4, 8), SEEDS[0]!, { vms: 1, hasExchange: false })
     assert.ok(played.tallies.get('account-0')!.overShare > 0)
   })
 })
@@ -126,12 +126,12 @@
   for (const [name, changeRow] of Object.entries(ABSURD)) {
     it(`never refuses while there is room, nor all of an account: ${name}`, () => {
       for (const seed of SEEDS) {
-        const played = replay([...listAccounts(20, 4, 8), ...listKinds(1.7, 5).slice(1)], seed, { changeRow })
+        const played = runReplay([...listAccounts(20, 4, 8), ...listKinds(1.7, 5).slice(1)], seed, { changeRow })
         for (const [stream, { asked, served, refusedWithRoom }] of played.tallies) {
           assert.equal(refusedWithRoom, 0, stream)
           assert.ok(asked < 20 || served > 0, `${stream}: ${served} of ${asked}`)
         }
-        assert.equal(countYields(replay(listAccounts(20, 4, 1), seed, { changeRow, slots: 60 })), 0)
+        assert.equal(countYields(runReplay(listAccounts(20, 4, 1), seed, { changeRow, slots: 60 })), 0)
       }
     })
   }
@@ -140,8 +140,8 @@
     // Guards against taking a VM that knows nothing for one without demand.
     for (const seed of SEEDS) {
       const options = { countFromMs: BURST_FROM_MS + 1_500, listRestarts: (at: number) => at === 6_000 ? [0, 1, 2, 3, 4, 5, 6, 7] : [] }
-      const without = getQuietRatio(replay(listAccounts(20, 4, 1), seed, options))
-      const beside = getQuietRatio(replay(listAccounts(20, 4, 8), seed, options))
+      const without = getQuietRatio(runReplay(listAccounts(20, 4, 1), seed, options))
+      const beside = getQuietRatio(runReplay(listAccounts(20, 4, 8), seed, options))
       assert.ok(beside >= without - 0.08, `${beside} beside it, ${without} without it`)
     }
   })
--- a/packages/steering/test/common/entry/admission/overloadReplay.ts
+++ b/packages/steering/test/common/entry/admission/overloadReplay.ts
@@ -79,7 +79,7 @@
       this.releaseSlots(now)
       if (now % PUBLISH_MS === 0 && this.options.hasExchange !== false) this.publishRows(now)
       for (const index of this.options.listRestarts?.(now) ?? []) this.gates[index] = this.createGate(index)
-      for (const stream of this.streams) this.playStream(stream, now)
+      for (const stream of this.streams) this.runStream(stream, now)
     }
     return this
   }
@@ -115,14 +115,14 @@
     }
   }
 
-  private playStream (stream: Stream, now: number): void {
+  private runStream (stream: Stream, now: number): void {
     const expected = stream.getRate(now) * STEP_MS / 1_000
     // A Bernoulli trial for each request that is possible in a step.
     const trials = Math.max(1, Math.ceil(expected * 4))
-    for (let trial = 0; trial < trials; trial++) if (this.random.next() < expected / trials) this.playRequest(stream, now)
+    for (let trial = 0; trial < trials; trial++) if (this.random.next() < expected / trials) this.runRequest(stream, now)
   }
 
-  private playRequest (stream: Stream, now: number): void {
+  private runRequest (stream: Stream, now: number): void {
     const tally = now >= (this.options.countFromMs ?? 0) ? this.tallies.get(stream.name)! : { asked: 0, served: 0, onTime: 0, yielded: 0, overShare: 0, refusedWithRoom: 0 }
     tally.asked++
     const gate = this.gates[Math.floor(this.random.next() * this.gates.length)]!
--- a/packages/steering/test/common/entry/admission/serviceGate.test.ts
+++ b/packages/steering/test/common/entry/admission/serviceGate.test.ts
@@ -20,7 +20,7 @@
 }
 
 /** Has requests of some ranks find no room, and counts what became of them. */
-function playNoRoom (gate: ServiceGate, ranks: readonly RequestRank[], rounds = 200, from = 0): Map<string, number> {
+function runWithoutRoom (gate: ServiceGate, ranks: readonly RequestRank[], rounds = 200, from = 0): Map<string, number> {
   const counts = new Map<string, number>()
   for (let round = 0; round < rounds; round++) {
     for (const rank of ranks) {
@@ -35,19 +35,19 @@
 describe('the gate of a service', () => {
   it('admits all as soon as there is room', () => {
     const gate = createGate()
-    playNoRoom(gate, [createRank(1), createRank(5)])
+    runWithoutRoom(gate, [createRank(1), createRank(5)])
     for (let index = 0; index < 20; index++) assert.equal(gate.decide(createRank(5), { saturation: 0.89, onTimeProbability: 0 }, 10_000 + index).outcome, GateOutcome.Admitted)
   })
 
   it('admits all where one priority occurs, and later where the others have ceased', () => {
     const gate = createGate()
-    assert.deepEqual([...playNoRoom(gate, [createRank(5)])], [['5 undefined admitted', 200]])
-    playNoRoom(gate, [createRank(1), createRank(5)], 20, 10_000)
-    assert.deepEqual([...playNoRoom(gate, [createRank(5)], 200, 40_000)], [['5 undefined admitted', 200]])
+    assert.deepEqual([...runWithoutRoom(gate, [createRank(5)])], [['5 undefined admitted', 200]])
+    runWithoutRoom(gate, [createRank(1), createRank(5)], 20, 10_000)
+    assert.deepEqual([...runWithoutRoom(gate, [createRank(5)], 200, 40_000)], [['5 undefined admitted', 200]])
   })
 
   it('has the least urgent yield, but not all of them', () => {
-    const counts = playNoRoom(createGate(), [createRank(0), createRank(4), createRank(9)])
+    const counts = runWithoutRoom(createGate(), [createRank(0), createRank(4), createRank(9)])
     assert.equal(counts.get('0 undefined admitted'), 200)
     assert.ok(counts.get('9 undefined admitted')! >= 50)
     assert.ok(counts.get('9 undefined admitted')! <= counts.get('4 undefined admitted')!)
@@ -70,8 +70,8 @@
 
   it('admits callers that came back before first arrivals, and no more in the long run', () => {
     const [gate, reference] = [createGate(), createGate()]
-    const mixed = playNoRoom(gate, [createRank(1), createRank(5)])
-    const returned = playNoRoom(reference, [createRank(1), createRank(5, undefined, true)])
+    const mixed = runWithoutRoom(gate, [createRank(1), createRank(5)])
+    const returned = runWithoutRoom(reference, [createRank(1), createRank(5, undefined, true)])
     assert.ok(Math.abs(returned.get('5 undefined admitted')! - mixed.get('5 undefined admitted')!) <= 2, JSON.stringify([...mixed, ...returned]))
     gate.decide(createRank(5), NO_ROOM, 20_000)
     assert.equal(gate.decide(createRank(5, undefined, true), NO_ROOM, 20_000).outcome, GateOutcome.Admitted)
@@ -82,11 +82,11 @@
     const content = encodeUsage(new Map([['desk', new Map([[1, { asked: 540, owed: 540, served: 540, accounts }]])]]))!
     const rows = [{ topic: ExchangeTopic.DomainUsage, key: 'south-1', content, at: 0 }]
     const ranks = [createRank(1, 'account-0'), createRank(1, 'account-1')]
-    const counts = playNoRoom(createGate(rows), ranks, 70)
+    const counts = runWithoutRoom(createGate(rows), ranks, 70)
     assert.ok(counts.get('1 account-0 account-over-share')! > 20)
     assert.ok(counts.get('1 account-0 admitted')! > 0)
     assert.equal(counts.get('1 account-1 admitted'), 70)
-    const silent = playNoRoom(createGate(rows), ranks, 70, 2 * USAGE_VALIDITY_MS)
+    const silent = runWithoutRoom(createGate(rows), ranks, 70, 2 * USAGE_VALIDITY_MS)
     assert.equal(silent.get('1 account-0 admitted'), 70)
   })
 
@@ -94,7 +94,7 @@
     const accounts = new Map([['account-0', 200], ['account-1', 20], ['account-2', 20]])
     const content = encodeUsage(new Map([['desk', new Map([[1, { asked: 240, owed: 240, served: 240, accounts }]])]]))!
     const gate = createGate([{ topic: ExchangeTopic.DomainUsage, key: 'south-1', content, at: 0 }])
-    playNoRoom(gate, [createRank(1, 'account-0')], 40)
+    runWithoutRoom(gate, [createRank(1, 'account-0')], 40)
     const decision = gate.decide(createRank(1, 'account-0'), NO_ROOM, 2_000)
     assert.ok(decision.accountUse! > decision.accountShare! && decision.accountUse! <= 1)
     assert.equal(decision.knowledgeAgeMs! > 0 && decision.knowledgeAgeMs! <= 2_000, true)
