--- a/packages/cli/src/common/explainRequest.ts
+++ b/packages/cli/src/common/explainRequest.ts
@@ -45,6 +45,8 @@
   'rate-limited': 'Refused, not run: no worker may take it, some of them only because of the rate limits that they declared (see limit-rate lines). Retry-After says when one of them can accept a request from this VM again.',
   'workers-cooling-down': 'Refused, not run: no worker may take it, some of them only because they asked this VM for a pause (see cool-down-worker lines). Retry-After says when the first pause ends.',
   'too-late': 'Refused, not run: even the best worker was expected to answer after the time limit. See waitMs, held and slowness of the last offers to that service.',
+  'priority-yielded': 'Refused, not run: the service had no room, and more urgent requests needed it. The yield-request line has its priority, the part that is admitted of such requests (admittedRatio) and how old the knowledge of other VMs was. See docs/operators/overload.md.',
+  'account-over-share': 'Refused, not run: the service had no room, and the client account asked for more than its fair share (accountUse and accountShare of the yield-request line). Other accounts were served first. See docs/operators/overload.md.',
   'workers-refused': 'Refused, not run: the workers that received it reported that they did not run it, because they were full or are leaving.',
   quarantined: 'Refused, not run: workers crashed earlier while they ran this request (quarantine-request lines have its digest and the workers). Find out what in the request crashes them; the quarantine expires by itself.',
   'repeats-spent': 'It may have run and may be retried, but the retry budget was exhausted.',
