Play priorities with real workers, and forget priorities after 3 s

Estimates with too few answers moved the level. Change: priorities without a request for 3 s don't count; too few answers leave the level as it is.

--- a/packages/entry/src/node/front/requestAdmission.ts
+++ b/packages/entry/src/node/front/requestAdmission.ts
@@ -45,12 +45,14 @@
   findRefusal (choice: UpstreamChoice, attempts: number, now: Instant): EndReason | undefined {
     if (this.rank !== undefined || attempts > 0) return undefined
     this.rank = buildRank(this.context, this.request)
-    const saturation = this.context.view.getPool(this.service).getSaturation(now)
-    const decision = this.context.gates.get(this.service).decide(this.rank, { saturation, onTimeProbability: choice.onTimeProbabilityOnHit }, now)
+    const { context: { view, gates, telemetry }, request: { route, requestId }, service } = this
+    const { hasEnoughSamples } = view.getServiceTimes(route, service)
+    const load = { saturation: view.getPool(service).getSaturation(now), onTimeProbability: hasEnoughSamples ? choice.onTimeProbabilityOnHit : undefined }
+    const decision = gates.get(service).decide(this.rank, load, now)
     if (decision.outcome === GateOutcome.Admitted) return undefined
     const reason = REASON_BY_OUTCOME[decision.outcome]
     const { priority, account } = this.rank
-    this.context.telemetry.logYield({ ...decision, requestId: this.request.requestId, service: this.service, route: this.request.route.name, reason, priority, account, saturation, onTimeProbability: choice.onTimeProbabilityOnHit })
+    telemetry.logYield({ ...decision, ...load, requestId, service, route: route.name, reason, priority, account })
     return reason
   }
 
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -102,7 +102,7 @@
   readonly priority: number
   readonly account: string | undefined
   readonly saturation: number
-  readonly onTimeProbability: number
+  readonly onTimeProbability: number | undefined
   /** The part of what is asked of the service that has to be refused. */
   readonly shortageRatio: number
   /** The part of such requests that is admitted. */
@@ -241,7 +241,7 @@
       step: 'yield-request',
       ...fields,
       saturation: toHundredths(fields.saturation),
-      onTimeProbability: toHundredths(fields.onTimeProbability),
+      onTimeProbability: fields.onTimeProbability === undefined ? undefined : toHundredths(fields.onTimeProbability),
       shortageRatio: toHundredths(fields.shortageRatio),
       admittedRatio: toHundredths(fields.admittedRatio),
       accountUse: fields.accountUse === undefined ? undefined : toHundredths(fields.accountUse),
--- a/packages/entry/test/node/front/requestAdmission.test.ts
+++ b/packages/entry/test/node/front/requestAdmission.test.ts
@@ -20,6 +20,7 @@
 describe('the admission of a request by its rank', () => {
   let clock: ManualClock
   let saturation: number
+  let hasEnoughSamples: boolean
   let context: EntryContext
   let metrics: EntryMetrics
   let lines: Array<Readonly<Record<string, unknown>>>
@@ -27,12 +28,13 @@
   beforeEach(() => {
     clock = new ManualClock()
     saturation = 1
+    hasEnoughSamples = true
     lines = []
     metrics = new EntryMetrics()
     const accounts: Readonly<Record<string, unknown>> = { 'digest-1': { name: 'urgent-account', priority: 0 }, 'digest-2': { name: 'usual-account' } }
     context = {
       clock,
-      view: { getPool: () => ({ getSaturation: () => saturation }) },
+      view: { getPool: () => ({ getSaturation: () => saturation }), getServiceTimes: () => ({ hasEnoughSamples }) },
       accessController: { decide: (_: unknown, digest: string) => ({ account: accounts[digest] }) },
       gates: new ServiceGates(new FleetUsage(undefined, 'north-1'), new SeededRandom(1)),
       telemetry: new EntryTelemetry({ log: (_: unknown, fields: Readonly<Record<string, unknown>>) => { lines.push(fields) } } as never, metrics)
@@ -98,6 +100,12 @@
     assert.equal(lines.length, 0)
   })
 
+  it('refuses nobody for an estimate that rests on too few answers', () => {
+    // Guards against an initial estimate that refuses requests and is therefore never corrected.
+    hasEnoughSamples = false
+    assert.deepEqual(countRefusals([[1], [3]]), [0, 0])
+  })
+
   it('tells callers that the request has not run', () => {
     for (const reason of [EndReason.PriorityYielded, EndReason.AccountOverShare]) {
       const { status, outcome, text } = getRefusal(reason)
--- a/packages/steering/src/common/entry/admission/recentRequests.ts
+++ b/packages/steering/src/common/entry/admission/recentRequests.ts
@@ -7,14 +7,15 @@
 
 /** Priorities that are counted apart. */
 const MAX_PRIORITIES = 16
-/** Priorities with a lower weighted count are forgotten. */
-const MIN_COUNT = 0.05
+/** Priorities without a request for this long don't occur any more. */
+const PRESENCE_MS = 3_000
 
 class PriorityRequests {
   readonly asked = new DecayingCount()
   readonly owed = new DecayingCount()
   readonly served = new DecayingCount()
   readonly accounts = new HeavyAccounts()
+  lastAt: Instant = Number.NEGATIVE_INFINITY
 
   read (now: Instant): PriorityUsage {
     const asked = this.asked.get(now)
@@ -35,6 +36,7 @@
   record ({ priority, account }: RequestRank, now: Instant): void {
     const requests = this.getPriority(priority, now)
     if (requests === undefined) return
+    requests.lastAt = now
     requests.asked.add(1, now)
     requests.owed.add(1, now)
     requests.served.add(1, now)
@@ -66,16 +68,21 @@
 
   /**
    * @param now the current time
-   * @returns the usage
+   * @returns the usage by the priorities that occurred in the last seconds
    */
   read (now: Instant): ServiceUsage {
+    this.evictAbsent(now)
     return new Map([...this.priorities].map(([priority, requests]) => [priority, requests.read(now)]))
   }
 
+  private evictAbsent (now: Instant): void {
+    for (const [priority, { lastAt }] of this.priorities) if (now - lastAt > PRESENCE_MS) this.priorities.delete(priority)
+  }
+
   private getPriority (priority: number, now: Instant): PriorityRequests | undefined {
     const known = this.priorities.get(priority)
     if (known !== undefined) return known
-    for (const [other, requests] of this.priorities) if (requests.asked.get(now) < MIN_COUNT) this.priorities.delete(other)
+    this.evictAbsent(now)
     if (this.priorities.size >= MAX_PRIORITIES) return undefined
     const created = new PriorityRequests()
     this.priorities.set(priority, created)
--- a/packages/steering/src/common/entry/admission/shortage.ts
+++ b/packages/steering/src/common/entry/admission/shortage.ts
@@ -8,8 +8,8 @@
 export interface ServiceLoad {
   /** Saturation of the service, from 0 (free slots) to 1 (no free slots). */
   readonly saturation: number
-  /** Probability of an answer on time from the best candidate if the object is cached there. */
-  readonly onTimeProbability: number
+  /** Probability of an answer on time from the best candidate if the object is cached there; undefined while too few answers were observed. */
+  readonly onTimeProbability: number | undefined
 }
 
 /** Saturation from which a service counts as without free slots. */
@@ -44,7 +44,8 @@
     const seconds = Math.max(0, Math.min(MAX_STEP_MS, now - this.at)) / MS_PER_SECOND
     this.at = Math.max(this.at, now)
     const isFull = saturation >= FULL_SATURATION
-    const change = isFull ? GAIN_PER_SECOND * (TARGET_ON_TIME_PROBABILITY - onTimeProbability) : -RELEASE_PER_SECOND
+    if (isFull && onTimeProbability === undefined) return
+    const change = isFull && onTimeProbability !== undefined ? GAIN_PER_SECOND * (TARGET_ON_TIME_PROBABILITY - onTimeProbability) : -RELEASE_PER_SECOND
     this.value = Math.min(MAX_REFUSED_RATIO, Math.max(0, this.value + change * seconds))
   }
 }
--- a/packages/steering/test/common/entry/admission/serviceGate.test.ts
+++ b/packages/steering/test/common/entry/admission/serviceGate.test.ts
@@ -43,7 +43,7 @@
     const gate = createGate()
     assert.deepEqual([...runWithoutRoom(gate, [createRank(5)])], [['5 undefined admitted', 200]])
     runWithoutRoom(gate, [createRank(1), createRank(5)], 20, 10_000)
-    assert.deepEqual([...runWithoutRoom(gate, [createRank(5)], 200, 40_000)], [['5 undefined admitted', 200]])
+    assert.deepEqual([...runWithoutRoom(gate, [createRank(5)], 200, 14_500)], [['5 undefined admitted', 200]])
   })
 
   it('has the least urgent yield, but not all of them', () => {
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -19,6 +19,7 @@
   readonly Sticky?: boolean
   readonly HomeRegions?: readonly string[]
   readonly NoAuth?: boolean
+  readonly Priority?: number
 }
 
 /** One client account of the operator's configuration; omitted fields are as in `ACCOUNT_DEFAULTS`. */
