--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -25,6 +25,7 @@
 import type { BufferedResponse } from './responseCollector.js'
 import type { BufferedRequest } from './bufferedRequest.js'
 import { planReturn, recordArrival, recordRefusal, takeRetry } from './callerReturns.js'
+import { RequestAdmission } from './requestAdmission.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
 import { chooseWorker } from './workerChoice.js'
@@ -50,6 +51,7 @@
   /** Attempts by way of other VMs. */
   private relays = 0
   private readonly quota: RequestQuota
+  private readonly admission: RequestAdmission
   private mayHaveRun = false
   private fallbackResponse: BufferedResponse | undefined
   private deadlineTimer: ITimer | undefined
@@ -69,6 +71,7 @@
     this.triedWorkers = new Set(relayOrigin?.excludedWorkers)
     this.attemptCounts = { sent: relayOrigin?.attempts ?? 0, unsent: 0, refused: 0 }
     this.quota = new RequestQuota(context, request)
+    this.admission = new RequestAdmission(context, request, this.service)
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
     this.deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
   }
@@ -111,9 +114,8 @@
       choice = this.chooseWorker(homeRegions, now, listWithoutIdleConnection(context, this.service, this.triedWorkers)) ?? this.chooseWorker(homeRegions, now)
     }
     if (choice === undefined) return this.endWithoutCandidates(homeRegions, now)
-    if (!this.shouldAttempt(choice, now)) return this.endWithoutResponse(EndReason.DeadlineUnreachable, choice)
-    const retry = { now, mayHaveRun: this.mayHaveRun, timeLeftMs: this.request.callerDeadline - now, expectedMs: choice.expectedMs }
-    if (this.attemptCounts.sent > 0 && !takeRetry(context, this.request, this.service, retry)) return this.endWithoutResponse(EndReason.RetryBudgetExhausted, choice)
+    const refusal = this.findRefusal(choice, now)
+    if (refusal !== undefined) return this.endWithoutResponse(refusal, choice)
     logAttempt(context, { requestId: this.request.requestId, route: this.request.route, service: this.service, affinityKey: this.affinityKey, attempt: this.attemptCounts.sent + this.attemptCounts.unsent + 1, choice, now })
     this.triedWorkers.add(choice.candidate.tracker.registration.id)
     this.lastChoice = choice
@@ -153,11 +155,17 @@
     }
   }
 
-  private shouldAttempt (choice: UpstreamChoice, now: Instant): boolean {
+  /** @returns why the request isn't sent to the chosen worker; undefined if it is */
+  private findRefusal (choice: UpstreamChoice, now: Instant): EndReason | undefined {
     const { view } = this.context
+    const { sent } = this.attemptCounts
     const { hasEnoughSamples } = view.getServiceTimes(this.request.route, this.service)
     const saturation = view.getPool(this.service).getSaturation(now)
-    return shouldAdmit(choice, { now, deadline: this.deadline, hasEnoughSamples, wasSent: this.attemptCounts.sent > 0, saturation })
+    const yielded = this.admission.findRefusal(choice, sent, now)
+    if (yielded !== undefined) return yielded
+    if (!shouldAdmit(choice, { now, deadline: this.deadline, hasEnoughSamples, wasSent: sent > 0, saturation })) return EndReason.DeadlineUnreachable
+    const retry = { now, mayHaveRun: this.mayHaveRun, timeLeftMs: this.request.callerDeadline - now, expectedMs: choice.expectedMs }
+    return sent === 0 || takeRetry(this.context, this.request, this.service, retry) ? undefined : EndReason.RetryBudgetExhausted
   }
 
   private chooseWorker (homeRegions: readonly string[], now: Instant, triedWorkers: ReadonlySet<string> = this.triedWorkers): UpstreamChoice | undefined {
@@ -285,6 +293,7 @@
     this.deadlineTimer?.close()
     this.request.body.release()
     this.returnQuota()
+    this.admission.recordEnd(reason)
     const { route, requestId, arrivedAt, relayOrigin } = this.request
     logRequestEnd(this.context, { requestId, route, service: this.service, account: this.quota.accountName, status, outcome, reason, attempts: this.attemptCounts.sent, arrivedAt, retryAfterMs, isRelayed: relayOrigin !== undefined, refusalInputs })
   }
