--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -28,6 +28,7 @@
 import type { EntryContext } from './front/entryContext.js'
 import { createFleetExchange } from './exchange/createFleetExchange.js'
 import type { FleetExchange } from './exchange/fleetExchange.js'
+import { FleetReports } from './exchange/fleetReports.js'
 import { CallerServer } from './front/callerServer.js'
 import { HeaderRewriter } from './front/headerRewriter.js'
 import { EventLoopMonitor } from './eventLoop/eventLoopMonitor.js'
@@ -92,6 +93,7 @@
   private readonly servingNodes: ServingNodes
   /** Undefined if the settings name no address for it. */
   private readonly exchange: FleetExchange | undefined
+  private readonly reports: FleetReports
   private readonly telemetry: EntryTelemetry
   private readonly timeoutClock: IClock
   /** Knows when what arrived has been read. */
@@ -119,10 +121,12 @@
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
     this.quotas = this.closeStack.add(createAccountQuotas({ ...dependencies, view: this.view, self: this.node, regionByDomain: this.regionByDomain, roundTrips, timeoutClock: this.timeoutClock, isLeaving: () => this.isDraining }))
     this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
-    this.gates = new ServiceGates(new FleetUsage(undefined, settings.domain), dependencies.random, (account) => this.view.accounts?.getShareWeight(account) ?? 1)
+    this.gates = new ServiceGates(new FleetUsage(this.exchange, settings.domain), dependencies.random, (account) => this.view.accounts?.getShareWeight(account) ?? 1)
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, this.timeoutClock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
     this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, eventLoop: this.eventLoop, telemetry: this.telemetry }))
-    this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, this.timeoutClock))
+    this.reports = this.closeStack.add(new FleetReports({ clock, exchange: this.exchange, view: this.view, gates: this.gates, links: this.upstreamLinks.links, regionByDomain: this.regionByDomain, telemetry: this.telemetry, node: settings.node, isPlacementAdaptive: settings.maxShift !== undefined }))
+    this.upstreamLinks.onDidChange(() => { this.reports.lostServices.report() })
+    this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, this.timeoutClock, (service) => this.reports.lostServices.listVmsWithout(service)))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
@@ -153,6 +157,7 @@
     this.eventLoop.start()
     this.upstreamLinks.start()
     this.exchange?.start()
+    this.reports.start()
     registration.start()
     this.synchronizer.start()
   }
@@ -241,6 +246,7 @@
       roundTrips,
       pools: this.pools,
       gates: this.gates,
+      reports: this.reports,
       links: this.upstreamLinks.links,
       openAttempts: this.upstreamLinks.openAttempts,
       advisoryRecorder: this.advisoryRecorder,
--- a/packages/entry/src/node/front/callerReturns.ts
+++ b/packages/entry/src/node/front/callerReturns.ts
@@ -24,11 +24,12 @@
  * Records that a request arrived, once, whether it is sent or not: the retry budget grows with
  * requests, not with attempts to open a connection. The VM that relayed a request has counted it.
  */
-export function recordArrival ({ view, clock }: EntryContext, { relayOrigin, visit }: AcceptedRequest, service: string): void {
+export function recordArrival ({ view, clock, reports }: EntryContext, { relayOrigin, visit }: AcceptedRequest, service: string): void {
   if (relayOrigin !== undefined) return
   const retryBudget = view.getRetryBudget(service)
   retryBudget.recordFirstAttempt(clock.now())
   if (visit === CallerVisit.Returned) retryBudget.recordReturn()
+  reports.recordArrival(service)
 }
 
 /** A request that is refused, as far as it is known. */
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -10,6 +10,7 @@
 import type { ProofWaiter } from '../accounts/proofWaiter.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { RecordsAge } from '../replica/recordsAge.js'
+import type { FleetReports } from '../exchange/fleetReports.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
 import type { OpenAttempts } from './openAttempts.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
@@ -45,6 +46,7 @@
   readonly pools: UpstreamPools
   /** Which requests yield at services without enough room. */
   readonly gates: ServiceGates
+  readonly reports: FleetReports
   /** Whether this VM reaches the workers of each service. */
   readonly links: WorkerLinks
   readonly openAttempts: OpenAttempts
--- a/packages/entry/src/node/front/requestAdmission.ts
+++ b/packages/entry/src/node/front/requestAdmission.ts
@@ -1,5 +1,6 @@
 /** The admission of one request by its rank, at a service that may lack room. */
 import type { Instant } from '@umberspar/base/common/clock'
+import { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import type { RequestRank } from '@umberspar/steering/common/entry/admission/requestRank'
 import { GateOutcome } from '@umberspar/steering/common/entry/admission/serviceGate'
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
@@ -20,9 +21,9 @@
  * @param request the request
  * @returns its rank, by the configuration in force
  */
-export function buildRank (context: EntryContext, { route, keyDigest }: BufferedRequest): RequestRank {
+export function buildRank (context: EntryContext, { route, keyDigest, visit }: BufferedRequest): RequestRank {
   const { account } = context.accessController.decide(route, keyDigest)
-  return { priority: account?.priority ?? route.priority, account: account?.name, hasReturned: false }
+  return { priority: account?.priority ?? route.priority, account: account?.name, hasReturned: visit === CallerVisit.Returned }
 }
 
 /** Asks the gate of the request's service once. */
