--- a/packages/steering/src/common/entry/placement/demandSteps.ts
+++ b/packages/steering/src/common/entry/placement/demandSteps.ts
@@ -22,10 +22,10 @@
 const MIN_STEP_RATIO = 0.4
 /** Once the demand has not changed for this long, smaller steps are taken too, so that all VMs arrive at the same shares. */
 const SETTLE_MS = 10_000
-/** Regions' parts of the demand are rounded to multiples of this, so that VMs follow the same values. */
-const DEMAND_QUANTUM = 0.01
-/** Changes of a region's part of the demand below this are ignored. */
-const MIN_DEMAND_CHANGE = 0.03
+/** Regions' parts of the demand are rounded to multiples of this, relative to an even part, so that VMs follow the same values. */
+const DEMAND_QUANTUM_RATIO = 0.03
+/** Changes of a region's part of the demand below this, relative to an even part, are ignored. */
+const MIN_DEMAND_CHANGE_RATIO = 0.09
 /** The usable part of a region's slots is rounded to multiples of this, and never 0. */
 const USABLE_QUANTUM = 0.125
 /** The last known demand is used for this long; then it becomes equal in all domains, in steps. */
@@ -133,7 +133,8 @@
     const total = regions.reduce((sum, region) => sum + (demandByRegion.get(region) ?? 0), 0)
     if (!(total > 0 && total < Infinity)) return undefined
     // A region with hardly any demand keeps a part: without supply, nothing would limit its shares.
-    const parts = new Map(regions.map((region) => [region, Math.max(DEMAND_QUANTUM, DEMAND_QUANTUM * Math.round((demandByRegion.get(region) ?? 0) / total / DEMAND_QUANTUM))]))
+    const quantum = DEMAND_QUANTUM_RATIO / regions.length
+    const parts = new Map(regions.map((region) => [region, quantum * Math.max(1, Math.round((demandByRegion.get(region) ?? 0) / total / quantum))]))
     this.ownPeak.update(parts.get(this.region) ?? 0, now)
     if (parts.has(this.region)) parts.set(this.region, this.ownPeak.get(now))
     return { demandByRegion: scaleToSum(parts), usableByRegion: new Map(regions.map((region) => [region, toUsable(usableByRegion.get(region) ?? 1)])) }
@@ -158,7 +159,8 @@
 }
 
 function isOtherDemand (known: RegionDemand, measured: RegionDemand): boolean {
-  return [...measured.demandByRegion].some(([region, part]) => Math.abs(part - known.demandByRegion.get(region)!) >= MIN_DEMAND_CHANGE) ||
+  const minChange = MIN_DEMAND_CHANGE_RATIO / measured.demandByRegion.size
+  return [...measured.demandByRegion].some(([region, part]) => Math.abs(part - known.demandByRegion.get(region)!) >= minChange) ||
     [...measured.usableByRegion].some(([region, part]) => part !== known.usableByRegion.get(region))
 }
 
--- a/packages/steering/test/common/entry/placement/demandPlacement.test.ts
+++ b/packages/steering/test/common/entry/placement/demandPlacement.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { DemandPlacement, type PlacedWorker } from '../../../../src/common/entry/placement/demandPlacement.js'
-import { buildDivision, type RegionDemand, type WorkerCapacity } from '../../../../src/common/entry/placement/workerShares.js'
+import { KeyRanking } from '../../../../src/common/entry/placement/keyRanking.js'
+import { buildDivision, computeWorkerShares, type RegionDemand, type WorkerCapacity } from '../../../../src/common/entry/placement/workerShares.js'
 
 const MAX_SHIFT = 0.15
 const REGION_NAMES = ['a', 'b', 'c']
@@ -88,6 +89,28 @@
     assert.ok(2 * maxMoved <= MAX_SHIFT)
   })
 
+  it('moves no more objects to other regions with a step than the limit on shifts', () => {
+    const keys = Array.from({ length: 400 }, (_, index) => `object-${index}`)
+    const placement = new DemandPlacement(MAX_SHIFT, 'c-1', REGIONS)
+    const regionByWorker = new Map(WORKERS.map(({ id, domain }) => [id, REGIONS.get(domain)!]))
+    const listRegions = (): string[] => {
+      const ranking = new KeyRanking(computeWorkerShares(WORKERS, REGIONS, placement.demand).get('c-1')!)
+      return keys.map((key) => regionByWorker.get(ranking.rank(key)[0]!)!)
+    }
+    let before = listRegions()
+    let steps = 0
+    for (let now = 0; now < 2 * WAVE_PERIOD_MS; now += STEP_MS) {
+      const perSecondByRegion = new Map(REGION_NAMES.map((region, index) => [region, computeWaves(now)[index]!]))
+      if (!placement.update({ perSecondByRegion, coldPerSecond: 2, objectCount: 0, listWorkers: () => WORKERS }, now)) continue
+      steps++
+      const after = listRegions()
+      const moved = after.filter((region, index) => region !== before[index]).length / keys.length
+      assert.ok(moved <= MAX_SHIFT, `${moved} of the objects moved`)
+      before = after
+    }
+    assert.ok(steps > 5)
+  })
+
   it('counts cold workers by their limit and paused ones not at all', () => {
     const workers = WORKERS.map((worker) => ({ ...worker, isCold: worker.domain === 'a-1', isPaused: worker.domain === 'b-1' }))
     const placement = new DemandPlacement(MAX_SHIFT, 'c-1', REGIONS)
--- a/packages/steering/test/common/entry/placement/demandSteps.test.ts
+++ b/packages/steering/test/common/entry/placement/demandSteps.test.ts
@@ -90,6 +90,18 @@
     assert.equal(steps.demand, undefined)
   })
 
+  it('follow a region whose demand rises by half, also where there are many regions', () => {
+    const regions = new Map(Array.from({ length: 12 }, (_, index) => [`d-${index}`, `r-${index}`]))
+    const workers = [...regions.keys()].flatMap((domain) => Array.from({ length: 5 }, (_, index): WorkerCapacity => ({ id: `${domain}/${index}`, domain, slots: 4 })))
+    const steps = new DemandSteps(MAX_SHIFT, 'r-0', regions)
+    const demandByRegion = new Map([...regions.values()].map((region, index) => [region, index === 0 ? 150 : 100]))
+    const compute = buildDivision(workers, regions)
+    const measured = { demandByRegion, usableByRegion: new Map<string, number>() }
+    for (let now = 0; now < 60_000; now += 1_000) steps.step(measured, () => [compute], now)
+    const [even, inForce, exact] = [undefined, steps.demand, measured].map((demand) => compute(demand).get('r-0')!.get('r-0')!)
+    assert.ok(exact! < even! && Math.abs(inForce! - exact!) <= 0.01, `${inForce} instead of ${exact}, ${even} with equal demand`)
+  })
+
   it('keep the last known demand for a bounded time and then return to equal demand', () => {
     // Guards against all rows missing: neither a jump at once nor a division by demand of long ago.
     const steps = new DemandSteps(MAX_SHIFT, 'c', REGIONS)
