--- a/packages/steering/src/common/entry/placement/demandSteps.ts
+++ b/packages/steering/src/common/entry/placement/demandSteps.ts
@@ -15,7 +15,7 @@
 export const STEP_INTERVAL_MS = 2_000
 /**
  * The part of the permitted shift that a step may use. When the shares of several regions change at
- * once, up to twice the net change moves.
+ * once, up to twice as many objects move between regions as the shares say.
  */
 const STEP_RATIO = 0.4
 /** The smallest step while demand changes, as a part of the longest one: each step has all objects ranked again. */
@@ -31,9 +31,9 @@
 /** The last known demand is used for this long; then it becomes equal in all domains, in steps. */
 const LAST_KNOWN_VALIDITY_MS = 15_000
 /**
- * A region counts with its highest part of the demand of this time for its own requests. Its workers
- * then have room when its demand rises again, which a small region can't make fast enough, and
- * objects don't move back for a short time.
+ * For its own requests, a region counts with its highest part of the demand of this time. Steps are
+ * too slow to keep a small region's workers from overload when its demand rises again, and objects
+ * drawn back for a short time cost more cache misses than they save.
  */
 const PEAK_WINDOW_MS = 40_000
 /** Halvings of the interval in which the longest permitted step is searched. */
