Share load reports of workers between VMs, and read the pace

Cause: a VM sees one in 70 of a worker's requests, so it decides by reports that are seconds old; the load header's fourth figure was dropped.

Change: ICallerProtocol.parseLoad decodes the header, the pace included. WorkerLoad, split from UpstreamTracker, keeps the newest of a VM's own report and one that another VM passed on; requests sent since are added, those in flight are the lower bound. WorkerLoadExchange publishes and validates rows; without rows the count is as before. The attempt's log line gets reportAgeMs and pace; a gauge shows the median age of reports.

--- a/packages/entry/src/node/front/describeChoice.ts
+++ b/packages/entry/src/node/front/describeChoice.ts
@@ -3,7 +3,7 @@
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import type { AttemptLogFields } from '../telemetry/entryTelemetry.js'
 
-type ChoiceLogFields = Pick<AttemptLogFields, 'worker' | 'domain' | 'rank' | 'hand' | 'handChance' | 'expectedMs' | 'waitMs' | 'value' | 'held' | 'failure' | 'slowness' | 'isCold'>
+type ChoiceLogFields = Pick<AttemptLogFields, 'worker' | 'domain' | 'rank' | 'hand' | 'handChance' | 'expectedMs' | 'waitMs' | 'value' | 'held' | 'failure' | 'slowness' | 'isCold' | 'reportAgeMs' | 'pace'>
 
 /**
  * @param choice the chosen worker with its estimates
@@ -24,6 +24,8 @@
     held: tracker.countInFlight(now),
     failure: tracker.getFailureRate(now),
     slowness: tracker.getSlowdown(now),
-    isCold: tracker.isCold(now)
+    isCold: tracker.isCold(now),
+    reportAgeMs: tracker.load.getReportAgeMs(now),
+    pace: tracker.load.getPace(now)
   }
 }
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -4,6 +4,7 @@
 import type { ByteCosts } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import type { WorkerLoadExchange } from '@umberspar/steering/common/entry/workers/workerLoadExchange'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { AccessController } from '../accounts/accessController.js'
@@ -44,6 +45,8 @@
   readonly pools: UpstreamPools
   /** Whether this VM reaches the workers of each service. */
   readonly links: WorkerLinks
+  /** Passes load reports on to other VMs; undefined if VMs don't exchange them. */
+  readonly workerLoads?: WorkerLoadExchange
   readonly openAttempts: OpenAttempts
   /** Records what workers announce in their responses. */
   readonly advisoryRecorder: AdvisoryRecorder
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -36,6 +36,11 @@
   return Number.isFinite(ageMs) ? ageMs / MS_PER_SECOND : UNKNOWN_AGE_SECONDS
 }
 
+/** @returns the median; NaN if there are no values */
+function computeMedian (values: readonly number[]): number {
+  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? Number.NaN
+}
+
 /** The gauges of one process. */
 export class EntryGauges implements GaugeSource {
   /** @param dependencies the services whose state the gauges show */
@@ -62,6 +67,7 @@
       configuration_version_registered: view.nodeLists.newestVersion,
       entry_vms_known: view.countNodes(),
       workers_known: [...view.listTrackers()].length,
+      worker_reports_age_seconds: toSeconds(computeMedian([...view.listTrackers()].map(({ load }) => load.getReportAgeMs(now)).filter((ageMs) => ageMs !== undefined))),
       workers_rate_limited: [...view.listTrackers()].filter(({ rateLimit }) => rateLimit !== undefined).length,
       workers_draining_by_response: [...view.listTrackers()].filter(({ advisory }) => advisory.isDraining).length,
       workers_draining_by_registration: [...view.listTrackers()].filter(({ registration }) => registration.state === UpstreamState.Draining).length,
--- a/packages/entry/src/node/telemetry/entryTelemetry.ts
+++ b/packages/entry/src/node/telemetry/entryTelemetry.ts
@@ -36,6 +36,10 @@
   /** How many times slower the worker is than its service, at least 1. */
   readonly slowness: number
   readonly isCold: boolean
+  /** Age of the newest load report of the worker, in milliseconds; undefined if there is none. */
+  readonly reportAgeMs: number | undefined
+  /** How many times longer than usual work was assumed to take there; 1 if that wasn't known. */
+  readonly pace: number
   readonly configuration: number
   readonly era: number
   readonly revision: number
@@ -137,6 +141,8 @@
       value: Math.round(fields.value * 1_000) / 1_000,
       failure: Math.round(fields.failure * 100) / 100,
       slowness: Math.round(fields.slowness * 100) / 100,
+      reportAgeMs: fields.reportAgeMs === undefined ? undefined : Math.round(fields.reportAgeMs),
+      pace: Math.round(fields.pace * 100) / 100,
       recordsAgeMs: Math.round(fields.recordsAgeMs)
     }
     this.logger.log(fields.offer > 1 ? LogLevel.Warn : LogLevel.Info, context, 'request attempted at a worker')
--- a/packages/steering/src/common/entry/workers/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/workers/upstreamTracker.ts
@@ -5,13 +5,7 @@
 import { isSameIncarnation } from './departedWorkers.js'
 import { type UpstreamRegistration, UpstreamState } from '../records.js'
 import { WorkerAdvisory } from './workerAdvisory.js'
-
-/** The load that a worker reported with an answer. */
-export interface LoadReport {
-  readonly running: number
-  readonly waiting: number
-  readonly slots: number
-}
+import { type LoadReport, WorkerLoad } from './workerLoad.js'
 
 /** Weight of the newest request in the mean failure rate; five failures in a row give two thirds. */
 const FAILURE_SMOOTHING_FACTOR = 0.2
@@ -23,16 +17,6 @@
 const SLOWDOWN_HALF_LIFE_MS = 3_000
 /** Upper limit of a worker's slowdown relative to its service. */
 const MAX_SLOWDOWN_RATIO = 10
-/** How long a load report is used as it is; a request or two later the queue has changed. */
-const REPORT_VALIDITY_MS = 1_000
-/** Weight of the newest report in the mean load, which is used once the last report is too old. */
-const LOAD_SMOOTHING_FACTOR = 0.3
-/**
- * The mean load halves in this time without a report. In a large fleet a VM gets a report from
- * a worker every few seconds only; if it considered the worker idle in between, it would send
- * to full workers again and again.
- */
-const LOAD_HALF_LIFE_MS = 4_000
 /** A request that takes this many times as long as expected, and at least the time below, counts against its worker. */
 const OVERDUE_RATIO = 2.5
 /** Short requests are often late by chance; none is overdue before this time. */
@@ -53,12 +37,10 @@
   readonly rateMeter = new SlidingWindowCounter()
   /** Requests for which the worker was the first choice, sent or not, while it reported a rate limit. */
   readonly demandMeter = new SlidingWindowCounter()
+  /** What is running and waiting there. */
+  readonly load = new WorkerLoad()
   private coldUntil: Deadline
   private readonly inFlight = new Set<InFlightRequest>()
-  private lastReport: LoadReport | undefined
-  private reportedAt: Instant = Number.NEGATIVE_INFINITY
-  private meanLoad = 0
-  private sentSinceReport = 0
   private failureRate = 0
   private failureRateAt: Instant = 0
   private slowdown = 1
@@ -142,7 +124,7 @@
     const request = { overdueAt: now + Math.max(MIN_OVERDUE_MS, expectedMs * OVERDUE_RATIO) }
     this.inFlight.add(request)
     this.advisory.recordRequest(now)
-    this.sentSinceReport++
+    this.load.recordSend(now)
     this.sentCount++
     if (this.isCold(now)) this.coldMeter.record(now)
     if (this.rateLimit !== undefined) {
@@ -162,10 +144,7 @@
    * @param now when the answer arrived
    */
   recordReport (report: LoadReport, now: Instant): void {
-    this.meanLoad += LOAD_SMOOTHING_FACTOR * (report.running + report.waiting - this.meanLoad)
-    this.lastReport = report
-    this.reportedAt = now
-    this.sentSinceReport = 0
+    this.load.recordOwn(report, now)
   }
 
   /**
@@ -221,10 +200,7 @@
    *   has queued
    */
   countInFlight (now: Instant): number {
-    if (this.lastReport === undefined) return this.inFlight.size
-    const ageMs = now - this.reportedAt
-    if (ageMs > REPORT_VALIDITY_MS) return Math.max(this.inFlight.size, this.meanLoad * 2 ** (-(ageMs - REPORT_VALIDITY_MS) / LOAD_HALF_LIFE_MS))
-    return Math.max(this.inFlight.size, this.lastReport.running + this.lastReport.waiting + this.sentSinceReport)
+    return this.load.count(this.inFlight.size, now)
   }
 
   /**
--- a/packages/steering/src/common/ports/callerProtocol.ts
+++ b/packages/steering/src/common/ports/callerProtocol.ts
@@ -2,6 +2,7 @@
  * The protocol between the entry VMs and the deployment's callers and workers: the
  * names of header fields, and the format of look-ups. An adapter implements it.
  */
+import type { LoadReport } from '../entry/workers/workerLoad.js'
 
 /** The names of header fields by their purpose, in lower case. */
 export interface HeaderNames {
@@ -15,7 +16,7 @@
   readonly seal: string
   /** The id of the only worker that may run the request. */
   readonly expectedWorker: string
-  /** A worker's load: the numbers of running requests, waiting requests and slots. */
+  /** A worker's load; see {@link ICallerProtocol.parseLoad}. */
   readonly load: string
   /** The requests per second that a worker accepts from all entry VMs together, while its responses contain the field; alternative names. */
   readonly rateLimit: readonly string[]
@@ -56,6 +57,11 @@
    * @returns the parsed look-up, or undefined if it is malformed
    */
   parseLookup(query: URLSearchParams): LookupQuery | undefined
+  /**
+   * @param text the value of the {@link HeaderNames.load} field
+   * @returns the load; undefined if the text is malformed
+   */
+  parseLoad(text: string): LoadReport | undefined
   /** @returns the body of the response as JSON */
   formatLookup(response: LookupResponse): string
 }
