Learn cache hits and service times only from requests that started at once

Cause: the wait that was predicted is subtracted from a response's time.

Change: where workers report load, a response teaches only if a free slot was foreseen and at most a quarter of the slots waits at its end; the pace is divided out. The first ten responses of a route teach in any case.

--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -9,6 +9,7 @@
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { observeResponse } from '@umberspar/steering/common/entry/workers/observeResponse'
 import type { InFlightRequest } from '@umberspar/steering/common/entry/workers/upstreamTracker'
+import type { LoadReport } from '@umberspar/steering/common/entry/workers/workerLoad'
 import { isRetryable } from '@umberspar/steering/common/entry/steeringDocument'
 import { COOL_DOWN_STATUS } from '@umberspar/steering/common/request/coolDown'
 import { parseDecimalNumber } from '@umberspar/steering/common/request/decimalNumber'
@@ -27,8 +28,6 @@
 const MIN_CONNECTIONS_PER_WORKER = 2
 /** Limit on the connections from one VM to a worker if the service sets none. */
 const DEFAULT_MAX_CONNECTIONS = 16
-/** Running requests, waiting requests, and slots; newer platforms append further fields. */
-const MIN_LOAD_FIELDS = 3
 /** From this status on, a response means that the worker failed the request. */
 const MIN_FAILURE_STATUS = 500
 const MIN_SUCCESS_STATUS = 200
@@ -46,6 +45,8 @@
   /** How long the connection had been idle; undefined for a new connection. */
   private idleMs: number | undefined
   private isEnded = false
+  /** The load that the worker reported with the response. */
+  private report: LoadReport | undefined
   /** Whether the caller's deadline leaves less time to open a connection than the worker is given. */
   private isOpeningLimited = false
   /** The round of this attempt for crash reports; see `SuspectTable`. */
@@ -181,6 +182,7 @@
 
   private handleStreamStart (head: ResponseHead): boolean {
     if (this.isEnded || this.classifyResponse(head) !== AttemptOutcome.Answered) return false
+    this.report = this.readLoad(head)
     this.recordRateLimit(head)
     this.tracker.advisory.recordResponse(this.sentAt)
     this.isStreaming = this.listener.onStreamStart(head)
@@ -224,11 +226,17 @@
   }
 
   private recordLoad (head: ResponseHead): void {
-    const { headers } = this.context.protocol
-    const fields = getHeader(head.rawHeaders, headers.load)?.split(',').slice(0, MIN_LOAD_FIELDS).map(Number) ?? []
-    const [running, waiting, slots] = fields
-    if (fields.length < MIN_LOAD_FIELDS || !fields.every((field) => Number.isFinite(field) && field >= 0)) return
-    this.tracker.recordReport({ running: running!, waiting: waiting!, slots: slots! }, this.context.clock.now())
+    this.report = this.readLoad(head)
+    if (this.report === undefined) return
+    const now = this.context.clock.now()
+    this.tracker.recordReport(this.report, now)
+    this.context.workerLoads?.publish(this.tracker, this.report, now)
+  }
+
+  private readLoad (head: ResponseHead): LoadReport | undefined {
+    const { protocol } = this.context
+    const text = getHeader(head.rawHeaders, protocol.headers.load)
+    return text === undefined ? undefined : protocol.parseLoad(text)
   }
 
   private recordRateLimit (head: ResponseHead): void {
@@ -255,7 +263,7 @@
     if (outcome !== AttemptOutcome.Answered) return
     const { view, quarantine } = this.context
     quarantine.handleResponse(this.request.digest)
-    const observation = { choice: this.choice, key: this.affinityKey, tookMs: now - this.sentAt, bytes, now }
+    const observation = { choice: this.choice, key: this.affinityKey, tookMs: now - this.sentAt, bytes, report: this.report, now }
     observeResponse(observation, view.getPool(this.service), view.getServiceTimes(this.request.route, this.service))
   }
 
--- a/packages/steering/src/common/entry/workers/serviceTimeEstimate.ts
+++ b/packages/steering/src/common/entry/workers/serviceTimeEstimate.ts
@@ -61,6 +61,11 @@
     return this.meanAnswerBytes
   }
 
+  /** @param answerBytes length of an answer, whose service time may be unknown */
+  observeLength (answerBytes: number): void {
+    this.meanAnswerBytes += SMOOTHING_FACTOR * (answerBytes - this.meanAnswerBytes)
+  }
+
   /**
    * @param isCacheHit whether the worker had the object cached
    * @param serviceTimeMs time from sending to the answer, less the round trip and the wait
@@ -68,7 +73,7 @@
    */
   observe (isCacheHit: boolean, serviceTimeMs: number, answerBytes: number): void {
     this.sampleCount++
-    this.meanAnswerBytes += SMOOTHING_FACTOR * (answerBytes - this.meanAnswerBytes)
+    this.observeLength(answerBytes)
     const previousMs = this.getServiceTimeMs(isCacheHit)
     const clampedMs = Math.min(previousMs * MAX_SAMPLE_RATIO, Math.max(1, serviceTimeMs))
     const updatedMs = previousMs + SMOOTHING_FACTOR * (clampedMs - previousMs)
