Let the expected end decide between two workers whose queues are known

Cause: a rank cost as much as 400 ms, and a miss at the second worker was charged in full although the first one may miss as well, so that requests queued beside free slots.

Change: with a recent report of another VM the second worker costs 0.02, and the misses that the first one wouldn't have; in a free slot they count as in an idle service. Without such a report, and for further ranks, the choice is as before. The policy simulation gets an exchange with a delay and cuts, and a pace that changes.

With the exchange cut the results are equal.

--- a/packages/steering/src/common/entry/workers/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/workers/chooseUpstream.ts
@@ -30,6 +30,8 @@
   readonly cacheState: CacheState
   /** Probability that the worker has the object cached, 0 to 1. */
   readonly cacheHitProbability: number
+  /** The same probability for the key's first worker; 1 if that one can't get the request. */
+  readonly firstHitProbability: number
   /** Service time on a cache miss at a worker of normal speed, in milliseconds. */
   readonly missServiceTimeMs: number
   /** Service time on a cache hit at a worker of normal speed, in milliseconds. */
@@ -86,6 +88,12 @@
  * objects, more than they can cache, and each request would be a cache miss.
  */
 const COST_PER_RANK = 0.08
+/**
+ * The same for the second worker of a key while its queue is known from other VMs: the expected
+ * end decides between the two. An object cached by two workers is affordable, since a worker keeps more
+ * objects than rank first there; a third worker would evict others'.
+ */
+const COST_OF_SECOND_RANK = 0.02
 /**
  * Score lost by sending a request to a worker without the object cached while another one has
  * it: a miss takes three times as long and evicts another object. This does no harm while
@@ -121,9 +129,22 @@
   return 1 / (1 + Math.exp((expectedMs - limitMs) / spreadMs))
 }
 
-function computeMissCost ({ rank, cacheState, cacheHitProbability }: Candidate, saturation: number): number {
+function hasKnownQueue ({ rank, tracker }: Candidate, now: Instant): boolean {
+  return rank === 1 && tracker.load.isShared(now)
+}
+
+function computeMissCost (candidate: Candidate, { saturation, now }: ChoiceContext): number {
+  const { rank, cacheState, cacheHitProbability, firstHitProbability, tracker } = candidate
   if (cacheState === CacheState.RecentlyUsed || rank === 0) return 0
-  return (1 - cacheHitProbability) * (IDLE_MISS_COST + (SATURATED_MISS_COST - IDLE_MISS_COST) * saturation)
+  const isQueueKnown = hasKnownQueue(candidate, now)
+  // The first worker may miss as well; only the misses beyond that are a loss, and little of one in a free slot.
+  const lostHits = (isQueueKnown ? Math.max(firstHitProbability, cacheHitProbability) : 1) - cacheHitProbability
+  const missSaturation = isQueueKnown && tracker.countInFlight(now) < tracker.registration.slots ? 0 : saturation
+  return lostHits * (IDLE_MISS_COST + (SATURATED_MISS_COST - IDLE_MISS_COST) * missSaturation)
+}
+
+function computeRankCost (candidate: Candidate, now: Instant): number {
+  return hasKnownQueue(candidate, now) ? COST_OF_SECOND_RANK : COST_PER_RANK * candidate.rank
 }
 
 function estimateWaitMs ({ tracker, meanServiceTimeMs }: Candidate, slowdown: number, now: Instant): number {
@@ -140,7 +161,7 @@
 export function estimateChoice (candidate: Candidate, context: ChoiceContext, costs: ByteCosts): UpstreamChoice {
   const { tracker, proximity } = candidate
   const { now } = context
-  const slowdown = tracker.getSlowdown(now) * (tracker.isCold(now) ? COLD_WORKER_SLOWDOWN_RATIO : 1)
+  const slowdown = tracker.getSlowdown(now) * (tracker.isCold(now) ? COLD_WORKER_SLOWDOWN_RATIO : 1) * tracker.load.getPace(now)
   const waitMs = estimateWaitMs(candidate, slowdown, now)
   const delayBeforeServiceMs = candidate.roundTripMs + waitMs
   const hit: LatencyEstimate = { waitMs, expectedMs: delayBeforeServiceMs + candidate.hitServiceTimeMs * slowdown }
@@ -153,7 +174,7 @@
   const expectedValue = (onTime + LATE_VALUE_RATIO * Math.max(0, beforeDeadline - onTime)) * (1 - tracker.getFailureRate(now))
   const transferCost = BYTE_COST_PER_KB[proximity](costs) * context.bytes / BYTES_PER_KB
   const bonus = candidate.rank === 0 && tracker.sentCount === 0 ? UNUSED_WORKER_BONUS : 0
-  const affinityCost = COST_PER_RANK * candidate.rank + computeMissCost(candidate, context.saturation)
+  const affinityCost = computeRankCost(candidate, now) + computeMissCost(candidate, context)
   const score = expectedValue + bonus - transferCost - LATENCY_COST_PER_MS * expectedMs - affinityCost
   return { candidate, expectedMs, waitMs, score, onTimeProbabilityOnHit: onTimeOnHit }
 }
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -168,12 +168,12 @@
       if (tracker === undefined || request.triedWorkers.has(id) || tracker.advisory.isPaused(now) || !this.hasColdCapacity(tracker, now)) continue
       if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined) tracker.demandMeter.record(now)
       if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
-      candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, now))
+      candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, candidates[0], now))
     }
     return candidates
   }
 
-  private buildCandidate (tracker: UpstreamTracker, key: string | undefined, serviceTimes: ServiceTimeEstimate, rank: number, now: Instant): Candidate {
+  private buildCandidate (tracker: UpstreamTracker, key: string | undefined, serviceTimes: ServiceTimeEstimate, rank: number, first: Candidate | undefined, now: Instant): Candidate {
     const { domain, id } = tracker.registration
     const cacheState = classifyCacheState(key !== undefined && this.cacheAffinity.has(key, id, now), rank)
     return {
@@ -183,6 +183,7 @@
       cacheState,
       // Without a key there is no cache entry to hit.
       cacheHitProbability: key === undefined ? 0 : this.cacheHits.getProbability(cacheState),
+      firstHitProbability: first?.rank === 0 ? first.cacheHitProbability : 1,
       missServiceTimeMs: serviceTimes.getServiceTimeMs(false),
       hitServiceTimeMs: serviceTimes.getServiceTimeMs(key !== undefined),
       meanServiceTimeMs: serviceTimes.getServiceTimeMs(key !== undefined),
--- a/packages/testing/src/common/policy/loadPattern.ts
+++ b/packages/testing/src/common/policy/loadPattern.ts
@@ -1,5 +1,6 @@
 /** The load patterns of the policy simulation: one service in three regions. */
 import type { Instant } from '@umberspar/base/common/clock'
+import type { ExchangeTraits } from './simulatedExchange.js'
 import type { WorkerTraits } from './simulatedWorker.js'
 
 /** The names of load patterns on the command line. */
@@ -70,6 +71,10 @@
   /** Duration of the outage before that; requests in flight at its start are lost and retried. */
   readonly outageMs?: number
   readonly steps: readonly PatternStep[]
+  /** How VMs tell each other the load of workers; undefined if they don't. */
+  readonly exchange?: ExchangeTraits
+  /** The pace of each worker's machine changes at this interval; undefined for never. */
+  readonly paceIntervalMs?: number
 }
 
 /** A typical service with about half of its slots busy; a cache miss alone takes longer than the goal, a cache hit 0.3 of that. */
--- a/packages/testing/src/common/policy/policySimulation.ts
+++ b/packages/testing/src/common/policy/policySimulation.ts
@@ -12,10 +12,12 @@
 import { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { mayRetryAfterRefusal } from '@umberspar/steering/common/entry/retry/mayRetry'
 import { observeResponse } from '@umberspar/steering/common/entry/workers/observeResponse'
+import { WorkerLoadExchange } from '@umberspar/steering/common/entry/workers/workerLoadExchange'
 import { RouteKind, type RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
 import { UpstreamState } from '@umberspar/steering/common/entry/records'
 import { EventQueue } from '../choice/eventQueue.js'
 import type { LoadPattern } from './loadPattern.js'
+import { SimulatedExchange } from './simulatedExchange.js'
 import { SimulatedWorker, type WorkerLoad } from './simulatedWorker.js'
 
 /** Chooses a worker among the candidates. */
@@ -36,6 +38,8 @@
   readonly unserved: number
   /** Worth of all answers relative to that of all requests; a late answer is worth a fifth. */
   readonly worth: number
+  /** Mean number of requests waiting at a worker at the end of a request; not a share. */
+  readonly meanWaiting: number
 }
 
 const SERVICE = 'service'
@@ -48,6 +52,9 @@
 const RETRY_BUDGET = { ratio: 0.2, windowMs: 10_000, slack: 60 }
 /** Callers wait for at most this part of their remaining time before a retry, even if told to wait longer. */
 const MAX_RETRY_DELAY_RATIO = 1 / 3
+/** Part of the time in which a machine is slow, and how slow it is then. */
+const SLOW_PHASE_SHARE = 0.2
+const SLOW_PACE = 2
 /** Number of retries of callers that ignore retry delays. */
 const MAX_IMMEDIATE_RETRIES = 3
 
@@ -73,6 +80,7 @@
 
 interface SimulatedVm extends VmLocation {
   view: EntryView
+  loads: WorkerLoadExchange | undefined
 }
 
 interface SimulatedRequest {
@@ -99,6 +107,8 @@
   private requestCount = 0
   private inTimeCount = 0
   private lateCount = 0
+  private readonly waiting = { sum: 0, count: 0 }
+  private readonly exchange: SimulatedExchange | undefined
 
   /**
    * @param pattern the load pattern
@@ -107,6 +117,7 @@
    */
   constructor (private readonly pattern: LoadPattern, private readonly policy: SteeringPolicy, seed: number) {
     this.random = new SeededRandom(seed)
+    this.exchange = pattern.exchange === undefined ? undefined : new SimulatedExchange(pattern.exchange, this.events)
     this.route = { ...ROUTE, goalMs: pattern.goalMs, timeoutMs: pattern.callerTimeoutMs }
     this.regionOf = new Map(REGIONS.flatMap((region) => Array.from({ length: pattern.domainsPerRegion }, (_, index) => [`${region}-${index}`, region] as const)))
     for (const [domain, region] of this.regionOf) {
@@ -115,7 +126,7 @@
       }
     }
     const locations = [...this.regionOf.keys()].flatMap((domain) => Array.from({ length: pattern.vmsPerDomain }, (_, index) => ({ name: `${domain}-v${index}`, domain })))
-    this.vms = locations.map((location) => ({ ...location, view: this.buildView(location, locations, Number.NEGATIVE_INFINITY) }))
+    this.vms = locations.map((location) => ({ ...location, ...this.buildState(location, locations, Number.NEGATIVE_INFINITY) }))
   }
 
   /** @returns the result as callers see it */
@@ -124,9 +135,15 @@
     for (const step of this.pattern.steps) this.scheduleStep(step)
     const { restartAt, outageMs = 0 } = this.pattern
     if (restartAt !== undefined) this.events.schedule(restartAt - outageMs, () => { this.resetVms(restartAt) })
+    if (this.pattern.paceIntervalMs !== undefined) this.schedulePace(this.pattern.paceIntervalMs)
     this.events.runUntil(this.pattern.durationMs + this.pattern.callerTimeoutMs)
     const { requestCount, inTimeCount, lateCount } = this
-    return { requestCount, inTime: inTimeCount / requestCount, late: lateCount / requestCount, unserved: 1 - (inTimeCount + lateCount) / requestCount, worth: (inTimeCount + LATE_ANSWER_WORTH_RATIO * lateCount) / requestCount }
+    return { requestCount, inTime: inTimeCount / requestCount, late: lateCount / requestCount, unserved: 1 - (inTimeCount + lateCount) / requestCount, worth: (inTimeCount + LATE_ANSWER_WORTH_RATIO * lateCount) / requestCount, meanWaiting: this.waiting.sum / this.waiting.count }
+  }
+
+  private buildState (location: VmLocation, locations: readonly VmLocation[], startedAt: Instant): Pick<SimulatedVm, 'view' | 'loads'> {
+    const view = this.buildView(location, locations, startedAt)
+    return { view, loads: this.exchange && new WorkerLoadExchange(this.exchange.createEnd(location.name), this.events, (id) => view.trackers.get(id)) }
   }
 
   private buildView ({ name, domain }: VmLocation, locations: readonly VmLocation[], startedAt: Instant): EntryView {
@@ -151,7 +168,7 @@
   /** Restarts all VMs without state at the given instant; in an outage, requests in flight are lost and retried. */
   private resetVms (restartAt: Instant): void {
     this.outageEndsAt = restartAt
-    for (const vm of this.vms) vm.view = this.buildView(vm, this.vms, this.events.now())
+    for (const vm of this.vms) Object.assign(vm, this.buildState(vm, this.vms, this.events.now()))
     if (this.pattern.outageMs === undefined) return
     for (const { worker } of this.workers.values()) worker.cancelAll()
     for (const request of this.inFlight) this.startAttempt(request)
@@ -176,6 +193,12 @@
     this.events.schedule(until, () => { apply(false) })
   }
 
+  private schedulePace (intervalMs: number): void {
+    for (const { worker } of this.workers.values()) worker.pace = this.random.next() < SLOW_PHASE_SHARE ? SLOW_PACE : 1
+    const nextAt = this.events.now() + intervalMs
+    if (nextAt < this.pattern.durationMs) this.events.schedule(nextAt, () => { this.schedulePace(intervalMs) })
+  }
+
   private scheduleArrival (region: string): void {
     const arrivalsPerMs = this.pattern.requestsPerSecond * this.arrivalRateFactor / REGIONS.length / 1_000
     const at = this.events.now() - Math.log(1 - this.random.next()) / arrivalsPerMs
@@ -231,6 +254,8 @@
       this.inFlight.delete(request)
       tracker.finishRequest(trackedRequest)
       tracker.recordReport(load, now)
+      vm.loads?.publish(tracker, load, now)
+      this.recordWaiting(load, now)
       tracker.recordResult(!hasRun, now)
       if (!hasRun) {
         if (mayRetryAfterRefusal(this.route, { sent: triedWorkerIds.size, unsent: 0 })) this.sendNext(vm, request, triedWorkerIds)
@@ -238,7 +263,7 @@
         return
       }
       const roster = vm.view.getPool(SERVICE)
-      observeResponse({ choice, key: request.key, tookMs: now - sentAt, bytes: 5_000, now }, roster, vm.view.getServiceTimes(this.route, SERVICE))
+      observeResponse({ choice, key: request.key, tookMs: now - sentAt, bytes: 5_000, report: load, now }, roster, vm.view.getServiceTimes(this.route, SERVICE))
       this.finish(request, now)
     }
     this.events.schedule(sentAt + networkDelayMs, () => {
@@ -246,6 +271,12 @@
     })
   }
 
+  private recordWaiting ({ waiting }: WorkerLoad, now: Instant): void {
+    if (now < this.pattern.measureFromMs) return
+    this.waiting.sum += waiting
+    this.waiting.count++
+  }
+
   private handleRefusal (request: SimulatedRequest, retryAfterMs: number): void {
     if (request.retriesLeft === 0 || request.isDone) return
     request.retriesLeft--
--- a/packages/testing/src/common/policy/simulatedWorker.ts
+++ b/packages/testing/src/common/policy/simulatedWorker.ts
@@ -38,6 +38,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** Undefined unless the pace of the worker's machine changes. */
+  readonly pace?: number
 }
 
 /** Service times are distributed uniformly around the mean by up to this part of it. */
@@ -55,6 +57,8 @@
   /** Share of requests refused although the queue has room, between 0 and 1. */
   refusedShare = 0
   isDown = false
+  /** How many times longer than usual work takes at the moment; undefined for a machine that doesn't tell. */
+  pace: number | undefined
   /** Incremented when all requests are cancelled, to ignore their end events. */
   private generation = 0
 
@@ -94,7 +98,7 @@
     const isCached = this.cachedKeys.has(job.key)
     this.addToCache(job.key)
     const spreadFactor = 1 + SERVICE_TIME_SPREAD_RATIO * (2 * this.random.next() - 1)
-    const endsAt = this.events.now() + coldServiceMs * (isCached ? warmServiceRatio : 1) * this.slowFactor * spreadFactor
+    const endsAt = this.events.now() + coldServiceMs * (isCached ? warmServiceRatio : 1) * this.slowFactor * (this.pace ?? 1) * spreadFactor
     const { generation } = this
     this.events.schedule(Math.min(endsAt, job.deadline), () => {
       if (generation !== this.generation) return
@@ -122,6 +126,6 @@
   }
 
   private readLoad (): WorkerLoad {
-    return { running: this.runningCount, waiting: this.queuedJobs.length, slots: this.traits.slots }
+    return { running: this.runningCount, waiting: this.queuedJobs.length, slots: this.traits.slots, pace: this.pace }
   }
 }
--- a/packages/testing/test/common/policy/policySimulation.test.ts
+++ b/packages/testing/test/common/policy/policySimulation.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PatternName, PATTERNS } from '../../../src/common/policy/loadPattern.js'
+import { type LoadPattern, PatternName, PATTERNS } from '../../../src/common/policy/loadPattern.js'
 import { PolicyName, POLICIES } from '../../../src/common/policy/policies.js'
-import { PolicySimulation } from '../../../src/common/policy/policySimulation.js'
+import { type PolicyResult, PolicySimulation } from '../../../src/common/policy/policySimulation.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
 
@@ -63,3 +63,54 @@
     assertBetter(PatternName.Burst, PolicyName.Current, PolicyName.AdmitAll, 0.05)
   })
 })
+
+describe('the load of workers that VMs tell each other', () => {
+  /** 72 VMs and 12 workers that cache most objects of two ranks, four fifths of the slots busy. */
+  const pattern: LoadPattern = {
+    ...PATTERNS[PatternName.SharedObjects],
+    traits: { slots: 6, queueCapacity: 18, cacheCapacity: 26, coldServiceMs: 746, warmServiceRatio: 0.3 },
+    vmsPerDomain: 12,
+    crossRegionDelayMs: 35,
+    objectsPerRegion: 36,
+    requestsPerSecond: 257,
+    goalMs: 1_000,
+    callerTimeoutMs: 6_000,
+    durationMs: 25_000,
+    measureFromMs: 8_000
+  }
+  const EXCHANGE_SEEDS = [1, 2, 3]
+  const exchange = { delayMs: 150 }
+  /** Machines change between usual and slow ten times a second. */
+  const pace = { paceIntervalMs: 100 }
+
+  function measureAll (change: Partial<LoadPattern>): PolicyResult[] {
+    return EXCHANGE_SEEDS.map((seed) => new PolicySimulation({ ...pattern, ...change }, POLICIES[PolicyName.Current], seed).run())
+  }
+
+  function computeMean (results: readonly PolicyResult[], field: 'worth' | 'meanWaiting'): number {
+    return results.reduce((sum, result) => sum + result[field], 0) / results.length
+  }
+
+  it('shortens the queues at busy workers, without more late or refused requests', () => {
+    const [without, withExchange] = [measureAll({}), measureAll({ exchange })]
+    assert.ok(computeMean(withExchange, 'meanWaiting') < computeMean(without, 'meanWaiting'), `${computeMean(withExchange, 'meanWaiting')}, ${computeMean(without, 'meanWaiting')}`)
+    assert.ok(computeMean(withExchange, 'worth') >= computeMean(without, 'worth'), `${computeMean(withExchange, 'worth')}, ${computeMean(without, 'worth')}`)
+  })
+
+  it('serves more requests in time while the pace of workers changes every 100 ms', () => {
+    const [without, withExchange] = [measureAll(pace), measureAll({ ...pace, exchange })]
+    assert.ok(computeMean(withExchange, 'worth') > computeMean(without, 'worth'), `${computeMean(withExchange, 'worth')}, ${computeMean(without, 'worth')}`)
+    assert.ok(computeMean(withExchange, 'meanWaiting') < computeMean(without, 'meanWaiting'), `${computeMean(withExchange, 'meanWaiting')}, ${computeMean(without, 'meanWaiting')}`)
+  })
+
+  it('changes no decision if the exchange is cut', () => {
+    const [without, cut] = [measureAll(pace), measureAll({ ...pace, exchange: { ...exchange, isConnected: () => false } })]
+    assert.deepEqual(cut, without)
+  })
+
+  // Guards against VMs that rely on rows that only some of them get.
+  it('is no worse than none if half of the VMs receive nothing', () => {
+    const [without, halfCut] = [measureAll({}), measureAll({ exchange: { ...exchange, isConnected: (_from, to) => !/[02468]$/.test(to) } })]
+    assert.ok(computeMean(halfCut, 'worth') >= computeMean(without, 'worth') - 0.005, `${computeMean(halfCut, 'worth')}, ${computeMean(without, 'worth')}`)
+  })
+})
