--- a/packages/steering/test/common/entry/workers/workerLoad.test.ts
+++ b/packages/steering/test/common/entry/workers/workerLoad.test.ts
@@ -6,6 +6,8 @@
 import { CacheState } from '../../../../src/common/entry/workers/cacheHitEstimator.js'
 import { type Candidate, type ChoiceContext, chooseUpstream } from '../../../../src/common/entry/workers/chooseUpstream.js'
 import { type ExchangeContent, type ExchangeListener, type ExchangeRow, ExchangeTopic, type IFleetExchange } from '../../../../src/common/entry/exchange/exchangeRow.js'
+import { EntryView } from '../../../../src/common/entry/entryView.js'
+import { DomainRoundTrips } from '../../../../src/common/entry/placement/domainRoundTrips.js'
 import { Proximity } from '../../../../src/common/entry/placement/proximity.js'
 import { UpstreamState } from '../../../../src/common/entry/records.js'
 import { UpstreamTracker } from '../../../../src/common/entry/workers/upstreamTracker.js'
@@ -13,6 +15,7 @@
 import { encodeLoad, WorkerLoadExchange } from '../../../../src/common/entry/workers/workerLoadExchange.js'
 
 const SEED = 20261204
+const REGIONS = new Map([['a-1', 'a']])
 const SLOTS = 6
 const STARTED_AT = 1_790_000_000_000
 const COSTS = { otherDomain: 0.004, otherRegion: 0.013 }
@@ -135,6 +138,47 @@
   })
 })
 
+describe('a VM without an exchange', () => {
+  // Guards against a deployment whose choices change although its VMs tell each other nothing.
+  it('counts the last report and the requests sent since for a second, then the mean of its reports', () => {
+    fc.assert(fc.property(ownHistory, fc.nat(9_000), (history, laterMs) => {
+      const [tracker] = buildView(history).trackers
+      const now = NOW + laterMs
+      let [reportedAt, mean, counted, sent] = [Number.NEGATIVE_INFINITY, 0, 0, 0]
+      for (const { worker, at, report } of history) {
+        if (worker !== 0) continue
+        if (report === undefined) {
+          counted++
+          sent++
+          continue
+        }
+        mean += 0.3 * (report.running + report.waiting - mean)
+        counted = report.running + report.waiting
+        reportedAt = at
+      }
+      const fromReports = now - reportedAt <= 1_000 ? counted : mean * 2 ** (-(now - reportedAt - 1_000) / 4_000)
+      assert.equal(tracker!.countInFlight(now), Math.max(sent, reportedAt === Number.NEGATIVE_INFINITY ? 0 : fromReports))
+    }), { seed: SEED, numRuns: 500 })
+  })
+})
+
+describe('a worker that restarts under its id', () => {
+  it('starts without reports, and late rows about the process before don\'t count', () => {
+    const view = new EntryView({ node: 'v', domain: 'a-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('a-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+    const worker = { id: 'w', service: 's', address: 'w', domain: 'a-1', slots: SLOTS, state: UpstreamState.Ready, coldMs: 0, startedAt: STARTED_AT }
+    const exchange = new FakeExchange()
+    const loads = new WorkerLoadExchange(exchange, new ManualClock(NOW), (id) => view.trackers.get(id))
+    view.putUpstream(worker, NOW - 500)
+    exchange.deliver('w', [6, 9, SLOTS, -1, STARTED_AT], NOW - 200)
+    assert.equal(view.trackers.get('w')!.countInFlight(NOW), 15)
+    view.putUpstream({ ...worker, startedAt: STARTED_AT + 5_000 }, NOW - 100)
+    exchange.deliver('w', [6, 9, SLOTS, -1, STARTED_AT], NOW - 50)
+    assert.equal(view.trackers.get('w')!.countInFlight(NOW), 0)
+    loads.publish(view.trackers.get('w')!, { running: 1, waiting: 0, slots: SLOTS }, NOW)
+    assert.deepEqual(exchange.published.map(({ content }) => content), [[1, 0, SLOTS, -1, STARTED_AT + 5_000]])
+  })
+})
+
 describe('the choice of a worker by reports of other VMs', () => {
   it('is that of a VM without an exchange if the rows are too old, of the future or malformed', () => {
     const badRow = fc.oneof(
