Tell usage only where requests differ in rank

Cause: a deployment without accounts and with one priority sent a row a second for nothing. Change: the reporter looks at the configuration in force.

--- a/packages/entry/test/node/admission/usageReporter.test.ts
+++ b/packages/entry/test/node/admission/usageReporter.test.ts
@@ -6,6 +6,7 @@
 import { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
 import { decodeUsage, MAX_CONTENT_BYTES } from '@umberspar/steering/common/entry/admission/usageContent'
 import { type DomainAggregation, type ExchangeRow, ExchangeTopic } from '@umberspar/steering/common/entry/exchange/exchangeRow'
+import type { SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { UsageReporter } from '../../../src/node/admission/usageReporter.js'
 
 describe('the usage that a VM publishes', () => {
@@ -15,7 +16,8 @@
     const aggregations: DomainAggregation[] = []
     const exchange = { publish: (row: ExchangeRow) => { rows.push(row) }, addAggregation: (aggregation: DomainAggregation) => { aggregations.push(aggregation) } }
     const gates = new ServiceGates(new FleetUsage(undefined, 'north-1'), new SeededRandom(1))
-    const reporter = new UsageReporter({ clock, exchange, gates, node: 'vm-1' })
+    let document = { routes: [{ priority: 1 }, { priority: 1 }], accounts: [] } as unknown as SteeringDocument
+    const reporter = new UsageReporter({ clock, exchange, gates, node: 'vm-1', view: { get document () { return document } } })
     reporter.start()
     clock.stepBy(2_000)
     assert.equal(rows.length, 0)
@@ -28,8 +30,14 @@
       assert.ok(decodeUsage(content).has('desk'))
     }
     assert.deepEqual(aggregations.map(({ from, to }) => [from, to]), [[ExchangeTopic.VmUsage, ExchangeTopic.DomainUsage]])
+    document = { routes: [{ priority: 1 }, { priority: 1 }] } as unknown as SteeringDocument
+    clock.stepBy(1_000)
+    assert.equal(rows.length, 3, 'nothing is told where all requests have one rank')
+    document = { routes: [{ priority: 1 }, { priority: 2 }] } as unknown as SteeringDocument
+    clock.stepBy(1_000)
+    assert.equal(rows.length, 4)
     reporter.close()
     clock.stepBy(3_000)
-    assert.equal(rows.length, 3)
+    assert.equal(rows.length, 4)
   })
 })
