--- a/packages/entry/test/node/admission/usageReporter.test.ts
+++ b/packages/entry/test/node/admission/usageReporter.test.ts
@@ -30,6 +30,7 @@
       assert.ok(decodeUsage(content).has('desk'))
     }
     assert.deepEqual(aggregations.map(({ from, to }) => [from, to]), [[ExchangeTopic.VmUsage, ExchangeTopic.DomainUsage]])
+    gates.get('desk').decide({ priority: 1, account: undefined, hasReturned: false }, { saturation: 0, onTimeProbability: 1 }, clock.now())
     document = { routes: [{ priority: 1 }, { priority: 1 }] } as unknown as SteeringDocument
     clock.stepBy(1_000)
     assert.equal(rows.length, 3, 'nothing is told where all requests have one rank')
