--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -49,7 +49,8 @@
   }
 
   readAccountShares (): AccountShareState[] {
-    return [...this.dependencies.gates.list()].flatMap(([service, gate]) => gate.listOverShare().map((account) => ({ service, ...account })))
+    const now = this.dependencies.clock.now()
+    return [...this.dependencies.gates.list()].flatMap(([service, gate]) => gate.listOverShare(now).map((account) => ({ service, ...account })))
   }
 
   readGauges (): Readonly<Record<string, number>> {
--- a/packages/steering/src/common/entry/admission/serviceGate.ts
+++ b/packages/steering/src/common/entry/admission/serviceGate.ts
@@ -53,6 +53,8 @@
 
 /** An account keeps what an equal division among so many gives it at this VM, whatever other VMs tell. */
 const GUARANTEED_SHARERS = 32
+/** Accounts over their share are listed for this long after the last limits. */
+const LISTED_MS = 5_000
 /** The limits are computed again after this time. */
 const PLAN_VALIDITY_MS = 100
 
@@ -117,9 +119,12 @@
     return this.shortage.ratio
   }
 
-  /** @returns the accounts that are over their share by the last limits */
-  listOverShare (): OverShare[] {
-    if (this.plan === undefined) return []
+  /**
+   * @param now the current time
+   * @returns the accounts that were over their share in the last seconds
+   */
+  listOverShare (now: Instant): OverShare[] {
+    if (this.plan === undefined || now >= this.plan.validUntil + LISTED_MS) return []
     const listed: OverShare[] = []
     for (const [priority, { fairShare }] of this.plan.limits) {
       const total = this.plan.usage.get(priority)?.asked ?? 1
--- a/packages/steering/test/common/entry/admission/serviceGate.test.ts
+++ b/packages/steering/test/common/entry/admission/serviceGate.test.ts
@@ -98,6 +98,7 @@
     const decision = gate.decide(createRank(1, 'account-0'), NO_ROOM, 2_000)
     assert.ok(decision.accountUse! > decision.accountShare! && decision.accountUse! <= 1)
     assert.equal(decision.knowledgeAgeMs! > 0 && decision.knowledgeAgeMs! <= 2_000, true)
-    assert.deepEqual(gate.listOverShare().map(({ account, priority }) => [account, priority]), [['account-0', 1]])
+    assert.deepEqual(gate.listOverShare(2_000).map(({ account, priority }) => [account, priority]), [['account-0', 1]])
+    assert.deepEqual(gate.listOverShare(20_000), [], 'it is not listed after the shortage')
   })
 })
