Hold requests back while a place is expected within an eighth of their goal

When all workers pause or are rate limited for some milliseconds more, a request was refused at once and its caller came back later than the place. A caller that leaves frees its place, a stop finishes what waits. Metrics: waiting requests, their bytes and times, refusals by reason and priority.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -26,6 +26,7 @@
 import type { EntryContext } from './front/entryContext.js'
 import { CallerServer } from './front/callerServer.js'
 import { HeaderRewriter } from './front/headerRewriter.js'
+import { PlaceWaiter } from './front/placeWaiter.js'
 import { EventLoopMonitor } from './eventLoop/eventLoopMonitor.js'
 import { TimeoutClock } from './eventLoop/timeoutClock.js'
 import { listenForEndpoints } from './lookup/entryEndpoints.js'
@@ -76,6 +77,7 @@
   private readonly callerServer: CallerServer
   private readonly accessController: AccessController
   private readonly proofWaiter: ProofWaiter
+  private readonly placeWaiter: PlaceWaiter
   /** The quotas of client accounts. */
   readonly quotas: AccountQuotas
   private readonly quarantine: RequestQuarantine
@@ -119,6 +121,7 @@
     const proofSource = { isProofExpected: () => this.synchronizer.isProofExpected, askForProof: () => { dependencies.source.readPosition() } }
     this.proofWaiter = this.closeStack.add(new ProofWaiter(clock, proofSource, (end) => { metrics.countProofWait(end) }))
     this.synchronizer.freshness.onDidProve(() => { this.proofWaiter.handleProof() })
+    this.placeWaiter = this.closeStack.add(new PlaceWaiter(clock, (end, priority, waitedMs) => { metrics.countPlaceWait(end, priority, waitedMs) }))
     this.callerServer = this.closeStack.add(new CallerServer(this.buildContext(roundTrips)))
   }
 
@@ -254,6 +257,7 @@
       advisoryRecorder: this.advisoryRecorder,
       relayPeers: this.relayPeers,
       location: { domain: settings.domain, regionByDomain: this.regionByDomain },
+      placeWaiter: this.placeWaiter,
       bodyMemoryBudget: new BodyMemoryBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_RATIO),
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
@@ -271,7 +275,7 @@
 
   private buildGauges (): EntryGauges {
     const { clock } = this.dependencies
-    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, isReady: () => this.servingNodes.isReady() })
+    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, placeWaiter: this.placeWaiter, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, isReady: () => this.servingNodes.isReady() })
   }
 
   private handleChange (event: ViewEvent): void {
--- a/packages/entry/src/node/front/callerReturns.ts
+++ b/packages/entry/src/node/front/callerReturns.ts
@@ -6,9 +6,13 @@
 import { chooseRetryClaim } from '@umberspar/steering/common/entry/retry/retryClaim'
 import type { RoutePolicy } from '@umberspar/steering/common/entry/steeringDocument'
 import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
+import type { EndReason } from '../telemetry/requestOutcomes.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import type { EntryContext } from './entryContext.js'
 
+/** The value of the metrics' label if it can't be told. */
+const UNKNOWN_VISIT = 'unknown'
+
 /** The attempt that a request would be retried with. */
 export interface RetryRequest {
   readonly now: Instant
@@ -33,6 +37,7 @@
 
 /** A request that is refused, as far as it is known. */
 export interface RefusedRequest {
+  readonly reason: EndReason
   readonly route?: RoutePolicy | undefined
   readonly service?: string | undefined
   /** Undefined if it can't be told. */
@@ -40,8 +45,9 @@
 }
 
 /** Records that a request was refused, so that its caller may come back. */
-export function recordRefusal ({ view, clock }: EntryContext, { route, service, visit }: RefusedRequest): void {
+export function recordRefusal ({ view, clock, telemetry }: EntryContext, { reason, route, service, visit }: RefusedRequest): void {
   if (route !== undefined) view.callerReturns.getTimes(route.name).recordRefusal(clock.now())
+  if (route !== undefined && service !== undefined) telemetry.metrics.countRefusal(service, reason, route.priority, visit ?? UNKNOWN_VISIT)
   if (service !== undefined && visit === CallerVisit.First) view.getRetryBudget(service).recordRefusal()
 }
 
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -19,6 +19,7 @@
 import type { UpstreamPools } from '../upstream/upstreamPools.js'
 import type { BodyMemoryBudget } from './bodyReader.js'
 import type { HeaderRewriter } from './headerRewriter.js'
+import type { PlaceWaiter } from './placeWaiter.js'
 
 /** Where this VM is. */
 export interface VmLocation {
@@ -50,6 +51,8 @@
   readonly relayPeers: RelayPeers
   /** This VM's failure domain and the regions of all. */
   readonly location: VmLocation
+  /** Holds requests back until a place is expected. */
+  readonly placeWaiter: PlaceWaiter
   readonly bodyMemoryBudget: BodyMemoryBudget
   readonly byteCosts: ByteCosts
   readonly telemetry: EntryTelemetry
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -24,6 +24,7 @@
 import { planReturn, recordArrival, recordRefusal, takeRetry } from './callerReturns.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
+import { RequestWaits } from './requestWaits.js'
 import { chooseWorker } from './workerChoice.js'
 import { checkAccess } from './requestAccess.js'
 import { getRefusal, REASON_BY_UNAVAILABILITY } from './refusals.js'
@@ -52,8 +53,7 @@
   private mayHaveRun = false
   private fallbackResponse: BufferedResponse | undefined
   private deadlineTimer: ITimer | undefined
-  /** When the request gives up waiting for a newer proof; undefined if it has not waited yet. */
-  private proofDeadline: Deadline | undefined
+  private readonly waits: RequestWaits
   private isEnded = false
 
   /**
@@ -68,6 +68,7 @@
     this.triedWorkers = new Set(relayOrigin?.excludedWorkers)
     this.attemptCounts = { sent: relayOrigin?.attempts ?? 0, unsent: 0, refused: 0 }
     this.quota = new RequestQuota(context, request)
+    this.waits = new RequestWaits(context, request, () => { this.startNextAttempt() })
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
     this.deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
   }
@@ -121,16 +122,10 @@
   private checkAccess (): readonly string[] | undefined {
     const access = checkAccess(this.context, this.request)
     if (access.ok) return access.val
-    if (access.val !== EndReason.RecordsStale || !this.waitForProof()) this.endWithoutResponse(access.val)
+    if (access.val !== EndReason.RecordsStale || !this.waits.waitForProof()) this.endWithoutResponse(access.val)
     return undefined
   }
 
-  private waitForProof (): boolean {
-    const { proofWaiter } = this.context
-    this.proofDeadline ??= proofWaiter.createDeadline()
-    return proofWaiter.wait(this.proofDeadline, () => { this.startNextAttempt() })
-  }
-
   /** Has another VM send the request to a worker, as this VM reaches none. */
   private startRelay (homeRegions: readonly string[]): void {
     const { relayPeers, location, telemetry } = this.context
@@ -235,6 +230,7 @@
     const { view } = this.context
     const unavailability = view.getPool(this.service).findUnavailability(homeRegions, view.evacuatedDomains, now)
     if (unavailability === undefined || this.mayHaveRun) return this.endWithoutResponse(EndReason.NoWorker)
+    if (this.waits.waitForPlace(this.service, unavailability.until, this.deadline)) return
     this.refuse(REASON_BY_UNAVAILABILITY[unavailability.reason], { roomAt: unavailability.until, expectedMs: 0 })
   }
 
@@ -255,7 +251,7 @@
   private answerLocally (reason: EndReason, retryAfterMs?: number, inputs?: RefusalInputs): void {
     const { outcome, status, text } = getRefusal(reason)
     this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, isUnable: reason === EndReason.RelayUnable })
-    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, { ...this.request, service: this.service })
+    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, { ...this.request, reason, service: this.service })
     this.finishRequest(outcome, reason, status, retryAfterMs, inputs)
   }
 
@@ -284,6 +280,7 @@
     this.isEnded = true
     if (outcome === RequestOutcome.Answered) this.context.view.callerReturns.getSchedule(this.service).recordAnswer(this.context.clock.now())
     this.deadlineTimer?.close()
+    this.waits.close()
     this.request.body.release()
     this.returnQuota()
     const { route, requestId, arrivedAt, relayOrigin } = this.request
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -7,6 +7,7 @@
 import type { ViewUpdater } from '../replica/viewUpdater.js'
 import type { RecordSynchronizer } from '../replica/recordSynchronizer.js'
 import type { CallerServer } from '../front/callerServer.js'
+import type { PlaceWaiter } from '../front/placeWaiter.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
@@ -26,6 +27,7 @@
   readonly quotas: AccountQuotas
   readonly quarantine: RequestQuarantine
   readonly callerServer: CallerServer
+  readonly placeWaiter: PlaceWaiter
   readonly eventLoop: EventLoopMonitor
   readonly links: WorkerLinks
   readonly relayPeers: RelayPeers
@@ -47,12 +49,14 @@
   }
 
   readGauges (): Readonly<Record<string, number>> {
-    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, eventLoop, links, relayPeers, isReady } = this.dependencies
+    const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, placeWaiter, eventLoop, links, relayPeers, isReady } = this.dependencies
     const now = clock.now()
     const { quarantined, suspects } = quarantine.readCounts()
     const { ageMs, era, revision } = viewUpdater.getRecordsAge()
     return {
       requests_open: callerServer.inFlightRequests,
+      requests_waiting: placeWaiter.readCounts().count,
+      requests_waiting_bytes: placeWaiter.readCounts().bytes,
       event_loop_delay_seconds: eventLoop.takeLongestDelayMs() / MS_PER_SECOND,
       records_age_seconds: toSeconds(ageMs),
       records_proof_age_seconds: toSeconds(synchronizer.freshness.getAgeMs()),
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -5,6 +5,9 @@
 /** Upper bounds of the latency buckets: from a response of a warm local worker to the longest time limits. */
 const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5]
 
+/** Waits are at most an eighth of a latency goal. */
+const PLACE_WAIT_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2]
+
 const RETRY_BUDGET_GAUGES: Readonly<Record<keyof RetryBudgetState, { readonly name: string, readonly help: string }>> = {
   left: { name: 'umberspar_repeats_left', help: 'Repeats that could be sent at once by service' },
   reserved: { name: 'umberspar_retry_budget_reserved', help: 'Retries among those left that only callers may use that are lost if they are refused, by service' },
@@ -33,6 +36,9 @@
   private readonly relays
   private readonly lookups
   private readonly proofWaits
+  private readonly placeWaits
+  private readonly placeWaitSeconds
+  private readonly refusals
   private readonly droppedLogLines
   private readonly latencySeconds
   private readonly retryBudgetGauges
@@ -47,6 +53,9 @@
     this.relays = new Counter({ name: 'umberspar_relays_total', help: 'Requests relayed between entry VMs by direction and end', labelNames: ['direction', 'end'], registers })
     this.lookups = new Counter({ name: 'umberspar_lookups_total', help: 'Look-ups by answer', labelNames: ['answer'], registers })
     this.proofWaits = new Counter({ name: 'umberspar_proof_waits_total', help: 'Requests that waited for a newer proof that the records are current', labelNames: ['end'], registers })
+    this.placeWaits = new Counter({ name: 'umberspar_place_waits_total', help: 'Requests that waited for a place at a worker, by end and priority', labelNames: ['end', 'priority'], registers })
+    this.placeWaitSeconds = new Histogram({ name: 'umberspar_place_wait_seconds', help: 'Time for which requests waited for a place at a worker', buckets: PLACE_WAIT_BUCKETS_SECONDS, registers })
+    this.refusals = new Counter({ name: 'umberspar_refusals_total', help: 'Refused requests by service, reason, priority of the route, and whether the caller had returned', labelNames: ['service', 'reason', 'priority', 'visit'], registers })
     this.droppedLogLines = new Counter({ name: 'umberspar_log_lines_dropped_total', help: 'Log lines that found no room', labelNames: ['urgency'], registers })
     this.retryBudgetGauges = Object.entries(RETRY_BUDGET_GAUGES).map(([field, { name, help }]) => {
       return { field: field as keyof RetryBudgetState, gauge: new Gauge({ name, help, labelNames: ['service'], registers }) }
@@ -94,6 +103,17 @@
     this.proofWaits.inc({ end })
   }
 
+  /** Counts the end of a wait for a place at a worker. */
+  countPlaceWait (end: string, priority: number, waitedMs: number): void {
+    this.placeWaits.inc({ end, priority })
+    this.placeWaitSeconds.observe(waitedMs / 1_000)
+  }
+
+  /** Counts a refused request. */
+  countRefusal (service: string, reason: string, priority: number, visit: string): void {
+    this.refusals.inc({ service, reason, priority, visit })
+  }
+
   /** Counts a dropped log line. */
   countDroppedLogLine (urgency: string): void {
     this.droppedLogLines.inc({ urgency })
