Decide a request again whose place has come since it was looked for

usersPlatform/placeWaits failed 2 of 5 times at the stop of a process: the workers were looked at some microseconds before a pause ended and the wait decided after it, so that the request was refused.

--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -230,7 +230,8 @@
     const { view } = this.context
     const unavailability = view.getPool(this.service).findUnavailability(homeRegions, view.evacuatedDomains, now)
     if (unavailability === undefined || this.mayHaveRun) return this.endWithoutResponse(EndReason.NoWorker)
-    if (this.waits.waitForPlace(this.service, unavailability.until, this.deadline)) return
+    // The place may be at a worker that has refused the request.
+    if (this.triedWorkers.size === 0 && this.waits.waitForPlace(this.service, unavailability.until, this.deadline, now)) return
     this.refuse(REASON_BY_UNAVAILABILITY[unavailability.reason], { roomAt: unavailability.until, expectedMs: 0 })
   }
 
--- a/packages/entry/src/node/front/requestWaits.ts
+++ b/packages/entry/src/node/front/requestWaits.ts
@@ -40,12 +40,12 @@
    * @param service the service that has no place now
    * @param placeAt when the first place is expected
    * @param deadline an answer after this instant has no value
+   * @param now when it was found that there is no place; the place may have come since then
    * @returns whether the request waits for the place
    */
-  waitForPlace (service: string, placeAt: Instant, deadline: Deadline): boolean {
-    const { clock, view, placeWaiter } = this.context
+  waitForPlace (service: string, placeAt: Instant, deadline: Deadline, now: Instant): boolean {
+    const { view, placeWaiter } = this.context
     const { route, body } = this.request
-    const now = clock.now()
     this.placeDeadline ??= computeWaitDeadline(now, route.goalMs, deadline, view.getServiceTimes(route, service).getServiceTimeMs(true))
     if (!shouldWait({ now, placeAt, waitDeadline: this.placeDeadline })) return false
     this.placeWait = placeWaiter.hold({ service, rank: createRank(this.context, this.request), deadline, bodyBytes: body.length, resume: this.resume }, placeAt)
--- a/packages/testing/test/node/usersPlatform/placeWaits.test.ts
+++ b/packages/testing/test/node/usersPlatform/placeWaits.test.ts
@@ -30,7 +30,9 @@
   async function startPause (seconds: number): Promise<void> {
     worker.fault = WorkerFault.Shed
     worker.retryAfter = [String(seconds)]
-    await platform.call(entry, { path: '/a/1', id: 'refused' })
+    const { status } = await platform.call(entry, { path: '/a/1', id: 'refused' })
+    assert.equal(status, 503)
+    assert.equal(await readWaiting(), 0, 'a request does not wait for the worker that has refused it')
     worker.fault = WorkerFault.None
   }
 
@@ -45,7 +47,7 @@
   it('waits at the VM for the end of a short pause, and is served', async () => {
     await startPause(PAUSE_SECONDS)
     assert.equal((await platform.call(entry, { path: '/a/1', id: 'waits' })).status, 200)
-    assert.match(await readMetrics(), /umberspar_place_waits_total\{end="released",priority="1"\} \d/)
+    assert.match(await readMetrics(), /umberspar_place_waits_total\{end="released",priority="1"\} 1/)
   })
 
   it('is refused at once during a long pause', async () => {
