--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -28,6 +28,7 @@
 import { RequestAdmission } from './requestAdmission.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
+import { RequestWaits } from './requestWaits.js'
 import { chooseWorker } from './workerChoice.js'
 import { checkAccess } from './requestAccess.js'
 import { getRefusal, REASON_BY_UNAVAILABILITY } from './refusals.js'
@@ -55,8 +56,7 @@
   private mayHaveRun = false
   private fallbackResponse: BufferedResponse | undefined
   private deadlineTimer: ITimer | undefined
-  /** When the request gives up waiting for a newer proof; undefined if it has not waited yet. */
-  private proofDeadline: Deadline | undefined
+  private readonly waits: RequestWaits
   private isEnded = false
 
   /**
@@ -72,6 +72,7 @@
     this.attemptCounts = { sent: relayOrigin?.attempts ?? 0, unsent: 0, refused: 0 }
     this.quota = new RequestQuota(context, request)
     this.admission = new RequestAdmission(context, request, this.service)
+    this.waits = new RequestWaits(context, request, () => { this.startNextAttempt() })
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
     this.deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
   }
@@ -127,16 +128,10 @@
   private checkAccess (): readonly string[] | undefined {
     const access = checkAccess(this.context, this.request)
     if (access.ok) return access.val
-    if (access.val !== EndReason.RecordsStale || !this.waitForProof()) this.endWithoutResponse(access.val)
+    if (access.val !== EndReason.RecordsStale || !this.waits.waitForProof()) this.endWithoutResponse(access.val)
     return undefined
   }
 
-  private waitForProof (): boolean {
-    const { proofWaiter } = this.context
-    this.proofDeadline ??= proofWaiter.createDeadline()
-    return proofWaiter.wait(this.proofDeadline, () => { this.startNextAttempt() })
-  }
-
   /** Has another VM send the request to a worker, as this VM reaches none. */
   private startRelay (node: EntryNode): void {
     this.relays++
@@ -242,6 +237,8 @@
     const { view } = this.context
     const unavailability = view.getPool(this.service).findUnavailability(homeRegions, view.evacuatedDomains, now)
     if (unavailability === undefined || this.mayHaveRun) return this.endWithoutResponse(EndReason.NoWorker)
+    // The place may be at a worker that has refused the request.
+    if (this.triedWorkers.size === 0 && this.waits.waitForPlace(this.service, unavailability.until, this.deadline, now)) return
     this.refuse(REASON_BY_UNAVAILABILITY[unavailability.reason], { roomAt: unavailability.until, expectedMs: 0 })
   }
 
@@ -262,7 +259,7 @@
   private answerLocally (reason: EndReason, retryAfterMs?: number, inputs?: RefusalInputs): void {
     const { outcome, status, text } = getRefusal(reason)
     this.response.writeLocal({ status, text, retryAfterMs: RETRY_AFTER_STATUSES.has(status) ? retryAfterMs : undefined, isUnable: reason === EndReason.RelayUnable })
-    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, { ...this.request, service: this.service })
+    if (outcome === RequestOutcome.Refused) recordRefusal(this.context, { ...this.request, reason, service: this.service })
     this.finishRequest(outcome, reason, status, retryAfterMs, inputs)
   }
 
@@ -291,6 +288,7 @@
     this.isEnded = true
     if (outcome === RequestOutcome.Answered) this.context.view.callerReturns.getSchedule(this.service).recordAnswer(this.context.clock.now())
     this.deadlineTimer?.close()
+    this.waits.close()
     this.request.body.release()
     this.returnQuota()
     this.admission.recordEnd(reason)
