--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -127,7 +127,7 @@
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, this.timeoutClock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
     this.upstreamLinks = this.closeStack.add(new UpstreamLinks({ clock, random: dependencies.random, view: this.view, pools: this.pools, roundTrips, eventLoop: this.eventLoop, telemetry: this.telemetry }))
     this.reports = this.closeStack.add(new FleetReports({ clock, exchange: this.exchange, view: this.view, gates: this.gates, links: this.upstreamLinks.links, regionByDomain: this.regionByDomain, telemetry: this.telemetry, node: settings.node, isPlacementAdaptive: settings.maxShift !== undefined }))
-    this.upstreamLinks.onDidChange(() => { this.reports.lostServices.report() })
+    this.upstreamLinks.onDidChange(() => this.reports.lostServices.report())
     this.relayPeers = this.closeStack.add(new RelayPeers(settings.node, () => this.view.nodes.values(), { idHeader: protocol.headers.requestId }, this.timeoutClock, (service) => this.reports.lostServices.listVmsWithout(service)))
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
@@ -159,7 +159,6 @@
     this.telemetry.logger.log(LogLevel.Info, { step: 'start', node: settings.node, domain: settings.domain, callers: settings.listen.callers, readiness: protocol.readinessPath }, 'entry process started')
     this.eventLoop.start()
     this.upstreamLinks.start()
-    this.exchange?.start()
     this.reports.start()
     registration.start()
     this.synchronizer.start()
@@ -236,10 +235,10 @@
     const { settings, clock, random, protocol } = this.dependencies
     return {
       clock,
-      timeoutClock: this.timeoutClock,
       random,
-      eventLoop: this.eventLoop,
       protocol,
+      timeoutClock: this.timeoutClock,
+      eventLoop: this.eventLoop,
       headerRewriter: new HeaderRewriter(protocol.headers),
       view: this.view,
       accessController: this.accessController,
@@ -250,6 +249,7 @@
       pools: this.pools,
       gates: this.gates,
       reports: this.reports,
+      workerLoads: this.reports.workerLoads,
       links: this.upstreamLinks.links,
       openAttempts: this.upstreamLinks.openAttempts,
       advisoryRecorder: this.advisoryRecorder,
--- a/packages/entry/src/node/exchange/fleetReports.ts
+++ b/packages/entry/src/node/exchange/fleetReports.ts
@@ -3,6 +3,7 @@
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
 import type { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
+import { WorkerLoadExchange } from '@umberspar/steering/common/entry/workers/workerLoadExchange'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
 import { UsageReporter } from '../admission/usageReporter.js'
 import { DemandReporter } from '../placement/demandReporter.js'
@@ -30,19 +31,25 @@
 export class FleetReports implements IClosable {
   private readonly closeStack = new CloseStack()
   readonly lostServices: LostServiceReporter
+  /** Undefined if this VM takes no part in the exchange. */
+  readonly workerLoads: WorkerLoadExchange | undefined
+  private readonly exchange: FleetExchange | undefined
   private readonly usage: UsageReporter | undefined
   private readonly demand: DemandReporter | undefined
 
   /** @param options what they are built from */
   constructor ({ exchange, isPlacementAdaptive, ...options }: FleetReportsOptions) {
+    this.exchange = exchange
     this.lostServices = this.closeStack.add(new LostServiceReporter({ ...options, exchange }))
     if (exchange === undefined) return
+    this.workerLoads = new WorkerLoadExchange(exchange, options.clock, (id) => options.view.findUpstream(id))
     this.usage = this.closeStack.add(new UsageReporter({ ...options, exchange }))
     if (isPlacementAdaptive) this.demand = this.closeStack.add(new DemandReporter({ ...options, exchange }))
   }
 
-  /** Begins to tell. */
+  /** Begins to listen and to tell. */
   start (): void {
+    this.exchange?.start()
     this.usage?.start()
     this.demand?.start()
   }
--- a/packages/entry/test/node/front/upstreamAttemptLoad.test.ts
+++ b/packages/entry/test/node/front/upstreamAttemptLoad.test.ts
@@ -44,7 +44,7 @@
     protocol: { headers: { load: 'x-load', rateLimit: [], notRun: 'x-not-run', seal: 'x-seal' }, parseLoad: (text: string) => text === loadText ? parsed : undefined },
     workerLoads: isExchanging ? { publish: (_tracker: unknown, report: LoadReport) => { published.push(report) } } : undefined
   } as unknown as EntryContext
-  const tracker = view.trackers.get('w-1')!
+  const tracker = view.findUpstream('w-1')!
   const choice = { candidate: { tracker, roundTripMs: 1 }, expectedMs: 10 } as unknown as UpstreamChoice
   const request = { route: {}, message: {}, body: { length: 0, chunks: [] }, digest: {} } as unknown as BufferedRequest
   new UpstreamAttempt(context, request, choice, 'archive', undefined, 1_000, { mayStillSend: () => true, onSent: () => {}, onStreamStart: () => false, onStreamData: () => {}, onEnd: () => {} }).start()
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -45,8 +45,7 @@
   /** Quarantined requests, by the request's digest. */
   readonly quarantines = new Map<string, StoredRecord<Quarantine>>()
   readonly callerReturns = new CallerReturns()
-  /** All registered workers, by id. */
-  readonly trackers = new Map<string, UpstreamTracker>()
+  private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly departedWorkers = new DepartedWorkers()
   private readonly retryBudgets = new Map<string, SharedRetryBudget>()
   /** The number of entry VMs, for allowances that the VMs of the last window have divided among themselves. */
--- a/packages/testing/src/common/policy/policySimulation.ts
+++ b/packages/testing/src/common/policy/policySimulation.ts
@@ -142,7 +142,7 @@
 
   private buildState (location: VmLocation, locations: readonly VmLocation[], startedAt: Instant): Pick<SimulatedVm, 'view' | 'loads'> {
     const view = this.buildView(location, locations, startedAt)
-    return { view, loads: this.exchange && new WorkerLoadExchange(this.exchange.createEnd(location.name), this.events, (id) => view.trackers.get(id)) }
+    return { view, loads: this.exchange && new WorkerLoadExchange(this.exchange.createEnd(location.name), this.events, (id) => view.findUpstream(id)) }
   }
 
   private buildView ({ name, domain }: VmLocation, locations: readonly VmLocation[], startedAt: Instant): EntryView {
