--- a/packages/entry/src/node/front/placeWaiter.ts
+++ b/packages/entry/src/node/front/placeWaiter.ts
@@ -7,6 +7,9 @@
 /** Limit on the requests that wait at the same time; their bodies count against the memory for bodies. */
 const MAX_WAITING = 256
 
+/** Timers may fire early by less than this. */
+const TIMER_PRECISION_MS = 1
+
 /** How a wait ended. */
 export enum PlaceWaitEnd {
   /** A place was expected; the request was decided again. */
@@ -80,7 +83,7 @@
   private getGroup (name: string, placeAt: Deadline): WaitingGroup {
     let group = this.groups.get(name)
     if (group === undefined) {
-      group = { waiting: new Set(), timer: this.clock.schedule(placeAt, () => { this.release(name) }) }
+      group = { waiting: new Set(), timer: this.clock.schedule(placeAt + TIMER_PRECISION_MS, () => { this.release(name) }) }
       this.groups.set(name, group)
     }
     return group
