--- a/packages/entry/src/node/front/requestAdmission.ts
+++ b/packages/entry/src/node/front/requestAdmission.ts
@@ -5,7 +5,7 @@
 import { GateOutcome } from '@umberspar/steering/common/entry/admission/serviceGate'
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import { EndReason } from '../telemetry/requestOutcomes.js'
-import type { BufferedRequest } from './bufferedRequest.js'
+import type { AcceptedRequest, BufferedRequest } from './bufferedRequest.js'
 import type { EntryContext } from './entryContext.js'
 
 /** The reason recorded for a request that yields. */
@@ -21,7 +21,7 @@
  * @param request the request
  * @returns its rank, by the configuration in force
  */
-export function buildRank (context: EntryContext, { route, keyDigest, visit }: BufferedRequest): RequestRank {
+export function buildRank (context: EntryContext, { route, keyDigest, visit }: AcceptedRequest): RequestRank {
   const { account } = context.accessController.decide(route, keyDigest)
   return { priority: account?.priority ?? route.priority, account: account?.name, hasReturned: visit === CallerVisit.Returned }
 }
