Count a known queue as one busy worker, not as two

Cause: with the load of all workers known from other VMs, the saturation of a service stood at 1 whenever some workers had queues, although others had free slots. Requests were then refused for being late, and misses at a second worker cost as much as in a service without room.

Change: a worker whose queue is known counts with its slots at most. Without reports from other VMs as before.

--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -52,7 +52,10 @@
 /** Slot utilization up to which the saturation is 0, and from which it is 1. */
 const SPARE_UTILIZATION_RATIO = 0.4
 const FULL_UTILIZATION_RATIO = 0.9
-/** Limits how much one worker with a long queue adds to the service's saturation. */
+/**
+ * Limits how much one worker with a long queue adds to the service's saturation. Where the queues of the workers are
+ * known from other VMs, waiting requests add nothing: they don't take the free slots of other workers.
+ */
 const MAX_IN_FLIGHT_PER_SLOT = 2
 /** The saturation is cached this long, since computing it visits all workers. */
 const SATURATION_VALIDITY_MS = 100
@@ -117,7 +120,8 @@
     for (const tracker of this.trackers.values()) {
       // Its slots are not free.
       if (tracker.advisory.isCoolingDown(now)) continue
-      inFlight += Math.min(MAX_IN_FLIGHT_PER_SLOT * tracker.registration.slots, tracker.countInFlight(now))
+      const maxPerSlot = tracker.load.isShared(now) ? 1 : MAX_IN_FLIGHT_PER_SLOT
+      inFlight += Math.min(maxPerSlot * tracker.registration.slots, tracker.countInFlight(now))
       slots += tracker.registration.slots
     }
     const utilization = slots === 0 ? 0 : inFlight / slots
