Read and discard the body of a refused request at once

Cause: Node.js discards the body of an answered request only once its response is sent. Behind a request that still runs on the same connection, the body filled the buffers, the connection was no longer read, and the end of the connection was not seen: the request before ran on for a caller that had left. Change: the rest of the body is read from the refusal on. Result: the new test failed (the request before ended as answered instead of caller-left) and passes; a second new test, that a caller of a draining process gets its early refusal, passed before and after.

--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -269,10 +269,12 @@
   }
 
   /**
-   * Node.js reads and discards the rest of a body whose request was answered, so that it isn't taken for
-   * another request. A caller that stops sending must not keep the connection.
+   * Reads and discards the rest of a refused request's body, so that it isn't taken for another request. Node.js
+   * would do so only once the response is sent, and until then not notice that the caller leaves. A caller that
+   * stops sending must not keep the connection.
    */
   private endUnreadBody (request: IncomingMessage, response: CallerResponse): void {
+    request.resume()
     this.context.timeoutClock.schedule(this.clock.now() + UNREAD_BODY_TIMEOUT_MS, () => {
       if (!request.complete && response.isSent) request.socket.destroy()
     })
--- a/packages/testing/test/node/usersPlatform/earlyRefusal.test.ts
+++ b/packages/testing/test/node/usersPlatform/earlyRefusal.test.ts
@@ -11,6 +11,8 @@
   { Name: 'busy', Prefix: '/busy/', Service: 'ledger' }
 ]
 const UPLOAD_BYTES = 60_000
+/** More than Node.js buffers of a body that isn't read. */
+const LONG_UPLOAD_BYTES = 500_000
 /** What must not be taken for a request. */
 const SMUGGLED = 'GET /a/smuggled HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: smuggled\r\nX-Umberspar-Deadline-Ms: 3000\r\n\r\n'
 const BODY = SMUGGLED.repeat(Math.ceil(UPLOAD_BYTES / SMUGGLED.length)).slice(0, UPLOAD_BYTES)
@@ -43,8 +45,8 @@
     await platform.close()
   })
 
-  function sendHead (id: string, deadlineMs = 3_000): void {
-    socket.write(`POST /up/1 HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\nContent-Length: ${UPLOAD_BYTES}\r\n\r\n`)
+  function sendHead (id: string, deadlineMs = 3_000, bytes = UPLOAD_BYTES): void {
+    socket.write(`POST /up/1 HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\nContent-Length: ${bytes}\r\n\r\n`)
   }
 
   async function removeWorker (): Promise<void> {
@@ -103,6 +105,39 @@
     assert.deepEqual(platform.workers.get('w-2')!.runs.map(({ requestId, bodyLength }) => [requestId, bodyLength]), [['upload', UPLOAD_BYTES]])
   })
 
+  // Guards against a body that nobody reads, behind which the end of the connection stays unseen.
+  it('doesn\'t hide that its caller leaves, while a request before it on the connection runs', async () => {
+    await removeWorker()
+    const worker = platform.workers.get('w-1')!
+    worker.workMs = 2_000
+    socket.write('GET /a/slow HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: slow\r\nX-Umberspar-Deadline-Ms: 3000\r\n\r\n')
+    await platform.waitUntil(() => worker.arrivals === 1)
+    sendHead('upload', 3_000, LONG_UPLOAD_BYTES)
+    socket.write('x'.repeat(LONG_UPLOAD_BYTES))
+    await platform.waitUntil(() => entry.lines.some(({ step, requestId }) => step === 'end-request' && requestId === 'upload'))
+    socket.end()
+    await platform.waitUntil(() => entry.lines.some(({ step, requestId }) => step === 'end-request' && requestId === 'slow'))
+    const line = entry.lines.find(({ step, requestId }) => step === 'end-request' && requestId === 'slow')
+    assert.equal(line?.reason, 'caller-left')
+  })
+
+  // Guards against a refusal that is lost, since the connection is reset with a part of the body unread.
+  it('gets its refusal although the process drains and closes the connection', async () => {
+    await removeWorker()
+    let failure: Error | undefined
+    socket.on('error', (error) => { failure = error })
+    const stopped = new Promise<number>((resolve) => { entry.entry.stop(resolve) })
+    sendHead('upload', 3_000, LONG_UPLOAD_BYTES)
+    for (let sent = 0; sent < LONG_UPLOAD_BYTES; sent += LONG_UPLOAD_BYTES / 10) {
+      socket.write('x'.repeat(LONG_UPLOAD_BYTES / 10))
+      await setTimeout(20)
+    }
+    await platform.waitUntil(() => socket.destroyed || socket.readableEnded)
+    assert.equal(failure, undefined)
+    await checkRefused('no-worker')
+    await stopped
+  })
+
   // Guards against callers that stop in the middle of a refused upload and keep the connection.
   it('loses its connection if the rest of a refused body does not arrive', async () => {
     await removeWorker()
