Count uploads refused before their body is read at the gate

Cause: an upload that is refused early never asked the gate of its service. Urgent uploads were refused without being counted as asked or unserved, so that less urgent requests of the same service didn't yield to them. Change: the gate counts them with what they found, as it did when they were refused after their body had been read. The two functions that built a request's rank are one.

--- a/packages/entry/src/node/front/earlyRefusal.ts
+++ b/packages/entry/src/node/front/earlyRefusal.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
 import { FULL_SATURATION, shouldAdmit } from '@umberspar/steering/common/entry/admission/admission'
+import type { ServiceLoad } from '@umberspar/steering/common/entry/admission/shortage'
 import { estimateRoom, type ExpectedRoom } from '@umberspar/steering/common/entry/retry/retryDelay'
 import type { WorkerPool } from '@umberspar/steering/common/entry/workers/workerPool'
 import { EndReason } from '../telemetry/requestOutcomes.js'
@@ -12,6 +13,7 @@
 import { planReturn, recordArrival } from './callerReturns.js'
 import type { EntryContext } from './entryContext.js'
 import { REASON_BY_UNAVAILABILITY } from './refusals.js'
+import { buildRank, readServiceLoad } from './requestAdmission.js'
 import { checkAccess } from './requestAccess.js'
 import type { RefusalDetails } from './requestChecker.js'
 import { chooseWorker } from './workerChoice.js'
@@ -23,6 +25,8 @@
 interface Obstacle {
   readonly reason: EndReason
   readonly room: ExpectedRoom
+  /** What the request finds at the service; undefined if no worker could get it. */
+  readonly load?: ServiceLoad
 }
 
 const NO_WORKERS: ReadonlySet<string> = new Set()
@@ -45,7 +49,8 @@
   return { reason: REASON_BY_UNAVAILABILITY[unavailability.reason], room: { roomAt: unavailability.until, expectedMs: 0 } }
 }
 
-function findOverload (context: EntryContext, { message, route, arrivedAt }: AcceptedRequest, service: string, homeRegions: readonly string[], deadline: Deadline, now: Instant): Obstacle | undefined {
+function findOverload (context: EntryContext, accepted: AcceptedRequest, service: string, homeRegions: readonly string[], deadline: Deadline, now: Instant): Obstacle | undefined {
+  const { message, route, arrivedAt } = accepted
   const { view, headerRewriter } = context
   const saturation = view.getPool(service).getSaturation(now)
   if (saturation < FULL_SATURATION || hasRateLimits(view.getPool(service))) return undefined
@@ -55,7 +60,7 @@
   if (choice === undefined) return undefined
   const { hasEnoughSamples } = view.getServiceTimes(route, service)
   if (shouldAdmit(choice, { now, deadline, hasEnoughSamples, wasSent: false, saturation })) return undefined
-  return { reason: EndReason.DeadlineUnreachable, room: estimateRoom(choice, now) }
+  return { reason: EndReason.DeadlineUnreachable, room: estimateRoom(choice, now), load: readServiceLoad(context, accepted, service, choice, now) }
 }
 
 function findObstacle (context: EntryContext, accepted: AcceptedRequest, service: string, homeRegions: readonly string[], deadline: Deadline): Obstacle | undefined {
@@ -87,6 +92,8 @@
   }
   if (first === undefined) return undefined
   recordArrival(context, accepted, first.service)
+  const { load } = first.obstacle
+  if (load !== undefined) context.gates.get(first.service).recordUnserved(buildRank(context, accepted), load, context.clock.now())
   const { retryAfterMs, inputs } = planReturn(context, { visit, callerDeadline }, first.service, first.obstacle.room)
   return { reason: first.obstacle.reason, arrivedAt, route, service: first.service, visit, retryAfterMs, refusalInputs: inputs }
 }
--- a/packages/entry/src/node/front/requestAdmission.ts
+++ b/packages/entry/src/node/front/requestAdmission.ts
@@ -3,9 +3,10 @@
 import { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import type { RequestRank } from '@umberspar/steering/common/entry/admission/requestRank'
 import { GateOutcome } from '@umberspar/steering/common/entry/admission/serviceGate'
+import type { ServiceLoad } from '@umberspar/steering/common/entry/admission/shortage'
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import { EndReason } from '../telemetry/requestOutcomes.js'
-import type { BufferedRequest } from './bufferedRequest.js'
+import type { AcceptedRequest, BufferedRequest } from './bufferedRequest.js'
 import type { EntryContext } from './entryContext.js'
 
 /** The reason recorded for a request that yields. */
@@ -21,11 +22,17 @@
  * @param request the request
  * @returns its rank, by the configuration in force
  */
-export function buildRank (context: EntryContext, { route, keyDigest, visit }: BufferedRequest): RequestRank {
+export function buildRank (context: EntryContext, { route, keyDigest, visit }: AcceptedRequest): RequestRank {
   const { account } = context.accessController.decide(route, keyDigest)
   return { priority: account?.priority ?? route.priority, account: account?.name, hasReturned: visit === CallerVisit.Returned }
 }
 
+/** @returns what a request finds at its service */
+export function readServiceLoad ({ view }: EntryContext, { route }: AcceptedRequest, service: string, choice: UpstreamChoice, now: Instant): ServiceLoad {
+  const { hasEnoughSamples } = view.getServiceTimes(route, service)
+  return { saturation: view.getPool(service).getSaturation(now), onTimeProbability: hasEnoughSamples ? choice.onTimeProbabilityOnHit : undefined }
+}
+
 /** Asks the gate of the request's service once. */
 export class RequestAdmission {
   private rank: RequestRank | undefined
@@ -46,9 +53,8 @@
   findRefusal (choice: UpstreamChoice, attempts: number, now: Instant): EndReason | undefined {
     if (this.rank !== undefined || attempts > 0) return undefined
     this.rank = buildRank(this.context, this.request)
-    const { context: { view, gates, telemetry }, request: { route, requestId }, service } = this
-    const { hasEnoughSamples } = view.getServiceTimes(route, service)
-    const load = { saturation: view.getPool(service).getSaturation(now), onTimeProbability: hasEnoughSamples ? choice.onTimeProbabilityOnHit : undefined }
+    const { context: { gates, telemetry }, request: { route, requestId }, service } = this
+    const load = readServiceLoad(this.context, this.request, service, choice, now)
     const decision = gates.get(service).decide(this.rank, load, now)
     if (decision.outcome === GateOutcome.Admitted) return undefined
     const reason = REASON_BY_OUTCOME[decision.outcome]
--- a/packages/entry/src/node/front/requestWaits.ts
+++ b/packages/entry/src/node/front/requestWaits.ts
@@ -2,17 +2,10 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { Deadline } from '@umberspar/base/common/deadline'
-import { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import { computeWaitDeadline, shouldWait } from '@umberspar/steering/common/entry/admission/placeWait'
-import type { RequestRank } from '@umberspar/steering/common/entry/admission/requestRank'
-import type { AcceptedRequest, BufferedRequest } from './bufferedRequest.js'
+import type { BufferedRequest } from './bufferedRequest.js'
 import type { EntryContext } from './entryContext.js'
-
-/** @returns what decides which of two requests goes first */
-export function createRank ({ accessController }: EntryContext, { route, keyDigest, visit }: AcceptedRequest): RequestRank {
-  const { account } = accessController.decide(route, keyDigest)
-  return { priority: account?.priority ?? route.priority, account: account?.name, hasReturned: visit === CallerVisit.Returned }
-}
+import { buildRank } from './requestAdmission.js'
 
 /** The waits of one request. */
 export class RequestWaits implements IClosable {
@@ -48,7 +41,7 @@
     const { route, body } = this.request
     this.placeDeadline ??= computeWaitDeadline(now, route.goalMs, deadline, view.getServiceTimes(route, service).getServiceTimeMs(true))
     if (!shouldWait({ now, placeAt, waitDeadline: this.placeDeadline })) return false
-    this.placeWait = placeWaiter.hold({ service, rank: createRank(this.context, this.request), deadline, bodyBytes: body.length, resume: this.resume }, placeAt)
+    this.placeWait = placeWaiter.hold({ service, rank: buildRank(this.context, this.request), deadline, bodyBytes: body.length, resume: this.resume }, placeAt)
     return this.placeWait !== undefined
   }
 
--- a/packages/steering/src/common/entry/admission/serviceGate.ts
+++ b/packages/steering/src/common/entry/admission/serviceGate.ts
@@ -97,6 +97,16 @@
     return this.createDecision(outcome, admittedRatio, rank)
   }
 
+  /**
+   * Counts a request that was found to have no room before it was decided on.
+   * @param rank the request's rank
+   * @param load what it found
+   * @param now the current time
+   */
+  recordUnserved (rank: RequestRank, load: ServiceLoad, now: Instant): void {
+    if (this.decide(rank, load, now).outcome === GateOutcome.Admitted) this.recordRefusal(rank.priority, now)
+  }
+
   /**
    * Records that a request which was admitted found no room after all.
    * @param priority the request's priority
--- a/packages/steering/test/common/entry/admission/serviceGate.test.ts
+++ b/packages/steering/test/common/entry/admission/serviceGate.test.ts
@@ -33,6 +33,16 @@
 }
 
 describe('the gate of a service', () => {
+  // Guards against urgent uploads that are refused before their body is read while less urgent requests are served.
+  it('has less urgent requests yield to those that were found to have no room beforehand', () => {
+    const gate = createGate()
+    for (let round = 0; round < 40; round++) gate.recordUnserved(createRank(1), { saturation: 1, onTimeProbability: undefined }, round * STEP_MS)
+    const { asked, owed, served } = gate.readUsage(40 * STEP_MS).get(1)!
+    assert.ok(asked > 20 && owed === asked && served === 0)
+    const outcomes = Array.from({ length: 40 }, () => gate.decide(createRank(5), { saturation: 1, onTimeProbability: undefined }, 40 * STEP_MS).outcome)
+    assert.ok(outcomes.filter((outcome) => outcome === GateOutcome.PriorityYielded).length >= 30)
+  })
+
   it('admits all as soon as there is room', () => {
     const gate = createGate()
     runWithoutRoom(gate, [createRank(1), createRank(5)])
--- a/packages/testing/test/node/usersPlatform/earlyRefusal.test.ts
+++ b/packages/testing/test/node/usersPlatform/earlyRefusal.test.ts
@@ -19,6 +19,8 @@
 const PAUSE_SECONDS = 50
 /** At most this old is the saturation of a service that a decision uses. */
 const SATURATION_VALIDITY_MS = 150
+/** At most this old are the limits of priorities that a decision uses. */
+const LIMITS_VALIDITY_MS = 150
 
 describe('an upload whose service has no room', { timeout: 60_000 }, () => {
   let platform: LocalPlatform
@@ -98,6 +100,27 @@
     await Promise.all(calls)
   })
 
+  // Guards against urgent uploads that are refused before anybody counts them, while less urgent requests are served.
+  it('counts as refused, so that less urgent requests yield', async () => {
+    platform.putConfiguration(ROUTES.map((route) => ({ ...route, Priority: route.Name === 'uploads' ? 0 : 5 })))
+    await platform.waitUntil(() => entry.lines.filter(({ change }) => change === 'document-adopted').length > 1)
+    platform.workers.get('w-2')!.workMs = 2_000
+    const calls = Array.from({ length: 60 }, async (_, index) => { await platform.call(entry, { path: '/busy/1', id: `busy-${index}` }).catch(() => {}) })
+    await platform.waitUntil(() => platform.workers.get('w-2')!.arrivals > 4)
+    await setTimeout(SATURATION_VALIDITY_MS)
+    for (let index = 0; index < 20; index++) {
+      sendHead(`upload-${index}`, 400)
+      socket.write(BODY)
+    }
+    await platform.waitUntil(() => entry.lines.filter(({ step, requestId }) => step === 'end-request' && String(requestId).startsWith('upload-')).length === 20)
+    const refused = entry.lines.filter(({ step, requestId, reason }) => step === 'end-request' && String(requestId).startsWith('upload-') && reason === 'too-late').length
+    assert.equal(refused, 20)
+    await setTimeout(LIMITS_VALIDITY_MS)
+    calls.push(...Array.from({ length: 10 }, async (_, index) => { await platform.call(entry, { path: '/busy/1', id: `later-${index}` }).catch(() => {}) }))
+    await Promise.all(calls)
+    assert.ok(entry.lines.some(({ step, priority }) => step === 'yield-request' && priority === 5))
+  })
+
   it('is read and served as before while there is room', async () => {
     sendHead('upload')
     socket.write(BODY)
