Count a request that waits for a worker once as demand for it

Cause: each time a request that waited for a place was decided again, it counted as one more request for the worker with the rate limit. The keys that the worker keeps shrink with that demand, so that its cache is used for fewer keys than its limit allows. Change: a request that has waited isn't counted again. Result: the new test fails without the condition (20 counted in place of 1) and passes.

--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -165,7 +165,7 @@
 
   private chooseWorker (homeRegions: readonly string[], now: Instant, triedWorkers: ReadonlySet<string> = this.triedWorkers): UpstreamChoice | undefined {
     const { service, affinityKey, deadline, request: { route, arrivedAt, body } } = this
-    return chooseWorker(this.context, { route, service, affinityKey, arrivedAt, deadline, bodyBytes: body.length, homeRegions, triedWorkers }, now)
+    return chooseWorker(this.context, { route, service, affinityKey, arrivedAt, deadline, bodyBytes: body.length, homeRegions, triedWorkers, hasWaited: this.waits.hasWaitedForPlace }, now)
   }
 
   private handleAttemptResult (result: AttemptResult): void {
--- a/packages/entry/src/node/front/requestWaits.ts
+++ b/packages/entry/src/node/front/requestWaits.ts
@@ -22,6 +22,11 @@
    */
   constructor (private readonly context: EntryContext, private readonly request: BufferedRequest, private readonly resume: () => void) {}
 
+  /** @returns whether the request waits, or has waited, for a place */
+  get hasWaitedForPlace (): boolean {
+    return this.placeWait !== undefined
+  }
+
   /** @returns whether the request waits for a newer proof */
   waitForProof (): boolean {
     const { proofWaiter } = this.context
--- a/packages/entry/src/node/front/workerChoice.ts
+++ b/packages/entry/src/node/front/workerChoice.ts
@@ -18,14 +18,16 @@
   readonly homeRegions: readonly string[]
   /** Workers that it must not be sent to. */
   readonly triedWorkers: ReadonlySet<string>
+  /** Whether it has waited for a place since a worker was chosen for it first. */
+  readonly hasWaited?: boolean
 }
 
 /** @returns the best worker for a request; undefined if none may get it now */
 export function chooseWorker ({ view, byteCosts }: EntryContext, request: WorkerRequest, now: Instant): UpstreamChoice | undefined {
-  const { route, service, affinityKey, arrivedAt, deadline, bodyBytes, homeRegions, triedWorkers } = request
+  const { route, service, affinityKey, arrivedAt, deadline, bodyBytes, homeRegions, triedWorkers, hasWaited = false } = request
   const work = view.getServiceTimes(route, service)
   const pool = view.getPool(service)
-  const candidates = pool.listCandidates({ homeRegions, key: affinityKey, triedWorkers }, work, view.evacuatedDomains, now)
+  const candidates = pool.listCandidates({ homeRegions, key: affinityKey, triedWorkers, hasWaited }, work, view.evacuatedDomains, now)
   const choiceContext = { now, goalAt: arrivedAt + route.goalMs, deadline, bytes: bodyBytes + work.getMeanResponseBytes(), saturation: pool.getSaturation(now) }
   return chooseUpstream(candidates, choiceContext, byteCosts)
 }
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -41,6 +41,8 @@
   readonly key: string | undefined
   /** Ids of the workers that this request was already sent to. */
   readonly triedWorkers: ReadonlySet<string>
+  /** Whether the request was looked at before, and has waited since. */
+  readonly hasWaited?: boolean
 }
 
 /**
@@ -190,7 +192,7 @@
       if (candidates.length >= MAX_CANDIDATES) break
       const tracker = this.trackers.get(id)
       if (tracker === undefined || request.triedWorkers.has(id) || tracker.advisory.isPaused(now) || !this.hasColdCapacity(tracker, now)) continue
-      if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined) tracker.demandMeter.record(now)
+      if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined && request.hasWaited !== true) tracker.demandMeter.record(now)
       if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
       candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, candidates[0], now))
     }
