Release waiting requests only once their place is there

A group whose requests had all left kept its timer until the place. Change: an early timer is scheduled again; the last request that leaves ends the timer.

--- a/packages/entry/src/node/front/placeWaiter.ts
+++ b/packages/entry/src/node/front/placeWaiter.ts
@@ -1,7 +1,7 @@
 /** Holds requests back that no worker may get yet, until the first place is expected. */
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import type { Deadline } from '@umberspar/base/common/deadline'
+import { type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { compareWaiting, type WaitingRequest } from '@umberspar/steering/common/entry/admission/placeWait'
 
 /** Limit on the requests that wait at the same time; their bodies count against the memory for bodies. */
@@ -31,7 +31,7 @@
 
 /** The requests of one service that wait for the same instant. */
 interface WaitingGroup {
-  readonly timer: ITimer
+  timer: ITimer
   readonly waiting: Set<Waiting>
 }
 
@@ -63,11 +63,12 @@
       return undefined
     }
     const waiting: Waiting = { ...request, since: this.clock.now() }
-    const group = this.getGroup(`${request.service} ${placeAt}`, placeAt)
+    const name = `${request.service} ${placeAt}`
+    const group = this.getGroup(name, placeAt)
     group.waiting.add(waiting)
     this.count++
     this.bytes += request.bodyBytes
-    return { close: () => { if (group.waiting.delete(waiting)) this.end(waiting, PlaceWaitEnd.Left) } }
+    return { close: () => { this.leave(name, group, waiting) } }
   }
 
   close (): void {
@@ -77,18 +78,36 @@
     this.bytes = 0
   }
 
+  private leave (name: string, group: WaitingGroup, waiting: Waiting): void {
+    if (!group.waiting.delete(waiting)) return
+    if (group.waiting.size === 0 && this.groups.get(name) === group) {
+      group.timer.close()
+      this.groups.delete(name)
+    }
+    this.end(waiting, PlaceWaitEnd.Left)
+  }
+
   private getGroup (name: string, placeAt: Deadline): WaitingGroup {
     let group = this.groups.get(name)
     if (group === undefined) {
-      group = { waiting: new Set(), timer: this.clock.schedule(placeAt, () => { this.release(name) }) }
+      group = { waiting: new Set(), timer: this.scheduleRelease(name, placeAt) }
       this.groups.set(name, group)
     }
     return group
   }
 
-  private release (name: string): void {
+  private scheduleRelease (name: string, placeAt: Deadline): ITimer {
+    return this.clock.schedule(placeAt, () => { this.release(name, placeAt) })
+  }
+
+  private release (name: string, placeAt: Deadline): void {
     const group = this.groups.get(name)
     if (group === undefined) return
+    // Timers of Node.js may fire up to a millisecond early.
+    if (!hasPassed(placeAt, this.clock.now())) {
+      group.timer = this.scheduleRelease(name, placeAt)
+      return
+    }
     this.groups.delete(name)
     for (const waiting of [...group.waiting].sort(compareWaiting)) {
       // It may have ended while another one was resumed.
--- a/packages/entry/test/node/front/placeWaiter.test.ts
+++ b/packages/entry/test/node/front/placeWaiter.test.ts
@@ -45,6 +45,32 @@
     assert.deepEqual(waiter.readCounts(), { count: 0, bytes: 0 })
   })
 
+  it('leave no timer behind when the last one ends', async () => {
+    const waits = [waiter.hold(createRequest('left', 1), 50), waiter.hold(createRequest('left too', 1), 50)]
+    await waits[0]?.close()
+    assert.equal(clock.countPendingTimers(), 1)
+    await waits[1]?.close()
+    await waits[1]?.close()
+    assert.equal(clock.countPendingTimers(), 0)
+    waiter.hold(createRequest('next', 1), 50)
+    clock.stepBy(50)
+    assert.deepEqual(resumed, ['next'])
+  })
+
+  // Guards against a request that is decided again before the place is there, and waits once more.
+  it('wait for the place though a timer fires early', () => {
+    const earlyMs = [0.5]
+    const earlyClock = { now: () => clock.now(), getWallTime: () => clock.getWallTime(), schedule: (at: number, callback: () => void) => clock.schedule(at - (earlyMs.pop() ?? 0), callback) }
+    waiter = new PlaceWaiter(earlyClock, (end) => { ends.push(end) })
+    waiter.hold(createRequest('request', 1), 50)
+    clock.stepBy(49.5)
+    assert.deepEqual(resumed, [])
+    assert.equal(waiter.readCounts().count, 1)
+    clock.stepBy(0.5)
+    assert.deepEqual(resumed, ['request'])
+    assert.deepEqual(ends, [PlaceWaitEnd.Released])
+  })
+
   // Guards against memory that grows with the requests that arrive during a pause of all workers.
   it('are bounded in number', () => {
     let held = 0
