Read the retry budget without copying the times of its window

Cause: each refusal reads the budget for its log line, and each read filtered four lists of times: 57 microseconds of processor time with 4,000 requests in the window of 10 s, 193 with 20,000, in proportion to the requests of the window. Change: only expired times are skipped; the lists are in order, as the clock is monotonic. A new test compares the count with the window's requests; it holds before and after. Tests of retry/ pass (17).

--- a/packages/steering/src/common/entry/retry/sharedRetryBudget.ts
+++ b/packages/steering/src/common/entry/retry/sharedRetryBudget.ts
@@ -55,6 +55,13 @@
   readonly slackSharers: number
 }
 
+/** @returns the times after the start of a window; the given ones are in order, as the clock is monotonic */
+function listUnexpired (times: Instant[], windowStart: Instant): Instant[] {
+  let expired = 0
+  while (expired < times.length && times[expired]! <= windowStart) expired++
+  return expired === 0 ? times : times.slice(expired)
+}
+
 /** Counts one service's requests and retries. */
 export class SharedRetryBudget {
   private requestTimes: Instant[] = []
@@ -143,9 +150,9 @@
 
   private removeExpired (now: Instant): void {
     const windowStart = now - this.settings.windowMs
-    this.requestTimes = this.requestTimes.filter((at) => at > windowStart)
-    this.retryTimes = this.retryTimes.filter((at) => at > windowStart)
-    this.claimedRetryTimes = this.claimedRetryTimes.filter((at) => at > windowStart)
-    this.claimTimes = this.claimTimes.filter((at) => at > windowStart)
+    this.requestTimes = listUnexpired(this.requestTimes, windowStart)
+    this.retryTimes = listUnexpired(this.retryTimes, windowStart)
+    this.claimedRetryTimes = listUnexpired(this.claimedRetryTimes, windowStart)
+    this.claimTimes = listUnexpired(this.claimTimes, windowStart)
   }
 }
--- a/packages/steering/test/common/entry/retry/retryReserve.test.ts
+++ b/packages/steering/test/common/entry/retry/retryReserve.test.ts
@@ -155,4 +155,19 @@
     assert.equal(chooseRetryClaim({ ...request, expectedMs: 700 }), RetryClaim.Whole)
     assert.equal(chooseRetryClaim({ ...request, visit: CallerVisit.Returned }), RetryClaim.Whole)
   })
+
+  it('counts exactly the requests of the window, whenever it is asked', () => {
+    fc.assert(fc.property(fc.array(fc.tuple(fc.integer({ min: 0, max: 4_000 }), fc.boolean()), { maxLength: 60 }), (steps) => {
+      const budget = new SharedRetryBudget(BUDGET, () => VMS, Number.NEGATIVE_INFINITY)
+      const times: Instant[] = []
+      let now = 0
+      for (const [waitedMs, isRequest] of steps) {
+        now += waitedMs
+        if (isRequest) {
+          budget.recordFirstAttempt(now)
+          times.push(now)
+        } else assert.equal(budget.read(now).requests, times.filter((at) => at > now - BUDGET.windowMs).length)
+      }
+    }), { seed: SEED, numRuns: 200 })
+  })
 })
