Begin a new check of links once earlier failures are forgotten

A check that ended without a connection or a loss kept what it had counted, so that three refusals much later could confirm a loss before any worker was checked. The new test fails on the code before.

--- a/packages/steering/src/common/entry/workers/workerLinks.ts
+++ b/packages/steering/src/common/entry/workers/workerLinks.ts
@@ -209,7 +209,10 @@
     for (const [failed, { at }] of link.failures) {
       if (now - at > FAILURE_LIFETIME_MS) link.failures.delete(failed)
     }
-    if (link.failures.size === 0) link.failingSince = startedAt
+    if (link.failures.size === 0) {
+      link.failingSince = startedAt
+      link.check = undefined
+    }
     if (link.check !== undefined && this.listRecentContacts(service, now).includes(worker)) link.check.failed.add(worker)
     link.failures.set(worker, { at: now, isRefused })
     if (link.state === LinkState.Disconnected || link.failures.size < Math.min(FAILED_WORKERS, Math.max(1, this.countWorkers(service)))) return
--- a/packages/steering/test/common/entry/workers/workerLinks.test.ts
+++ b/packages/steering/test/common/entry/workers/workerLinks.test.ts
@@ -138,6 +138,16 @@
       assert.deepEqual(checks, [['w-4'], ['w-4']])
     })
 
+    // Guards against a check of long ago that confirms a loss before any worker was checked.
+    it('begins a new check once the failures of the last one are forgotten', () => {
+      for (const worker of ['w-4', 'w-5', 'w-6', 'w-7']) links.recordResponse('archive', 950, worker)
+      refuse(['w-1', 'w-2', 'w-3', 'w-4', 'w-5'], 1_000)
+      for (const worker of ['w-4', 'w-5', 'w-6', 'w-7']) links.recordResponse('archive', 9_950, worker)
+      refuse(['w-1', 'w-2', 'w-3', 'w-6'], 10_000)
+      assert.equal(checks.length, 2)
+      assert.equal(links.isDisconnected('archive'), false)
+    })
+
     it('may be reachable after refusals while other workers were in contact lately', () => {
       refuse(['w-1', 'w-2', 'w-3'], 1_000)
       assert.equal(links.isDisconnected('archive'), true)
