Bound what the exchange keeps and sends in a large fleet

Cause: VMs that are no relay never removed expired rows, and state about destinations and relays stayed for VMs that are gone. The limit on datagrams counted messages, each of which could consist of any number of datagrams. In a failure domain of more than 360 VMs a relay's interval exceeds the time after which it passes for silent, so that more and more VMs become relays. A new relay summed up the rows of the first VMs it heard; the highest demand of a region counts for 40 s.

Change: each VM removes expired rows and state of VMs that left. A message is limited to what its sender may send in half a second, with rows for all VMs first and in turn. Silence is judged by the relay's interval. A new relay sums up after 1.5 s. The list of VMs is read once after a series of changes.

--- a/packages/entry/src/node/exchange/exchangeMessages.ts
+++ b/packages/entry/src/node/exchange/exchangeMessages.ts
@@ -41,9 +41,10 @@
  * @param hop how far the message is on its way
  * @param rows the rows; none for a message that only shows that the VM is running
  * @param now the current time
+ * @param maxDatagrams limit on the datagrams; rows beyond it are left out
  * @returns the datagrams, at least one; a row that fits into none is left out
  */
-export function formatDatagrams (from: string, hop: ExchangeHop, rows: readonly ExchangeRow[], now: Instant): Buffer[] {
+export function formatDatagrams (from: string, hop: ExchangeHop, rows: readonly ExchangeRow[], now: Instant, maxDatagrams = Number.POSITIVE_INFINITY): Buffer[] {
   const head = `{"v":${FORMAT_VERSION},"from":${JSON.stringify(from)},"hop":${hop},"rows":[`
   const maxLength = MAX_DATAGRAM_BYTES - Buffer.byteLength(head) - ']}'.length
   const datagrams: Buffer[] = []
@@ -59,6 +60,7 @@
     const bytes = Buffer.byteLength(text) + 1
     if (bytes > maxLength) continue
     if (length + bytes > maxLength) finishDatagram()
+    if (datagrams.length >= maxDatagrams) return datagrams
     texts.push(text)
     length += bytes
   }
--- a/packages/entry/src/node/exchange/fleetExchange.ts
+++ b/packages/entry/src/node/exchange/fleetExchange.ts
@@ -12,7 +12,8 @@
 import { RelayRanking } from '@umberspar/steering/common/entry/exchange/relayRanking'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
-import { ExchangeHop, type ExchangeMessage, formatDatagrams, parseDatagram, toLocalRow } from './exchangeMessages.js'
+import { ExchangeHop, type ExchangeMessage, parseDatagram, toLocalRow } from './exchangeMessages.js'
+import { ExchangeSender, SENDING_INTERVAL_MS } from './exchangeSender.js'
 import { splitAddress } from '../address.js'
 import type { IDatagramSocket } from './datagramSocket.js'
 
@@ -33,19 +34,17 @@
   onError(error: Error): void
 }
 
-/** How often new rows are sent, within a region. */
-const INTERVAL_MS = 100
 /** How often new rows are sent to other regions. */
 const FAR_INTERVAL_MS = 300
-/** How often a VM without new rows shows that it is running. */
-const HEARTBEAT_MS = 500
 /** How often the rows of the own failure domain are summed up, and expired rows removed. */
 const AGGREGATION_INTERVAL_MS = 1_000
 /** A VM is a relay for this long after it has received rows to pass on. */
 const RELAY_LEASE_MS = 2_000
-/** A relay sends at most this many datagrams a second to each kind of destination; with more destinations, its intervals are longer. */
-const MAX_DATAGRAMS_PER_SECOND = 300
-const MS_PER_SECOND = 1_000
+/** A VM that becomes a relay waits this long before it sums rows up: until then it has those of some VMs only. */
+const AGGREGATION_WARM_UP_MS = 1_500
+
+/** Names the other VMs of the failure domain as a destination. */
+const MEMBERS = 'members'
 
 const OWN: ReadonlySet<RowOrigin> = new Set([RowOrigin.Own])
 const OWN_DOMAIN: ReadonlySet<RowOrigin> = new Set([RowOrigin.Own, RowOrigin.Domain])
@@ -57,13 +56,6 @@
   [ExchangeHop.ToMembers]: RowOrigin.Relay
 }
 
-/** What was sent to one destination. */
-interface Progress {
-  sequence: number
-  nextAt: Instant
-  heartbeatAt: Instant
-}
-
 /** The exchange of one VM. */
 export class FleetExchange implements IFleetExchange, IClosable {
   private readonly table = new ExchangeTable()
@@ -71,21 +63,22 @@
   private readonly ranking: RelayRanking
   private readonly listeners = new Map<ExchangeTopic, ExchangeListener[]>()
   private readonly aggregations: DomainAggregation[] = []
-  private readonly progressByDestination = new Map<string, Progress>()
+  private readonly sender: ExchangeSender
   /** When each relay of another failure domain was last heard. */
   private readonly heardAt = new Map<string, Instant>()
   private nodesByName = new Map<string, EntryNode>()
+  private areNodesOutdated = true
   private relayUntil: Deadline = Number.NEGATIVE_INFINITY
   private nextAggregationAt: Instant = 0
+  private nextExpiryAt: Instant = 0
   private timer: ITimer | undefined
-  private sentBytesCount = 0
   private discardedCount = 0
 
   /** @param options what it uses */
   constructor (private readonly options: FleetExchangeOptions) {
     this.ranking = new RelayRanking(options.self.name)
     this.interest = new RowInterest(options.regionByDomain)
-    this.updateNodes()
+    this.sender = new ExchangeSender(options.self.name, options.socket, this.table)
   }
 
   /** Starts to receive and to send. */
@@ -95,12 +88,20 @@
     this.schedule()
   }
 
-  /** Takes the registered VMs over after a change. */
+  /** Takes the registered VMs over after a change, before they are needed next: a fleet that starts changes hundreds of times. */
   updateNodes (): void {
+    this.areNodesOutdated = true
+  }
+
+  private readNodes (): void {
+    if (!this.areNodesOutdated) return
+    this.areNodesOutdated = false
     const { self, listNodes } = this.options
     this.nodesByName = new Map([...listNodes()].map((node) => [node.name, node]))
     this.nodesByName.set(self.name, self)
     this.ranking.setNodes([...this.nodesByName.values()])
+    for (const name of this.heardAt.keys()) if (!this.nodesByName.has(name)) this.heardAt.delete(name)
+    this.sender.removeOthers(new Set([MEMBERS, ...this.ranking.listDomains().map(formatDomainName), ...[...this.nodesByName.keys()].map(formatRelayName)]))
   }
 
   publish (row: ExchangeRow): void {
@@ -121,8 +122,8 @@
   }
 
   /** @returns what was sent and discarded so far, and what is known, for metrics */
-  readCounts (): { readonly sentBytes: number, readonly discarded: number, readonly rows: number, readonly isRelay: boolean } {
-    return { sentBytes: this.sentBytesCount, discarded: this.discardedCount, rows: this.table.countRows(), isRelay: this.isRelay(this.options.clock.now()) }
+  readCounts (): { readonly sentBytes: number, readonly discarded: number, readonly rows: number, readonly peers: number, readonly isRelay: boolean } {
+    return { sentBytes: this.sender.sentBytes, discarded: this.discardedCount, rows: this.table.countRows(), peers: this.sender.destinationCount + this.heardAt.size, isRelay: this.isRelay(this.options.clock.now()) }
   }
 
   close (): void {
@@ -132,7 +133,7 @@
 
   private schedule (): void {
     const { clock } = this.options
-    this.timer = clock.schedule(clock.now() + INTERVAL_MS, () => {
+    this.timer = clock.schedule(clock.now() + SENDING_INTERVAL_MS, () => {
       this.sendDue()
       this.schedule()
     })
@@ -142,12 +143,19 @@
     return !hasPassed(this.relayUntil, now)
   }
 
+  private renewRelayLease (now: Instant): void {
+    if (!this.isRelay(now)) this.nextAggregationAt = now + AGGREGATION_WARM_UP_MS
+    this.relayUntil = createDeadline(now, RELAY_LEASE_MS)
+  }
+
   private sendDue (): void {
     const { clock, self } = this.options
     const now = clock.now()
+    this.readNodes()
+    this.removeExpired(now)
     for (const { name, exchangeAddress } of this.ranking.chooseRelays(self.domain, now)) {
-      if (name === self.name) this.relayUntil = createDeadline(now, RELAY_LEASE_MS)
-      else this.sendTo(`relay ${name}`, ExchangeHop.ToRelay, [exchangeAddress!], OWN, INTERVAL_MS, now)
+      if (name === self.name) this.renewRelayLease(now)
+      else this.sender.send({ name: formatRelayName(name), hop: ExchangeHop.ToRelay, addresses: [exchangeAddress!], datagramsPerRound: 1, intervalMs: SENDING_INTERVAL_MS, origins: OWN, isWanted: () => true }, now)
     }
     if (!this.isRelay(now)) return
     this.updateAggregates(now)
@@ -155,11 +163,17 @@
     this.sendToOtherDomains(now)
   }
 
+  private removeExpired (now: Instant): void {
+    if (now < this.nextExpiryAt) return
+    this.nextExpiryAt = now + AGGREGATION_INTERVAL_MS
+    this.table.removeExpired(now)
+  }
+
   private sendToMembers (now: Instant): void {
     const { self } = this.options
     const addresses = this.ranking.listMembers(self.domain).filter(({ name }) => name !== self.name).map(({ exchangeAddress }) => exchangeAddress!)
-    const isWanted = (row: ExchangeRow): boolean => SCOPE_BY_TOPIC[row.topic] !== ExchangeScope.DomainRelays && this.isWantedIn(self.domain, row, now)
-    if (addresses.length > 0) this.sendTo('members', ExchangeHop.ToMembers, addresses, RELAYED, computeInterval(INTERVAL_MS, addresses.length), now, isWanted)
+    const isWanted = (row: ExchangeRow): boolean => this.isWantedIn(self.domain, row, now)
+    if (addresses.length > 0) this.sender.send({ name: MEMBERS, hop: ExchangeHop.ToMembers, addresses, datagramsPerRound: addresses.length, intervalMs: SENDING_INTERVAL_MS, origins: RELAYED, isWanted }, now)
   }
 
   private sendToOtherDomains (now: Instant): void {
@@ -169,9 +183,10 @@
     const nearCount = domains.filter((domain) => regionByDomain.get(domain) === ownRegion).length
     for (const domain of domains) {
       const isNear = regionByDomain.get(domain) === ownRegion
-      const intervalMs = isNear ? computeInterval(INTERVAL_MS, nearCount) : computeInterval(FAR_INTERVAL_MS, domains.length - nearCount)
-      const isWanted = (row: ExchangeRow): boolean => SCOPE_BY_TOPIC[row.topic] !== ExchangeScope.DomainRelays && this.isWantedIn(domain, row, now)
-      this.sendTo(`domain ${domain}`, ExchangeHop.BetweenDomains, this.listRelayAddresses(domain, now), OWN_DOMAIN, intervalMs, now, isWanted)
+      const addresses = this.listRelayAddresses(domain, now)
+      const datagramsPerRound = addresses.length * (isNear ? nearCount : domains.length - nearCount)
+      const isWanted = (row: ExchangeRow): boolean => this.isWantedIn(domain, row, now)
+      this.sender.send({ name: formatDomainName(domain), hop: ExchangeHop.BetweenDomains, addresses, datagramsPerRound, intervalMs: isNear ? SENDING_INTERVAL_MS : FAR_INTERVAL_MS, origins: OWN_DOMAIN, isWanted }, now)
     }
   }
 
@@ -183,36 +198,14 @@
   }
 
   private isWantedIn (domain: string, row: ExchangeRow, now: Instant): boolean {
-    return SCOPE_BY_TOPIC[row.topic] === ExchangeScope.Fleet || this.interest.isWantedIn(domain, row.key, this.options.findSubjectDomain(row), now)
-  }
-
-  private sendTo (destination: string, hop: ExchangeHop, addresses: readonly string[], origins: ReadonlySet<RowOrigin>, intervalMs: number, now: Instant, isWanted: (row: ExchangeRow) => boolean = () => true): void {
-    const progress = this.getProgress(destination)
-    if (now < progress.nextAt) return
-    const rows = this.table.listAfter(progress.sequence, origins).map(({ row }) => row).filter(isWanted)
-    progress.sequence = this.table.sequence
-    if (rows.length === 0 && now < progress.heartbeatAt) return
-    progress.nextAt = now + intervalMs - INTERVAL_MS / 2
-    progress.heartbeatAt = now + HEARTBEAT_MS
-    for (const datagram of formatDatagrams(this.options.self.name, hop, rows, now)) {
-      for (const address of addresses) this.options.socket.send(datagram, address)
-      this.sentBytesCount += datagram.length * addresses.length
-    }
-  }
-
-  private getProgress (destination: string): Progress {
-    let progress = this.progressByDestination.get(destination)
-    if (progress === undefined) {
-      progress = { sequence: 0, nextAt: Number.NEGATIVE_INFINITY, heartbeatAt: Number.NEGATIVE_INFINITY }
-      this.progressByDestination.set(destination, progress)
-    }
-    return progress
+    const scope = SCOPE_BY_TOPIC[row.topic]
+    if (scope === ExchangeScope.DomainRelays) return false
+    return scope === ExchangeScope.Fleet || this.interest.isWantedIn(domain, row.key, this.options.findSubjectDomain(row), now)
   }
 
   private updateAggregates (now: Instant): void {
     if (now < this.nextAggregationAt) return
     this.nextAggregationAt = now + AGGREGATION_INTERVAL_MS
-    this.table.removeExpired(now)
     const { domain } = this.options.self
     for (const aggregation of this.aggregations) {
       const rows = [...this.table.listRows(aggregation.from)].filter(({ key }) => this.nodesByName.get(key)?.domain === domain)
@@ -225,6 +218,7 @@
   }
 
   private handleDatagram (datagram: Buffer, host: string): void {
+    this.readNodes()
     const message = parseDatagram(datagram)
     const sender = message === undefined ? undefined : this.nodesByName.get(message.from)
     const isKnown = sender?.exchangeAddress !== undefined && splitAddress(sender.exchangeAddress).host === host
@@ -244,7 +238,7 @@
     const { clock, roundTrips } = this.options
     const now = clock.now()
     if (hop !== ExchangeHop.ToRelay) this.ranking.recordMessage(from, now)
-    if (hop !== ExchangeHop.ToMembers) this.relayUntil = createDeadline(now, RELAY_LEASE_MS)
+    if (hop !== ExchangeHop.ToMembers) this.renewRelayLease(now)
     if (hop === ExchangeHop.BetweenDomains) this.heardAt.set(from, now)
     const travelMs = roundTrips.getRoundTripMs(domain) / 2
     for (const sent of rows) {
@@ -260,7 +254,10 @@
   }
 }
 
-/** @returns the interval in which a relay sends to this many destinations, in milliseconds */
-function computeInterval (intervalMs: number, destinations: number): number {
-  return Math.max(intervalMs, destinations * MS_PER_SECOND / MAX_DATAGRAMS_PER_SECOND)
+function formatRelayName (relay: string): string {
+  return `relay ${relay}`
+}
+
+function formatDomainName (domain: string): string {
+  return `domain ${domain}`
 }
--- a/packages/entry/test/node/exchange/exchangeNetwork.ts
+++ b/packages/entry/test/node/exchange/exchangeNetwork.ts
@@ -22,6 +22,7 @@
   readonly vms = new Map<string, SimulatedVm>()
   /** Links that lose all datagrams, as `from to` by VM name. */
   readonly cutLinks = new Set<string>()
+  private addedCount = 0
   private readonly listeners = new Map<string, { readonly name: string, readonly listener: DatagramListener }>()
 
   /** @param regions failure domains with their regions */
@@ -29,7 +30,8 @@
 
   /** Adds a VM; without an address it runs a build that takes no part. */
   addVm (name: string, domain: string, takesPart = true): SimulatedVm {
-    const address = `10.0.0.${this.vms.size + 1}:7000`
+    const number = ++this.addedCount
+    const address = `10.0.${number >> 8}.${number & 255}:7000`
     const node: EntryNode = { name, address, peerAddress: address, domain, exchangeAddress: takesPart ? address : undefined }
     const regionByDomain = new Map(Object.entries(this.regions))
     const exchange = new FleetExchange({
@@ -62,6 +64,13 @@
     this.vms.get(name)!.exchange.close()
   }
 
+  /** Ends a VM that is no longer registered. */
+  removeVm (name: string): void {
+    this.stopVm(name)
+    this.vms.delete(name)
+    for (const other of this.vms.values()) other.exchange.updateNodes()
+  }
+
   /** Cuts a VM off, or only its outgoing or incoming datagrams. */
   breakLinks (name: string, { isIncoming = true, isOutgoing = true } = {}): void {
     for (const other of this.vms.keys()) {
--- a/packages/entry/test/node/exchange/fleetExchange.test.ts
+++ b/packages/entry/test/node/exchange/fleetExchange.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ExchangeTopic } from '@umberspar/steering/common/entry/exchange/exchangeRow'
+import { ExchangeTopic, ROW_LIFETIME_MS } from '@umberspar/steering/common/entry/exchange/exchangeRow'
 import { formatDatagrams, ExchangeHop, parseDatagram } from '../../../src/node/exchange/exchangeMessages.js'
 import { ExchangeNetwork, type SimulatedVm } from './exchangeNetwork.js'
 
@@ -135,6 +135,93 @@
     assert.equal(listKnowing(network, 'a', 1).length, DOMAINS.length * VMS_PER_DOMAIN / 2)
   })
 
+  // Guards against tables that fill up with rows about workers and VMs that are gone.
+  it('forgets rows that nobody renews, also at VMs that are no relays', () => {
+    const network = createNetwork()
+    publish(network, network.vms.get('north-1-vm-3')!, 'a', 1)
+    network.clock.stepBy(ROW_LIFETIME_MS + 2 * SPREAD_MS)
+    assert.deepEqual([...network.vms.values()].filter(({ exchange }) => exchange.readCounts().rows > 0).map(({ node }) => node.name), [])
+  })
+
+  // Guards against state that grows with each VM that is replaced by one of another name.
+  it('forgets VMs that are no longer registered', () => {
+    const network = new ExchangeNetwork({ 'north-1': 'north', 'south-1': 'south' })
+    const vm = network.addVm('north-1-vm', 'north-1')
+    const countPeers = (): number => vm.exchange.readCounts().peers
+    const runRound = (round: number): void => {
+      for (const domain of ['north-1', 'south-1']) network.addVm(`${domain}-${round}`, domain)
+      network.clock.stepBy(FAILURE_MS)
+      for (const domain of ['north-1', 'south-1']) network.removeVm(`${domain}-${round}`)
+    }
+    for (let round = 0; round < 2; round++) runRound(round)
+    network.clock.stepBy(FAILURE_MS)
+    const before = countPeers()
+    for (let round = 2; round < 8; round++) runRound(round)
+    network.clock.stepBy(FAILURE_MS)
+    assert.equal(countPeers(), before)
+  })
+
+  // Guards against a sum of the first few rows: the rates of one VM would stand for those of the whole domain.
+  it('tells no sum of a failure domain before its VMs have been heard', () => {
+    const network = new ExchangeNetwork(REGIONS)
+    const sums: number[] = []
+    for (const domain of DOMAINS) {
+      for (let index = 0; index < VMS_PER_DOMAIN; index++) {
+        const { exchange } = network.addVm(`${domain}-vm-${index}`, domain)
+        exchange.addAggregation({ from: ExchangeTopic.VmDemand, to: ExchangeTopic.DomainDemand, compute: (rows) => [...rows].length || undefined })
+        exchange.onDidReceive(ExchangeTopic.DomainDemand, ({ content }) => { sums.push(Number(content)) })
+      }
+    }
+    const publishAll = (): void => { for (const vm of network.vms.values()) publish(network, vm, vm.node.name, 1, ExchangeTopic.VmDemand) }
+    for (let second = 0; second < 8; second++) {
+      network.clock.stepBy(500)
+      publishAll()
+      network.clock.stepBy(500)
+      if (second === 3) for (const name of findRelays(network, 'north-1')) network.stopVm(name)
+    }
+    assert.ok(sums.length > 0)
+    assert.deepEqual(sums.filter((count) => count < VMS_PER_DOMAIN - 2), [])
+  })
+
+  describe('in a large failure domain', () => {
+    function createLargeDomain (vmCount: number): ExchangeNetwork {
+      const network = new ExchangeNetwork({ 'north-1': 'north' })
+      for (let index = 0; index < vmCount; index++) network.addVm(`vm-${index}`, 'north-1')
+      network.clock.stepBy(START_MS)
+      return network
+    }
+
+    // Guards against relays that send all rows of a large domain to all of its VMs at once.
+    it('limits the datagrams of a relay, however many rows there are', () => {
+      const network = createLargeDomain(40)
+      for (const vm of network.vms.values()) vm.sentCount = 0
+      const writer = network.vms.get('vm-3')!
+      for (let round = 0; round < 50; round++) {
+        for (let worker = 0; worker < 1_000; worker++) publish(network, writer, `north-1/worker-${worker}`, round, ExchangeTopic.WorkerLoad)
+        network.clock.stepBy(100)
+      }
+      for (const name of findRelays(network, 'north-1')) assert.ok(network.vms.get(name)!.sentCount <= 5 * 400 + 200, `${name} sent ${network.vms.get(name)!.sentCount}`)
+    })
+
+    it('still tells all VMs the rows of the whole fleet while there are more rows than can be sent', () => {
+      const network = createLargeDomain(40)
+      const writer = network.vms.get('vm-3')!
+      for (let round = 0; round < 50; round++) {
+        if (round === 0) publish(network, writer, 'a', 1)
+        for (let worker = 0; worker < 1_000; worker++) publish(network, writer, `north-1/worker-${worker}`, round, ExchangeTopic.WorkerLoad)
+        network.clock.stepBy(100)
+      }
+      assert.equal(listKnowing(network, 'a', 1).length, network.vms.size)
+    })
+
+    // Guards against VMs that take relays with long intervals for silent, until most VMs are relays.
+    it('keeps two relays', () => {
+      const network = createLargeDomain(500)
+      network.clock.stepBy(3_000)
+      assert.equal(findRelays(network, 'north-1').length, 2)
+    })
+  })
+
   // Guards against costs that grow with the fleet.
   it('costs a VM that is no relay the same in a fleet five times as large', () => {
     const counts = [3, 15].map((vmsPerDomain) => {
--- a/packages/steering/src/common/entry/exchange/relayRanking.ts
+++ b/packages/steering/src/common/entry/exchange/relayRanking.ts
@@ -6,12 +6,15 @@
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import { rankMembers } from '../replicationPlan.js'
+import { computePaceMs } from './relayPace.js'
 import type { EntryNode } from '../records.js'
 
 /** If one of them fails or is cut off, the other has sent the same rows. */
 const RELAYS_PER_DOMAIN = 2
-/** A relay that sends nothing for this long while it is used is replaced: it sends at least each half a second. */
-const SILENCE_MS = 1_200
+/** A relay that sends nothing for this long while it is used is replaced, */
+const MIN_SILENCE_MS = 1_200
+/** and for this many of its intervals in a large fleet. */
+const SILENT_INTERVALS = 2.4
 /** A silent VM isn't used again before this time has passed, unless no other is left. */
 const RETRY_MS = 5_000
 
@@ -27,6 +30,7 @@
 export class RelayRanking {
   private readonly states = new Map<string, RelayState>()
   private nodes: readonly EntryNode[] = []
+  private domains: readonly string[] | undefined
   private readonly rankedByDomain = new Map<string, readonly EntryNode[]>()
 
   /** @param self this VM's name, which never counts as silent */
@@ -36,13 +40,15 @@
   setNodes (nodes: readonly EntryNode[]): void {
     this.nodes = nodes.filter(({ exchangeAddress }) => exchangeAddress !== undefined)
     this.rankedByDomain.clear()
+    this.domains = undefined
     const names = new Set(nodes.map(({ name }) => name))
     for (const name of this.states.keys()) if (!names.has(name)) this.states.delete(name)
   }
 
   /** @returns the failure domains that have VMs which take part */
-  listDomains (): string[] {
-    return [...new Set(this.nodes.map(({ domain }) => domain))]
+  listDomains (): readonly string[] {
+    this.domains ??= [...new Set(this.nodes.map(({ domain }) => domain))]
+    return this.domains
   }
 
   /**
@@ -66,9 +72,10 @@
    */
   chooseRelays (domain: string, now: Instant): EntryNode[] {
     const members = this.listMembers(domain)
-    const responding = members.filter(({ name }) => this.isUsable(name, now))
+    const silenceMs = this.computeSilenceMs(domain)
+    const responding = members.filter(({ name }) => this.isUsable(name, silenceMs, now))
     const relays = [...new Set([...responding, ...members])].slice(0, RELAYS_PER_DOMAIN)
-    for (const { name } of relays) this.recordUse(this.getState(name), now)
+    for (const { name } of relays) this.recordUse(this.getState(name), silenceMs, now)
     return relays
   }
 
@@ -83,16 +90,21 @@
     state.silentUntil = Number.NEGATIVE_INFINITY
   }
 
-  private recordUse (state: RelayState, now: Instant): void {
-    if (now - state.usedAt > SILENCE_MS) state.waitingSince = now
+  /** A relay sends to the VMs of its failure domain and to the other domains in turn. */
+  private computeSilenceMs (domain: string): number {
+    return Math.max(MIN_SILENCE_MS, SILENT_INTERVALS * computePaceMs(Math.max(this.listMembers(domain).length, RELAYS_PER_DOMAIN * this.listDomains().length)))
+  }
+
+  private recordUse (state: RelayState, silenceMs: number, now: Instant): void {
+    if (now - state.usedAt > silenceMs) state.waitingSince = now
     state.usedAt = now
   }
 
-  private isUsable (name: string, now: Instant): boolean {
+  private isUsable (name: string, silenceMs: number, now: Instant): boolean {
     if (name === this.self) return true
     const state = this.getState(name)
-    const isInUse = now - state.usedAt <= SILENCE_MS
-    if (isInUse && now - state.waitingSince > SILENCE_MS) {
+    const isInUse = now - state.usedAt <= silenceMs
+    if (isInUse && now - state.waitingSince > silenceMs) {
       state.silentUntil = createDeadline(now, RETRY_MS)
       state.waitingSince = now
     }
