Select the first workers of a key instead of sorting all

Cause: each placement step discards the rankings, and the next request for each object sorted all workers of the service, of which at most five are scored. The cache held full rankings of up to 20,000 keys, which at 3,500 workers are 70 million entries.

Change: the first eight workers are selected in one pass and cached; the full sort is used only if those can't get the request, and its cache is limited to 200,000 entries.

--- a/packages/steering/src/common/entry/placement/keyRanking.ts
+++ b/packages/steering/src/common/entry/placement/keyRanking.ts
@@ -6,8 +6,12 @@
 import { computePairHash, PAIR_HASH_RANGE } from '../../lookup/rendezvous.js'
 import type { WorkerShares } from './workerShares.js'
 
-/** Limit on cached rankings, about 200 bytes each. Far fewer objects of a service are in use at an entry VM. */
+/** Workers whose order is kept for a key; requests rarely need more, as most workers can get them. */
+const HEAD_LENGTH = 8
+/** Limit on cached keys, about 300 bytes each. Far fewer objects of a service are in use at an entry VM. */
 const MAX_CACHED_KEYS = 20_000
+/** Limit on the workers of all cached full rankings, about 8 bytes each. */
+const MAX_CACHED_FULL_RANKS = 200_000
 
 interface RankedWorker {
   readonly id: string
@@ -16,6 +20,8 @@
 
 /** The rankings for requests that arrive in one failure domain. */
 export class KeyRanking {
+  private readonly headsByKey = new Map<string, readonly string[]>()
+  /** Rankings of keys for which the first workers were not enough. */
   private readonly ranksByKey = new Map<string, readonly string[]>()
 
   /** @param shares each worker's share of the requests */
@@ -23,30 +29,64 @@
 
   /** The number of objects that were ranked, as far as cached. */
   get keyCount (): number {
-    return this.ranksByKey.size
+    return this.headsByKey.size
   }
 
   /**
+   * Lists all workers in the order of their ranks. The first few cost no sorting of the others.
    * @param key identifies the object
    * @returns worker ids, the first choice first
    */
+  * listRanked (key: string): Iterable<string> {
+    const head = this.getHead(key)
+    yield * head
+    if (head.length === this.shares.size) return
+    const ranks = this.rank(key)
+    for (let rank = head.length; rank < ranks.length; rank++) yield ranks[rank]!
+  }
+
+  /**
+   * @param key identifies the object
+   * @returns all worker ids, the first choice first
+   */
   rank (key: string): readonly string[] {
     const cached = this.ranksByKey.get(key)
     if (cached !== undefined) return cached
-    const ranks = this.computeRanks(key)
-    if (this.ranksByKey.size >= MAX_CACHED_KEYS) this.ranksByKey.clear()
+    const ranked = [...this.shares].map(([id, share]) => scoreWorker(key, id, share)).sort(compareRanked)
+    const ranks = ranked.map(({ id }) => id)
+    if ((this.ranksByKey.size + 1) * ranks.length > MAX_CACHED_FULL_RANKS) this.ranksByKey.clear()
     this.ranksByKey.set(key, ranks)
     return ranks
   }
 
-  private computeRanks (key: string): string[] {
-    const ranked: RankedWorker[] = []
+  private getHead (key: string): readonly string[] {
+    const cached = this.headsByKey.get(key)
+    if (cached !== undefined) return cached
+    const head = this.selectHead(key)
+    if (this.headsByKey.size >= MAX_CACHED_KEYS) this.headsByKey.clear()
+    this.headsByKey.set(key, head)
+    return head
+  }
+
+  private selectHead (key: string): string[] {
+    const head: RankedWorker[] = []
     for (const [id, share] of this.shares) {
-      // Adding one half keeps the sample strictly between 0 and 1.
-      const uniformSample = (computePairHash(key, id) + 0.5) / PAIR_HASH_RANGE
-      ranked.push({ id, score: -Math.log(uniformSample) / share })
+      const worker = scoreWorker(key, id, share)
+      if (head.length === HEAD_LENGTH && compareRanked(worker, head.at(-1)!) > 0) continue
+      if (head.length === HEAD_LENGTH) head.pop()
+      const index = head.findIndex((other) => compareRanked(worker, other) < 0)
+      head.splice(index === -1 ? head.length : index, 0, worker)
     }
-    ranked.sort((left, right) => left.score - right.score || (left.id < right.id ? -1 : 1))
-    return ranked.map(({ id }) => id)
+    return head.map(({ id }) => id)
   }
 }
+
+function scoreWorker (key: string, id: string, share: number): RankedWorker {
+  // Adding one half keeps the sample strictly between 0 and 1.
+  const uniformSample = (computePairHash(key, id) + 0.5) / PAIR_HASH_RANGE
+  return { id, score: -Math.log(uniformSample) / share }
+}
+
+function compareRanked (left: RankedWorker, right: RankedWorker): number {
+  return left.score - right.score || (left.id < right.id ? -1 : 1)
+}
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -177,22 +177,24 @@
    */
   listCandidates (request: CandidateRequest, serviceTimes: ServiceTimeEstimate, evacuatedDomains: ReadonlySet<string>, now: Instant): Candidate[] {
     const key = request.key ?? String(now)
-    const ranks = this.getRanking(request.homeRegions, evacuatedDomains).rank(key)
-    const candidates = this.findCandidates(ranks, key, request, serviceTimes, now, RateLimitScope.AssignedKeys)
+    const ranking = this.getRanking(request.homeRegions, evacuatedDomains)
+    const candidates = this.findCandidates(ranking.listRanked(key), key, request, serviceTimes, now, RateLimitScope.AssignedKeys)
     // Rather than reject the request, allow keys that are not assigned to a worker, within the configured
     // tolerance.
-    return candidates.length > 0 ? candidates : this.findCandidates(ranks, key, request, serviceTimes, now, RateLimitScope.AnyKey)
+    return candidates.length > 0 ? candidates : this.findCandidates(ranking.listRanked(key), key, request, serviceTimes, now, RateLimitScope.AnyKey)
   }
 
-  private findCandidates (ranks: readonly string[], key: string, request: CandidateRequest, serviceTimes: ServiceTimeEstimate, now: Instant, scope: RateLimitScope): Candidate[] {
+  private findCandidates (ranks: Iterable<string>, key: string, request: CandidateRequest, serviceTimes: ServiceTimeEstimate, now: Instant, scope: RateLimitScope): Candidate[] {
     const candidates: Candidate[] = []
-    for (const [rank, id] of ranks.entries()) {
-      if (candidates.length >= MAX_CANDIDATES) break
+    let rank = -1
+    for (const id of ranks) {
+      rank++
       const tracker = this.trackers.get(id)
       if (tracker === undefined || request.triedWorkers.has(id) || tracker.advisory.isPaused(now) || !this.hasColdCapacity(tracker, now)) continue
       if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined) tracker.demandMeter.record(now)
       if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
       candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, candidates[0], now))
+      if (candidates.length >= MAX_CANDIDATES) break
     }
     return candidates
   }
