Bound the length of a failure domain's demand row

Services named like properties of objects gave text or NaN instead of a rate.

Change: sums have four digits, and the services with the most requests are told in at most 900 characters; rates are looked up as own properties only.

--- a/packages/steering/src/common/entry/placement/domainDemand.ts
+++ b/packages/steering/src/common/entry/placement/domainDemand.ts
@@ -14,6 +14,9 @@
 const MAX_PER_SECOND = 1_000_000
 /** Limit on the services of a row. */
 const MAX_SERVICES = 64
+/** Limit on the text of a row's rates; a longer row would fit into no datagram. */
+const MAX_ROW_CHARACTERS = 900
+const SIGNIFICANT_DIGITS = 4
 /** With rows of fewer VMs than this, demand is unknown. */
 const MIN_KNOWN_VM_RATIO = 0.5
 
@@ -35,14 +38,14 @@
   to: ExchangeTopic.DomainDemand,
   compute (rows: Iterable<ExchangeRow>, now: Instant): ExchangeContent | undefined {
     let vmCount = 0
-    const rates: Record<string, number> = {}
+    const sums = new Map<string, number>()
     for (const { content, at } of rows) {
       const vmRates = now - at > VM_ROW_VALIDITY_MS ? undefined : parseRates(content)
       if (vmRates === undefined) continue
       vmCount++
-      for (const [service, perSecond] of Object.entries(vmRates)) rates[service] = (rates[service] ?? 0) + perSecond
+      for (const [service, perSecond] of Object.entries(vmRates)) sums.set(service, (sums.get(service) ?? 0) + perSecond)
     }
-    return vmCount === 0 ? undefined : { vms: vmCount, rates }
+    return vmCount === 0 ? undefined : { vms: vmCount, rates: chooseTopRates(sums) }
   }
 }
 
@@ -109,7 +112,20 @@
 }
 
 function computePerVm ({ rates, vmCount }: DomainDemand, service: string): number {
-  return (rates[service] ?? 0) / vmCount
+  return Object.hasOwn(rates, service) ? rates[service]! / vmCount : 0
+}
+
+/** @returns the rates of the services with the most requests, as many as fit into a row */
+function chooseTopRates (sums: ReadonlyMap<string, number>): ServiceRates {
+  const entries: Array<[string, number]> = []
+  let characters = 0
+  for (const [service, sum] of [...sums].sort(([, left], [, right]) => right - left)) {
+    const perSecond = Number(sum.toPrecision(SIGNIFICANT_DIGITS))
+    characters += JSON.stringify([service, perSecond]).length
+    if (characters > MAX_ROW_CHARACTERS) break
+    entries.push([service, perSecond])
+  }
+  return Object.fromEntries(entries)
 }
 
 function countMembers (members: Iterable<DomainMember>, regionByDomain: ReadonlyMap<string, string>): Map<string, number> {
--- a/packages/steering/src/common/entry/placement/keyRanking.ts
+++ b/packages/steering/src/common/entry/placement/keyRanking.ts
@@ -52,7 +52,7 @@
   rank (key: string): readonly string[] {
     const cached = this.ranksByKey.get(key)
     if (cached !== undefined) return cached
-    const ranked = [...this.shares].map(([id, share]) => scoreWorker(key, id, share)).sort(compareRanked)
+    const ranked = [...this.shares].map(([id, share]) => computeScore(key, id, share)).sort(compareRanked)
     const ranks = ranked.map(({ id }) => id)
     if ((this.ranksByKey.size + 1) * ranks.length > MAX_CACHED_FULL_RANKS) this.ranksByKey.clear()
     this.ranksByKey.set(key, ranks)
@@ -62,16 +62,16 @@
   private getHead (key: string): readonly string[] {
     const cached = this.headsByKey.get(key)
     if (cached !== undefined) return cached
-    const head = this.selectHead(key)
+    const head = this.chooseHead(key)
     if (this.headsByKey.size >= MAX_CACHED_KEYS) this.headsByKey.clear()
     this.headsByKey.set(key, head)
     return head
   }
 
-  private selectHead (key: string): string[] {
+  private chooseHead (key: string): string[] {
     const head: RankedWorker[] = []
     for (const [id, share] of this.shares) {
-      const worker = scoreWorker(key, id, share)
+      const worker = computeScore(key, id, share)
       if (head.length === HEAD_LENGTH && compareRanked(worker, head.at(-1)!) > 0) continue
       if (head.length === HEAD_LENGTH) head.pop()
       const index = head.findIndex((other) => compareRanked(worker, other) < 0)
@@ -81,7 +81,7 @@
   }
 }
 
-function scoreWorker (key: string, id: string, share: number): RankedWorker {
+function computeScore (key: string, id: string, share: number): RankedWorker {
   // Adding one half keeps the sample strictly between 0 and 1.
   const uniformSample = (computePairHash(key, id) + 0.5) / PAIR_HASH_RANGE
   return { id, score: -Math.log(uniformSample) / share }
--- a/packages/steering/test/common/entry/placement/domainDemand.test.ts
+++ b/packages/steering/test/common/entry/placement/domainDemand.test.ts
@@ -34,6 +34,24 @@
     assert.equal(domainDemandAggregation.compute(rows, 60_000), undefined)
   })
 
+  // Guards against a domain whose rates, of many services with long numbers, fit into no datagram and are never told.
+  it('is told in a bounded length, the services with the most requests first', () => {
+    const rows = Array.from({ length: 20 }, (_, vm) => createRow(ExchangeTopic.VmDemand, `vm-${vm}`, Object.fromEntries(Array.from({ length: 12 }, (_, index) => [`service-${vm}-${index}`, 0.1 * (vm + index) + 1 / 3]))))
+    const content = domainDemandAggregation.compute(rows, 0)!
+    assert.ok(JSON.stringify(content).length <= 1_000, `${JSON.stringify(content).length}`)
+    const { rates } = parseDomainDemand([createRow(ExchangeTopic.DomainDemand, 'a-1', content)], 0).get('a-1')!
+    assert.ok(rates['service-19-11']! > 3.3 && Object.values(rates).every((perSecond) => perSecond > 1))
+  })
+
+  it('is a number for services whose names objects have as properties', () => {
+    for (const service of ['constructor', 'toString', '__proto__']) {
+      const demand = parseDomainDemand([...REGIONS.keys()].map((domain) => createDomainRow(domain, 4, 40)), 0)
+      assert.equal(estimateRegionDemand(service, demand, listMembers(), REGIONS), undefined, service)
+      const rows = [1, 2].map((vm) => createRow(ExchangeTopic.VmDemand, `vm-${vm}`, Object.fromEntries([[service, 2]])))
+      assert.deepEqual(domainDemandAggregation.compute(rows, 0), { vms: 2, rates: Object.fromEntries([[service, 4]]) }, service)
+    }
+  })
+
   it('counts VMs that tell none as the mean of those of their domain that do', () => {
     // Guards against VMs of builds without the exchange making their domain look idle.
     const rows = [createDomainRow('a-1', 2, 20), createDomainRow('a-2', 4, 40), createDomainRow('b-1', 4, 40), createDomainRow('b-2', 1, 10)]
