Count a sender as running although its datagram is late

Cause: a VM whose event loop was late discarded datagrams before it noted their sender, took its relays for silent and made the next VMs relays, one after another. In an overload of a whole domain that adds relays when they cost most.

Change: only the rows of late datagrams are discarded.

--- a/packages/entry/src/node/exchange/fleetExchange.ts
+++ b/packages/entry/src/node/exchange/fleetExchange.ts
@@ -222,11 +222,14 @@
     const message = parseDatagram(datagram)
     const sender = message === undefined ? undefined : this.nodesByName.get(message.from)
     const isKnown = sender?.exchangeAddress !== undefined && splitAddress(sender.exchangeAddress).host === host
-    if (message === undefined || !isKnown || this.options.isLate() || !this.isExpected(message, sender)) {
+    if (message === undefined || !isKnown || !this.isExpected(message, sender)) {
       this.discardedCount++
       return
     }
-    this.handleMessage(message, sender)
+    this.recordSender(message)
+    // The ages of rows that waited in the socket are unknown, but their sender is running.
+    if (this.options.isLate()) this.discardedCount++
+    else this.handleMessage(message, sender)
   }
 
   /** Rows of VMs of another failure domain come by way of its relays only. */
@@ -234,12 +237,16 @@
     return (domain === this.options.self.domain) === (hop !== ExchangeHop.BetweenDomains)
   }
 
-  private handleMessage ({ from, hop, rows }: ExchangeMessage, { domain }: EntryNode): void {
-    const { clock, roundTrips } = this.options
-    const now = clock.now()
+  private recordSender ({ from, hop }: ExchangeMessage): void {
+    const now = this.options.clock.now()
     if (hop !== ExchangeHop.ToRelay) this.ranking.recordMessage(from, now)
     if (hop !== ExchangeHop.ToMembers) this.renewRelayLease(now)
     if (hop === ExchangeHop.BetweenDomains) this.heardAt.set(from, now)
+  }
+
+  private handleMessage ({ hop, rows }: ExchangeMessage, { domain }: EntryNode): void {
+    const { clock, roundTrips } = this.options
+    const now = clock.now()
     const travelMs = roundTrips.getRoundTripMs(domain) / 2
     for (const sent of rows) {
       const row = toLocalRow(sent, now, travelMs)
--- a/packages/entry/test/node/exchange/fleetExchange.test.ts
+++ b/packages/entry/test/node/exchange/fleetExchange.test.ts
@@ -123,6 +123,17 @@
     assert.ok(!listKnowing(network, 'a', 1).includes(vm.node.name))
   })
 
+  // Guards against overloaded VMs that take all others for silent, and make one after another a relay.
+  it('keeps two relays in a domain whose VMs are late', () => {
+    const network = createNetwork()
+    const before = findRelays(network, 'north-1')
+    for (const vm of network.vms.values()) vm.isLate = vm.node.domain === 'north-1'
+    for (let step = 0; step < 10; step++) {
+      network.clock.stepBy(SPREAD_MS)
+      assert.deepEqual(findRelays(network, 'north-1'), before)
+    }
+  })
+
   // Guards against VMs of a build without the exchange that are chosen as relays.
   it('leaves VMs out that take no part', () => {
     const network = new ExchangeNetwork(REGIONS)
