Start no exchange after it was closed

Cause: a process that is stopped while it starts closes everything and then starts its reports: listening on a closed socket throws, and the timers of the reports never end.

Change: reports that were closed do not start, and a closed socket doesn't listen.

--- a/packages/entry/src/node/exchange/datagramSocket.ts
+++ b/packages/entry/src/node/exchange/datagramSocket.ts
@@ -25,6 +25,7 @@
   private isClosed = false
 
   listen (address: string, onDatagram: DatagramListener, onError: (error: Error) => void): void {
+    if (this.isClosed) return
     const { host, port } = splitAddress(address)
     this.socket.on('error', onError)
     this.socket.on('message', (datagram, { address: sender }) => { onDatagram(datagram, sender) })
--- a/packages/entry/src/node/exchange/fleetReports.ts
+++ b/packages/entry/src/node/exchange/fleetReports.ts
@@ -30,6 +30,7 @@
 /** The reports of one VM. */
 export class FleetReports implements IClosable {
   private readonly closeStack = new CloseStack()
+  private isClosed = false
   readonly lostServices: LostServiceReporter
   /** Undefined if this VM takes no part in the exchange. */
   readonly workerLoads: WorkerLoadExchange | undefined
@@ -47,8 +48,9 @@
     if (isPlacementAdaptive) this.demand = this.closeStack.add(new DemandReporter({ ...options, exchange }))
   }
 
-  /** Begins to listen and to tell. */
+  /** Begins to listen and to tell, unless it has been closed while the process started. */
   start (): void {
+    if (this.isClosed) return
     this.exchange?.start()
     this.usage?.start()
     this.demand?.start()
@@ -63,6 +65,7 @@
   }
 
   async close (): Promise<void> {
+    this.isClosed = true
     await this.closeStack.close()
   }
 }
