Divide rate limits of workers by equal demand

Cause: each VM divided a worker's limit by the demand in force at this VM, in which its own region counts with its highest part of the last 40 s. The parts of all VMs added up to more than the limit.

Change: limits are divided as without placement by demand, which is the same at all VMs. A step of placement no longer discards the divisions.

--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -7,7 +7,7 @@
 import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
 import { DemandPlacement, type PlacedWorker } from '../placement/demandPlacement.js'
 import { KeyRanking } from '../placement/keyRanking.js'
-import { computeWorkerShares, countDomains, type WorkerShares } from '../placement/workerShares.js'
+import { computeWorkerShares, type WorkerShares } from '../placement/workerShares.js'
 import type { UpstreamRegistration } from '../records.js'
 import type { ServicePolicy } from '../steeringDocument.js'
 import { type Unavailability, UnavailabilityReason } from '../admission/unavailability.js'
@@ -164,7 +164,7 @@
     })
     const objectCount = [...this.rankings.values()].reduce((sum, { keyCount }) => sum + keyCount, 0)
     const hasChanged = this.placement?.update({ perSecondByRegion, coldPerSecond: this.policy?.coldPerSecond ?? 0, objectCount, listWorkers }, now) ?? false
-    if (hasChanged) this.clearShares()
+    if (hasChanged) this.rankings.clear()
     return hasChanged
   }
 
@@ -242,18 +242,14 @@
     return earliest
   }
 
-  /** @returns the requests of each failure domain that are intended for the worker, relative to each other */
+  /**
+   * Demand counts as equal here: the demand in force differs among VMs, whose parts of a limit would add up to more.
+   * @returns the share of each failure domain's requests that is intended for the worker
+   */
   private computeDemandByDomain (workerId: string): Map<string, number> {
-    const { regionByDomain } = this.context
-    const demand = this.placement?.demand
-    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), regionByDomain, demand)
-    const domainCounts = countDomains(regionByDomain)
+    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), this.context.regionByDomain)
     const demandByDomain = new Map<string, number>()
-    for (const [domain, shares] of this.sharesByDomain) {
-      const region = regionByDomain.get(domain)!
-      const perDomain = demand === undefined ? 1 : (demand.demandByRegion.get(region) ?? 0) / domainCounts.get(region)!
-      demandByDomain.set(domain, perDomain * (shares.get(workerId) ?? 0))
-    }
+    for (const [domain, shares] of this.sharesByDomain) demandByDomain.set(domain, shares.get(workerId) ?? 0)
     return demandByDomain
   }
 
