Tell lost services in a row that fits into a datagram

Cause: a VM that lost all of its links tells the names of all services. With many services the row exceeds a datagram and is left out, so that other VMs go on relaying requests to it.

Change: as many services as fit are told.

--- a/packages/entry/src/node/relay/lostServiceReporter.ts
+++ b/packages/entry/src/node/relay/lostServiceReporter.ts
@@ -2,7 +2,7 @@
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { ExchangeTopic, type IFleetExchange } from '@umberspar/steering/common/entry/exchange/exchangeRow'
-import { listVmsWithout, LOST_SERVICES_RENEWAL_MS } from '@umberspar/steering/common/entry/relay/lostServices'
+import { encodeLostServices, listVmsWithout, LOST_SERVICES_RENEWAL_MS } from '@umberspar/steering/common/entry/relay/lostServices'
 import type { WorkerLinks } from '@umberspar/steering/common/entry/workers/workerLinks'
 
 /** What the reporter uses. */
@@ -32,7 +32,7 @@
     const services = links.listDisconnected().sort()
     if (services.length === 0 && !this.hasLostServices) return
     this.hasLostServices = services.length > 0
-    exchange.publish({ topic: ExchangeTopic.LostServices, key: node, content: services, at: clock.now() })
+    exchange.publish({ topic: ExchangeTopic.LostServices, key: node, content: encodeLostServices(services), at: clock.now() })
     if (this.hasLostServices) this.timer = clock.schedule(clock.now() + LOST_SERVICES_RENEWAL_MS, () => { this.report() })
   }
 
--- a/packages/entry/test/node/relay/lostServiceReporter.test.ts
+++ b/packages/entry/test/node/relay/lostServiceReporter.test.ts
@@ -2,6 +2,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import { ManualClock } from '@umberspar/base/common/manualClock'
 import { type ExchangeRow, ExchangeTopic, type IFleetExchange } from '@umberspar/steering/common/entry/exchange/exchangeRow'
+import { ExchangeHop, formatDatagrams, parseDatagram } from '../../../src/node/exchange/exchangeMessages.js'
 import { LostServiceReporter } from '../../../src/node/relay/lostServiceReporter.js'
 
 describe('LostServiceReporter', () => {
@@ -45,6 +46,18 @@
     assert.deepEqual(listContents(), [])
   })
 
+  // Guards against a VM without any links whose row fits into no datagram.
+  it('publishes as many services as fit into a datagram', () => {
+    lost = Array.from({ length: 200 }, (_, index) => `service-äöü-${1_000 + index}`)
+    reporter.report()
+    const [row] = published
+    const [datagram, ...others] = formatDatagrams('vm-1', ExchangeHop.ToRelay, [row!], 0)
+    const [sent] = parseDatagram(datagram!)!.rows
+    assert.equal(others.length, 0)
+    assert.deepEqual(sent?.[3], lost.slice(0, (row!.content as string[]).length))
+    assert.ok((row!.content as string[]).length >= 30)
+  })
+
   it('publishes nothing once it is closed', () => {
     lost = ['archive']
     reporter.report()
--- a/packages/steering/src/common/entry/admission/usageContent.ts
+++ b/packages/steering/src/common/entry/admission/usageContent.ts
@@ -3,11 +3,10 @@
  * asked], ...]], ...]`. Its size is bounded whatever the number of accounts; the lightest accounts are left out first.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { countBytes, MAX_CONTENT_BYTES } from '../exchange/contentSize.js'
 import { type DomainAggregation, type ExchangeContent, type ExchangeRow, ExchangeTopic } from '../exchange/exchangeRow.js'
 import { listHeaviest, MAX_TOLD_ACCOUNTS, mergeUsages, type PriorityUsage, type Usage } from './serviceUsage.js'
 
-/** Limit on the content of one row, in bytes of JSON; a message has 1,200. */
-export const MAX_CONTENT_BYTES = 1_000
 /** Limits on what is believed of other VMs. */
 const MAX_PARTS = 64
 const MAX_ACCOUNTS = 64
@@ -27,16 +26,6 @@
   return [service, priority, formatCount(usage.asked), formatCount(usage.owed), formatCount(usage.served), accounts]
 }
 
-function countBytes (content: ExchangeContent): number {
-  let bytes = 0
-  // UTF-8 without Node.js APIs.
-  for (const character of JSON.stringify(content)) {
-    const code = character.codePointAt(0)!
-    bytes += code < 0x80 ? 1 : code < 0x800 ? 2 : code < 0x10000 ? 3 : 4
-  }
-  return bytes
-}
-
 /**
  * @param usage the usage to tell
  * @returns the content of its row; undefined if there is none
--- a/packages/steering/src/common/entry/placement/domainDemand.ts
+++ b/packages/steering/src/common/entry/placement/domainDemand.ts
@@ -3,6 +3,7 @@
  * and every VM estimates from the sums what arrives in each region.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { countBytes, MAX_CONTENT_BYTES } from '../exchange/contentSize.js'
 import { type DomainAggregation, type ExchangeContent, type ExchangeRow, ExchangeTopic } from '../exchange/exchangeRow.js'
 import type { ServiceRates } from './demandMeter.js'
 
@@ -14,8 +15,8 @@
 const MAX_PER_SECOND = 1_000_000
 /** Limit on the services of a row. */
 const MAX_SERVICES = 64
-/** Limit on the text of a row's rates; a longer row would fit into no datagram. */
-const MAX_ROW_CHARACTERS = 900
+/** Left for the names and the number of VMs beside the rates of a row. */
+const FRAME_BYTES = 50
 const SIGNIFICANT_DIGITS = 4
 /** With rows of fewer VMs than this, demand is unknown. */
 const MIN_KNOWN_VM_RATIO = 0.5
@@ -118,11 +119,11 @@
 /** @returns the rates of the services with the most requests, as many as fit into a row */
 function chooseTopRates (sums: ReadonlyMap<string, number>): ServiceRates {
   const entries: Array<[string, number]> = []
-  let characters = 0
+  let bytes = 0
   for (const [service, sum] of [...sums].sort(([, left], [, right]) => right - left)) {
     const perSecond = Number(sum.toPrecision(SIGNIFICANT_DIGITS))
-    characters += JSON.stringify([service, perSecond]).length
-    if (characters > MAX_ROW_CHARACTERS) break
+    bytes += countBytes([service, perSecond])
+    if (bytes > MAX_CONTENT_BYTES - FRAME_BYTES) break
     entries.push([service, perSecond])
   }
   return Object.fromEntries(entries)
--- a/packages/steering/src/common/entry/relay/lostServices.ts
+++ b/packages/steering/src/common/entry/relay/lostServices.ts
@@ -4,6 +4,7 @@
  * asked if all others are said to have lost it too, or can't take the request.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { countBytes, MAX_CONTENT_BYTES } from '../exchange/contentSize.js'
 import type { ExchangeContent, ExchangeRow } from '../exchange/exchangeRow.js'
 
 /** How often a VM repeats its row while it has lost services. */
@@ -26,6 +27,21 @@
   return names
 }
 
+/**
+ * @param services the services whose workers this VM can't reach
+ * @returns the content of its row: as many of them as fit
+ */
+export function encodeLostServices (services: readonly string[]): ExchangeContent {
+  const content: string[] = []
+  let bytes = 0
+  for (const service of services) {
+    bytes += countBytes(service) + 1
+    if (bytes >= MAX_CONTENT_BYTES) break
+    content.push(service)
+  }
+  return content
+}
+
 function hasService (content: ExchangeContent, service: string): boolean {
   return Array.isArray(content) && content.includes(service)
 }
--- a/packages/steering/test/common/entry/admission/usageContent.test.ts
+++ b/packages/steering/test/common/entry/admission/usageContent.test.ts
@@ -3,7 +3,8 @@
 import { describe, it } from 'node:test'
 import { type ExchangeRow, ExchangeTopic } from '../../../../src/common/entry/exchange/exchangeRow.js'
 import type { Usage } from '../../../../src/common/entry/admission/serviceUsage.js'
-import { decodeUsage, encodeUsage, MAX_CONTENT_BYTES, mergeUsageRows, USAGE_AGGREGATION, USAGE_VALIDITY_MS } from '../../../../src/common/entry/admission/usageContent.js'
+import { MAX_CONTENT_BYTES } from '../../../../src/common/entry/exchange/contentSize.js'
+import { decodeUsage, encodeUsage, mergeUsageRows, USAGE_AGGREGATION, USAGE_VALIDITY_MS } from '../../../../src/common/entry/admission/usageContent.js'
 
 const SEED = 20261204
 
