--- a/packages/steering/src/common/entry/placement/domainDemand.ts
+++ b/packages/steering/src/common/entry/placement/domainDemand.ts
@@ -3,6 +3,7 @@
  * and every VM estimates from the sums what arrives in each region.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { countBytes, MAX_CONTENT_BYTES } from '../exchange/contentSize.js'
 import { type DomainAggregation, type ExchangeContent, type ExchangeRow, ExchangeTopic } from '../exchange/exchangeRow.js'
 import type { ServiceRates } from './demandMeter.js'
 
@@ -14,6 +15,9 @@
 const MAX_PER_SECOND = 1_000_000
 /** Limit on the services of a row. */
 const MAX_SERVICES = 64
+/** Left for the names and the number of VMs beside the rates of a row. */
+const FRAME_BYTES = 50
+const SIGNIFICANT_DIGITS = 4
 /** With rows of fewer VMs than this, demand is unknown. */
 const MIN_KNOWN_VM_RATIO = 0.5
 
@@ -35,14 +39,14 @@
   to: ExchangeTopic.DomainDemand,
   compute (rows: Iterable<ExchangeRow>, now: Instant): ExchangeContent | undefined {
     let vmCount = 0
-    const rates: Record<string, number> = {}
+    const sums = new Map<string, number>()
     for (const { content, at } of rows) {
       const vmRates = now - at > VM_ROW_VALIDITY_MS ? undefined : parseRates(content)
       if (vmRates === undefined) continue
       vmCount++
-      for (const [service, perSecond] of Object.entries(vmRates)) rates[service] = (rates[service] ?? 0) + perSecond
+      for (const [service, perSecond] of Object.entries(vmRates)) sums.set(service, (sums.get(service) ?? 0) + perSecond)
     }
-    return vmCount === 0 ? undefined : { vms: vmCount, rates }
+    return vmCount === 0 ? undefined : { vms: vmCount, rates: chooseTopRates(sums) }
   }
 }
 
@@ -109,7 +113,20 @@
 }
 
 function computePerVm ({ rates, vmCount }: DomainDemand, service: string): number {
-  return (rates[service] ?? 0) / vmCount
+  return Object.hasOwn(rates, service) ? rates[service]! / vmCount : 0
+}
+
+/** @returns the rates of the services with the most requests, as many as fit into a row */
+function chooseTopRates (sums: ReadonlyMap<string, number>): ServiceRates {
+  const entries: Array<[string, number]> = []
+  let bytes = 0
+  for (const [service, sum] of [...sums].sort(([, left], [, right]) => right - left)) {
+    const perSecond = Number(sum.toPrecision(SIGNIFICANT_DIGITS))
+    bytes += countBytes([service, perSecond])
+    if (bytes > MAX_CONTENT_BYTES - FRAME_BYTES) break
+    entries.push([service, perSecond])
+  }
+  return Object.fromEntries(entries)
 }
 
 function countMembers (members: Iterable<DomainMember>, regionByDomain: ReadonlyMap<string, string>): Map<string, number> {
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -7,7 +7,7 @@
 import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
 import { DemandPlacement, type PlacedWorker } from '../placement/demandPlacement.js'
 import { KeyRanking } from '../placement/keyRanking.js'
-import { computeWorkerShares, countDomains, type WorkerShares } from '../placement/workerShares.js'
+import { computeWorkerShares, type WorkerShares } from '../placement/workerShares.js'
 import type { UpstreamRegistration } from '../records.js'
 import type { ServicePolicy } from '../steeringDocument.js'
 import { type Unavailability, UnavailabilityReason } from '../admission/unavailability.js'
@@ -170,7 +170,7 @@
     })
     const objectCount = [...this.rankings.values()].reduce((sum, { keyCount }) => sum + keyCount, 0)
     const hasChanged = this.placement?.update({ perSecondByRegion, coldPerSecond: this.policy?.coldPerSecond ?? 0, objectCount, listWorkers }, now) ?? false
-    if (hasChanged) this.clearShares()
+    if (hasChanged) this.rankings.clear()
     return hasChanged
   }
 
@@ -183,22 +183,24 @@
    */
   listCandidates (request: CandidateRequest, serviceTimes: ServiceTimeEstimate, evacuatedDomains: ReadonlySet<string>, now: Instant): Candidate[] {
     const key = request.key ?? String(now)
-    const ranks = this.getRanking(request.homeRegions, evacuatedDomains).rank(key)
-    const candidates = this.findCandidates(ranks, key, request, serviceTimes, now, RateLimitScope.AssignedKeys)
+    const ranking = this.getRanking(request.homeRegions, evacuatedDomains)
+    const candidates = this.findCandidates(ranking.listRanked(key), key, request, serviceTimes, now, RateLimitScope.AssignedKeys)
     // Rather than reject the request, allow keys that are not assigned to a worker, within the configured
     // tolerance.
-    return candidates.length > 0 ? candidates : this.findCandidates(ranks, key, request, serviceTimes, now, RateLimitScope.AnyKey)
+    return candidates.length > 0 ? candidates : this.findCandidates(ranking.listRanked(key), key, request, serviceTimes, now, RateLimitScope.AnyKey)
   }
 
-  private findCandidates (ranks: readonly string[], key: string, request: CandidateRequest, serviceTimes: ServiceTimeEstimate, now: Instant, scope: RateLimitScope): Candidate[] {
+  private findCandidates (ranks: Iterable<string>, key: string, request: CandidateRequest, serviceTimes: ServiceTimeEstimate, now: Instant, scope: RateLimitScope): Candidate[] {
     const candidates: Candidate[] = []
-    for (const [rank, id] of ranks.entries()) {
-      if (candidates.length >= MAX_CANDIDATES) break
+    let rank = -1
+    for (const id of ranks) {
+      rank++
       const tracker = this.trackers.get(id)
       if (tracker === undefined || request.triedWorkers.has(id) || tracker.advisory.isPaused(now) || !this.hasColdCapacity(tracker, now)) continue
       if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined && request.hasWaited !== true) tracker.demandMeter.record(now)
       if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
       candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, candidates[0], now))
+      if (candidates.length >= MAX_CANDIDATES) break
     }
     return candidates
   }
@@ -246,18 +248,14 @@
     return earliest
   }
 
-  /** @returns the requests of each failure domain that are intended for the worker, relative to each other */
+  /**
+   * Demand counts as equal here: the demand in force differs among VMs, whose parts of a limit would add up to more.
+   * @returns the share of each failure domain's requests that is intended for the worker
+   */
   private computeDemandByDomain (workerId: string): Map<string, number> {
-    const { regionByDomain } = this.context
-    const demand = this.placement?.demand
-    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), regionByDomain, demand)
-    const domainCounts = countDomains(regionByDomain)
+    this.sharesByDomain ??= computeWorkerShares(this.listRegistrations([], new Set()), this.context.regionByDomain)
     const demandByDomain = new Map<string, number>()
-    for (const [domain, shares] of this.sharesByDomain) {
-      const region = regionByDomain.get(domain)!
-      const perDomain = demand === undefined ? 1 : (demand.demandByRegion.get(region) ?? 0) / domainCounts.get(region)!
-      demandByDomain.set(domain, perDomain * (shares.get(workerId) ?? 0))
-    }
+    for (const [domain, shares] of this.sharesByDomain) demandByDomain.set(domain, shares.get(workerId) ?? 0)
     return demandByDomain
   }
 
