--- a/packages/entry/src/node/front/placeWaiter.ts
+++ b/packages/entry/src/node/front/placeWaiter.ts
@@ -7,8 +7,6 @@
 /** Limit on the requests that wait at the same time; their bodies count against the memory for bodies. */
 const MAX_WAITING = 256
 
-/** Timers may fire early by less than this. */
-const TIMER_PRECISION_MS = 1
 
 /** How a wait ended. */
 export enum PlaceWaitEnd {
@@ -100,7 +98,7 @@
   }
 
   private scheduleRelease (name: string, placeAt: Deadline): ITimer {
-    return this.clock.schedule(placeAt + TIMER_PRECISION_MS, () => { this.release(name, placeAt) })
+    return this.clock.schedule(placeAt, () => { this.release(name, placeAt) })
   }
 
   private release (name: string, placeAt: Deadline): void {
