Send each row once from each relay to another failure domain

Cause: both relays of a domain sent all rows to both relays of each other domain, each 300 ms: four copies.

Change: a relay sends to its counterpart only, each 500 ms between regions; the two relays use different ones, so that the loss of one still loses nothing.

--- a/packages/entry/src/node/exchange/fleetExchange.ts
+++ b/packages/entry/src/node/exchange/fleetExchange.ts
@@ -35,7 +35,7 @@
 }
 
 /** How often new rows are sent to other regions. */
-const FAR_INTERVAL_MS = 300
+const FAR_INTERVAL_MS = 500
 /** How often the rows of the own failure domain are summed up, and expired rows removed. */
 const AGGREGATION_INTERVAL_MS = 1_000
 /** A VM is a relay for this long after it has received rows to pass on. */
@@ -190,9 +190,10 @@
     }
   }
 
-  /** The chosen relays, and those that send to this VM: each hears the VMs that use it. */
+  /** This VM's counterpart, and those that send to this VM: each hears the VMs that use it. */
   private listRelayAddresses (domain: string, now: Instant): string[] {
-    const chosen = this.ranking.chooseRelays(domain, now)
+    const counterpart = this.ranking.chooseCounterpart(domain, this.options.self.domain, now)
+    const chosen = counterpart === undefined ? [] : [counterpart]
     const sending = this.ranking.listMembers(domain).filter(({ name }) => now - (this.heardAt.get(name) ?? Number.NEGATIVE_INFINITY) <= RELAY_LEASE_MS)
     return [...new Set([...chosen, ...sending].map(({ exchangeAddress }) => exchangeAddress!))]
   }
--- a/packages/entry/src/node/front/placeWaiter.ts
+++ b/packages/entry/src/node/front/placeWaiter.ts
@@ -7,7 +7,6 @@
 /** Limit on the requests that wait at the same time; their bodies count against the memory for bodies. */
 const MAX_WAITING = 256
 
-
 /** How a wait ended. */
 export enum PlaceWaitEnd {
   /** A place was expected; the request was decided again. */
--- a/packages/steering/src/common/entry/exchange/relayRanking.ts
+++ b/packages/steering/src/common/entry/exchange/relayRanking.ts
@@ -71,12 +71,32 @@
    * @returns the relays; fewer than two if the domain has no more VMs
    */
   chooseRelays (domain: string, now: Instant): EntryNode[] {
+    const relays = this.listRelays(domain, now)
+    for (const { name } of relays) this.recordUse(this.getState(name), this.computeSilenceMs(domain), now)
+    return relays
+  }
+
+  /**
+   * Chooses the relay of another failure domain that this VM sends to. The relays of a domain use different ones, so that
+   * each row goes to both.
+   * @param domain the other failure domain
+   * @param ownDomain this VM's failure domain
+   * @param now the current time
+   * @returns the relay; undefined if no VM of the domain takes part
+   */
+  chooseCounterpart (domain: string, ownDomain: string, now: Instant): EntryNode | undefined {
+    const position = Math.max(0, this.listRelays(ownDomain, now).findIndex(({ name }) => name === this.self))
+    const relays = this.listRelays(domain, now)
+    const counterpart = relays[position % Math.max(1, relays.length)]
+    if (counterpart !== undefined) this.recordUse(this.getState(counterpart.name), this.computeSilenceMs(domain), now)
+    return counterpart
+  }
+
+  private listRelays (domain: string, now: Instant): EntryNode[] {
     const members = this.listMembers(domain)
     const silenceMs = this.computeSilenceMs(domain)
     const responding = members.filter(({ name }) => this.isUsable(name, silenceMs, now))
-    const relays = [...new Set([...responding, ...members])].slice(0, RELAYS_PER_DOMAIN)
-    for (const { name } of relays) this.recordUse(this.getState(name), silenceMs, now)
-    return relays
+    return [...new Set([...responding, ...members])].slice(0, RELAYS_PER_DOMAIN)
   }
 
   /**
