Soak: waves, rushes of a greedy account, two priorities, lossy exchange

Cause: the soak ran without load that exceeds a service's room, without placement by demand and with an exchange that never failed. Change: entry processes run with maxShift (the exchange address was set already); steps of the kinds rush and exchange-loss are drawn by streams of their own; regions' demand moves in waves; the route /report/ shares the service of /status/ at a lower priority. Workers get slots while a rush lasts. The checker judges shares in phases without faults.

--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -46,7 +46,11 @@
   /** The store comes back from a copy as old as the step's duration; what was lost is written again, `variant` selects when. */
   StoreRollback = 'store-rollback',
   /** Cuts some entry VMs off from all workers for the step's duration; `variant` selects how. */
-  WorkersUnreachable = 'workers-unreachable'
+  WorkersUnreachable = 'workers-unreachable',
+  /** Some entry VMs' datagrams about load are lost one way for the step's duration; `variant` selects the way and how many. */
+  ExchangeLoss = 'exchange-loss',
+  /** A service slows down and an account sends many times its usual requests to it, for some seconds more than the step's duration. */
+  Rush = 'rush'
 }
 
 /** A step of the plan. */
@@ -74,20 +78,28 @@
 export interface SoakPlan {
   readonly phases: readonly SoakPhase[]
   readonly steps: readonly SoakStep[]
+  /** Where the first region's wave of demand stands at the start, as a part of its period. */
+  readonly waveOffset: number
   /** End of the run, in milliseconds. The time between the last step and the end is left for recovery. */
   readonly untilMs: number
 }
 
 const PLANNED_KINDS = [SoakStepKind.EntryStop, SoakStepKind.EntryReload, SoakStepKind.WorkerDrain, SoakStepKind.ConfigurationChange, SoakStepKind.Evacuation]
 /** Kinds added later. They use random streams of their own, so that seeds recorded earlier still result in the same steps of the other kinds. */
-const LATER_STREAMS: ReadonlyArray<{ readonly kinds: readonly SoakStepKind[], readonly seedOffset: number, readonly gapMs: number }> = [
+const LATER_STREAMS: ReadonlyArray<{ readonly kinds: readonly SoakStepKind[], readonly seedOffset: number, readonly gapMs: number, readonly isPlannedToo?: boolean }> = [
   { kinds: [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite], seedOffset: 1_000_003, gapMs: 2_500 },
   { kinds: [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause], seedOffset: 2_000_003, gapMs: 2_500 },
   { kinds: [SoakStepKind.StoreRollback], seedOffset: 3_000_003, gapMs: 6_000 },
-  { kinds: [SoakStepKind.WorkersUnreachable], seedOffset: 4_000_003, gapMs: 6_000 }
+  { kinds: [SoakStepKind.WorkersUnreachable], seedOffset: 4_000_003, gapMs: 6_000 },
+  { kinds: [SoakStepKind.ExchangeLoss], seedOffset: 5_000_003, gapMs: 3_000 },
+  { kinds: [SoakStepKind.Rush], seedOffset: 6_000_003, gapMs: 6_000, isPlannedToo: true }
 ]
 const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_STREAMS.some(({ kinds }) => kinds.includes(kind)))
 
+const WAVE_SEED_OFFSET = 7_000_003
+const WAVE_PERIOD_MS = 12_000
+const WAVE_AMPLITUDE = 0.8
+
 /** Time without steps at the start of the run, and at its end, for recovery. */
 const WARM_UP_MS = 2_000
 const RECOVERY_MS = 9_000
@@ -137,11 +149,20 @@
   const random = new SeededRandom(seed)
   const untilMs = seconds * 1_000
   const phases = buildPhases(untilMs)
-  const faultPhases = phases.filter(({ isPlanned }) => !isPlanned)
-  const laterSteps = LATER_STREAMS.flatMap(({ kinds, seedOffset, gapMs }) => {
+  const laterSteps = LATER_STREAMS.flatMap(({ kinds, seedOffset, gapMs, isPlannedToo = false }) => {
     const streamRandom = new SeededRandom(seed + seedOffset)
-    return faultPhases.flatMap((phase) => addSteps(phase, kinds, gapMs, streamRandom))
+    return phases.filter(({ isPlanned }) => isPlannedToo || !isPlanned).flatMap((phase) => addSteps(phase, kinds, gapMs, streamRandom))
   })
   const steps = [...phases.flatMap((phase) => buildSteps(phase, random)), ...laterSteps]
-  return { phases, steps, untilMs }
+  return { phases, steps, waveOffset: new SeededRandom(seed + WAVE_SEED_OFFSET).next(), untilMs }
+}
+
+/**
+ * @param plan the plan of the run
+ * @param regionIndex the region's position in the list of regions
+ * @param atMs time since the start of the load, in milliseconds
+ * @returns the region's demand relative to its mean; the waves of successive regions are a third of a period apart
+ */
+export function computeDemand ({ waveOffset }: SoakPlan, regionIndex: number, atMs: number): number {
+  return 1 + WAVE_AMPLITUDE * Math.sin(2 * Math.PI * (waveOffset + atMs / WAVE_PERIOD_MS + regionIndex / 3))
 }
--- a/packages/soak/src/common/soakRule.ts
+++ b/packages/soak/src/common/soakRule.ts
@@ -21,6 +21,10 @@
   RevokedKeyAccepted = 'revoked',
   /** A permitted request was denied. */
   Denied = 'denied',
+  /** While a service lacked room, an account beside a greedy one was served far less often than all. */
+  AccountStarved = 'account-starved',
+  /** While a service lacked room, a more urgent kind was served less often than a less urgent one. */
+  PriorityIgnored = 'priority-ignored',
   /** After the end of all faults, some entry VM did not use the newest configuration. */
   NotConverged = 'not-converged',
   /** After the end of all faults, requests still failed. */
--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -20,6 +20,7 @@
   readonly method: string
   readonly isIdempotent: boolean
   readonly bodyLength: number
+  readonly priority: number
   /** Relative frequency of this kind among all. */
   readonly weight: number
 }
@@ -56,7 +57,7 @@
   private sequence = 0
 
   constructor (
-    private readonly location: { readonly region: string, readonly domain: string },
+    readonly location: { readonly region: string, readonly domain: string },
     private readonly kinds: readonly RequestKind[],
     private readonly network: ICallerNetwork,
     private readonly checker: SoakChecker,
@@ -92,13 +93,13 @@
   }
 
   /** Pipelines several requests on a connection of their own and reads the answers in order. */
-  private async runPipeline ({ prefix, service, method, bodyLength }: RequestKind): Promise<void> {
+  private async runPipeline ({ prefix, service, method, bodyLength, priority }: RequestKind): Promise<void> {
     const entry = await this.chooseEntry(new Set())
     if (entry === undefined) return
     const calls = Array.from({ length: PIPELINE_DEPTH }, () => {
       const id = `${this.location.domain}-${++this.sequence}-p`
       const path = `${prefix}${Math.floor(this.random.next() * OBJECT_COUNT)}`
-      this.checker.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: CALLER_ACCOUNT.Name })
+      this.checker.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: CALLER_ACCOUNT.Name, priority })
       return { id, path, key: path, deadlineMs: DEADLINE_MS, authorization: CALLER_AUTHORIZATION }
     })
     const caller = new PipelinedCaller(this.network.getConnectAddress(entry))
@@ -121,9 +122,9 @@
   }
 
   private async send (kind: RequestKind, operationId: string, requestId: string, entry: string, leftMs: number): Promise<AnswerKind> {
-    const { prefix, service, method, isIdempotent, bodyLength } = kind
+    const { prefix, service, method, isIdempotent, bodyLength, priority } = kind
     const path = `${prefix}${Math.floor(this.random.next() * OBJECT_COUNT)}`
-    this.checker.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: CALLER_ACCOUNT.Name })
+    this.checker.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: CALLER_ACCOUNT.Name, priority })
     const abort = new AbortController()
     const timer = this.clock.schedule(this.clock.now() + leftMs + DEADLINE_GRACE_MS, () => { abort.abort() })
     try {
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -13,6 +13,7 @@
 import { AnnouncementChecker } from './announcementChecker.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
 import { RetryBudgetChecker } from './retryBudgetChecker.js'
+import { ShareChecker } from './shareChecker.js'
 
 /** An attempt of a caller. */
 export interface Attempt {
@@ -27,6 +28,8 @@
   readonly entry: string
   /** The client account of its API key; undefined if it has none. */
   readonly account?: string
+  /** The route's priority; undefined if its share is not checked. */
+  readonly priority?: number
 }
 
 /** The load that a cold worker tolerates. */
@@ -39,6 +42,8 @@
 interface AttemptRecord extends Attempt {
   readonly sentAt: Instant
   readonly workers: Set<string>
+  /** Whether its share is checked. */
+  readonly isInRush: boolean
 }
 
 /** Maximum number of workers that run the same attempt of an idempotent request. */
@@ -62,6 +67,8 @@
   private readonly historyChecker = new HistoryChecker((violation) => { this.handleViolation(violation) })
   private readonly announcementChecker = new AnnouncementChecker()
   private readonly retryBudgetChecker = new RetryBudgetChecker(RETRY_BUDGET)
+  private readonly shareChecker = new ShareChecker()
+  private rushFrom: Instant = Infinity
   private lastExecutionId = 0
 
   /**
@@ -83,7 +90,7 @@
   /** Records an attempt; called before it is sent. */
   recordSent (attempt: Attempt): void {
     const at = this.clock.now()
-    this.attempts.set(attempt.requestId, { ...attempt, sentAt: at, workers: new Set() })
+    this.attempts.set(attempt.requestId, { ...attempt, sentAt: at, workers: new Set(), isInRush: attempt.priority !== undefined && at >= this.rushFrom && at >= this.disruptions.getStableFrom() })
     this.retryBudgetChecker.recordRequest(attempt.service, at)
     this.historyChecker.record({ kind: HistoryEventKind.Sent, at, ...attempt })
   }
@@ -92,6 +99,7 @@
   recordAnswer (requestId: string, answer: AnswerKind, detail: string): void {
     const attempt = this.attempts.get(requestId)
     if (attempt !== undefined) this.announcementChecker.recordAnswer(attempt, answer, this.clock.now())
+    if (attempt?.isInRush === true) this.shareChecker.record({ account: attempt.account ?? '', priority: attempt.priority ?? 0 }, answer)
     this.answers.set(answer, (this.answers.get(answer) ?? 0) + 1)
     this.historyChecker.record({ kind: HistoryEventKind.Answered, at: this.clock.now(), requestId, answer, detail })
   }
@@ -139,6 +147,25 @@
     }
   }
 
+  /** Records that a service lacks room from an instant on, so that the shares of who is served are checked. */
+  startRush (from: Instant): void {
+    this.rushFrom = from
+  }
+
+  /** Records that the service has room again. */
+  endRush (): void {
+    this.rushFrom = Infinity
+  }
+
+  /**
+   * Checks the shares of all rushes.
+   * @returns what each account got at each priority
+   */
+  checkShares (): ReturnType<ShareChecker['list']> {
+    for (const { rule, subject, detail } of this.shareChecker.check()) this.report(rule, subject, detail)
+    return this.shareChecker.list()
+  }
+
   /** Records that a worker is cold. */
   setCold (workerId: string, limit: ColdLimit): void {
     this.coldLimits.set(workerId, limit)
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -13,10 +13,13 @@
 import { TcpRelay } from '@umberspar/testing/node/standIns/tcpRelay'
 import { SoakRule } from '../common/soakRule.js'
 import { EntryProcess } from './entryProcess.js'
+import type { ExchangeLoss } from './exchangePreload.js'
 import type { SoakChecker } from './soakChecker.js'
 
 const POLL_INTERVAL_MS = 50
+const MAX_SHIFT = 0.25
 const ENTRY_PRELOAD = new URL('./entryPreload.js', import.meta.url)
+const EXCHANGE_PRELOAD = new URL('./exchangePreload.js', import.meta.url)
 const WORKER_LINK_PRELOAD = new URL('./workerLinkPreload.js', import.meta.url)
 
 /** An entry process and its links. */
@@ -47,7 +50,7 @@
   protected override spawn (): ChildProgram {
     this.writeSettings()
     for (const address of [this.settings.listen.callers, this.callerLinkAddress]) this.checker.recordEntryStart(address)
-    return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD, WORKER_LINK_PRELOAD], readsOutput: true })
+    return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD, EXCHANGE_PRELOAD, WORKER_LINK_PRELOAD], readsOutput: true })
   }
 
   /** Writes settings with a change that a running process can apply, and sends it SIGHUP to reload them. */
@@ -65,6 +68,14 @@
     this.program?.send({ shiftMs })
   }
 
+  /**
+   * Loses datagrams of the process from now on.
+   * @param loss the parts of what it sends and of what it receives that are lost
+   */
+  setExchangeLoss (loss: ExchangeLoss): void {
+    this.program?.send({ exchangeLoss: loss })
+  }
+
   private writeSettings (): void {
     const logLevel = this.settingsChanges % 2 === 0 ? LogLevel.Info : LogLevel.Warn
     writeFileSync(this.settingsFile, JSON.stringify({ ...this.settings, logLevel }))
@@ -117,7 +128,7 @@
     const addresses = await findEntryAddresses(await storeLink.start())
     const callerLink = this.closing.add(new TcpRelay(addresses.callers))
     const seeds = this.list.slice(0, 3).map(({ settings }) => settings.listen.peers)
-    const settings = this.records.createSettings(node, domain, addresses, seeds)
+    const settings = { ...this.records.createSettings(node, domain, addresses, seeds), maxShift: MAX_SHIFT }
     return new SoakEntry(settings, join(this.folder, `${node}.json`), callerLink, await callerLink.start(), storeLink, store, this.checker)
   }
 }
--- a/packages/soak/src/node/soakGuests.ts
+++ b/packages/soak/src/node/soakGuests.ts
@@ -8,7 +8,7 @@
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { isPromisedNotRun, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import type { PathInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
-import { CALLER_ACCOUNT, GUEST_ACCOUNT, GUEST_AUTHORIZATION } from '../common/soakAccounts.js'
+import { CALLER_ACCOUNT, GREEDY_ACCOUNT, GUEST_ACCOUNT, GUEST_AUTHORIZATION } from '../common/soakAccounts.js'
 import type { SoakChecker } from './soakChecker.js'
 
 /** Longer than a revoked key may still be accepted, so that a later acceptance is detected. */
@@ -67,7 +67,7 @@
     if (hasKeys === this.hasKeys) return
     this.hasKeys = hasKeys
     if (hasKeys) checker.recordKeysRestored(GUEST_ACCOUNT.Name)
-    records.putConfiguration(paths, undefined, [CALLER_ACCOUNT, hasKeys ? GUEST_ACCOUNT : { ...GUEST_ACCOUNT, ApiKeys: [] }])
+    records.putConfiguration(paths, undefined, [CALLER_ACCOUNT, GREEDY_ACCOUNT, hasKeys ? GUEST_ACCOUNT : { ...GUEST_ACCOUNT, ApiKeys: [] }])
     if (!hasKeys) checker.recordKeysRevoked(GUEST_ACCOUNT.Name)
   }
 
--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -2,16 +2,18 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import type { Instant } from '@umberspar/base/common/clock'
 import { CloseStack } from '@umberspar/base/common/closing'
 import { SeededRandom } from '@umberspar/base/common/random'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
+import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
 import { ArrivalPacing, runOpenLoop } from '@umberspar/testing/node/load/loadRunner'
 import { fetchConfigurationVersion } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitUntil } from '@umberspar/testing/node/waiting'
-import { CALLER_ACCOUNT, GUEST_ACCOUNT } from '../common/soakAccounts.js'
-import { planSoak, type SoakPlan, type SoakStepKind } from '../common/soakPlan.js'
+import { CALLER_ACCOUNT, GREEDY_ACCOUNT, GUEST_ACCOUNT } from '../common/soakAccounts.js'
+import { computeDemand, planSoak, type SoakPlan, type SoakStepKind } from '../common/soakPlan.js'
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
 import { DisruptionTracker } from './disruptionTracker.js'
 import { type RequestKind, SoakCallers } from './soakCallers.js'
@@ -38,17 +40,20 @@
   readonly answers: Readonly<Record<string, number>>
   /** Number of completed steps by kind. */
   readonly steps: Readonly<Partial<Record<SoakStepKind, number>>>
+  /** What each account got at each priority while a service lacked room. */
+  readonly shares: ReturnType<SoakChecker['checkShares']>
   readonly violations: readonly SoakViolation[]
 }
 
 const REGIONS = { 'north-1': 'north', 'north-2': 'north', 'south-1': 'south', 'south-2': 'south' }
 const DOMAINS = Object.keys(REGIONS)
 const KINDS: readonly RequestKind[] = [
-  { prefix: '/status/', service: 'archive', method: 'GET', isIdempotent: true, bodyLength: 0, weight: 6 },
-  { prefix: '/assign/', service: 'desk', method: 'POST', isIdempotent: false, bodyLength: 200, weight: 3 },
-  { prefix: '/upload/', service: 'desk', method: 'POST', isIdempotent: false, bodyLength: 20_000, weight: 1 }
+  { prefix: '/status/', service: 'archive', method: 'GET', isIdempotent: true, bodyLength: 0, priority: 1, weight: 3 },
+  { prefix: '/report/', service: 'archive', method: 'GET', isIdempotent: true, bodyLength: 0, priority: 3, weight: 3 },
+  { prefix: '/assign/', service: 'desk', method: 'POST', isIdempotent: false, bodyLength: 200, priority: 1, weight: 3 },
+  { prefix: '/upload/', service: 'desk', method: 'POST', isIdempotent: false, bodyLength: 20_000, priority: 1, weight: 1 }
 ]
-const PATHS = KINDS.map(({ prefix, service, isIdempotent }) => ({ Name: prefix.replaceAll('/', ''), Prefix: prefix, Service: service, Kind: isIdempotent ? 'idempotent' : 'non_idempotent' }))
+const PATHS = KINDS.map(({ prefix, service, isIdempotent, priority }) => ({ Name: prefix.replaceAll('/', ''), Prefix: prefix, Service: service, Priority: priority, Kind: isIdempotent ? 'idempotent' : 'non_idempotent' }))
 const SERVICES = ['archive', 'desk']
 const WORKERS_PER_DOMAIN = 2
 const DRAIN_UPDATE_INTERVAL_MS = 100
@@ -78,7 +83,7 @@
     this.workers = this.closing.add(new SoakWorkers(this.records, this.checker, this.clock, this.random))
     this.entries = this.closing.add(new SoakEntries(this.records, this.folder, this.checker, this.clock))
     const { clock, disruptions, checker, records, entries, workers } = this
-    this.environment = { clock, disruptions, checker, records, entries, workers, domains: DOMAINS, services: SERVICES, paths: PATHS }
+    this.environment = { clock, disruptions, checker, records, entries, workers, domains: DOMAINS, services: SERVICES, paths: PATHS, phases: this.plan.phases, isRushing: false }
   }
 
   async run (): Promise<SoakResult> {
@@ -88,7 +93,7 @@
           for (let index = 0; index < WORKERS_PER_DOMAIN; index++) await this.workers.add(service, domain, false)
         }
       }
-      this.records.putConfiguration(PATHS, undefined, [CALLER_ACCOUNT, GUEST_ACCOUNT])
+      this.records.putConfiguration(PATHS, undefined, [CALLER_ACCOUNT, GREEDY_ACCOUNT, GUEST_ACCOUNT])
       await this.entries.start(this.options.processes)
       await this.runLoad()
       return this.buildResult()
@@ -126,7 +131,7 @@
       startUntil: startedAt + this.plan.untilMs,
       maxOpen: Infinity,
       pacing: ArrivalPacing.Timer
-    }, async () => { await callers[Math.floor(this.random.next() * callers.length)]!.run() })
+    }, async () => { await this.chooseCallers(callers, startedAt).run() })
     await Promise.all(this.plan.steps.map((step) => this.runStepAt(startedAt + step.atMs, step)))
     await waitUntil(this.clock, startedAt + this.plan.untilMs - RECOVERED_MS)
     const answersBefore = new Map(this.checker.answers)
@@ -136,6 +141,12 @@
     await this.checkConfigurations()
   }
 
+  private chooseCallers (callers: readonly SoakCallers[], startedAt: Instant): SoakCallers {
+    const regions = [...new Set(Object.values(REGIONS))]
+    const atMs = this.clock.now() - startedAt
+    return chooseWeighted(this.random, callers, ({ location }) => computeDemand(this.plan, regions.indexOf(location.region), atMs))
+  }
+
   private async runStepAt (at: number, step: SoakPlan['steps'][number]): Promise<void> {
     await waitUntil(this.clock, at)
     if (await runStep(this.environment, step) === StepOutcome.Done) this.steps[step.kind] = (this.steps[step.kind] ?? 0) + 1
@@ -165,7 +176,7 @@
   }
 
   private buildResult (): SoakResult {
-    return { seed: this.options.seed, attempts: this.checker.countAttempts(), answers: Object.fromEntries(this.checker.answers), steps: this.steps, violations: this.checker.violations }
+    return { seed: this.options.seed, attempts: this.checker.countAttempts(), answers: Object.fromEntries(this.checker.answers), steps: this.steps, shares: this.checker.checkShares(), violations: this.checker.violations }
   }
 }
 
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -6,11 +6,12 @@
 import { WorkerLinkFault } from '@umberspar/testing/node/standIns/usersPlatform/workerLink'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { waitFor } from '@umberspar/testing/node/waiting'
-import { type SoakStep, SoakStepKind } from '../common/soakPlan.js'
+import { type SoakPhase, type SoakStep, SoakStepKind } from '../common/soakPlan.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
 import type { SoakChecker } from './soakChecker.js'
 import type { SoakWorker, SoakWorkers } from './soakWorkers.js'
+import { runRush } from './soakRush.js'
 import { runStoreRollback } from './storeRollback.js'
 
 /** The objects that steps act on. */
@@ -23,6 +24,8 @@
   readonly workers: SoakWorkers
   readonly domains: readonly string[]
   readonly services: readonly string[]
+  readonly phases: readonly SoakPhase[]
+  isRushing: boolean
   /** The routes that callers use; steps add further ones. */
   readonly paths: readonly PathInput[]
 }
@@ -65,6 +68,8 @@
 const LARGE_CONFIGURATION_MIN_TARGET = 0.7
 const LARGE_CONFIGURATION_ROUTES = 1_500
 const MIN_WORKERS_PER_SERVICE = 2
+/** Part of the datagrams that is lost where not all are. */
+const EXCHANGE_LOSS_RATIO = 0.3
 
 function chooseAt<T> (list: readonly T[], fraction: number): T | undefined {
   return list[Math.floor(fraction * list.length)]
@@ -262,6 +267,15 @@
     for (const entry of affected) entry.setWorkerLink(WorkerLinkFault.None, [])
     return true
   }),
+  [SoakStepKind.ExchangeLoss]: async (environment, step) => {
+    const affected = chooseSomeEntries(environment, step)
+    const ratio = step.variant % 0.5 < 0.25 ? 1 : EXCHANGE_LOSS_RATIO
+    for (const entry of affected) entry.setExchangeLoss(step.variant < 0.5 ? { sent: ratio, received: 0 } : { sent: 0, received: ratio })
+    await waitFor(environment.clock, step.spanMs)
+    for (const entry of affected) entry.setExchangeLoss({ sent: 0, received: 0 })
+    return true
+  },
+  [SoakStepKind.Rush]: runRush,
   [SoakStepKind.StoreRollback]: async (environment, step) => await runDisruption(environment, async () => {
     await runStoreRollback(environment.clock, environment.records.store, step.spanMs, step.variant)
     return true
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -26,6 +26,8 @@
 export interface AccountInput {
   readonly Name: string
   readonly ApiKeys: readonly string[]
+  /** Null if the routes' priorities count. */
+  readonly Priority?: number | null
   readonly RatePerS?: number
   readonly Burst?: number
   readonly HomeRegions?: readonly string[]
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -83,6 +83,10 @@
   crashPath: string | undefined
   /** How long a request takes, in milliseconds. */
   workMs = 0
+  /** How many requests it works on at a time, in order of arrival; its responses then report its real load. Undefined for no limit. */
+  slots: number | undefined
+  /** When the requests end that hold or wait for a slot, in ascending order. */
+  private endTimes: number[] = []
   body = 'the whole answer'
   /** @returns the body of the response to a request; `body` by default */
   buildBody: (requestId: string) => string = () => this.body
@@ -190,10 +194,28 @@
     const timer = setTimeout(() => {
       socket.off('close', onClose)
       this.answer(socket, requestId, fault)
-    }, this.workMs)
+    }, this.planWork())
     socket.once('close', onClose)
   }
 
+  /** @returns how long a request that arrives now takes, with its wait for a slot, in milliseconds */
+  private planWork (): number {
+    if (this.slots === undefined) return this.workMs
+    const now = performance.now()
+    this.endTimes = this.endTimes.filter((endTime) => endTime > now)
+    const endTime = Math.max(now, this.endTimes.at(-this.slots) ?? now) + this.workMs
+    this.endTimes.push(endTime)
+    this.endTimes.sort((one, other) => one - other)
+    return endTime - now
+  }
+
+  private describeLoad (): string {
+    if (this.slots === undefined) return this.load
+    const now = performance.now()
+    const open = this.endTimes.filter((endTime) => endTime > now).length
+    return `${Math.min(open, this.slots)},${Math.max(0, open - this.slots)},${this.slots}`
+  }
+
   private answer (socket: Socket, requestId: string, fault: WorkerFault): void {
     this.answered++
     // Reported first, as the fault may cause what the caller observes next.
@@ -218,7 +240,7 @@
       `HTTP/1.1 ${status} Status`,
       `X-Umberspar-Request-Id: ${requestId}`,
       `X-Umberspar-Instance-Id: ${this.id}`,
-      `X-Umberspar-Server-Load: ${this.load}`,
+      `X-Umberspar-Server-Load: ${this.describeLoad()}`,
       ...(this.rateLimit === undefined ? [] : [`X-Umberspar-Server-Limit: ${this.rateLimit}`]),
       ...(this.isDraining ? ['Server-Leaving: 1'] : []),
       `Content-Length: ${Buffer.byteLength(body)}`,
