--- a/packages/soak/test/common/soakPlan.test.ts
+++ b/packages/soak/test/common/soakPlan.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
+import { createHash } from 'node:crypto'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { planSoak, SoakStepKind } from '../../src/common/soakPlan.js'
+import { computeDemand, planSoak, SoakStepKind } from '../../src/common/soakPlan.js'
 
 const STOP_ALLOWANCE_MS = 4_500
 
@@ -28,12 +29,27 @@
     assert.deepEqual([...kinds].sort(), Object.values(SoakStepKind).sort())
   })
 
+  it('plans the steps of a recorded seed again, beside those of kinds that came later', () => {
+    const steps = planSoak(3, 60).steps.filter(({ kind }) => ![SoakStepKind.Rush, SoakStepKind.ExchangeLoss].includes(kind))
+    assert.equal(createHash('sha256').update(JSON.stringify(steps)).digest('hex').slice(0, 16), 'e39d56dc57daba8e')
+  })
+
+  it('moves the demand of successive regions in waves a third of a period apart', () => {
+    fc.assert(fc.property(fc.integer({ min: 0 }), fc.integer({ min: 0, max: 60_000 }), (seed, atMs) => {
+      const plan = planSoak(seed, 60)
+      const demands = [0, 1, 2].map((region) => computeDemand(plan, region, atMs))
+      assert.ok(demands.every((demand) => demand > 0))
+      assert.ok(Math.abs(demands.reduce((sum, demand) => sum + demand) - 3) < 1e-9)
+      assert.ok(Math.abs(demands[1]! - computeDemand(plan, 0, atMs + 4_000)) < 1e-9)
+    }))
+  })
+
   it('plans only maintenance in planned phases, with enough time for a graceful stop', () => {
     fc.assert(fc.property(fc.integer({ min: 0 }), (seed) => {
       const { phases, steps } = planSoak(seed, 120)
       for (const { fromMs, untilMs } of phases.filter(({ isPlanned }) => isPlanned)) {
         for (const { kind, atMs } of steps.filter((step) => step.atMs >= fromMs && step.atMs < untilMs)) {
-          assert.ok(![SoakStepKind.EntryKill, SoakStepKind.EntryPause, SoakStepKind.WorkerCrash, SoakStepKind.LinkFault].includes(kind))
+          assert.ok(![SoakStepKind.EntryKill, SoakStepKind.EntryPause, SoakStepKind.WorkerCrash, SoakStepKind.LinkFault, SoakStepKind.ExchangeLoss].includes(kind))
           assert.ok(atMs <= untilMs - STOP_ALLOWANCE_MS)
         }
       }
--- a/packages/soak/test/node/soakChecker.test.ts
+++ b/packages/soak/test/node/soakChecker.test.ts
@@ -170,6 +170,40 @@
     assert.deepEqual(checker.violations.map(({ rule, subject }) => [rule, subject]), [[SoakRule.PauseIgnored, 'third']])
   })
 
+  it('counts shares of attempts that are sent during a rush without disruptions', () => {
+    const send = (requestId: string): void => {
+      checker.recordSent({ ...ATTEMPT, operationId: requestId, requestId, account: 'callers', priority: 1 })
+      checker.recordAnswer(requestId, AnswerKind.NotRun, '')
+    }
+    send('before')
+    checker.startRush(500)
+    send('at its onset')
+    clock.stepBy(500)
+    send('counted')
+    disruptions.start()
+    send('disrupted')
+    disruptions.end()
+    send('not stable yet')
+    clock.stepBy(4_001)
+    send('counted too')
+    checker.endRush()
+    send('after')
+    assert.deepEqual(checker.checkShares(), [{ account: 'callers', priority: 1, sent: 2, served: 0 }])
+  })
+
+  it('reports the starved at the end of a run', () => {
+    checker.startRush(0)
+    for (let index = 0; index < 100; index++) {
+      for (const account of ['callers', 'greedy']) {
+        const requestId = `${account}-${index}`
+        checker.recordSent({ ...ATTEMPT, operationId: requestId, requestId, account, priority: 1 })
+        checker.recordAnswer(requestId, account === 'greedy' ? AnswerKind.Complete : AnswerKind.NotRun, '')
+      }
+    }
+    checker.checkShares()
+    assert.deepEqual(listRules(), [SoakRule.AccountStarved])
+  })
+
   it('does not expect a VM to know a response that may have been lost', () => {
     checker.recordSent({ ...ATTEMPT, requestId: 'a' })
     checker.onRun('w-1', { ...RUN, requestId: 'a' })
