--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -9,7 +9,7 @@
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
 import { ArrivalPacing, runOpenLoop } from '@umberspar/testing/node/load/loadRunner'
-import { fetchConfigurationVersion } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { fetchConfigurationVersion, fetchExchangeRows } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { CALLER_ACCOUNT, GREEDY_ACCOUNT, GUEST_ACCOUNT } from '../common/soakAccounts.js'
@@ -161,11 +161,19 @@
 
   private async checkConfigurations (): Promise<void> {
     for (const { settings } of this.entries.list) {
+      await this.checkExchange(settings.node, settings.listen.metrics)
       const version = await this.readVersion(settings.listen.metrics)
       if (version !== this.records.newestVersion) this.checker.report(SoakRule.NotConverged, settings.node, `uses version ${version}; the newest is ${this.records.newestVersion}`)
     }
   }
 
+  /** Whether the VM knows the load of others again; without them there is nothing to know. */
+  private async checkExchange (node: string, address: string): Promise<void> {
+    if (this.entries.list.length < 2) return
+    const rows = await fetchExchangeRows(address).catch(() => 0)
+    if (!(rows > 0)) this.checker.report(SoakRule.NotRecovered, node, `knows ${rows} rows of the exchange`)
+  }
+
   private async readVersion (address: string): Promise<number | undefined> {
     try {
       return await fetchConfigurationVersion(address)
--- a/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
@@ -27,6 +27,7 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const DENIED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431])
 const CONFIGURATION_GAUGE = /umberspar_configuration_version (\d+)/
+const EXCHANGE_GAUGE = /^umberspar_exchange_rows (\d+)/m
 
 /**
  * Sends a client's request.
@@ -69,6 +70,12 @@
   return Number(CONFIGURATION_GAUGE.exec(body)?.[1])
 }
 
+/** @returns how many rows of other VMs an entry VM's metrics show; NaN if they show none */
+export async function fetchExchangeRows (metricsAddress: string): Promise<number> {
+  const { body } = await askAt(metricsAddress, '/metrics')
+  return Number(EXCHANGE_GAUGE.exec(body)?.[1])
+}
+
 /** Looks up entry VMs as a client does. @returns their addresses */
 export async function lookUpAt (address: string, region: string, domain: string, signal?: AbortSignal): Promise<string[]> {
   const { status, body } = await askAt(address, `/umberspar/resolve?Name=${PLATFORM_HOST}&Region=${region}&Zone=${domain}`, signal)
