Soak: draw the new steps and waves unlike for each seed

Cause: the first number of SeededRandom is 0.998 for every seed, so that the first rush and the waves were the same in all runs (seeds 1 to 8 had the same rush). Change: the new streams skip 20 numbers; the older ones keep theirs for the recorded seeds.

--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -85,14 +85,16 @@
 }
 
 const PLANNED_KINDS = [SoakStepKind.EntryStop, SoakStepKind.EntryReload, SoakStepKind.WorkerDrain, SoakStepKind.ConfigurationChange, SoakStepKind.Evacuation]
+/** The first numbers of a random source are much the same for all seeds. */
+const SKIPPED_DRAWS = 20
 /** Kinds added later. They use random streams of their own, so that seeds recorded earlier still result in the same steps of the other kinds. */
-const LATER_STREAMS: ReadonlyArray<{ readonly kinds: readonly SoakStepKind[], readonly seedOffset: number, readonly gapMs: number, readonly isPlannedToo?: boolean }> = [
+const LATER_STREAMS: ReadonlyArray<{ readonly kinds: readonly SoakStepKind[], readonly seedOffset: number, readonly skippedDraws?: number, readonly gapMs: number, readonly isPlannedToo?: boolean }> = [
   { kinds: [SoakStepKind.WorkerRestart, SoakStepKind.RegistrationOverwrite], seedOffset: 1_000_003, gapMs: 2_500 },
   { kinds: [SoakStepKind.WorkerUnregisteredDrain, SoakStepKind.WorkerPause], seedOffset: 2_000_003, gapMs: 2_500 },
   { kinds: [SoakStepKind.StoreRollback], seedOffset: 3_000_003, gapMs: 6_000 },
   { kinds: [SoakStepKind.WorkersUnreachable], seedOffset: 4_000_003, gapMs: 6_000 },
-  { kinds: [SoakStepKind.ExchangeLoss], seedOffset: 5_000_003, gapMs: 3_000 },
-  { kinds: [SoakStepKind.Rush], seedOffset: 6_000_003, gapMs: 6_000, isPlannedToo: true }
+  { kinds: [SoakStepKind.ExchangeLoss], seedOffset: 5_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 3_000 },
+  { kinds: [SoakStepKind.Rush], seedOffset: 6_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 6_000, isPlannedToo: true }
 ]
 const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_STREAMS.some(({ kinds }) => kinds.includes(kind)))
 
@@ -130,6 +132,12 @@
   return phase.isPlanned ? addSteps(phase, PLANNED_KINDS, MEAN_STEP_GAP_MS.planned, random) : addSteps(phase, MIXED_KINDS, MEAN_STEP_GAP_MS.mixed, random)
 }
 
+function createStream (seed: number, skippedDraws = 0): IRandomSource {
+  const random = new SeededRandom(seed)
+  for (let draw = 0; draw < skippedDraws; draw++) random.next()
+  return random
+}
+
 function addSteps ({ fromMs, untilMs, isPlanned }: SoakPhase, kinds: readonly SoakStepKind[], gapMs: number, random: IRandomSource): SoakStep[] {
   const lastStepMs = isPlanned ? untilMs - STOP_ALLOWANCE_MS : untilMs
   const steps: SoakStep[] = []
@@ -149,12 +157,12 @@
   const random = new SeededRandom(seed)
   const untilMs = seconds * 1_000
   const phases = buildPhases(untilMs)
-  const laterSteps = LATER_STREAMS.flatMap(({ kinds, seedOffset, gapMs, isPlannedToo = false }) => {
-    const streamRandom = new SeededRandom(seed + seedOffset)
+  const laterSteps = LATER_STREAMS.flatMap(({ kinds, seedOffset, skippedDraws, gapMs, isPlannedToo = false }) => {
+    const streamRandom = createStream(seed + seedOffset, skippedDraws)
     return phases.filter(({ isPlanned }) => isPlannedToo || !isPlanned).flatMap((phase) => addSteps(phase, kinds, gapMs, streamRandom))
   })
   const steps = [...phases.flatMap((phase) => buildSteps(phase, random)), ...laterSteps]
-  return { phases, steps, waveOffset: new SeededRandom(seed + WAVE_SEED_OFFSET).next(), untilMs }
+  return { phases, steps, waveOffset: createStream(seed + WAVE_SEED_OFFSET, SKIPPED_DRAWS).next(), untilMs }
 }
 
 /**
--- a/packages/soak/test/common/soakPlan.test.ts
+++ b/packages/soak/test/common/soakPlan.test.ts
@@ -34,6 +34,12 @@
     assert.equal(createHash('sha256').update(JSON.stringify(steps)).digest('hex').slice(0, 16), 'e39d56dc57daba8e')
   })
 
+  it('plans other spans and waves with each seed', () => {
+    const plans = [...Array(20).keys()].map((seed) => planSoak(seed, 30))
+    assert.ok(new Set(plans.map(({ waveOffset }) => waveOffset.toFixed(2))).size > 10)
+    assert.ok(new Set(plans.map(({ steps }) => steps.find(({ kind }) => kind === SoakStepKind.Rush)!.spanMs.toFixed(0))).size > 10)
+  })
+
   it('moves the demand of successive regions in waves a third of a period apart', () => {
     fc.assert(fc.property(fc.integer({ min: 0 }), fc.integer({ min: 0, max: 60_000 }), (seed, atMs) => {
       const plan = planSoak(seed, 60)
