Soak: judge denials of the greedy account as well

Cause: its requests are proper; a denial of one broke no rule of the soak. Change: a denial is reported as it is for callers.

--- a/packages/soak/src/node/soakRush.ts
+++ b/packages/soak/src/node/soakRush.ts
@@ -1,10 +1,11 @@
 /** A rush: the workers of a service slow down, and the greedy account sends many times its usual requests to it. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
-import { isPromisedNotRun, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { isDenied, isPromisedNotRun, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { GREEDY_ACCOUNT, GREEDY_AUTHORIZATION } from '../common/soakAccounts.js'
 import type { SoakStep } from '../common/soakPlan.js'
+import { SoakRule } from '../common/soakRule.js'
 import type { SoakEnvironment } from './soakSteps.js'
 
 /** Part of the service's capacity that the greedy account asks for, which makes it many times what the callers ask. */
@@ -26,6 +27,7 @@
   checker.recordSent({ requestId, operationId: requestId, service, isIdempotent: true, path, method: 'GET', bodyLength: 0, entry: callers, account: GREEDY_ACCOUNT.Name, priority })
   try {
     const { status } = await sendCall(entries.getConnectAddress(callers), { path, id: requestId, key: path, deadlineMs: DEADLINE_MS, headers: { Authorization: GREEDY_AUTHORIZATION }, signal: AbortSignal.timeout(DEADLINE_MS) })
+    if (isDenied(status)) checker.report(SoakRule.Denied, requestId, `status ${status}`)
     checker.recordAnswer(requestId, status === 200 ? AnswerKind.Complete : isPromisedNotRun(status) ? AnswerKind.NotRun : AnswerKind.Unknown, `greedy, status ${status}`)
   } catch (error) {
     checker.recordAnswer(requestId, AnswerKind.Failed, `greedy, ${String(error)}`)
