Soak: the greedy account's callers follow look-ups like all callers

Cause: the greedy account sent to each VM in turn, also to one that had left the look-ups and closed its listener. Change: the greedy account is served by SoakCallers, with look-ups, repeats, pipelining and whole answers checked; violations of the history say how long before the request was sent and where it ran.

--- a/packages/soak/src/common/soakAccounts.ts
+++ b/packages/soak/src/common/soakAccounts.ts
@@ -10,7 +10,7 @@
 /** Account whose API keys are revoked and restored during the run. */
 export const GUEST_ACCOUNT = { Name: 'guests', ApiKeys: ['key-of-the-guests'] }
 
-/** `Authorization` headers of callers, the greedy account and guests. */
-export const CALLER_AUTHORIZATION = `Bearer ${CALLER_ACCOUNT.ApiKeys[0]}`
-export const GREEDY_AUTHORIZATION = `Bearer ${GREEDY_ACCOUNT.ApiKeys[0]}`
-export const GUEST_AUTHORIZATION = `Bearer ${GUEST_ACCOUNT.ApiKeys[0]}`
+/** @returns the `Authorization` header of an account's callers */
+export function formatAuthorization ({ ApiKeys: [key] }: { readonly ApiKeys: readonly string[] }): string {
+  return `Bearer ${key}`
+}
--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -7,9 +7,10 @@
 import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
 import { type ClientAnswer, getAnsweredId, getSeal, isDenied, isPromisedNotRun, lookUpAt, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { type PipelinedAnswer, PipelinedCaller } from '@umberspar/testing/node/standIns/usersPlatform/pipelinedCaller'
+import type { AccountInput } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { waitUntil } from '@umberspar/testing/node/waiting'
-import { CALLER_ACCOUNT, CALLER_AUTHORIZATION } from '../common/soakAccounts.js'
+import { formatAuthorization } from '../common/soakAccounts.js'
 import { SoakRule } from '../common/soakRule.js'
 import type { SoakChecker } from './soakChecker.js'
 
@@ -49,7 +50,7 @@
 const PIPELINE_DEPTH = 4
 const PIPELINE_POLL_INTERVAL_MS = 5
 
-/** The callers of one failure domain. */
+/** The callers of one failure domain and account. */
 export class SoakCallers implements IClosable {
   private readonly agent = new Agent({ keepAlive: true })
   private entries: readonly string[] = []
@@ -58,6 +59,7 @@
 
   constructor (
     readonly location: { readonly region: string, readonly domain: string },
+    private readonly account: AccountInput,
     private readonly kinds: readonly RequestKind[],
     private readonly network: ICallerNetwork,
     private readonly checker: SoakChecker,
@@ -76,7 +78,7 @@
       await this.runPipeline(kind)
       return
     }
-    const operationId = `${this.location.domain}-${++this.sequence}`
+    const operationId = this.createId()
     const deadline = this.clock.now() + DEADLINE_MS
     const failed = new Set<string>()
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
@@ -92,15 +94,19 @@
     }
   }
 
+  private createId (): string {
+    return `${this.account.Name}-${this.location.domain}-${++this.sequence}`
+  }
+
   /** Pipelines several requests on a connection of their own and reads the answers in order. */
   private async runPipeline ({ prefix, service, method, bodyLength, priority }: RequestKind): Promise<void> {
     const entry = await this.chooseEntry(new Set())
     if (entry === undefined) return
     const calls = Array.from({ length: PIPELINE_DEPTH }, () => {
-      const id = `${this.location.domain}-${++this.sequence}-p`
+      const id = `${this.createId()}-p`
       const path = `${prefix}${Math.floor(this.random.next() * OBJECT_COUNT)}`
-      this.checker.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: CALLER_ACCOUNT.Name, priority })
-      return { id, path, key: path, deadlineMs: DEADLINE_MS, authorization: CALLER_AUTHORIZATION }
+      this.checker.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: this.account.Name, priority })
+      return { id, path, key: path, deadlineMs: DEADLINE_MS, authorization: formatAuthorization(this.account) }
     })
     const caller = new PipelinedCaller(this.network.getConnectAddress(entry))
     caller.send(calls)
@@ -124,12 +130,12 @@
   private async send (kind: RequestKind, operationId: string, requestId: string, entry: string, leftMs: number): Promise<AnswerKind> {
     const { prefix, service, method, isIdempotent, bodyLength, priority } = kind
     const path = `${prefix}${Math.floor(this.random.next() * OBJECT_COUNT)}`
-    this.checker.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: CALLER_ACCOUNT.Name, priority })
+    this.checker.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: this.account.Name, priority })
     const abort = new AbortController()
     const timer = this.clock.schedule(this.clock.now() + leftMs + DEADLINE_GRACE_MS, () => { abort.abort() })
     try {
       const body = bodyLength === 0 ? undefined : 'u'.repeat(bodyLength)
-      const answer = await sendCall(this.network.getConnectAddress(entry), { path, method, id: requestId, key: path, deadlineMs: Math.floor(leftMs), body, headers: { Authorization: CALLER_AUTHORIZATION }, signal: abort.signal, agent: this.agent })
+      const answer = await sendCall(this.network.getConnectAddress(entry), { path, method, id: requestId, key: path, deadlineMs: Math.floor(leftMs), body, headers: { Authorization: formatAuthorization(this.account) }, signal: abort.signal, agent: this.agent })
       return this.recordAnswer(requestId, answer)
     } catch (error) {
       const code = (error as NodeJS.ErrnoException).code
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -253,7 +253,9 @@
 
   private handleViolation ({ kind, at, subject, detail }: Violation): void {
     if (kind === ViolationKind.InterruptedByPlannedStop && !this.isCutOff(subject, at)) return
-    this.violations.push({ rule: kind, at, subject, detail })
+    const attempt = this.attempts.get(subject)
+    const trace = attempt === undefined ? '' : `; sent ${Math.round(at - attempt.sentAt)} ms before, ran on: ${[...attempt.workers].join(' ')}`
+    this.violations.push({ rule: kind, at, subject, detail: detail + trace })
   }
 
   /** A planned stop counts only if the run was stable; a request that crossed the close of its connection was not cut off. */
--- a/packages/soak/src/node/soakGuests.ts
+++ b/packages/soak/src/node/soakGuests.ts
@@ -8,7 +8,7 @@
 import { AnswerKind } from '@umberspar/testing/common/history/historyEvent'
 import { isPromisedNotRun, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import type { PathInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
-import { CALLER_ACCOUNT, GREEDY_ACCOUNT, GUEST_ACCOUNT, GUEST_AUTHORIZATION } from '../common/soakAccounts.js'
+import { CALLER_ACCOUNT, formatAuthorization, GREEDY_ACCOUNT, GUEST_ACCOUNT } from '../common/soakAccounts.js'
 import type { SoakChecker } from './soakChecker.js'
 
 /** Longer than a revoked key may still be accepted, so that a later acceptance is detected. */
@@ -78,7 +78,7 @@
     const requestId = `guest-${++this.sequence}`
     checker.recordSent({ requestId, operationId: requestId, service, isIdempotent: true, path, method: 'GET', bodyLength: 0, entry, account: GUEST_ACCOUNT.Name })
     try {
-      const { status } = await sendCall(entry, { path, id: requestId, deadlineMs: DEADLINE_MS, headers: { Authorization: GUEST_AUTHORIZATION }, signal: AbortSignal.timeout(DEADLINE_MS) })
+      const { status } = await sendCall(entry, { path, id: requestId, deadlineMs: DEADLINE_MS, headers: { Authorization: formatAuthorization(GUEST_ACCOUNT) }, signal: AbortSignal.timeout(DEADLINE_MS) })
       checker.recordAnswer(requestId, this.classify(status), `guest, status ${status}`)
     } catch (error) {
       checker.recordAnswer(requestId, AnswerKind.Failed, `guest, ${String(error)}`)
--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -10,7 +10,7 @@
 import { chooseWeighted } from '@umberspar/testing/common/load/arrivals'
 import { ArrivalPacing, runOpenLoop } from '@umberspar/testing/node/load/loadRunner'
 import { fetchConfigurationVersion, fetchExchangeRows } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
-import { PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
+import { type AccountInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { CALLER_ACCOUNT, GREEDY_ACCOUNT, GUEST_ACCOUNT } from '../common/soakAccounts.js'
 import { computeDemand, planSoak, type SoakPlan, type SoakStepKind } from '../common/soakPlan.js'
@@ -83,7 +83,8 @@
     this.workers = this.closing.add(new SoakWorkers(this.records, this.checker, this.clock, this.random))
     this.entries = this.closing.add(new SoakEntries(this.records, this.folder, this.checker, this.clock))
     const { clock, disruptions, checker, records, entries, workers } = this
-    this.environment = { clock, disruptions, checker, records, entries, workers, domains: DOMAINS, services: SERVICES, paths: PATHS, phases: this.plan.phases, isRushing: false }
+    const greedyCallers = this.createCallers(GREEDY_ACCOUNT, KINDS.slice(0, 1), this.options.seed * 100 + DOMAINS.length)
+    this.environment = { clock, disruptions, checker, records, entries, workers, greedyCallers, domains: DOMAINS, services: SERVICES, paths: PATHS, phases: this.plan.phases, isRushing: false }
   }
 
   async run (): Promise<SoakResult> {
@@ -105,11 +106,7 @@
 
   private async runLoad (): Promise<void> {
     const startedAt = this.clock.now()
-    const callers = DOMAINS.map((domain, index) => this.closing.add(new SoakCallers({ region: REGIONS[domain as keyof typeof REGIONS], domain }, KINDS, {
-      listLookups: () => this.entries.list.map(({ settings }) => settings.listen.lookups),
-      getConnectAddress: (entry) => this.entries.getConnectAddress(entry),
-      buildBody: (requestId) => this.workers.buildBody(requestId)
-    }, this.checker, this.clock, new SeededRandom(this.options.seed * 100 + index))))
+    const callers = this.createCallers(CALLER_ACCOUNT, KINDS, this.options.seed * 100)
     const { clock, checker, records } = this
     const guests = this.closing.add(new SoakGuests({
       clock,
@@ -141,6 +138,14 @@
     await this.checkConfigurations()
   }
 
+  private createCallers (account: AccountInput, kinds: readonly RequestKind[], seed: number): SoakCallers[] {
+    return DOMAINS.map((domain, index) => this.closing.add(new SoakCallers({ region: REGIONS[domain as keyof typeof REGIONS], domain }, account, kinds, {
+      listLookups: () => this.entries.list.map(({ settings }) => settings.listen.lookups),
+      getConnectAddress: (entry) => this.entries.getConnectAddress(entry),
+      buildBody: (requestId) => this.workers.buildBody(requestId)
+    }, this.checker, this.clock, new SeededRandom(seed + index))))
+  }
+
   private chooseCallers (callers: readonly SoakCallers[], startedAt: Instant): SoakCallers {
     const regions = [...new Set(Object.values(REGIONS))]
     const atMs = this.clock.now() - startedAt
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -8,6 +8,7 @@
 import { waitFor } from '@umberspar/testing/node/waiting'
 import { type SoakPhase, type SoakStep, SoakStepKind } from '../common/soakPlan.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
+import type { SoakCallers } from './soakCallers.js'
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
 import type { SoakChecker } from './soakChecker.js'
 import type { SoakWorker, SoakWorkers } from './soakWorkers.js'
@@ -25,6 +26,8 @@
   readonly domains: readonly string[]
   readonly services: readonly string[]
   readonly phases: readonly SoakPhase[]
+  /** Callers of the greedy account, which send during rushes only. */
+  readonly greedyCallers: readonly SoakCallers[]
   isRushing: boolean
   /** The routes that callers use; steps add further ones. */
   readonly paths: readonly PathInput[]
