Count only rows of other VMs as rows of the exchange

Cause: umberspar_exchange_rows counted a VM's own rows, so that 'rows 0: no other VM is heard' (OPERATIONS.md) never showed. Change: readCounts counts rows that others wrote. The test of expiry compares the rows that are left instead of their number.

--- a/packages/entry/src/node/exchange/fleetExchange.ts
+++ b/packages/entry/src/node/exchange/fleetExchange.ts
@@ -122,7 +122,7 @@
 
   /** @returns what was sent and discarded so far, and what is known, for metrics */
   readCounts (): { readonly sentBytes: number, readonly discarded: number, readonly rows: number, readonly isRelay: boolean } {
-    return { sentBytes: this.sentBytesCount, discarded: this.discardedCount, rows: this.table.countRows(), isRelay: this.isRelay(this.options.clock.now()) }
+    return { sentBytes: this.sentBytesCount, discarded: this.discardedCount, rows: this.table.countReceived(), isRelay: this.isRelay(this.options.clock.now()) }
   }
 
   close (): void {
--- a/packages/steering/src/common/entry/exchange/exchangeTable.ts
+++ b/packages/steering/src/common/entry/exchange/exchangeTable.ts
@@ -91,10 +91,12 @@
     }
   }
 
-  /** @returns the number of rows */
-  countRows (): number {
+  /** @returns the number of rows that other VMs wrote; 0 if none is heard */
+  countReceived (): number {
     let count = 0
-    for (const rows of this.topics.values()) count += rows.size
+    for (const rows of this.topics.values()) {
+      for (const { origin } of rows.values()) count += Number(origin !== RowOrigin.Own)
+    }
     return count
   }
 }
--- a/packages/steering/test/common/entry/exchange/exchangeTable.test.ts
+++ b/packages/steering/test/common/entry/exchange/exchangeTable.test.ts
@@ -47,6 +47,16 @@
     table.put(createRow('a', 0), RowOrigin.Own)
     table.put(createRow('b', ROW_LIFETIME_MS), RowOrigin.Own)
     table.removeExpired(ROW_LIFETIME_MS + 1)
-    assert.equal(table.countRows(), 1)
+    assert.deepEqual(table.listAfter(0, ALL).map(({ row }) => row.key), ['b'])
+  })
+
+  // Guards against a VM that hears nobody and shows its own rows as knowledge of others.
+  it('are counted as received if another VM wrote them', () => {
+    const table = new ExchangeTable()
+    table.put(createRow('a', 0), RowOrigin.Own)
+    assert.equal(table.countReceived(), 0)
+    table.put(createRow('b', 0), RowOrigin.Relay)
+    table.put(createRow('c', 0), RowOrigin.Domain)
+    assert.equal(table.countReceived(), 2)
   })
 })
