--- a/packages/entry/src/node/exchange/fleetExchange.ts
+++ b/packages/entry/src/node/exchange/fleetExchange.ts
@@ -123,7 +123,7 @@
 
   /** @returns what was sent and discarded so far, and what is known, for metrics */
   readCounts (): { readonly sentBytes: number, readonly discarded: number, readonly rows: number, readonly peers: number, readonly isRelay: boolean } {
-    return { sentBytes: this.sender.sentBytes, discarded: this.discardedCount, rows: this.table.countRows(), peers: this.sender.destinationCount + this.heardAt.size, isRelay: this.isRelay(this.options.clock.now()) }
+    return { sentBytes: this.sender.sentBytes, discarded: this.discardedCount, rows: this.table.countReceived(), peers: this.sender.destinationCount + this.heardAt.size, isRelay: this.isRelay(this.options.clock.now()) }
   }
 
   close (): void {
