Use a second worker of each object while caches have room

Cause: the second worker of an object was chosen rarely, as its few requests found it cold, while the first had a queue; known queues (workerLoad) could not balance.

Change: while the first ranks hit (0.78 of requests; given up below 0.65), the second worker counts as likely to have the object as the first one, if its queue is known from other VMs. Used by all VMs it keeps the object.

--- a/packages/steering/src/common/entry/workers/cacheHitEstimator.ts
+++ b/packages/steering/src/common/entry/workers/cacheHitEstimator.ts
@@ -44,8 +44,17 @@
   return rank === 1 ? CacheState.SecondRank : CacheState.LaterRank
 }
 
+/**
+ * Workers have room for a second copy of each object while this fraction of the requests at the first
+ * ranks hit. With less room, second copies evict others, and the fraction falls.
+ */
+const SPARE_CACHE_HIT_RATIO = 0.78
+/** Below this fraction, second copies evict too much: each object is left to its first worker again. */
+const FULL_CACHE_HIT_RATIO = 0.65
+
 /** The cache hit probabilities of one service. */
 export class CacheHitEstimator {
+  private hasSpareCache = false
   private readonly probabilities = new Map<CacheState, number>(Object.entries(INITIAL_PROBABILITIES) as Array<[CacheState, number]>)
 
   /** @returns the probability of a cache hit, 0 to 1 */
@@ -53,6 +62,18 @@
     return this.probabilities.get(state)!
   }
 
+  /**
+   * The probability at the second worker of a key that all entry VMs of a region use beside the first one. It is
+   * not what the rare requests show that go there now: used by all, the worker keeps the object as well.
+   * @param state what is known about the second worker's cache
+   * @returns the probability of a cache hit, 0 to 1
+   */
+  estimateSecondCopyProbability (state: CacheState): number {
+    const first = this.getProbability(CacheState.FirstRank)
+    this.hasSpareCache = first >= (this.hasSpareCache ? FULL_CACHE_HIT_RATIO : SPARE_CACHE_HIT_RATIO)
+    return this.hasSpareCache ? Math.max(first, this.getProbability(state)) : this.getProbability(state)
+  }
+
   /**
    * @param state what was known before the request
    * @param wasCacheHit whether the answer's latency indicates a cache hit
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -4,7 +4,7 @@
 import type { RateTolerance, SendingNode } from '../../rateLimits/rateAllowance.js'
 import { COLD_WINDOW_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainRoundTrips } from '../placement/domainRoundTrips.js'
-import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
+import { type CacheState, classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
 import { DemandPlacement, type PlacedWorker } from '../placement/demandPlacement.js'
 import { KeyRanking } from '../placement/keyRanking.js'
 import { computeWorkerShares, type WorkerShares } from '../placement/workerShares.js'
@@ -138,14 +138,14 @@
    */
   put (tracker: UpstreamTracker): void {
     this.trackers.set(tracker.registration.id, tracker)
-    this.clearShares()
+    this.clearRankings()
   }
 
   /** @param workerId a worker that is no longer registered */
   remove (workerId: string): void {
     this.trackers.delete(workerId)
     this.cacheAffinity.removeWorker(workerId)
-    this.clearShares()
+    this.clearRankings()
   }
 
   /**
@@ -153,7 +153,9 @@
    * after a worker has announced in a response that it drains.
    */
   clearRankings (): void {
-    this.clearShares()
+    this.rankings.clear()
+    this.rateGate.clear()
+    this.sharesByDomain = undefined
   }
 
   /**
@@ -214,7 +216,7 @@
       roundTripMs: this.context.roundTrips.getRoundTripMs(domain),
       cacheState,
       // Without a key there is no cache entry to hit.
-      cacheHitProbability: key === undefined ? 0 : this.cacheHits.getProbability(cacheState),
+      cacheHitProbability: key === undefined ? 0 : this.estimateHitProbability(cacheState, tracker, rank, now),
       firstHitProbability: first?.rank === 0 ? first.cacheHitProbability : 1,
       missServiceTimeMs: serviceTimes.getServiceTimeMs(false),
       hitServiceTimeMs: serviceTimes.getServiceTimeMs(key !== undefined),
@@ -223,6 +225,10 @@
     }
   }
 
+  private estimateHitProbability (state: CacheState, { load }: UpstreamTracker, rank: number, now: Instant): number {
+    return rank === 1 && load.isShared(now) ? this.cacheHits.estimateSecondCopyProbability(state) : this.cacheHits.getProbability(state)
+  }
+
   private hasColdCapacity (tracker: UpstreamTracker, now: Instant): boolean {
     if (!tracker.isCold(now)) return true
     const perSecond = this.policy?.coldPerSecond ?? 0
@@ -273,12 +279,6 @@
       .sort((left, right) => (left.id < right.id ? -1 : 1))
   }
 
-  private clearShares (): void {
-    this.rankings.clear()
-    this.rateGate.clear()
-    this.sharesByDomain = undefined
-  }
-
   private getRanking (homeRegions: readonly string[], evacuatedDomains: ReadonlySet<string>): KeyRanking {
     const name = homeRegions.join(' ')
     let ranking = this.rankings.get(name)
