--- a/packages/steering/src/common/entry/workers/cacheHitEstimator.ts
+++ b/packages/steering/src/common/entry/workers/cacheHitEstimator.ts
@@ -57,9 +57,13 @@
   private hasSpareCache = false
   private readonly probabilities = new Map<CacheState, number>(Object.entries(INITIAL_PROBABILITIES) as Array<[CacheState, number]>)
 
-  /** @returns the probability of a cache hit, 0 to 1 */
-  getProbability (state: CacheState): number {
-    return this.probabilities.get(state)!
+  /**
+   * @param state what is known about the worker's cache
+   * @param isSecondCopy whether the worker is the second one of its key and balances the load of the first one
+   * @returns the probability of a cache hit, 0 to 1
+   */
+  getProbability (state: CacheState, isSecondCopy = false): number {
+    return isSecondCopy ? this.estimateSecondCopyProbability(state) : this.probabilities.get(state)!
   }
 
   /**
--- a/packages/steering/src/common/entry/workers/chooseUpstream.ts
+++ b/packages/steering/src/common/entry/workers/chooseUpstream.ts
@@ -32,6 +32,8 @@
   readonly cacheHitProbability: number
   /** The same probability for the key's first worker; 1 if that one can't get the request. */
   readonly firstHitProbability: number
+  /** Whether the key's first worker has no free slot, so that balancing between the two may gain. */
+  readonly isFirstBusy?: boolean
   /** Service time on a cache miss at a worker of normal speed, in milliseconds. */
   readonly missServiceTimeMs: number
   /** Service time on a cache hit at a worker of normal speed, in milliseconds. */
@@ -129,8 +131,8 @@
   return 1 / (1 + Math.exp((expectedMs - limitMs) / spreadMs))
 }
 
-function hasKnownQueue ({ rank, tracker }: Candidate, now: Instant): boolean {
-  return rank === 1 && tracker.load.isShared(now)
+function hasKnownQueue ({ rank, tracker, isFirstBusy = true }: Candidate, now: Instant): boolean {
+  return rank === 1 && isFirstBusy && tracker.load.isShared(now)
 }
 
 function computeMissCost (candidate: Candidate, { saturation, now }: ChoiceContext): number {
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -4,7 +4,7 @@
 import type { RateTolerance, SendingNode } from '../../rateLimits/rateAllowance.js'
 import { COLD_WINDOW_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainRoundTrips } from '../placement/domainRoundTrips.js'
-import { type CacheState, classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
+import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
 import { DemandPlacement, type PlacedWorker } from '../placement/demandPlacement.js'
 import { KeyRanking } from '../placement/keyRanking.js'
 import { computeWorkerShares, type WorkerShares } from '../placement/workerShares.js'
@@ -210,14 +210,17 @@
   private buildCandidate (tracker: UpstreamTracker, key: string | undefined, serviceTimes: ServiceTimeEstimate, rank: number, first: Candidate | undefined, now: Instant): Candidate {
     const { domain, id } = tracker.registration
     const cacheState = classifyCacheState(key !== undefined && this.cacheAffinity.has(key, id, now), rank)
+    const isFirstBusy = first?.rank !== 0 || first.tracker.countInFlight(now) >= first.tracker.registration.slots
+    const isSecondCopy = rank === 1 && isFirstBusy && tracker.load.isShared(now)
     return {
       tracker,
       proximity: this.context.roundTrips.getProximity(domain),
       roundTripMs: this.context.roundTrips.getRoundTripMs(domain),
       cacheState,
       // Without a key there is no cache entry to hit.
-      cacheHitProbability: key === undefined ? 0 : this.estimateHitProbability(cacheState, tracker, rank, now),
+      cacheHitProbability: key === undefined ? 0 : this.cacheHits.getProbability(cacheState, isSecondCopy),
       firstHitProbability: first?.rank === 0 ? first.cacheHitProbability : 1,
+      isFirstBusy,
       missServiceTimeMs: serviceTimes.getServiceTimeMs(false),
       hitServiceTimeMs: serviceTimes.getServiceTimeMs(key !== undefined),
       meanServiceTimeMs: serviceTimes.getServiceTimeMs(key !== undefined),
@@ -225,10 +228,6 @@
     }
   }
 
-  private estimateHitProbability (state: CacheState, { load }: UpstreamTracker, rank: number, now: Instant): number {
-    return rank === 1 && load.isShared(now) ? this.cacheHits.estimateSecondCopyProbability(state) : this.cacheHits.getProbability(state)
-  }
-
   private hasColdCapacity (tracker: UpstreamTracker, now: Instant): boolean {
     if (!tracker.isCold(now)) return true
     const perSecond = this.policy?.coldPerSecond ?? 0
