--- a/packages/entry/src/node/admission/usageReporter.ts
+++ b/packages/entry/src/node/admission/usageReporter.ts
@@ -1,6 +1,6 @@
 /**
- * Tells other entry VMs what is asked of each service at this VM, by priority and by its heaviest client accounts. The
- * size of what is told doesn't depend on the number of accounts; names of accounts are told, never their keys.
+ * Publishes what is asked of each service at this VM, by priority and by its heaviest client accounts. The
+ * size of a row doesn't depend on the number of accounts; it holds names of accounts, never their keys.
  */
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
--- a/packages/entry/src/node/exchange/fleetExchange.ts
+++ b/packages/entry/src/node/exchange/fleetExchange.ts
@@ -64,7 +64,7 @@
   private readonly listeners = new Map<ExchangeTopic, ExchangeListener[]>()
   private readonly aggregations: DomainAggregation[] = []
   private readonly sender: ExchangeSender
-  /** When each relay of another failure domain was last heard. */
+  /** When the last message of each relay of another failure domain arrived. */
   private readonly heardAt = new Map<string, Instant>()
   private nodesByName = new Map<string, EntryNode>()
   private areNodesOutdated = true
@@ -190,7 +190,7 @@
     }
   }
 
-  /** This VM's counterpart, and those that send to this VM: each hears the VMs that use it. */
+  /** This VM's counterpart, and the relays that send to this VM: these take it for silent if it doesn't reply. */
   private listRelayAddresses (domain: string, now: Instant): string[] {
     const counterpart = this.ranking.chooseCounterpart(domain, this.options.self.domain, now)
     const chosen = counterpart === undefined ? [] : [counterpart]
--- a/packages/entry/src/node/exchange/fleetReports.ts
+++ b/packages/entry/src/node/exchange/fleetReports.ts
@@ -1,4 +1,4 @@
-/** What this VM tells other entry VMs about load by the exchange, matter by matter. Without an exchange nothing is told. */
+/** What this VM publishes about load by the exchange, one reporter for each topic. Without an exchange nothing is published. */
 import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
 import type { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
@@ -48,7 +48,7 @@
     if (isPlacementAdaptive) this.demand = this.closeStack.add(new DemandReporter({ ...options, exchange }))
   }
 
-  /** Begins to listen and to tell, unless it has been closed while the process started. */
+  /** Begins to receive and to publish, unless it has been closed while the process started. */
   start (): void {
     if (this.isClosed) return
     this.exchange?.start()
--- a/packages/entry/src/node/placement/demandReporter.ts
+++ b/packages/entry/src/node/placement/demandReporter.ts
@@ -1,5 +1,5 @@
 /**
- * Tells other entry VMs what arrives at this one, and lets the placement of each service follow what
+ * Publishes what arrives at this VM, and lets the placement of each service follow what
  * arrives in all regions.
  */
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
--- a/packages/entry/src/node/relay/lostServiceReporter.ts
+++ b/packages/entry/src/node/relay/lostServiceReporter.ts
@@ -1,4 +1,4 @@
-/** Tells other VMs which services' workers this VM can't reach, and knows what they have told. */
+/** Publishes which services' workers this VM can't reach, and reads what other VMs have published. */
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import { ExchangeTopic, type IFleetExchange } from '@umberspar/steering/common/entry/exchange/exchangeRow'
--- a/packages/steering/src/common/entry/admission/fleetUsage.ts
+++ b/packages/steering/src/common/entry/admission/fleetUsage.ts
@@ -1,4 +1,4 @@
-/** What entry VMs tell each other about the usage of services, as one VM knows it. */
+/** The usage of services at all entry VMs, as one VM knows it from the exchange. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { ExchangeTopic, type IFleetExchange } from '../exchange/exchangeRow.js'
 import type { ServiceUsage, Usage } from './serviceUsage.js'
--- a/packages/steering/src/common/entry/admission/serviceUsage.ts
+++ b/packages/steering/src/common/entry/admission/serviceUsage.ts
@@ -17,7 +17,7 @@
 /** The usage of several services by their names. */
 export type Usage = ReadonlyMap<string, ServiceUsage>
 
-/** Accounts of one priority and service that VMs tell each other about. */
+/** Accounts of one priority and service that VMs publish. */
 export const MAX_TOLD_ACCOUNTS = 32
 
 /**
--- a/packages/steering/src/common/entry/admission/usageContent.ts
+++ b/packages/steering/src/common/entry/admission/usageContent.ts
@@ -1,5 +1,5 @@
 /**
- * The content of the rows in which VMs tell each other the usage of services: `[[service, priority, asked, owed, served, [[account,
+ * The content of the rows by which VMs exchange the usage of services: `[[service, priority, asked, owed, served, [[account,
  * asked], ...]], ...]`. Its size is bounded whatever the number of accounts; the lightest accounts are left out first.
  */
 import type { Instant } from '@umberspar/base/common/clock'
--- a/packages/steering/src/common/entry/exchange/exchangeRow.ts
+++ b/packages/steering/src/common/entry/exchange/exchangeRow.ts
@@ -1,5 +1,5 @@
 /**
- * What entry VMs tell each other about load: rows of which the newest one counts. A row is advisory:
+ * Rows that entry VMs exchange about load; the newest one of a key counts. A row is advisory:
  * each VM decides about its own requests only, and without rows it decides by what it observed itself.
  */
 import type { Instant } from '@umberspar/base/common/clock'
@@ -71,7 +71,7 @@
 /** The exchange as the parts that use it see it. */
 export interface IFleetExchange {
   /**
-   * Tells other VMs a row, with the next message. A row replaces the one of the same topic and key.
+   * Sends a row to other VMs with the next message. A row replaces the one of the same topic and key.
    * @param row what this VM states itself
    */
   publish(row: ExchangeRow): void
@@ -89,5 +89,5 @@
   addAggregation(aggregation: DomainAggregation): void
 }
 
-/** Rows that nobody renewed for this long are forgotten. Each topic's owner decides earlier which rows still count. */
+/** Rows that were not renewed for this long are removed. Each topic's owner decides earlier which rows still count. */
 export const ROW_LIFETIME_MS = 30_000
--- a/packages/steering/src/common/entry/exchange/exchangeTable.ts
+++ b/packages/steering/src/common/entry/exchange/exchangeTable.ts
@@ -82,7 +82,7 @@
     return changed
   }
 
-  /** @param now the current time; rows that nobody has renewed for {@link ROW_LIFETIME_MS} are removed */
+  /** @param now the current time; rows that were not renewed for {@link ROW_LIFETIME_MS} are removed */
   removeExpired (now: Instant): void {
     for (const rows of this.topics.values()) {
       for (const [key, { row }] of rows) {
@@ -91,7 +91,7 @@
     }
   }
 
-  /** @returns the number of rows that other VMs wrote; 0 if none is heard */
+  /** @returns the number of rows that other VMs wrote; 0 if no messages arrive */
   countReceived (): number {
     let count = 0
     for (const rows of this.topics.values()) {
--- a/packages/steering/src/common/entry/exchange/relayRanking.ts
+++ b/packages/steering/src/common/entry/exchange/relayRanking.ts
@@ -21,7 +21,7 @@
 interface RelayState {
   /** When rows were last sent to it. */
   usedAt: Instant
-  /** When it was last heard, or when it began to be used if that was later. */
+  /** When its last message arrived, or when it began to be used if that was later. */
   waitingSince: Instant
   silentUntil: Deadline
 }
--- a/packages/steering/src/common/entry/relay/lostServices.ts
+++ b/packages/steering/src/common/entry/relay/lostServices.ts
@@ -1,5 +1,5 @@
 /**
- * What entry VMs tell each other about services whose workers they can't reach, so that requests are
+ * What entry VMs publish about services whose workers they can't reach, so that requests are
  * relayed to VMs that reach them. It only orders the VMs: one that is said to have lost a service is
  * asked if all others are said to have lost it too, or can't take the request.
  */
--- a/packages/testing/src/common/policy/loadPattern.ts
+++ b/packages/testing/src/common/policy/loadPattern.ts
@@ -71,7 +71,7 @@
   /** Duration of the outage before that; requests in flight at its start are lost and retried. */
   readonly outageMs?: number
   readonly steps: readonly PatternStep[]
-  /** How VMs tell each other the load of workers; undefined if they don't. */
+  /** How VMs exchange the load of workers; undefined if they don't. */
   readonly exchange?: ExchangeTraits
   /** The pace of each worker's machine changes at this interval; undefined for never. */
   readonly paceIntervalMs?: number
