Exchange reports of free slots only before the known one expires

Change: a report of a worker with free slots and usual pace is left out while another one, of any VM, is younger than 600 ms; reports of busy workers, and the first one after them, are passed on as before.

--- a/packages/steering/test/common/entry/workers/workerLoad.test.ts
+++ b/packages/steering/test/common/entry/workers/workerLoad.test.ts
@@ -243,6 +243,22 @@
     assert.deepEqual(encodeLoad({ running: 1, waiting: 0, slots: 3 }, undefined), [1, 0, 3, -1, 0])
   })
 
+  // Guards against traffic between VMs that grows with the requests to workers which have free slots.
+  it('repeats free slots only before the report that other VMs have expires', () => {
+    const { loads, trackers, exchange } = buildView([])
+    const free = { running: 1, waiting: 0, slots: SLOTS }
+    for (let at = 0; at < 1_200; at += 100) loads.publish(trackers[0]!, free, NOW + at)
+    assert.deepEqual(exchange.published.map(({ at }) => at - NOW), [0, 600])
+  })
+
+  it('carries each report of a worker without free slots, and the first one after that', () => {
+    const { loads, trackers, exchange } = buildView([])
+    const busy = { running: SLOTS, waiting: 0, slots: SLOTS }
+    const free = { running: 1, waiting: 0, slots: SLOTS }
+    for (const [index, report] of [free, busy, busy, free, free].entries()) loads.publish(trackers[0]!, report, NOW + index)
+    assert.deepEqual(exchange.published.map(({ at }) => at - NOW), [0, 1, 2, 3])
+  })
+
   it('ignores rows about workers that aren\'t registered', () => {
     const { exchange } = buildView([])
     exchange.deliver('w-99', [1, 0, 3, -1, 0], NOW)
