Count questions for quotas, subscriptions and what an unready VM waits for

Cause: logs and metrics could not tell apart the hypotheses of the incident of slow recovery: nothing counted questions for quotas or subscriptions, and nothing said why a VM is not ready or when it had registered.

--- a/packages/entry/src/node/lookup/entryEndpoints.ts
+++ b/packages/entry/src/node/lookup/entryEndpoints.ts
@@ -9,8 +9,9 @@
 import { QUOTA_PATH } from '../quota/quotaMessages.js'
 import type { RelayServer } from '../relay/relayServer.js'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
+import { ReadinessRecorder } from '../telemetry/readinessRecorder.js'
 import { createLookupHandler, EndpointServer, METRICS_CONTENT_TYPE, NOT_READY_RESPONSE, type PathHandler, READY_RESPONSE } from './endpointServer.js'
-import type { ServingNodes } from './servingNodes.js'
+import { Readiness, type ServingNodes } from './servingNodes.js'
 
 /** What answers at the endpoints. */
 export interface EntryEndpointsOptions {
@@ -36,9 +37,9 @@
  * @returns resolved when all listen
  */
 export async function listenForEndpoints (options: EntryEndpointsOptions, closeStack: CloseStack): Promise<void> {
-  const { settings: { listen }, protocol, servingNodes, quotaHandler, relayServer, publisher, readMetrics } = options
+  const { settings: { listen }, protocol, quotaHandler, relayServer, publisher, readMetrics } = options
   const endpoints: ReadonlyArray<{ readonly address: string, readonly path: string, readonly handler: PathHandler }> = [
-    { address: listen.readiness, path: protocol.readinessPath, handler: () => servingNodes.isReady() ? READY_RESPONSE : NOT_READY_RESPONSE },
+    { address: listen.readiness, path: protocol.readinessPath, handler: buildReadinessHandler(options) },
     { address: listen.lookups, path: protocol.lookupPath, handler: buildLookupHandler(options) },
     { address: listen.peers, path: QUOTA_PATH, handler: quotaHandler },
     { address: listen.metrics, path: METRICS_PATH, handler: async () => ({ status: 200, contentType: METRICS_CONTENT_TYPE, body: await readMetrics() }) }
@@ -57,6 +58,15 @@
   }
 }
 
+function buildReadinessHandler ({ servingNodes, telemetry: { logger, metrics } }: EntryEndpointsOptions): PathHandler {
+  const recorder = new ReadinessRecorder(logger, metrics)
+  return () => {
+    const readiness = servingNodes.getReadiness()
+    recorder.record(readiness)
+    return readiness === Readiness.Ready ? READY_RESPONSE : NOT_READY_RESPONSE
+  }
+}
+
 function buildLookupHandler ({ protocol, settings, servingNodes, regionByDomain, telemetry }: EntryEndpointsOptions): PathHandler {
   const cacheMs = Math.min(MAX_LOOKUP_CACHE_MS, settings.longestLookupCache)
   return createLookupHandler(protocol, (region, domain) => {
--- a/packages/entry/src/node/lookup/servingNodes.ts
+++ b/packages/entry/src/node/lookup/servingNodes.ts
@@ -10,6 +10,18 @@
   canAdmitKeys(): boolean
 }
 
+/** Whether a VM serves callers, or what it waits for. */
+export enum Readiness {
+  Ready = 'ready',
+  Draining = 'draining',
+  /** No configuration has been read, or another VM has a newer one. */
+  NoConfiguration = 'no-configuration',
+  /** Callers have keys, and the records are not proven to be recent enough to admit them. */
+  NoProof = 'no-proof',
+  /** No worker is known that takes requests. */
+  NoWorker = 'no-worker'
+}
+
 /** The entry VMs that serve callers, as far as this one knows. */
 export class ServingNodes {
   /**
@@ -25,11 +37,18 @@
 
   /** @returns whether this VM serves callers */
   isReady (): boolean {
-    if (this.state.isDraining() || this.view.newestDocument === undefined || !this.state.canAdmitKeys()) return false
+    return this.getReadiness() === Readiness.Ready
+  }
+
+  /** @returns whether this VM serves callers, or what it waits for */
+  getReadiness (): Readiness {
+    if (this.state.isDraining()) return Readiness.Draining
+    if (this.view.newestDocument === undefined) return Readiness.NoConfiguration
+    if (!this.state.canAdmitKeys()) return Readiness.NoProof
     for (const { isDraining } of this.view.listTrackers()) {
-      if (!isDraining) return true
+      if (!isDraining) return Readiness.Ready
     }
-    return false
+    return Readiness.NoWorker
   }
 
   /** @returns the registered VMs; whether this VM is listed depends on its own state, as its record in the store may lag behind */
--- a/packages/entry/src/node/peers/recordSubscriber.ts
+++ b/packages/entry/src/node/peers/recordSubscriber.ts
@@ -38,6 +38,19 @@
   onSourcesChanged(): void
 }
 
+/** An event of a subscription, for metrics. */
+export enum SubscriptionEvent {
+  Opened = 'opened',
+  /** Opened beside the present one, to determine the freshness of the records more precisely. */
+  Renewed = 'renewed',
+  /** Opened again for a full snapshot, as a line did not apply. */
+  Reread = 'reread',
+  /** Ended before its first line. */
+  Failed = 'failed',
+  /** Ended after its first line. */
+  Ended = 'ended'
+}
+
 interface Source {
   readonly address: string
   subscription: RecordSubscription | undefined
@@ -69,6 +82,7 @@
    * @param elapsed for the freshness of records
    * @param random jitter for retries
    * @param logger receives lines that cannot be parsed, as warnings
+   * @param onEvent counts the events of subscriptions
    * @param listener receives the records
    */
   constructor (
@@ -77,6 +91,7 @@
     private readonly elapsed: ElapsedClock,
     private readonly random: IRandomSource,
     private readonly logger: ILogger,
+    private readonly onEvent: (event: SubscriptionEvent) => void,
     private readonly listener: RecordSubscriberListener
   ) {}
 
@@ -172,6 +187,7 @@
     const source: Source = { address, subscription: undefined, replacement: undefined, renewAt: 0, via: undefined, hasResponded: false }
     this.sources.set(address, source)
     source.subscription = this.createSubscription(source)
+    this.onEvent(SubscriptionEvent.Opened)
   }
 
   private createSubscription (source: Source, position = this.listener.getPosition()): RecordSubscription {
@@ -203,6 +219,7 @@
     if (!isActive || source.subscription?.isClockUncertain !== true || source.replacement !== undefined || !hasPassed(source.renewAt, now)) return
     source.renewAt = now + MIN_RENEWAL_INTERVAL_MS
     source.replacement = this.createSubscription(source)
+    this.onEvent(SubscriptionEvent.Renewed)
   }
 
   private handleLine (source: Source, line: RecordLine, freshAsOf: Instant): void {
@@ -226,11 +243,13 @@
     source.replacement = undefined
     source.subscription?.close()
     source.subscription = this.createSubscription(source, NO_POSITION)
+    this.onEvent(SubscriptionEvent.Reread)
   }
 
   private handleEnd (source: Source): void {
     if (this.sources.get(source.address) !== source) return
     source.replacement?.close()
+    this.onEvent(source.hasResponded ? SubscriptionEvent.Ended : SubscriptionEvent.Failed)
     this.sources.delete(source.address)
     this.markFailed(source.address, this.clock.now())
     this.listener.onSourcesChanged()
--- a/packages/entry/src/node/quota/accountQuotas.ts
+++ b/packages/entry/src/node/quota/accountQuotas.ts
@@ -9,6 +9,7 @@
 import { listAccountShares, type QuotaShare, splitByDistance } from '@umberspar/steering/common/quota/quotaShares'
 import type { QuotaToken } from '@umberspar/steering/common/quota/quotaTokenPool'
 import type { PathHandler, PlainResponse } from '../lookup/endpointServer.js'
+import type { EntryMetrics } from '../telemetry/entryMetrics.js'
 import { AccountQuota, NoGrantReason, type QuotaDecision, QuotaOutcome, type QuotaListener } from './accountQuota.js'
 import { QuotaClient } from './quotaClient.js'
 import { parseQuotaRequest, type QuotaRequest } from './quotaMessages.js'
@@ -20,6 +21,7 @@
   readonly timeoutClock: IClock
   readonly roundTrips: DomainRoundTrips
   readonly tolerance: QuotaTolerance
+  readonly metrics: Pick<EntryMetrics, 'countQuotaQuestion' | 'countQuotaAnswer'>
 }
 
 /** Changes after which this VM may have to claim a share. */
@@ -28,6 +30,12 @@
 const BAD_REQUEST: PlainResponse = { status: 400, contentType: 'text/plain', body: 'the question cannot be read\n' }
 const NOT_OWNED: PlainResponse = { status: 409, contentType: 'text/plain', body: 'this VM does not keep the share\n' }
 
+/** @returns the outcome of a request for tokens, for metrics */
+function describeGrant (grant: QuotaGrant | NoGrantReason): string {
+  if (typeof grant === 'string') return grant
+  return grant.given > 0 ? QuotaOutcome.Granted : QuotaOutcome.Exhausted
+}
+
 /** The quotas of all accounts at one VM. */
 export class AccountQuotas implements IClosable {
   private readonly quotas = new Map<string, AccountQuota>()
@@ -93,6 +101,7 @@
       const request = parseQuotaRequest(query)
       if (request === undefined) return BAD_REQUEST
       const grant = this.answer(request)
+      this.dependencies.metrics.countQuotaAnswer(describeGrant(grant ?? NoGrantReason.NotOwned))
       return grant === undefined ? NOT_OWNED : { status: 200, contentType: 'application/json', body: JSON.stringify(grant) }
     }
   }
@@ -132,11 +141,14 @@
   }
 
   private async ask (request: QuotaRequest): Promise<QuotaGrant | NoGrantReason> {
-    const { view, roundTrips } = this.dependencies
+    const { view, roundTrips, metrics, clock } = this.dependencies
     if (this.claimer.isOwned(request.share)) return this.answer(request) ?? NoGrantReason.NotOwned
     const owner = view.shares.get(request.share)?.owner
     if (owner === undefined) return NoGrantReason.NotOwned
     const domain = view.nodes.get(owner.node)?.domain
-    return await this.client.ask(owner.peerAddress, request, domain === undefined ? 0 : roundTrips.getRoundTripMs(domain))
+    const askedAt = clock.now()
+    const grant = await this.client.ask(owner.peerAddress, request, domain === undefined ? 0 : roundTrips.getRoundTripMs(domain))
+    metrics.countQuotaQuestion(describeGrant(grant), clock.now() - askedAt)
+    return grant
   }
 }
--- a/packages/entry/src/node/replica/recordSynchronizer.ts
+++ b/packages/entry/src/node/replica/recordSynchronizer.ts
@@ -88,7 +88,7 @@
     const freshness = new FreshnessTracker(elapsed, () => viewUpdater.position)
     this.freshness = freshness
     this.publisher = new RecordPublisher(clock, new PublishedRecords(viewUpdater, freshness, () => this.via), telemetry)
-    this.subscriber = new RecordSubscriber(fleet.self.name, timeoutClock, elapsed, random, telemetry.logger, {
+    this.subscriber = new RecordSubscriber(fleet.self.name, timeoutClock, elapsed, random, telemetry.logger, (event) => { telemetry.metrics.countRecordSubscription(event) }, {
       getPosition: () => viewUpdater.position,
       onLine: (line, freshAsOf) => this.handleLine(line, freshAsOf),
       onSourcesChanged: () => { this.update() }
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -8,6 +8,9 @@
 /** Waits are at most an eighth of a latency goal. */
 const PLACE_WAIT_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2]
 
+/** Owners respond from memory; the longest timeout is a round trip and a margin. */
+const QUOTA_QUESTION_BUCKETS_SECONDS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1]
+
 const RETRY_BUDGET_GAUGES: Readonly<Record<keyof RetryBudgetState, { readonly name: string, readonly help: string }>> = {
   left: { name: 'umberspar_repeats_left', help: 'Repeats that could be sent at once by service' },
   reserved: { name: 'umberspar_retry_budget_reserved', help: 'Retries among those left that only callers may use that are lost if they are refused, by service' },
@@ -72,6 +75,11 @@
   private readonly yields
   private readonly accountUse
   private readonly accountShare
+  private readonly quotaQuestions
+  private readonly quotaQuestionSeconds
+  private readonly quotaAnswers
+  private readonly recordSubscriptions
+  private readonly readinessChecks
   private readonly gauges = new Map<string, Gauge>()
 
   constructor () {
@@ -98,6 +106,11 @@
     const accountLabels = ['service', 'priority', 'account']
     this.accountUse = new Gauge({ name: 'umberspar_account_use_ratio', help: 'What an account over its fair share asks, relative to all requests of the priority', labelNames: accountLabels, registers })
     this.accountShare = new Gauge({ name: 'umberspar_account_fair_share_ratio', help: 'The fair share of an account that is over it, relative to all requests of the priority', labelNames: accountLabels, registers })
+    this.quotaQuestions = new Counter({ name: 'umberspar_quota_questions_total', help: 'Requests for tokens sent to owners of quota shares, by outcome', labelNames: ['outcome'], registers })
+    this.quotaQuestionSeconds = new Histogram({ name: 'umberspar_quota_question_seconds', help: 'Time until the owner of a quota share had responded or the request for tokens had failed', buckets: QUOTA_QUESTION_BUCKETS_SECONDS, registers })
+    this.quotaAnswers = new Counter({ name: 'umberspar_quota_answers_total', help: 'Requests of other VMs for tokens by outcome', labelNames: ['outcome'], registers })
+    this.recordSubscriptions = new Counter({ name: 'umberspar_record_subscriptions_total', help: 'Subscriptions to the records of other VMs that were opened, renewed or have ended', labelNames: ['event'], registers })
+    this.readinessChecks = new Counter({ name: 'umberspar_readiness_checks_total', help: 'Readiness checks by what the VM waits for, or ready', labelNames: ['state'], registers })
     this.latencySeconds = new Histogram({ name: 'umberspar_request_seconds', help: 'From the head of a request to the end of its answer', labelNames: ['service', 'end'], buckets: LATENCY_BUCKETS_SECONDS, registers })
   }
 
@@ -170,6 +183,27 @@
     this.refusals.inc({ service, reason, priority, visit })
   }
 
+  /** Counts a request for tokens that this VM has sent to the owner of a quota share. */
+  countQuotaQuestion (outcome: string, spanMs: number): void {
+    this.quotaQuestions.inc({ outcome })
+    this.quotaQuestionSeconds.observe(spanMs / 1_000)
+  }
+
+  /** Counts a request of another VM for tokens. */
+  countQuotaAnswer (outcome: string): void {
+    this.quotaAnswers.inc({ outcome })
+  }
+
+  /** Counts an event of a subscription to another VM's records. */
+  countRecordSubscription (event: string): void {
+    this.recordSubscriptions.inc({ event })
+  }
+
+  /** Counts a readiness check. */
+  countReadinessCheck (state: string): void {
+    this.readinessChecks.inc({ state })
+  }
+
   /** Counts a dropped log line. */
   countDroppedLogLine (urgency: string): void {
     this.droppedLogLines.inc({ urgency })
--- a/packages/entry/test/node/peers/recordSubscriber.test.ts
+++ b/packages/entry/test/node/peers/recordSubscriber.test.ts
@@ -57,7 +57,7 @@
     onChange = () => {}
     canApply = () => true
     const logger: ILogger = { log: (level, context) => { if (level === LogLevel.Warn) warnings.push(context) }, createChild: () => logger }
-    subscriber = new RecordSubscriber('vm-1', clock, new ElapsedClock(clock), new SeededRandom(1), logger, {
+    subscriber = new RecordSubscriber('vm-1', clock, new ElapsedClock(clock), new SeededRandom(1), logger, () => {}, {
       getPosition: () => ({ era: 1, revision: 3 }),
       onLine: (line) => {
         received.push(line)
--- a/packages/soak/src/node/recovery/main.ts
+++ b/packages/soak/src/node/recovery/main.ts
@@ -33,6 +33,7 @@
     .option('quota', { type: 'number', describe: 'processor time of each entry process, as a share of a core' })
     .option('busy', { type: 'number', default: 0, describe: 'busy processes beside' })
     .option('busy-seconds', { type: 'number', describe: 'how long after the return of the processes the busy ones end; to the end of the run by default' })
+    .option('quotas', { type: 'boolean', default: true, describe: 'whether the client accounts have quotas' })
     .option('faults', { type: 'array', choices: Object.values(RecoveryFault), default: [] as RecoveryFault[], describe: 'what fails together with the processes' })
     .option('program', { type: 'string', describe: 'bundled entry program of another build, to test instead of this one' })
     .option('logs', { type: 'string', describe: 'existing folder for the logs of the entry processes' })
@@ -46,14 +47,15 @@
   for (let run = 0; run < options.runs; run++) {
     const seed = options.seed + run
     const guard = startRunGuard(seed, options.seconds, START_MARGIN_MS)
-    const { processes, workers, rate, quota, busy, busySeconds, seconds, faults, program, logs } = options
-    const result = await runRecovery({ seed, processes, workers, ratePerSecond: rate, quota, busyProcesses: busy, busySeconds, seconds, faults, logs, program: program === undefined ? undefined : pathToFileURL(program) })
+    const { processes, workers, rate, quota, busy, busySeconds, seconds, faults, quotas, program, logs } = options
+    const result = await runRecovery({ seed, processes, workers, ratePerSecond: rate, quota, busyProcesses: busy, busySeconds, seconds, faults, hasQuotas: quotas, logs, program: program === undefined ? undefined : pathToFileURL(program) })
     guard.close()
     writeLine(JSON.stringify(result))
     for (const { at, sent, served, unaddressed, readyVms, cpuSeconds, failures } of result.seconds) {
       const reasons = Object.entries(failures).sort(([, left], [, right]) => right - left).slice(0, MAX_PRINTED_REASONS).map(([reason, count]) => `${count} ${reason}`).join('; ')
       printLine(`${at.toFixed(1).padStart(6)} s: ${served} of ${sent} served, ${unaddressed} without an address, ${readyVms} VMs ready, ${cpuSeconds.toFixed(1)} s of processor time  ${reasons}`)
     }
+    printLine(Object.entries(result.counters).map(([name, count]) => `${name} ${count}`).join(', '))
     const { servedBefore, servedAfter, storeCalls, exits } = result
     printLine(`seed ${seed}: ${servedBefore.toFixed(3)} served before, ${servedAfter?.toFixed(3)} from the bound on, ${storeCalls} calls to the store, ${exits.length} unexpected exits`)
     if (exits.length > 0 || (servedBefore >= MIN_SERVED_SHARE && (servedAfter ?? 0) < MIN_SERVED_SHARE)) process.exitCode = NOT_RECOVERED_EXIT_CODE
--- a/packages/soak/src/node/recovery/recoveryOptions.ts
+++ b/packages/soak/src/node/recovery/recoveryOptions.ts
@@ -23,6 +23,8 @@
   /** Requests a second of all callers together. */
   readonly ratePerSecond: number
   readonly faults: readonly RecoveryFault[]
+  /** Whether the client accounts have quotas. */
+  readonly hasQuotas: boolean
   /** Processor time of each entry process, as a share of a core, from shortly before the kill to the end; undefined for no limit. */
   readonly quota?: number | undefined
   /** Busy processes beside, from shortly before the kill on. */
@@ -58,4 +60,6 @@
   readonly storeCalls: number
   /** Entry processes that exited unexpectedly. */
   readonly exits: readonly string[]
+  /** Sums of counters of all VMs since their return, by name and labels. */
+  readonly counters: Readonly<Record<string, number>>
 }
--- a/packages/soak/src/node/recovery/recoveryRun.ts
+++ b/packages/soak/src/node/recovery/recoveryRun.ts
@@ -11,9 +11,10 @@
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
 import { findEntryAddresses } from '@umberspar/testing/node/standIns/usersPlatform/entryProgram'
+import { askAt } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { PlatformRecords, type PathInput } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { PlatformWorkerStandIn } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
-import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
+import { type RecordStoreListener, StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { ProcessorQuota } from './processorQuota.js'
 import type { CallerPlan, SecondCounts } from './recoveryCallers.js'
@@ -41,6 +42,9 @@
 const DOWN_MS = 1_200
 const SILENCE_MS = 8_000
 const POLL_INTERVAL_MS = 200
+const METRICS_TIMEOUT_MS = 10_000
+/** Counters that tell what VMs did to recover. */
+const COUNTERS = /^umberspar_((?:quota_questions|quota_answers|record_subscriptions|readiness_checks|proof_waits)_total\{[^}]*\}) (\d+)/gm
 const MS_PER_SECOND = 1_000
 
 interface Sample {
@@ -57,6 +61,7 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'umberspar-recovery-'))
   private readonly quota = new ProcessorQuota()
   private readonly entries: RecoveryEntry[] = []
+  private readonly stores: RecordStoreListener[] = []
   private workers: PlatformWorkerStandIn[] = []
   private workerGeneration = 0
   private readonly samples: Sample[] = []
@@ -116,7 +121,7 @@
     const counts = await callers.waitForMessage<SecondCounts[]>()
     this.isEnded = true
     await sampling
-    return this.buildResult(counts, callersStartedAt, killedAt, backAt)
+    return this.buildResult(counts, callersStartedAt, killedAt, backAt, await this.readCounters())
   }
 
   private async waitMs (spanMs: number): Promise<void> {
@@ -149,7 +154,8 @@
   /** Writes the next configuration: one with the size of the users' deployment, in which a route has changed. */
   private writeConfiguration (): void {
     const paths: PathInput[] = SERVICES.flatMap((service) => Array.from({ length: ROUTES_PER_SERVICE }, (_, index) => ({ Name: `${service}-${index}`, Prefix: `/${service}/${index}/`, Service: service })))
-    const accounts = Array.from({ length: ACCOUNTS }, (_, index) => ({ Name: `account-${index}`, ApiKeys: [`key-of-account-${index}`], RatePerS: this.options.ratePerSecond, Burst: this.options.ratePerSecond }))
+    const quota = this.options.hasQuotas ? this.options.ratePerSecond : 0
+    const accounts = Array.from({ length: ACCOUNTS }, (_, index) => ({ Name: `account-${index}`, ApiKeys: [`key-of-account-${index}`], RatePerS: quota, Burst: quota }))
     this.records.putConfiguration([...paths, { Name: 'changed', Prefix: `/changed-${this.records.newestVersion}/`, Service: SERVICES[0] }], COLD_PER_SECOND, accounts)
   }
 
@@ -158,6 +164,7 @@
     for (let index = 0; index < this.options.processes; index++) {
       const node = `entry-${index + 1}`
       const store = this.records.store.addListener()
+      this.stores.push(store)
       const seeds = this.entries.slice(0, 3).map(({ settings }) => settings.listen.peers)
       const settings = { ...this.records.createSettings(node, domains[index % domains.length]!, await findEntryAddresses(await store.listen()), seeds), ...DEPLOYMENT_BOUNDS }
       this.entries.push(this.closing.add(new RecoveryEntry(settings, join(this.folder, `${node}.json`), this.options, (name, detail) => { this.exits.push(`${name}: ${detail}`) })))
@@ -202,7 +209,7 @@
   }
 
   private setStoreFault (fault: StoreFault): void {
-    this.records.store.setFault(fault)
+    for (const store of this.stores) store.setFault(fault)
   }
 
   private async resumeStore (): Promise<void> {
@@ -223,7 +230,17 @@
     }
   }
 
-  private buildResult (counts: readonly SecondCounts[], callersStartedAt: Instant, killedAt: Instant, backAt: Instant): RecoveryResult {
+  /** @returns the sums of the chosen counters of all VMs since their return */
+  private async readCounters (): Promise<Record<string, number>> {
+    const sums: Record<string, number> = {}
+    await Promise.all(this.entries.map(async ({ settings }) => {
+      const { body } = await askAt(settings.listen.metrics, '/metrics', AbortSignal.timeout(METRICS_TIMEOUT_MS))
+      for (const [, name, value] of body.matchAll(COUNTERS)) sums[name!] = (sums[name!] ?? 0) + Number(value)
+    }))
+    return sums
+  }
+
+  private buildResult (counts: readonly SecondCounts[], callersStartedAt: Instant, killedAt: Instant, backAt: Instant, counters: Readonly<Record<string, number>>): RecoveryResult {
     const seconds = counts.map((second, index): RecoverySecond => {
       const at = (callersStartedAt - backAt) / MS_PER_SECOND + index
       const sampleIndex = this.samples.findIndex((sample) => sample.at >= backAt + at * MS_PER_SECOND)
@@ -242,8 +259,9 @@
       seconds,
       servedBefore: computeServedShare(-Infinity, -downSeconds - 1) ?? 0,
       servedAfter: computeServedShare(MAX_RECOVERY_SECONDS, Infinity),
-      storeCalls: this.records.store.countCalls(),
-      exits: this.exits
+      storeCalls: this.stores.flatMap(({ calls }) => [...calls.values()]).reduce((sum, count) => sum + count, 0),
+      exits: this.exits,
+      counters
     }
   }
 }
--- a/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/recordStoreStandIn.ts
@@ -35,6 +35,7 @@
 /** Keys of the operator and of the workers; all others are the entry VMs' own. */
 const WRITER_PREFIXES = ['op/', 'servers/']
 const EMPTY = JSON.stringify({})
+
 type Handler = (listener: RecordStoreListener, request: IncomingMessage, url: URL, body: string, response: ServerResponse) => void
 
 function toWire (item: StoredItem): object {
@@ -205,16 +206,6 @@
     return listener
   }
 
-  /** @param fault how the calls of all VMs are treated from now on */
-  setFault (fault: StoreFault): void {
-    for (const listener of this.listeners) listener.setFault(fault)
-  }
-
-  /** @returns the number of calls of all VMs so far */
-  countCalls (): number {
-    return this.listeners.flatMap(({ calls }) => [...calls.values()]).reduce((sum, count) => sum + count, 0)
-  }
-
   /** Writes as the operator or a worker does. */
   put (key: string, value: unknown): void {
     this.putText(key, JSON.stringify(value))
