--- a/packages/entry/src/node/quota/accountQuotas.ts
+++ b/packages/entry/src/node/quota/accountQuotas.ts
@@ -8,11 +8,11 @@
 import type { QuotaTolerance } from '@umberspar/steering/common/quota/bucketParameters'
 import { listAccountShares, type QuotaShare, splitByDistance } from '@umberspar/steering/common/quota/quotaShares'
 import type { QuotaToken } from '@umberspar/steering/common/quota/quotaTokenPool'
-import type { PathHandler, PlainResponse } from '../lookup/endpointServer.js'
+import type { PathHandler } from '../lookup/endpointServer.js'
 import type { EntryMetrics } from '../telemetry/entryMetrics.js'
 import { AccountQuota, NoGrantReason, type QuotaDecision, QuotaOutcome, type QuotaListener } from './accountQuota.js'
 import { QuotaClient } from './quotaClient.js'
-import { parseQuotaRequest, type QuotaRequest } from './quotaMessages.js'
+import { answerQuotaRequest, type QuotaRequest } from './quotaMessages.js'
 import { type ShareClaimerDependencies, ShareClaimer } from './shareClaimer.js'
 
 /** Options of {@link AccountQuotas}. */
@@ -27,8 +27,6 @@
 /** Changes after which this VM may have to claim a share. */
 const CLAIM_TRIGGERS: ReadonlySet<ViewChange> = new Set([ViewChange.DocumentAdopted, ViewChange.NodeJoined, ViewChange.NodeLeft, ViewChange.ShareClaimed, ViewChange.ShareFreed])
 const UNLIMITED: QuotaDecision = { outcome: QuotaOutcome.Granted, waitMs: 0 }
-const BAD_REQUEST: PlainResponse = { status: 400, contentType: 'text/plain', body: 'the question cannot be read\n' }
-const NOT_OWNED: PlainResponse = { status: 409, contentType: 'text/plain', body: 'this VM does not keep the share\n' }
 
 /** @returns the outcome of a request for tokens, for metrics */
 function describeGrant (grant: QuotaGrant | NoGrantReason): string {
@@ -97,13 +95,11 @@
 
   /** @returns the handler for requests of other VMs to this one as a share owner */
   createPeerHandler (): PathHandler {
-    return (query) => {
-      const request = parseQuotaRequest(query)
-      if (request === undefined) return BAD_REQUEST
+    return (query) => answerQuotaRequest(query, (request) => {
       const grant = this.answer(request)
       this.dependencies.metrics.countQuotaAnswer(describeGrant(grant ?? NoGrantReason.NotOwned))
-      return grant === undefined ? NOT_OWNED : { status: 200, contentType: 'application/json', body: JSON.stringify(grant) }
-    }
+      return grant
+    })
   }
 
   close (): void {
--- a/packages/entry/src/node/quota/quotaMessages.ts
+++ b/packages/entry/src/node/quota/quotaMessages.ts
@@ -1,9 +1,12 @@
 /** The messages by which entry VMs request tokens of an account's quota from each other. */
 import type { QuotaGrant } from '@umberspar/steering/common/quota/quotaBucketTable'
 import * as z from 'zod/mini'
+import type { PlainResponse } from '../lookup/endpointServer.js'
 
 /** The path of the requests, whose query is a {@link QuotaRequest}. */
 export const QUOTA_PATH = '/v1/quota'
+const BAD_REQUEST: PlainResponse = { status: 400, contentType: 'text/plain', body: 'the question cannot be read\n' }
+const NOT_OWNED: PlainResponse = { status: 409, contentType: 'text/plain', body: 'this VM does not keep the share\n' }
 
 /** A request to the owner of a share. */
 export interface QuotaRequest {
@@ -41,3 +44,15 @@
     return undefined
   }
 }
+
+/**
+ * Answers a request for tokens as the owner of shares.
+ * @param query the query of the request
+ * @param take takes tokens from this VM's buckets; undefined if it doesn't own the share
+ */
+export function answerQuotaRequest (query: URLSearchParams, take: (request: QuotaRequest) => QuotaGrant | undefined): PlainResponse {
+  const request = parseQuotaRequest(query)
+  if (request === undefined) return BAD_REQUEST
+  const grant = take(request)
+  return grant === undefined ? NOT_OWNED : { status: 200, contentType: 'application/json', body: JSON.stringify(grant) }
+}
