Count a crash on a kept connection as one of the first round

A quarantine needs one worker that crashed under the request although an earlier crash under it was known. A retry on a kept connection to a worker that had crashed together with the first one, without its end having been read yet, counted as such. Change: while crashes under a request are known, it is sent on a new connection, which shows that the worker runs; a crash on a kept connection counts as one of the first round.

--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -81,7 +81,7 @@
   }
 
   start (): void {
-    const { clock, view, pools } = this.context
+    const { clock, view, pools, quarantine } = this.context
     const now = clock.now()
     // Counted before the connection is open, so that decisions made meanwhile take this request into account.
     this.openRequest = this.tracker.startRequest(now, this.choice.expectedMs)
@@ -89,7 +89,7 @@
     const maxOwnConnections = maxConnections === 0 ? DEFAULT_MAX_CONNECTIONS : Math.max(MIN_CONNECTIONS_PER_WORKER, Math.floor(maxConnections / view.countNodes()))
     const connectDeadline = createConnectDeadline(now, this.choice.candidate.roundTripMs)
     this.isOpeningLimited = this.deadline < connectDeadline
-    pools.getPool(this.tracker.registration).open(maxOwnConnections, Math.min(this.deadline, connectDeadline), (result, openMs) => { this.handleOpen(result, openMs) })
+    pools.getPool(this.tracker.registration).open(maxOwnConnections, Math.min(this.deadline, connectDeadline), (result, openMs) => { this.handleOpen(result, openMs) }, quarantine.getNextRound(this.request.digest) > 1)
   }
 
   cancel (): void {
@@ -163,7 +163,8 @@
   private send (connection: UpstreamConnection, now: Instant, accountName: string | undefined): void {
     this.connection = connection
     this.sentAt = now
-    this.round = this.context.quarantine.getNextRound(this.request.digest)
+    // The worker behind a kept connection may have crashed before, together with those that are known to have.
+    this.round = connection.idleSince === undefined ? this.context.quarantine.getNextRound(this.request.digest) : 1
     this.idleMs = connection.idleSince === undefined ? undefined : now - connection.idleSince
     this.collector = new ResponseCollector({
       onComplete: (response) => { this.handleResponse(response) },
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -64,10 +64,12 @@
    * @param maxConnections the maximum number of connections of this VM to the worker
    * @param deadline the time limit for opening a new connection
    * @param onOpen called synchronously for an idle connection, or when the limit is reached; otherwise later
+   * @param mustBeNew whether the connection must show that the worker is running now; an idle one may have ended without that having been read
    */
-  open (maxConnections: number, deadline: Deadline, onOpen: OpenListener): void {
+  open (maxConnections: number, deadline: Deadline, onOpen: OpenListener, mustBeNew = false): void {
     const idle = this.takeIdle()
-    if (idle !== undefined) {
+    if (mustBeNew) idle?.close()
+    else if (idle !== undefined) {
       onOpen(idle, 0)
       return
     }
--- a/packages/entry/test/node/front/upstreamAttempt.test.ts
+++ b/packages/entry/test/node/front/upstreamAttempt.test.ts
@@ -46,6 +46,7 @@
       eventLoop: { runWhenCurrent: (callback: () => void) => { callback() }, isLate: () => isLate },
       links,
       openAttempts: new OpenAttempts(),
+      quarantine: { getNextRound: () => 1 },
       telemetry: { logAttemptEnd: () => {} }
     } as unknown as EntryContext
     results = []
