Await late responses of record sources, and renew less often while they are late

What callers saw: nothing by itself; found as the same cause elsewhere. 60 VMs short of processor time gave up 123 subscriptions and renewed 271 in 22 s. Cause: a subscription without a response after 0.6 s was ended and opened again, at the cost of another whole update for the publisher; one whose response had come late, so that the publisher's clock is known imprecisely, was renewed each second by all VMs. Change: after 0.6 s others are tried, but the response is awaited for 4 s; the interval of renewals doubles up to 4 s while they do not help. Evidence: two tests of recordSubscriber failed before (never current where responses take 1.5 s; 21 subscriptions in 20 s instead of 8 at most).

--- a/packages/entry/src/node/peers/recordSubscriber.ts
+++ b/packages/entry/src/node/peers/recordSubscriber.ts
@@ -22,8 +22,9 @@
 const RETRY_JITTER_RATIO = 0.3
 /** While fewer than two sources are current, other ones are tried at this interval. */
 const SEARCH_INTERVAL_MS = 1_000
-/** Limits renewals of a subscription: right after many VMs start together, every response is late. */
+/** Limits renewals of a subscription: right after many VMs start together, every response is late. Doubles while renewals do not help. */
 const MIN_RENEWAL_INTERVAL_MS = 1_000
+const MAX_RENEWAL_INTERVAL_MS = 4_000
 
 /** Receives the records, and changes of the sources. */
 export interface RecordSubscriberListener {
@@ -45,6 +46,8 @@
   Renewed = 'renewed',
   /** Opened again for a full snapshot, as a line did not apply. */
   Reread = 'reread',
+  /** Not responded to in the usual time. */
+  Late = 'late',
   /** Ended before its first line. */
   Failed = 'failed',
   /** Ended after its first line. */
@@ -58,15 +61,19 @@
   replacement: RecordSubscription | undefined
   /** The earliest time for the next renewal. */
   renewAt: Deadline
+  /** How long the next renewal is followed by none, in milliseconds. */
+  renewalIntervalMs: number
   /** The VMs that its records passed through; undefined while the source is not current. */
   via: readonly string[] | undefined
   /** Whether a first line has arrived. */
   hasResponded: boolean
+  /** Whether the first line is late, so that others are tried meanwhile. */
+  isLate: boolean
 }
 
-/** @returns whether the source is current, or has not responded yet */
-function mayServe ({ via, hasResponded }: Source): boolean {
-  return via !== undefined || !hasResponded
+/** @returns whether the source is current, or may be so within moments */
+function mayServe ({ via, hasResponded, isLate }: Source): boolean {
+  return via !== undefined || (!hasResponded && !isLate)
 }
 
 /** Subscribes to other VMs from {@link RecordSubscriber.subscribeTo} until {@link RecordSubscriber.close}. */
@@ -184,7 +191,7 @@
   }
 
   private open (address: string): void {
-    const source: Source = { address, subscription: undefined, replacement: undefined, renewAt: 0, via: undefined, hasResponded: false }
+    const source: Source = { address, subscription: undefined, replacement: undefined, renewAt: 0, renewalIntervalMs: MIN_RENEWAL_INTERVAL_MS, via: undefined, hasResponded: false, isLate: false }
     this.sources.set(address, source)
     source.subscription = this.createSubscription(source)
     this.onEvent(SubscriptionEvent.Opened)
@@ -197,6 +204,7 @@
         this.handleLine(source, line, freshAsOf)
         if (Number.isFinite(freshAsOf)) this.renewUncertain(source)
       },
+      onLate: () => { if (source.subscription === subscription) this.handleLate(source) },
       onEnd: (error) => {
         if (error !== undefined) logError(this.logger, LogLevel.Warn, error)
         if (source.replacement === subscription) source.replacement = undefined
@@ -215,9 +223,14 @@
   /** Renews the subscription if the source's clock is known so imprecisely that its records seem older than they are. */
   private renewUncertain (source: Source): void {
     const now = this.clock.now()
-    const isActive = this.sources.get(source.address) === source
-    if (!isActive || source.subscription?.isClockUncertain !== true || source.replacement !== undefined || !hasPassed(source.renewAt, now)) return
-    source.renewAt = now + MIN_RENEWAL_INTERVAL_MS
+    if (this.sources.get(source.address) !== source || source.replacement !== undefined) return
+    if (source.subscription?.isClockUncertain !== true) {
+      source.renewalIntervalMs = MIN_RENEWAL_INTERVAL_MS
+      return
+    }
+    if (!hasPassed(source.renewAt, now)) return
+    source.renewAt = now + source.renewalIntervalMs
+    source.renewalIntervalMs = Math.min(MAX_RENEWAL_INTERVAL_MS, source.renewalIntervalMs * 2)
     source.replacement = this.createSubscription(source)
     this.onEvent(SubscriptionEvent.Renewed)
   }
@@ -246,6 +259,13 @@
     this.onEvent(SubscriptionEvent.Reread)
   }
 
+  private handleLate (source: Source): void {
+    if (this.sources.get(source.address) !== source || source.hasResponded) return
+    source.isLate = true
+    this.onEvent(SubscriptionEvent.Late)
+    this.update()
+  }
+
   private handleEnd (source: Source): void {
     if (this.sources.get(source.address) !== source) return
     source.replacement?.close()
--- a/packages/entry/src/node/peers/recordSubscription.ts
+++ b/packages/entry/src/node/peers/recordSubscription.ts
@@ -13,8 +13,10 @@
 
 /** A VM that sends nothing for three heartbeats is paused, partitioned or down. */
 const SILENCE_TIMEOUT_MS = 3 * HEARTBEAT_INTERVAL_MS
-/** A running VM responds within milliseconds. One that is down must not delay the next attempt. */
-const OPEN_TIMEOUT_MS = 600
+/** A running VM responds within milliseconds. One that is down must not delay the attempt at another one. */
+const LATE_AFTER_MS = 600
+/** A VM that lacks processor time responds late. Asking it again would cost it the response once more. */
+const OPEN_TIMEOUT_MS = 4_000
 /** Longer lines are rejected. A line with 3,500 workers takes about 1 MB. */
 const MAX_LINE_LENGTH = 16_777_216
 const OK = 200
@@ -23,6 +25,8 @@
 export interface SubscriptionListener {
   /** @param freshAsOf the latest instant at which the publisher's records were certainly up to date, on this VM's {@link ElapsedClock} */
   onLine(line: RecordLine, freshAsOf: Instant): void
+  /** Called if the other VM has not responded in the usual time; it may still do so. */
+  onLate(): void
   /** Called once, when the subscription has ended; with an error if a line could not be parsed. */
   onEnd(error: StepError | undefined): void
 }
@@ -53,7 +57,10 @@
     this.request = get({ ...splitAddress(address), path: `${RECORDS_PATH}?era=${position.era}&after=${position.revision}`, agent: false }, (response) => { this.handleResponse(response) })
     // Not logged: there are several sources, and the subscriber tries the next one.
     this.request.on('error', () => { this.end(undefined) })
-    this.timer = this.scheduleEnd(OPEN_TIMEOUT_MS)
+    this.timer = this.clock.schedule(this.clock.now() + LATE_AFTER_MS, () => {
+      this.timer = this.scheduleEnd(OPEN_TIMEOUT_MS - LATE_AFTER_MS)
+      listener.onLate()
+    })
   }
 
   /** @returns whether a new subscription would determine the freshness of the records noticeably more precisely */
--- a/packages/entry/test/node/peers/recordSubscriber.test.ts
+++ b/packages/entry/test/node/peers/recordSubscriber.test.ts
@@ -4,7 +4,8 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { deflateRawSync } from 'node:zlib'
 import { ElapsedClock } from '@umberspar/base/common/elapsedClock'
-import { type ILogger, type LogContext, LogLevel } from '@umberspar/base/common/logger'
+import { type ILogger, type LogContext, LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import { SeededRandom } from '@umberspar/base/common/random'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { formatRecordLine, type RecordLine } from '../../../src/common/recordLines.js'
@@ -17,11 +18,13 @@
   private readonly server: Server
   address = ''
 
-  constructor (private readonly firstLine: string) {
+  /** @param delayMs how long it takes to respond */
+  constructor (private readonly firstLine: string, delayMs = 0) {
     this.server = createServer((request, response) => {
       this.requestedUrls.push(request.url ?? '')
       this.responses.push(response)
-      response.write(this.firstLine)
+      if (delayMs === 0) response.write(this.firstLine)
+      else setTimeout(() => { response.write(this.firstLine) }, delayMs)
     })
   }
 
@@ -41,6 +44,17 @@
   return formatRecordLine({ era: 1, revision: 5, holdMs: 0, clockMs: 0, ...line })
 }
 
+const STEPS = 40
+const STEP_MS = 500
+/** One in 4 s, and some at first. */
+const MAX_SUBSCRIPTIONS = 8
+/** Turns of the event loop in which a new connection is accepted. */
+const TURNS_PER_STEP = 20
+
+async function runTurn (): Promise<void> {
+  await new Promise<void>((resolve) => { setImmediate(resolve) })
+}
+
 describe('the record subscriber', { timeout: 30_000 }, () => {
   const clock = new SystemClock()
   let publishers: FakePublisher[]
@@ -73,8 +87,8 @@
     for (const publisher of publishers) publisher.close()
   })
 
-  async function addPublisher (first: string): Promise<FakePublisher> {
-    const publisher = await new FakePublisher(first).listen()
+  async function addPublisher (first: string, delayMs?: number): Promise<FakePublisher> {
+    const publisher = await new FakePublisher(first, delayMs).listen()
     publishers.push(publisher)
     return publisher
   }
@@ -114,6 +128,46 @@
     assert.deepEqual(subscriber.via, ['c'])
   })
 
+  // Guards against VMs that give each other up and ask again, for ever, while all of them are late.
+  it('waits for a source that responds late, and tries others meanwhile', async () => {
+    const late = await addPublisher(formatLine({ via: ['a'] }), 1_500)
+    const other = await addPublisher(formatLine({ via: ['b'] }))
+    const third = await addPublisher(formatLine({ via: ['c'] }))
+    subscriber.subscribeTo([late.address, other.address, third.address])
+    await waitUntil(() => third.requestedUrls.length === 1 && subscriber.countSources() === 2)
+    await waitUntil(() => received.some(({ via }) => via?.includes('a') === true))
+    assert.equal(late.requestedUrls.length, 1)
+  })
+
+  // Guards against renewals each second at all VMs that add to the work because of which they come late.
+  it('renews a subscription less often while all responses come late', async () => {
+    const manualClock = new ManualClock()
+    const publisher = await addPublisher('')
+    const lines: RecordLine[] = []
+    const late = new RecordSubscriber('vm-1', manualClock, new ElapsedClock(manualClock), new SeededRandom(1), NULL_LOGGER, () => {}, {
+      getPosition: () => ({ era: 1, revision: 3 }),
+      onLine: (line) => {
+        lines.push(line)
+        onChange()
+        return true
+      },
+      onSourcesChanged: () => {}
+    })
+    late.subscribeTo([publisher.address])
+    const isRequested = (): boolean => publisher.requestedUrls.length > 0
+    while (!isRequested()) await runTurn()
+    for (let step = 0; step < STEPS; step++) {
+      // Each response takes a step, as all VMs are late.
+      manualClock.stepBy(STEP_MS)
+      const count = lines.length
+      publisher.responses.at(-1)!.write(formatLine({ via: ['a'], clockMs: manualClock.now(), proofAgeMs: 0 }))
+      await waitUntil(() => lines.length > count)
+      for (let turn = 0; turn < TURNS_PER_STEP; turn++) await runTurn()
+    }
+    late.close()
+    assert.ok(publisher.requestedUrls.length <= MAX_SUBSCRIPTIONS, `${publisher.requestedUrls.length} subscriptions in ${STEPS * STEP_MS} ms`)
+  })
+
   it('does not treat a VM as current whose records passed through this VM', async () => {
     const publisher = await addPublisher(formatLine({ via: ['follower', 'vm-1', 'vm-2'] }))
     subscriber.subscribeTo([publisher.address])
