--- a/packages/soak/src/node/recovery/recoveryRun.ts
+++ b/packages/soak/src/node/recovery/recoveryRun.ts
@@ -15,6 +15,7 @@
 import { PlatformRecords, type PathInput } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { PlatformWorkerStandIn } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { type RecordStoreListener, StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
+import type { StoreCopy } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreState'
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { ProcessorQuota } from './processorQuota.js'
 import type { CallerPlan, SecondCounts } from './recoveryCallers.js'
@@ -41,6 +42,8 @@
 const LOAD_BEFORE_MS = 8_000
 const DOWN_MS = 1_200
 const SILENCE_MS = 8_000
+/** Workers write their registrations again with their next heartbeat. */
+const REWRITE_MS = 1_500
 const POLL_INTERVAL_MS = 200
 const METRICS_TIMEOUT_MS = 10_000
 /** Counters that tell what VMs did to recover. */
@@ -106,7 +109,7 @@
     const { faults } = this.options
     if (faults.includes(RecoveryFault.Workers)) await this.resetWorkers()
     if (faults.includes(RecoveryFault.Leases)) this.records.store.state.endAllLeases()
-    if (faults.includes(RecoveryFault.OlderCopy)) this.records.store.resetTo(copy)
+    if (faults.includes(RecoveryFault.OlderCopy)) this.resetStore(copy)
     if (faults.includes(RecoveryFault.SilentStore)) this.setStoreFault(StoreFault.Silent)
     await waitUntil(this.clock, killedAt + DOWN_MS)
     const backAt = this.clock.now()
@@ -212,6 +215,14 @@
     for (const store of this.stores) store.setFault(fault)
   }
 
+  /** The store comes back from a copy; the operator and the workers write again what it lacks. */
+  private resetStore (copy: StoreCopy): void {
+    const { store } = this.records
+    const lost = store.state.createCopy()
+    store.resetTo(copy)
+    this.clock.schedule(this.clock.now() + REWRITE_MS, () => { store.writeAgain(lost, copy) })
+  }
+
   private async resumeStore (): Promise<void> {
     if (!this.options.faults.includes(RecoveryFault.SilentStore)) return
     await this.waitMs(SILENCE_MS)
