Recovery soak: one look-up at a time for each caller, and how late the callers themselves are

Cause: runs of 79 VMs beside other load sent nothing for 14 s while all VMs were ready. Each request of a caller without addresses looked up by itself, up to 480 a second, in a process that had a tenth of a core: the callers, not the VMs, did not come back, and nothing in the output told so. Change: requests of a caller wait for its one look-up; the output has the longest time for which the callers' process did nothing, and counts requests that found no address in time.

--- a/packages/soak/src/node/recovery/main.ts
+++ b/packages/soak/src/node/recovery/main.ts
@@ -20,6 +20,7 @@
 /** The users' rule: less than a quarter served is no recovery, unless it was so before. */
 const MIN_SERVED_SHARE = 0.25
 const MAX_PRINTED_REASONS = 3
+const MS_PER_SECOND = 1_000
 
 async function main (): Promise<void> {
   const options = yargs(hideBin(process.argv))
@@ -51,9 +52,9 @@
     const result = await runRecovery({ seed, processes, workers, ratePerSecond: rate, quota, busyProcesses: busy, busySeconds, seconds, faults, hasQuotas: quotas, logs, program: program === undefined ? undefined : pathToFileURL(program) })
     guard.close()
     writeLine(JSON.stringify(result))
-    for (const { at, sent, served, unaddressed, readyVms, cpuSeconds, failures } of result.seconds) {
+    for (const { at, sent, served, unaddressed, callersLateMs, readyVms, cpuSeconds, failures } of result.seconds) {
       const reasons = Object.entries(failures).sort(([, left], [, right]) => right - left).slice(0, MAX_PRINTED_REASONS).map(([reason, count]) => `${count} ${reason}`).join('; ')
-      printLine(`${at.toFixed(1).padStart(6)} s: ${served} of ${sent} served, ${unaddressed} without an address, ${readyVms} VMs ready, ${cpuSeconds.toFixed(1)} s of processor time  ${reasons}`)
+      printLine(`${at.toFixed(1).padStart(6)} s: ${served} of ${sent} served, ${unaddressed} without an address, ${readyVms} VMs ready, ${cpuSeconds.toFixed(1)} s of processor time, callers ${(callersLateMs / MS_PER_SECOND).toFixed(1)} s late  ${reasons}`)
     }
     printLine(Object.entries(result.counters).map(([name, count]) => `${name} ${count}`).join(', '))
     const { servedBefore, servedAfter, storeCalls, exits } = result
--- a/packages/soak/src/node/recovery/recoveryCallers.ts
+++ b/packages/soak/src/node/recovery/recoveryCallers.ts
@@ -31,8 +31,10 @@
   served: number
   /** Requests that were not served, by what callers were told. */
   readonly failures: Record<string, number>
-  /** Operations that found no address of an entry VM. */
+  /** Operations that found no address of an entry VM in their time. */
   unaddressed: number
+  /** The longest time for which the callers' own process did nothing, in milliseconds; if it is long, the run says little about the VMs. */
+  callersLateMs: number
 }
 
 const DEADLINE_MS = 3_000
@@ -56,13 +58,15 @@
 class Caller {
   private entries: readonly string[] = []
   private entriesExpireAt: Instant = Number.NEGATIVE_INFINITY
+  /** The look-up that is under way, for which all requests of the caller wait. */
+  private lookingUp: Promise<void> | undefined
   readonly agent = new Agent({ keepAlive: true })
 
   constructor (private readonly domain: string, private readonly plan: CallerPlan, private readonly clock: IClock, private readonly random: IRandomSource) {}
 
   /** @returns an address of an entry VM that has not failed this operation; undefined if none is known */
   async chooseEntry (failed: ReadonlySet<string>): Promise<string | undefined> {
-    if (this.clock.now() >= this.entriesExpireAt) await this.lookUp()
+    if (this.clock.now() >= this.entriesExpireAt) await (this.lookingUp ??= this.lookUp())
     const usable = this.entries.filter((entry) => !failed.has(entry))
     return usable[Math.floor(this.random.next() * usable.length)]
   }
@@ -76,11 +80,12 @@
         if (entries.length === 0) continue
         this.entries = entries
         this.entriesExpireAt = this.clock.now() + LOOKUP_CACHE_MS
-        return
+        break
       } catch {
         // The VM is down or late; the next attempt may choose another one.
       }
     }
+    this.lookingUp = undefined
   }
 }
 
@@ -101,6 +106,8 @@
   async run (): Promise<void> {
     for (let at = this.clock.now(); !this.isClosed; at += MS_PER_SECOND / this.plan.ratePerSecond) {
       await waitUntil(this.clock, at)
+      const second = this.getSecond()
+      second.callersLateMs = Math.max(second.callersLateMs, this.clock.now() - at)
       // How a request fails is counted; anything else is a fault of this program.
       this.runOperation(this.callers[Math.floor(this.random.next() * this.callers.length)]!).catch((error: unknown) => { setImmediate(() => { throw error }) })
     }
@@ -122,11 +129,12 @@
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const entry = await caller.chooseEntry(failed)
       const leftMs = deadline - this.clock.now()
-      if (this.isClosed || leftMs <= RETRY_DELAY_MS) return
-      if (entry === undefined) {
+      if (this.isClosed) return
+      if (entry === undefined || (leftMs <= RETRY_DELAY_MS && attempt === 1)) {
         this.getSecond().unaddressed++
         return
       }
+      if (leftMs <= RETRY_DELAY_MS) return
       const retryAfterMs = await this.send(caller, entry, leftMs, attempt)
       if (retryAfterMs === undefined) return
       failed.add(entry)
@@ -171,7 +179,7 @@
 
   private getSecond (): SecondCounts {
     const index = Math.floor((this.clock.now() - this.startedAt) / MS_PER_SECOND)
-    while (this.seconds.length <= index) this.seconds.push({ sent: 0, served: 0, failures: {}, unaddressed: 0 })
+    while (this.seconds.length <= index) this.seconds.push({ sent: 0, served: 0, failures: {}, unaddressed: 0, callersLateMs: 0 })
     return this.seconds[index]!
   }
 }
