Take an empty list of grants for an unreadable response

A response without any grant would have been asked for again without end. Also: the histogram of questions goes up to 4 s, as late answers are awaited; the back-off of renewals keeps how often they were futile instead of a duration.

--- a/packages/entry/src/node/peers/recordSubscriber.ts
+++ b/packages/entry/src/node/peers/recordSubscriber.ts
@@ -5,7 +5,7 @@
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
 import { type ILogger, logError, LogLevel } from '@umberspar/base/common/logger'
 import { addJitter, type IRandomSource } from '@umberspar/base/common/random'
@@ -61,8 +61,8 @@
   replacement: RecordSubscription | undefined
   /** The earliest time for the next renewal. */
   renewAt: Deadline
-  /** How long the next renewal is followed by none, in milliseconds. */
-  renewalIntervalMs: number
+  /** Renewals in a row after which the clock was as uncertain as before. */
+  futileRenewals: number
   /** The VMs that its records passed through; undefined while the source is not current. */
   via: readonly string[] | undefined
   /** Whether a first line has arrived. */
@@ -191,7 +191,7 @@
   }
 
   private open (address: string): void {
-    const source: Source = { address, subscription: undefined, replacement: undefined, renewAt: 0, renewalIntervalMs: MIN_RENEWAL_INTERVAL_MS, via: undefined, hasResponded: false, isLate: false }
+    const source: Source = { address, subscription: undefined, replacement: undefined, renewAt: 0, futileRenewals: 0, via: undefined, hasResponded: false, isLate: false }
     this.sources.set(address, source)
     source.subscription = this.createSubscription(source)
     this.onEvent(SubscriptionEvent.Opened)
@@ -225,12 +225,12 @@
     const now = this.clock.now()
     if (this.sources.get(source.address) !== source || source.replacement !== undefined) return
     if (source.subscription?.isClockUncertain !== true) {
-      source.renewalIntervalMs = MIN_RENEWAL_INTERVAL_MS
+      source.futileRenewals = 0
       return
     }
     if (!hasPassed(source.renewAt, now)) return
-    source.renewAt = now + source.renewalIntervalMs
-    source.renewalIntervalMs = Math.min(MAX_RENEWAL_INTERVAL_MS, source.renewalIntervalMs * 2)
+    source.renewAt = createDeadline(now, Math.min(MAX_RENEWAL_INTERVAL_MS, MIN_RENEWAL_INTERVAL_MS * 2 ** source.futileRenewals))
+    source.futileRenewals++
     source.replacement = this.createSubscription(source)
     this.onEvent(SubscriptionEvent.Renewed)
   }
--- a/packages/entry/src/node/quota/quotaMessages.ts
+++ b/packages/entry/src/node/quota/quotaMessages.ts
@@ -28,7 +28,7 @@
 const requestShape = z.object({ share: z.string(), account: z.string(), wanted: count, unused: count })
 const furtherShape = z.array(requestShape).check(z.maxLength(MAX_MESSAGE_REQUESTS))
 const grantShape = z.object({ given: count, waitMs: z.number().check(z.nonnegative()) })
-const grantsShape = z.object({ grants: z.array(z.nullable(grantShape)) })
+const grantsShape = z.object({ grants: z.array(z.nullable(grantShape)).check(z.minLength(1)) })
 
 /**
  * Formats requests to the same owner as one message. Builds that know no further requests read and answer the first one.
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -8,8 +8,8 @@
 /** Waits are at most an eighth of a latency goal. */
 const PLACE_WAIT_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2]
 
-/** Owners respond from memory; the longest timeout is a round trip and a margin. */
-const QUOTA_QUESTION_BUCKETS_SECONDS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1]
+/** Owners respond from memory; one that lacks processor time is awaited for seconds. */
+const QUOTA_QUESTION_BUCKETS_SECONDS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4]
 
 const RETRY_BUDGET_GAUGES: Readonly<Record<keyof RetryBudgetState, { readonly name: string, readonly help: string }>> = {
   left: { name: 'umberspar_repeats_left', help: 'Repeats that could be sent at once by service' },
--- a/packages/entry/test/node/quota/quotaClient.test.ts
+++ b/packages/entry/test/node/quota/quotaClient.test.ts
@@ -89,6 +89,16 @@
     assert.equal(lateCalls, 2)
   })
 
+  // Guards against a message that is sent again and again, since its response grants nothing of it.
+  it('fail if its response can\'t be read', async () => {
+    const grants = ['a', 'b'].map(async (account) => await client.ask(OWNER, createRequest(account), 0, () => {}))
+    for (let index = 0; index < 2; index++) {
+      transport.messages[index]!.reply({ status: 200, text: JSON.stringify({ grants: [] }) })
+      await clock.runFor(1)
+    }
+    assert.deepEqual(await Promise.all(grants), [NoGrantReason.Unresponsive, NoGrantReason.Unresponsive])
+  })
+
   // Guards against waiting once for each message at an owner that has lost power.
   it('all fail when it does not answer in time', async () => {
     const grants = ['a', 'b'].map(async (account) => await client.ask(OWNER, createRequest(account), 0, () => {}))
