Do not grant by a late answer what came after the owner was asked

What callers would have seen: accounts over their quota (QUOTA) after owners were late. Cause: since answers are awaited for seconds, a token could be used seconds after its owner had granted it, by a request that arrived meanwhile, in addition to what the owner had granted since; before, the timeout of 150 ms bounded this. Change: a token whose lifetime has passed is used only by requests that had arrived when the owner was asked; others are returned with the next question.

--- a/packages/entry/src/node/quota/accountQuota.ts
+++ b/packages/entry/src/node/quota/accountQuota.ts
@@ -54,6 +54,7 @@
 
 interface WaitingRequest {
   readonly listener: QuotaListener
+  readonly arrivedAt: Instant
   readonly until: Deadline
 }
 
@@ -106,7 +107,7 @@
       listener({ outcome: QuotaOutcome.Granted, token, waitMs: 0 })
       return
     }
-    this.waiting.push({ listener, until: createDeadline(now, MAX_WAIT_MS) })
+    this.waiting.push({ listener, arrivedAt: now, until: createDeadline(now, MAX_WAIT_MS) })
     this.askNext()
   }
 
@@ -177,14 +178,19 @@
     }
     if (grant.waitMs > 0) this.exhaustedUntil.set(share, now + grant.waitMs)
     const usableUntil = askedAt + this.environment.getTokenLifetimeMs()
-    for (let count = 0; count < grant.given; count++) this.deliver({ share, usableUntil })
+    for (let count = 0; count < grant.given; count++) this.deliver({ share, usableUntil }, askedAt)
   }
 
-  private deliver (token: QuotaToken): void {
-    const request = this.waiting.shift()
-    // The age of the token does not matter to a waiting request, which arrived before the token was granted.
-    if (request === undefined) this.tokens.put(token)
-    else request.listener({ outcome: QuotaOutcome.Granted, token, waitMs: 0 })
+  private deliver (token: QuotaToken, askedAt: Instant): void {
+    const [first] = this.waiting
+    // The age of the token does not matter to a request that arrived before the token was granted. The answer may be seconds late for others.
+    const isUsable = first !== undefined && (first.arrivedAt <= askedAt || !hasPassed(token.usableUntil, this.environment.now()))
+    if (!isUsable) {
+      this.tokens.put(token)
+      return
+    }
+    this.waiting.shift()
+    first.listener({ outcome: QuotaOutcome.Granted, token, waitMs: 0 })
   }
 
   /** Refuses the requests that have waited for too long, now and later. */
