Remove what the change of quota questions left over, and name the soak's routes and faults once

Found by reading the whole diff: the limit of four connections to an owner, and its model in the simulation, had no effect any more, as one message is under way at a time; how much to ask was computed also where nobody is asked (a division by zero whose result was not used); the recovery soak wrote its routes and keys twice, and its faults as a chain of conditions instead of a table. No behaviour changes; the tests keep their assertions.

--- a/packages/entry/src/node/quota/accountQuota.ts
+++ b/packages/entry/src/node/quota/accountQuota.ts
@@ -135,9 +135,12 @@
     for (const [groupIndex, group] of this.environment.listGroups().entries()) {
       const available = this.listAvailable(group)
       const unasked = available.filter(({ name }) => !this.openQuestions.has(name))
-      const wanted = this.computeWanted(groupIndex, unasked.length)
-      for (const { name } of unasked) this.askShare(name, wanted)
-      if (unasked.length > 0 || available.some(({ name }) => this.openQuestions.get(name)?.isLate === false)) return this.scheduleRefusal()
+      if (unasked.length > 0) {
+        const wanted = this.computeWanted(groupIndex, unasked.length)
+        for (const { name } of unasked) this.askShare(name, wanted)
+        return this.scheduleRefusal()
+      }
+      if (available.some(({ name }) => this.openQuestions.get(name)?.isLate === false)) return this.scheduleRefusal()
     }
     if (this.openQuestions.size === 0) this.refuse(this.waiting.splice(0))
     else this.scheduleRefusal()
--- a/packages/entry/src/node/quota/quotaTransport.ts
+++ b/packages/entry/src/node/quota/quotaTransport.ts
@@ -26,12 +26,9 @@
   send(address: string, path: string): SentQuotaRequest
 }
 
-/** Further requests to the same VM wait for a connection. */
-export const MAX_CONNECTIONS_PER_OWNER = 4
-
 /** Sends requests for tokens on kept connections. */
 export class HttpQuotaTransport implements IQuotaTransport {
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS_PER_OWNER })
+  private readonly agent = new Agent({ keepAlive: true })
 
   send (address: string, path: string): SentQuotaRequest {
     const request = sendRequest({ ...splitAddress(address), path, method: 'POST', agent: this.agent, headers: { 'Content-Length': 0 } })
--- a/packages/entry/test/node/quota/lateOwners.ts
+++ b/packages/entry/test/node/quota/lateOwners.ts
@@ -13,7 +13,7 @@
 import { AccountQuota, QuotaOutcome } from '../../../src/node/quota/accountQuota.js'
 import { QuotaClient } from '../../../src/node/quota/quotaClient.js'
 import { answerQuotaRequests } from '../../../src/node/quota/quotaMessages.js'
-import { type IQuotaTransport, MAX_CONNECTIONS_PER_OWNER, type QuotaTransportResponse, type SentQuotaRequest } from '../../../src/node/quota/quotaTransport.js'
+import type { IQuotaTransport, QuotaTransportResponse, SentQuotaRequest } from '../../../src/node/quota/quotaTransport.js'
 
 const REGIONS: ReadonlyMap<string, string> = new Map([['a-1', 'a'], ['a-2', 'a'], ['b-1', 'b'], ['b-2', 'b'], ['c-1', 'c'], ['c-2', 'c']])
 const TOLERANCE = { windowMs: 5_000, over: 0.1, slack: 20 }
@@ -77,43 +77,16 @@
 
 /** The connections of one VM to the owners. */
 class SimulatedTransport implements IQuotaTransport {
-  private readonly waitingByOwner = new Map<string, Array<() => void>>()
-  private readonly openByOwner = new Map<string, number>()
-
   constructor (private readonly clock: ManualClock, private readonly owners: ReadonlyMap<string, LateOwner>) {}
 
   send (address: string, path: string): SentQuotaRequest {
     let settle!: (response: QuotaTransportResponse | undefined) => void
-    let isEnded = false
-    let isOpen = false
-    const response = new Promise<QuotaTransportResponse | undefined>((resolve) => {
-      settle = (value) => {
-        if (isEnded) return
-        isEnded = true
-        if (isOpen) this.handleEnd(address)
-        resolve(value)
-      }
-    })
-    const start = (): void => {
-      if (isEnded) return this.handleEnd(address)
-      isOpen = true
-      this.clock.schedule(this.clock.now() + LINK_MS, () => { this.owners.get(address)!.handle(path, settle) })
-    }
-    const open = this.openByOwner.get(address) ?? 0
-    if (open < MAX_CONNECTIONS_PER_OWNER) {
-      this.openByOwner.set(address, open + 1)
-      start()
-    } else this.waitingByOwner.set(address, [...this.waitingByOwner.get(address) ?? [], start])
+    const response = new Promise<QuotaTransportResponse | undefined>((resolve) => { settle = resolve })
+    this.clock.schedule(this.clock.now() + LINK_MS, () => { this.owners.get(address)!.handle(path, settle) })
     return { response, cancel: () => { settle(undefined) } }
   }
 
   close (): void {}
-
-  private handleEnd (address: string): void {
-    const next = this.waitingByOwner.get(address)?.shift()
-    if (next === undefined) this.openByOwner.set(address, this.openByOwner.get(address)! - 1)
-    else next()
-  }
 }
 
 /** What became of the requests that were sent in one second, those of returning callers included. */
--- a/packages/soak/src/node/recovery/recoveryRun.ts
+++ b/packages/soak/src/node/recovery/recoveryRun.ts
@@ -24,8 +24,9 @@
 
 const REGIONS = { 'klang-a': 'klang', 'klang-b': 'klang', 'penang-a': 'penang', 'penang-b': 'penang', 'kuching-a': 'kuching', 'kuching-b': 'kuching' }
 const SERVICES = ['itinerary', 'escort', 'docs', 'billing'] as const
-const ACCOUNTS = 82
+const ACCOUNT_NUMBERS = Array.from({ length: 82 }, (_, index) => index)
 const ROUTES_PER_SERVICE = 10
+const ROUTES: readonly PathInput[] = SERVICES.flatMap((service) => Array.from({ length: ROUTES_PER_SERVICE }, (_, index) => ({ Name: `${service}-${index}`, Prefix: `/${service}/${index}/`, Service: service })))
 const WORK_MS = 60
 const SLOTS = 3
 const COLD_MS = 3_000
@@ -50,6 +51,11 @@
 const COUNTERS = /^umberspar_((?:quota_questions|quota_answers|record_subscriptions|readiness_checks|proof_waits)_total\{[^}]*\}) (\d+)/gm
 const MS_PER_SECOND = 1_000
 
+/** @returns the API key of a client account */
+function formatKey (accountNumber: number): string {
+  return `key-of-account-${accountNumber}`
+}
+
 interface Sample {
   readonly at: Instant
   readonly readyVms: number
@@ -70,6 +76,13 @@
   private readonly samples: Sample[] = []
   private readonly exits: string[] = []
   private isEnded = false
+  /** Start the faults, in the order of the enumeration, while all entry processes are down; called with an earlier copy of the store. */
+  private readonly faultStarters: Readonly<Record<RecoveryFault, (copy: StoreCopy) => void | Promise<void>>> = {
+    [RecoveryFault.Workers]: async () => { await this.resetWorkers() },
+    [RecoveryFault.Leases]: () => { this.records.store.state.endAllLeases() },
+    [RecoveryFault.OlderCopy]: (copy) => { this.resetStore(copy) },
+    [RecoveryFault.SilentStore]: () => { this.setStoreFault(StoreFault.Silent) }
+  }
 
   constructor (private readonly options: RecoveryOptions) {
     this.closing.add(this.records.store)
@@ -106,11 +119,9 @@
     this.writeConfiguration()
     const killedAt = this.clock.now()
     await Promise.all(this.entries.map(async (entry) => { await entry.stopAtOnce() }))
-    const { faults } = this.options
-    if (faults.includes(RecoveryFault.Workers)) await this.resetWorkers()
-    if (faults.includes(RecoveryFault.Leases)) this.records.store.state.endAllLeases()
-    if (faults.includes(RecoveryFault.OlderCopy)) this.resetStore(copy)
-    if (faults.includes(RecoveryFault.SilentStore)) this.setStoreFault(StoreFault.Silent)
+    for (const fault of Object.values(RecoveryFault)) {
+      if (this.options.faults.includes(fault)) await this.faultStarters[fault](copy)
+    }
     await waitUntil(this.clock, killedAt + DOWN_MS)
     const backAt = this.clock.now()
     this.startEntries()
@@ -156,10 +167,9 @@
 
   /** Writes the next configuration: one with the size of the users' deployment, in which a route has changed. */
   private writeConfiguration (): void {
-    const paths: PathInput[] = SERVICES.flatMap((service) => Array.from({ length: ROUTES_PER_SERVICE }, (_, index) => ({ Name: `${service}-${index}`, Prefix: `/${service}/${index}/`, Service: service })))
     const quota = this.options.hasQuotas ? this.options.ratePerSecond : 0
-    const accounts = Array.from({ length: ACCOUNTS }, (_, index) => ({ Name: `account-${index}`, ApiKeys: [`key-of-account-${index}`], RatePerS: quota, Burst: quota }))
-    this.records.putConfiguration([...paths, { Name: 'changed', Prefix: `/changed-${this.records.newestVersion}/`, Service: SERVICES[0] }], COLD_PER_SECOND, accounts)
+    const accounts = ACCOUNT_NUMBERS.map((number) => ({ Name: `account-${number}`, ApiKeys: [formatKey(number)], RatePerS: quota, Burst: quota }))
+    this.records.putConfiguration([...ROUTES, { Name: 'changed', Prefix: `/changed-${this.records.newestVersion}/`, Service: SERVICES[0] }], COLD_PER_SECOND, accounts)
   }
 
   private async createEntries (): Promise<void> {
@@ -190,8 +200,8 @@
       seed: this.options.seed,
       regions: REGIONS,
       lookups,
-      prefixes: SERVICES.flatMap((service) => Array.from({ length: ROUTES_PER_SERVICE }, (_, index) => `/${service}/${index}/`)),
-      keys: Array.from({ length: ACCOUNTS }, (_, index) => `key-of-account-${index}`),
+      prefixes: ROUTES.map(({ Prefix }) => Prefix),
+      keys: ACCOUNT_NUMBERS.map(formatKey),
       ratePerSecond: this.options.ratePerSecond,
       callersPerDomain: CALLERS_PER_DOMAIN,
       objects: OBJECTS
