--- a/packages/entry/src/node/createEntryView.ts
+++ b/packages/entry/src/node/createEntryView.ts
@@ -3,15 +3,18 @@
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { EntrySettings } from '../common/entrySettings.js'
+import type { EntryTelemetry } from './telemetry/entryTelemetry.js'
+import { logRateDivision } from './telemetry/logRateDivision.js'
 
 /**
  * @param settings the settings of the process
  * @param regionByDomain the region of each failure domain
  * @param roundTrips the round trip times to the failure domains
  * @param startedAt when the process started
+ * @param telemetry logs this VM's parts of rate limits
  * @returns a view without records
  */
-export function createEntryView (settings: EntrySettings, regionByDomain: ReadonlyMap<string, string>, roundTrips: DomainRoundTrips, startedAt: Instant): EntryView {
+export function createEntryView (settings: EntrySettings, regionByDomain: ReadonlyMap<string, string>, roundTrips: DomainRoundTrips, startedAt: Instant, { logger }: Pick<EntryTelemetry, 'logger'>): EntryView {
   return new EntryView({
     node: settings.node,
     domain: settings.domain,
@@ -21,6 +24,7 @@
     rateTolerance: settings.rateTolerance,
     maxShift: settings.maxShift,
     retryBudget: { ...settings.repeatBudget, windowMs: settings.repeatBudget.window },
-    startedAt
+    startedAt,
+    onRateLimitDivided: (division) => { logRateDivision(logger, division) }
   })
 }
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -117,7 +117,7 @@
     this.telemetry = new EntryTelemetry(logger, metrics)
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.timeoutClock = new TimeoutClock(clock, () => this.eventLoop)
-    this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt)
+    this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt, this.telemetry)
     this.exchange = settings.listen.exchange === undefined ? undefined : this.closeStack.add(createFleetExchange({ clock, self: this.node, regionByDomain: this.regionByDomain, roundTrips, view: this.view, telemetry: this.telemetry, isLate: () => this.eventLoop.isLate() }))
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.view.isConfigurationOutdated ? Infinity : this.synchronizer.freshness.getAgeMs())
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
--- a/packages/entry/src/node/telemetry/entryGauges.ts
+++ b/packages/entry/src/node/telemetry/entryGauges.ts
@@ -14,7 +14,7 @@
 import type { EventLoopMonitor } from '../eventLoop/eventLoopMonitor.js'
 import type { FleetExchange } from '../exchange/fleetExchange.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
-import type { AccountShareState, GaugeSource } from './entryMetrics.js'
+import type { AccountShareState, GaugeSource, RateDivisionState } from './entryMetrics.js'
 
 /** The value of unknown ages, since a gauge always has a value. */
 const UNKNOWN_AGE_SECONDS = -1
@@ -62,6 +62,11 @@
     return [...this.dependencies.gates.list()].flatMap(([service, gate]) => gate.listOverShare(now).map((account) => ({ service, ...account })))
   }
 
+  readRateDivisions (): RateDivisionState[] {
+    const now = this.dependencies.clock.now()
+    return [...this.dependencies.view.pools].flatMap(([service, pool]) => pool.listRateDivisions(now).map((division) => ({ service, ...division })))
+  }
+
   readGauges (): Readonly<Record<string, number>> {
     const { clock, view, viewUpdater, synchronizer, quotas, quarantine, callerServer, placeWaiter, eventLoop, links, relayPeers, exchange, isReady } = this.dependencies
     const now = clock.now()
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -1,5 +1,6 @@
 /** The metrics of an entry process, fetched in the Prometheus text format. */
 import type { RetryBudgetState } from '@umberspar/steering/common/entry/retry/sharedRetryBudget'
+import type { RateDivisionUse } from '@umberspar/steering/common/entry/workers/workerRateGate'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Upper bounds of the latency buckets: from a response of a warm local worker to the longest time limits. */
@@ -37,6 +38,21 @@
   readonly share: number
 }
 
+/** The division of one worker's rate limit. */
+export interface RateDivisionState extends RateDivisionUse {
+  readonly service: string
+}
+
+/** Workers with a rate limit that are listed for all services together. */
+const MAX_LISTED_RATE_LIMITS = 64
+
+const RATE_DIVISION_GAUGES: Readonly<Partial<Record<keyof RateDivisionUse, { readonly name: string, readonly help: string }>>> = {
+  perSecond: { name: 'umberspar_rate_limit_per_second', help: 'Requests per second that a worker accepts from all VMs together' },
+  maxToleratedRequests: { name: 'umberspar_rate_limit_part_requests', help: 'Requests per window that this VM may send to a worker with a rate limit' },
+  sentRequests: { name: 'umberspar_rate_limit_sent_requests', help: 'Requests that this VM has sent in the window to a worker with a rate limit' },
+  domainSharers: { name: 'umberspar_rate_limit_domain_sharers', help: 'VMs of this failure domain among which the part of the domain is divided' }
+}
+
 /** Accounts over their share that are listed for all services together. */
 const MAX_LISTED_ACCOUNTS = 32
 
@@ -48,6 +64,8 @@
   readRetryBudgets(): Iterable<readonly [service: string, state: RetryBudgetState]>
   /** @returns the accounts that are over their share; none if missing */
   readAccountShares?(): readonly AccountShareState[]
+  /** @returns how the rate limits of workers are divided; none if missing */
+  readRateDivisions?(): readonly RateDivisionState[]
 }
 
 /** The metrics of one process. */
@@ -80,6 +98,7 @@
   private readonly quotaAnswers
   private readonly recordSubscriptions
   private readonly readinessChecks
+  private readonly rateDivisionGauges
   private readonly gauges = new Map<string, Gauge>()
 
   constructor () {
@@ -106,6 +125,9 @@
     const accountLabels = ['service', 'priority', 'account']
     this.accountUse = new Gauge({ name: 'umberspar_account_use_ratio', help: 'What an account over its fair share asks, relative to all requests of the priority', labelNames: accountLabels, registers })
     this.accountShare = new Gauge({ name: 'umberspar_account_fair_share_ratio', help: 'The fair share of an account that is over it, relative to all requests of the priority', labelNames: accountLabels, registers })
+    this.rateDivisionGauges = Object.entries(RATE_DIVISION_GAUGES).map(([field, { name, help }]) => {
+      return { field: field as keyof typeof RATE_DIVISION_GAUGES, gauge: new Gauge({ name, help, labelNames: ['service', 'worker'], registers }) }
+    })
     this.quotaQuestions = new Counter({ name: 'umberspar_quota_questions_total', help: 'Requests for tokens sent to owners of quota shares, by outcome', labelNames: ['outcome'], registers })
     this.quotaQuestionSeconds = new Histogram({ name: 'umberspar_quota_question_seconds', help: 'Time until the owner of a quota share had responded or the request for tokens had failed', buckets: QUOTA_QUESTION_BUCKETS_SECONDS, registers })
     this.quotaAnswers = new Counter({ name: 'umberspar_quota_answers_total', help: 'Requests of other VMs for tokens by outcome', labelNames: ['outcome'], registers })
@@ -219,6 +241,7 @@
       for (const { field, gauge } of this.retryBudgetGauges) gauge.set({ service }, state[field])
     }
     this.setAccountShares(source.readAccountShares?.() ?? [])
+    this.setRateDivisions(source.readRateDivisions?.() ?? [])
     return `${await this.gaugeRegistry.metrics()}\n${await this.registry.metrics()}`
   }
 
@@ -231,6 +254,13 @@
     }
   }
 
+  private setRateDivisions (divisions: readonly RateDivisionState[]): void {
+    for (const { field, gauge } of this.rateDivisionGauges) {
+      gauge.reset()
+      for (const division of divisions.slice(0, MAX_LISTED_RATE_LIMITS)) gauge.set({ service: division.service, worker: division.workerId }, Number(division[field]))
+    }
+  }
+
   private getGauge (name: string): Gauge {
     let gauge = this.gauges.get(name)
     if (gauge === undefined) {
--- a/packages/soak/src/node/recovery/recoveryEntry.ts
+++ b/packages/soak/src/node/loggedEntry.ts
@@ -1,15 +1,22 @@
-/** An entry process of a recovery run. */
+/** An entry process whose log can be kept, and that steps kill, stop and pause. */
 import { appendFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { EntrySettings } from '@umberspar/entry/common/entrySettings'
 import type { ChildProgram } from '@umberspar/testing/node/measure/childProgram'
 import { spawnEntry } from '@umberspar/testing/node/standIns/usersPlatform/entryProgram'
-import { EntryProcess } from '../entryProcess.js'
-import type { RecoveryOptions } from './recoveryOptions.js'
+import { EntryProcess } from './entryProcess.js'
+
+/** Which program is run, and where its log goes. */
+export interface LoggedEntryOptions {
+  /** Entry program of another build; undefined for that of this build. */
+  readonly program?: URL | undefined
+  /** Existing folder for the logs of entry processes; undefined to discard them. */
+  readonly logs?: string | undefined
+}
 
 /** An entry VM with its process. */
-export class RecoveryEntry extends EntryProcess {
-  constructor (settings: EntrySettings, private readonly file: string, private readonly options: RecoveryOptions, onExited: (node: string, detail: string) => void) {
+export class LoggedEntry extends EntryProcess {
+  constructor (settings: EntrySettings, private readonly file: string, private readonly options: LoggedEntryOptions, onExited: (node: string, detail: string) => void) {
     super(settings, onExited)
     writeFileSync(file, JSON.stringify(settings))
   }
--- a/packages/soak/src/node/recovery/recoveryOptions.ts
+++ b/packages/soak/src/node/recovery/recoveryOptions.ts
@@ -1,4 +1,5 @@
 /** The options and the result of a recovery run. */
+import type { LoggedEntryOptions } from '../loggedEntry.js'
 import type { SecondCounts } from './recoveryCallers.js'
 
 /** What fails together with the entry processes. */
@@ -14,7 +15,7 @@
 }
 
 /** The options of a run. */
-export interface RecoveryOptions {
+export interface RecoveryOptions extends LoggedEntryOptions {
   readonly seed: number
   /** Number of entry processes. */
   readonly processes: number
@@ -33,10 +34,6 @@
   readonly busySeconds?: number | undefined
   /** How long the run goes on after the processes are back. */
   readonly seconds: number
-  /** Entry program of another build; undefined for that of this build. */
-  readonly program?: URL | undefined
-  /** Existing folder for the logs of entry processes; undefined to discard them. */
-  readonly logs?: string | undefined
 }
 
 /** One second of a run. */
--- a/packages/soak/src/node/recovery/recoveryRun.ts
+++ b/packages/soak/src/node/recovery/recoveryRun.ts
@@ -19,7 +19,7 @@
 import { waitUntil } from '@umberspar/testing/node/waiting'
 import { ProcessorQuota } from './processorQuota.js'
 import type { CallerPlan, SecondCounts } from './recoveryCallers.js'
-import { RecoveryEntry } from './recoveryEntry.js'
+import { LoggedEntry } from '../loggedEntry.js'
 import { RecoveryFault, type RecoveryOptions, type RecoveryResult, type RecoverySecond } from './recoveryOptions.js'
 
 const REGIONS = { 'klang-a': 'klang', 'klang-b': 'klang', 'penang-a': 'penang', 'penang-b': 'penang', 'kuching-a': 'kuching', 'kuching-b': 'kuching' }
@@ -69,7 +69,7 @@
   private readonly records = new PlatformRecords(REGIONS)
   private readonly folder = mkdtempSync(join(tmpdir(), 'umberspar-recovery-'))
   private readonly quota = new ProcessorQuota()
-  private readonly entries: RecoveryEntry[] = []
+  private readonly entries: LoggedEntry[] = []
   private readonly stores: RecordStoreListener[] = []
   private workers: PlatformWorkerStandIn[] = []
   private workerGeneration = 0
@@ -180,7 +180,7 @@
       this.stores.push(store)
       const seeds = this.entries.slice(0, 3).map(({ settings }) => settings.listen.peers)
       const settings = { ...this.records.createSettings(node, domains[index % domains.length]!, await findEntryAddresses(await store.listen()), seeds), ...DEPLOYMENT_BOUNDS }
-      this.entries.push(this.closing.add(new RecoveryEntry(settings, join(this.folder, `${node}.json`), this.options, (name, detail) => { this.exits.push(`${name}: ${detail}`) })))
+      this.entries.push(this.closing.add(new LoggedEntry(settings, join(this.folder, `${node}.json`), this.options, (name, detail) => { this.exits.push(`${name}: ${detail}`) })))
     }
   }
 
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -13,7 +13,8 @@
 import { type Unavailability, UnavailabilityReason } from '../admission/unavailability.js'
 import type { UpstreamTracker } from './upstreamTracker.js'
 import { CacheAffinity } from './cacheAffinity.js'
-import { RateLimitScope, WorkerRateGate } from './workerRateGate.js'
+import { PoolSaturation } from './poolSaturation.js'
+import { type RateDivision, type RateDivisionUse, RateLimitScope, WorkerRateGate } from './workerRateGate.js'
 import type { ServiceTimeEstimate } from './serviceTimeEstimate.js'
 
 /** What a pool needs to know about its entry VM and the entry VMs that share the workers. */
@@ -31,6 +32,8 @@
   listNodes(): readonly string[]
   /** @returns the entry VMs with their failure domains; a new array after each change */
   listSendingNodes(): readonly SendingNode[]
+  /** Called when this VM's part of a worker's rate limit has been computed anew. */
+  onRateLimitDivided?(division: RateDivision): void
 }
 
 /** The properties of a request that decide which workers are candidates. */
@@ -51,17 +54,6 @@
  */
 const MAX_CANDIDATES = 5
 
-/** Slot utilization up to which the saturation is 0, and from which it is 1. */
-const SPARE_UTILIZATION_RATIO = 0.4
-const FULL_UTILIZATION_RATIO = 0.9
-/**
- * Limits how much one worker with a long queue adds to the service's saturation. Where the queues of the workers are
- * known from other VMs, waiting requests add nothing: they don't take the free slots of other workers.
- */
-const MAX_IN_FLIGHT_PER_SLOT = 2
-/** The saturation is cached this long, since computing it visits all workers. */
-const SATURATION_VALIDITY_MS = 100
-
 /** The workers of one service. */
 export class WorkerPool {
   private readonly trackers = new Map<string, UpstreamTracker>()
@@ -73,14 +65,13 @@
   readonly placement: DemandPlacement | undefined
   private readonly rateGate: WorkerRateGate
   private sharesByDomain: ReadonlyMap<string, WorkerShares> | undefined
-  private saturation = 0
-  private saturationValidUntil: Instant = Number.NEGATIVE_INFINITY
+  private readonly saturation = new PoolSaturation()
 
   /** @param context this entry VM and the VMs that share the workers */
   constructor (private readonly context: PoolContext) {
-    const { node, domain, rateTolerance, maxShift, regionByDomain } = context
+    const { node, domain, rateTolerance, maxShift, regionByDomain, onRateLimitDivided } = context
     this.placement = maxShift === undefined ? undefined : new DemandPlacement(maxShift, domain, regionByDomain)
-    this.rateGate = new WorkerRateGate({ node, rateTolerance, listSendingNodes: () => context.listSendingNodes(), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
+    this.rateGate = new WorkerRateGate({ node, domain, rateTolerance, onDivided: onRateLimitDivided, listSendingNodes: () => context.listSendingNodes(), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
   }
 
   /** @returns all registered workers, draining ones included */
@@ -88,6 +79,11 @@
     return this.trackers.values()
   }
 
+  /** @returns the rate limits that workers report, as divided at present */
+  listRateDivisions (now: Instant): RateDivisionUse[] {
+    return [...this.trackers.values()].flatMap((tracker) => this.rateGate.readDivision(tracker, now) ?? [])
+  }
+
   /** @returns the number of workers that may get requests */
   countAvailable (): number {
     let count = 0
@@ -116,20 +112,7 @@
    * @returns the saturation of the service, from 0 (free slots) to 1 (no free slots)
    */
   getSaturation (now: Instant): number {
-    if (now < this.saturationValidUntil) return this.saturation
-    let inFlight = 0
-    let slots = 0
-    for (const tracker of this.trackers.values()) {
-      // Its slots are not free.
-      if (tracker.advisory.isCoolingDown(now)) continue
-      const maxPerSlot = tracker.load.isShared(now) ? 1 : MAX_IN_FLIGHT_PER_SLOT
-      inFlight += Math.min(maxPerSlot * tracker.registration.slots, tracker.countInFlight(now))
-      slots += tracker.registration.slots
-    }
-    const utilization = slots === 0 ? 0 : inFlight / slots
-    this.saturation = Math.min(1, Math.max(0, (utilization - SPARE_UTILIZATION_RATIO) / (FULL_UTILIZATION_RATIO - SPARE_UTILIZATION_RATIO)))
-    this.saturationValidUntil = now + SATURATION_VALIDITY_MS
-    return this.saturation
+    return this.saturation.get(this.trackers.values(), now)
   }
 
   /**
--- a/packages/steering/src/common/entry/workers/workerRateGate.ts
+++ b/packages/steering/src/common/entry/workers/workerRateGate.ts
@@ -12,15 +12,39 @@
   AnyKey = 'tolerated'
 }
 
+/** How a worker's rate limit is divided at present, as this VM sees it. */
+export interface RateDivision {
+  readonly workerId: string
+  /** Requests per second that the worker accepts from all entry VMs together. */
+  readonly perSecond: number
+  /** This VM's part, in requests per window. */
+  readonly maxRequests: number
+  /** This VM's part with the tolerated excess, in requests per window. */
+  readonly maxToleratedRequests: number
+  /** The entry VMs among which the limit is divided. */
+  readonly sharers: number
+  /** Those of them in this VM's failure domain. */
+  readonly domainSharers: number
+}
+
+/** A division, with what this VM has sent. */
+export interface RateDivisionUse extends RateDivision {
+  /** Requests of this VM in the window that ends now. */
+  readonly sentRequests: number
+}
+
 /** What the gate needs to know to divide limits among the entry VMs. */
 export interface RateGateContext {
   /** This entry VM's name. */
   readonly node: string
+  readonly domain: string
   readonly rateTolerance: RateTolerance
   /** @returns the entry VMs with their failure domains; a new array after each change */
   listSendingNodes(): readonly SendingNode[]
   /** @returns the share of each failure domain's requests that is intended for a worker */
   computeDemandByDomain(workerId: string): ReadonlyMap<string, number>
+  /** Called for each new division. */
+  onDivided?(division: RateDivision): void
 }
 
 /** The rate that this VM may send to a worker, with the inputs it was computed from. */
@@ -69,12 +93,26 @@
     return maxToleratedRequests === 0 ? Math.max(now, rateLimitAt + probeIntervalMs) : rateMeter.getNextAllowedAt(maxToleratedRequests, windowMs, now)
   }
 
+  /** @returns the present division of a worker's limit and what this VM has sent; undefined if the worker reported none */
+  readDivision (tracker: UpstreamTracker, now: Instant): RateDivisionUse | undefined {
+    const { rateLimit, rateMeter } = tracker
+    if (rateLimit === undefined) return undefined
+    const allowance = this.getAllowance(tracker, rateLimit)
+    return { ...this.describe(tracker.registration.id, rateLimit, allowance), sentRequests: rateMeter.count(allowance.windowMs, now) }
+  }
+
+  private describe (workerId: string, perSecond: number, { maxRequests, maxToleratedRequests }: RateAllowance): RateDivision {
+    const nodes = this.context.listSendingNodes()
+    return { workerId, perSecond, maxRequests, maxToleratedRequests, sharers: nodes.length, domainSharers: nodes.filter(({ domain }) => domain === this.context.domain).length }
+  }
+
   private getAllowance ({ registration }: UpstreamTracker, limit: number): RateAllowance {
     const nodes = this.context.listSendingNodes()
     const cached = this.allowancesByWorker.get(registration.id)
     if (cached !== undefined && cached.limit === limit && cached.nodes === nodes) return cached.allowance
     const allowance = divideRateLimit({ perSecond: limit, workerId: registration.id, tolerance: this.context.rateTolerance }, nodes, this.context.computeDemandByDomain(registration.id)).get(this.context.node)!
     this.allowancesByWorker.set(registration.id, { limit, nodes, allowance })
+    this.context.onDivided?.(this.describe(registration.id, limit, allowance))
     return allowance
   }
 }
