--- a/packages/entry/src/node/createEntryView.ts
+++ b/packages/entry/src/node/createEntryView.ts
@@ -11,10 +11,11 @@
  * @param regionByDomain the region of each failure domain
  * @param roundTrips the round trip times to the failure domains
  * @param startedAt when the process started
+ * @param mayShare whether this VM may spend its parts of limits that are counted in a window of this length, in milliseconds
  * @param telemetry logs this VM's parts of rate limits
  * @returns a view without records
  */
-export function createEntryView (settings: EntrySettings, regionByDomain: ReadonlyMap<string, string>, roundTrips: DomainRoundTrips, startedAt: Instant, { logger }: Pick<EntryTelemetry, 'logger'>): EntryView {
+export function createEntryView (settings: EntrySettings, regionByDomain: ReadonlyMap<string, string>, roundTrips: DomainRoundTrips, startedAt: Instant, mayShare: (windowMs: number) => boolean, { logger }: Pick<EntryTelemetry, 'logger'>): EntryView {
   return new EntryView({
     node: settings.node,
     domain: settings.domain,
@@ -25,6 +26,7 @@
     maxShift: settings.maxShift,
     retryBudget: { ...settings.repeatBudget, windowMs: settings.repeatBudget.window },
     startedAt,
+    mayShare,
     onRateLimitDivided: (division) => { logRateDivision(logger, division) }
   })
 }
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -39,6 +39,7 @@
 import { RequestQuarantine } from './quarantine/requestQuarantine.js'
 import type { AccountQuotas } from './quota/accountQuotas.js'
 import { createAccountQuotas } from './quota/createAccountQuotas.js'
+import { FleetSharing } from './sharing/fleetSharing.js'
 import { GracefulShutdown } from './stop/gracefulShutdown.js'
 import { EntryGauges } from './telemetry/entryGauges.js'
 import type { EntryMetrics } from './telemetry/entryMetrics.js'
@@ -69,10 +70,6 @@
   readonly writer: IRecordWriter
 }
 
-/** The share of the memory for request bodies; the rest is for the runtime, responses and sockets. */
-const BODY_MEMORY_RATIO = 0.3
-const BYTES_PER_MB = 1_000_000
-
 /** An entry process. */
 export class Entry implements IClosable {
   private readonly closeStack = new CloseStack()
@@ -96,6 +93,7 @@
   /** Undefined if the settings name no address for it. */
   private readonly exchange: FleetExchange | undefined
   private readonly reports: FleetReports
+  private readonly sharing: FleetSharing
   private readonly telemetry: EntryTelemetry
   private readonly timeoutClock: IClock
   /** Knows when what arrived has been read. */
@@ -117,7 +115,7 @@
     this.telemetry = new EntryTelemetry(logger, metrics)
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.timeoutClock = new TimeoutClock(clock, () => this.eventLoop)
-    this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt, this.telemetry)
+    this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt, (windowMs) => this.sharing.mayShare(windowMs), this.telemetry)
     this.exchange = settings.listen.exchange === undefined ? undefined : this.closeStack.add(createFleetExchange({ clock, self: this.node, regionByDomain: this.regionByDomain, roundTrips, view: this.view, telemetry: this.telemetry, isLate: () => this.eventLoop.isLate() }))
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.view.isConfigurationOutdated ? Infinity : this.synchronizer.freshness.getAgeMs())
     this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.isDraining, canAdmitKeys: () => this.accessController.canAdmitKeys })
@@ -132,8 +130,8 @@
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
-    const proofSource = { isProofExpected: () => this.synchronizer.isProofExpected, askForProof: () => { dependencies.source.readPosition() } }
-    this.proofWaiter = this.closeStack.add(new ProofWaiter(clock, proofSource, (end) => { metrics.countProofWait(end) }))
+    this.sharing = this.closeStack.add(new FleetSharing({ ...dependencies, view: this.view, self: { name: settings.node, domain: settings.domain }, getRecordsAgeMs: () => this.viewUpdater.getRecordsAge().ageMs, isLeaving: () => this.isDraining }))
+    this.proofWaiter = this.closeStack.add(new ProofWaiter(clock, { isProofExpected: () => this.synchronizer.isProofExpected, askForProof: () => { dependencies.source.readPosition() } }, (end) => { metrics.countProofWait(end) }))
     this.synchronizer.freshness.onDidProve(() => { this.proofWaiter.handleProof() })
     this.placeWaiter = this.closeStack.add(new PlaceWaiter(clock, (end, priority, waitedMs) => { metrics.countPlaceWait(end, priority, waitedMs) }))
     this.callerServer = this.closeStack.add(new CallerServer(this.buildContext(roundTrips)))
@@ -162,6 +160,7 @@
     this.reports.start()
     registration.start()
     this.synchronizer.start()
+    this.sharing.start()
   }
 
   /**
@@ -253,10 +252,11 @@
       links: this.upstreamLinks.links,
       openAttempts: this.upstreamLinks.openAttempts,
       advisoryRecorder: this.advisoryRecorder,
+      rateLimitReporter: this.sharing.rateLimitReporter,
       relayPeers: this.relayPeers,
       location: { domain: settings.domain, regionByDomain: this.regionByDomain },
       placeWaiter: this.placeWaiter,
-      bodyMemoryBudget: new BodyMemoryBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_RATIO),
+      bodyMemoryBudget: BodyMemoryBudget.create(settings.memoryMb),
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
       getRecordsAge: () => this.viewUpdater.getRecordsAge(),
@@ -272,8 +272,7 @@
   }
 
   private buildGauges (): EntryGauges {
-    const { clock } = this.dependencies
-    return new EntryGauges({ clock, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, placeWaiter: this.placeWaiter, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, exchange: this.exchange, gates: this.gates, isReady: () => this.servingNodes.isReady() })
+    return new EntryGauges({ ...this.dependencies, view: this.view, viewUpdater: this.viewUpdater, synchronizer: this.synchronizer, quotas: this.quotas, quarantine: this.quarantine, callerServer: this.callerServer, placeWaiter: this.placeWaiter, eventLoop: this.eventLoop, links: this.upstreamLinks.links, relayPeers: this.relayPeers, exchange: this.exchange, gates: this.gates, isReady: () => this.servingNodes.isReady() })
   }
 
   private handleChange (event: ViewEvent): void {
@@ -281,6 +280,7 @@
     if (change === ViewChange.EraBegan) this.dependencies.registration.checkLease()
     this.quotas.handleChange(change)
     this.quarantine.handleChange(event)
+    this.sharing.handleChange(change)
     if (change === ViewChange.DocumentAdopted && this.view.document !== undefined) {
       this.callerServer.setLimits(this.view.document)
       this.telemetry.logUnknownKinds(this.view.document)
--- a/packages/entry/src/node/front/bodyReader.ts
+++ b/packages/entry/src/node/front/bodyReader.ts
@@ -15,10 +15,22 @@
   CallerDisconnected = 'caller-left'
 }
 
+/** The share of the memory for request bodies; the rest is for the runtime, responses and sockets. */
+const BODY_MEMORY_RATIO = 0.3
+const BYTES_PER_MB = 1_000_000
+
 /** Limits the total size of all bodies buffered by the process. */
 export class BodyMemoryBudget {
   private usedBytes = 0
 
+  /**
+   * @param memoryMb the memory of the process, in megabytes
+   * @returns the budget for its request bodies
+   */
+  static create (memoryMb: number): BodyMemoryBudget {
+    return new BodyMemoryBudget(memoryMb * BYTES_PER_MB * BODY_MEMORY_RATIO)
+  }
+
   /** @param maxBytes the limit on the total size */
   constructor (private readonly maxBytes: number) {}
 
--- a/packages/entry/src/node/front/earlyRefusal.ts
+++ b/packages/entry/src/node/front/earlyRefusal.ts
@@ -39,7 +39,7 @@
 
 /** Rate-limited workers count each request that asks for them, so they are asked only once the body is there. */
 function hasRateLimits (pool: WorkerPool): boolean {
-  for (const { rateLimit } of pool.listTrackers()) if (rateLimit !== undefined) return true
+  for (const { rate } of pool.listTrackers()) if (rate.perSecond !== undefined) return true
   return false
 }
 
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -13,6 +13,7 @@
 import type { RecordsAge } from '../replica/recordsAge.js'
 import type { FleetReports } from '../exchange/fleetReports.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
+import type { RateLimitReporter } from '../sharing/rateLimitReporter.js'
 import type { OpenAttempts } from './openAttempts.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { AccountQuotas } from '../quota/accountQuotas.js'
@@ -56,6 +57,8 @@
   readonly openAttempts: OpenAttempts
   /** Records what workers announce in their responses. */
   readonly advisoryRecorder: AdvisoryRecorder
+  /** Passes on the rate limits that workers announce. */
+  readonly rateLimitReporter: RateLimitReporter
   readonly relayPeers: RelayPeers
   /** This VM's failure domain and the regions of all. */
   readonly location: VmLocation
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -86,7 +86,7 @@
     // Counted before the connection is open, so that decisions made meanwhile take this request into account.
     this.openRequest = this.tracker.startRequest(now, this.choice.expectedMs)
     const maxConnections = view.getPool(this.service).policy?.maxConnections ?? 0
-    const maxOwnConnections = maxConnections === 0 ? DEFAULT_MAX_CONNECTIONS : Math.max(MIN_CONNECTIONS_PER_WORKER, Math.floor(maxConnections / view.countNodes()))
+    const maxOwnConnections = maxConnections === 0 ? DEFAULT_MAX_CONNECTIONS : Math.max(MIN_CONNECTIONS_PER_WORKER, Math.floor(maxConnections / view.sharers.fleet.count))
     const connectDeadline = createConnectDeadline(now, this.choice.candidate.roundTripMs)
     this.isOpeningLimited = this.deadline < connectDeadline
     pools.getPool(this.tracker.registration).open(maxOwnConnections, Math.min(this.deadline, connectDeadline), (result, openMs) => { this.handleOpen(result, openMs) }, quarantine.getNextRound(this.request.digest) > 1)
@@ -244,10 +244,10 @@
     const { headers } = this.context.protocol
     const limitText = headers.rateLimit.map((name) => getHeader(head.rawHeaders, name)).find((text) => text !== undefined)
     const perSecond = limitText === undefined ? undefined : parseDecimalNumber(limitText)
-    this.tracker.rateLimitAt = this.context.clock.now()
-    if (perSecond === this.tracker.rateLimit) return
-    this.tracker.rateLimit = perSecond
-    this.context.telemetry.logRateLimit(this.service, this.tracker.registration.id, perSecond)
+    const { id } = this.tracker.registration
+    if (!this.tracker.rate.recordResponse(perSecond, this.context.clock.now())) return
+    this.context.telemetry.logRateLimit(this.service, id, perSecond)
+    this.context.rateLimitReporter.handleObserved(id)
   }
 
   private recordOutcome (outcome: AttemptOutcome, bytes: number, status?: number): void {
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -48,7 +48,7 @@
 
 const RATE_DIVISION_GAUGES: Readonly<Partial<Record<keyof RateDivisionUse, { readonly name: string, readonly help: string }>>> = {
   perSecond: { name: 'umberspar_rate_limit_per_second', help: 'Requests per second that a worker accepts from all VMs together' },
-  maxToleratedRequests: { name: 'umberspar_rate_limit_part_requests', help: 'Requests per window that this VM may send to a worker with a rate limit' },
+  maxRequests: { name: 'umberspar_rate_limit_part_requests', help: 'Requests per window that this VM may send to a worker with a rate limit' },
   sentRequests: { name: 'umberspar_rate_limit_sent_requests', help: 'Requests that this VM has sent in the window to a worker with a rate limit' },
   domainSharers: { name: 'umberspar_rate_limit_domain_sharers', help: 'VMs of this failure domain among which the part of the domain is divided' }
 }
--- a/packages/entry/test/node/front/attemptRounds.test.ts
+++ b/packages/entry/test/node/front/attemptRounds.test.ts
@@ -44,7 +44,7 @@
     pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(), clock, openSocket)
     const worker: UpstreamRegistration = { id: 'w-1', service: 'archive', address: `127.0.0.1:${port}`, domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }
     const roundTrips = new DomainRoundTrips('north-1', REGIONS)
-    const view = new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+    const view = new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
     view.putUpstream(worker, clock.now())
     const context = {
       clock,
--- a/packages/entry/test/node/front/upstreamAttempt.test.ts
+++ b/packages/entry/test/node/front/upstreamAttempt.test.ts
@@ -33,7 +33,7 @@
   beforeEach(() => {
     clock = new ManualClock()
     const roundTrips = new DomainRoundTrips('north-1', REGIONS)
-    view = new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+    view = new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
     view.putUpstream(WORKER, clock.now())
     isLate = false
     links = new WorkerLinks(() => 1, () => {})
--- a/packages/entry/test/node/front/upstreamAttemptLoad.test.ts
+++ b/packages/entry/test/node/front/upstreamAttemptLoad.test.ts
@@ -25,7 +25,7 @@
 function runAttempt (loadText: string | undefined, parsed: LoadReport | undefined, isExchanging: boolean): { inFlight: number, pace: number, published: LoadReport[] } {
   const clock = new ManualClock(1)
   const roundTrips = new DomainRoundTrips('north-1', REGIONS)
-  const view = new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+  const view = new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
   view.putUpstream({ id: 'w-1', service: 'archive', address: '127.0.0.1:1', domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }, 0)
   const published: LoadReport[] = []
   let finishOpening: OpenListener | undefined
--- a/packages/entry/test/node/placement/simulatedFleet.ts
+++ b/packages/entry/test/node/placement/simulatedFleet.ts
@@ -107,7 +107,7 @@
   private createVm (name: string, domain: string): SimulatedVm {
     const { clock, metrics } = this
     const exchange = new FakeExchange(clock)
-    const view = new EntryView({ node: name, domain, regionByDomain: REGIONS, roundTrips: new DomainRoundTrips(domain, REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: clock.now(), maxShift: this.options.maxShift })
+    const view = new EntryView({ mayShare: () => true, node: name, domain, regionByDomain: REGIONS, roundTrips: new DomainRoundTrips(domain, REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: clock.now(), maxShift: this.options.maxShift })
     const logger: ILogger = { log: (_level, context) => { this.logLines.push({ ...context, node: name }) }, createChild: () => logger }
     const reporter = new DemandReporter({ node: name, clock, exchange, view, regionByDomain: REGIONS, telemetry: new EntryTelemetry(logger, metrics) })
     reporter.start()
--- a/packages/entry/test/node/quarantine/crashReporter.test.ts
+++ b/packages/entry/test/node/quarantine/crashReporter.test.ts
@@ -20,6 +20,8 @@
       return Ok(1)
     },
     putQuarantine: async () => Ok(1),
+    putMember: async () => Ok(1),
+    putRateLimit: async () => Ok(1),
     remove: async ({ key }) => {
       removed.push(key)
       return Ok(1)
--- a/packages/entry/test/node/quota/shareClaimer.test.ts
+++ b/packages/entry/test/node/quota/shareClaimer.test.ts
@@ -50,7 +50,7 @@
       return answer()
     }
   }
-  const view = new EntryView({ node: name, domain: 'n-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('n-1', REGIONS), coldTolerance: { factor: 1, slack: 1 }, rateTolerance: { factor: 1.5, slack: 5 }, retryBudget: { ratio: 1, windowMs: 1, slack: 1 }, startedAt: 0 })
+  const view = new EntryView({ mayShare: () => true, node: name, domain: 'n-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('n-1', REGIONS), coldTolerance: { factor: 1, slack: 1 }, rateTolerance: { factor: 1.5, slack: 5 }, retryBudget: { ratio: 1, windowMs: 1, slack: 1 }, startedAt: 0 })
   for (const node of NODES) view.putNode(node, 0)
   const buckets = new QuotaBucketTable({ windowMs: 5_000, over: 0.1, slack: 20 }, REGIONS)
   buckets.setAccounts([{ name: 'a', keyDigests: [], priority: undefined, quota: { ratePerSecond: 10, burst: 10 }, homeRegions: [] }], 0)
--- a/packages/entry/test/node/quota/simulatedVm.ts
+++ b/packages/entry/test/node/quota/simulatedVm.ts
@@ -99,7 +99,7 @@
     this.isDead = false
     this.lease = undefined
     this.elapsed = new ElapsedClock(this)
-    this.view = new EntryView({ node: this.node.name, domain: this.node.domain, regionByDomain: REGIONS, roundTrips: new DomainRoundTrips(this.node.domain, REGIONS), coldTolerance: { factor: 1, slack: 1 }, rateTolerance: { factor: 1.5, slack: 5 }, retryBudget: { ratio: 1, windowMs: 1, slack: 1 }, startedAt: 0 })
+    this.view = new EntryView({ mayShare: () => true, node: this.node.name, domain: this.node.domain, regionByDomain: REGIONS, roundTrips: new DomainRoundTrips(this.node.domain, REGIONS), coldTolerance: { factor: 1, slack: 1 }, rateTolerance: { factor: 1.5, slack: 5 }, retryBudget: { ratio: 1, windowMs: 1, slack: 1 }, startedAt: 0 })
     this.buckets = new QuotaBucketTable(TOLERANCE, REGIONS)
     this.buckets.setAccounts([this.simulation.account], this.elapsed.now())
     this.claimer = new ShareClaimer({ clock: this, elapsed: this.elapsed, logger: SILENT_LOGGER, view: this.view, self: this.node, life: String(this.processNumber), regionByDomain: REGIONS, registration: this, buckets: this.buckets, startedAt: this.elapsed.now(), isLeaving: () => this.isDead })
--- a/packages/entry/test/node/upstream/advisoryRecorder.test.ts
+++ b/packages/entry/test/node/upstream/advisoryRecorder.test.ts
@@ -40,7 +40,7 @@
       socket.on('data', () => { respond(socket) })
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-    view = new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('north-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+    view = new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('north-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
     worker = { id: 'w-1', service: 'archive', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }
     view.putUpstream(worker, clock.now())
     const telemetry = { logDrain: () => {}, logCoolDown: () => {} } as unknown as EntryTelemetry
--- a/packages/entry/test/node/upstream/linkProber.test.ts
+++ b/packages/entry/test/node/upstream/linkProber.test.ts
@@ -28,7 +28,7 @@
     probed = []
     disconnections = 0
     const roundTrips = new DomainRoundTrips('north-1', REGIONS)
-    const view = new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+    const view = new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
     for (let index = 0; index < WORKERS; index++) {
       view.putUpstream({ id: `w-${index}`, service: 'archive', address: `127.0.0.1:${index + 1}`, domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }, clock.now())
     }
--- a/packages/soak/src/node/limits/limitsRun.ts
+++ b/packages/soak/src/node/limits/limitsRun.ts
@@ -12,7 +12,7 @@
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { waitForCondition } from '@umberspar/testing/node/load/polling'
 import { findEntryAddresses } from '@umberspar/testing/node/standIns/usersPlatform/entryProgram'
-import { type ClientAnswer, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
+import { type ClientAnswer, getLimitedWorker, sendCall } from '@umberspar/testing/node/standIns/usersPlatform/platformClient'
 import { type PathInput, PlatformRecords } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { PlatformWorkerStandIn } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import type { RecordStoreListener } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
@@ -35,10 +35,10 @@
 const POLL_INTERVAL_MS = 100
 /** Time under load before workers announce limits, then before faults begin, then after the last one has ended. */
 const UNLIMITED_MS = 3_000
-const QUIET_MS = 10_000
+const QUIET_MS = 24_000
 const RECOVERY_MS = 6_000
-/** The part of the quiet time that is not counted: VMs learn of the limits. */
-const LEARNING_MS = 4_000
+/** The part of the quiet time that is not counted: VMs become members of the fleet, and learn of the limits. */
+const LEARNING_MS = 16_000
 const CALL_TIMEOUT_MS = 3_000
 const MAX_REASON_LENGTH = 50
 const MS_PER_SECOND = 1_000
@@ -188,9 +188,10 @@
     }
   }
 
-  private recordAnswer (node: string, { status, headers, body }: ClientAnswer): void {
-    const workerId = headers['x-umberspar-instance-id']
-    if (headers['x-umberspar-server-limit'] !== undefined && typeof workerId === 'string') this.checker.recordInformed(workerId, node)
+  private recordAnswer (node: string, answer: ClientAnswer): void {
+    const { status, body } = answer
+    const limitedWorker = getLimitedWorker(answer)
+    if (limitedWorker !== undefined) this.checker.recordInformed(limitedWorker, node)
     this.countStatus(status < 300 ? String(status) : `${status} ${body.slice(0, MAX_REASON_LENGTH).trim()}`)
   }
 
--- a/packages/steering/src/common/entry/applyRecord.ts
+++ b/packages/steering/src/common/entry/applyRecord.ts
@@ -80,6 +80,24 @@
     view.quarantines.delete(previous.value.digest)
     return [{ change: ViewChange.RequestReleased, subject: previous.value.digest, revision: previous.revision }]
   },
+  [RecordKind.Member]: (view, record, previous, now) => {
+    if (record?.kind === RecordKind.Member) {
+      view.sharers.putMember(record, now)
+      return [{ change: ViewChange.MemberJoined, subject: record.value.name, revision: record.revision }]
+    }
+    if (previous?.kind !== RecordKind.Member) return []
+    view.sharers.removeMember(previous.value.name, now)
+    return [{ change: ViewChange.MemberLeft, subject: previous.value.name, revision: previous.revision }]
+  },
+  [RecordKind.RateLimit]: (view, record, previous, now) => {
+    if (record?.kind === RecordKind.RateLimit) {
+      view.rateLimits.put(record, now)
+      return [{ change: ViewChange.RateLimitReported, subject: record.value.workerId, revision: record.revision }]
+    }
+    if (previous?.kind !== RecordKind.RateLimit) return []
+    view.rateLimits.remove(previous, now)
+    return [{ change: ViewChange.RateLimitEnded, subject: previous.value.workerId, revision: previous.revision }]
+  },
   [RecordKind.Unreadable]: (view, record, previous, now) => {
     if (record?.kind !== RecordKind.Unreadable) return []
     const events = previous === undefined || previous.kind === RecordKind.Unreadable ? [] : view.applyChange({ record: undefined, previous }, now)
--- a/packages/steering/src/common/entry/entryNodeLists.ts
+++ b/packages/steering/src/common/entry/entryNodeLists.ts
@@ -1,11 +1,10 @@
 /** Lists that follow from the known entry VMs, built again after a change only: a fleet that starts changes hundreds of times. */
-import type { SendingNode } from '../rateLimits/rateAllowance.js'
-import type { EntryNode } from './records.js'
+import type { EntryNode, FleetMember } from './records.js'
 
 /** The lists of one view. */
 export class EntryNodeLists {
   private sortedNames: readonly string[] | undefined
-  private nodesWithDomains: readonly SendingNode[] | undefined
+  private nodesWithDomains: readonly FleetMember[] | undefined
   private newestRegisteredVersion: number | undefined
 
   /**
@@ -22,7 +21,7 @@
   }
 
   /** @returns the same entry VMs with their failure domains */
-  get sendingNodes (): readonly SendingNode[] {
+  get sendingNodes (): readonly FleetMember[] {
     this.nodesWithDomains ??= this.names.map((name) => ({ name, domain: name === this.self ? this.domain : this.nodes.get(name)?.domain ?? '' }))
     return this.nodesWithDomains
   }
--- a/packages/steering/src/common/entry/entryView.ts
+++ b/packages/steering/src/common/entry/entryView.ts
@@ -11,21 +11,24 @@
 import type { EntryNode, RecordChange, UpstreamRegistration } from './records.js'
 import type { ShareClaim, StoredRecord } from './storedRecord.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
-import { RecentMaximum } from './recentMaximum.js'
 import { CallerReturns } from './retry/callerReturns.js'
 import { SharedRetryBudget, type RetryBudgetSettings } from './retry/sharedRetryBudget.js'
 import { EntryNodeLists } from './entryNodeLists.js'
 import { RouteTable } from './routeTable.js'
+import { ObservedRateLimits } from './sharing/observedRateLimits.js'
+import { Sharers } from './sharing/sharers.js'
 import { type PoolContext, WorkerPool } from './workers/workerPool.js'
 import type { RoutePolicy, ServicePolicy, SteeringDocument } from './steeringDocument.js'
 import { UpstreamTracker } from './workers/upstreamTracker.js'
 import { type UpstreamChange, ViewChange, type ViewEvent } from './viewEvent.js'
 import { DepartedWorkers } from './workers/departedWorkers.js'
-import { ServiceTimeEstimate } from './workers/serviceTimeEstimate.js'
+import { type ServiceTimeEstimate, ServiceTimeTable } from './workers/serviceTimeEstimate.js'
 import type { WorkerAdvisory } from './workers/workerAdvisory.js'
 
 /** Properties of this VM and settings that don't change while the process runs. */
-export interface ViewContext extends Omit<PoolContext, 'listNodes' | 'listSendingNodes'> {
+export interface ViewContext extends Omit<PoolContext, 'sharers'> {
+  /** This VM's name. */
+  readonly node: string
   readonly retryBudget: RetryBudgetSettings
   /** When this process started. */
   readonly startedAt: Instant
@@ -37,6 +40,10 @@
   readonly nodes = new Map<string, EntryNode>()
   /** What follows from the nodes. */
   readonly nodeLists: EntryNodeLists
+  /** All VMs that may spend a part of a limit. */
+  readonly sharers: Sharers
+  /** Rate limits that entry VMs have observed. */
+  readonly rateLimits = new ObservedRateLimits((id) => this.trackers.get(id))
   readonly evacuatedDomains = new Set<string>()
   /** Claims of quota shares, by the share's name. */
   readonly shares = new Map<string, ShareClaim>()
@@ -48,9 +55,7 @@
   private readonly trackers = new Map<string, UpstreamTracker>()
   private readonly departedWorkers = new DepartedWorkers()
   private readonly retryBudgets = new Map<string, SharedRetryBudget>()
-  /** The number of entry VMs, for allowances that the VMs of the last window have divided among themselves. */
-  private readonly recentNodeCount: RecentMaximum
-  private readonly serviceTimesByRoute = new Map<string, ServiceTimeEstimate>()
+  private readonly serviceTimes = new ServiceTimeTable()
   private currentDocument: SteeringDocument | undefined
   private routeTable: RouteTable | undefined
   private accountTable: AccountTable | undefined
@@ -60,7 +65,7 @@
   /** @param context properties of this VM and settings */
   constructor (private readonly context: ViewContext) {
     this.nodeLists = new EntryNodeLists(context.node, context.domain, this.nodes)
-    this.recentNodeCount = new RecentMaximum(context.retryBudget.windowMs, this.countNodes())
+    this.sharers = new Sharers({ name: context.node, domain: context.domain }, this.nodes, context.retryBudget.windowMs)
   }
 
   /** @returns the configuration in force; undefined before one was read */
@@ -117,7 +122,7 @@
   getPool (service: string): WorkerPool {
     let pool = this.pools.get(service)
     if (pool === undefined) {
-      pool = new WorkerPool({ ...this.context, listNodes: () => this.nodeLists.names, listSendingNodes: () => this.nodeLists.sendingNodes })
+      pool = new WorkerPool({ ...this.context, sharers: this.sharers })
       pool.policy = this.policiesByService.get(service)
       this.pools.set(service, pool)
     }
@@ -131,7 +136,7 @@
   getRetryBudget (service: string): SharedRetryBudget {
     let retryBudget = this.retryBudgets.get(service)
     if (retryBudget === undefined) {
-      retryBudget = new SharedRetryBudget(this.context.retryBudget, (now) => this.recentNodeCount.get(now), this.context.startedAt)
+      retryBudget = new SharedRetryBudget(this.context.retryBudget, (now) => this.sharers.getRecentCount(now), this.context.startedAt)
       this.retryBudgets.set(service, retryBudget)
     }
     return retryBudget
@@ -148,13 +153,7 @@
    * @returns the service times of the route's requests there
    */
   getServiceTimes (route: RoutePolicy, service: string): ServiceTimeEstimate {
-    const name = `${route.name} ${service}`
-    let serviceTimes = this.serviceTimesByRoute.get(name)
-    if (serviceTimes === undefined) {
-      serviceTimes = new ServiceTimeEstimate(route)
-      this.serviceTimesByRoute.set(name, serviceTimes)
-    }
-    return serviceTimes
+    return this.serviceTimes.get(route, service)
   }
 
   /**
@@ -204,7 +203,7 @@
   removeUpstream (id: string, now: Instant): void {
     const tracker = this.trackers.get(id)
     if (tracker === undefined) return
-    this.departedWorkers.put(tracker.registration, tracker.advisory, now)
+    this.departedWorkers.put(tracker.registration, tracker, now)
     this.trackers.delete(id)
     this.pools.get(tracker.registration.service)?.remove(id)
   }
@@ -277,14 +276,16 @@
 
   private handleNodesChanged (now: Instant): void {
     this.nodeLists.clear()
-    this.recentNodeCount.update(this.countNodes(), now)
+    this.sharers.handleNodesChanged(now)
   }
 
   private createTracker (registration: UpstreamRegistration, now: Instant, earlierStartTimes: readonly number[]): UpstreamTracker {
     const departed = this.departedWorkers.find(registration)
     // Without the start time, the next process under the same id would pass for this one.
     const startedAt = registration.startedAt ?? departed?.startedAt
-    return new UpstreamTracker({ ...registration, startedAt }, now, earlierStartTimes, departed?.advisory)
+    const tracker = new UpstreamTracker({ ...registration, startedAt }, now, earlierStartTimes, departed?.advisory, departed?.rate)
+    this.rateLimits.applyTo(tracker, now)
+    return tracker
   }
 
   /** @returns the announcements of the worker's incarnation; undefined if it has been replaced by another one */
--- a/packages/steering/src/common/entry/eraStart.ts
+++ b/packages/steering/src/common/entry/eraStart.ts
@@ -12,6 +12,9 @@
 /** For records that their writers write again, but not at once. */
 export const REWRITE_GRACE_MS = 15_000
 
+/** A member that others no longer count may go on sending; it writes its record again as soon as it notices the era. */
+const MEMBER_GRACE_MS = 75_000
+
 /** Lost records that a VM takes over from a peer that is behind it: too long in force, they cost only room. */
 export const KINDS_KEPT_FOR_PEERS: ReadonlySet<RecordKind> = new Set([RecordKind.Evacuation, RecordKind.Quarantine])
 
@@ -25,6 +28,8 @@
   [RecordKind.Share]: REGISTRATION_GRACE_MS,
   [RecordKind.CrashReports]: REWRITE_GRACE_MS,
   [RecordKind.Quarantine]: REWRITE_GRACE_MS,
+  [RecordKind.Member]: MEMBER_GRACE_MS,
+  [RecordKind.RateLimit]: REWRITE_GRACE_MS,
   [RecordKind.Unreadable]: 0
 }
 
--- a/packages/steering/src/common/entry/records.ts
+++ b/packages/steering/src/common/entry/records.ts
@@ -1,7 +1,7 @@
 /**
  * The records of which an entry VM builds its view of the deployment: the configuration, the
- * registrations of workers and entry VMs, evacuated failure domains, quota shares, crash
- * reports and quarantines. All come from the platform's store and have the store's revision.
+ * registrations of workers and entry VMs, the members of the fleet, evacuated failure domains,
+ * quota shares, crash reports, quarantines and rate limits of workers. All come from the platform's store and have the store's revision.
  */
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 import type { SteeringDocument } from './steeringDocument.js'
@@ -67,6 +67,21 @@
   readonly era?: number | undefined
 }
 
+/** An entry VM among which limits are divided; the record has no lease. */
+export interface FleetMember {
+  readonly name: string
+  readonly domain: string
+}
+
+/** A worker's rate limit as entry VMs have observed it, for VMs that have not. */
+export interface ObservedRateLimit {
+  readonly workerId: string
+  /** When the worker started, by its own wall clock, in whole milliseconds; undefined if it is not known. */
+  readonly startedAt?: number | undefined
+  /** Requests per second that it accepts from all entry VMs together. */
+  readonly perSecond: number
+}
+
 /** The kinds of record. */
 export enum RecordKind {
   Document = 'document',
@@ -77,6 +92,8 @@
   /** One entry VM's reports of workers that crashed. */
   CrashReports = 'crash-reports',
   Quarantine = 'quarantine',
+  Member = 'member',
+  RateLimit = 'rate-limit',
   /** Overwritten with an unreadable value: the key has no effect until it is readable again. */
   Unreadable = 'unreadable'
 }
@@ -98,6 +115,8 @@
   | { readonly kind: RecordKind.Share, readonly key: string, readonly revision: number, readonly value: ShareOwner }
   | { readonly kind: RecordKind.CrashReports, readonly key: string, readonly revision: number, readonly value: CrashReports }
   | { readonly kind: RecordKind.Quarantine, readonly key: string, readonly revision: number, readonly value: Quarantine }
+  | { readonly kind: RecordKind.Member, readonly key: string, readonly revision: number, readonly value: FleetMember }
+  | { readonly kind: RecordKind.RateLimit, readonly key: string, readonly revision: number, readonly value: ObservedRateLimit }
   /** `value` describes the error. */
   | { readonly kind: RecordKind.Unreadable, readonly key: string, readonly revision: number, readonly value: string }
 
--- a/packages/steering/src/common/entry/viewEvent.ts
+++ b/packages/steering/src/common/entry/viewEvent.ts
@@ -20,6 +20,10 @@
   CrashReportsRemoved = 'crash-reports-removed',
   RequestQuarantined = 'request-quarantined',
   RequestReleased = 'request-released',
+  MemberJoined = 'member-joined',
+  MemberLeft = 'member-left',
+  RateLimitReported = 'rate-limit-reported',
+  RateLimitEnded = 'rate-limit-ended',
   /** The store has come back from an older copy. */
   EraBegan = 'era-began'
 }
--- a/packages/steering/src/common/entry/workers/departedWorkers.ts
+++ b/packages/steering/src/common/entry/workers/departedWorkers.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps what workers announced after their registrations are gone. A registration may lapse
+ * Keeps what workers announced, and what was sent to them, after their registrations are gone. A registration may lapse
  * during an outage of the store and come back, late and still marked as ready, for the
  * incarnation that has announced its shutdown.
  */
@@ -7,6 +7,7 @@
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { UpstreamRegistration } from '../records.js'
 import type { WorkerAdvisory } from './workerAdvisory.js'
+import type { WorkerRate } from './workerRate.js'
 
 /** Longer than most outages of the store and most shutdowns last. */
 const RETENTION_MS = 600_000
@@ -16,6 +17,7 @@
   /** When it started, by its own wall clock, in whole milliseconds; undefined if it is not known. */
   readonly startedAt: number | undefined
   readonly advisory: WorkerAdvisory
+  readonly rate: WorkerRate
   readonly keptUntil: Deadline
 }
 
@@ -35,13 +37,13 @@
 
   /**
    * @param worker the last registration
-   * @param advisory what the worker announced
+   * @param observed what the worker announced and was sent
    * @param now the current time
    */
-  put ({ id, startedAt }: UpstreamRegistration, advisory: WorkerAdvisory, now: Instant): void {
+  put ({ id, startedAt }: UpstreamRegistration, { advisory, rate }: Pick<DepartedWorker, 'advisory' | 'rate'>, now: Instant): void {
     this.removeExpired(now)
     this.workers.delete(id)
-    this.workers.set(id, { startedAt, advisory, keptUntil: createDeadline(now, RETENTION_MS) })
+    this.workers.set(id, { startedAt, advisory, rate, keptUntil: createDeadline(now, RETENTION_MS) })
   }
 
   /**
--- a/packages/steering/src/common/entry/workers/serviceTimeEstimate.ts
+++ b/packages/steering/src/common/entry/workers/serviceTimeEstimate.ts
@@ -81,3 +81,23 @@
     else this.missMs = updatedMs
   }
 }
+
+/** The estimates of all routes and services. */
+export class ServiceTimeTable {
+  private readonly estimates = new Map<string, ServiceTimeEstimate>()
+
+  /**
+   * @param route a route
+   * @param service the service that the request goes to
+   * @returns the service times of the route's requests there
+   */
+  get (route: RoutePolicy, service: string): ServiceTimeEstimate {
+    const name = `${route.name} ${service}`
+    let estimate = this.estimates.get(name)
+    if (estimate === undefined) {
+      estimate = new ServiceTimeEstimate(route)
+      this.estimates.set(name, estimate)
+    }
+    return estimate
+  }
+}
--- a/packages/steering/src/common/entry/workers/upstreamTracker.ts
+++ b/packages/steering/src/common/entry/workers/upstreamTracker.ts
@@ -1,11 +1,11 @@
 /** What one entry VM has observed of one worker: its load, failures, speed and cold start. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
-import { SlidingWindowCounter } from '../../rateLimits/slidingWindowCounter.js'
 import { isSameIncarnation } from './departedWorkers.js'
 import { type UpstreamRegistration, UpstreamState } from '../records.js'
 import { WorkerAdvisory } from './workerAdvisory.js'
 import { type LoadReport, WorkerLoad } from './workerLoad.js'
+import { WorkerRate } from './workerRate.js'
 
 /** Weight of the newest request in the mean failure rate; five failures in a row give two thirds. */
 const FAILURE_SMOOTHING_FACTOR = 0.2
@@ -31,12 +31,6 @@
 
 /** One worker as observed by this entry VM. */
 export class UpstreamTracker {
-  /** Requests sent during the worker's cold start. */
-  readonly coldMeter = new SlidingWindowCounter()
-  /** Requests sent while the worker reported a rate limit. */
-  readonly rateMeter = new SlidingWindowCounter()
-  /** Requests for which the worker was the first choice, sent or not, while it reported a rate limit. */
-  readonly demandMeter = new SlidingWindowCounter()
   /** What is running and waiting there. */
   readonly load = new WorkerLoad()
   private coldUntil: Deadline
@@ -45,10 +39,6 @@
   private failureRateAt: Instant = 0
   private slowdown = 1
   private slowdownAt: Instant = 0
-  /** Requests per second that the worker accepts from all entry VMs together; undefined if it reported no limit. */
-  rateLimit: number | undefined
-  /** When the limit was last reported, or a request was last sent while it applied. */
-  rateLimitAt: Instant = 0
   /** Requests sent to the worker by this VM. */
   sentCount = 0
 
@@ -57,8 +47,9 @@
    * @param now the current time, from which its cold start counts
    * @param earlierStartTimes start times of earlier processes under the same id
    * @param advisory what the worker announced in its responses
+   * @param rate its rate limit and what this VM has sent it
    */
-  constructor (public registration: UpstreamRegistration, now: Instant, private readonly earlierStartTimes: readonly number[] = [], readonly advisory = new WorkerAdvisory()) {
+  constructor (public registration: UpstreamRegistration, now: Instant, private readonly earlierStartTimes: readonly number[] = [], readonly advisory = new WorkerAdvisory(), readonly rate = new WorkerRate()) {
     this.coldUntil = createDeadline(now, registration.coldMs)
   }
 
@@ -126,11 +117,7 @@
     this.advisory.recordRequest(now)
     this.load.recordSend(now)
     this.sentCount++
-    if (this.isCold(now)) this.coldMeter.record(now)
-    if (this.rateLimit !== undefined) {
-      this.rateMeter.record(now)
-      this.rateLimitAt = now
-    }
+    this.rate.recordSend(now)
     return request
   }
 
--- a/packages/steering/src/common/entry/workers/workerPool.ts
+++ b/packages/steering/src/common/entry/workers/workerPool.ts
@@ -1,7 +1,8 @@
 /** The workers of one service, and the selection of candidates for a request. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { Candidate } from './chooseUpstream.js'
-import type { RateTolerance, SendingNode } from '../../rateLimits/rateAllowance.js'
+import type { RateTolerance } from '../../rateLimits/rateAllowance.js'
+import type { Sharers } from '../sharing/sharers.js'
 import { COLD_WINDOW_MS, type ColdTolerance, computeColdAllowance } from './coldAllowance.js'
 import type { DomainRoundTrips } from '../placement/domainRoundTrips.js'
 import { classifyCacheState, CacheHitEstimator } from './cacheHitEstimator.js'
@@ -19,8 +20,7 @@
 
 /** What a pool needs to know about its entry VM and the entry VMs that share the workers. */
 export interface PoolContext {
-  /** This entry VM's name. */
-  readonly node: string
+  /** This entry VM's failure domain. */
   readonly domain: string
   readonly regionByDomain: ReadonlyMap<string, string>
   readonly roundTrips: DomainRoundTrips
@@ -28,10 +28,10 @@
   readonly rateTolerance: RateTolerance
   /** The part of a region's requests that placement by demand may move to other regions within two seconds; undefined if demand counts as equal everywhere. */
   readonly maxShift?: number | undefined
-  /** @returns the names of all entry VMs, this one included */
-  listNodes(): readonly string[]
-  /** @returns the entry VMs with their failure domains; a new array after each change */
-  listSendingNodes(): readonly SendingNode[]
+  /** The VMs among which the limits of workers are divided. */
+  readonly sharers: Sharers
+  /** @returns whether this VM may spend its parts of limits that are counted in a window of this length, in milliseconds */
+  mayShare(windowMs: number): boolean
   /** Called when this VM's part of a worker's rate limit has been computed anew. */
   onRateLimitDivided?(division: RateDivision): void
 }
@@ -69,9 +69,9 @@
 
   /** @param context this entry VM and the VMs that share the workers */
   constructor (private readonly context: PoolContext) {
-    const { node, domain, rateTolerance, maxShift, regionByDomain, onRateLimitDivided } = context
+    const { domain, maxShift, regionByDomain } = context
     this.placement = maxShift === undefined ? undefined : new DemandPlacement(maxShift, domain, regionByDomain)
-    this.rateGate = new WorkerRateGate({ node, domain, rateTolerance, onDivided: onRateLimitDivided, listSendingNodes: () => context.listSendingNodes(), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
+    this.rateGate = new WorkerRateGate({ ...context, onDivided: (division) => context.onRateLimitDivided?.(division), computeDemandByDomain: (workerId) => this.computeDemandByDomain(workerId) })
   }
 
   /** @returns all registered workers, draining ones included */
@@ -128,6 +128,7 @@
   remove (workerId: string): void {
     this.trackers.delete(workerId)
     this.cacheAffinity.removeWorker(workerId)
+    this.rateGate.remove(workerId)
     this.clearRankings()
   }
 
@@ -182,7 +183,7 @@
       rank++
       const tracker = this.trackers.get(id)
       if (tracker === undefined || request.triedWorkers.has(id) || tracker.advisory.isPaused(now) || !this.hasColdCapacity(tracker, now)) continue
-      if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rateLimit !== undefined && request.hasWaited !== true) tracker.demandMeter.record(now)
+      if (scope === RateLimitScope.AssignedKeys && candidates.length === 0 && tracker.rate.perSecond !== undefined && request.hasWaited !== true) tracker.rate.demand.record(now)
       if (!this.rateGate.hasCapacity(tracker, key, now, scope)) continue
       candidates.push(this.buildCandidate(tracker, request.key, serviceTimes, rank, candidates[0], now))
       if (candidates.length >= MAX_CANDIDATES) break
@@ -213,9 +214,10 @@
 
   private hasColdCapacity (tracker: UpstreamTracker, now: Instant): boolean {
     if (!tracker.isCold(now)) return true
-    const perSecond = this.policy?.coldPerSecond ?? 0
-    const { node, coldTolerance } = this.context
-    return tracker.coldMeter.getNextAllowedAt(computeColdAllowance(perSecond, coldTolerance, tracker.registration.id, this.context.listNodes(), node), COLD_WINDOW_MS, now) <= now
+    const { coldTolerance, sharers: { fleet }, mayShare } = this.context
+    if (!mayShare(COLD_WINDOW_MS)) return false
+    const allowance = computeColdAllowance(this.policy?.coldPerSecond ?? 0, coldTolerance, fleet.getRank(tracker.registration.id), fleet.count)
+    return tracker.rate.sends.getNextAllowedAt(allowance, COLD_WINDOW_MS, now) <= now
   }
 
   /**
@@ -229,7 +231,7 @@
     let earliest: Unavailability | undefined
     for (const tracker of this.listEligible(homeRegions, evacuatedDomains)) {
       const isPaused = tracker.advisory.isPaused(now)
-      if (!isPaused && tracker.rateLimit === undefined) continue
+      if (!isPaused && tracker.rate.perSecond === undefined) continue
       const until = Math.max(now, tracker.advisory.pausedUntil, this.rateGate.getAvailableAt(tracker, now))
       if (earliest === undefined || until < earliest.until) earliest = { reason: isPaused ? UnavailabilityReason.CoolingDown : UnavailabilityReason.RateLimited, until }
     }
--- a/packages/steering/src/common/ports/steeringSource.ts
+++ b/packages/steering/src/common/ports/steeringSource.ts
@@ -4,7 +4,7 @@
 import type { StepError } from '@umberspar/base/common/errors'
 import type { Result } from '@umberspar/base/common/result'
 import type { PositionReading } from '../entry/freshnessProof.js'
-import type { EntryNode, RecordChanges, RecordSnapshot, ShareOwner } from '../entry/records.js'
+import type { EntryNode, FleetMember, ObservedRateLimit, RecordChanges, RecordSnapshot, ShareOwner } from '../entry/records.js'
 import type { StorePosition } from '../entry/storePosition.js'
 import type { CrashReports, Quarantine } from '../quarantine/crashReport.js'
 
@@ -109,6 +109,16 @@
    * @returns the new revision, or a Conflict if another VM wrote it first
    */
   putQuarantine(quarantine: Quarantine, expectedRevision: number): Promise<Result<number, StepError>>
+  /**
+   * @param expectedRevision the revision of the member's record to replace; 0 if there must be none
+   * @returns the new revision, or a Conflict if there is another one
+   */
+  putMember(member: FleetMember, expectedRevision: number): Promise<Result<number, StepError>>
+  /**
+   * @param expectedRevision the revision of the worker's limit to replace; 0 if there must be none
+   * @returns the new revision, or a Conflict if another VM wrote it first
+   */
+  putRateLimit(limit: ObservedRateLimit, expectedRevision: number): Promise<Result<number, StepError>>
   /** Removes a record; fails with a Conflict if it has changed in the meantime. */
   remove(record: StoredRecord): Promise<Result<number, StepError>>
 }
--- a/packages/steering/src/common/rateLimits/slidingWindowCounter.ts
+++ b/packages/steering/src/common/rateLimits/slidingWindowCounter.ts
@@ -4,7 +4,9 @@
 /** The times at which this VM sent requests to one worker; kept as long as the longest window asked for. */
 export class SlidingWindowCounter {
   private sentAt: Instant[] = []
-  private retentionMs = 0
+
+  /** @param retentionMs how long times are kept at least, in milliseconds, also before a window is asked for */
+  constructor (private retentionMs = 0) {}
 
   /** @param now when a request was sent */
   record (now: Instant): void {
--- a/packages/steering/test/common/entry/placement/demandRateLimit.test.ts
+++ b/packages/steering/test/common/entry/placement/demandRateLimit.test.ts
@@ -4,6 +4,7 @@
 import { UpstreamState } from '../../../../src/common/entry/records.js'
 import { RouteKind } from '../../../../src/common/entry/steeringDocument.js'
 import { ServiceTimeEstimate } from '../../../../src/common/entry/workers/serviceTimeEstimate.js'
+import { Sharers } from '../../../../src/common/entry/sharing/sharers.js'
 import { UpstreamTracker } from '../../../../src/common/entry/workers/upstreamTracker.js'
 import { WorkerPool } from '../../../../src/common/entry/workers/workerPool.js'
 
@@ -17,10 +18,10 @@
 const NO_EVACUATION: ReadonlySet<string> = new Set()
 
 function createPool (node: string, domain: string): { readonly pool: WorkerPool, readonly tracker: UpstreamTracker } {
-  const names = NODES.map(({ name }) => name)
-  const pool = new WorkerPool({ node, domain, regionByDomain: REGIONS, roundTrips: new DomainRoundTrips(domain, REGIONS), coldTolerance: { factor: 1.5, slack: 5 }, rateTolerance: RATE_TOLERANCE, maxShift: 0.15, listNodes: () => names, listSendingNodes: () => NODES })
+  const nodes = new Map(NODES.map((other) => [other.name, { ...other, address: other.name, peerAddress: other.name }]))
+  const pool = new WorkerPool({ domain, regionByDomain: REGIONS, roundTrips: new DomainRoundTrips(domain, REGIONS), coldTolerance: { factor: 1.5, slack: 5 }, rateTolerance: RATE_TOLERANCE, maxShift: 0.15, sharers: new Sharers({ name: node, domain }, nodes), mayShare: () => true })
   const tracker = new UpstreamTracker({ id: 'w', service: 'desk', address: 'w', domain: 'a-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }, 0)
-  tracker.rateLimit = PER_SECOND
+  tracker.rate.recordResponse(PER_SECOND, 0)
   pool.put(tracker)
   return { pool, tracker }
 }
--- a/packages/steering/test/common/entry/placement/shares.test.ts
+++ b/packages/steering/test/common/entry/placement/shares.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import fc from 'fast-check'
 import { describe, it } from 'node:test'
+import { findRank } from '../../../../src/common/entry/sharing/dealRequests.js'
 import { computeColdAllowance } from '../../../../src/common/entry/workers/coldAllowance.js'
 import { KeyRanking } from '../../../../src/common/entry/placement/keyRanking.js'
 import { computeWorkerShares, type WorkerCapacity, type WorkerShares } from '../../../../src/common/entry/placement/workerShares.js'
@@ -97,7 +98,7 @@
     fc.assert(fc.property(fc.integer({ min: 1, max: 200 }), fc.double({ min: 1, max: 40, noNaN: true }), (count, perSecond) => {
       const tolerance = { factor: 1.5, slack: 5 }
       const nodes = Array.from({ length: count }, (_, index) => `vm-${index}`)
-      const sum = nodes.reduce((total, node) => total + computeColdAllowance(perSecond, tolerance, 'w-1', nodes, node), 0)
+      const sum = nodes.reduce((total, node) => total + computeColdAllowance(perSecond, tolerance, findRank('w-1', nodes, node), nodes.length), 0)
       assert.ok(sum <= perSecond * tolerance.factor + tolerance.slack)
       assert.ok(sum >= Math.min(count, 1), 'some VM may send to it')
     }), { seed: SEED, numRuns: 300 })
--- a/packages/steering/test/common/entry/retry/sharedRetryBudget.test.ts
+++ b/packages/steering/test/common/entry/retry/sharedRetryBudget.test.ts
@@ -16,6 +16,10 @@
   return { kind: RecordKind.Node, key: `entry-vms/${name}`, revision: 1, value: { name, address: name, peerAddress: name, domain: 'north-1' } }
 }
 
+function createMemberRecord (name: string): SteeringRecord {
+  return { kind: RecordKind.Member, key: `entry-members/${name}`, revision: 1, value: { name, domain: 'north-1' } }
+}
+
 /** The VMs of a fleet, each with the view of its present process, and what they sent. */
 class SimulatedFleet {
   readonly requestTimes: Instant[] = []
@@ -42,6 +46,13 @@
     for (const name of this.listOthers(index)) this.views[index]!.applyChange({ record: createNodeRecord(name), previous: undefined }, now)
   }
 
+  /** All VMs are members of the fleet, as all know. */
+  putMembers (now: Instant): void {
+    for (const view of this.views) {
+      for (let index = 0; index < this.count; index++) view.applyChange({ record: createMemberRecord(`vm-${index}`), previous: undefined }, now)
+    }
+  }
+
   /** A request arrives, and is retried as often as the budget allows, up to a limit. */
   handleRequest (index: number, retries: number, now: Instant): void {
     const budget = this.views[index]!.getRetryBudget(SERVICE)
@@ -62,7 +73,7 @@
   }
 
   private createView (index: number, startedAt: Instant): EntryView {
-    const context = { node: `vm-${index}`, domain: 'north-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('north-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: BUDGET, startedAt }
+    const context = { mayShare: () => true, node: `vm-${index}`, domain: 'north-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('north-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: BUDGET, startedAt }
     return new EntryView(context)
   }
 
@@ -117,6 +128,18 @@
     fleet.checkBudget()
   })
 
+  // Guards against retries beyond the budget when registrations are missing for longer than a window, and callers still reach the VMs.
+  it('holds while the registrations of the other members are missing for long', () => {
+    const count = 10
+    const fleet = new SimulatedFleet(count)
+    const random = new SeededRandom(SEED)
+    fleet.putMembers(0)
+    sendRequests(fleet, count, 0, 12_000, random)
+    for (let index = 0; index < count; index++) fleet.clearList(index, 12_000)
+    sendRequests(fleet, count, 12_000, 45_000, random)
+    fleet.checkBudget()
+  })
+
   it('holds in any window, whichever VMs restart or miss others for less than a window', () => {
     const changes = fc.array(fc.record({ node: fc.nat({ max: 11 }), at: fc.integer({ min: 12_000, max: 34_000 }), lossMs: fc.integer({ min: 0, max: 9_000 }), isRestart: fc.boolean(), isOfAll: fc.boolean() }), { maxLength: 8 })
     fc.assert(fc.property(changes, fc.integer({ min: 2, max: 12 }), fc.integer({ min: 20, max: 200 }), fc.integer(), (list, count, gapMs, salt) => {
--- a/packages/steering/test/common/entry/sharing/simulatedFleet.ts
+++ b/packages/steering/test/common/entry/sharing/simulatedFleet.ts
@@ -4,23 +4,31 @@
  * its decisions allow. Counts by the users' rule: requests from VMs that had been told of the limit.
  */
 import type { Instant } from '@umberspar/base/common/clock'
+import { SeededRandom } from '@umberspar/base/common/random'
 import { DomainRoundTrips } from '../../../../src/common/entry/placement/domainRoundTrips.js'
 import { EntryView } from '../../../../src/common/entry/entryView.js'
 import { RecordKind, type SteeringRecord, UpstreamState } from '../../../../src/common/entry/records.js'
+import { Membership } from '../../../../src/common/entry/sharing/membership.js'
 import { RouteKind } from '../../../../src/common/entry/steeringDocument.js'
 import { ServiceTimeEstimate } from '../../../../src/common/entry/workers/serviceTimeEstimate.js'
 
 export const TICK_MS = 100
 const SERVICE = 'archive'
 export const LIMITED_WORKER = 'w-limited'
-const WINDOW_MS = 4_000
 const STABILITY_MS = 3_000
 const MS_PER_SECOND = 1_000
 /** How long after its last renewal a registration is removed. */
 const LEASE_MS = 4_500
 const RESPONSE_MS = 200
+/** How often a VM updates its membership. */
+const MEMBERSHIP_INTERVAL_MS = 1_000
+/** A VM writes what a worker announces this long after. */
+const REPORT_DELAY_MS = 500
 /** Requests per tick that reach a VM for the limited worker. */
 const OFFERED_PER_TICK = 3
+/** Objects that callers ask for. */
+const KEYS = 400
+const NO_WORKERS: ReadonlySet<string> = new Set()
 const TOLERANCE = { factor: 1.5, slack: 5 }
 const SERVICE_TIMES = new ServiceTimeEstimate({ name: 'route', host: 'host', prefix: '/', kind: RouteKind.Idempotent, parts: [], timeoutMs: 1_000, goalMs: 500, attempts: 1, priority: 1, isSticky: true, homeRegions: [], isOpen: false })
 
@@ -44,6 +52,17 @@
   StoreDown = 'store-down'
 }
 
+/** What the limited worker limits. */
+export enum LimitKind {
+  /** It announces a rate limit in its responses; counted are requests of VMs that had been told. */
+  Rate = 'rate',
+  /** It starts cold; counted are all requests. */
+  Cold = 'cold'
+}
+
+/** The spans in which operators count what a worker gets. */
+const WINDOW_MS_BY_KIND: Readonly<Record<LimitKind, number>> = { [LimitKind.Rate]: 4_000, [LimitKind.Cold]: 1_000 }
+
 /** A fault of the plan. */
 export interface PlannedFault {
   readonly fault: FleetFault
@@ -62,6 +81,7 @@
   readonly delaysMs: readonly number[]
   readonly faults: readonly PlannedFault[]
   readonly durationMs: number
+  readonly kind?: LimitKind
 }
 
 interface StoreChange {
@@ -97,10 +117,13 @@
   isCutOff = false
   isInformed = false
   private view!: EntryView
+  private membership!: Membership
+  private membershipDueAt: Instant = 0
+  private reportDueAt: Instant = Infinity
+  private currentAt: Instant = Number.NEGATIVE_INFINITY
   private appliedChanges = 0
   private renewedAt: Instant = Number.NEGATIVE_INFINITY
   private pendingResponses: Instant[] = []
-  private requests = 0
 
   constructor (readonly name: string, readonly domain: string, private readonly delayMs: number, private readonly fleet: SimulatedFleet) {}
 
@@ -108,20 +131,40 @@
     const { regionByDomain, store, now } = this.fleet
     this.isDown = false
     this.pendingResponses = []
-    this.view = new EntryView({ node: this.name, domain: this.domain, regionByDomain, roundTrips: new DomainRoundTrips(this.domain, regionByDomain), coldTolerance: TOLERANCE, rateTolerance: TOLERANCE, retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 }, startedAt: now })
+    this.view = new EntryView({ mayShare: (windowMs) => this.membership.mayShare(windowMs), node: this.name, domain: this.domain, regionByDomain, roundTrips: new DomainRoundTrips(this.domain, regionByDomain), coldTolerance: TOLERANCE, rateTolerance: TOLERANCE, retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 60 }, startedAt: now })
+    this.view.getPool(SERVICE).policy = { name: SERVICE, healthPath: '/', coldMs: 0, coldPerSecond: this.fleet.plan.perSecond, maxConnections: 0 }
     for (const record of store.records.values()) this.view.applyChange({ record, previous: undefined }, now)
     this.appliedChanges = store.changes.length
+    this.membership = new Membership(this.name, { nodes: this.view.nodes, members: this.view.sharers.members }, now, () => this.fleet.now)
+    this.membershipDueAt = now
+    this.reportDueAt = Infinity
+    this.currentAt = Number.NEGATIVE_INFINITY
   }
 
   step (): void {
-    const { now, store } = this.fleet
     if (this.isDown || this.isRemoved) return
+    this.updateRecords()
+    this.readResponses()
+    const others = this.fleet.prefersOthers ? NO_WORKERS : this.fleet.listOtherWorkers()
+    for (let offered = 0; offered < OFFERED_PER_TICK; offered++) this.sendIfAllowed(others)
+  }
+
+  private updateRecords (): void {
+    const { now, isStoreDown } = this.fleet
+    const isReached = !this.isCutOff && !isStoreDown
+    const canWrite = isReached && !this.isStoreSilent
     if (!this.isCutOff) this.applyChanges()
-    if (!this.isCutOff && !this.isStoreSilent && !this.fleet.isStoreDown) this.renew()
-    const due = this.pendingResponses.filter((at) => at <= now)
+    if (isReached) this.currentAt = now
+    if (canWrite) this.renew()
+    if (now >= this.membershipDueAt) this.updateMembership(canWrite)
+    if (now >= this.reportDueAt && canWrite) this.reportLimit()
+  }
+
+  private readResponses (): void {
+    const { now } = this.fleet
+    const hasArrived = this.pendingResponses.some((at) => at <= now)
     this.pendingResponses = this.pendingResponses.filter((at) => at > now)
-    if (due.length > 0) this.readResponse()
-    for (let offered = 0; offered < OFFERED_PER_TICK; offered++) this.sendIfAllowed(store)
+    if (hasArrived) this.readResponse()
   }
 
   /** Removes the registration if its lease has expired. */
@@ -148,20 +191,35 @@
     store.put({ kind: RecordKind.Node, key, revision: this.fleet.createRevision(), value: { name: this.name, address: this.name, peerAddress: this.name, domain: this.domain } }, now)
   }
 
+  private updateMembership (canWrite: boolean): void {
+    const { now, store } = this.fleet
+    this.membershipDueAt = now + MEMBERSHIP_INTERVAL_MS
+    const { mustJoin, absent } = this.membership.update(now - this.currentAt)
+    if (!canWrite) return
+    const key = `entry-members/${this.name}`
+    if (mustJoin && !store.records.has(key)) store.put({ kind: RecordKind.Member, key, revision: this.fleet.createRevision(), value: { name: this.name, domain: this.domain } }, now)
+    for (const record of absent) if (store.records.get(record.key)?.revision === record.revision) store.remove(record.key, now)
+  }
+
+  private reportLimit (): void {
+    const { now, store, plan } = this.fleet
+    this.reportDueAt = Infinity
+    const key = `entry-rate-limits/${LIMITED_WORKER}`
+    if (!store.records.has(key)) store.put({ kind: RecordKind.RateLimit, key, revision: this.fleet.createRevision(), value: { workerId: LIMITED_WORKER, startedAt: 1, perSecond: plan.perSecond } }, now)
+  }
+
   private readResponse (): void {
     const tracker = this.view.findUpstream(LIMITED_WORKER)
     this.isInformed = this.fleet.isLimitAnnounced || this.isInformed
     if (tracker === undefined || !this.fleet.isLimitAnnounced) return
-    tracker.rateLimit = this.fleet.plan.perSecond
-    tracker.rateLimitAt = this.fleet.now
+    if (tracker.rate.recordResponse(this.fleet.plan.perSecond, this.fleet.now)) this.reportDueAt = this.fleet.now + REPORT_DELAY_MS
   }
 
-  private sendIfAllowed (store: SimulatedStore): void {
+  private sendIfAllowed (triedWorkers: ReadonlySet<string>): void {
     const { now } = this.fleet
-    const key = `key-${++this.requests % 50}`
-    const others = [...store.records.values()].flatMap((record) => record.kind === RecordKind.Upstream && record.value.id !== LIMITED_WORKER ? [record.value.id] : [])
-    const candidates = this.view.getPool(SERVICE).listCandidates({ homeRegions: [], key, triedWorkers: new Set(others) }, SERVICE_TIMES, new Set(), now)
-    const limited = candidates.find(({ tracker }) => tracker.registration.id === LIMITED_WORKER)
+    const key = `key-${Math.floor(this.fleet.random.next() * KEYS)}`
+    const candidates = this.view.getPool(SERVICE).listCandidates({ homeRegions: [], key, triedWorkers }, SERVICE_TIMES, NO_WORKERS, now)
+    const limited = candidates.find(({ tracker }, index) => tracker.registration.id === LIMITED_WORKER && (index === 0 || !this.fleet.prefersOthers))
     if (limited === undefined) return
     limited.tracker.startRequest(now, RESPONSE_MS)
     this.pendingResponses.push(now + RESPONSE_MS)
@@ -180,21 +238,24 @@
   isStoreDown = false
   isLimitAnnounced = false
   readonly store = new SimulatedStore()
+  readonly random = new SeededRandom(1)
   readonly regionByDomain: ReadonlyMap<string, string>
   /** The most requests of informed VMs in any window in which the limit applies. */
   busiest = 0
-  /** All requests that the limited worker got, for averages. */
-  arrivalCount = 0
   private readonly vms: SimulatedVm[] = []
   private arrivals: Arrival[] = []
+  private readonly arrivalTimes: Instant[] = []
   private revision = 0
   private announcedAt: Instant = Infinity
 
-  /** @param plan the fleet and what happens to it */
-  constructor (readonly plan: FleetPlan) {
+  /**
+   * @param plan the fleet and what happens to it
+   * @param prefersOthers whether requests that rank another worker first go there; otherwise all go to the limited one if it may get them
+   */
+  constructor (readonly plan: FleetPlan, readonly prefersOthers = false) {
     this.regionByDomain = new Map(Array.from({ length: plan.domains }, (_, index) => [`zone-${index}`, `region-${Math.floor(index / 2)}`]))
     this.setWorkers(true)
-    this.putWorker(LIMITED_WORKER, 'zone-0')
+    if (!this.isCold) this.putLimitedWorker()
     for (let index = 0; index < plan.vms; index++) this.addVm()
   }
 
@@ -202,9 +263,17 @@
     return ++this.revision
   }
 
+  private get isCold (): boolean {
+    return this.plan.kind === LimitKind.Cold
+  }
+
+  private get windowMs (): number {
+    return WINDOW_MS_BY_KIND[this.plan.kind ?? LimitKind.Rate]
+  }
+
   /** @returns the requests that the users' rule allows in any window */
   get allowed (): number {
-    return Math.floor(TOLERANCE.factor * this.plan.perSecond * WINDOW_MS / MS_PER_SECOND + TOLERANCE.slack)
+    return Math.floor(TOLERANCE.factor * this.plan.perSecond * this.windowMs / MS_PER_SECOND + TOLERANCE.slack)
   }
 
   /**
@@ -213,9 +282,10 @@
    */
   run (announcedAtMs: number): void {
     while (this.now < this.plan.durationMs) {
-      if (this.now >= announcedAtMs && !this.isLimitAnnounced) {
-        this.isLimitAnnounced = true
+      if (this.now >= announcedAtMs && this.announcedAt === Infinity) {
+        this.isLimitAnnounced = !this.isCold
         this.announcedAt = this.now
+        if (this.isCold) this.putLimitedWorker()
       }
       for (const fault of this.plan.faults) this.applyFault(fault)
       for (const vm of [...this.vms]) {
@@ -226,11 +296,21 @@
     }
   }
 
+  /** @returns the ids of all registered workers but the limited one */
+  listOtherWorkers (): ReadonlySet<string> {
+    return new Set([...this.store.records.values()].flatMap((record) => record.kind === RecordKind.Upstream && record.value.id !== LIMITED_WORKER ? [record.value.id] : []))
+  }
+
+  /** @returns the requests that the limited worker has got since an instant */
+  countArrivals (since: Instant): number {
+    return this.arrivalTimes.filter((at) => at >= since).length
+  }
+
   recordArrival ({ isInformed }: SimulatedVm): void {
-    this.arrivalCount++
-    this.arrivals = this.arrivals.filter(({ at }) => at > this.now - WINDOW_MS)
-    this.arrivals.push({ at: this.now, isInformed })
-    if (this.now < this.announcedAt + STABILITY_MS) return
+    this.arrivalTimes.push(this.now)
+    this.arrivals = this.arrivals.filter(({ at }) => at > this.now - this.windowMs)
+    this.arrivals.push({ at: this.now, isInformed: isInformed || this.isCold })
+    if (this.now < this.announcedAt + (this.isCold ? 0 : STABILITY_MS)) return
     this.busiest = Math.max(this.busiest, this.arrivals.filter((arrival) => arrival.isInformed).length)
   }
 
@@ -252,8 +332,9 @@
       [FleetFault.Added]: () => { if (isActive) this.addVm() },
       [FleetFault.WorkersAway]: () => { this.setWorkers(!isActive) },
       [FleetFault.LimitedWorkerAway]: () => {
+        if (this.announcedAt === Infinity) return
         if (isActive) this.store.remove(`servers/${LIMITED_WORKER}`, this.now)
-        else this.putWorker(LIMITED_WORKER, 'zone-0')
+        else this.putLimitedWorker()
       },
       [FleetFault.StoreDown]: () => { this.isStoreDown = isActive }
     }
@@ -275,7 +356,11 @@
     }
   }
 
-  private putWorker (id: string, domain: string): void {
-    this.store.put({ kind: RecordKind.Upstream, key: `servers/${id}`, revision: this.createRevision(), value: { id, startedAt: 1, service: SERVICE, address: id, domain, slots: 4, state: UpstreamState.Ready, coldMs: 0 } }, this.now)
+  private putLimitedWorker (): void {
+    this.putWorker(LIMITED_WORKER, 'zone-0', this.isCold ? this.plan.durationMs : 0)
+  }
+
+  private putWorker (id: string, domain: string, coldMs = 0): void {
+    this.store.put({ kind: RecordKind.Upstream, key: `servers/${id}`, revision: this.createRevision(), value: { id, startedAt: 1, service: SERVICE, address: id, domain, slots: 4, state: UpstreamState.Ready, coldMs } }, this.now)
   }
 }
--- a/packages/steering/test/common/entry/workers/observeResponse.test.ts
+++ b/packages/steering/test/common/entry/workers/observeResponse.test.ts
@@ -49,7 +49,7 @@
 /** One worker with a first-in first-out queue; one VM sends a few of its requests and learns from their responses. */
 class QueueSimulation {
   private readonly random: SeededRandom
-  private readonly view = new EntryView({ node: 'v', domain: 'a-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('a-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+  private readonly view = new EntryView({ mayShare: () => true, node: 'v', domain: 'a-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('a-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
   private readonly pool: WorkerPool
   private readonly times: ServiceTimeEstimate
   private readonly freeAt = new Array<Instant>(SLOTS).fill(0)
--- a/packages/steering/test/common/entry/workers/saturation.test.ts
+++ b/packages/steering/test/common/entry/workers/saturation.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
 import { DomainRoundTrips } from '../../../../src/common/entry/placement/domainRoundTrips.js'
+import { Sharers } from '../../../../src/common/entry/sharing/sharers.js'
 import { WorkerPool } from '../../../../src/common/entry/workers/workerPool.js'
 import { UpstreamState } from '../../../../src/common/entry/records.js'
 import { UpstreamTracker } from '../../../../src/common/entry/workers/upstreamTracker.js'
@@ -17,7 +18,7 @@
 
   beforeEach(() => {
     const roundTrips = new DomainRoundTrips('a-1', REGIONS)
-    pool = new WorkerPool({ node: 'vm', domain: 'a-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, listNodes: () => ['vm'], listSendingNodes: () => [] })
+    pool = new WorkerPool({ domain: 'a-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, sharers: new Sharers({ name: 'vm', domain: 'a-1' }, new Map()), mayShare: () => true })
     trackers = Array.from({ length: WORKERS }, (_, index) => new UpstreamTracker({ id: `w-${index}`, service: 's', address: 'a', domain: 'a-1', slots: SLOTS, state: UpstreamState.Ready, coldMs: 0 }, 0))
     for (const tracker of trackers) pool.put(tracker)
   })
--- a/packages/steering/test/common/entry/workers/workerAdvisory.test.ts
+++ b/packages/steering/test/common/entry/workers/workerAdvisory.test.ts
@@ -13,7 +13,7 @@
 const FIRST_START = 1_000
 
 function createView (): EntryView {
-  return new EntryView({ node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('north-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+  return new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('north-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
 }
 
 function createWorker (id: string, startedAt: number | undefined, state = UpstreamState.Ready): UpstreamRegistration {
--- a/packages/steering/test/common/entry/workers/workerLoad.test.ts
+++ b/packages/steering/test/common/entry/workers/workerLoad.test.ts
@@ -164,7 +164,7 @@
 
 describe('a worker that restarts under its id', () => {
   it('starts without reports, and late rows about the process before don\'t count', () => {
-    const view = new EntryView({ node: 'v', domain: 'a-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('a-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
+    const view = new EntryView({ mayShare: () => true, node: 'v', domain: 'a-1', regionByDomain: REGIONS, roundTrips: new DomainRoundTrips('a-1', REGIONS), coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
     const worker = { id: 'w', service: 's', address: 'w', domain: 'a-1', slots: SLOTS, state: UpstreamState.Ready, coldMs: 0, startedAt: STARTED_AT }
     const exchange = new FakeExchange()
     const loads = new WorkerLoadExchange(exchange, new ManualClock(NOW), (id) => view.findUpstream(id))
--- a/packages/steering/test/common/rateLimits/rateAllowance.test.ts
+++ b/packages/steering/test/common/rateLimits/rateAllowance.test.ts
@@ -2,13 +2,16 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { divideByWeight } from '../../../src/common/rateLimits/divideByWeight.js'
-import { divideRateLimit, type SendingNode } from '../../../src/common/rateLimits/rateAllowance.js'
+import type { FleetMember } from '../../../src/common/entry/records.js'
+import { computeDealtPart, findRank } from '../../../src/common/entry/sharing/dealRequests.js'
+import { computeRateBudget, divideAmongDomains, type RateLimit } from '../../../src/common/rateLimits/rateAllowance.js'
 import { SlidingWindowCounter } from '../../../src/common/rateLimits/slidingWindowCounter.js'
 
 const SEED = 134
 const DOMAINS = ['north', 'south', 'east']
 const nodes = fc.uniqueArray(fc.record({ name: fc.string({ minLength: 1, maxLength: 6 }), domain: fc.constantFrom(...DOMAINS) }), { selector: ({ name }) => name, minLength: 1, maxLength: 200 })
-const demand = fc.dictionary(fc.constantFrom(...DOMAINS), fc.double({ min: 0, max: 10, noNaN: true })).map((parts) => new Map(Object.entries(parts)))
+const REGIONS = new Map(DOMAINS.map((domain) => [domain, domain]))
+const OTHERS = Array.from({ length: 30 }, (_, index) => `other-${index}`)
 const perSecond = fc.double({ min: 0, max: 200, noNaN: true })
 const tolerance = { factor: 1.5, slack: 5 }
 
@@ -28,42 +31,66 @@
   })
 })
 
-describe('divideRateLimit', () => {
+/** @returns the parts of VMs that all know each other, by name */
+function divideLimit (limit: RateLimit, allNodes: readonly FleetMember[]): Map<string, number> {
+  const parts = divideAmongDomains(computeRateBudget(limit), limit, REGIONS)
+  return new Map(allNodes.map(({ name, domain }) => {
+    const names = allNodes.filter((other) => other.domain === domain).map((other) => other.name)
+    return [name, computeDealtPart(parts.get(domain)!, findRank(limit.workerId, names, name), names.length)]
+  }))
+}
+
+function countParts (parts: ReadonlyMap<string, number>): number {
+  return [...parts.values()].reduce((sum, part) => sum + part, 0)
+}
+
+describe('the division of a rate limit', () => {
   // Guards against entry VMs that together exceed a limit although none of them exceeds its part.
-  it('keeps all VMs together within the limit, and within the tolerated excess, in any window', () => {
-    fc.assert(fc.property(perSecond, nodes, demand, (rate, allNodes, demandByDomain) => {
-      const allowances = [...divideRateLimit({ perSecond: rate, workerId: 'w-1', tolerance }, allNodes, demandByDomain).values()]
-      const { windowMs } = allowances[0]!
-      const limit = rate * windowMs / 1_000
-      const totalRequests = allowances.reduce((total, allowance) => total + allowance.maxRequests, 0)
-      assert.ok(totalRequests <= limit + 1e-6)
-      assert.ok(totalRequests >= Math.floor(limit - 1e-6), 'no part of the limit is left unused')
-      assert.ok(allowances.reduce((total, allowance) => total + allowance.maxToleratedRequests, 0) <= limit * tolerance.factor + tolerance.slack)
-      assert.ok(allowances.every((allowance) => allowance.maxToleratedRequests >= allowance.maxRequests))
+  it('keeps all VMs together, probes included, within the tolerated excess in any window', () => {
+    fc.assert(fc.property(perSecond, nodes, (rate, allNodes) => {
+      const limit = { perSecond: rate, workerId: 'w-1', domain: 'north', tolerance }
+      const { windowMs, maxRequests, maxProbers } = computeRateBudget(limit)
+      assert.ok(maxRequests <= rate * windowMs / 1_000 + 1e-6)
+      assert.ok(countParts(divideLimit(limit, allNodes)) + maxProbers <= rate * windowMs / 1_000 * tolerance.factor + tolerance.slack)
+    }), { seed: SEED })
+  })
+
+  // Guards against limits that are left unused.
+  it('divides at least the whole limit among the VMs if there are some in each domain', () => {
+    fc.assert(fc.property(perSecond, fc.integer({ min: 1, max: 60 }), (rate, count) => {
+      const limit = { perSecond: rate, workerId: 'w-1', domain: 'north', tolerance }
+      const allNodes = Array.from({ length: count * DOMAINS.length }, (_, index) => ({ name: `vm-${index}`, domain: DOMAINS[index % DOMAINS.length]! }))
+      const { maxRequests, dividedRequests } = computeRateBudget(limit)
+      assert.equal(countParts(divideLimit(limit, allNodes)), dividedRequests)
+      assert.ok(dividedRequests >= maxRequests)
     }), { seed: SEED })
   })
 
-  // Guards against VMs without a part that never notice the end of a limit, or whose probe requests exceed it.
-  it('lets VMs without a part send probe requests, within a tenth of the limit', () => {
-    fc.assert(fc.property(perSecond, nodes, demand, (limit, allNodes, demandByDomain) => {
-      const nodesWithoutPart = [...divideRateLimit({ perSecond: limit, workerId: 'w-1', tolerance }, allNodes, demandByDomain).values()].filter(({ maxRequests }) => maxRequests === 0)
-      const rate = nodesWithoutPart.reduce((sum, { probeIntervalMs }) => sum + 1_000 / probeIntervalMs, 0)
-      assert.ok(rate <= Math.max(Math.max(1, limit) * 0.1, nodesWithoutPart.length / 600) + 1e-9)
-      assert.ok(nodesWithoutPart.length === 0 || rate > 0)
+  // Guards against VMs whose lists differ and whose parts add up to more than the whole.
+  it('stays within the limit when each VM knows other VMs besides all that send', () => {
+    fc.assert(fc.property(fc.nat(200), fc.integer({ min: 1, max: 40 }), fc.array(fc.subarray(OTHERS), { minLength: 40, maxLength: 40 }), (total, count, knownOthers) => {
+      const senders = Array.from({ length: count }, (_, index) => `vm-${index}`)
+      const sum = senders.reduce((parts, name, index) => {
+        const known = [...senders, ...knownOthers[index]!]
+        return parts + computeDealtPart(total, findRank('w-1', known, name), known.length)
+      }, 0)
+      assert.ok(sum <= total, `${sum} of ${total}`)
     }), { seed: SEED })
   })
 
-  it('divides the part of a failure domain equally among its VMs', () => {
-    const allNodes: SendingNode[] = [{ name: 'vm-1', domain: 'north' }, { name: 'vm-2', domain: 'south' }, { name: 'vm-3', domain: 'south' }]
-    const parts = divideRateLimit({ perSecond: 10, workerId: 'w-1', tolerance: { factor: 1, slack: 0 } }, allNodes, new Map([['north', 0.5], ['south', 0.5]]))
-    assert.deepEqual([...parts.values()].map(({ maxRequests }) => maxRequests), [20, 10, 10])
+  it('depends neither on the order of VMs nor on the list of workers', () => {
+    fc.assert(fc.property(perSecond, nodes, (rate, allNodes) => {
+      const limit = { perSecond: rate, workerId: 'w-1', domain: 'north', tolerance }
+      assert.deepEqual(new Map([...divideLimit(limit, [...allNodes].reverse())].reverse()), divideLimit(limit, allNodes))
+    }), { seed: SEED })
   })
 
-  it('gives the largest parts to the VMs that are expected to send the most requests', () => {
-    const allNodes: SendingNode[] = Array.from({ length: 12 }, (_, index) => ({ name: `vm-${index}`, domain: DOMAINS[Math.floor(index / 4)]! }))
-    const allowances = divideRateLimit({ perSecond: 10.1, workerId: 'w-1', tolerance }, allNodes, new Map([['north', 0.9], ['south', 0.05], ['east', 0.05]]))
-    const northRequests = allNodes.filter(({ domain }) => domain === 'north').reduce((sum, { name }) => sum + allowances.get(name)!.maxRequests, 0)
-    assert.equal(northRequests, 36)
+  it('gives the largest parts to the VMs of the region of the worker', () => {
+    const allNodes = Array.from({ length: 12 }, (_, index) => ({ name: `vm-${index}`, domain: DOMAINS[Math.floor(index / 4)]! }))
+    const parts = divideLimit({ perSecond: 10.1, workerId: 'w-1', domain: 'north', tolerance }, allNodes)
+    const northRequests = allNodes.filter(({ domain }) => domain === 'north').reduce((sum, { name }) => sum + parts.get(name)!, 0)
+    assert.equal(northRequests, 42)
+    assert.equal(countParts(parts), 60)
   })
 })
 
--- a/packages/testing/src/common/policy/policySimulation.ts
+++ b/packages/testing/src/common/policy/policySimulation.ts
@@ -147,6 +147,7 @@
 
   private buildView ({ name, domain }: VmLocation, locations: readonly VmLocation[], startedAt: Instant): EntryView {
     const view = new EntryView({
+      mayShare: () => true,
       node: name,
       domain,
       regionByDomain: this.regionOf,
--- a/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/localPlatform.ts
@@ -82,11 +82,12 @@
   }
 
   /**
-   * Starts an entry process.
+   * Starts an entry process of a VM that has long been a member of the fleet.
    * @param startedAt when it pretends to have started; by default so long ago that its start limits no budget any more
    */
   async startEntry (node: string, domain: string, seeds: readonly string[] = [], startedAt: Instant = Number.NEGATIVE_INFINITY): Promise<LocalEntry> {
     const store = this.store.addListener()
+    this.putMember(node, domain)
     const settings = this.createSettings(node, domain, await findEntryAddresses(await store.listen()), seeds)
     const lines: LogContext[] = []
     const text: string[] = []
--- a/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformClient.ts
@@ -87,6 +87,12 @@
   return String(headers['x-umberspar-request-id'])
 }
 
+/** @returns the worker that announced a rate limit in an answer; undefined if none did */
+export function getLimitedWorker ({ headers }: ClientAnswer): string | undefined {
+  const workerId = headers['x-umberspar-instance-id']
+  return headers['x-umberspar-server-limit'] !== undefined && typeof workerId === 'string' ? workerId : undefined
+}
+
 /** @returns the worker's seal on an answer; undefined if it has none */
 export function getSeal ({ headers }: ClientAnswer): string | undefined {
   return headers['x-umberspar-server-seal'] as string | undefined
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -103,6 +103,11 @@
     this.store.remove(`servers/${id}`)
   }
 
+  /** Enters an entry VM among the members of the fleet, as it would after some time. */
+  putMember (node: string, domain: string): void {
+    this.store.put(`entry-members/${node}`, { domain })
+  }
+
   /** Evacuates a failure domain. */
   putEvacuation (domain: string): void {
     this.store.put(`op/evacuate/${domain}`, {})
--- a/packages/testing/test/node/usersPlatform/rateLimits.test.ts
+++ b/packages/testing/test/node/usersPlatform/rateLimits.test.ts
@@ -44,11 +44,17 @@
     return (1 + Math.ceil((platform.clock.now() - since) / WINDOW_MS)) * RATE_LIMIT * WINDOW_MS / MS_PER_SECOND
   }
 
+  /** Each VM learns of a limit, and of its end, from a response or from the record of another VM. */
+  function hasLearned ({ lines }: LocalEntry, expected: number | undefined): boolean {
+    const change = expected === undefined ? 'rate-limit-ended' : 'rate-limit-reported'
+    return lines.some((line) => (line['step'] === 'limit-rate' && line['perSecond'] === expected) || line['change'] === change)
+  }
+
   async function sendUntilAllKnow (): Promise<void> {
     limited.rateLimit = RATE_LIMIT
     await platform.waitUntil(async () => {
       await sendEach(1)
-      return entries.every(({ lines }) => lines.some(({ step, perSecond }) => step === 'limit-rate' && perSecond === RATE_LIMIT))
+      return entries.every((entry) => hasLearned(entry, RATE_LIMIT))
     })
   }
 
@@ -69,7 +75,7 @@
     limited.rateLimit = undefined
     await platform.waitUntil(async () => {
       await sendEach(2)
-      return entries.every(({ lines }) => lines.some(({ step, perSecond }) => step === 'limit-rate' && perSecond === undefined))
+      return entries.every((entry) => hasLearned(entry, undefined))
     })
     const before = limited.arrivals
     const startedAt = platform.clock.now()
