--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -50,7 +50,9 @@
   /** Some entry VMs' datagrams about load are lost one way for the step's duration; `variant` selects the way and how many. */
   ExchangeLoss = 'exchange-loss',
   /** A service slows down and an account sends many times its usual requests to it, for some seconds more than the step's duration. */
-  Rush = 'rush'
+  Rush = 'rush',
+  /** A worker announces a rate limit, for some seconds more than the step's duration; `variant` selects the limit. */
+  WorkerRateLimit = 'worker-rate-limit'
 }
 
 /** A step of the plan. */
@@ -94,7 +96,8 @@
   { kinds: [SoakStepKind.StoreRollback], seedOffset: 3_000_003, gapMs: 6_000 },
   { kinds: [SoakStepKind.WorkersUnreachable], seedOffset: 4_000_003, gapMs: 6_000 },
   { kinds: [SoakStepKind.ExchangeLoss], seedOffset: 5_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 3_000 },
-  { kinds: [SoakStepKind.Rush], seedOffset: 6_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 6_000, isPlannedToo: true }
+  { kinds: [SoakStepKind.Rush], seedOffset: 6_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 6_000, isPlannedToo: true },
+  { kinds: [SoakStepKind.WorkerRateLimit], seedOffset: 8_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 4_000, isPlannedToo: true }
 ]
 const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_STREAMS.some(({ kinds }) => kinds.includes(kind)))
 
--- a/packages/soak/src/common/soakRule.ts
+++ b/packages/soak/src/common/soakRule.ts
@@ -9,6 +9,8 @@
   TooManyRuns = 'too-many-runs',
   /** A cold worker received more requests in a second than it tolerates. */
   ColdLimitExceeded = 'cold-overrun',
+  /** A worker received more requests than its rate limit tolerates, from VMs that had been told of it. */
+  RateLimitExceeded = 'rate-limit-exceeded',
   /** A worker received requests from an entry VM that had passed on the announcement of its drain. */
   WorkAfterAnnouncedDrain = 'work-after-announced-drain',
   /** A worker received requests from an entry VM that it had asked for a pause. */
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -12,6 +12,7 @@
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
 import { AnnouncementChecker } from './announcementChecker.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
+import { RateLimitChecker } from './rateLimitChecker.js'
 import { RetryBudgetChecker } from './retryBudgetChecker.js'
 import { ShareChecker } from './shareChecker.js'
 
@@ -68,6 +69,9 @@
   private readonly announcementChecker = new AnnouncementChecker()
   private readonly retryBudgetChecker = new RetryBudgetChecker(RETRY_BUDGET)
   private readonly shareChecker = new ShareChecker()
+  private readonly rateLimitChecker = new RateLimitChecker()
+  /** The worker whose response to a request announced a rate limit. */
+  private readonly limitedResponses = new Map<string, string>()
   private rushFrom: Instant = Infinity
   private lastExecutionId = 0
 
@@ -99,6 +103,9 @@
   recordAnswer (requestId: string, answer: AnswerKind, detail: string): void {
     const attempt = this.attempts.get(requestId)
     if (attempt !== undefined) this.announcementChecker.recordAnswer(attempt, answer, this.clock.now())
+    const limitedWorker = this.limitedResponses.get(requestId)
+    this.limitedResponses.delete(requestId)
+    if (attempt !== undefined && limitedWorker !== undefined && answer === AnswerKind.Complete) this.rateLimitChecker.recordInformed(limitedWorker, attempt.entry)
     if (attempt?.isInRush === true) this.shareChecker.record({ account: attempt.account ?? '', priority: attempt.priority ?? 0 }, answer)
     this.answers.set(answer, (this.answers.get(answer) ?? 0) + 1)
     this.historyChecker.record({ kind: HistoryEventKind.Answered, at: this.clock.now(), requestId, answer, detail })
@@ -171,12 +178,19 @@
     this.coldLimits.set(workerId, limit)
   }
 
+  /** Records that a worker announces another rate limit; undefined for none. */
+  recordRateLimit (workerId: string, perSecond: number | undefined): void {
+    this.rateLimitChecker.recordLimit(workerId, perSecond, this.clock.now())
+  }
+
   onResponse (workerId: string, requestId: string, announcement: Announcement): void {
+    if (announcement.hasRateLimit === true) this.limitedResponses.set(requestId, workerId)
     this.announcementChecker.recordResponse(workerId, requestId, announcement, this.clock.now())
   }
 
   onRefused (workerId: string, requestId: string): void {
     this.checkColdLimit(workerId)
+    this.checkRateLimit(workerId, this.attempts.get(requestId))
     this.checkAnnouncements(workerId, this.attempts.get(requestId))
     this.checkRetryBudget(this.attempts.get(requestId))
     this.historyChecker.record({ kind: HistoryEventKind.RefusedWhileDraining, at: this.clock.now(), workerId, requestId })
@@ -189,6 +203,7 @@
     this.checkSent(workerId, run, attempt)
     if (attempt === undefined) return
     this.checkKey(attempt)
+    this.checkRateLimit(workerId, attempt)
     this.checkAnnouncements(workerId, attempt)
     this.checkRetryBudget(attempt)
     attempt.workers.add(workerId)
@@ -241,6 +256,11 @@
     if (detail !== undefined) this.report(SoakRule.RetryBudgetExceeded, attempt.service, detail)
   }
 
+  private checkRateLimit (workerId: string, attempt: AttemptRecord | undefined): void {
+    const detail = attempt === undefined ? undefined : this.rateLimitChecker.recordArrival(workerId, attempt.entry, this.clock.now())
+    if (detail !== undefined) this.report(SoakRule.RateLimitExceeded, workerId, detail)
+  }
+
   private checkColdLimit (workerId: string): void {
     const limit = this.coldLimits.get(workerId)
     const now = this.clock.now()
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -18,6 +18,8 @@
 
 const POLL_INTERVAL_MS = 50
 const MAX_SHIFT = 0.25
+/** As the users set it. */
+const RATE_TOLERANCE = { factor: 1.5, slack: 5 }
 const ENTRY_PRELOAD = new URL('./entryPreload.js', import.meta.url)
 const EXCHANGE_PRELOAD = new URL('./exchangePreload.js', import.meta.url)
 const WORKER_LINK_PRELOAD = new URL('./workerLinkPreload.js', import.meta.url)
@@ -128,7 +130,7 @@
     const addresses = await findEntryAddresses(await storeLink.start())
     const callerLink = this.closing.add(new TcpRelay(addresses.callers))
     const seeds = this.list.slice(0, 3).map(({ settings }) => settings.listen.peers)
-    const settings = { ...this.records.createSettings(node, domain, addresses, seeds), maxShift: MAX_SHIFT }
+    const settings = { ...this.records.createSettings(node, domain, addresses, seeds), maxShift: MAX_SHIFT, rateTolerance: RATE_TOLERANCE }
     return new SoakEntry(settings, join(this.folder, `${node}.json`), callerLink, await callerLink.start(), storeLink, store, this.checker)
   }
 }
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -12,6 +12,7 @@
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
 import type { SoakChecker } from './soakChecker.js'
 import type { SoakWorker, SoakWorkers } from './soakWorkers.js'
+import { runRateLimit } from './soakRateLimit.js'
 import { runRush } from './soakRush.js'
 import { runStoreRollback } from './storeRollback.js'
 
@@ -279,6 +280,7 @@
     return true
   },
   [SoakStepKind.Rush]: runRush,
+  [SoakStepKind.WorkerRateLimit]: runRateLimit,
   [SoakStepKind.StoreRollback]: async (environment, step) => await runDisruption(environment, async () => {
     await runStoreRollback(environment.clock, environment.records.store, step.spanMs, step.variant)
     return true
--- a/packages/soak/src/node/soakWorkers.ts
+++ b/packages/soak/src/node/soakWorkers.ts
@@ -99,6 +99,12 @@
     this.records.putWorker({ id, service, domain: previous.domain, address: previous.address })
   }
 
+  /** Sets the rate limit that a worker announces in its responses; undefined for none. */
+  setRateLimit ({ id, worker }: SoakWorker, perSecond: number | undefined): void {
+    worker.rateLimit = perSecond
+    this.checker.recordRateLimit(id, perSecond)
+  }
+
   /** Announces that a worker drains; it continues to serve. */
   startDrain (draining: SoakWorker): void {
     draining.isLeaving = true
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -48,6 +48,8 @@
   readonly isDraining: boolean
   /** How long the worker wants no requests from the VM, in milliseconds; undefined if it did not ask for that. */
   readonly coolDownMs: number | undefined
+  /** Whether it names a rate limit. */
+  readonly hasRateLimit?: boolean
 }
 
 /** Observes what a worker does, as it happens. */
@@ -226,7 +228,7 @@
 
   private reportResponse (requestId: string, retryAfter: readonly string[]): void {
     const coolDownSeconds = retryAfter.map(Number).find(Number.isFinite)
-    this.observer?.onResponse?.(this.id, requestId, { isDraining: this.isDraining, coolDownMs: coolDownSeconds === undefined ? undefined : coolDownSeconds * MS_PER_SECOND })
+    this.observer?.onResponse?.(this.id, requestId, { isDraining: this.isDraining, hasRateLimit: this.rateLimit !== undefined, coolDownMs: coolDownSeconds === undefined ? undefined : coolDownSeconds * MS_PER_SECOND })
   }
 
   /** @returns the bytes of a refusal */
