Run the seeded runs of real processes in a command of their own, and do not count timeouts as cut off by a planned stop

A newcomer's `npm test` had grown from 191 to 412 s.

The checker of rate limits also says how late requests arrived, and the soak keeps logs on request (--logs).

--- a/packages/soak/src/node/main.ts
+++ b/packages/soak/src/node/main.ts
@@ -12,13 +12,14 @@
 const VIOLATIONS_EXIT_CODE = 1
 
 async function main (): Promise<void> {
-  const { seed, seconds, processes, rate, runs } = yargs(hideBin(process.argv))
+  const { seed, seconds, processes, rate, runs, logs } = yargs(hideBin(process.argv))
     .scriptName('npm run soak --')
     .option('seed', { type: 'number', default: 1, describe: 'seed of the first run; each further run uses the next seed' })
     .option('seconds', { type: 'number', default: DEFAULT_SECONDS, describe: 'duration of a run; at least 30' })
     .option('processes', { type: 'number', default: DEFAULT_PROCESSES, describe: 'number of entry processes' })
     .option('rate', { type: 'number', default: DEFAULT_RATE_PER_SECOND, describe: 'requests per second' })
     .option('runs', { type: 'number', default: 1, describe: 'number of consecutive runs' })
+    .option('logs', { type: 'string', describe: 'existing folder for the logs of the entry processes' })
     .check((options) => {
       if (options.seconds < 30) throw new Error('--seconds must be at least 30, so that the run has a phase of each kind')
       if (options.processes < 1 || options.processes > 100) throw new Error('--processes must be between 1 and 100')
@@ -29,7 +30,7 @@
     .parseSync()
   for (let run = 0; run < runs; run++) {
     const guard = startRunGuard(seed + run, seconds)
-    const result = await runSoak({ seed: seed + run, seconds, processes, rate })
+    const result = await runSoak({ seed: seed + run, seconds, processes, rate, logs })
     guard.close()
     writeLine(JSON.stringify(result))
     printLine(`seed ${result.seed}: ${result.attempts} attempts, ${Object.values(result.steps).reduce((sum, count) => sum + count, 0)} steps, ${result.violations.length} violations`)
--- a/packages/soak/src/node/rateLimitChecker.ts
+++ b/packages/soak/src/node/rateLimitChecker.ts
@@ -20,6 +20,8 @@
   readonly node: string
   /** Whether the VM had passed on a response with a limit before. */
   readonly isInformed: boolean
+  /** How long after the caller had sent it, in milliseconds. */
+  readonly delayMs: number
 }
 
 /** What one worker got in the busiest window in which its limit applied. */
@@ -41,9 +43,9 @@
   constructor (private readonly id: string) {}
 
   /** @returns the description of what arrived if it exceeds the limit */
-  recordArrival (node: string, at: Instant): string | undefined {
+  recordArrival (node: string, at: Instant, sentAt: Instant): string | undefined {
     this.arrivals = this.arrivals.filter((arrival) => arrival.at > at - LIMIT_WINDOW_MS)
-    this.arrivals.push({ at, node, isInformed: this.informedNodes.has(node) })
+    this.arrivals.push({ at, node, isInformed: this.informedNodes.has(node), delayMs: at - sentAt })
     const perSecond = this.findLimit(at)
     if (perSecond === undefined) return undefined
     const counted = this.arrivals.filter(({ isInformed }) => isInformed)
@@ -51,7 +53,7 @@
     if (this.maximum === undefined || counted.length / allowed > this.maximum.requests / this.maximum.allowed) {
       this.maximum = { workerId: this.id, requests: counted.length, allowed, requestsByNode: countByNode(counted) }
     }
-    return counted.length > allowed ? `${counted.length} requests in ${LIMIT_WINDOW_MS} ms at a limit of ${perSecond} a second, allowed ${allowed}: ${JSON.stringify(countByNode(counted))}` : undefined
+    return counted.length > allowed ? `${counted.length} requests in ${LIMIT_WINDOW_MS} ms at a limit of ${perSecond} a second, allowed ${allowed}: ${JSON.stringify(countByNode(counted))}, the latest ${Math.round(Math.max(...counted.map(({ delayMs }) => delayMs)))} ms after its caller had sent it` : undefined
   }
 
   /** @returns the highest limit that may still be relied on; undefined if none applies */
@@ -98,10 +100,11 @@
    * @param workerId the worker that a request arrived at
    * @param node the VM that sent it
    * @param at when it arrived
+   * @param sentAt when its caller sent it
    * @returns what exceeds the limit; undefined if nothing does
    */
-  recordArrival (workerId: string, node: string, at: Instant): string | undefined {
-    return this.workers.get(workerId)?.recordArrival(node, at)
+  recordArrival (workerId: string, node: string, at: Instant, sentAt = at): string | undefined {
+    return this.workers.get(workerId)?.recordArrival(node, at, sentAt)
   }
 
   /** @returns the busiest window of each worker */
--- a/packages/soak/src/node/soakCallers.ts
+++ b/packages/soak/src/node/soakCallers.ts
@@ -105,7 +105,7 @@
     const calls = Array.from({ length: PIPELINE_DEPTH }, () => {
       const id = `${this.createId()}-p`
       const path = `${prefix}${Math.floor(this.random.next() * OBJECT_COUNT)}`
-      this.checker.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: this.account.Name, priority })
+      this.checker.recordSent({ requestId: id, operationId: id, service, isIdempotent: true, path, method, bodyLength, entry, account: this.account.Name, priority, deadlineMs: DEADLINE_MS })
       return { id, path, key: path, deadlineMs: DEADLINE_MS, authorization: formatAuthorization(this.account) }
     })
     const caller = new PipelinedCaller(this.network.getConnectAddress(entry))
@@ -130,7 +130,7 @@
   private async send (kind: RequestKind, operationId: string, requestId: string, entry: string, leftMs: number): Promise<AnswerKind> {
     const { prefix, service, method, isIdempotent, bodyLength, priority } = kind
     const path = `${prefix}${Math.floor(this.random.next() * OBJECT_COUNT)}`
-    this.checker.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: this.account.Name, priority })
+    this.checker.recordSent({ requestId, operationId, service, isIdempotent, path, method, bodyLength, entry, account: this.account.Name, priority, deadlineMs: leftMs })
     const abort = new AbortController()
     const timer = this.clock.schedule(this.clock.now() + leftMs + DEADLINE_GRACE_MS, () => { abort.abort() })
     try {
--- a/packages/soak/src/node/soakChecker.ts
+++ b/packages/soak/src/node/soakChecker.ts
@@ -6,7 +6,7 @@
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import { AnswerKind, ExecutionEnd, HistoryEventKind } from '@umberspar/testing/common/history/historyEvent'
 import { HistoryChecker, type Violation, ViolationKind } from '@umberspar/testing/common/history/historyChecker'
-import { RETRY_BUDGET } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
+import { RETRY_BUDGET, ROUTE_TIMEOUT_MS } from '@umberspar/testing/node/standIns/usersPlatform/platformRecords'
 import { type Announcement, WorkerFault, type WorkerObserver, type WorkerRun } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
 import { MAX_REVOCATION_MS } from '../common/soakAccounts.js'
 import { SoakRule, type SoakViolation } from '../common/soakRule.js'
@@ -29,6 +29,8 @@
   readonly entry: string
   /** The client account of its API key; undefined if it has none. */
   readonly account?: string
+  /** How long the caller waits, in milliseconds. */
+  readonly deadlineMs?: number
   /** The route's priority; undefined if its share is not checked. */
   readonly priority?: number
 }
@@ -257,7 +259,7 @@
   }
 
   private checkRateLimit (workerId: string, attempt: AttemptRecord | undefined): void {
-    const detail = attempt === undefined ? undefined : this.rateLimitChecker.recordArrival(workerId, attempt.entry, this.clock.now())
+    const detail = attempt === undefined ? undefined : this.rateLimitChecker.recordArrival(workerId, attempt.entry, this.clock.now(), attempt.sentAt)
     if (detail !== undefined) this.report(SoakRule.RateLimitExceeded, workerId, detail)
   }
 
@@ -278,10 +280,11 @@
     this.violations.push({ rule: kind, at, subject, detail: detail + trace })
   }
 
-  /** A planned stop counts only if the run was stable; a request that crossed the close of its connection was not cut off. */
+  /** A planned stop counts only if the run was stable; a request that crossed the close of its connection, or had no time left, was not cut off. */
   private isCutOff (requestId: string, at: Instant): boolean {
     const attempt = this.attempts.get(requestId)
     if (attempt === undefined || attempt.sentAt < this.disruptions.getStableFrom()) return false
+    if (at - attempt.sentAt >= Math.min(ROUTE_TIMEOUT_MS, attempt.deadlineMs ?? Infinity)) return false
     return attempt.workers.size > 0 || at - attempt.sentAt > CLOSE_RACE_MS
   }
 }
--- a/packages/soak/src/node/soakEntries.ts
+++ b/packages/soak/src/node/soakEntries.ts
@@ -1,5 +1,5 @@
 /** The entry processes of a soak run: real programs, connected to their callers and to the store through relays. */
-import { writeFileSync } from 'node:fs'
+import { appendFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
@@ -36,6 +36,7 @@
    * @param storeLink relay from the entry VM to the store
    * @param store the listener of the store's stand-in that serves this VM alone
    * @param checker receives a report if the process exits unexpectedly
+   * @param logs existing folder for the log of the process; undefined to discard it
    */
   constructor (
     settings: EntrySettings,
@@ -44,7 +45,8 @@
     readonly callerLinkAddress: string,
     readonly storeLink: TcpRelay,
     readonly store: RecordStoreListener,
-    private readonly checker: SoakChecker
+    private readonly checker: SoakChecker,
+    private readonly logs: string | undefined
   ) {
     super(settings, (node, detail) => { checker.report(SoakRule.EntryExited, node, detail) })
   }
@@ -52,7 +54,7 @@
   protected override spawn (): ChildProgram {
     this.writeSettings()
     for (const address of [this.settings.listen.callers, this.callerLinkAddress]) this.checker.recordEntryStart(address)
-    return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD, EXCHANGE_PRELOAD, WORKER_LINK_PRELOAD], readsOutput: true })
+    return spawnEntry(this.settingsFile, { preloads: [ENTRY_PRELOAD, EXCHANGE_PRELOAD, WORKER_LINK_PRELOAD], readsOutput: true, onOutput: (text) => { this.keepLog(text) } })
   }
 
   /** Writes settings with a change that a running process can apply, and sends it SIGHUP to reload them. */
@@ -78,6 +80,10 @@
     this.program?.send({ exchangeLoss: loss })
   }
 
+  private keepLog (text: string): void {
+    if (this.logs !== undefined) appendFileSync(join(this.logs, `${this.settings.node}.log`), text)
+  }
+
   private writeSettings (): void {
     const logLevel = this.settingsChanges % 2 === 0 ? LogLevel.Info : LogLevel.Warn
     writeFileSync(this.settingsFile, JSON.stringify({ ...this.settings, logLevel }))
@@ -94,12 +100,14 @@
    * @param folder folder for the settings files
    * @param checker receives a report of each process that exits unexpectedly
    * @param clock clock for waiting
+   * @param logs existing folder for the logs of the processes; undefined to discard them
    */
   constructor (
     private readonly records: PlatformRecords,
     private readonly folder: string,
     private readonly checker: SoakChecker,
-    private readonly clock: IClock
+    private readonly clock: IClock,
+    private readonly logs?: string
   ) {}
 
   /** Starts the given number of processes, distributed evenly over the failure domains, and waits until all are ready. */
@@ -131,6 +139,6 @@
     const callerLink = this.closing.add(new TcpRelay(addresses.callers))
     const seeds = this.list.slice(0, 3).map(({ settings }) => settings.listen.peers)
     const settings = { ...this.records.createSettings(node, domain, addresses, seeds), maxShift: MAX_SHIFT, rateTolerance: RATE_TOLERANCE }
-    return new SoakEntry(settings, join(this.folder, `${node}.json`), callerLink, await callerLink.start(), storeLink, store, this.checker)
+    return new SoakEntry(settings, join(this.folder, `${node}.json`), callerLink, await callerLink.start(), storeLink, store, this.checker, this.logs)
   }
 }
--- a/packages/soak/src/node/soakRun.ts
+++ b/packages/soak/src/node/soakRun.ts
@@ -31,6 +31,8 @@
   readonly processes: number
   /** Requests per second of all callers together. */
   readonly rate: number
+  /** Existing folder for the logs of the entry processes; undefined to discard them. */
+  readonly logs?: string | undefined
 }
 
 /** The result of a run. */
@@ -81,7 +83,7 @@
     this.plan = planSoak(options.seed, options.seconds)
     this.closing.add(this.records.store)
     this.workers = this.closing.add(new SoakWorkers(this.records, this.checker, this.clock, this.random))
-    this.entries = this.closing.add(new SoakEntries(this.records, this.folder, this.checker, this.clock))
+    this.entries = this.closing.add(new SoakEntries(this.records, this.folder, this.checker, this.clock, options.logs))
     const { clock, disruptions, checker, records, entries, workers } = this
     const greedyCallers = this.createCallers(GREEDY_ACCOUNT, KINDS.slice(0, 1), this.options.seed * 100 + DOMAINS.length)
     this.environment = { clock, disruptions, checker, records, entries, workers, greedyCallers, domains: DOMAINS, services: SERVICES, paths: PATHS, phases: this.plan.phases, isRushing: false }
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -54,7 +54,9 @@
   readonly store: string
 }
 
-const PATH_DEFAULTS = { Kind: 'idempotent', Timeout: '2000ms', Goal: '500ms', Priority: 1, Attempts: 2, Sticky: true, HomeRegions: [] }
+/** The longest time for which the operator wants a request kept waiting, unless its path says otherwise. */
+export const ROUTE_TIMEOUT_MS = 2_000
+const PATH_DEFAULTS = { Kind: 'idempotent', Timeout: `${ROUTE_TIMEOUT_MS}ms`, Goal: '500ms', Priority: 1, Attempts: 2, Sticky: true, HomeRegions: [] }
 const ACCOUNT_DEFAULTS = { Priority: 1, RatePerS: 0, Burst: 0, HomeRegions: [] }
 /** The host of all routes of the stand-in. */
 export const PLATFORM_HOST = 'shop.example'
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,6 +1,7 @@
 /**
- * Runs all compiled test files of the workspace, or those whose path contains one of
- * the given words: `npm test -- steering/test/common/plan`. Succeeds if every failed
+ * Runs the compiled test files of the workspace, or those whose path contains one of
+ * the given words: `npm test -- steering/test/common/plan`. The seeded runs of real processes under faults,
+ * which take minutes, are left out unless a word names them; `--soak` runs only these. Succeeds if every failed
  * test is listed in KNOWN-RED.txt.
  */
 import { spawnSync } from 'node:child_process'
@@ -13,13 +14,16 @@
 import { matchesWords } from './testWords.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
-const words = process.argv.slice(2)
+const isSoak = process.argv[2] === '--soak'
+const words = process.argv.slice(isSoak ? 3 : 2)
+/** The seeded runs of real processes under faults. */
+const SOAK_RUN = /^packages\/soak\/.*Run\.test\.js$/
 const files = [
   ...globSync('packages/*/dist/test/**/*.test.js', { cwd: root }),
   ...globSync('platform/dist/test/**/*.test.js', { cwd: root }),
   ...globSync('scripts/test/**/*.test.mjs', { cwd: root })
 ]
-  .filter((file) => matchesWords(file, words))
+  .filter((file) => matchesWords(file, words) && (words.length > 0 && !isSoak ? true : SOAK_RUN.test(file) === isSoak))
   .sort()
 if (files.length === 0) {
   process.stderr.write(`no test file matches: ${words.join(' ')}\n`)
