Let recovery runs begin with VMs that have long been members of the fleet

VMs that have just joined spend no part of the allowances of cold workers, and the run kills all VMs 11 s after their start; it is about VMs that have been running for long. The harness writes their entries before they start.

--- a/packages/soak/src/node/recovery/recoveryRun.ts
+++ b/packages/soak/src/node/recovery/recoveryRun.ts
@@ -178,6 +178,8 @@
       const node = `entry-${index + 1}`
       const store = this.records.store.addListener()
       this.stores.push(store)
+      // The run is about VMs that have been running for long.
+      this.records.putMember(node, domains[index % domains.length]!)
       const seeds = this.entries.slice(0, 3).map(({ settings }) => settings.listen.peers)
       const settings = { ...this.records.createSettings(node, domains[index % domains.length]!, await findEntryAddresses(await store.listen()), seeds), ...DEPLOYMENT_BOUNDS }
       this.entries.push(this.closing.add(new LoggedEntry(settings, join(this.folder, `${node}.json`), this.options, (name, detail) => { this.exits.push(`${name}: ${detail}`) })))
