--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -55,6 +55,7 @@
     this.revision = 1
     this.lastLease = 70_000
     this.waiting = new Set()
+    this.views = []
     this.server = createHttpServer((request, response) => { this.accept(request, response) })
     this.timer = setInterval(() => { this.endLeases() }, 50)
   }
@@ -66,8 +67,26 @@
 
   close () {
     clearInterval(this.timer)
-    this.server.closeAllConnections()
-    this.server.close()
+    for (const server of [this.server, ...this.views.map((view) => view.server)]) {
+      server.closeAllConnections()
+      server.close()
+    }
+  }
+
+  /**
+   * Adds an address at which the store answers with other addresses of machines, and can be cut off.
+   * @param translate returns an item as it is seen there
+   */
+  async addView (translate) {
+    const view = { isCut: false, translate }
+    view.server = createHttpServer((request, response) => {
+      response.view = view
+      if (!view.isCut) this.accept(request, response)
+    })
+    await new Promise((resolve) => { view.server.listen(0, `${NETWORK}.1`, resolve) })
+    view.address = `${NETWORK}.1:${view.server.address().port}`
+    this.views.push(view)
+    return view
   }
 
   put (key, value, lease = 0) {
@@ -108,6 +127,11 @@
   }
 
   answer (response, status, body) {
+    const { view } = response
+    if (view?.isCut === true) return
+    if (view !== undefined) {
+      for (const name of ['items', 'events']) if (body[name] !== undefined) body[name] = body[name].map((item) => view.translate(item))
+    }
     const text = JSON.stringify(body)
     response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) })
     response.end(text)
@@ -401,6 +425,49 @@
   return port
 }
 
+/** Forwards connections to a machine, unless it is cut: then nothing passes, in either direction. */
+export class Link {
+  constructor (target) {
+    this.target = target
+    this.isCut = false
+    this.sockets = new Set()
+    this.server = createServer({ noDelay: true }, (socket) => { this.accept(socket) })
+  }
+
+  async listen () {
+    await new Promise((resolve) => { this.server.listen(0, `${NETWORK}.3`, resolve) })
+    this.address = `${NETWORK}.3:${this.server.address().port}`
+  }
+
+  accept (socket) {
+    const [host, port] = this.target.split(':')
+    const other = connect({ host, port: Number(port), noDelay: true })
+    for (const [from, to] of [[socket, other], [other, socket]]) {
+      this.sockets.add(from)
+      from.on('error', () => { to.destroy() })
+      from.on('close', () => {
+        this.sockets.delete(from)
+        to.destroy()
+      })
+      from.on('data', (chunk) => { to.write(chunk) })
+      if (this.isCut) from.pause()
+    }
+  }
+
+  setCut (isCut) {
+    this.isCut = isCut
+    for (const socket of this.sockets) {
+      if (isCut) socket.pause()
+      else socket.resume()
+    }
+  }
+
+  close () {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+}
+
 export class Machine {
   constructor (platform, name, zone, ip) {
     Object.assign(this, { platform, name, zone, ip })
@@ -411,9 +478,9 @@
 
   start () {
     const { platform, name, zone, ip, listen } = this
-    const seeds = platform.machines.slice(0, 3).map((machine) => machine.listen.Control)
+    const seeds = this.seeds ?? platform.machines.slice(0, 3).map((machine) => machine.listen.Control)
     const fields = {
-      NodeName: name, Role: 'entry', Class: 'front', Serves: ['front', 'control', 'directory'], Ip: ip, Zone: zone, Region: platform.zones[zone], Zones: platform.zones, Listen: listen, InternalPorts: [platform.ports.internal], Seeds: seeds, Bootstrap: true, Limits: { CpuShare: 0.54, Cores: 1, MemoryLimitMb: 350, MaxFds: 4100, LinkMbps: 1000.0, DiskMb: 0 }, Heartbeat: '1500ms', Bounds: BOUNDS, Platform: { Addr: platform.store.address, form: 'kv', WritesPerS: 400, ReadsPerS: 2000, History: '20s', ValueBytes: 1_048_576, TtlMin: '1000ms' }
+      NodeName: name, Role: 'entry', Class: 'front', Serves: ['front', 'control', 'directory'], Ip: ip, Zone: zone, Region: platform.zones[zone], Zones: platform.zones, Listen: listen, InternalPorts: [platform.ports.internal], Seeds: seeds, Bootstrap: true, Limits: { CpuShare: 0.54, Cores: 1, MemoryLimitMb: 350, MaxFds: 4100, LinkMbps: 1000.0, DiskMb: 0 }, Heartbeat: '1500ms', Bounds: BOUNDS, Platform: { Addr: this.storeAddress ?? platform.store.address, form: 'kv', WritesPerS: 400, ReadsPerS: 2000, History: '20s', ValueBytes: 1_048_576, TtlMin: '1000ms' }
     }
     const file = join(platform.scratch, `${name}.json`)
     writeFileSync(file, renderTemplate(TEMPLATE, fields))
