Reject responses whose head Node.js could not write

Cause: the parser of responses was less strict than the server that forwards them. http-parser-js passes on any value and name, skips malformed lines, and clears the highest bit of each byte. writeHead then throws: out of the callback at the end of the connection, which nothing catches, or inside the parser, after the exchange had been given up.

An invalid response closes its connection, counts against the worker and is retried where that is allowed.

--- a/packages/entry/src/node/upstream/responseParser.ts
+++ b/packages/entry/src/node/upstream/responseParser.ts
@@ -4,7 +4,9 @@
  * every response, so that a late response to an earlier request can be skipped and the
  * caller still gets the response to its own request.
  */
+import { validateHeaderValue } from 'node:http'
 import { HTTPParser } from 'http-parser-js'
+import { StrictParser } from './strictParser.js'
 
 /** The head of a response. */
 export interface ResponseHead {
@@ -25,39 +27,22 @@
   onEnd(): void
 }
 
-/** The parser's internal state, which the library's types do not declare. */
-interface ParserInternals {
-  state: string
-  line: string
-  isChunked: boolean
-  body_bytes: number | null
-  consumeLine(): string | undefined
-  BODY_CHUNKHEAD: () => void
+/** The first line of a response. */
+interface StatusLine {
+  readonly versionMajor: number
+  readonly statusCode: number
+  readonly statusMessage: string
 }
 
-/** A size in hexadecimal digits, with or without extensions. */
-const CHUNK_SIZE_LINE = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i
 const CONTENT_LENGTH = /^\d{1,15}$/
 const SKIP_BODY = 1
 const READ_BODY = 0
-const FIRST_FINAL_STATUS = 200
-
-/**
- * Creates a parser that rejects invalid chunk sizes. The library takes a chunk size that
- * is not a number for the last chunk, so that a corrupt response would look complete to its caller.
- */
-function createStrictParser (): InstanceType<typeof HTTPParser> {
-  const parser = new HTTPParser(HTTPParser.RESPONSE)
-  const internals = parser as unknown as ParserInternals
-  internals.BODY_CHUNKHEAD = () => {
-    const line = internals.consumeLine()
-    if (line === undefined) return
-    if (!CHUNK_SIZE_LINE.test(line)) throw new Error('invalid chunk size')
-    internals.body_bytes = Number.parseInt(line, 16)
-    internals.state = internals.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK'
-  }
-  return parser
-}
+const MIN_STATUS = 100
+/** Never valid, as no request asks for another protocol. */
+const SWITCHING_PROTOCOLS_STATUS = 101
+const MIN_FINAL_STATUS = 200
+const MAX_STATUS = 599
+const HTTP_MAJOR_VERSION = 1
 
 /** Throws if the header fields that delimit the body are invalid or contradict each other. */
 function checkFraming (rawHeaders: readonly string[]): void {
@@ -78,16 +63,24 @@
   if (lengths + transferCodings > 1) throw new Error('ambiguous body length')
 }
 
+/** Throws if the first line of a response is invalid. */
+function checkStatusLine ({ versionMajor, statusCode, statusMessage }: StatusLine): void {
+  if (versionMajor !== HTTP_MAJOR_VERSION) throw new Error('unknown protocol version')
+  if (statusCode < MIN_STATUS || statusCode > MAX_STATUS || statusCode === SWITCHING_PROTOCOLS_STATUS) throw new Error('invalid status')
+  validateHeaderValue('reason phrase', statusMessage)
+}
+
 /** Parses the consecutive responses of one connection. */
 export class ResponseParser {
-  private readonly parser = createStrictParser()
+  private readonly strictParser = new StrictParser()
   private isInterim = false
 
-  /** @param listener receives the responses; an error that it throws is returned by {@link ResponseParser.read} */
+  /** @param listener receives the responses; errors that it throws are returned by {@link ResponseParser.read} and {@link ResponseParser.finish} */
   constructor (private readonly listener: ResponseListener) {
-    this.parser[HTTPParser.kOnHeadersComplete] = (info) => this.handleHead(info)
-    this.parser[HTTPParser.kOnBody] = (chunk) => { this.listener.onBody(chunk) }
-    this.parser[HTTPParser.kOnMessageComplete] = () => {
+    const { parser } = this.strictParser
+    parser[HTTPParser.kOnHeadersComplete] = (info) => this.handleHead(info)
+    parser[HTTPParser.kOnBody] = (chunk) => { this.listener.onBody(chunk) }
+    parser[HTTPParser.kOnMessageComplete] = () => {
       if (this.isInterim) this.isInterim = false
       else this.listener.onEnd()
     }
@@ -95,7 +88,7 @@
 
   /** @returns whether no response is partially received, not even its first byte */
   get isBetweenResponses (): boolean {
-    const internals = this.parser as unknown as ParserInternals
+    const { internals } = this.strictParser
     return internals.state === 'RESPONSE_LINE' && internals.line === ''
   }
 
@@ -105,13 +98,7 @@
    * @returns an error if they are invalid
    */
   read (chunk: Buffer): Error | undefined {
-    try {
-      const result = this.parser.execute(chunk)
-      return result instanceof Error ? result : undefined
-    } catch (thrown) {
-      // The library rethrows errors of the listener, which rejected the response.
-      return thrown instanceof Error ? thrown : new Error(String(thrown))
-    }
+    return this.runParser(() => this.strictParser.parser.execute(chunk))
   }
 
   /**
@@ -119,16 +106,27 @@
    * @returns an error if it truncates a response
    */
   finish (): Error | undefined {
-    return this.parser.finish() ?? undefined
+    return this.runParser(() => this.strictParser.parser.finish())
+  }
+
+  /** @returns the error that parsing returned or threw; the library rethrows errors of the listener, which rejected the response */
+  private runParser (parse: () => unknown): Error | undefined {
+    try {
+      const result = parse()
+      return result instanceof Error ? result : undefined
+    } catch (thrown) {
+      return thrown instanceof Error ? thrown : new Error(String(thrown))
+    }
   }
 
-  private handleHead (info: { statusCode: number, headers: string[], shouldKeepAlive: boolean }): number {
-    if (info.statusCode < FIRST_FINAL_STATUS) {
+  private handleHead (info: StatusLine & { headers: string[], shouldKeepAlive: boolean }): number {
+    checkStatusLine(info)
+    if (info.statusCode < MIN_FINAL_STATUS) {
       this.isInterim = true
       return SKIP_BODY
     }
     checkFraming(info.headers)
-    const internals = this.parser as unknown as ParserInternals
+    const { internals } = this.strictParser
     const isCloseDelimited = internals.body_bytes === null && !internals.isChunked
     const head = { status: info.statusCode, rawHeaders: info.headers, isCloseDelimited, keepsAlive: info.shouldKeepAlive }
     return this.listener.onHead(head) ? SKIP_BODY : READ_BODY
--- a/packages/soak/src/common/soakPlan.ts
+++ b/packages/soak/src/common/soakPlan.ts
@@ -52,7 +52,9 @@
   /** A service slows down and an account sends many times its usual requests to it, for some seconds more than the step's duration. */
   Rush = 'rush',
   /** A worker announces a rate limit, for some seconds more than the step's duration; `variant` selects the limit. */
-  WorkerRateLimit = 'worker-rate-limit'
+  WorkerRateLimit = 'worker-rate-limit',
+  /** Makes a worker send invalid responses for the step's duration; `variant` selects how. */
+  WorkerInvalidResponse = 'worker-invalid-response'
 }
 
 /** A step of the plan. */
@@ -97,7 +99,8 @@
   { kinds: [SoakStepKind.WorkersUnreachable], seedOffset: 4_000_003, gapMs: 6_000 },
   { kinds: [SoakStepKind.ExchangeLoss], seedOffset: 5_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 3_000 },
   { kinds: [SoakStepKind.Rush], seedOffset: 6_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 6_000, isPlannedToo: true },
-  { kinds: [SoakStepKind.WorkerRateLimit], seedOffset: 8_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 4_000, isPlannedToo: true }
+  { kinds: [SoakStepKind.WorkerRateLimit], seedOffset: 8_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 4_000, isPlannedToo: true },
+  { kinds: [SoakStepKind.WorkerInvalidResponse], seedOffset: 9_000_003, skippedDraws: SKIPPED_DRAWS, gapMs: 3_000 }
 ]
 const MIXED_KINDS = Object.values(SoakStepKind).filter((kind) => !LATER_STREAMS.some(({ kinds }) => kinds.includes(kind)))
 
--- a/packages/soak/src/node/soakSteps.ts
+++ b/packages/soak/src/node/soakSteps.ts
@@ -8,6 +8,7 @@
 import { waitFor } from '@umberspar/testing/node/waiting'
 import { type SoakPhase, type SoakStep, SoakStepKind } from '../common/soakPlan.js'
 import type { DisruptionTracker } from './disruptionTracker.js'
+import { FOREIGN_REGISTRATIONS, INVALID_RESPONSES, LINK_FAULTS, STORE_FAULTS, WORKER_FAULTS, WORKER_LINK_FAULTS } from './faultLists.js'
 import type { SoakCallers } from './soakCallers.js'
 import type { SoakEntries, SoakEntry } from './soakEntries.js'
 import type { SoakChecker } from './soakChecker.js'
@@ -43,10 +44,6 @@
 
 type StepHandler = (environment: SoakEnvironment, step: SoakStep) => Promise<boolean>
 
-const STORE_FAULTS = [StoreFault.Busy, StoreFault.TooMany, StoreFault.Reset, StoreFault.Silent, StoreFault.AnswerLost]
-const LINK_FAULTS = [LinkFault.Delay, LinkFault.Reset, LinkFault.CutThere, LinkFault.CutBack, LinkFault.Silence]
-const WORKER_LINK_FAULTS = Object.values(WorkerLinkFault).filter((fault) => fault !== WorkerLinkFault.None)
-const WORKER_FAULTS = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None)
 /** Time from a worker's announcement until its end. It must serve for at least 2.5 s. */
 const DRAIN_MS = 3_500
 /** How much longer a worker serves whose drain the store does not know of, so that late requests are detected. */
@@ -64,8 +61,6 @@
 const AFFECTED_ENTRY_RATIO = 0.4
 /** Offset by which the wall clock is shifted, forwards or backwards. */
 const CLOCK_STEP_MS = 3_600_000
-/** Texts that a foreign writer might store in place of a registration. */
-const FOREIGN_REGISTRATIONS = ['', 'not JSON', '[]', 'null', '{"Service":"archive"}', '{"Service":7,"Addr":"127.0.0.1:1","Zone":"north-1","Slots":-1,"State":"ready"}']
 /** Number of possible names of added routes; large enough that most changes add a new name. */
 const ADDED_ROUTE_NAMES = 1_000
 /** Steps with at least this `target` write a large configuration, which fills the buffers of the connections that transfer it. */
@@ -95,6 +90,18 @@
   }
 }
 
+/** Makes a worker misbehave in one of the given ways. */
+async function runWorkerFault (environment: SoakEnvironment, step: SoakStep, faults: readonly WorkerFault[]): Promise<boolean> {
+  return await runDisruption(environment, async () => {
+    const faulty = chooseWorker(environment, step)
+    if (faulty === undefined) return false
+    faulty.worker.fault = chooseAt(faults, step.variant)!
+    await waitFor(environment.clock, step.spanMs)
+    faulty.worker.fault = WorkerFault.None
+    return true
+  })
+}
+
 function chooseEntry ({ entries }: SoakEnvironment, { target }: SoakStep): SoakEntry {
   return chooseAt(entries.list, target)!
 }
@@ -179,14 +186,8 @@
     await environment.workers.add(ended.service, ended.domain, true)
     return true
   }),
-  [SoakStepKind.WorkerFault]: async (environment, step) => await runDisruption(environment, async () => {
-    const faulty = chooseWorker(environment, step)
-    if (faulty === undefined) return false
-    faulty.worker.fault = chooseAt(WORKER_FAULTS, step.variant)!
-    await waitFor(environment.clock, step.spanMs)
-    faulty.worker.fault = WorkerFault.None
-    return true
-  }),
+  [SoakStepKind.WorkerFault]: async (environment, step) => await runWorkerFault(environment, step, WORKER_FAULTS),
+  [SoakStepKind.WorkerInvalidResponse]: async (environment, step) => await runWorkerFault(environment, step, INVALID_RESPONSES),
   [SoakStepKind.StoreFault]: async (environment, step) => await runDisruption(environment, async () => {
     const affected = step.target > ALL_ENTRIES_MIN_TARGET ? environment.entries.list : chooseSomeEntries(environment, step)
     for (const { store } of affected) store.setFault(chooseAt(STORE_FAULTS, step.variant)!)
--- a/packages/soak/test/common/soakPlan.test.ts
+++ b/packages/soak/test/common/soakPlan.test.ts
@@ -30,7 +30,7 @@
   })
 
   it('plans the steps of a recorded seed again, beside those of kinds that came later', () => {
-    const steps = planSoak(3, 60).steps.filter(({ kind }) => ![SoakStepKind.Rush, SoakStepKind.ExchangeLoss, SoakStepKind.WorkerRateLimit].includes(kind))
+    const steps = planSoak(3, 60).steps.filter(({ kind }) => ![SoakStepKind.Rush, SoakStepKind.ExchangeLoss, SoakStepKind.WorkerRateLimit, SoakStepKind.WorkerInvalidResponse].includes(kind))
     assert.equal(createHash('sha256').update(JSON.stringify(steps)).digest('hex').slice(0, 16), 'e39d56dc57daba8e')
   })
 
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -24,6 +24,12 @@
   Rot = 'rot',
   /** Ends the answer too early. */
   Short = 'short',
+  /** Sends a control character in the value of a header field. */
+  InvalidField = 'invalid-field',
+  /** The same, in a response that ends with its connection as it has no length. */
+  InvalidFieldUnframed = 'invalid-field-unframed',
+  /** Sends a header field whose name is no token. */
+  InvalidFieldName = 'invalid-field-name',
   /** A success without the worker's seal. */
   Unsealed = 'unsealed',
   /** Never answers. */
@@ -65,6 +71,7 @@
 
 const HEAD_END = '\r\n\r\n'
 const MS_PER_SECOND = 1_000
+const LENGTH_LINE = /content-length: *\d+\r\n/i
 const LENGTH = /^content-length: *(\d+)/im
 
 function getField (head: string, name: string): string {
@@ -268,6 +275,11 @@
   },
   [WorkerFault.Rot]: (_worker, socket) => { socket.end('\u0001\u0002 no answer at all\r\n\r\n') },
   [WorkerFault.Short]: (worker, socket, requestId) => { socket.end(worker.format(200, requestId, worker.buildBody(requestId), []).slice(0, -3)) },
+  [WorkerFault.InvalidField]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b'])) },
+  [WorkerFault.InvalidFieldUnframed]: (worker, socket, requestId) => {
+    socket.end(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b']).replace(LENGTH_LINE, ''))
+  },
+  [WorkerFault.InvalidFieldName]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-(Trace): a'])) },
   [WorkerFault.Unsealed]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [], false)) },
   [WorkerFault.Silent]: () => {}
 }
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -27,6 +27,10 @@
   { fault: WorkerFault.LateExtra, safeStatus: 200, safeRuns: 1, unsafeStatus: 200, unsafeRuns: 1 },
   { fault: WorkerFault.Rot, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
   { fault: WorkerFault.Short, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
+  // Guards against processes that end, and callers without any answer, when a response can't be forwarded.
+  { fault: WorkerFault.InvalidField, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
+  { fault: WorkerFault.InvalidFieldUnframed, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
+  { fault: WorkerFault.InvalidFieldName, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 },
   { fault: WorkerFault.Unsealed, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 }
 ]
 
