Limit each part of a response that is read by lines

Cause: http-parser-js buffers lines of any length, counts neither chunk lines nor trailers, and starts its limit of heads over with each interim response.

Evidence: the eleven cases of responseParser fail before; with a heap of 160 MB the third of eight cases of workerFaults (interim responses) ends the process of the test before. All pass now, and callers get 502 at once.

Why it works: all lines pass through one function, which counts their bytes by the part of the response. Exceeding a limit is an invalid response, so that its connection closes, the worker's failure is recorded and the request is retried where that is allowed.

--- a/packages/entry/src/node/upstream/responseParser.ts
+++ b/packages/entry/src/node/upstream/responseParser.ts
@@ -81,8 +81,12 @@
     parser[HTTPParser.kOnHeadersComplete] = (info) => this.handleHead(info)
     parser[HTTPParser.kOnBody] = (chunk) => { this.listener.onBody(chunk) }
     parser[HTTPParser.kOnMessageComplete] = () => {
-      if (this.isInterim) this.isInterim = false
-      else this.listener.onEnd()
+      if (this.isInterim) {
+        this.isInterim = false
+        return
+      }
+      this.strictParser.resetLimits()
+      this.listener.onEnd()
     }
   }
 
--- a/packages/entry/test/node/upstream/responseParser.test.ts
+++ b/packages/entry/test/node/upstream/responseParser.test.ts
@@ -53,7 +53,43 @@
   'an invalid trailer': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Id: a\u0001\r\n\r\n'
 }
 
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+/** The beginning of a response, and the part of it that repeats without end. */
+const ENDLESS: Readonly<Record<string, readonly [beginning: string, part: string]>> = {
+  'a status line': ['HTTP/1.1 200 ', 'O'],
+  'empty lines before a response': ['', '\r\n'],
+  'a header field': ['HTTP/1.1 200 OK\r\nX-Id: ', 'a'],
+  'many header fields': ['HTTP/1.1 200 OK\r\n', 'X-Id: a\r\n'],
+  'interim responses': ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  'an interim response': ['HTTP/1.1 103 Early Hints\r\n', 'X-Id: a\r\n'],
+  'a chunk line': [`${CHUNKED}2;`, 'a'],
+  'chunk extensions': [CHUNKED, `1;${'a'.repeat(1_000)}\r\nb\r\n`],
+  'the end of a chunk': [`${CHUNKED}2\r\nab`, 'a'],
+  'a trailer field': [`${CHUNKED}0\r\nX-Id: `, 'a'],
+  'many trailer fields': [`${CHUNKED}0\r\n`, 'X-Id: a\r\n']
+}
+/** More than the parser reads of any part but the body. */
+const MAX_ENDLESS_BYTES = 131_072
+
 describe('ResponseParser', () => {
+  for (const [what, [beginning, part]] of Object.entries(ENDLESS)) {
+    it(`rejects ${what} without end`, () => {
+      const bytes = beginning + part.repeat(Math.ceil(MAX_ENDLESS_BYTES / part.length))
+      for (const chunkLength of [1_024, 65_536]) {
+        const { ends, error } = parse(bytes, chunkLength)
+        assert.match(error?.message ?? '', /bytes$/)
+        assert.equal(ends, 0)
+      }
+    })
+  }
+
+  it('limits each response by itself', () => {
+    const head = `HTTP/1.1 200 OK\r\nX-Id: ${'a'.repeat(40_000)}\r\nTransfer-Encoding: chunked\r\n\r\n`
+    const { ends, error } = parse(`${head}1;${'b'.repeat(4_000)}\r\nb\r\n0\r\nX-Id: ${'a'.repeat(10_000)}\r\n\r\n`.repeat(10), 1_024)
+    assert.equal(error, undefined)
+    assert.equal(ends, 10)
+  })
+
   for (const [what, bytes] of Object.entries(INVALID)) {
     it(`rejects ${what}`, () => {
       for (const chunkLength of [bytes.length, 1]) {
--- a/packages/soak/src/node/faultLists.ts
+++ b/packages/soak/src/node/faultLists.ts
@@ -5,7 +5,19 @@
 import { WorkerLinkFault } from '@umberspar/testing/node/standIns/usersPlatform/workerLink'
 
 /** Responses that can't be forwarded. */
-export const INVALID_RESPONSES: readonly WorkerFault[] = [WorkerFault.InvalidField, WorkerFault.InvalidFieldUnframed, WorkerFault.InvalidFieldName]
+export const INVALID_RESPONSES: readonly WorkerFault[] = [
+  WorkerFault.InvalidField,
+  WorkerFault.InvalidFieldUnframed,
+  WorkerFault.InvalidFieldName,
+  WorkerFault.EndlessStatusLine,
+  WorkerFault.EndlessHead,
+  WorkerFault.EndlessInterimResponses,
+  WorkerFault.EndlessChunkLine,
+  WorkerFault.EndlessChunkExtensions,
+  WorkerFault.EndlessChunkEnd,
+  WorkerFault.EndlessTrailer,
+  WorkerFault.EndlessTrailers
+]
 /** All other faults of workers. */
 export const WORKER_FAULTS: readonly WorkerFault[] = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None && !INVALID_RESPONSES.includes(fault))
 /** Texts that a foreign writer might store in place of a registration. */
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -5,36 +5,10 @@
  */
 import { createServer, type Server, type Socket } from 'node:net'
 import type { IClosable } from '@umberspar/base/common/closing'
-import { resetSocket } from '../../resetSocket.js'
+import { ANSWERS } from './workerAnswers.js'
+import { WorkerFault } from './workerFault.js'
 
-/** How a worker answers. */
-export enum WorkerFault {
-  None = 'none',
-  /** Refuses the request without running it. */
-  Shed = 'shed',
-  /** Runs and resets the connection. */
-  AnswerLost = 'answer-lost',
-  /** Runs and answers 500. */
-  Fail = 'fail',
-  /** Sends a second answer after the first. */
-  Extra = 'extra',
-  /** Sends an answer to an earlier request first. */
-  LateExtra = 'late-extra',
-  /** Sends bytes that are not a response. */
-  Rot = 'rot',
-  /** Ends the answer too early. */
-  Short = 'short',
-  /** Sends a control character in the value of a header field. */
-  InvalidField = 'invalid-field',
-  /** The same, in a response that ends with its connection as it has no length. */
-  InvalidFieldUnframed = 'invalid-field-unframed',
-  /** Sends a header field whose name is no token. */
-  InvalidFieldName = 'invalid-field-name',
-  /** A success without the worker's seal. */
-  Unsealed = 'unsealed',
-  /** Never answers. */
-  Silent = 'silent'
-}
+export { WorkerFault } from './workerFault.js'
 
 /** One run of a request. */
 export interface WorkerRun {
@@ -71,7 +45,6 @@
 
 const HEAD_END = '\r\n\r\n'
 const MS_PER_SECOND = 1_000
-const LENGTH_LINE = /content-length: *\d+\r\n/i
 const LENGTH = /^content-length: *(\d+)/im
 
 function getField (head: string, name: string): string {
@@ -117,6 +90,8 @@
   cancelled = 0
   /** Requests that it responded to, including faulty responses. */
   answered = 0
+  /** Bytes of responses without end that the operating system took. */
+  endlessBytes = 0
 
   /**
    * @param id its id, new with each start
@@ -259,27 +234,3 @@
     return `${lines.join('\r\n')}${HEAD_END}${body}`
   }
 }
-
-type Answer = (worker: PlatformWorkerStandIn, socket: Socket, requestId: string) => void
-
-const ANSWERS: Readonly<Record<WorkerFault, Answer>> = {
-  [WorkerFault.None]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [])) },
-  [WorkerFault.Shed]: (worker, socket, requestId) => { socket.write(worker.formatRefusal(requestId)) },
-  [WorkerFault.AnswerLost]: (_worker, socket) => { resetSocket(socket) },
-  [WorkerFault.Fail]: (worker, socket, requestId) => { socket.write(worker.format(500, requestId, 'failed', [])) },
-  [WorkerFault.Extra]: (worker, socket, requestId) => {
-    socket.write(worker.format(200, requestId, worker.buildBody(requestId), []) + worker.format(200, requestId, 'a second answer', []))
-  },
-  [WorkerFault.LateExtra]: (worker, socket, requestId) => {
-    socket.write(worker.format(200, 'an-earlier-request', 'an answer to another', []) + worker.format(200, requestId, worker.buildBody(requestId), []))
-  },
-  [WorkerFault.Rot]: (_worker, socket) => { socket.end('\u0001\u0002 no answer at all\r\n\r\n') },
-  [WorkerFault.Short]: (worker, socket, requestId) => { socket.end(worker.format(200, requestId, worker.buildBody(requestId), []).slice(0, -3)) },
-  [WorkerFault.InvalidField]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b'])) },
-  [WorkerFault.InvalidFieldUnframed]: (worker, socket, requestId) => {
-    socket.end(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b']).replace(LENGTH_LINE, ''))
-  },
-  [WorkerFault.InvalidFieldName]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-(Trace): a'])) },
-  [WorkerFault.Unsealed]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [], false)) },
-  [WorkerFault.Silent]: () => {}
-}
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -34,6 +34,20 @@
   { fault: WorkerFault.Unsealed, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 }
 ]
 
+/** Responses of which a part has no end. */
+const ENDLESS_FAULTS = [
+  WorkerFault.EndlessStatusLine,
+  WorkerFault.EndlessHead,
+  WorkerFault.EndlessInterimResponses,
+  WorkerFault.EndlessChunkLine,
+  WorkerFault.EndlessChunkExtensions,
+  WorkerFault.EndlessChunkEnd,
+  WorkerFault.EndlessTrailer,
+  WorkerFault.EndlessTrailers
+]
+/** What the socket buffers of the operating system may take after the connection's other end has closed it. */
+const MAX_ENDLESS_BYTES = 16_000_000
+
 describe('faulty workers on the users\' platform', { timeout: 60_000 }, () => {
   let platform: LocalPlatform
   let entry: LocalEntry
@@ -91,6 +105,19 @@
     })
   }
 
+  for (const fault of ENDLESS_FAULTS) {
+    // Guards against processes that run out of memory when a worker's response never ends.
+    it(`gives up responses with the fault '${fault}'`, async () => {
+      setFault(fault)
+      const safe = await platform.call(entry, { path: '/safe/1', id: 'safe', key: '1' })
+      const unsafe = await platform.call(entry, { path: '/unsafe/1', method: 'POST', id: 'unsafe', key: '1' })
+      // Not 504, as after the time limit.
+      assert.deepEqual([safe.status, unsafe.status, countRuns()], [502, 502, 3])
+      const bytes = [...platform.workers.values()].map(({ endlessBytes }) => endlessBytes)
+      assert.ok(Math.max(...bytes) < MAX_ENDLESS_BYTES, String(bytes))
+    })
+  }
+
   it('has workers that answer what they run when they begin to refuse', async () => {
     // The soak's seed 132 showed an assignment that ran twice. The stand-in of the
     // workers had said "not run" of a request that it was running when its fault
