Bound the bodies that are collected before they are forwarded

Callers saw: 504 and no retry where a worker's refusal, failure or unsealed success has a body without end, and the process collected all of it.

Cause: a response is streamed from 256 kB on only if it is a success; any other was collected without a limit until the route's time limit, and a response to an earlier request was skipped without a limit.

Why it works: at 256 kB a response is either streamed, now also the failure of a request that can't be retried, or it ends its attempt and its connection, so that the request is retried where that is allowed. Skipped responses may take 1 MB. classifyResponse moves to a module of its own.

--- a/packages/entry/src/node/front/responseCollector.ts
+++ b/packages/entry/src/node/front/responseCollector.ts
@@ -21,6 +21,8 @@
   onComplete(response: BufferedResponse): void
   /** @returns whether this response may be streamed, that is, forwarded before it is complete */
   onStreamStart(head: ResponseHead): boolean
+  /** Called once if the response is too long to be buffered and may not be streamed; the rest of it is discarded. */
+  onTooLong(head: ResponseHead): void
   onStreamData(chunk: Buffer): void
   onStreamEnd(length: number): void
   /** @param isStreaming whether part of the response was already streamed */
@@ -29,34 +31,42 @@
 
 /** Collects one response. */
 export class ResponseCollector implements ExchangeListener {
-  private head: ResponseHead | undefined
+  /** Undefined until it has arrived. */
+  head: ResponseHead | undefined
   private body: Buffer[] = []
   private length = 0
   private isStreaming = false
+  private isTooLong = false
 
   /** @param listener receives the response */
   constructor (private readonly listener: ResponseListener) {}
 
-  /** @returns whether the head of the response has arrived */
-  get hasHead (): boolean {
-    return this.head !== undefined
-  }
-
   onHead (head: ResponseHead): void {
     this.head = head
   }
 
   onBody (chunk: Buffer): void {
+    if (this.isTooLong) return
     this.length += chunk.length
-    if (!this.isStreaming) this.body.push(chunk)
-    if (!this.isStreaming && this.length > MAX_BUFFERED_BYTES && this.listener.onStreamStart(this.head!)) {
-      this.isStreaming = true
-      for (const buffered of this.body) this.listener.onStreamData(buffered)
-      this.body = []
-    } else if (this.isStreaming) this.listener.onStreamData(chunk)
+    if (this.isStreaming) {
+      this.listener.onStreamData(chunk)
+      return
+    }
+    this.body.push(chunk)
+    if (this.length > MAX_BUFFERED_BYTES) this.stopBuffering()
+  }
+
+  private stopBuffering (): void {
+    const buffered = this.body
+    this.body = []
+    this.isStreaming = this.listener.onStreamStart(this.head!)
+    this.isTooLong = !this.isStreaming
+    if (this.isTooLong) this.listener.onTooLong(this.head!)
+    else for (const chunk of buffered) this.listener.onStreamData(chunk)
   }
 
   onEnd (): void {
+    if (this.isTooLong) return
     if (this.isStreaming) this.listener.onStreamEnd(this.length)
     else this.listener.onComplete({ head: this.head!, body: this.body, length: this.length })
   }
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -18,6 +18,7 @@
 import { getHeader } from '../upstream/rawHeaders.js'
 import { ExchangeFailure, UpstreamConnection } from '../upstream/upstreamConnection.js'
 import { OpenFailure } from '../upstream/upstreamPool.js'
+import { classifyResponse } from '../upstream/classifyResponse.js'
 import { createConnectDeadline } from '../upstream/connectSlack.js'
 import { ResponseCollector, type BufferedResponse } from './responseCollector.js'
 import { type AttemptListener, type AttemptResult, type IAttempt, OUTCOME_BY_FAILURE } from './attempt.js'
@@ -28,11 +29,6 @@
 const MIN_CONNECTIONS_PER_WORKER = 2
 /** Limit on the connections from one VM to a worker if the service sets none. */
 const DEFAULT_MAX_CONNECTIONS = 16
-/** From this status on, a response means that the worker failed the request. */
-const MIN_FAILURE_STATUS = 500
-const MIN_SUCCESS_STATUS = 200
-const MIN_REDIRECT_STATUS = 300
-
 /** Outcomes of attempts that the worker responded to. */
 const RESPONSE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Answered, AttemptOutcome.FailedByWorker, AttemptOutcome.RefusedByWorker])
 
@@ -100,7 +96,7 @@
 
   /** Ends the attempt without a response if its connection has been silent and the request may be repeated. */
   cancelSilent (): void {
-    if (this.isEnded || this.collector?.hasHead !== false || !isRetryable(this.request.route.kind)) return
+    if (this.isEnded || this.collector === undefined || this.collector.head !== undefined || !isRetryable(this.request.route.kind)) return
     this.end({ outcome: AttemptOutcome.ConnectionLost, isStreaming: false })
     this.connection?.cancel()
   }
@@ -171,6 +167,7 @@
       onStreamStart: (head) => this.handleStreamStart(head),
       onStreamData: (chunk) => { this.listener.onStreamData(chunk) },
       onStreamEnd: (length) => { this.handleStreamEnd(length) },
+      onTooLong: (head) => { this.handleTooLong(head) },
       onFailure: (failure, isStreaming) => { this.handleFailure(failure, isStreaming) }
     })
     const { message, body, requestId } = this.request
@@ -182,7 +179,7 @@
   }
 
   private handleStreamStart (head: ResponseHead): boolean {
-    if (this.isEnded || this.classifyResponse(head) !== AttemptOutcome.Answered) return false
+    if (this.isEnded || !this.isStreamable(classifyResponse(this.context.protocol, head))) return false
     this.report = this.readLoad(head)
     this.recordRateLimit(head)
     this.tracker.advisory.recordResponse(this.sentAt)
@@ -190,13 +187,28 @@
     return this.isStreaming
   }
 
+  /** A worker's failure is forwarded as it is if no other worker may be tried. */
+  private isStreamable (outcome: AttemptOutcome): boolean {
+    return outcome === AttemptOutcome.Answered || (outcome === AttemptOutcome.FailedByWorker && !isRetryable(this.request.route.kind))
+  }
+
   private handleStreamEnd (length: number): void {
-    this.recordOutcome(AttemptOutcome.Answered, length)
-    this.end({ outcome: AttemptOutcome.Answered })
+    const { head } = this.collector!
+    this.recordOutcome(classifyResponse(this.context.protocol, head!), length, head!.status)
+    this.end({ outcome: AttemptOutcome.Answered, status: head!.status })
+  }
+
+  /** A response that is no worker's success or failure is short; without an end, it would use up the memory. */
+  private handleTooLong (head: ResponseHead): void {
+    if (this.isEnded) return
+    const outcome = classifyResponse(this.context.protocol, head) === AttemptOutcome.FailedByWorker ? AttemptOutcome.FailedByWorker : AttemptOutcome.MalformedResponse
+    this.recordOutcome(outcome, 0, head.status)
+    this.end({ outcome, status: head.status })
+    this.connection?.cancel()
   }
 
   private handleResponse (response: BufferedResponse): void {
-    const outcome = this.classifyResponse(response.head)
+    const outcome = classifyResponse(this.context.protocol, response.head)
     // A response from another worker at this address says nothing about the chosen one.
     if (outcome !== AttemptOutcome.AddressReused) {
       this.recordLoad(response.head)
@@ -207,7 +219,7 @@
   }
 
   private handleFailure (failure: ExchangeFailure, isStreaming: boolean): void {
-    const isLostWhileIdle = failure === ExchangeFailure.Broken && this.idleMs !== undefined && this.collector?.hasHead === false
+    const isLostWhileIdle = failure === ExchangeFailure.Broken && this.idleMs !== undefined && this.collector?.head === undefined
     if (isLostWhileIdle) this.context.pools.idleLimit.recordReset(this.idleMs!, this.context.clock.now())
     if (failure !== ExchangeFailure.Cancelled) this.recordOutcome(OUTCOME_BY_FAILURE[failure], 0)
     if (failure === ExchangeFailure.Broken) {
@@ -216,16 +228,6 @@
     this.end({ outcome: OUTCOME_BY_FAILURE[failure], isStreaming })
   }
 
-  private classifyResponse (head: ResponseHead): AttemptOutcome {
-    const { headers, misdirectedRequestStatus } = this.context.protocol
-    if (head.status === misdirectedRequestStatus) return AttemptOutcome.AddressReused
-    if (getHeader(head.rawHeaders, headers.notRun) !== undefined) return AttemptOutcome.RefusedByWorker
-    const isSuccess = head.status >= MIN_SUCCESS_STATUS && head.status < MIN_REDIRECT_STATUS
-    // Successful responses of workers carry a seal; without one the response comes from elsewhere.
-    if (isSuccess && getHeader(head.rawHeaders, headers.seal) === undefined) return AttemptOutcome.MalformedResponse
-    return head.status >= MIN_FAILURE_STATUS ? AttemptOutcome.FailedByWorker : AttemptOutcome.Answered
-  }
-
   private recordLoad (head: ResponseHead): void {
     this.report = this.readLoad(head)
     if (this.report === undefined) return
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -111,6 +111,7 @@
       onStreamStart: (head) => this.handleStreamStart(head),
       onStreamData: (chunk) => { this.listener.onStreamData(chunk) },
       onStreamEnd: () => { this.end(AttemptOutcome.Answered) },
+      onTooLong: () => { this.handleTooLong() },
       onFailure: (failure) => { this.end(OUTCOME_BY_FAILURE[failure]) }
     })
     const { message, body, requestId } = this.request
@@ -126,6 +127,12 @@
     return this.isStreaming
   }
 
+  /** Only responses of workers are long; without an end, another one would use up the memory. */
+  private handleTooLong (): void {
+    this.end(AttemptOutcome.MalformedResponse)
+    this.connection?.cancel()
+  }
+
   private handleResponse (response: BufferedResponse): void {
     const outcome = OUTCOME_BY_RELAY_OUTCOME[this.readOutcome(response.head)]
     if (outcome === AttemptOutcome.RelayUnable) this.context.relayPeers.recordUnable(this.node, this.service)
--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -53,6 +53,8 @@
 const TIMEOUT_PARAMETER = /timeout\s*=\s*(\d+)/i
 /** The number of responses to other requests that are skipped before the connection is closed. */
 const MAX_SKIPPED_RESPONSES = 3
+/** Limit on the bodies of skipped responses together. */
+const MAX_SKIPPED_BYTES = 1_048_576
 
 interface Exchange {
   readonly request: UpstreamRequest
@@ -65,6 +67,7 @@
   private exchange: Exchange | undefined
   private isSkipping = false
   private skippedResponses = 0
+  private skippedBytes = 0
   private isReusable = true
   private idleLimitMs = DEFAULT_MAX_IDLE_MS
   /** Since when the connection has been idle; undefined if it has not been idle yet. */
@@ -86,7 +89,7 @@
   ) {
     this.parser = new ResponseParser({
       onHead: (head) => this.handleHead(head),
-      onBody: (chunk) => { if (!this.isSkipping) this.exchange?.listener.onBody(chunk) },
+      onBody: (chunk) => { this.handleBody(chunk) },
       onEnd: () => { this.handleEnd() }
     })
     socket.on('data', (chunk) => { this.handleData(chunk) })
@@ -172,6 +175,11 @@
     return exchange.request.isHead
   }
 
+  private handleBody (chunk: Buffer): void {
+    if (!this.isSkipping) this.exchange?.listener.onBody(chunk)
+    else if ((this.skippedBytes += chunk.length) > MAX_SKIPPED_BYTES) throw new Error('responses to other requests are too long')
+  }
+
   private updateReuse (head: ResponseHead): void {
     if (!head.keepsAlive || head.isCloseDelimited) this.isReusable = false
     const timeout = TIMEOUT_PARAMETER.exec(getHeader(head.rawHeaders, 'keep-alive') ?? '')
--- a/packages/soak/src/node/faultLists.ts
+++ b/packages/soak/src/node/faultLists.ts
@@ -16,7 +16,12 @@
   WorkerFault.EndlessChunkExtensions,
   WorkerFault.EndlessChunkEnd,
   WorkerFault.EndlessTrailer,
-  WorkerFault.EndlessTrailers
+  WorkerFault.EndlessTrailers,
+  WorkerFault.EndlessBody,
+  WorkerFault.EndlessFailure,
+  WorkerFault.EndlessRefusal,
+  WorkerFault.EndlessUnsealed,
+  WorkerFault.EndlessLateExtra
 ]
 /** All other faults of workers. */
 export const WORKER_FAULTS: readonly WorkerFault[] = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None && !INVALID_RESPONSES.includes(fault))
--- a/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/pipelinedCaller.ts
@@ -43,6 +43,7 @@
   private body: Buffer[] = []
   private head: { readonly status: number, readonly rawHeaders: readonly string[], readonly keepsAlive: boolean } | undefined
   readonly answers: PipelinedAnswer[] = []
+  receivedBytes = 0
   isEnded = false
   isReset = false
 
@@ -58,7 +59,10 @@
       onBody: (chunk) => { this.body.push(chunk) },
       onEnd: () => { this.recordAnswer() }
     })
-    this.socket.on('data', (chunk) => { this.parser.read(chunk) })
+    this.socket.on('data', (chunk) => {
+      this.receivedBytes += chunk.length
+      this.parser.read(chunk)
+    })
     this.socket.on('error', () => { this.isReset = true })
     this.socket.on('close', () => { this.isEnded = true })
   }
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -111,6 +111,11 @@
     return `127.0.0.1:${typeof address === 'object' ? address?.port : ''}`
   }
 
+  /** @returns the number of open connections */
+  get openSockets (): number {
+    return this.sockets.size
+  }
+
   /** Crashes: closes the listener and all connections. */
   private endAbruptly (): void {
     this.hasCrashed = true
--- a/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
@@ -6,6 +6,7 @@
 
 const LENGTH_LINE = /content-length: *\d+\r\n/i
 const ENDLESS_BLOCK_BYTES = 65_536
+const BODY_PART = 'body'
 
 /** Sends the beginning of a response, then a part of it again and again until the connection closes. */
 function writeEndless (worker: PlatformWorkerStandIn, socket: Socket, beginning: string, part: string): void {
@@ -19,6 +20,11 @@
   writeBlock()
 }
 
+/** @returns the head of a response whose body ends with its connection */
+function formatEndlessHead (worker: PlatformWorkerStandIn, status: number, requestId: string, fields: readonly string[], isSealed = true): string {
+  return worker.format(status, requestId, '', fields, isSealed).replace(LENGTH_LINE, '')
+}
+
 /** @returns the head of a response in chunks */
 function formatChunkedHead (worker: PlatformWorkerStandIn, requestId: string): string {
   return worker.format(200, requestId, '', ['Transfer-Encoding: chunked']).replace(LENGTH_LINE, '')
@@ -53,6 +59,11 @@
   [WorkerFault.EndlessChunkEnd]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}2\r\nab`, 'a') },
   [WorkerFault.EndlessTrailer]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}0\r\nX-Trace: `, 'a') },
   [WorkerFault.EndlessTrailers]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}0\r\n`, 'X-Trace: a\r\n') },
+  [WorkerFault.EndlessBody]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, requestId, []), BODY_PART) },
+  [WorkerFault.EndlessFailure]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 500, requestId, []), BODY_PART) },
+  [WorkerFault.EndlessRefusal]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 503, requestId, ['X-Umberspar-Not-Run: 1']), BODY_PART) },
+  [WorkerFault.EndlessUnsealed]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, requestId, [], false), BODY_PART) },
+  [WorkerFault.EndlessLateExtra]: (worker, socket) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, 'an-earlier-request', []), BODY_PART) },
   [WorkerFault.Unsealed]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [], false)) },
   [WorkerFault.Silent]: () => {}
 }
--- a/packages/testing/src/node/standIns/usersPlatform/workerFault.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerFault.ts
@@ -32,6 +32,12 @@
   EndlessChunkEnd = 'endless-chunk-end',
   EndlessTrailer = 'endless-trailer',
   EndlessTrailers = 'endless-trailers',
+  /** Sends a body without end: of a success, a failure, a refusal, a success without the seal, and an answer to an earlier request. */
+  EndlessBody = 'endless-body',
+  EndlessFailure = 'endless-failure',
+  EndlessRefusal = 'endless-refusal',
+  EndlessUnsealed = 'endless-unsealed',
+  EndlessLateExtra = 'endless-late-extra',
   /** A success without the worker's seal. */
   Unsealed = 'unsealed',
   /** Never answers. */
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
+import { PipelinedCaller } from '../../../src/node/standIns/usersPlatform/pipelinedCaller.js'
 import { WorkerFault } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
 
 const IDS = ['w-1', 'w-2', 'w-3']
@@ -43,7 +44,10 @@
   WorkerFault.EndlessChunkExtensions,
   WorkerFault.EndlessChunkEnd,
   WorkerFault.EndlessTrailer,
-  WorkerFault.EndlessTrailers
+  WorkerFault.EndlessTrailers,
+  WorkerFault.EndlessRefusal,
+  WorkerFault.EndlessUnsealed,
+  WorkerFault.EndlessLateExtra
 ]
 /** What the socket buffers of the operating system may take after the connection's other end has closed it. */
 const MAX_ENDLESS_BYTES = 16_000_000
@@ -118,6 +122,24 @@
     })
   }
 
+  it('retries elsewhere when a failure has no end', async () => {
+    // Guards against processes that run out of memory when a worker's failure never ends.
+    for (const id of ['w-1', 'w-2']) platform.workers.get(id)!.fault = WorkerFault.EndlessFailure
+    const answers = await Promise.all(['1', '2', '3', '4'].map((key) => platform.call(entry, { path: '/safe/1', id: `id-${key}`, key })))
+    assert.ok(answers.some(({ status }) => status === 200))
+    assert.ok(answers.every(({ status }) => status === 200 || status === 502))
+  })
+
+  it('passes on a success without end until its caller leaves', async () => {
+    setFault(WorkerFault.EndlessBody)
+    const caller = new PipelinedCaller(entry.settings.listen.callers)
+    caller.send([{ id: 'endless', path: '/safe/1', key: '1' }])
+    await platform.waitUntil(() => caller.receivedBytes > MAX_ENDLESS_BYTES)
+    caller.close()
+    await platform.waitUntil(() => [...platform.workers.values()].every(({ openSockets }) => openSockets === 0))
+    assert.equal(countRuns(), 1)
+  })
+
   it('has workers that answer what they run when they begin to refuse', async () => {
     // The soak's seed 132 showed an assignment that ran twice. The stand-in of the
     // workers had said "not run" of a request that it was running when its fault
