Close the input of a connection when a request on it is dropped

Cause: a stopping process drops a request while a response before it has not started, and expected that response to close the connection. If the last response had started before the stop, none did. Node.js sends nothing behind the response of the dropped request, so that later requests ran in vain.

Why it works: the drop itself closes the input, so that nothing later is started and the connection ends after the last accepted response.

--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -86,7 +86,11 @@
   accept (message: IncomingMessage, serverResponse: ServerResponse, relayOrigin?: RelayOrigin): void {
     const response = new CallerResponse(serverResponse, message.method === 'HEAD', () => this.shouldCloseAfter(exchange), relayOrigin !== undefined)
     const exchange: OrderedExchange = { message, response, arrivedAt: this.host.eventLoop.getEarliestArrival(this.lateConnection), isStarted: false, relayOrigin }
-    if (this.shouldReject()) return this.host.recordUnprocessed(exchange)
+    if (this.shouldReject()) {
+      // Node.js sends no response behind the missing one, so that nothing after this request could be answered.
+      this.isInputClosed = true
+      return this.host.recordUnprocessed(exchange)
+    }
     serverResponse.once('finish', () => { this.remove(exchange) })
     this.exchanges.push(exchange)
     this.startQueued()
