Accept requests during a stop only if they can be finished

Cause: two constant ratios of the grace period, 0.55 for accepting and 0.95 for the end of the process, that no time limit was compared with.

Why it works: the end of the process is known at the signal, and so is the time limit of a request when its route is found. What ends later is refused at once: 503, not run, Retry-After 0. The process ends 200 ms before the grace period.

--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -38,6 +38,8 @@
 const BODY_MEMORY_RETRY_AFTER_MS = 500
 /** `Retry-After` while the records are stale: other VMs may have newer ones, and this VM may have updated its own by then. */
 const STALE_RECORDS_RETRY_AFTER_MS = 300
+/** `Retry-After` while this process stops: other VMs take the request at once. */
+const STOPPING_RETRY_AFTER_MS = 0
 /** How long the rest of the body of a refused request may take to arrive. */
 const UNREAD_BODY_TIMEOUT_MS = 10_000
 /** For requests that state no deadline. */
@@ -52,7 +54,8 @@
 const RETRY_AFTER_MS_BY_REASON: Readonly<Partial<Record<EndReason, number>>> = {
   [EndReason.NoConfiguration]: UNCONFIGURED_RETRY_AFTER_MS,
   [EndReason.BodyMemoryExhausted]: BODY_MEMORY_RETRY_AFTER_MS,
-  [EndReason.RecordsStale]: STALE_RECORDS_RETRY_AFTER_MS
+  [EndReason.RecordsStale]: STALE_RECORDS_RETRY_AFTER_MS,
+  [EndReason.Stopping]: STOPPING_RETRY_AFTER_MS
 }
 
 const HEADERS_TOO_LARGE_CODE = 'HPE_HEADER_OVERFLOW'
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -1,5 +1,6 @@
 /** The services that the request handling of an entry process shares. */
 import type { IClock } from '@umberspar/base/common/clock'
+import type { Deadline } from '@umberspar/base/common/deadline'
 import type { IRandomSource } from '@umberspar/base/common/random'
 import type { ByteCosts } from '@umberspar/steering/common/entry/workers/chooseUpstream'
 import type { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
@@ -70,4 +71,6 @@
   getRecordsAge(): RecordsAge
   /** Whether the process is draining before it stops. */
   isDraining(): boolean
+  /** Whether the process ends later than a request whose deadline this is must be answered. */
+  canAnswer(deadline: Deadline): boolean
 }
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -16,6 +16,7 @@
   [EndReason.NoRoute]: { outcome: RequestOutcome.Invalid, status: 404, text: 'no route for this host and path' },
   [EndReason.KeyUnknown]: { outcome: RequestOutcome.Invalid, status: 401, text: 'no client account holds this key' },
   [EndReason.RecordsStale]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: the records of this entry VM are stale' },
+  [EndReason.Stopping]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: this entry VM stops before the request could be answered' },
   [EndReason.NoHomeRegion]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no region is a home of both the route and the client account' },
   [EndReason.QuotaExhausted]: { outcome: RequestOutcome.Refused, status: 429, text: 'not run: the client account has used its quota up' },
   [EndReason.QuotaUnknown]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: what is left of the account\'s quota cannot be told' },
--- a/packages/entry/src/node/stop/gracefulShutdown.ts
+++ b/packages/entry/src/node/stop/gracefulShutdown.ts
@@ -1,6 +1,6 @@
 /**
  * The graceful shutdown of an entry process: new callers are directed to other VMs first, requests
- * in flight are finished, and the process exits before the platform would kill it.
+ * in flight are finished, new ones are accepted as long as they can be finished, and the process exits before the platform would kill it.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
@@ -24,8 +24,10 @@
  * that name this VM for about a third of that period.
  */
 const ACCEPT_GRACE_RATIO = 0.55
-/** The share of the grace period after which the process ends even with requests in flight. */
-const EXIT_GRACE_RATIO = 0.95
+/** How long before the end of the grace period the process ends, even with requests in flight. */
+const EXIT_MARGIN_MS = 200
+/** From the deadline of a request until its response is sent: its worker may report that it reached the deadline. */
+const RESPONSE_MARGIN_MS = 200
 /** How often the state of the shutdown is checked. */
 const CHECK_INTERVAL_MS = 50
 /** After the listener is closed and no request has been in flight for this long, none is expected any more. */
@@ -47,7 +49,15 @@
   constructor (private readonly clock: IClock, graceMs: number, private readonly steps: ShutdownSteps) {
     const now = clock.now()
     this.acceptDeadline = now + graceMs * ACCEPT_GRACE_RATIO
-    this.exitDeadline = now + graceMs * EXIT_GRACE_RATIO
+    this.exitDeadline = now + graceMs - EXIT_MARGIN_MS
+  }
+
+  /**
+   * @param deadline when a request is answered at the latest
+   * @returns whether that is before the process ends
+   */
+  canAnswer (deadline: Deadline): boolean {
+    return deadline + RESPONSE_MARGIN_MS <= this.exitDeadline
   }
 
   /** Starts the shutdown, which ends the process. */
--- a/packages/entry/src/node/telemetry/requestOutcomes.ts
+++ b/packages/entry/src/node/telemetry/requestOutcomes.ts
@@ -28,6 +28,8 @@
   KeyUnknown = 'key-unknown',
   /** The records of this VM are too old to tell whether, and in which regions, the request may run. */
   RecordsStale = 'records-stale',
+  /** The process stops before the time limit of the request. */
+  Stopping = 'stopping',
   /** The route and the client account have no home region in common. */
   NoHomeRegion = 'no-home',
   /** The quota of the caller's client account is exhausted. */
--- /dev/null
+++ b/packages/entry/test/node/stop/gracefulShutdown.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { ManualClock } from '@umberspar/base/common/manualClock'
+import { GracefulShutdown } from '../../../src/node/stop/gracefulShutdown.js'
+
+const SEED = 20261204
+/** After its deadline, a request waits this long for the worker's report, as `ProxiedRequest` does. */
+const RESPONSE_SLACK_MS = 150
+
+interface Stop {
+  readonly shutdown: GracefulShutdown
+  readonly clock: ManualClock
+  /** When the process ended; undefined if it has not. */
+  endedAt?: number
+  inFlight: number
+}
+
+function startStop (graceMs: number): Stop {
+  const clock = new ManualClock(0)
+  const stop: Stop = {
+    clock,
+    inFlight: 0,
+    shutdown: new GracefulShutdown(clock, graceMs, {
+      startDraining: () => {},
+      closeIdle: () => {},
+      closeListener: () => {},
+      countInFlight: () => stop.inFlight,
+      end: () => { stop.endedAt = clock.now() }
+    })
+  }
+  stop.shutdown.start()
+  return stop
+}
+
+describe('GracefulShutdown', () => {
+  it('accepts only requests that can be answered before the process ends, and ends within the grace period', () => {
+    // Guards against requests that are accepted during a stop and cut off by its end.
+    const cases = fc.record({ graceMs: fc.integer({ min: 1_000, max: 30_000 }), arrivesAt: fc.integer({ min: 0, max: 30_000 }), limitMs: fc.integer({ min: 1, max: 30_000 }) })
+    fc.assert(fc.property(cases, ({ graceMs, arrivesAt, limitMs }) => {
+      const stop = startStop(graceMs)
+      stop.inFlight = 1
+      const answeredAt = arrivesAt + limitMs + RESPONSE_SLACK_MS
+      const isAccepted = stop.shutdown.canAnswer(arrivesAt + limitMs)
+      stop.clock.stepTo(answeredAt)
+      if (isAccepted) assert.equal(stop.endedAt, undefined)
+      stop.clock.stepTo(graceMs + answeredAt)
+      assert.ok(stop.endedAt !== undefined && stop.endedAt < graceMs)
+    }), { seed: SEED })
+  })
+
+  it('accepts a request whose limit is the longest that fits', () => {
+    const { shutdown } = startStop(6_000)
+    assert.equal(shutdown.canAnswer(5_600), true)
+    assert.equal(shutdown.canAnswer(5_601), false)
+  })
+})
