Start nothing behind an unfinished response during a stop

Responses are sent in the order of the requests, and a started response has no time limit, so that the second request could be answered by its worker and never be sent.

Why it works: while any response is incomplete, a stopping process drops what comes behind it and closes the input of the connection; callers send dropped requests again.

--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -117,17 +117,17 @@
 
   private shouldReject (): boolean {
     if (this.isClosing || this.isInputClosed) return true
-    return this.host.isDraining() && this.hasUnstartedResponse()
+    return this.shouldWait()
   }
 
-  /** Whether a running request has yet to start its response, after which a draining process closes the connection. */
-  private hasUnstartedResponse (): boolean {
-    return this.exchanges.some(({ isStarted, response }) => isStarted && !response.isStarted)
+  /** A draining process ends soon, and the end of a response that has started is not bounded by a time limit. */
+  private shouldWait (): boolean {
+    return this.host.isDraining() && this.countInFlight() > 0
   }
 
   private startQueued (): void {
     while (this.countInFlight() < MAX_IN_FLIGHT_REQUESTS && !this.isClosing) {
-      if (this.host.isDraining() && this.hasUnstartedResponse()) return
+      if (this.shouldWait()) return
       const next = this.exchanges.find(({ isStarted }) => !isStarted)
       if (next === undefined) return
       next.isStarted = true
--- a/packages/entry/test/node/front/callerConnection.test.ts
+++ b/packages/entry/test/node/front/callerConnection.test.ts
@@ -13,7 +13,9 @@
 const MAX_TURNS = 1_000
 
 /** What happens next on a connection. */
-type Command = 'send' | 'send-two' | 'answer-first' | 'answer-last' | 'stop'
+type Command = 'send' | 'send-two' | 'stream-first' | 'answer-first' | 'answer-last' | 'stop'
+
+const HEAD = { status: 200, rawHeaders: [], isCloseDelimited: false, keepsAlive: true }
 
 /** One connection with a caller that pipelines requests, and the exchanges that were started. */
 class Connection {
@@ -27,12 +29,18 @@
   readonly started: CallerExchange[] = []
   readonly answered = new Set<string>()
   readonly unprocessed: string[] = []
+  /** The targets of requests that were started during the stop, although one before them was not answered. */
+  readonly startedBehind: string[] = []
+  private readonly streams = new Set<CallerExchange>()
 
   constructor () {
     const host: ConnectionHost = {
       eventLoop: { getEarliestArrival: () => 0 } as unknown as EventLoopMonitor,
       isDraining: () => this.isDraining,
-      startExchange: (exchange) => { this.started.push(exchange) },
+      startExchange: (exchange) => {
+        if (this.isDraining && this.listOpen().length > 0) this.startedBehind.push(exchange.message.url ?? '')
+        this.started.push(exchange)
+      },
       recordUnprocessed: ({ message }) => { this.unprocessed.push(message.url ?? '') },
       removeConnection: () => {}
     }
@@ -64,6 +72,7 @@
   async run (command: Command): Promise<void> {
     if (command === 'stop') this.isDraining = true
     else if (command === 'answer-first') await this.answer(this.listOpen()[0])
+    else if (command === 'stream-first') this.startStream(this.listOpen()[0])
     else if (command === 'answer-last') await this.answer(this.listOpen().at(-1))
     else await this.send(command === 'send' ? 1 : 2)
   }
@@ -77,6 +86,7 @@
   /** Checks that no request is without an outcome. */
   check (): void {
     assert.deepEqual(this.listReceived(), this.started.map(({ message }) => message.url), 'each started request is answered whole, in the order of the requests')
+    assert.deepEqual(this.startedBehind, [], 'nothing is started behind a request that is not answered')
     const dropped = this.listDropped()
     assert.ok(dropped.length === 0 || this.isClosed, `the connection is open behind ${dropped.join(', ')}`)
   }
@@ -103,10 +113,20 @@
     const { message, response } = exchange
     this.answered.add(message.url!)
     const body = Buffer.from(`answer to ${message.url};`)
-    response.writeComplete({ status: 200, rawHeaders: [], isCloseDelimited: false, keepsAlive: true }, [], [body], body.length)
+    if (this.streams.has(exchange)) {
+      response.writeChunk(body)
+      response.finishStream()
+    } else response.writeComplete(HEAD, [], [body], body.length)
     await new Promise((resolve) => { setTimeout(resolve, WAIT_MS) })
   }
 
+  /** Starts a response whose length is known, as those of most workers. */
+  private startStream (exchange: CallerExchange | undefined): void {
+    if (exchange === undefined || this.streams.has(exchange)) return
+    this.streams.add(exchange)
+    exchange.response.startStream({ ...HEAD, rawHeaders: ['Content-Length', String(`answer to ${exchange.message.url};`.length)] }, [])
+  }
+
   private async waitUntil (isTrue: () => boolean): Promise<void> {
     // What does not happen is left to the checks.
     for (let turn = 0; turn < MAX_TURNS && !isTrue(); turn++) await new Promise((resolve) => { setTimeout(resolve, 1) })
@@ -130,8 +150,15 @@
     connection.check()
   })
 
+  it('starts nothing behind a response that is still being sent during a stop', async () => {
+    // Guards against requests that a long response keeps from being answered before the process ends.
+    for (const command of ['send', 'stream-first', 'stop', 'send'] as const) await connection.run(command)
+    await connection.finish()
+    connection.check()
+  })
+
   it('answers each request whole, or drops it and closes, whatever the order of requests, answers and the stop', async () => {
-    const command = fc.constantFrom<Command>('send', 'send', 'send-two', 'answer-first', 'answer-last', 'stop')
+    const command = fc.constantFrom<Command>('send', 'send', 'send-two', 'stream-first', 'answer-first', 'answer-last', 'stop')
     await fc.assert(fc.asyncProperty(fc.array(command, { maxLength: MAX_COMMANDS }), async (commands) => {
       const subject = new Connection()
       await subject.open()
