Hold bodies in tiny chunks in proportion to their length

Found by a test of the store's client against responses without end: a response of single bytes in chunks ended its process at a heap of 160 MB, although bodies are limited to 8 MB, as each chunk is an object of its own. Workers' responses and callers' bodies were held in the same way (262,144 objects for 256 kB).

Cause: limits count the bytes of a body, not what holds them.

Why it works: ByteCollector copies chunks below 1 kB into blocks of 4 kB, and keeps the first chunk and longer ones as they are.

--- a/packages/entry/src/node/front/bodyReader.ts
+++ b/packages/entry/src/node/front/bodyReader.ts
@@ -5,6 +5,7 @@
  * exhaust the memory of the process.
  */
 import type { IncomingMessage } from 'node:http'
+import { ByteCollector } from '@umberspar/base/node/byteCollector'
 
 /** Why a body could not be read. */
 export enum BodyFailure {
@@ -83,25 +84,24 @@
  * @param onSettled called once, with the body or the reason why it could not be read
  */
 export function readBody (request: IncomingMessage, maxBytes: number, memoryBudget: BodyMemoryBudget, onSettled: (result: RequestBody | BodyFailure) => void): void {
-  const chunks: Buffer[] = []
-  let length = 0
+  const chunks = new ByteCollector()
   let isSettled = false
   const settle = (result: RequestBody | BodyFailure): void => {
     if (isSettled) return
     isSettled = true
-    if (!(result instanceof RequestBody)) memoryBudget.release(length)
+    if (!(result instanceof RequestBody)) memoryBudget.release(chunks.length)
     onSettled(result)
   }
   request.on('data', (chunk: Buffer) => {
     if (isSettled) return
-    if (length + chunk.length > maxBytes) settle(BodyFailure.TooLarge)
+    if (chunks.length + chunk.length > maxBytes) settle(BodyFailure.TooLarge)
     else if (!memoryBudget.reserve(chunk.length)) settle(BodyFailure.MemoryExhausted)
-    else {
-      length += chunk.length
-      chunks.push(chunk)
-    }
+    else chunks.add(chunk)
+  })
+  request.on('end', () => {
+    const { length } = chunks
+    if (!isSettled) settle(new RequestBody(chunks.take(), length, memoryBudget))
   })
-  request.on('end', () => { settle(new RequestBody(chunks, length, memoryBudget)) })
   request.on('close', () => { settle(BodyFailure.CallerDisconnected) })
   request.on('error', () => { settle(BodyFailure.CallerDisconnected) })
 }
--- a/packages/entry/src/node/front/responseCollector.ts
+++ b/packages/entry/src/node/front/responseCollector.ts
@@ -3,6 +3,7 @@
  * a request whose response is cut short can still be retried or answered with an error. Longer
  * responses are streamed, as buffering them would use too much memory.
  */
+import { ByteCollector } from '@umberspar/base/node/byteCollector'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import { ExchangeFailure, type ExchangeListener } from '../upstream/upstreamConnection.js'
 
@@ -33,7 +34,7 @@
 export class ResponseCollector implements ExchangeListener {
   /** Undefined until it has arrived. */
   head: ResponseHead | undefined
-  private body: Buffer[] = []
+  private readonly body = new ByteCollector()
   private length = 0
   private isStreaming = false
   private isTooLong = false
@@ -52,13 +53,12 @@
       this.listener.onStreamData(chunk)
       return
     }
-    this.body.push(chunk)
+    this.body.add(chunk)
     if (this.length > MAX_BUFFERED_BYTES) this.stopBuffering()
   }
 
   private stopBuffering (): void {
-    const buffered = this.body
-    this.body = []
+    const buffered = this.body.take()
     this.isStreaming = this.listener.onStreamStart(this.head!)
     this.isTooLong = !this.isStreaming
     if (this.isTooLong) this.listener.onTooLong(this.head!)
@@ -68,7 +68,7 @@
   onEnd (): void {
     if (this.isTooLong) return
     if (this.isStreaming) this.listener.onStreamEnd(this.length)
-    else this.listener.onComplete({ head: this.head!, body: this.body, length: this.length })
+    else this.listener.onComplete({ head: this.head!, body: this.body.take(), length: this.length })
   }
 
   onFailure (failure: ExchangeFailure): void {
