Keep connections of a stopping daemon open until responses are sent

Cause: close and closeIdleConnections of the HTTP server of Node.js take a connection for idle once its response is written, sent or not.

Why it works: the listener counts responses that are not completely sent, stops listening without the HTTP server's close, and closes idle connections when no response is being sent.

--- a/packages/daemon/src/node/httpListener.ts
+++ b/packages/daemon/src/node/httpListener.ts
@@ -11,7 +11,7 @@
 import { toContextOptions } from '@umberspar/adapters/node/tls/tlsMaterial'
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
-import type { AddressInfo, Socket } from 'node:net'
+import { type AddressInfo, Server as NetServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { BodyProgress } from './listener/bodyProgress.js'
 import { ConnectionLimits } from './listener/connectionLimits.js'
@@ -46,6 +46,9 @@
   private readonly metrics: IMetrics
   /** Connections that are being closed after the response to a refused request. */
   private readonly refusedSockets = new WeakSet<Socket>()
+  /** How many responses of each connection are not completely sent; 0 for one that is idle. */
+  private readonly unsentResponses = new Map<Socket, number>()
+  private isStopping = false
   private readonly tlsSubscription: IClosable | undefined
 
   constructor (
@@ -92,10 +95,35 @@
     return new Promise((resolve) => { this.server.getConnections((failure, count) => resolve(failure ? 0 : count)) })
   }
 
-  /** Stops accepting connections and closes idle ones; open requests continue. */
+  /** Stops accepting connections and closes idle ones; open requests continue, and their responses are sent completely. */
   stop (): void {
-    if (this.server.listening) this.server.close()
-    this.server.closeIdleConnections()
+    this.isStopping = true
+    // `close` of the HTTP server would also close connections whose response is written but not yet completely sent.
+    if (this.server.listening) NetServer.prototype.close.call(this.server)
+    this.closeIdle()
+  }
+
+  /** Node.js counts a connection as idle once its response is written, so that none may be closed while one is being sent. */
+  private closeIdle (): void {
+    const isSending = [...this.unsentResponses.values()].some((count) => count > 0)
+    if (!isSending) this.server.closeIdleConnections()
+  }
+
+  private watchResponse (socket: Socket, response: ServerResponse): void {
+    const { unsentResponses } = this
+    const count = unsentResponses.get(socket)
+    unsentResponses.set(socket, (count ?? 0) + 1)
+    // Node.js tells only the response that is being sent when its connection ends.
+    if (count === undefined) socket.once('close', () => { this.handleSent(() => { unsentResponses.delete(socket) }) })
+    response.once('finish', () => {
+      const current = unsentResponses.get(socket)
+      if (current !== undefined) this.handleSent(() => { unsentResponses.set(socket, current - 1) })
+    })
+  }
+
+  private handleSent (update: () => void): void {
+    update()
+    if (this.isStopping) this.closeIdle()
   }
 
   /** Closes all connections, including those with open requests. */
@@ -143,6 +171,7 @@
       return
     }
     this.bodyProgress.watch(request)
+    this.watchResponse(request.socket, response)
     this.runHandler(request, response)
   }
 
