--- a/packages/base/src/node/byteCollector.ts
+++ b/packages/base/src/node/byteCollector.ts
@@ -8,12 +8,13 @@
 const MIN_REFERENCED_BYTES = 1_024
 /** Size of the blocks that short chunks are copied into. */
 const BLOCK_BYTES = 4_096
+const NO_BLOCK = Buffer.alloc(0)
 
 /** Collects the chunks of one message. */
 export class ByteCollector {
   private parts: Buffer[] = []
   /** Takes short chunks; of length 0 while there is none. */
-  private block = Buffer.alloc(0)
+  private block = NO_BLOCK
   private usedBytes = 0
   private totalBytes = 0
 
@@ -44,7 +45,7 @@
     this.flush()
     const { parts } = this
     this.parts = []
-    this.block = Buffer.alloc(0)
+    this.block = NO_BLOCK
     this.totalBytes = 0
     return parts
   }
--- a/packages/daemon/src/node/httpListener.ts
+++ b/packages/daemon/src/node/httpListener.ts
@@ -113,17 +113,17 @@
     const { unsentResponses } = this
     const count = unsentResponses.get(socket)
     unsentResponses.set(socket, (count ?? 0) + 1)
-    // Node.js tells only the response that is being sent when its connection ends.
-    if (count === undefined) socket.once('close', () => { this.handleSent(() => { unsentResponses.delete(socket) }) })
     response.once('finish', () => {
       const current = unsentResponses.get(socket)
-      if (current !== undefined) this.handleSent(() => { unsentResponses.set(socket, current - 1) })
+      if (current !== undefined) unsentResponses.set(socket, current - 1)
+      if (this.isStopping) this.closeIdle()
+    })
+    if (count !== undefined) return
+    // Node.js tells only the response that is being sent when its connection ends.
+    socket.once('close', () => {
+      unsentResponses.delete(socket)
+      if (this.isStopping) this.closeIdle()
     })
-  }
-
-  private handleSent (update: () => void): void {
-    update()
-    if (this.isStopping) this.closeIdle()
   }
 
   /** Closes all connections, including those with open requests. */
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -101,8 +101,8 @@
   private readonly node: EntryNode
   private readonly registrar: NodeRegistrar
   private readonly regionByDomain: ReadonlyMap<string, string>
-  /** Undefined until the process is stopped. */
   private shutdown: GracefulShutdown | undefined
+  private readonly isStopping = (): boolean => this.shutdown !== undefined
   private seeds: readonly string[]
 
   /** @param dependencies the services that it is built from */
@@ -119,8 +119,8 @@
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt, (windowMs) => this.sharing.mayShare(windowMs), this.telemetry)
     this.exchange = settings.listen.exchange === undefined ? undefined : this.closeStack.add(createFleetExchange({ clock, self: this.node, regionByDomain: this.regionByDomain, roundTrips, view: this.view, telemetry: this.telemetry, isLate: () => this.eventLoop.isLate() }))
     this.accessController = new AccessController(this.view, createAccessBounds(settings), () => this.view.isConfigurationOutdated ? Infinity : this.synchronizer.freshness.getAgeMs())
-    this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: () => this.shutdown !== undefined, canAdmitKeys: () => this.accessController.canAdmitKeys })
-    this.quotas = this.closeStack.add(createAccountQuotas({ ...dependencies, view: this.view, self: this.node, regionByDomain: this.regionByDomain, roundTrips, timeoutClock: this.timeoutClock, isLeaving: () => this.shutdown !== undefined }))
+    this.servingNodes = new ServingNodes(this.view, this.node, { isDraining: this.isStopping, canAdmitKeys: () => this.accessController.canAdmitKeys })
+    this.quotas = this.closeStack.add(createAccountQuotas({ ...dependencies, view: this.view, self: this.node, regionByDomain: this.regionByDomain, roundTrips, timeoutClock: this.timeoutClock, isLeaving: this.isStopping }))
     this.advisoryRecorder = new AdvisoryRecorder({ clock, view: this.view, protocol, telemetry: this.telemetry })
     this.gates = new ServiceGates(new FleetUsage(this.exchange, settings.domain), dependencies.random, (account) => this.view.accounts?.getShareWeight(account) ?? 1)
     this.pools = this.closeStack.add(new UpstreamPools({ idHeader: protocol.headers.requestId }, this.timeoutClock, this.advisoryRecorder, dependencies.openWorkerSocket ?? openSocket))
@@ -131,7 +131,7 @@
     this.quarantine = this.closeStack.add(this.buildQuarantine())
     this.viewUpdater = this.closeStack.add(new ViewUpdater(clock, this.view, this.telemetry, (event) => { this.handleChange(event) }))
     this.synchronizer = this.closeStack.add(this.buildSynchronizer())
-    this.sharing = this.closeStack.add(new FleetSharing({ ...dependencies, view: this.view, self: { name: settings.node, domain: settings.domain }, getRecordsAgeMs: () => this.viewUpdater.getRecordsAge().ageMs, isLeaving: () => this.shutdown !== undefined }))
+    this.sharing = this.closeStack.add(new FleetSharing({ ...dependencies, view: this.view, self: { name: settings.node, domain: settings.domain }, getRecordsAgeMs: () => this.viewUpdater.getRecordsAge().ageMs, isLeaving: this.isStopping }))
     this.proofWaiter = this.closeStack.add(new ProofWaiter(clock, { isProofExpected: () => this.synchronizer.isProofExpected, askForProof: () => { dependencies.source.readPosition() } }, (end) => { metrics.countProofWait(end) }))
     this.synchronizer.freshness.onDidProve(() => { this.proofWaiter.handleProof() })
     this.placeWaiter = this.closeStack.add(new PlaceWaiter(clock, (end, priority, waitedMs) => { metrics.countPlaceWait(end, priority, waitedMs) }))
@@ -260,7 +260,7 @@
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
       getRecordsAge: () => this.viewUpdater.getRecordsAge(),
-      isDraining: () => this.shutdown !== undefined,
+      isDraining: this.isStopping,
       canAnswer: (deadline) => this.shutdown?.canAnswer(deadline) ?? true
     }
   }
--- a/packages/entry/src/node/stop/gracefulShutdown.ts
+++ b/packages/entry/src/node/stop/gracefulShutdown.ts
@@ -1,6 +1,7 @@
 /**
  * The graceful shutdown of an entry process: new callers are directed to other VMs first, requests
- * in flight are finished, new ones are accepted as long as they can be finished, and the process exits before the platform would kill it.
+ * in flight are finished, new ones are accepted as long as they can be finished, and the process
+ * exits before the platform would kill it.
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
