Test that each exchange with a worker ends once, whatever bytes arrive

A property over five kinds of responses with up to four changed bytes, cut into any chunks, truncated anywhere, with an orderly end or a reset: exactly one end or failure, and no error that escapes a callback (1,500 runs).

--- /dev/null
+++ b/packages/entry/test/node/upstream/upstreamConnection.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict'
+import type { Socket } from 'node:net'
+import { Duplex } from 'node:stream'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { ExchangeFailure, UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
+
+const SEED = 20261204
+const RUNS = 1_500
+const BODY = 'the whole answer'
+const RESPONSES: Readonly<Record<string, string>> = {
+  'with a length': `HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
+  'in chunks': `HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\n${BODY.slice(0, 4)}\r\nc\r\n${BODY.slice(4)}\r\n0\r\nX-Sum: 1\r\n\r\n`,
+  'without a length': `HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\n${BODY}`,
+  'behind an interim one': `HTTP/1.1 103 Early Hints\r\nLink: b\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
+  'behind a late one': `HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`
+}
+
+/** How the worker's side of the connection ends after the response. */
+enum ConnectionEnd {
+  Orderly = 'orderly',
+  Reset = 'reset'
+}
+
+interface ExchangeResult {
+  readonly results: Array<ExchangeFailure | 'complete'>
+  readonly body: string
+}
+
+/** Sends one request on a connection of its own, on which the given chunks arrive. */
+async function exchange (chunks: readonly Buffer[], connectionEnd: ConnectionEnd): Promise<ExchangeResult> {
+  const socket = new Duplex({ read: () => {}, write: (_chunk, _encoding, callback) => { callback() } })
+  const results: Array<ExchangeFailure | 'complete'> = []
+  let body = ''
+  const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, () => {}, () => {}, () => {})
+  connection.send({ head: 'GET / HTTP/1.1\r\n\r\n', body: [], requestId: 'a', isHead: false }, {
+    onHead: () => {},
+    onBody: (chunk) => { body += chunk.toString('latin1') },
+    onEnd: () => { results.push('complete') },
+    onFailure: (failure) => { results.push(failure) }
+  })
+  for (const chunk of chunks) socket.push(chunk)
+  await new Promise((resolve) => { setImmediate(resolve) })
+  const isClosed = new Promise((resolve) => { socket.once('close', resolve) })
+  if (!socket.destroyed) {
+    if (connectionEnd === ConnectionEnd.Orderly) socket.push(null)
+    else socket.destroy(new Error('reset'))
+    await isClosed
+  }
+  return { results, body }
+}
+
+function splitBytes (bytes: Buffer, positions: readonly number[]): Buffer[] {
+  const sorted = [0, ...positions.map((position) => position % bytes.length), bytes.length].sort((one, other) => one - other)
+  return sorted.slice(1).map((end, index) => bytes.subarray(sorted[index], end)).filter(({ length }) => length > 0)
+}
+
+describe('UpstreamConnection', () => {
+  for (const [what, text] of Object.entries(RESPONSES)) {
+    it(`passes on a response ${what}, however its bytes arrive`, async () => {
+      await fc.assert(fc.asyncProperty(fc.array(fc.nat(1_000), { maxLength: 8 }), async (positions) => {
+        assert.deepEqual(await exchange(splitBytes(Buffer.from(text, 'latin1'), positions), ConnectionEnd.Orderly), { results: ['complete'], body: BODY })
+      }), { seed: SEED })
+    })
+  }
+
+  it('ends each exchange once, whatever bytes arrive and however the connection ends', async () => {
+    // Guards against errors that escape a callback, and against callers that never get an answer.
+    const change = fc.tuple(fc.nat(1_000), fc.integer({ min: 0, max: 255 }))
+    const input = fc.record({ text: fc.constantFrom(...Object.values(RESPONSES)), changes: fc.array(change, { maxLength: 4 }), length: fc.nat(1_000), positions: fc.array(fc.nat(1_000), { maxLength: 6 }), connectionEnd: fc.constantFrom(...Object.values(ConnectionEnd)) })
+    await fc.assert(fc.asyncProperty(input, async ({ text, changes, length, positions, connectionEnd }) => {
+      const bytes = Buffer.from(text, 'latin1')
+      for (const [position, byte] of changes) bytes[position % bytes.length] = byte
+      const { results } = await exchange(splitBytes(bytes.subarray(0, 1 + length % bytes.length), positions), connectionEnd)
+      assert.equal(results.length, 1)
+    }), { seed: SEED, numRuns: RUNS })
+  })
+})
