--- a/packages/testing/src/node/measure/childProgram.ts
+++ b/packages/testing/src/node/measure/childProgram.ts
@@ -86,7 +86,8 @@
    * @param message what to send over the channel
    */
   send (message: object): void {
-    if (this.child.connected) this.child.send(message)
+    // A program that is just ending does not take it any more; its exit is recorded apart.
+    if (this.child.connected) this.child.send(message, () => {})
   }
 
   /**
