Close the listener of a stopping process when no connection waits

Cause: the steps of a stop ran on plain timers. Closing the listener resets connections that wait to be accepted, of which Node.js takes one in each turn; and a late process closed idle connections, and itself, before it had read what had arrived.

Why it works: the listener closes right after a poll in which no connection was accepted; idle connections are closed, and quiet is concluded, only while the event loop is not late.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -81,7 +81,6 @@
   private readonly accessController: AccessController
   private readonly proofWaiter: ProofWaiter
   private readonly placeWaiter: PlaceWaiter
-  /** The quotas of client accounts. */
   readonly quotas: AccountQuotas
   private readonly quarantine: RequestQuarantine
   private readonly advisoryRecorder: AdvisoryRecorder
@@ -172,8 +171,9 @@
     if (this.shutdown !== undefined) return
     this.shutdown = new GracefulShutdown(this.dependencies.clock, this.dependencies.settings.grace, {
       startDraining: () => { this.startDraining() },
-      closeIdle: () => { this.callerServer.closeIdle() },
-      closeListener: () => { this.callerServer.close() },
+      closeIdle: () => { this.eventLoop.runWhenCurrent(() => { this.callerServer.closeIdle() }) },
+      closeListener: (onClosed) => { this.callerServer.closeListener(onClosed) },
+      isLate: () => this.eventLoop.isLate(),
       countInFlight: () => this.callerServer.inFlightRequests,
       end: (cutRequests) => {
         this.telemetry.logger.log(LogLevel.Info, { step: 'stop', cutRequests }, 'entry process stopped')
--- a/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
+++ b/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
@@ -72,6 +72,8 @@
   private ready: Array<() => void> = []
   /** Work that may run only while everything that arrived lately has been read. */
   private awaitingCurrent: Array<() => void> = []
+  /** Work that may run only while no connection waits to be accepted. */
+  private awaitingAccepted: Array<() => void> = []
   private longestDelayMs = 0
 
   /** @param options what it is built from */
@@ -164,6 +166,12 @@
     this.expectPoll()
   }
 
+  /** Runs a function right after a poll in which no connection waited to be accepted. */
+  runWhenAccepted (callback: () => void): void {
+    this.awaitingAccepted.push(callback)
+    this.expectPoll()
+  }
+
   /** Stops measuring and discards deferred work. */
   close (): void {
     this.isClosed = true
@@ -172,6 +180,7 @@
     this.awaiting = []
     this.ready = []
     this.awaitingCurrent = []
+    this.awaitingAccepted = []
   }
 
   private isStale (now: Instant): boolean {
@@ -217,9 +226,11 @@
     if (this.isClosed) return
     const startedAt = this.options.elapsed.now()
     this.checkDelay(startedAt)
+    const isWholePoll = this.markedAt !== undefined
     if (this.markedAt !== undefined) this.handleWholePoll(this.markedAt)
     const mayMoreWait = this.hasAccepted
     this.hasAccepted = false
+    if (isWholePoll && !mayMoreWait) for (const callback of this.awaitingAccepted.splice(0)) callback()
     this.ready.push(...this.awaiting)
     this.awaiting = this.added
     this.added = []
@@ -244,7 +255,7 @@
   }
 
   private hasWork (): boolean {
-    return this.pollsLeft > 0 || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length > 0
+    return this.pollsLeft > 0 || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length + this.awaitingAccepted.length > 0
   }
 
   private runCurrent (): void {
--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -10,7 +10,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Instant } from '@umberspar/base/common/clock'
+import type { IClock, Instant } from '@umberspar/base/common/clock'
 import type { EventLoopMonitor, LateConnection } from '../eventLoop/eventLoopMonitor.js'
 import type { RelayOrigin } from '../../common/relayFields.js'
 import { CallerResponse } from './callerResponse.js'
@@ -28,6 +28,9 @@
  */
 const MAX_QUEUED_REQUESTS = 64
 
+/** How long a new connection is kept for its first request while idle ones are closed. */
+const FIRST_REQUEST_WAIT_MS = 250
+
 /** A request with its response. */
 export interface CallerExchange {
   readonly message: IncomingMessage
@@ -40,6 +43,7 @@
 
 /** Handles the requests of connections. */
 export interface ConnectionHost {
+  readonly clock: IClock
   readonly eventLoop: EventLoopMonitor
   /** Whether the process is draining before it stops. */
   isDraining(): boolean
@@ -63,12 +67,16 @@
   private isInputClosed = false
   /** Set when the last response of the connection has started. */
   private isClosing = false
+  private hasRequest = false
+  private readonly acceptedAt: Instant
+
   /**
    * @param socket the connection
    * @param host handles its requests
    * @param lateConnection what is known of the connection if it was accepted late
    */
   constructor (private readonly socket: Socket, private readonly host: ConnectionHost, private readonly lateConnection?: LateConnection) {
+    this.acceptedAt = host.clock.now()
     // Node.js closes a connection whose caller ended its sending side, but only some turns of the event loop later.
     socket.once('end', () => { this.handleClose() })
     socket.once('close', () => { this.handleClose() })
@@ -84,6 +92,7 @@
    * @param relayOrigin what another VM tells about the request; undefined for requests of callers
    */
   accept (message: IncomingMessage, serverResponse: ServerResponse, relayOrigin?: RelayOrigin): void {
+    this.hasRequest = true
     const response = new CallerResponse(serverResponse, message.method === 'HEAD', () => this.shouldCloseAfter(exchange), relayOrigin !== undefined)
     const exchange: OrderedExchange = { message, response, arrivedAt: this.host.eventLoop.getEarliestArrival(this.lateConnection), isStarted: false, relayOrigin }
     if (this.shouldReject()) {
@@ -110,9 +119,10 @@
     else this.socket.destroy()
   }
 
-  /** Closes the connection if no request awaits a response. */
+  /** Closes the connection if no request awaits a response, and none is about to arrive. */
   closeIdle (): void {
-    if (this.exchanges.length === 0) this.socket.destroySoon()
+    const mayFirstArrive = !this.hasRequest && this.host.clock.now() - this.acceptedAt < FIRST_REQUEST_WAIT_MS
+    if (this.exchanges.length === 0 && !mayFirstArrive) this.socket.destroySoon()
   }
 
   private shouldReject (): boolean {
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -124,10 +124,18 @@
     for (const connection of this.connections.values()) connection.closeIdle()
   }
 
-  /** Stops accepting connections; requests in flight are finished. */
+  /** Stops accepting connections once those that wait are accepted, as closing would reset them. @param onClosed called when that is done */
+  closeListener (onClosed: () => void): void {
+    this.eventLoop.runWhenAccepted(() => {
+      // `close` of the HTTP server would also end connections whose response is written but not yet completely sent.
+      NetServer.prototype.close.call(this.server)
+      onClosed()
+    })
+  }
+
+  /** Stops accepting connections at once; requests in flight are finished. */
   close (): void {
-    // `close` of the HTTP server would also end connections whose response is written but not yet completely sent.
-    NetServer.prototype.close.call(this.server)
+    if (this.server.listening) NetServer.prototype.close.call(this.server)
     this.closeIdle()
   }
 
--- a/packages/entry/src/node/stop/gracefulShutdown.ts
+++ b/packages/entry/src/node/stop/gracefulShutdown.ts
@@ -12,8 +12,10 @@
   startDraining(): void
   /** Closes callers' connections on which no request awaits a response. */
   closeIdle(): void
-  /** Stops accepting connections. */
-  closeListener(): void
+  /** Stops accepting connections once those that wait are accepted. @param onClosed called when that is done */
+  closeListener(onClosed: () => void): void
+  /** @returns whether requests may have arrived that are not read yet */
+  isLate(): boolean
   /** @returns the number of requests whose response isn't complete yet */
   countInFlight(): number
   /** Ends the process. @param cutRequests requests in flight that are cut off */
@@ -40,6 +42,7 @@
   private readonly exitDeadline: Deadline
   private quietSince: Instant | undefined
   private isListening = true
+  private isClosingListener = false
   private timer: ITimer | undefined
 
   /**
@@ -69,9 +72,9 @@
 
   private check (): void {
     const now = this.clock.now()
-    if (now >= this.acceptDeadline && this.isListening) {
-      this.isListening = false
-      this.steps.closeListener()
+    if (now >= this.acceptDeadline && !this.isClosingListener) {
+      this.isClosingListener = true
+      this.steps.closeListener(() => { this.isListening = false })
     }
     if (!this.isListening) this.steps.closeIdle()
     if (this.isQuiet(now) || now >= this.exitDeadline) {
@@ -82,7 +85,7 @@
   }
 
   private isQuiet (now: Instant): boolean {
-    if (this.isListening || this.steps.countInFlight() > 0) {
+    if (this.isListening || this.steps.isLate() || this.steps.countInFlight() > 0) {
       this.quietSince = undefined
       return false
     }
--- a/packages/entry/test/node/eventLoop/eventLoopMonitor.test.ts
+++ b/packages/entry/test/node/eventLoop/eventLoopMonitor.test.ts
@@ -177,4 +177,14 @@
     runTurn()
     assert.deepEqual(ran, [])
   })
+
+  it('runs what must follow the last waiting connection after a poll in which none was accepted', () => {
+    // Guards against listeners that are closed while connections wait, which resets them.
+    runTurns(QUIET_MS)
+    monitor.runWhenAccepted(() => { ran.push('accepted') })
+    for (let connection = 0; connection < 5; connection++) runTurn(TURN_MS, () => { monitor.acceptConnection() })
+    assert.deepEqual(ran, [])
+    runTurn()
+    assert.deepEqual(ran, ['accepted'])
+  })
 })
--- a/packages/entry/test/node/front/callerConnection.test.ts
+++ b/packages/entry/test/node/front/callerConnection.test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import fc from 'fast-check'
+import { ManualClock } from '@umberspar/base/common/manualClock'
 import type { EventLoopMonitor } from '../../../src/node/eventLoop/eventLoopMonitor.js'
 import { CallerConnection, type CallerExchange, type ConnectionHost } from '../../../src/node/front/callerConnection.js'
 
@@ -35,6 +36,7 @@
 
   constructor () {
     const host: ConnectionHost = {
+      clock: new ManualClock(),
       eventLoop: { getEarliestArrival: () => 0 } as unknown as EventLoopMonitor,
       isDraining: () => this.isDraining,
       startExchange: (exchange) => {
--- a/packages/entry/test/node/stop/gracefulShutdown.test.ts
+++ b/packages/entry/test/node/stop/gracefulShutdown.test.ts
@@ -14,6 +14,7 @@
   /** When the process ended; undefined if it has not. */
   endedAt?: number
   inFlight: number
+  isLate: boolean
 }
 
 function startStop (graceMs: number): Stop {
@@ -21,10 +22,12 @@
   const stop: Stop = {
     clock,
     inFlight: 0,
+    isLate: false,
     shutdown: new GracefulShutdown(clock, graceMs, {
       startDraining: () => {},
       closeIdle: () => {},
-      closeListener: () => {},
+      closeListener: (onClosed) => { onClosed() },
+      isLate: () => stop.isLate,
       countInFlight: () => stop.inFlight,
       end: () => { stop.endedAt = clock.now() }
     })
@@ -49,6 +52,17 @@
     }), { seed: SEED })
   })
 
+  it('does not end early while what has arrived may not be read', () => {
+    // Guards against requests that are cut as the process could not run when they arrived.
+    const stop = startStop(6_000)
+    stop.isLate = true
+    stop.clock.stepTo(5_000)
+    assert.equal(stop.endedAt, undefined)
+    stop.isLate = false
+    stop.clock.stepTo(5_300)
+    assert.ok(stop.endedAt !== undefined)
+  })
+
   it('accepts a request whose limit is the longest that fits', () => {
     const { shutdown } = startStop(6_000)
     assert.equal(shutdown.canAnswer(5_600), true)
--- a/packages/testing/test/node/usersPlatform/stopping.test.ts
+++ b/packages/testing/test/node/usersPlatform/stopping.test.ts
@@ -1,12 +1,18 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
+import { Worker } from 'node:worker_threads'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 import type { PlatformWorkerStandIn } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
+import type { StoppingCallersInput } from './stoppingCallersThread.js'
 
 /** The grace period of the stand-in's entry processes is 4 s. */
 const LONG_LIMIT_MS = 2_500
 const LONG_WORK_MS = 2_400
 const AFTER_STOP_MS = 1_500
+/** Before and after the listener closes. */
+const BEFORE_CLOSE_MS = 1_900
+const AFTER_CLOSE_MS = 2_500
+const CONNECTIONS = 40
 const ROUTES = [
   { Name: 'reads', Prefix: '/long/', Service: 'archive', Timeout: `${LONG_LIMIT_MS}ms` },
   { Name: 'lookups', Prefix: '/short/', Service: 'ledger', Timeout: '500ms' }
@@ -53,4 +59,21 @@
     assert.equal((await platform.call(entry, { path: '/long/1', id: 'hasty', deadlineMs: 1_000 })).status, 200)
     assert.equal(await stopped, 0)
   })
+
+  it('answers the requests on connections that wait to be accepted when the listener closes', async () => {
+    // Guards against requests that are cut as the process was late when it stopped accepting connections.
+    const startedAt = platform.clock.now()
+    const stopped = new Promise<number>((resolve) => { entry.entry.stop(resolve) })
+    await platform.waitUntil(() => platform.clock.now() - startedAt > BEFORE_CLOSE_MS)
+    const sent = new Int32Array(new SharedArrayBuffer(4))
+    const input: StoppingCallersInput = { address: entry.settings.listen.callers, connections: CONNECTIONS, sent }
+    const thread = new Worker(new URL('./stoppingCallersThread.js', import.meta.url), { workerData: input })
+    const responses = new Promise<string[]>((resolve) => { thread.once('message', resolve) })
+    // Blocks this thread until the requests are sent, and past the instant at which the listener closes.
+    Atomics.wait(sent, 0, 0)
+    Atomics.wait(sent, 0, 1, Math.max(0, startedAt + AFTER_CLOSE_MS - platform.clock.now()))
+    assert.deepEqual((await responses).filter((response) => !/^HTTP\/1\.1 (200|503) /.test(response)), [])
+    assert.equal(await stopped, 0)
+    await thread.terminate()
+  })
 })
