Share the list of responses without end, and remove an unused getter

The soak and workerFaults listed the same eight faults; CallerResponse.isStarted has had no reader since stopping processes wait for complete responses. No change of behaviour.

--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -40,11 +40,6 @@
     response.sendDate = false
   }
 
-  /** @returns whether the head of the response has been written */
-  get isStarted (): boolean {
-    return this.isHeadWritten
-  }
-
   /** @returns whether the complete response has been handed to the operating system */
   get isSent (): boolean {
     return this.response.writableFinished
--- a/packages/soak/src/node/faultLists.ts
+++ b/packages/soak/src/node/faultLists.ts
@@ -1,6 +1,6 @@
 /** The faults that steps choose from. A list keeps its order and length, as recorded seeds refer to it. */
 import { LinkFault } from '@umberspar/testing/node/standIns/tcpRelay'
-import { WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/platformWorkerStandIn'
+import { ENDLESS_FRAMING_FAULTS, WorkerFault } from '@umberspar/testing/node/standIns/usersPlatform/workerFault'
 import { StoreFault } from '@umberspar/testing/node/standIns/usersPlatform/recordStoreStandIn'
 import { WorkerLinkFault } from '@umberspar/testing/node/standIns/usersPlatform/workerLink'
 
@@ -9,14 +9,7 @@
   WorkerFault.InvalidField,
   WorkerFault.InvalidFieldUnframed,
   WorkerFault.InvalidFieldName,
-  WorkerFault.EndlessStatusLine,
-  WorkerFault.EndlessHead,
-  WorkerFault.EndlessInterimResponses,
-  WorkerFault.EndlessChunkLine,
-  WorkerFault.EndlessChunkExtensions,
-  WorkerFault.EndlessChunkEnd,
-  WorkerFault.EndlessTrailer,
-  WorkerFault.EndlessTrailers,
+  ...ENDLESS_FRAMING_FAULTS,
   WorkerFault.EndlessBody,
   WorkerFault.EndlessFailure,
   WorkerFault.EndlessRefusal,
--- a/packages/testing/src/node/standIns/usersPlatform/workerFault.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerFault.ts
@@ -43,3 +43,15 @@
   /** Never answers. */
   Silent = 'silent'
 }
+
+/** Responses of which a part other than the body has no end. */
+export const ENDLESS_FRAMING_FAULTS: readonly WorkerFault[] = [
+  WorkerFault.EndlessStatusLine,
+  WorkerFault.EndlessHead,
+  WorkerFault.EndlessInterimResponses,
+  WorkerFault.EndlessChunkLine,
+  WorkerFault.EndlessChunkExtensions,
+  WorkerFault.EndlessChunkEnd,
+  WorkerFault.EndlessTrailer,
+  WorkerFault.EndlessTrailers
+]
--- a/packages/testing/test/node/usersPlatform/workerFaults.test.ts
+++ b/packages/testing/test/node/usersPlatform/workerFaults.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 import { PipelinedCaller } from '../../../src/node/standIns/usersPlatform/pipelinedCaller.js'
-import { WorkerFault } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
+import { ENDLESS_FRAMING_FAULTS, WorkerFault } from '../../../src/node/standIns/usersPlatform/workerFault.js'
 
 const IDS = ['w-1', 'w-2', 'w-3']
 const ROUTES = [
@@ -35,16 +35,9 @@
   { fault: WorkerFault.Unsealed, safeStatus: 502, safeRuns: 2, unsafeStatus: 502, unsafeRuns: 1 }
 ]
 
-/** Responses of which a part has no end. */
+/** Responses of which a part has no end, and which are given up. */
 const ENDLESS_FAULTS = [
-  WorkerFault.EndlessStatusLine,
-  WorkerFault.EndlessHead,
-  WorkerFault.EndlessInterimResponses,
-  WorkerFault.EndlessChunkLine,
-  WorkerFault.EndlessChunkExtensions,
-  WorkerFault.EndlessChunkEnd,
-  WorkerFault.EndlessTrailer,
-  WorkerFault.EndlessTrailers,
+  ...ENDLESS_FRAMING_FAULTS,
   WorkerFault.EndlessRefusal,
   WorkerFault.EndlessUnsealed,
   WorkerFault.EndlessLateExtra
