Send endless bodies of the stand-in in chunks

An orderly end completes such a response (PROTOCOL: it ends with its connection), so that no VM can tell; the check is unchanged, the stand-in sends the body in chunks now.

--- a/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
@@ -7,6 +7,7 @@
 const LENGTH_LINE = /content-length: *\d+\r\n/i
 const ENDLESS_BLOCK_BYTES = 65_536
 const BODY_PART = 'body'
+const BODY_CHUNK = '4\r\nbody\r\n'
 
 /** Sends the beginning of a response, then a part of it again and again until the connection closes. */
 function writeEndless (worker: PlatformWorkerStandIn, socket: Socket, beginning: string, part: string): void {
@@ -59,7 +60,8 @@
   [WorkerFault.EndlessChunkEnd]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}2\r\nab`, 'a') },
   [WorkerFault.EndlessTrailer]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}0\r\nX-Trace: `, 'a') },
   [WorkerFault.EndlessTrailers]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}0\r\n`, 'X-Trace: a\r\n') },
-  [WorkerFault.EndlessBody]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, requestId, []), BODY_PART) },
+  // In chunks, as the end of the worker would complete a response without a length.
+  [WorkerFault.EndlessBody]: (worker, socket, requestId) => { writeEndless(worker, socket, formatChunkedHead(worker, requestId), BODY_CHUNK) },
   [WorkerFault.EndlessFailure]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 500, requestId, []), BODY_PART) },
   [WorkerFault.EndlessRefusal]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 503, requestId, ['X-Umberspar-Not-Run: 1']), BODY_PART) },
   [WorkerFault.EndlessUnsealed]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, requestId, [], false), BODY_PART) },
