--- a/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
@@ -7,7 +7,7 @@
 const LENGTH_LINE = /content-length: *\d+\r\n/i
 const ENDLESS_BLOCK_BYTES = 65_536
 const BODY_PART = 'body'
-const BODY_CHUNK = '4\r\nbody\r\n'
+const BODY_CHUNK = `1000\r\n${BODY_PART.repeat(1_024)}\r\n`
 
 /** Sends the beginning of a response, then a part of it again and again until the connection closes. */
 function writeEndless (worker: PlatformWorkerStandIn, socket: Socket, beginning: string, part: string): void {
