Schedule no report of a rate limit after the reporter is closed

The inspector showed one active timer, the recheck of a worker's limit by RateLimitReporter.

Cause: a write of a limit that was waiting for the store when the reporter was closed scheduled the next check when it ended, and every check the one after it.

Evidence: the test of a write that ends after the close fails before (two timers) and passes now. The known failure of drainingWorkers looks the same; it stays listed, as this is not shown to be its cause.

--- a/packages/entry/src/node/sharing/rateLimitReporter.ts
+++ b/packages/entry/src/node/sharing/rateLimitReporter.ts
@@ -34,6 +34,7 @@
   private sweepTimer: ITimer | undefined
   /** The workers with a limit that were not registered at the last sweep. */
   private missingBefore: ReadonlySet<string> = new Set()
+  private isClosed = false
 
   constructor (private readonly dependencies: RateLimitReporterDependencies) {}
 
@@ -46,6 +47,7 @@
   /** Handles that another VM has passed on a limit, which this VM may have to remove some day. */
   handleReported (): void {
     const { clock, logger } = this.dependencies
+    if (this.isClosed) return
     this.sweepTimer ??= clock.schedule(clock.now() + SWEEP_INTERVAL_MS, () => {
       this.sweepTimer = undefined
       runDetached(() => this.removeObsolete(), logger, 'report-rate-limit')
@@ -58,6 +60,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     for (const timer of this.timers.values()) timer.close()
     this.timers.clear()
     this.sweepTimer?.close()
@@ -78,7 +81,8 @@
 
   private schedule (workerId: string, delayMs: number): void {
     const { clock, logger } = this.dependencies
-    if (this.timers.has(workerId)) return
+    // A call to the store may end after the close.
+    if (this.isClosed || this.timers.has(workerId)) return
     this.timers.set(workerId, clock.schedule(clock.now() + delayMs, () => { runDetached(() => this.report(workerId), logger, 'report-rate-limit') }))
   }
 
