Give deadlines, origins of responses and stops one piece of code each

During a stop, a request without a stated deadline on a route of more than 10 s is now judged by the 10 s that it really has; nothing else changes. - Whether a response is the worker's stood in advisoryRecorder and in classifyResponse: isFromWorker. - The margin of a stop repeated the 150 ms for which a response is awaited after the deadline: it refers to that constant now, as its test does. - Pairs of booleans with three states in GracefulShutdown and ResponseCollector are enums; the first request of a new connection has a stored deadline; waiting work of EventLoopMonitor runs where it is known that all are accepted; the collector passes the head on, so that it need not be public. - The stand-in removes the length of a response in one place.

--- a/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
+++ b/packages/entry/src/node/eventLoop/eventLoopMonitor.ts
@@ -226,11 +226,9 @@
     if (this.isClosed) return
     const startedAt = this.options.elapsed.now()
     this.checkDelay(startedAt)
-    const isWholePoll = this.markedAt !== undefined
     if (this.markedAt !== undefined) this.handleWholePoll(this.markedAt)
     const mayMoreWait = this.hasAccepted
     this.hasAccepted = false
-    if (isWholePoll && !mayMoreWait) for (const callback of this.awaitingAccepted.splice(0)) callback()
     this.ready.push(...this.awaiting)
     this.awaiting = this.added
     this.added = []
@@ -250,10 +248,16 @@
     this.readUntil = beganAfter
     this.markedAt = undefined
     this.polls++
-    if (!this.hasAccepted) this.acceptedUntil = beganAfter
+    if (!this.hasAccepted) this.handleAllAccepted(beganAfter)
     if (this.pollsLeft > 0 && --this.pollsLeft === 0) this.finishDelay()
   }
 
+  /** Handles the end of a poll that began after an instant, and in which no connection was accepted. */
+  private handleAllAccepted (beganAfter: Instant): void {
+    this.acceptedUntil = beganAfter
+    for (const callback of this.awaitingAccepted.splice(0)) callback()
+  }
+
   private hasWork (): boolean {
     return this.pollsLeft > 0 || this.awaiting.length + this.added.length + this.ready.length + this.awaitingCurrent.length + this.awaitingAccepted.length > 0
   }
--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -11,6 +11,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { IClock, Instant } from '@umberspar/base/common/clock'
+import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
 import type { EventLoopMonitor, LateConnection } from '../eventLoop/eventLoopMonitor.js'
 import type { RelayOrigin } from '../../common/relayFields.js'
 import { CallerResponse } from './callerResponse.js'
@@ -67,8 +68,8 @@
   private isInputClosed = false
   /** Set when the last response of the connection has started. */
   private isClosing = false
-  private hasRequest = false
-  private readonly acceptedAt: Instant
+  /** Until when a new connection is kept for its first request; undefined once that has arrived. */
+  private firstRequestDeadline: Deadline | undefined
 
   /**
    * @param socket the connection
@@ -76,7 +77,7 @@
    * @param lateConnection what is known of the connection if it was accepted late
    */
   constructor (private readonly socket: Socket, private readonly host: ConnectionHost, private readonly lateConnection?: LateConnection) {
-    this.acceptedAt = host.clock.now()
+    this.firstRequestDeadline = createDeadline(host.clock.now(), FIRST_REQUEST_WAIT_MS)
     // Node.js closes a connection whose caller ended its sending side, but only some turns of the event loop later.
     socket.once('end', () => { this.handleClose() })
     socket.once('close', () => { this.handleClose() })
@@ -92,7 +93,7 @@
    * @param relayOrigin what another VM tells about the request; undefined for requests of callers
    */
   accept (message: IncomingMessage, serverResponse: ServerResponse, relayOrigin?: RelayOrigin): void {
-    this.hasRequest = true
+    this.firstRequestDeadline = undefined
     const response = new CallerResponse(serverResponse, message.method === 'HEAD', () => this.shouldCloseAfter(exchange), relayOrigin !== undefined)
     const exchange: OrderedExchange = { message, response, arrivedAt: this.host.eventLoop.getEarliestArrival(this.lateConnection), isStarted: false, relayOrigin }
     if (this.shouldReject()) {
@@ -121,7 +122,7 @@
 
   /** Closes the connection if no request awaits a response, and none is about to arrive. */
   closeIdle (): void {
-    const mayFirstArrive = !this.hasRequest && this.host.clock.now() - this.acceptedAt < FIRST_REQUEST_WAIT_MS
+    const mayFirstArrive = this.firstRequestDeadline !== undefined && !hasPassed(this.firstRequestDeadline, this.host.clock.now())
     if (this.exchanges.length === 0 && !mayFirstArrive) this.socket.destroySoon()
   }
 
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -21,6 +21,7 @@
 import { getRefusal } from './refusals.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import { checkRequest, type RefusalDetails } from './requestChecker.js'
+import { computeRequestDeadline, getCallerDeadline } from './requestDeadline.js'
 import { RequestDigest } from './requestDigest.js'
 import { logRequestEnd } from './requestLog.js'
 import { ProxiedRequest } from './proxiedRequest.js'
@@ -42,8 +43,6 @@
 const STOPPING_RETRY_AFTER_MS = 0
 /** How long the rest of the body of a refused request may take to arrive. */
 const UNREAD_BODY_TIMEOUT_MS = 10_000
-/** For requests that state no deadline. */
-const DEFAULT_CALLER_TIMEOUT_MS = 10_000
 
 const REASON_BY_BODY_FAILURE: Readonly<Record<BodyFailure, EndReason>> = {
   [BodyFailure.TooLarge]: EndReason.BodyTooLarge,
@@ -127,18 +126,22 @@
   /** Stops accepting connections once those that wait are accepted, as closing would reset them. @param onClosed called when that is done */
   closeListener (onClosed: () => void): void {
     this.eventLoop.runWhenAccepted(() => {
-      // `close` of the HTTP server would also end connections whose response is written but not yet completely sent.
-      NetServer.prototype.close.call(this.server)
+      this.stopListening()
       onClosed()
     })
   }
 
   /** Stops accepting connections at once; requests in flight are finished. */
   close (): void {
-    if (this.server.listening) NetServer.prototype.close.call(this.server)
+    this.stopListening()
     this.closeIdle()
   }
 
+  private stopListening (): void {
+    // `close` of the HTTP server would also end connections whose response is written but not yet completely sent.
+    if (this.server.listening) NetServer.prototype.close.call(this.server)
+  }
+
   isDraining (): boolean {
     return this.context.isDraining()
   }
@@ -202,7 +205,7 @@
 
   private acceptRequest (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
     if (!hasBody(accepted.message)) return this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
-    const refusal = findEarlyRefusal(this.context, accepted, this.getCallerDeadline(accepted))
+    const refusal = findEarlyRefusal(this.context, accepted, getCallerDeadline(this.context.headerRewriter, accepted.message, accepted.arrivedAt))
     if (refusal === undefined) this.readBodyThenForward(accepted, response, document)
     else this.refuse(accepted.message, response, refusal)
   }
@@ -241,7 +244,7 @@
 
   private readBodyThenForward (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
     const { message: request, route, arrivedAt } = accepted
-    const deadline = Math.min(arrivedAt + route.timeoutMs, this.getCallerDeadline(accepted))
+    const deadline = computeRequestDeadline(route, arrivedAt, getCallerDeadline(this.context.headerRewriter, request, arrivedAt))
     let isExpired = false
     const timer = this.context.timeoutClock.schedule(deadline, () => {
       isExpired = true
@@ -261,14 +264,10 @@
   private startForwarding (accepted: AcceptedRequest, response: CallerResponse, body: RequestBody): void {
     const { headerRewriter } = this.context
     const digest = new RequestDigest({ ...accepted, body })
-    const request = { ...accepted, requestId: headerRewriter.getRequestId(accepted.message), body, digest, callerDeadline: this.getCallerDeadline(accepted) }
+    const request = { ...accepted, requestId: headerRewriter.getRequestId(accepted.message), body, digest, callerDeadline: getCallerDeadline(headerRewriter, accepted.message, accepted.arrivedAt) }
     new ProxiedRequest(this.context, request, response).start()
   }
 
-  private getCallerDeadline ({ message, arrivedAt }: AcceptedRequest): Deadline {
-    return arrivedAt + (this.context.headerRewriter.getCallerTimeoutMs(message) ?? DEFAULT_CALLER_TIMEOUT_MS)
-  }
-
   private refuse (request: IncomingMessage, response: CallerResponse, details: RefusalDetails): void {
     if (details.reason === EndReason.CallerDisconnected) return
     const { status, text, outcome } = getRefusal(details.reason)
--- a/packages/entry/src/node/front/earlyRefusal.ts
+++ b/packages/entry/src/node/front/earlyRefusal.ts
@@ -13,6 +13,7 @@
 import { planReturn, recordArrival } from './callerReturns.js'
 import type { EntryContext } from './entryContext.js'
 import { REASON_BY_UNAVAILABILITY } from './refusals.js'
+import { computeRequestDeadline } from './requestDeadline.js'
 import { buildRank, readServiceLoad } from './requestAdmission.js'
 import { checkAccess } from './requestAccess.js'
 import type { RefusalDetails } from './requestChecker.js'
@@ -83,7 +84,7 @@
   if (relayOrigin !== undefined) return undefined
   const access = checkAccess(context, accepted)
   if (!access.ok) return undefined
-  const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
+  const deadline = computeRequestDeadline(route, arrivedAt, callerDeadline)
   let first: { readonly service: string, readonly obstacle: Obstacle } | undefined
   for (const { service } of route.parts) {
     const obstacle = findObstacle(context, accepted, service, access.val, deadline)
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -26,6 +26,7 @@
 import type { BufferedRequest } from './bufferedRequest.js'
 import { planReturn, recordArrival, recordRefusal, takeRetry } from './callerReturns.js'
 import { RequestAdmission } from './requestAdmission.js'
+import { computeRequestDeadline, RESPONSE_SLACK_MS } from './requestDeadline.js'
 import { RequestQuota } from './requestQuota.js'
 import { logAttempt, logRequestEnd } from './requestLog.js'
 import { RequestWaits } from './requestWaits.js'
@@ -35,8 +36,6 @@
 
 /** Statuses whose responses carry `Retry-After`. */
 const RETRY_AFTER_STATUSES: ReadonlySet<number> = new Set([429, 503])
-/** How long after the deadline a response is still awaited: a worker that reached the deadline reports it by its response. */
-const RESPONSE_SLACK_MS = 150
 
 /** One request that is being forwarded. */
 export class ProxiedRequest {
@@ -74,7 +73,7 @@
     this.admission = new RequestAdmission(context, request, this.service)
     this.waits = new RequestWaits(context, request, () => { this.startNextAttempt() })
     this.affinityKey = context.headerRewriter.getAffinityKey(request.message, route)
-    this.deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
+    this.deadline = computeRequestDeadline(route, arrivedAt, callerDeadline)
   }
 
   /** Starts to forward the request. */
--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -1,18 +1,17 @@
 /** Checks a request whose head has been read: its route, the caller's key and quota, and the configured limits. */
 import type { Instant } from '@umberspar/base/common/clock'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
-import type { Deadline } from '@umberspar/base/common/deadline'
 import type { CallerVisit } from '@umberspar/steering/common/entry/admission/callerTimes'
 import { AccessOutcome } from '@umberspar/steering/common/entry/decideAccess'
 import { addRetryJitter } from '@umberspar/steering/common/entry/retry/retryDelay'
-import type { AccountPolicy, RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
-import type { AccountQuotas } from '../quota/accountQuotas.js'
+import type { RoutePolicy, SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import type { RefusalInputs } from '../telemetry/entryTelemetry.js'
 import { EndReason } from '../telemetry/requestOutcomes.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import type { CallerExchange } from './callerConnection.js'
 import type { EntryContext } from './entryContext.js'
 import { REASON_BY_DENIAL } from './refusals.js'
+import { computeRequestDeadline, getCallerDeadline } from './requestDeadline.js'
 
 /** The separator and the line end of a header field. */
 const FIELD_OVERHEAD_BYTES = 4
@@ -42,7 +41,6 @@
  */
 export function checkRequest (context: EntryContext, { message, arrivedAt, relayOrigin }: CallerExchange, document: SteeringDocument): Result<AcceptedRequest, RefusalDetails> {
   const { accessController, clock, headerRewriter, quotas, random, view } = context
-  const callerTimeoutMs = headerRewriter.getCallerTimeoutMs(message)
   // The VM that relayed a request has checked its fields, to which it added others, and the quota.
   const isRelayed = relayOrigin !== undefined
   if (!isRelayed && countHeaderBytes(message.rawHeaders, message.method, message.url) > document.limits.headerBytes) return Err({ reason: EndReason.HeadersTooLarge, arrivedAt })
@@ -52,24 +50,15 @@
   const keyDigest = accessController.readKeyDigest(message)
   const { outcome, account } = accessController.decide(route, keyDigest)
   if (outcome !== AccessOutcome.Allowed) return Err({ reason: REASON_BY_DENIAL[outcome], arrivedAt, route })
-  if (!context.canAnswer(computeDeadline(route, arrivedAt, callerTimeoutMs))) return Err({ reason: EndReason.Stopping, arrivedAt, route })
-  const exhaustedMs = getExhaustedMs(quotas, isRelayed ? undefined : account)
+  if (!context.canAnswer(computeRequestDeadline(route, arrivedAt, getCallerDeadline(headerRewriter, message, arrivedAt)))) return Err({ reason: EndReason.Stopping, arrivedAt, route })
+  const exhaustedMs = quotas.getExhaustedMs(isRelayed ? undefined : account)
   if (exhaustedMs > 0) return Err({ reason: EndReason.QuotaExhausted, arrivedAt, route, account: account?.name, retryAfterMs: addRetryJitter(exhaustedMs, random) })
   if (Number(message.headers['content-length'] ?? 0) > document.limits.bodyBytes) return Err({ reason: EndReason.BodyTooLarge, arrivedAt, route })
   // Relayed requests have less time left without having been refused.
-  const visit = isRelayed ? undefined : view.callerReturns.getTimes(route.name).observe(callerTimeoutMs, clock.now())
+  const visit = isRelayed ? undefined : view.callerReturns.getTimes(route.name).observe(headerRewriter.getCallerTimeoutMs(message), clock.now())
   return Ok({ message, route, keyDigest, arrivedAt, visit, relayOrigin })
 }
 
-function computeDeadline ({ timeoutMs }: RoutePolicy, arrivedAt: Instant, callerTimeoutMs = timeoutMs): Deadline {
-  return arrivedAt + Math.min(timeoutMs, callerTimeoutMs)
-}
-
-/** @returns when the quota of an account has room again, in milliseconds; 0 if it has room or none applies */
-function getExhaustedMs (quotas: AccountQuotas, account: AccountPolicy | undefined): number {
-  return account === undefined ? 0 : quotas.getExhaustedMs(account)
-}
-
 function countHeaderBytes (rawHeaders: readonly string[], method = '', target = ''): number {
   let bytes = method.length + target.length
   for (const text of rawHeaders) bytes += text.length
--- a/packages/entry/src/node/front/responseCollector.ts
+++ b/packages/entry/src/node/front/responseCollector.ts
@@ -25,53 +25,59 @@
   /** Called once if the response is too long to be buffered and may not be streamed; the rest of it is discarded. */
   onTooLong(head: ResponseHead): void
   onStreamData(chunk: Buffer): void
-  onStreamEnd(length: number): void
+  onStreamEnd(head: ResponseHead, length: number): void
   /** @param isStreaming whether part of the response was already streamed */
   onFailure(failure: ExchangeFailure, isStreaming: boolean): void
 }
 
+/** What becomes of the body. */
+enum CollectionMode {
+  Buffering = 'buffering',
+  Streaming = 'streaming',
+  Discarding = 'discarding'
+}
+
 /** Collects one response. */
 export class ResponseCollector implements ExchangeListener {
-  /** Undefined until it has arrived. */
-  head: ResponseHead | undefined
+  private head: ResponseHead | undefined
   private readonly body = new ByteCollector()
   private length = 0
-  private isStreaming = false
-  private isTooLong = false
+  private mode = CollectionMode.Buffering
 
   /** @param listener receives the response */
   constructor (private readonly listener: ResponseListener) {}
 
+  /** @returns whether the head of the response has arrived */
+  get hasHead (): boolean {
+    return this.head !== undefined
+  }
+
   onHead (head: ResponseHead): void {
     this.head = head
   }
 
   onBody (chunk: Buffer): void {
-    if (this.isTooLong) return
     this.length += chunk.length
-    if (this.isStreaming) {
-      this.listener.onStreamData(chunk)
-      return
-    }
+    if (this.mode === CollectionMode.Streaming) this.listener.onStreamData(chunk)
+    if (this.mode !== CollectionMode.Buffering) return
     this.body.add(chunk)
     if (this.length > MAX_BUFFERED_BYTES) this.stopBuffering()
   }
 
   private stopBuffering (): void {
     const buffered = this.body.take()
-    this.isStreaming = this.listener.onStreamStart(this.head!)
-    this.isTooLong = !this.isStreaming
-    if (this.isTooLong) this.listener.onTooLong(this.head!)
-    else for (const chunk of buffered) this.listener.onStreamData(chunk)
+    const isStreamed = this.listener.onStreamStart(this.head!)
+    this.mode = isStreamed ? CollectionMode.Streaming : CollectionMode.Discarding
+    if (isStreamed) for (const chunk of buffered) this.listener.onStreamData(chunk)
+    else this.listener.onTooLong(this.head!)
   }
 
   onEnd (): void {
-    if (this.isTooLong) return
-    if (this.isStreaming) this.listener.onStreamEnd(this.length)
-    else this.listener.onComplete({ head: this.head!, body: this.body.take(), length: this.length })
+    if (this.mode === CollectionMode.Streaming) this.listener.onStreamEnd(this.head!, this.length)
+    else if (this.mode === CollectionMode.Buffering) this.listener.onComplete({ head: this.head!, body: this.body.take(), length: this.length })
   }
 
   onFailure (failure: ExchangeFailure): void {
-    this.listener.onFailure(failure, this.isStreaming)
+    this.listener.onFailure(failure, this.mode === CollectionMode.Streaming)
   }
 }
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -29,6 +29,7 @@
 const MIN_CONNECTIONS_PER_WORKER = 2
 /** Limit on the connections from one VM to a worker if the service sets none. */
 const DEFAULT_MAX_CONNECTIONS = 16
+
 /** Outcomes of attempts that the worker responded to. */
 const RESPONSE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Answered, AttemptOutcome.FailedByWorker, AttemptOutcome.RefusedByWorker])
 
@@ -96,7 +97,7 @@
 
   /** Ends the attempt without a response if its connection has been silent and the request may be repeated. */
   cancelSilent (): void {
-    if (this.isEnded || this.collector === undefined || this.collector.head !== undefined || !isRetryable(this.request.route.kind)) return
+    if (this.isEnded || this.collector?.hasHead !== false || !isRetryable(this.request.route.kind)) return
     this.end({ outcome: AttemptOutcome.ConnectionLost, isStreaming: false })
     this.connection?.cancel()
   }
@@ -166,7 +167,7 @@
       onComplete: (response) => { this.handleResponse(response) },
       onStreamStart: (head) => this.handleStreamStart(head),
       onStreamData: (chunk) => { this.listener.onStreamData(chunk) },
-      onStreamEnd: (length) => { this.handleStreamEnd(length) },
+      onStreamEnd: (head, length) => { this.handleStreamEnd(head, length) },
       onTooLong: (head) => { this.handleTooLong(head) },
       onFailure: (failure, isStreaming) => { this.handleFailure(failure, isStreaming) }
     })
@@ -192,13 +193,12 @@
     return outcome === AttemptOutcome.Answered || (outcome === AttemptOutcome.FailedByWorker && !isRetryable(this.request.route.kind))
   }
 
-  private handleStreamEnd (length: number): void {
-    const { head } = this.collector!
-    this.recordOutcome(classifyResponse(this.context.protocol, head!), length, head!.status)
-    this.end({ outcome: AttemptOutcome.Answered, status: head!.status })
+  private handleStreamEnd (head: ResponseHead, length: number): void {
+    this.recordOutcome(classifyResponse(this.context.protocol, head), length, head.status)
+    this.end({ outcome: AttemptOutcome.Answered, status: head.status })
   }
 
-  /** A response that is no worker's success or failure is short; without an end, it would use up the memory. */
+  /** Gives up a response that is neither streamed nor short: without an end, it would use up the memory. */
   private handleTooLong (head: ResponseHead): void {
     if (this.isEnded) return
     const outcome = classifyResponse(this.context.protocol, head) === AttemptOutcome.FailedByWorker ? AttemptOutcome.FailedByWorker : AttemptOutcome.MalformedResponse
@@ -219,7 +219,7 @@
   }
 
   private handleFailure (failure: ExchangeFailure, isStreaming: boolean): void {
-    const isLostWhileIdle = failure === ExchangeFailure.Broken && this.idleMs !== undefined && this.collector?.head === undefined
+    const isLostWhileIdle = failure === ExchangeFailure.Broken && this.idleMs !== undefined && this.collector?.hasHead === false
     if (isLostWhileIdle) this.context.pools.idleLimit.recordReset(this.idleMs!, this.context.clock.now())
     if (failure !== ExchangeFailure.Cancelled) this.recordOutcome(OUTCOME_BY_FAILURE[failure], 0)
     if (failure === ExchangeFailure.Broken) {
--- a/packages/entry/src/node/quota/accountQuotas.ts
+++ b/packages/entry/src/node/quota/accountQuotas.ts
@@ -71,11 +71,11 @@
   }
 
   /**
-   * @param account the caller's account
+   * @param account the caller's account, if its quota applies
    * @returns how much longer the quota is known to be exhausted, in milliseconds; 0 if it may have tokens left
    */
-  getExhaustedMs ({ name, quota }: AccountPolicy): number {
-    return quota === undefined ? 0 : this.quotas.get(name)?.getExhaustedMs() ?? 0
+  getExhaustedMs (account: AccountPolicy | undefined): number {
+    return account?.quota === undefined ? 0 : this.quotas.get(account.name)?.getExhaustedMs() ?? 0
   }
 
   /** Handles a change of the view. */
--- a/packages/entry/src/node/stop/gracefulShutdown.ts
+++ b/packages/entry/src/node/stop/gracefulShutdown.ts
@@ -5,6 +5,7 @@
  */
 import type { IClock, Instant, ITimer } from '@umberspar/base/common/clock'
 import type { Deadline } from '@umberspar/base/common/deadline'
+import { RESPONSE_SLACK_MS } from '../front/requestDeadline.js'
 
 /** The actions of a shutdown. */
 export interface ShutdownSteps {
@@ -29,20 +30,27 @@
 const ACCEPT_GRACE_RATIO = 0.55
 /** How long before the end of the grace period the process ends, even with requests in flight. */
 const EXIT_MARGIN_MS = 200
-/** From the deadline of a request until its response is sent: its worker may report that it reached the deadline. */
-const RESPONSE_MARGIN_MS = 200
+/** From the end of a request until its response is sent. */
+const SEND_MARGIN_MS = 50
 /** How often the state of the shutdown is checked. */
 const CHECK_INTERVAL_MS = 50
 /** After the listener is closed and no request has been in flight for this long, none is expected any more. */
 const QUIET_PERIOD_MS = 150
 
+/** The listener for callers' connections. */
+enum ListenerState {
+  Open = 'open',
+  /** Connections that wait are still accepted. */
+  Closing = 'closing',
+  Closed = 'closed'
+}
+
 /** One shutdown. */
 export class GracefulShutdown {
   private readonly acceptDeadline: Deadline
   private readonly exitDeadline: Deadline
   private quietSince: Instant | undefined
-  private isListening = true
-  private isClosingListener = false
+  private listener = ListenerState.Open
   private timer: ITimer | undefined
 
   /**
@@ -61,7 +69,7 @@
    * @returns whether that is before the process ends
    */
   canAnswer (deadline: Deadline): boolean {
-    return deadline + RESPONSE_MARGIN_MS <= this.exitDeadline
+    return deadline + RESPONSE_SLACK_MS + SEND_MARGIN_MS <= this.exitDeadline
   }
 
   /** Starts the shutdown, which ends the process. */
@@ -72,11 +80,11 @@
 
   private check (): void {
     const now = this.clock.now()
-    if (now >= this.acceptDeadline && !this.isClosingListener) {
-      this.isClosingListener = true
-      this.steps.closeListener(() => { this.isListening = false })
+    if (now >= this.acceptDeadline && this.listener === ListenerState.Open) {
+      this.listener = ListenerState.Closing
+      this.steps.closeListener(() => { this.listener = ListenerState.Closed })
     }
-    if (!this.isListening) this.steps.closeIdle()
+    if (this.listener === ListenerState.Closed) this.steps.closeIdle()
     if (this.isQuiet(now) || now >= this.exitDeadline) {
       this.steps.end(this.steps.countInFlight())
       return
@@ -85,7 +93,7 @@
   }
 
   private isQuiet (now: Instant): boolean {
-    if (this.isListening || this.steps.isLate() || this.steps.countInFlight() > 0) {
+    if (this.listener !== ListenerState.Closed || this.steps.isLate() || this.steps.countInFlight() > 0) {
       this.quietSince = undefined
       return false
     }
--- a/packages/entry/src/node/upstream/advisoryRecorder.ts
+++ b/packages/entry/src/node/upstream/advisoryRecorder.ts
@@ -6,13 +6,10 @@
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { EntryTelemetry } from '../telemetry/entryTelemetry.js'
 import { type AdvisorySignals, parseAdvisorySignals } from './advisorySignals.js'
+import { isFromWorker } from './classifyResponse.js'
 import type { IResponseObserver } from './upstreamPools.js'
-import { getHeader } from './rawHeaders.js'
 import type { ResponseHead } from './responseParser.js'
 
-const MIN_SUCCESS_STATUS = 200
-const MIN_REDIRECT_STATUS = 300
-
 /** Dependencies of an {@link AdvisoryRecorder}. */
 export interface AdvisoryRecorderDependencies {
   readonly clock: IClock
@@ -27,7 +24,7 @@
   constructor (private readonly dependencies: AdvisoryRecorderDependencies) {}
 
   handleResponseHead (worker: UpstreamRegistration, head: ResponseHead): void {
-    if (this.isFromWorker(head)) this.record(worker, parseAdvisorySignals(head, this.dependencies.protocol.headers))
+    if (isFromWorker(this.dependencies.protocol, head)) this.record(worker, parseAdvisorySignals(head, this.dependencies.protocol.headers))
   }
 
   /**
@@ -42,12 +39,4 @@
     const now = clock.now()
     if (coolDownMs !== undefined && view.recordCoolDown(worker, createDeadline(now, coolDownMs), now)) telemetry.logCoolDown(service, id, coolDownMs)
   }
-
-  /** Another worker that uses the address now, or bytes from elsewhere, say nothing about this worker. */
-  private isFromWorker ({ status, rawHeaders }: ResponseHead): boolean {
-    const { misdirectedRequestStatus, headers } = this.dependencies.protocol
-    if (status === misdirectedRequestStatus) return false
-    const isSuccess = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
-    return !isSuccess || getHeader(rawHeaders, headers.seal) !== undefined
-  }
 }
--- a/packages/entry/test/node/stop/gracefulShutdown.test.ts
+++ b/packages/entry/test/node/stop/gracefulShutdown.test.ts
@@ -2,11 +2,10 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { ManualClock } from '@umberspar/base/common/manualClock'
+import { RESPONSE_SLACK_MS } from '../../../src/node/front/requestDeadline.js'
 import { GracefulShutdown } from '../../../src/node/stop/gracefulShutdown.js'
 
 const SEED = 20261204
-/** After its deadline, a request waits this long for the worker's report, as `ProxiedRequest` does. */
-const RESPONSE_SLACK_MS = 150
 
 interface Stop {
   readonly shutdown: GracefulShutdown
--- a/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
@@ -21,14 +21,14 @@
   writeBlock()
 }
 
-/** @returns the head of a response whose body ends with its connection */
-function formatEndlessHead (worker: PlatformWorkerStandIn, status: number, requestId: string, fields: readonly string[], isSealed = true): string {
+/** @returns the head of a response without a length, whose body ends with its connection unless a field says otherwise */
+function formatUnframedHead (worker: PlatformWorkerStandIn, status: number, requestId: string, fields: readonly string[], isSealed = true): string {
   return worker.format(status, requestId, '', fields, isSealed).replace(LENGTH_LINE, '')
 }
 
 /** @returns the head of a response in chunks */
 function formatChunkedHead (worker: PlatformWorkerStandIn, requestId: string): string {
-  return worker.format(200, requestId, '', ['Transfer-Encoding: chunked']).replace(LENGTH_LINE, '')
+  return formatUnframedHead(worker, 200, requestId, ['Transfer-Encoding: chunked'])
 }
 
 type Answer = (worker: PlatformWorkerStandIn, socket: Socket, requestId: string) => void
@@ -49,7 +49,7 @@
   [WorkerFault.Short]: (worker, socket, requestId) => { socket.end(worker.format(200, requestId, worker.buildBody(requestId), []).slice(0, -3)) },
   [WorkerFault.InvalidField]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b'])) },
   [WorkerFault.InvalidFieldUnframed]: (worker, socket, requestId) => {
-    socket.end(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b']).replace(LENGTH_LINE, ''))
+    socket.end(formatUnframedHead(worker, 200, requestId, ['X-Trace: a\u0001b']) + worker.buildBody(requestId))
   },
   [WorkerFault.InvalidFieldName]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-(Trace): a'])) },
   [WorkerFault.EndlessStatusLine]: (worker, socket) => { writeEndless(worker, socket, 'HTTP/1.1 200 ', 'O') },
@@ -62,10 +62,10 @@
   [WorkerFault.EndlessTrailers]: (worker, socket, requestId) => { writeEndless(worker, socket, `${formatChunkedHead(worker, requestId)}0\r\n`, 'X-Trace: a\r\n') },
   // In chunks, as the end of the worker would complete a response without a length.
   [WorkerFault.EndlessBody]: (worker, socket, requestId) => { writeEndless(worker, socket, formatChunkedHead(worker, requestId), BODY_CHUNK) },
-  [WorkerFault.EndlessFailure]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 500, requestId, []), BODY_PART) },
-  [WorkerFault.EndlessRefusal]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 503, requestId, ['X-Umberspar-Not-Run: 1']), BODY_PART) },
-  [WorkerFault.EndlessUnsealed]: (worker, socket, requestId) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, requestId, [], false), BODY_PART) },
-  [WorkerFault.EndlessLateExtra]: (worker, socket) => { writeEndless(worker, socket, formatEndlessHead(worker, 200, 'an-earlier-request', []), BODY_PART) },
+  [WorkerFault.EndlessFailure]: (worker, socket, requestId) => { writeEndless(worker, socket, formatUnframedHead(worker, 500, requestId, []), BODY_PART) },
+  [WorkerFault.EndlessRefusal]: (worker, socket, requestId) => { writeEndless(worker, socket, formatUnframedHead(worker, 503, requestId, ['X-Umberspar-Not-Run: 1']), BODY_PART) },
+  [WorkerFault.EndlessUnsealed]: (worker, socket, requestId) => { writeEndless(worker, socket, formatUnframedHead(worker, 200, requestId, [], false), BODY_PART) },
+  [WorkerFault.EndlessLateExtra]: (worker, socket) => { writeEndless(worker, socket, formatUnframedHead(worker, 200, 'an-earlier-request', []), BODY_PART) },
   [WorkerFault.Unsealed]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), [], false)) },
   [WorkerFault.Silent]: () => {}
 }
