Compute the deadline of a caller once for each request

It was read from the request's head up to four times: by the checker, for the refusal before a body is read, for reading the body and for forwarding. The checker keeps it in AcceptedRequest now. No change of behaviour; lint is clean, the tests of entry, stops, early refusals, long bodies, paths and pipelines pass.

--- a/packages/entry/src/node/front/bufferedRequest.ts
+++ b/packages/entry/src/node/front/bufferedRequest.ts
@@ -16,6 +16,8 @@
   readonly keyDigest: string | undefined
   /** When its headers had been read. */
   readonly arrivedAt: Instant
+  /** When the caller stops waiting. */
+  readonly callerDeadline: Deadline
   /** Whether its caller was refused before and has come back; undefined if that can't be told. */
   readonly visit?: CallerVisit | undefined
   /** What the VM that relayed the request tells about it; undefined for requests of callers. */
@@ -28,6 +30,4 @@
   readonly body: RequestBody
   /** Identifies the request when the caller sends it again. */
   readonly digest: RequestDigest
-  /** When the caller stops waiting. */
-  readonly callerDeadline: Deadline
 }
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -21,7 +21,7 @@
 import { getRefusal } from './refusals.js'
 import type { AcceptedRequest } from './bufferedRequest.js'
 import { checkRequest, type RefusalDetails } from './requestChecker.js'
-import { computeRequestDeadline, getCallerDeadline } from './requestDeadline.js'
+import { computeRequestDeadline } from './requestDeadline.js'
 import { RequestDigest } from './requestDigest.js'
 import { logRequestEnd } from './requestLog.js'
 import { ProxiedRequest } from './proxiedRequest.js'
@@ -205,7 +205,7 @@
 
   private acceptRequest (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
     if (!hasBody(accepted.message)) return this.startForwarding(accepted, response, new RequestBody([], 0, this.context.bodyMemoryBudget))
-    const refusal = findEarlyRefusal(this.context, accepted, getCallerDeadline(this.context.headerRewriter, accepted.message, accepted.arrivedAt))
+    const refusal = findEarlyRefusal(this.context, accepted)
     if (refusal === undefined) this.readBodyThenForward(accepted, response, document)
     else this.refuse(accepted.message, response, refusal)
   }
@@ -243,8 +243,8 @@
   }
 
   private readBodyThenForward (accepted: AcceptedRequest, response: CallerResponse, document: SteeringDocument): void {
-    const { message: request, route, arrivedAt } = accepted
-    const deadline = computeRequestDeadline(route, arrivedAt, getCallerDeadline(this.context.headerRewriter, request, arrivedAt))
+    const { message: request, route, arrivedAt, callerDeadline } = accepted
+    const deadline = computeRequestDeadline(route, arrivedAt, callerDeadline)
     let isExpired = false
     const timer = this.context.timeoutClock.schedule(deadline, () => {
       isExpired = true
@@ -264,7 +264,7 @@
   private startForwarding (accepted: AcceptedRequest, response: CallerResponse, body: RequestBody): void {
     const { headerRewriter } = this.context
     const digest = new RequestDigest({ ...accepted, body })
-    const request = { ...accepted, requestId: headerRewriter.getRequestId(accepted.message), body, digest, callerDeadline: getCallerDeadline(headerRewriter, accepted.message, accepted.arrivedAt) }
+    const request = { ...accepted, requestId: headerRewriter.getRequestId(accepted.message), body, digest }
     new ProxiedRequest(this.context, request, response).start()
   }
 
--- a/packages/entry/src/node/front/earlyRefusal.ts
+++ b/packages/entry/src/node/front/earlyRefusal.ts
@@ -76,11 +76,10 @@
 /**
  * @param context the shared services of the process
  * @param accepted the request
- * @param callerDeadline when its caller stops waiting
  * @returns why it is refused; undefined if it may be served
  */
-export function findEarlyRefusal (context: EntryContext, accepted: AcceptedRequest, callerDeadline: Deadline): RefusalDetails | undefined {
-  const { route, arrivedAt, visit, relayOrigin } = accepted
+export function findEarlyRefusal (context: EntryContext, accepted: AcceptedRequest): RefusalDetails | undefined {
+  const { route, arrivedAt, callerDeadline, visit, relayOrigin } = accepted
   if (relayOrigin !== undefined) return undefined
   const access = checkAccess(context, accepted)
   if (!access.ok) return undefined
--- a/packages/entry/src/node/front/requestChecker.ts
+++ b/packages/entry/src/node/front/requestChecker.ts
@@ -50,13 +50,14 @@
   const keyDigest = accessController.readKeyDigest(message)
   const { outcome, account } = accessController.decide(route, keyDigest)
   if (outcome !== AccessOutcome.Allowed) return Err({ reason: REASON_BY_DENIAL[outcome], arrivedAt, route })
-  if (!context.canAnswer(computeRequestDeadline(route, arrivedAt, getCallerDeadline(headerRewriter, message, arrivedAt)))) return Err({ reason: EndReason.Stopping, arrivedAt, route })
+  const callerDeadline = getCallerDeadline(headerRewriter, message, arrivedAt)
+  if (!context.canAnswer(computeRequestDeadline(route, arrivedAt, callerDeadline))) return Err({ reason: EndReason.Stopping, arrivedAt, route })
   const exhaustedMs = quotas.getExhaustedMs(isRelayed ? undefined : account)
   if (exhaustedMs > 0) return Err({ reason: EndReason.QuotaExhausted, arrivedAt, route, account: account?.name, retryAfterMs: addRetryJitter(exhaustedMs, random) })
   if (Number(message.headers['content-length'] ?? 0) > document.limits.bodyBytes) return Err({ reason: EndReason.BodyTooLarge, arrivedAt, route })
   // Relayed requests have less time left without having been refused.
   const visit = isRelayed ? undefined : view.callerReturns.getTimes(route.name).observe(headerRewriter.getCallerTimeoutMs(message), clock.now())
-  return Ok({ message, route, keyDigest, arrivedAt, visit, relayOrigin })
+  return Ok({ message, route, keyDigest, arrivedAt, callerDeadline, visit, relayOrigin })
 }
 
 function countHeaderBytes (rawHeaders: readonly string[], method = '', target = ''): number {
