Test processes under crowds of clients that don't behave

These trials start the entry process and the daemon as programs of their own on loopback, on a machine made small by the test's own settings, let a small crowd send for four seconds, and check that the process lives, that its peak of resident memory and its open descriptors stay within the machine, and that an ordinary request is answered afterwards. No times, no shares.

Crowds and bounds are fixed here.

These trials run after all other tests, one at a time. The report of known failures says "not run" of entries that a run doesn't contain; it said "passed".

--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -56,6 +56,8 @@
   /** The part of a region's requests that placement by demand may move to other regions within two seconds. If omitted, demand counts as equal in all failure domains. */
   maxShift: z.optional(z.number().check(z.positive(), z.maximum(1))),
   memoryMb: positiveNumber,
+  /** Descriptors that the process may have open: files, and connections of all kinds. */
+  maxDescriptors: z._default(z.int().check(z.minimum(64)), 4_096),
   /** Bandwidth of this VM's network link in each direction, in megabits per second; omitted if unknown. */
   linkMbps: z.optional(positiveNumber),
   /** Cost of a kilobyte sent to another failure domain or region, relative to the worth of a response in time. */
--- a/packages/testing/src/node/measure/childDaemon.ts
+++ b/packages/testing/src/node/measure/childDaemon.ts
@@ -5,7 +5,7 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { IClock } from '@umberspar/base/common/clock'
 import type { DaemonSettings } from '@umberspar/adapters/node/settings/daemonSettings'
-import { ChildProgram } from './childProgram.js'
+import { ChildProgram, type ProgramOptions } from './childProgram.js'
 import { waitUntilDaemonReady } from './daemonReadiness.js'
 
 const DAEMON_PROGRAM = new URL('../../../../../daemon/bin/umberspard.js', import.meta.url)
@@ -21,13 +21,14 @@
 
   /**
    * @param settings the daemon's settings; written to a temporary file
+   * @param options how else it is started
    * @returns the daemon, not necessarily ready
    */
-  static async spawn (settings: DaemonSettings): Promise<ChildDaemon> {
+  static async spawn (settings: DaemonSettings, options: ProgramOptions = {}): Promise<ChildDaemon> {
     const directory = await mkdtemp(join(tmpdir(), 'umberspar-'))
     const file = join(directory, `${settings.nodeId}.json`)
     await writeFile(file, JSON.stringify(settings))
-    return new ChildDaemon(settings, ChildProgram.spawn(DAEMON_PROGRAM, ['--settings', file]), directory)
+    return new ChildDaemon(settings, ChildProgram.spawn(DAEMON_PROGRAM, ['--settings', file], options), directory)
   }
 
   /**
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -33,6 +33,14 @@
   readonly HomeRegions?: readonly string[]
 }
 
+/** The limits of callers in the operator's configuration. */
+export interface CallerLimits {
+  readonly MaxHeaderBytes: number
+  readonly MaxBodyBytes: number
+  readonly HeaderTimeout: string
+  readonly IdleTimeout: string
+}
+
 /** A worker's registration. */
 export interface WorkerRecord {
   readonly id: string
@@ -60,6 +68,7 @@
 const ACCOUNT_DEFAULTS = { Priority: 1, RatePerS: 0, Burst: 0, HomeRegions: [] }
 /** The host of all routes of the stand-in. */
 export const PLATFORM_HOST = 'shop.example'
+const DEFAULT_LIMITS: CallerLimits = { MaxHeaderBytes: 16_384, MaxBodyBytes: 1_000_000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' }
 const SLOTS = 4
 /** The retry budget in the settings of all entry processes. */
 export const RETRY_BUDGET = { ratio: 0.2, windowMs: 10_000, slack: 60 }
@@ -83,6 +92,8 @@
   private readonly sequences = new Map<string, number>()
   /** The client accounts of later configurations; undefined if callers need no keys. */
   accounts: readonly AccountInput[] | undefined
+  /** The limits of callers in later configurations. */
+  callerLimits = DEFAULT_LIMITS
 
   /** @param regions failure domains with their regions */
   constructor (readonly regions: Readonly<Record<string, string>>) {}
@@ -131,7 +142,7 @@
     this.store.put('op/config', {
       Version: `r${this.version}`,
       Services: [...this.services].map((Name) => ({ Name, HealthPath: '/healthz', MaxConns: 100, Proto: 'h1', Tls: false, Cold: '3s', ColdPerS: coldPerSecond })),
-      Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 1_000_000, HeaderTimeout: '3000ms', IdleTimeout: '15000ms' },
+      Limits: this.callerLimits,
       ...(accounts === undefined ? {} : { Tenants: accounts.map((account) => ({ ...ACCOUNT_DEFAULTS, ...account })) }),
       Hosts: [{ Host: PLATFORM_HOST, Paths: paths.map((path) => ({ ...PATH_DEFAULTS, ...path })) }]
     })
@@ -159,6 +170,7 @@
       quotaTolerance: { window: 5_000, over: 0.1, slack: 20 },
       quarantineSpan: 600_000,
       memoryMb: 350,
+      maxDescriptors: 4_096,
       byteCosts: { otherDomain: 0.004, otherRegion: 0.013 },
       logLevel: LogLevel.Info
     }
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -129,19 +129,30 @@
 
   private accept (socket: Socket): void {
     let received = Buffer.alloc(0)
+    // Joined only once the request can be complete, as joining a long body with each read would take quadratic time.
+    let parts: Buffer[] = []
+    let unjoinedBytes = 0
+    let neededBytes = 0
     this.sockets.add(socket)
     socket.on('error', () => {})
     socket.on('close', () => { this.sockets.delete(socket) })
     socket.on('data', (chunk) => {
-      received = Buffer.concat([received, chunk])
+      parts.push(chunk)
+      unjoinedBytes += chunk.length
+      if (received.length + unjoinedBytes < neededBytes) return
+      received = Buffer.concat([received, ...parts])
+      parts = []
+      unjoinedBytes = 0
+      neededBytes = 0
       for (;;) {
         const end = received.indexOf(HEAD_END)
         if (end < 0) return
         const head = received.subarray(0, end).toString('latin1')
         const length = Number(LENGTH.exec(head)?.[1] ?? 0)
         const bodyFrom = end + HEAD_END.length
-        if (received.length < bodyFrom + length) return
-        received = received.subarray(bodyFrom + length)
+        neededBytes = bodyFrom + length
+        if (received.length < neededBytes) return
+        received = received.subarray(neededBytes)
         this.handle(socket, head, length)
       }
     })
--- a/scripts/knownRed.mjs
+++ b/scripts/knownRed.mjs
@@ -41,3 +41,22 @@
   }
   return failed
 }
+
+/**
+ * @param {string} tap the report of a test run in TAP format
+ * @returns {string[]} the names of the tests that were run, whether they failed or not
+ */
+export function listRunTests (tap) {
+  return tap.split('\n').flatMap((line) => /^\s*(?:not )?ok \d+ - (.*?)(?: # .*)?$/.exec(line)?.[1] ?? [])
+}
+
+/**
+ * @param {{ name: string, line: string }} test a listed test
+ * @param {ReadonlySet<string>} run the names of the tests that were run
+ * @param {ReadonlySet<string>} failed the names of the tests that failed
+ * @returns {string} the line of the report about the test
+ */
+export function formatKnownRed ({ name, line }, run, failed) {
+  if (!run.has(name)) return `known failure (not run): ${line}`
+  return `known failure${failed.has(name) ? '' : ' (passed in this run)'}: ${line}`
+}
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,8 +1,9 @@
 /**
  * Runs the compiled test files of the workspace, or those whose path contains one of
  * the given words: `npm test -- steering/test/common/plan`. The seeded runs of real processes under faults,
- * which take minutes, are left out unless a word names them; `--soak` runs only these. Succeeds if every failed
- * test is listed in KNOWN-RED.txt.
+ * which take minutes, are left out unless a word names them; `--soak` runs only these. Trials of processes under
+ * crowds of clients measure memory and descriptors: they run after all others, one at a time. Succeeds if every
+ * failed test is listed in KNOWN-RED.txt.
  */
 import { spawnSync } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
@@ -10,7 +11,7 @@
 import { join } from 'node:path'
 import { globSync } from 'glob'
 import { fileURLToPath } from 'node:url'
-import { listFailedTests, readKnownRed } from './knownRed.mjs'
+import { formatKnownRed, listFailedTests, listRunTests, readKnownRed } from './knownRed.mjs'
 import { matchesWords } from './testWords.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
@@ -18,6 +19,9 @@
 const words = process.argv.slice(isSoak ? 3 : 2)
 /** The seeded runs of real processes under faults. */
 const SOAK_RUN = /^packages\/soak\/.*Run\.test\.js$/
+/** Trials that need the machine for themselves. */
+const TRIAL = /\/node\/clients\//
+const CONCURRENCY = 4
 const files = [
   ...globSync('packages/*/dist/test/**/*.test.js', { cwd: root }),
   ...globSync('platform/dist/test/**/*.test.js', { cwd: root }),
@@ -32,22 +36,33 @@
 
 /**
  * Prints the tests that are known to fail.
- * @returns whether tests failed and all of them are known to fail, so that the run may succeed
+ * @returns whether all failed tests are known to fail, so that the run may succeed
  */
-function reportKnownFailures (report) {
-  const failed = new Set(listFailedTests(report))
+function reportKnownFailures (reports) {
+  const failed = new Set(reports.flatMap(listFailedTests))
+  const run = new Set(reports.flatMap(listRunTests))
   const knownTests = readKnownRed(join(root, 'KNOWN-RED.txt'))
-  for (const { name, line } of knownTests) {
-    process.stdout.write(`known failure${failed.has(name) ? '' : ' (passed in this run)'}: ${line}\n`)
-  }
+  for (const test of knownTests) process.stdout.write(`${formatKnownRed(test, run, failed)}\n`)
   const knownNames = new Set(knownTests.map(({ name }) => name))
   return failed.size > 0 && [...failed].every((name) => knownNames.has(name))
 }
 
 const folder = mkdtempSync(join(tmpdir(), 'umberspar-tests-'))
-const report = join(folder, 'report.tap')
-const reporters = ['--test-reporter=spec', '--test-reporter-destination=stdout', '--test-reporter=tap', `--test-reporter-destination=${report}`]
-const result = spawnSync(process.execPath, ['--test', '--test-concurrency=4', ...reporters, ...files], { cwd: root, stdio: 'inherit' })
-const areFailuresKnown = result.status !== 0 && reportKnownFailures(readFileSync(report, 'utf8'))
+
+/** @returns the exit code of the run and its report; undefined if there is nothing to run */
+function runFiles (selected, concurrency) {
+  if (selected.length === 0) return undefined
+  const report = join(folder, `${concurrency}.tap`)
+  const reporters = ['--test-reporter=spec', '--test-reporter-destination=stdout', '--test-reporter=tap', `--test-reporter-destination=${report}`]
+  const { status } = spawnSync(process.execPath, ['--test', `--test-concurrency=${concurrency}`, ...reporters, ...selected], { cwd: root, stdio: 'inherit' })
+  return { status, report: readFileSync(report, 'utf8') }
+}
+
+const runs = [
+  runFiles(files.filter((file) => !TRIAL.test(file)), CONCURRENCY),
+  runFiles(files.filter((file) => TRIAL.test(file)), 1)
+].filter((run) => run !== undefined)
 rmSync(folder, { recursive: true })
-process.exit(areFailuresKnown ? 0 : result.status ?? 1)
+const failedRun = runs.find(({ status }) => status !== 0)
+const areFailuresKnown = failedRun !== undefined && reportKnownFailures(runs.map(({ report }) => report))
+process.exit(areFailuresKnown ? 0 : failedRun === undefined ? 0 : failedRun.status ?? 1)
--- a/scripts/test/knownRed.test.mjs
+++ b/scripts/test/knownRed.test.mjs
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { describe, it } from 'node:test'
-import { listFailedTests, readKnownRed } from '../knownRed.mjs'
+import { formatKnownRed, listFailedTests, listRunTests, readKnownRed } from '../knownRed.mjs'
 
 const TAP = `TAP version 13
 # Subtest: a group
@@ -25,6 +25,13 @@
     assert.deepEqual(listFailedTests(TAP), ['the broken one'])
   })
 
+  it('is reported with whether each test failed, passed or was not run', () => {
+    const run = new Set(listRunTests(TAP))
+    const failed = new Set(listFailedTests(TAP))
+    const reported = ['the broken one', 'the other', 'soak seed 1'].map((name) => formatKnownRed({ name, line: name }, run, failed))
+    assert.deepEqual(reported, ['known failure: the broken one', 'known failure (passed in this run): the other', 'known failure (not run): soak seed 1'])
+  })
+
   it('lists each test with command, observed failure, cause and issue', () => {
     const folder = mkdtempSync(join(tmpdir(), 'known-red-'))
     const file = join(folder, 'KNOWN-RED.txt')
