--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -153,6 +153,7 @@
         neededBytes = bodyFrom + length
         if (received.length < neededBytes) return
         received = received.subarray(neededBytes)
+        neededBytes = 0
         this.handle(socket, head, length)
       }
     })
