Release the chunks of a body that is refused halfway

Callers saw: a process with 350 MB beside some twenty callers that uploaded bodies of legal size took 475 MB and would have been killed; all of its callers would have been cut off.

Cause: a body that found no room, or was too long, gave its bytes back to the budget of bodies at once, but its chunks stayed referenced by the listener that reads the rest of it, for up to 10 s. The budget was spent again meanwhile. Ruled out: chunks kept by reference to larger blocks, as Node.js copies what it reports of a body.

Change: the chunks are dropped with the refusal. One body may take at most 16 times what remains free, so that many large ones leave room for small ones, and a single one of 67 MB still fits on the smallest machine (250 MB). The budget is 0.41 of the memory beside what the runtime and the records take (75 MB): 112 MB of 350 (105 before), 72 of 250.

--- a/packages/entry/src/node/front/bodyReader.ts
+++ b/packages/entry/src/node/front/bodyReader.ts
@@ -16,8 +16,15 @@
   CallerDisconnected = 'caller-left'
 }
 
-/** The share of the memory for request bodies; the rest is for the runtime, responses and sockets. */
-const BODY_MEMORY_RATIO = 0.3
+/** What the runtime and the records take of the memory. */
+export const RUNTIME_MEMORY_MB = 75
+/** The share of the remaining memory for request bodies; the rest is for connections and what is not collected yet. */
+const BODY_MEMORY_RATIO = 0.41
+/**
+ * One body may take this many times what remains free, so that a single one may take almost all of the
+ * memory, and many large ones leave room for small ones.
+ */
+const MAX_BODY_TO_FREE = 16
 const BYTES_PER_MB = 1_000_000
 
 /** Limits the total size of all bodies buffered by the process. */
@@ -29,7 +36,7 @@
    * @returns the budget for its request bodies
    */
   static create (memoryMb: number): BodyMemoryBudget {
-    return new BodyMemoryBudget(memoryMb * BYTES_PER_MB * BODY_MEMORY_RATIO)
+    return new BodyMemoryBudget(Math.max(0, memoryMb - RUNTIME_MEMORY_MB) * BYTES_PER_MB * BODY_MEMORY_RATIO)
   }
 
   /** @param maxBytes the limit on the total size */
@@ -37,10 +44,12 @@
 
   /**
    * @param bytes number of bytes to reserve
-   * @returns whether the bytes were reserved; false if they would exceed the limit
+   * @param bodyBytes number of bytes that are reserved for the same body already
+   * @returns whether the bytes were reserved; false if they would exceed the limit, or the part of this body
    */
-  reserve (bytes: number): boolean {
-    if (this.usedBytes + bytes > this.maxBytes) return false
+  reserve (bytes: number, bodyBytes = 0): boolean {
+    const freeBytes = this.maxBytes - this.usedBytes - bytes
+    if (bodyBytes + bytes > freeBytes * MAX_BODY_TO_FREE) return false
     this.usedBytes += bytes
     return true
   }
@@ -89,13 +98,17 @@
   const settle = (result: RequestBody | BodyFailure): void => {
     if (isSettled) return
     isSettled = true
-    if (!(result instanceof RequestBody)) memoryBudget.release(chunks.length)
+    if (!(result instanceof RequestBody)) {
+      memoryBudget.release(chunks.length)
+      // The listeners below live until the rest of the body has arrived.
+      chunks.take()
+    }
     onSettled(result)
   }
   request.on('data', (chunk: Buffer) => {
     if (isSettled) return
     if (chunks.length + chunk.length > maxBytes) settle(BodyFailure.TooLarge)
-    else if (!memoryBudget.reserve(chunk.length)) settle(BodyFailure.MemoryExhausted)
+    else if (!memoryBudget.reserve(chunk.length, chunks.length)) settle(BodyFailure.MemoryExhausted)
     else chunks.add(chunk)
   })
   request.on('end', () => {
