Read the requests of a caller strictly and one at a time

Callers saw: an entry process ended (heap limit), with all of its requests, under clients that sent requests ahead without reading responses, heads of legal size made of very many lines, chunks of one byte, or trailers on many connections. On Node.js 20.19.0 a request hidden behind a head that ends in a bare LF, a space before a colon, two Host fields, bytes above 0x7f in the target or broken chunks was passed on to workers.

Cause, by a trace of one connection: Node.js's parser consumes the socket itself. A read of 64 kB holds some 900 requests that are parsed in one go, each kept with its response object until its turn; pausing the socket stops the next read, not the parsing. Nothing counted what all connections hold: heads cost 200 bytes a line beside their bytes, chunks an object and an event each. What the parser tolerates depends on the release (llhttp 8.1.2 here).

Change: RequestInput stands between a socket and the server's parser. It scans one head at a time (request line, names, values, framing fields; bare CR and LF, folding, repeated Host or lengths are 400 whatever Node.js tolerates), decodes chunks and passes on only their data, with limits of 16 kB on extensions and on trailers, and passes on the next request only while the connection has fewer than 8 in flight and less than 16 kB of responses unsent; what follows stays in the socket. Parsing takes at most 5 ms of a turn and goes round all connections; reading is paced at 64 MB a second together. ConnectionMemory sums what waits, heads in flight and unsent responses: a head may take an eighth of what is free and waits else; beyond the limit (0.1 of the memory beside the runtime) the connection that holds most is closed. A client that reads nothing of a response for 10 s is disconnected. Heads that take longer than the operator's limit get 408 on used connections as well. Node.js's limit of 1,000 fields, above which it dropped fields without a word, is off.

Two ways were weighed: a parser of our own for callers (http-parser-js, which the project uses for responses) in place of Node.js's server, and Node.js's server behind a check of the bytes. The former needs request and response streams, keep-alive, Expect, HEAD and pipelined order again; the latter was built. Not measured: the processor time of the former.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -3,20 +3,18 @@
  * and metrics, and the graceful shutdown. The adapters for the store and for the protocol of callers
  * are passed in.
  */
-import type { IClock, Instant } from '@umberspar/base/common/clock'
+import type { IClock } from '@umberspar/base/common/clock'
 import { CloseStack, type IClosable } from '@umberspar/base/common/closing'
-import type { ElapsedClock } from '@umberspar/base/common/elapsedClock'
-import { type ILogger, LogLevel } from '@umberspar/base/common/logger'
-import type { IRandomSource } from '@umberspar/base/common/random'
+import type { ConnectionResources } from '@umberspar/base/node/http/connectionResources'
+import { LogLevel } from '@umberspar/base/common/logger'
 import { FleetUsage } from '@umberspar/steering/common/entry/admission/fleetUsage'
 import { ServiceGates } from '@umberspar/steering/common/entry/admission/serviceGates'
 import { DomainRoundTrips } from '@umberspar/steering/common/entry/placement/domainRoundTrips'
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import { ViewChange, type ViewEvent } from '@umberspar/steering/common/entry/viewEvent'
 import type { EntryNode } from '@umberspar/steering/common/entry/records'
-import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
-import type { INodeRegistration, IRecordWriter, ISteeringSource } from '@umberspar/steering/common/ports/steeringSource'
 import type { EntrySettings } from '../common/entrySettings.js'
+import type { EntryDependencies } from './entryDependencies.js'
 import { createAccessBounds } from './accounts/accessBounds.js'
 import { createEntryView } from './createEntryView.js'
 import { AccessController } from './accounts/accessController.js'
@@ -25,6 +23,7 @@
 import { NodeRegistrar } from './replica/nodeRegistrar.js'
 import { RecordSynchronizer } from './replica/recordSynchronizer.js'
 import { BodyMemoryBudget } from './front/bodyReader.js'
+import { createCallerLimits, createConnectionResources } from './front/connectionShares.js'
 import type { EntryContext } from './front/entryContext.js'
 import { createFleetExchange } from './exchange/createFleetExchange.js'
 import type { FleetExchange } from './exchange/fleetExchange.js'
@@ -42,34 +41,14 @@
 import { FleetSharing } from './sharing/fleetSharing.js'
 import { GracefulShutdown } from './stop/gracefulShutdown.js'
 import { EntryGauges } from './telemetry/entryGauges.js'
-import type { EntryMetrics } from './telemetry/entryMetrics.js'
 import { RelayPeers } from './relay/relayPeers.js'
 import { RelayServer } from './relay/relayServer.js'
 import { EntryTelemetry } from './telemetry/entryTelemetry.js'
 import { AdvisoryRecorder } from './upstream/advisoryRecorder.js'
-import { openSocket, type SocketOpener } from './upstream/upstreamPool.js'
+import { openSocket } from './upstream/upstreamPool.js'
 import { UpstreamLinks } from './upstream/upstreamLinks.js'
 import { UpstreamPools } from './upstream/upstreamPools.js'
 
-/** The services that an entry process is built from. */
-export interface EntryDependencies {
-  readonly settings: EntrySettings
-  readonly clock: IClock
-  /** Also counts time for which the machine was suspended; the instants of the source are on this clock. */
-  readonly elapsed: ElapsedClock
-  readonly random: IRandomSource
-  /** When the process started. */
-  readonly startedAt: Instant
-  readonly logger: ILogger
-  readonly metrics: EntryMetrics
-  readonly protocol: ICallerProtocol
-  readonly source: ISteeringSource
-  readonly registration: INodeRegistration
-  /** Opens connections to workers; on the network by default. */
-  readonly openWorkerSocket?: SocketOpener
-  readonly writer: IRecordWriter
-}
-
 /** An entry process. */
 export class Entry implements IClosable {
   private readonly closeStack = new CloseStack()
@@ -95,6 +74,7 @@
   private readonly sharing: FleetSharing
   private readonly telemetry: EntryTelemetry
   private readonly timeoutClock: IClock
+  private readonly connectionResources: ConnectionResources
   /** Knows when what arrived has been read. */
   readonly eventLoop: EventLoopMonitor
   private readonly node: EntryNode
@@ -113,6 +93,7 @@
     this.node = { name: settings.node, address: settings.listen.callers, peerAddress: settings.listen.peers, domain: settings.domain, linkMbps: settings.linkMbps, exchangeAddress: settings.listen.exchange }
     this.registrar = new NodeRegistrar(dependencies.registration, this.node)
     this.telemetry = new EntryTelemetry(logger, metrics)
+    this.connectionResources = this.closeStack.add(createConnectionResources(settings, clock, metrics))
     this.eventLoop = this.closeStack.add(new EventLoopMonitor({ clock, elapsed: dependencies.elapsed, onDelay: (delayMs) => { this.telemetry.logEventLoopDelay(delayMs) } }))
     this.timeoutClock = new TimeoutClock(clock, () => this.eventLoop)
     this.view = createEntryView(settings, this.regionByDomain, roundTrips, dependencies.startedAt, (windowMs) => this.sharing.mayShare(windowMs), this.telemetry)
@@ -257,6 +238,7 @@
       location: { domain: settings.domain, regionByDomain: this.regionByDomain },
       placeWaiter: this.placeWaiter,
       bodyMemoryBudget: BodyMemoryBudget.create(settings.memoryMb),
+      callerLimits: createCallerLimits(this.connectionResources, this.view),
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
       getRecordsAge: () => this.viewUpdater.getRecordsAge(),
--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -35,8 +35,9 @@
    * @param isHead whether the request method was HEAD
    * @param shouldCloseConnection called when the response starts: whether the connection is closed after it
    * @param isRelayed whether another VM relayed the request
+   * @param onDidWrite called after the response or a part of it was written
    */
-  constructor (private readonly response: ServerResponse, private readonly isHead: boolean, private readonly shouldCloseConnection: () => boolean, readonly isRelayed = false) {
+  constructor (private readonly response: ServerResponse, private readonly isHead: boolean, private readonly shouldCloseConnection: () => boolean, readonly isRelayed = false, private readonly onDidWrite: () => void = () => {}) {
     response.sendDate = false
   }
 
@@ -45,6 +46,11 @@
     return this.response.writableFinished
   }
 
+  /** @returns how much of the response waits in memory, in bytes */
+  get unsentBytes (): number {
+    return this.response.writableLength
+  }
+
   /** @returns whether nothing more can be written to the caller */
   get isClosed (): boolean {
     return this.isConnectionClosed || this.response.destroyed || this.response.writableEnded
@@ -84,6 +90,7 @@
     if (status === UNAUTHORIZED) fields.push('WWW-Authenticate', 'Bearer')
     this.writeHead(status, fields, isUnable ? RelayOutcome.Unable : NOT_RUN_STATUSES.has(status) ? RelayOutcome.Refused : RelayOutcome.Answered)
     this.response.end(this.isHead ? undefined : body)
+    this.onDidWrite()
   }
 
   /** Writes a worker's complete response. */
@@ -93,6 +100,7 @@
     if (contentLength !== undefined && !BODILESS_STATUSES.has(head.status)) fields.push('Content-Length', contentLength)
     this.writeHead(head.status, fields)
     this.response.end(body.length === 1 ? body[0] : Buffer.concat(body as Buffer[]))
+    this.onDidWrite()
   }
 
   /** Starts to stream a worker's response. */
@@ -104,7 +112,9 @@
 
   /** @returns whether more can be written at once; otherwise wait for the drain callback */
   writeChunk (chunk: Buffer): boolean {
-    return this.response.write(chunk)
+    const hasRoom = this.response.write(chunk)
+    if (!hasRoom) this.onDidWrite()
+    return hasRoom
   }
 
   /** Ends a streamed response that arrived completely. */
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -2,11 +2,12 @@
  * The HTTP server for callers: finds the route of each request, checks the request against the
  * configured limits, reads its body and starts to forward it.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
-import type { IClock, ITimer } from '@umberspar/base/common/clock'
+import type { IClock } from '@umberspar/base/common/clock'
 import type { IClosable } from '@umberspar/base/common/closing'
 import type { Deadline } from '@umberspar/base/common/deadline'
+import { InputFault } from '@umberspar/base/node/http/inputOwner'
 import type { SteeringDocument } from '@umberspar/steering/common/entry/steeringDocument'
 import { listenAt } from '../address.js'
 import type { RelayOrigin } from '../../common/relayFields.js'
@@ -16,6 +17,8 @@
 import type { CallerResponse } from './callerResponse.js'
 import { recordRefusal } from './callerReturns.js'
 import { CallerConnection, type CallerExchange, type ConnectionHost } from './callerConnection.js'
+import { ConfigurationWaiter } from './configurationWaiter.js'
+import { MAX_HEADER_BYTES } from './connectionShares.js'
 import { findEarlyRefusal } from './earlyRefusal.js'
 import type { EntryContext } from './entryContext.js'
 import { getRefusal } from './refusals.js'
@@ -26,16 +29,12 @@
 import { logRequestEnd } from './requestLog.js'
 import { ProxiedRequest } from './proxiedRequest.js'
 
-/** Node.js rejects longer request heads itself; the lower configured limit is checked by {@link CallerServer}. */
-const MAX_HEADER_BYTES = 65_536
 /** How often Node.js checks for request heads that take too long to arrive. */
 const HEADER_TIMEOUT_CHECK_MS = 1_000
 /** Callers reuse connections up to the idle limit; closing them this much later avoids races with a new request. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000
 /** `Retry-After` of requests that arrive before the first configuration. */
 const UNCONFIGURED_RETRY_AFTER_MS = 300
-/** How long requests wait for the first configuration: reading it takes 70 to 200 ms if the store responds. */
-const CONFIGURATION_WAIT_MS = 250
 const BODY_MEMORY_RETRY_AFTER_MS = 500
 /** `Retry-After` while the records are stale: other VMs may have newer ones, and this VM may have updated its own by then. */
 const STALE_RECORDS_RETRY_AFTER_MS = 300
@@ -66,23 +65,19 @@
   [HEADERS_TIMEOUT_CODE]: 408
 }
 
-/** A request that awaits the first configuration. */
-interface PendingExchange {
-  readonly exchange: CallerExchange
-  readonly timer: ITimer
-}
-
 /** The HTTP server for callers. */
 export class CallerServer implements IClosable, ConnectionHost {
   private readonly server: Server
   private readonly connections = new Map<Socket, CallerConnection>()
-  /** Requests that await the first configuration. */
-  private readonly pendingExchanges = new Set<PendingExchange>()
+  private readonly configurationWaiter: ConfigurationWaiter
 
   /** @param context the shared services of the process */
   constructor (private readonly context: EntryContext) {
+    this.configurationWaiter = new ConfigurationWaiter(context.clock)
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS, noDelay: true, requestTimeout: 0 })
-    this.server.on('connection', (socket) => { this.connections.set(socket, new CallerConnection(socket, this, this.eventLoop.acceptConnection())) })
+    // Node.js would drop further fields without a word, and a route or a deadline with them.
+    this.server.maxHeadersCount = 0
+    this.server.on('connection', (socket) => { this.acceptConnection(socket) })
     this.server.on('request', (request, response) => { this.handleRequest(request, response) })
     this.server.on('clientError', (error, socket) => { this.handleClientError(error as NodeJS.ErrnoException, socket as Socket) })
   }
@@ -115,7 +110,7 @@
     this.server.headersTimeout = limits.headerMs
     this.server.keepAliveTimeout = limits.idleMs + IDLE_TIMEOUT_MARGIN_MS
     // In the next turn of the event loop, as the workers and the proof that the records are current arrive with the same read.
-    if (this.pendingExchanges.size > 0) this.clock.schedule(this.clock.now(), () => { this.startPending() })
+    if (this.configurationWaiter.hasPending) this.clock.schedule(this.clock.now(), () => { this.startPending() })
   }
 
   /** Closes connections on which no request awaits a response. */
@@ -176,7 +171,16 @@
   /** Node.js would respond at once, in place of the response to an earlier request on the connection. */
   private handleClientError ({ code = '' }: NodeJS.ErrnoException, socket: Socket): void {
     const status = STATUS_BY_ERROR_CODE[code] ?? BAD_REQUEST
-    this.connections.get(socket)?.refuseInput(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    this.connections.get(socket)?.refuse(status)
+  }
+
+  private acceptConnection (socket: Socket): void {
+    const connection = new CallerConnection(socket, this, this.eventLoop.acceptConnection(), this.context.callerLimits)
+    this.connections.set(socket, connection)
+  }
+
+  refuseBody ({ message, response, arrivedAt }: CallerExchange, fault: InputFault): void {
+    if (!response.isClosed) this.refuse(message, response, { reason: fault === InputFault.TooLong ? EndReason.HeadersTooLarge : EndReason.BodyMalformed, arrivedAt })
   }
 
   startExchange (exchange: CallerExchange): void {
@@ -216,28 +220,15 @@
     })
   }
 
-  /**
-   * Queues a request until the first configuration is there, or the newer one that another entry VM has.
-   * That takes one call; if requests were refused meanwhile, most callers would have no retry left.
-   */
   private waitForConfiguration (exchange: CallerExchange): void {
-    const { clock } = this.context
     const { message, response, arrivedAt } = exchange
-    const pending = {
-      exchange,
-      timer: clock.schedule(arrivedAt + CONFIGURATION_WAIT_MS, () => {
-        this.pendingExchanges.delete(pending)
-        this.refuse(message, response, { reason: this.context.view.document === undefined ? EndReason.NoConfiguration : EndReason.RecordsStale, arrivedAt })
-      })
-    }
-    this.pendingExchanges.add(pending)
+    this.configurationWaiter.add(exchange, () => {
+      this.refuse(message, response, { reason: this.context.view.document === undefined ? EndReason.NoConfiguration : EndReason.RecordsStale, arrivedAt })
+    })
   }
 
   private startPending (): void {
-    const pending = [...this.pendingExchanges]
-    this.pendingExchanges.clear()
-    for (const { exchange, timer } of pending) {
-      timer.close()
+    for (const exchange of this.configurationWaiter.take()) {
       if (!exchange.response.isClosed) this.startExchange(exchange)
     }
   }
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -23,6 +23,7 @@
 import type { AdvisoryRecorder } from '../upstream/advisoryRecorder.js'
 import type { UpstreamPools } from '../upstream/upstreamPools.js'
 import type { BodyMemoryBudget } from './bodyReader.js'
+import type { CallerLimits } from './callerConnection.js'
 import type { HeaderRewriter } from './headerRewriter.js'
 import type { PlaceWaiter } from './placeWaiter.js'
 
@@ -66,6 +67,8 @@
   /** Holds requests back until a place is expected. */
   readonly placeWaiter: PlaceWaiter
   readonly bodyMemoryBudget: BodyMemoryBudget
+  /** What limits the connections of callers. */
+  readonly callerLimits: CallerLimits
   readonly byteCosts: ByteCosts
   readonly telemetry: EntryTelemetry
   getRecordsAge(): RecordsAge
--- a/packages/entry/src/node/front/refusals.ts
+++ b/packages/entry/src/node/front/refusals.ts
@@ -22,6 +22,7 @@
   [EndReason.QuotaUnknown]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: what is left of the account\'s quota cannot be told' },
   [EndReason.HeadersTooLarge]: { outcome: RequestOutcome.Invalid, status: 431, text: 'the request head is too large' },
   [EndReason.BodyTooLarge]: { outcome: RequestOutcome.Invalid, status: 413, text: 'the request body is too large' },
+  [EndReason.BodyMalformed]: { outcome: RequestOutcome.Invalid, status: 400, text: 'the request body is malformed' },
   [EndReason.BodyTimeout]: { outcome: RequestOutcome.Refused, status: 408, text: 'not run: the request body did not come in time' },
   [EndReason.BodyMemoryExhausted]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no room for the request body' },
   [EndReason.NoWorker]: { outcome: RequestOutcome.Refused, status: 503, text: 'not run: no worker may take the request now' },
--- a/packages/entry/src/node/telemetry/entryMetrics.ts
+++ b/packages/entry/src/node/telemetry/entryMetrics.ts
@@ -83,6 +83,7 @@
   private readonly placeWaits
   private readonly placeWaitSeconds
   private readonly refusals
+  private readonly closedConnections
   private readonly droppedLogLines
   private readonly placementSteps
   private readonly movedObjects
@@ -113,6 +114,7 @@
     this.placeWaits = new Counter({ name: 'umberspar_place_waits_total', help: 'Requests that waited for a place at a worker, by end and priority', labelNames: ['end', 'priority'], registers })
     this.placeWaitSeconds = new Histogram({ name: 'umberspar_place_wait_seconds', help: 'Time for which requests waited for a place at a worker', buckets: PLACE_WAIT_BUCKETS_SECONDS, registers })
     this.refusals = new Counter({ name: 'umberspar_refusals_total', help: 'Refused requests by service, reason, priority of the route, and whether the caller had returned', labelNames: ['service', 'reason', 'priority', 'visit'], registers })
+    this.closedConnections = new Counter({ name: 'umberspar_connections_closed_total', help: 'Connections that were closed for the sake of others, by what was short', labelNames: ['reason'], registers })
     this.droppedLogLines = new Counter({ name: 'umberspar_log_lines_dropped_total', help: 'Log lines that found no room', labelNames: ['urgency'], registers })
     this.placementSteps = new Counter({ name: 'umberspar_placement_steps_total', help: 'Changes of the shares of workers that followed demand', labelNames: ['service'], registers })
     this.movedObjects = new Counter({ name: 'umberspar_objects_moved_total', help: 'Estimated objects in use at this VM that followed demand to workers of another region', labelNames: ['service'], registers })
@@ -171,6 +173,11 @@
     this.sentRecordBytes.inc(bytes)
   }
 
+  /** Counts a connection that was closed for the sake of others. */
+  countClosedConnection (reason: string): void {
+    this.closedConnections.inc({ reason })
+  }
+
   /** Counts a look-up. */
   countLookup (answer: string): void {
     this.lookups.inc({ answer })
--- a/packages/entry/src/node/telemetry/requestOutcomes.ts
+++ b/packages/entry/src/node/telemetry/requestOutcomes.ts
@@ -38,6 +38,8 @@
   QuotaUnknown = 'quota-unknown',
   HeadersTooLarge = 'head-too-large',
   BodyTooLarge = 'body-too-large',
+  /** Its chunks violate the protocol. */
+  BodyMalformed = 'body-malformed',
   BodyTimeout = 'body-late',
   BodyMemoryExhausted = 'bodies-full',
   /** No worker is available: none is registered, all are draining, or all were tried. */
--- a/packages/entry/test/node/front/callerConnection.test.ts
+++ b/packages/entry/test/node/front/callerConnection.test.ts
@@ -43,6 +43,7 @@
         if (this.isDraining && this.listOpen().length > 0) this.startedBehind.push(exchange.message.url ?? '')
         this.started.push(exchange)
       },
+      refuseBody: () => {},
       recordUnprocessed: ({ message }) => { this.unprocessed.push(message.url ?? '') },
       removeConnection: () => {}
     }
