Limit what clients of look-ups, readiness checks, metrics and relays hold

Callers saw: 200 clients that sent look-ups, readiness checks, relayed requests, unknown paths or requests for metrics ahead ended an entry process of 130 MB (heap limit); 20 of them held its loop, so that callers were cut off.

The server of these endpoints let Node.js parse all that one read held, and kept each response until its turn.

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -132,6 +132,7 @@
       relayServer: this.buildRelayServer(),
       publisher: this.synchronizer.publisher,
       telemetry: this.telemetry,
+      connectionResources: this.connectionResources,
       readMetrics: async () => await this.dependencies.metrics.read(this.buildGauges())
     }, this.closeStack)
     await this.callerServer.listen(settings.listen.callers)
--- a/packages/entry/src/node/lookup/endpointServer.ts
+++ b/packages/entry/src/node/lookup/endpointServer.ts
@@ -1,6 +1,8 @@
 /** The HTTP server for look-ups of entry VMs, readiness checks, metrics, and requests of other entry VMs. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { IClosable } from '@umberspar/base/common/closing'
+import type { ConnectionResources } from '@umberspar/base/node/http/connectionResources'
+import { addServerGuard } from '@umberspar/base/node/http/guardedServer'
 import { listenAt } from '../address.js'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 
@@ -29,6 +31,12 @@
 const KEEP_ALIVE_TIMEOUT_MS = 10_000
 /** Heads of relayed requests may be as long as those of callers, and have further fields. */
 const MAX_HEADER_BYTES = 81_920
+/** Limit on the time that the head of a request may take, and on that of a whole request. */
+const HEADER_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 30_000
+/** Other VMs send the next request of a connection when they have the response. */
+const MAX_IN_FLIGHT = 1
+const BAD_REQUEST = 400
 
 /** An HTTP server for short requests; several kinds of endpoints may share an address. */
 export class EndpointServer implements IClosable {
@@ -39,8 +47,12 @@
   /** By the first part of the target. */
   private readonly rawHandlers: Array<readonly [string, RawHandler]> = []
 
-  constructor () {
-    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 })
+  /** @param resources what all connections of the process share */
+  constructor (resources: ConnectionResources) {
+    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true, maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADER_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS })
+    // Relayed requests keep all of their fields.
+    this.server.maxHeadersCount = 0
+    addServerGuard(this.server, { resources, maxInFlight: MAX_IN_FLIGHT, maxHeadBytes: MAX_HEADER_BYTES, headTimeoutMs: HEADER_TIMEOUT_MS, unknownCodingStatus: BAD_REQUEST })
     this.server.on('request', (request, response) => { this.handleRequest(request, response) })
   }
 
--- a/packages/entry/src/node/lookup/entryEndpoints.ts
+++ b/packages/entry/src/node/lookup/entryEndpoints.ts
@@ -1,5 +1,6 @@
 /** Starts the listeners of an entry process for everything but callers: readiness, look-ups, other entry VMs and metrics. */
 import type { CloseStack } from '@umberspar/base/common/closing'
+import type { ConnectionResources } from '@umberspar/base/node/http/connectionResources'
 import { chooseEntryVms } from '@umberspar/steering/common/entry/chooseEntryVms'
 import type { ICallerProtocol } from '@umberspar/steering/common/ports/callerProtocol'
 import type { EntrySettings } from '../../common/entrySettings.js'
@@ -23,6 +24,8 @@
   readonly relayServer: RelayServer
   readonly publisher: RecordPublisher
   readonly telemetry: EntryTelemetry
+  /** What all connections of the process share. */
+  readonly connectionResources: ConnectionResources
   /** @returns the metrics in the Prometheus text format */
   readMetrics(): Promise<string>
 }
@@ -37,7 +40,7 @@
  * @returns resolved when all listen
  */
 export async function listenForEndpoints (options: EntryEndpointsOptions, closeStack: CloseStack): Promise<void> {
-  const { settings: { listen }, protocol, quotaHandler, relayServer, publisher, readMetrics } = options
+  const { settings: { listen }, protocol, quotaHandler, relayServer, publisher, connectionResources, readMetrics } = options
   const endpoints: ReadonlyArray<{ readonly address: string, readonly path: string, readonly handler: PathHandler }> = [
     { address: listen.readiness, path: protocol.readinessPath, handler: buildReadinessHandler(options) },
     { address: listen.lookups, path: protocol.lookupPath, handler: buildLookupHandler(options) },
@@ -46,7 +49,7 @@
   ]
   // Several may share an address.
   for (const address of new Set([listen.lookups, listen.readiness, listen.peers, listen.metrics])) {
-    const server = closeStack.add(new EndpointServer())
+    const server = closeStack.add(new EndpointServer(connectionResources))
     for (const endpoint of endpoints) {
       if (endpoint.address === address) server.register(endpoint.path, endpoint.handler)
     }
--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
+import { ConnectionResources } from '@umberspar/base/node/http/connectionResources'
 import { EndpointServer } from '@umberspar/entry/node/lookup/endpointServer'
 import { findFreeAddresses } from '../../../src/node/deployment/freeAddresses.js'
 import { type ClientAnswer, type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
@@ -294,7 +295,8 @@
 
   it('does without VMs of a build that knows no relays', async () => {
     const [entry] = entries
-    const old = new EndpointServer()
+    const resources = new ConnectionResources({ clock: platform.clock, maxBytes: 1_000_000 })
+    const old = new EndpointServer(resources)
     const [address] = await findFreeAddresses('127.0.0.1', 1)
     await old.listen(address!)
     platform.store.put('entry-vms/vm-old', { address, peerAddress: address, domain: 'north-1' })
