Read the connections of the daemon strictly and one request at a time

Callers and operators saw: 20 clients that sent requests for the configuration ahead to the operators' listener ended a daemon with the heap of a machine of 200 MB; chunks of one byte on the callers' listener took 223 MB of 200. npm test was red on Node.js 20.19.0: "bare LF at the end of the header" and "bytes above 0x7f in the target" got 200, and the request smuggled behind them was served.

Cause: as in the entry process, what one read holds is parsed in one go, by a parser whose tolerance differs between releases; the checks behind it see only what it reports.

Change: HttpListener reads its connections, TLS included, through RequestInput: 8 requests of a connection in flight (maxPipelinedRequests), 32 MB held by all connections of a listener beside bodies (maxBufferedBytes).

--- a/packages/adapters/src/node/settings/listenerSettings.ts
+++ b/packages/adapters/src/node/settings/listenerSettings.ts
@@ -40,6 +40,10 @@
   /** Connections per client address; trusted forwarders are exempt, as they carry many clients. */
   maxConnectionsPerAddress: z.number().int().min(1).max(1_000_000).default(512),
   maxRequestsPerConnection: z.number().int().min(1).max(1_000_000_000).default(10_000),
+  /** Requests of one connection that are in flight at a time; those that a client sends ahead wait in its socket. */
+  maxPipelinedRequests: z.number().int().min(1).max(1_000).default(8),
+  /** What all connections hold together beside bodies: input that waits, heads and unsent responses. Beyond it, the connection that holds most is closed. */
+  maxBufferedBytes: z.number().int().min(1_048_576).max(1_073_741_824).default(33_554_432),
   /** From the first byte (or the start of the connection) to the end of the header; also limits TLS handshakes. */
   headersWithinMs: durationMsSchema.default(10_000),
   /** While a request body is being received, at least `minBodyBytes` must arrive within each period of this length. */
--- a/packages/daemon/src/node/httpListener.ts
+++ b/packages/daemon/src/node/httpListener.ts
@@ -5,6 +5,8 @@
 import { type ILogger, logError, LogLevel, NULL_LOGGER } from '@umberspar/base/common/logger'
 import { type IMetrics, NULL_METRICS } from '@umberspar/base/common/metrics'
 import { Err, Ok, type Result } from '@umberspar/base/common/result'
+import { ConnectionResources } from '@umberspar/base/node/http/connectionResources'
+import { addServerGuard } from '@umberspar/base/node/http/guardedServer'
 import { SystemClock } from '@umberspar/base/node/systemClock'
 import { DEFAULT_LISTENER_LIMITS, type ListenerLimits } from '@umberspar/adapters/node/settings/listenerSettings'
 import type { TlsCertificateProvider } from '@umberspar/adapters/node/tls/tlsCertificateProvider'
@@ -21,6 +23,7 @@
 const ADDRESS_PATTERN = /^\[?(.*?)\]?:(\d+)$/
 /** Maximum interval between checks for header timeouts and idle connections. */
 const MAX_CHECK_INTERVAL_MS = 1000
+const NOT_IMPLEMENTED = 501
 
 /** Options of a listener. By default it uses plain HTTP and the default limits. */
 export interface HttpListenerOptions {
@@ -42,6 +45,7 @@
   private readonly limits: ListenerLimits
   private readonly bodyProgress: BodyProgress
   private readonly connections: ConnectionLimits
+  private readonly resources: ConnectionResources
   private readonly logger: ILogger
   private readonly metrics: IMetrics
   /** Connections that are being closed after the response to a refused request. */
@@ -59,9 +63,19 @@
     this.limits = options.limits ?? DEFAULT_LISTENER_LIMITS
     this.logger = options.logger ?? NULL_LOGGER
     this.metrics = options.metrics ?? NULL_METRICS
-    this.bodyProgress = new BodyProgress(options.clock ?? new SystemClock(), this.limits.bodyProgressWithinMs, this.limits.minBodyBytes, () => { this.countRefusal('stalled-body') })
+    const clock = options.clock ?? new SystemClock()
+    this.bodyProgress = new BodyProgress(clock, this.limits.bodyProgressWithinMs, this.limits.minBodyBytes, () => { this.countRefusal('stalled-body') })
     this.connections = new ConnectionLimits(this.limits.maxConnectionsPerAddress, options.isForwarder ?? (() => false), () => { this.countRefusal('address-limit') })
+    this.resources = new ConnectionResources({ clock, maxBytes: this.limits.maxBufferedBytes, onClose: (reason) => { this.countRefusal(reason) } })
     this.server = this.createServer(options.tls)
+    addServerGuard(this.server, {
+      resources: this.resources,
+      maxInFlight: this.limits.maxPipelinedRequests,
+      maxHeadBytes: this.limits.maxHeaderBytes,
+      headTimeoutMs: this.limits.headersWithinMs,
+      unknownCodingStatus: NOT_IMPLEMENTED,
+      onRefuse: (status) => { this.countRefusal(`status-${status}`) }
+    })
     this.tlsSubscription = options.tls?.onDidChange((material) => { (this.server as TlsServer).setSecureContext(toContextOptions(material)) })
     this.server.maxConnections = this.limits.maxConnections
     this.server.maxRequestsPerSocket = this.limits.maxRequestsPerConnection
@@ -130,6 +144,7 @@
   async close (): Promise<void> {
     this.tlsSubscription?.close()
     this.bodyProgress.close()
+    this.resources.close()
     if (this.server.listening) this.server.close()
     this.server.closeAllConnections()
   }
--- a/packages/daemon/src/node/listener/requestChecks.ts
+++ b/packages/daemon/src/node/listener/requestChecks.ts
@@ -1,8 +1,8 @@
 /**
  * Refuses requests whose framing or target another program could interpret
- * differently (request smuggling), before they are routed. Node.js's parser in strict
- * mode already refuses Content-Length together with Transfer-Encoding, repeated or
- * malformed lengths, folded fields, invalid chunks, and bare CR or LF.
+ * differently (request smuggling), before they are routed. `RequestInput` already refuses
+ * Content-Length together with Transfer-Encoding, repeated or malformed lengths, folded
+ * fields, invalid chunks, and bare CR or LF, whatever the release of Node.js tolerates.
  */
 import type { ListenerLimits } from '@umberspar/adapters/node/settings/listenerSettings'
 import type { IncomingMessage } from 'node:http'
