Remove the fields that any Connection field lists, in linear time

Callers saw: fields that a second Connection field listed were passed on to workers. A head of 16 kB with as many options as lines took time with their product, on every request and every attempt.

Cause: only the first Connection field was read, and its options were searched in a list for each line.

Change: the options of all Connection fields, in a set. The first test of rawHeaders.test.ts failed before (X-B was passed on).

--- a/packages/entry/src/node/upstream/rawHeaders.ts
+++ b/packages/entry/src/node/upstream/rawHeaders.ts
@@ -22,7 +22,8 @@
 export function listHeaderValues (rawHeaders: readonly string[], name: string): string[] {
   const values: string[] = []
   for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]!.toLowerCase() === name) values.push(rawHeaders[index + 1]!)
+    const candidate = rawHeaders[index]!
+    if (candidate.length === name.length && candidate.toLowerCase() === name) values.push(rawHeaders[index + 1]!)
   }
   return values
 }
@@ -33,10 +34,14 @@
 /** Fields that `Connection` cannot remove: without them a message would have a different end, or reach a different host. */
 const KEPT_FIELDS: ReadonlySet<string> = new Set(['content-length', 'host', 'cookie'])
 
-function listConnectionOptions (rawHeaders: readonly string[]): readonly string[] {
-  const value = getHeader(rawHeaders, 'connection')
-  if (value === undefined || value === 'keep-alive' || value === 'close') return []
-  return value.split(',').map((option) => option.trim().toLowerCase()).filter((option) => !KEPT_FIELDS.has(option))
+const NO_OPTIONS: ReadonlySet<string> = new Set()
+
+/** @returns the options of all `Connection` fields that name fields to remove */
+function readConnectionOptions (rawHeaders: readonly string[], kept: ReadonlySet<string>): ReadonlySet<string> {
+  const values = listHeaderValues(rawHeaders, 'connection')
+  if (values.every((value) => value === 'keep-alive' || value === 'close')) return NO_OPTIONS
+  const options = values.flatMap((value) => value.split(',')).map((option) => option.trim().toLowerCase())
+  return new Set(options.filter((option) => !KEPT_FIELDS.has(option) && !kept.has(option)))
 }
 
 /**
@@ -46,11 +51,11 @@
  * @returns the fields to forward to the next hop, without `Content-Length`
  */
 export function removeConnectionFields (rawHeaders: readonly string[], removed: ReadonlySet<string>, kept: ReadonlySet<string>): string[] {
-  const options = listConnectionOptions(rawHeaders).filter((option) => !kept.has(option))
+  const options = readConnectionOptions(rawHeaders, kept)
   const remaining: string[] = []
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase()
-    if (name === 'content-length' || CONNECTION_FIELDS.has(name) || removed.has(name) || options.includes(name)) continue
+    if (name === 'content-length' || CONNECTION_FIELDS.has(name) || removed.has(name) || options.has(name)) continue
     remaining.push(rawHeaders[index]!, rawHeaders[index + 1]!)
   }
   return remaining
