Keep descriptors free for workers, other VMs and the store

Callers saw: 4,200 connections, silent or with half a head, were all accepted by a process with 4,100 descriptors; the next connections to workers and the store would have failed for all callers.

Cause: no listener of the entry process limited its connections.

At a limit the connection that has been idle longest, with half a head or none, is closed; with requests in flight on all of them the new one is. umberspar_connections_closed_total counts them.

--- a/packages/base/src/node/http/connectionResources.ts
+++ b/packages/base/src/node/http/connectionResources.ts
@@ -1,6 +1,7 @@
 /** What the connections of one process share, so that no client takes all of it. */
 import type { IClock } from '../../common/clock.js'
 import type { IClosable } from '../../common/closing.js'
+import { ConnectionLimit } from './connectionLimit.js'
 import { ConnectionMemory } from './connectionMemory.js'
 import { ConnectionTimeouts } from './connectionTimeouts.js'
 import { InputScheduler } from './inputScheduler.js'
@@ -9,6 +10,8 @@
 export enum ClosedFor {
   /** All connections together held too much memory, and this one most. */
   Memory = 'memory',
+  /** There were too many connections; it was idle, or there was no room for it. */
+  Connections = 'connections',
   /** Its client read nothing of a response. */
   Stall = 'stall'
 }
@@ -37,6 +40,11 @@
     this.onClose = onClose
   }
 
+  /** @returns a limit on the open connections of some listeners */
+  createLimit (maxConnections: number): ConnectionLimit {
+    return new ConnectionLimit(maxConnections, () => { this.onClose(ClosedFor.Connections) })
+  }
+
   close (): void {
     this.timeouts.close()
     this.scheduler.close()
--- a/packages/base/src/node/http/guardedServer.ts
+++ b/packages/base/src/node/http/guardedServer.ts
@@ -6,6 +6,7 @@
 import type { Server as TlsServer } from 'node:https'
 import type { Socket } from 'node:net'
 import type { Instant } from '../../common/clock.js'
+import type { ConnectionLimit, LimitedConnection } from './connectionLimit.js'
 import type { MemoryHolder } from './connectionMemory.js'
 import { ClosedFor, type ConnectionResources } from './connectionResources.js'
 import type { TimedConnection } from './connectionTimeouts.js'
@@ -16,6 +17,8 @@
 /** How the connections of a server are read. */
 export interface GuardOptions {
   readonly resources: ConnectionResources
+  /** Limit on the open connections; undefined if the server has its own. */
+  readonly limit?: ConnectionLimit
   /** Requests of one connection that are in flight at a time. */
   readonly maxInFlight: number
   readonly maxHeadBytes: number
@@ -49,7 +52,7 @@
 }
 
 /** One connection. */
-class GuardedConnection implements InputOwner, MemoryHolder, TimedConnection {
+class GuardedConnection implements InputOwner, MemoryHolder, LimitedConnection, TimedConnection {
   private readonly input: RequestInput
   private readonly stall: WriteStall
   private readonly headBytesByResponse = new Map<ServerResponse, number>()
@@ -71,11 +74,13 @@
 
   /** Counts a request as in flight until its response is sent. */
   watchResponse (response: ServerResponse): void {
-    const { resources } = this.options
+    const { limit, resources } = this.options
     this.headBytesByResponse.set(response, this.nextHeadBytes)
+    limit?.setBusy(this, true)
     resources.timeouts.add(this)
     response.once('close', () => {
       this.headBytesByResponse.delete(response)
+      if (this.headBytesByResponse.size === 0) limit?.setBusy(this, false)
       this.input.resume()
     })
     this.handleWaitingBytes()
@@ -121,6 +126,10 @@
     this.socket.destroy()
   }
 
+  closeForLimit (): void {
+    this.socket.destroy()
+  }
+
   checkDeadline (now: Instant): boolean {
     if (this.stall.isStalled(now)) {
       this.options.resources.onClose(ClosedFor.Stall)
@@ -138,8 +147,9 @@
   }
 
   private handleClose (): void {
-    const { resources } = this.options
+    const { limit, resources } = this.options
     this.input.close()
+    limit?.remove(this)
     resources.timeouts.remove(this)
     resources.memory.remove(this)
   }
@@ -154,7 +164,9 @@
   const connections = new WeakMap<Socket, GuardedConnection>()
   const isTls = 'setSecureContext' in server
   server.on(isTls ? 'secureConnection' : 'connection', (socket: Socket) => {
-    connections.set(socket, new GuardedConnection(socket, options))
+    const connection = new GuardedConnection(socket, options)
+    connections.set(socket, connection)
+    if (options.limit?.add(connection) === false) socket.destroy()
   })
   server.on('request', (request: IncomingMessage, response: ServerResponse) => { connections.get(request.socket)?.watchResponse(response) })
 }
--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -239,7 +239,7 @@
       location: { domain: settings.domain, regionByDomain: this.regionByDomain },
       placeWaiter: this.placeWaiter,
       bodyMemoryBudget: BodyMemoryBudget.create(settings.memoryMb),
-      callerLimits: createCallerLimits(this.connectionResources, this.view),
+      callerLimits: createCallerLimits(settings, this.connectionResources, this.view),
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
       getRecordsAge: () => this.viewUpdater.getRecordsAge(),
--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -12,6 +12,7 @@
 import type { Socket } from 'node:net'
 import type { IClock, Instant } from '@umberspar/base/common/clock'
 import { createDeadline, type Deadline, hasPassed } from '@umberspar/base/common/deadline'
+import type { ConnectionLimit, LimitedConnection } from '@umberspar/base/node/http/connectionLimit'
 import type { MemoryHolder } from '@umberspar/base/node/http/connectionMemory'
 import { ClosedFor, type ConnectionResources } from '@umberspar/base/node/http/connectionResources'
 import type { TimedConnection } from '@umberspar/base/node/http/connectionTimeouts'
@@ -69,6 +70,7 @@
 /** What limits a connection of a caller. */
 export interface CallerLimits {
   readonly resources: ConnectionResources
+  readonly limit: ConnectionLimit
   /** @returns limit on the length of a head, in bytes */
   getMaxHeadBytes(): number
   /** @returns limit on the time that a head may take, in milliseconds */
@@ -82,7 +84,7 @@
 }
 
 /** One connection of a caller. */
-export class CallerConnection implements InputOwner, MemoryHolder, TimedConnection {
+export class CallerConnection implements InputOwner, LimitedConnection, MemoryHolder, TimedConnection {
   /** Exchanges whose response isn't complete yet, in the order of the requests. */
   private exchanges: OrderedExchange[] = []
   /** Set when no more requests are accepted; the connection closes after the response to the last accepted one. */
@@ -140,6 +142,7 @@
     }
     serverResponse.once('finish', () => { this.remove(exchange) })
     this.exchanges.push(exchange)
+    this.limits?.limit.setBusy(this, true)
     this.limits?.resources.timeouts.add(this)
     this.startQueued()
     this.isInputClosed ||= this.exchanges.length - this.countInFlight() >= MAX_QUEUED_REQUESTS
@@ -198,6 +201,10 @@
     this.closeFor(ClosedFor.Memory)
   }
 
+  closeForLimit (): void {
+    this.socket.destroy()
+  }
+
   checkDeadline (now: Instant): boolean {
     if (this.stall.isStalled(now)) this.closeFor(ClosedFor.Stall)
     this.handleWaitingBytes()
@@ -259,6 +266,7 @@
   private remove (exchange: OrderedExchange): void {
     this.exchanges = this.exchanges.filter((other) => other !== exchange)
     this.startQueued()
+    if (this.exchanges.length === 0) this.limits?.limit.setBusy(this, false)
     this.handleWaitingBytes()
     // The last response started before it was known to be the last one.
     if (this.isInputClosed && this.exchanges.length === 0) this.socket.destroySoon()
@@ -274,6 +282,7 @@
     }
     this.input?.close()
     if (this.limits !== undefined) {
+      this.limits.limit.remove(this)
       this.limits.resources.timeouts.remove(this)
       this.limits.resources.memory.remove(this)
     }
--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -177,6 +177,7 @@
   private acceptConnection (socket: Socket): void {
     const connection = new CallerConnection(socket, this, this.eventLoop.acceptConnection(), this.context.callerLimits)
     this.connections.set(socket, connection)
+    if (!this.context.callerLimits.limit.add(connection)) socket.destroy()
   }
 
   refuseBody ({ message, response, arrivedAt }: CallerExchange, fault: InputFault): void {
--- a/packages/entry/src/node/lookup/endpointServer.ts
+++ b/packages/entry/src/node/lookup/endpointServer.ts
@@ -1,6 +1,7 @@
 /** The HTTP server for look-ups of entry VMs, readiness checks, metrics, and requests of other entry VMs. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { IClosable } from '@umberspar/base/common/closing'
+import type { ConnectionLimit } from '@umberspar/base/node/http/connectionLimit'
 import type { ConnectionResources } from '@umberspar/base/node/http/connectionResources'
 import { addServerGuard } from '@umberspar/base/node/http/guardedServer'
 import { listenAt } from '../address.js'
@@ -47,12 +48,15 @@
   /** By the first part of the target. */
   private readonly rawHandlers: Array<readonly [string, RawHandler]> = []
 
-  /** @param resources what all connections of the process share */
-  constructor (resources: ConnectionResources) {
+  /**
+   * @param resources what all connections of the process share
+   * @param limit limits the connections of all endpoints
+   */
+  constructor (resources: ConnectionResources, limit: ConnectionLimit) {
     this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true, maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADER_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS })
     // Relayed requests keep all of their fields.
     this.server.maxHeadersCount = 0
-    addServerGuard(this.server, { resources, maxInFlight: MAX_IN_FLIGHT, maxHeadBytes: MAX_HEADER_BYTES, headTimeoutMs: HEADER_TIMEOUT_MS, unknownCodingStatus: BAD_REQUEST })
+    addServerGuard(this.server, { resources, limit, maxInFlight: MAX_IN_FLIGHT, maxHeadBytes: MAX_HEADER_BYTES, headTimeoutMs: HEADER_TIMEOUT_MS, unknownCodingStatus: BAD_REQUEST })
     this.server.on('request', (request, response) => { this.handleRequest(request, response) })
   }
 
--- a/packages/entry/src/node/lookup/entryEndpoints.ts
+++ b/packages/entry/src/node/lookup/entryEndpoints.ts
@@ -6,6 +6,7 @@
 import type { EntrySettings } from '../../common/entrySettings.js'
 import { RECORDS_PATH } from '../../common/recordLines.js'
 import { RELAY_PATH } from '../../common/relayFields.js'
+import { computeMaxEndpointConnections } from '../front/connectionShares.js'
 import type { RecordPublisher } from '../peers/recordPublisher.js'
 import { QUOTA_PATH } from '../quota/quotaMessages.js'
 import type { RelayServer } from '../relay/relayServer.js'
@@ -40,7 +41,8 @@
  * @returns resolved when all listen
  */
 export async function listenForEndpoints (options: EntryEndpointsOptions, closeStack: CloseStack): Promise<void> {
-  const { settings: { listen }, protocol, quotaHandler, relayServer, publisher, connectionResources, readMetrics } = options
+  const { settings, settings: { listen }, protocol, quotaHandler, relayServer, publisher, connectionResources, readMetrics } = options
+  const limit = connectionResources.createLimit(computeMaxEndpointConnections(settings))
   const endpoints: ReadonlyArray<{ readonly address: string, readonly path: string, readonly handler: PathHandler }> = [
     { address: listen.readiness, path: protocol.readinessPath, handler: buildReadinessHandler(options) },
     { address: listen.lookups, path: protocol.lookupPath, handler: buildLookupHandler(options) },
@@ -49,7 +51,7 @@
   ]
   // Several may share an address.
   for (const address of new Set([listen.lookups, listen.readiness, listen.peers, listen.metrics])) {
-    const server = closeStack.add(new EndpointServer(connectionResources))
+    const server = closeStack.add(new EndpointServer(connectionResources, limit))
     for (const endpoint of endpoints) {
       if (endpoint.address === address) server.register(endpoint.path, endpoint.handler)
     }
--- a/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
+++ b/packages/testing/test/node/usersPlatform/unreachableWorkers.test.ts
@@ -296,7 +296,7 @@
   it('does without VMs of a build that knows no relays', async () => {
     const [entry] = entries
     const resources = new ConnectionResources({ clock: platform.clock, maxBytes: 1_000_000 })
-    const old = new EndpointServer(resources)
+    const old = new EndpointServer(resources, resources.createLimit(100))
     const [address] = await findFreeAddresses('127.0.0.1', 1)
     await old.listen(address!)
     platform.store.put('entry-vms/vm-old', { address, peerAddress: address, domain: 'north-1' })
