Tell all requests of a connection that its client has left

Cause: Node.js reports the end of a connection only to the response that is being sent. Requests pipelined behind it went on; their responses filled a buffer that nobody read, and their slots were never given back.

Change: the guard of a server tells the other responses of a connection when it closes.

The new test "tells all responses of a connection that it has ended" doesn't end without the change.

--- a/packages/base/src/node/http/guardedServer.ts
+++ b/packages/base/src/node/http/guardedServer.ts
@@ -152,9 +152,17 @@
     limit?.remove(this)
     resources.timeouts.remove(this)
     resources.memory.remove(this)
+    for (const response of this.headBytesByResponse.keys()) reportClose(response)
   }
 }
 
+/** Node.js reports the end of a connection only to the response that is being sent, not to those behind it. */
+function reportClose (response: ServerResponse): void {
+  if (response.socket !== null) return
+  response.destroy()
+  response.emit('close')
+}
+
 /**
  * Reads the connections of a server with limits. Call before the server's other listeners are added.
  * @param server the server
