Pass no request on while the server waits for its socket to drain

Cause: Node.js pauses its parser with the first request that arrives while the socket waits to drain, and asserts that nothing is parsed until then. The reader noticed that by the pause of the socket, and missed it on a socket that it had paused itself. It asked for less than 16 kB of unsent responses, but a socket waits to drain until it is empty.

Change: the next request waits for the socket to drain as well, so that the server never pauses its parser.

The new test of guardedServer passes with and without the change: there the order of events is another one; it stays as a guard.

--- a/packages/base/src/node/http/requestInput.ts
+++ b/packages/base/src/node/http/requestInput.ts
@@ -84,6 +84,7 @@
     for (const listener of this.listeners) socket.removeListener('data', listener)
     socket.on('data', (chunk: Buffer) => { this.accept(chunk) })
     socket.on('resume', () => { this.handleResume() })
+    socket.on('drain', () => { this.resume() })
   }
 
   /** @returns whether nothing waits to be parsed */
@@ -185,7 +186,8 @@
         return false
       }
     }
-    if (!owner.mayPassRequest(REQUEST_BYTES + scanner.fields * FIELD_BYTES + scanner.end * CHARACTER_BYTES)) {
+    // The server's parser can't be used while the server waits for the socket to drain.
+    if (this.socket.writableNeedDrain || !owner.mayPassRequest(REQUEST_BYTES + scanner.fields * FIELD_BYTES + scanner.end * CHARACTER_BYTES)) {
       this.waitingSince ??= owner.getArrival()
       return false
     }
--- a/packages/base/test/node/http/guardedServer.test.ts
+++ b/packages/base/test/node/http/guardedServer.test.ts
@@ -84,6 +84,18 @@
     await waitUntil(() => closed.every((isClosed) => isClosed))
   })
 
+  it('answers all requests that a caller has sent ahead and whose responses it reads late', async () => {
+    const targets = Array.from({ length: 1_000 }, (_, index) => `/${index}`)
+    server.on('request', (request, response) => { response.end(`${'x'.repeat(20_000 + Number(request.url!.slice(1)))};`) })
+    caller.pause()
+    caller.write(targets.map(formatGet).join(''))
+    await waitUntil(() => open.length > MAX_IN_FLIGHT)
+    for (let turn = 0; turn < 100; turn++) await new Promise((resolve) => { setImmediate(resolve) })
+    caller.resume()
+    await waitUntil(() => received.split(';').length === targets.length + 1)
+    assert.deepEqual(requests.map(({ target }) => target), targets)
+  })
+
   it('passes bodies on whole, however they are cut into chunks and packets', async () => {
     await fc.assert(fc.asyncProperty(fc.array(fc.string({ unit: 'binary-ascii', minLength: 1, maxLength: 40 }), { maxLength: 6 }), fc.array(fc.integer({ min: 1, max: 30 }), { maxLength: 8 }), async (chunks, lengths) => {
       const before = requests.length
