Let connections take turns at parsing in their order

Cause, by reading: an input that had to wait was put behind those that had just parsed, since all that a turn did not reach were added anew; and a request that took longer than the 5 ms of a turn began the turn anew, so that a turn of heavy heads had no end.

After close, neither the scheduler nor the timeouts schedule anything, so that a late event keeps no process from ending.

--- a/packages/base/src/common/http/requestHead.ts
+++ b/packages/base/src/common/http/requestHead.ts
@@ -26,6 +26,10 @@
 
 /** Fields that delimit the message or name its recipient, by the length of their names. */
 const CHECKED_NAMES: ReadonlyMap<number, string> = new Map([[4, 'host'], [14, 'content-length'], [17, 'transfer-encoding']])
+/** What Node.js keeps of a request, and of each of its fields beside the characters. */
+const REQUEST_BYTES = 2_000
+const FIELD_BYTES = 200
+const CHARACTER_BYTES = 2
 const CONTENT_LENGTH = /^\d{1,15}$/
 const CHUNKED = 'chunked'
 const HTTP_1_1 = 'HTTP/1.1'
@@ -58,7 +62,7 @@
   private hosts = 0
   private lengths = 0
   private codings: string[] = []
-  private lineCount = 0
+  private fields = 0
   private bodyLength = 0
 
   /** @returns where the request line begins: empty lines may precede it */
@@ -74,9 +78,9 @@
     return this.method === CONNECT
   }
 
-  /** @returns the number of its fields */
-  get fields (): number {
-    return this.lineCount
+  /** @returns what it takes in memory once it is parsed, estimated, in bytes */
+  get memoryBytes (): number {
+    return REQUEST_BYTES + this.fields * FIELD_BYTES + this.end * CHARACTER_BYTES
   }
 
   /** @returns how its body is delimited, once the head is complete */
@@ -128,7 +132,7 @@
   }
 
   private readField (bytes: Uint8Array, start: number, end: number): boolean {
-    this.lineCount++
+    this.fields++
     const nameEnd = findEndOf(IS_TOKEN, bytes, start, end)
     if (nameEnd === start || bytes[nameEnd] !== COLON) return false
     if (findEndOf(IS_VALUE, bytes, nameEnd + 1, end) !== end) return false
--- a/packages/base/src/node/http/connectionTimeouts.ts
+++ b/packages/base/src/node/http/connectionTimeouts.ts
@@ -15,12 +15,14 @@
 export class ConnectionTimeouts implements IClosable {
   private readonly connections = new Set<TimedConnection>()
   private timer: ITimer | undefined
+  private isClosed = false
 
   /** @param clock schedules the checks */
   constructor (readonly clock: IClock) {}
 
   /** Checks a connection from time to time until it has no deadline any more. */
   add (connection: TimedConnection): void {
+    if (this.isClosed) return
     this.connections.add(connection)
     this.timer ??= this.scheduleCheck()
   }
@@ -31,6 +33,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     this.timer?.close()
     this.connections.clear()
   }
--- a/packages/base/src/node/http/inputScheduler.ts
+++ b/packages/base/src/node/http/inputScheduler.ts
@@ -35,6 +35,7 @@
   private intervalStartedAt: Instant = Number.NEGATIVE_INFINITY
   private readBytes = 0
   private timer: ITimer | undefined
+  private isClosed = false
 
   /**
    * @param clock measures the turns
@@ -47,16 +48,18 @@
     const now = this.clock.now()
     // A turn that parses without a break asks again sooner.
     if (now - this.parsedAt > MAX_PARSING_PER_TURN_MS) this.pauseAt = now + MAX_PARSING_PER_TURN_MS
-    this.parsedAt = now
     return now < this.pauseAt
   }
 
+  /** Records that something was parsed just now. */
+  recordParsing (): void {
+    this.parsedAt = this.clock.now()
+  }
+
   /** Lets input go on in a later turn, behind all that wait already. */
   add (input: WaitingInput): void {
     this.waiting.add(input)
-    if (this.isTurnExpected) return
-    this.isTurnExpected = true
-    this.scheduleTurn(() => { this.handleTurn() })
+    this.expectTurn()
   }
 
   /**
@@ -70,7 +73,7 @@
       this.readBytes = 0
     }
     this.readBytes += bytes
-    if (this.readBytes <= MAX_BYTES_PER_INTERVAL) return true
+    if (this.readBytes <= MAX_BYTES_PER_INTERVAL || this.isClosed) return true
     this.paced.add(input)
     this.timer ??= this.scheduleReading()
     return false
@@ -83,6 +86,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     this.timer?.close()
     this.paced.clear()
   }
@@ -102,13 +106,20 @@
     })
   }
 
+  private expectTurn (): void {
+    if (this.isTurnExpected) return
+    this.isTurnExpected = true
+    this.scheduleTurn(() => { this.handleTurn() })
+  }
+
   private handleTurn (): void {
     this.isTurnExpected = false
     this.parsedAt = Number.NEGATIVE_INFINITY
     for (const input of [...this.waiting]) {
+      if (!this.mayParse()) break
       this.waiting.delete(input)
-      if (this.mayParse()) input.resume()
-      else this.add(input)
+      input.resume()
     }
+    if (this.waiting.size > 0) this.expectTurn()
   }
 }
--- a/packages/base/src/node/http/requestInput.ts
+++ b/packages/base/src/node/http/requestInput.ts
@@ -22,20 +22,22 @@
   Discarded = 'discarded'
 }
 
+const PART_BY_FRAMING: Readonly<Record<BodyFraming, InputPart>> = {
+  [BodyFraming.None]: InputPart.Head,
+  [BodyFraming.Length]: InputPart.Body,
+  [BodyFraming.Chunked]: InputPart.ChunkedBody
+}
+
 type DataListener = (chunk: Buffer) => void
 
 /** A connection isn't read while more than this waits: the end of the connection behind a few pipelined requests is noticed. */
 const MAX_WAITING_BYTES = 16_384
-/** Waiting bytes that use less than this part of the block that was read are copied. */
+/** Waiting bytes that use a smaller part of the block that was read are copied. */
 const MIN_USED_PART = 0.5
 /** Of a refused connection, this much more is read, so that its client reads the response before a reset. */
 const MAX_DISCARDED_BYTES = 262_144
 /** How long a refused connection may take to close, for the same reason. */
 const LINGER_MS = 1_000
-/** What a request and each of its fields take in memory, beside the bytes themselves; measured with Node.js 20. */
-const REQUEST_BYTES = 2_000
-const FIELD_BYTES = 200
-const CHARACTER_BYTES = 2
 const HEXADECIMAL = 16
 const NOTHING = Buffer.alloc(0)
 const CHUNK_END = Buffer.from('\r\n')
@@ -102,7 +104,10 @@
     if (this.isResuming) return
     this.isResuming = true
     let isMore = true
-    while (isMore && this.mayResume()) isMore = this.deliverNext()
+    while (isMore && this.mayResume()) {
+      isMore = this.deliverNext()
+      this.turns.scheduler.recordParsing()
+    }
     this.isResuming = false
     this.updateReading()
   }
@@ -151,8 +156,7 @@
     this.isPaced = !this.turns.scheduler.recordRead(this, chunk.length)
     if (this.part === InputPart.Discarded) {
       this.discardedBytes += chunk.length
-      this.updateReading()
-      return
+      return this.updateReading()
     }
     if (this.waiting.length > 0 && this.headState !== HeadState.Incomplete) this.waitingSince ??= this.owner.getArrival()
     this.waiting = this.waiting.length === 0 ? chunk : Buffer.concat([this.waiting, chunk])
@@ -187,7 +191,7 @@
       }
     }
     // The server's parser can't be used while the server waits for the socket to drain.
-    if (this.socket.writableNeedDrain || !owner.mayPassRequest(REQUEST_BYTES + scanner.fields * FIELD_BYTES + scanner.end * CHARACTER_BYTES)) {
+    if (this.socket.writableNeedDrain || !owner.mayPassRequest(scanner.memoryBytes)) {
       this.waitingSince ??= owner.getArrival()
       return false
     }
@@ -205,10 +209,8 @@
   private startBody ({ framing, contentLength }: HeadScanner): void {
     this.bodyLeft = contentLength
     this.isBodySkipped = false
-    if (framing === BodyFraming.Length) this.part = InputPart.Body
-    if (framing !== BodyFraming.Chunked) return
-    this.decoder = new ChunkedDecoder()
-    this.part = InputPart.ChunkedBody
+    this.part = PART_BY_FRAMING[framing]
+    if (framing === BodyFraming.Chunked) this.decoder = new ChunkedDecoder()
   }
 
   private deliverBody (): boolean {
@@ -238,9 +240,7 @@
   }
 
   private writeChunk (data: Buffer): void {
-    this.write(Buffer.from(`${data.length.toString(HEXADECIMAL)}\r\n`))
-    this.write(data)
-    this.write(CHUNK_END)
+    for (const part of [Buffer.from(`${data.length.toString(HEXADECIMAL)}\r\n`), data, CHUNK_END]) this.write(part)
   }
 
   private write (bytes: Buffer): void {
--- a/packages/base/test/common/http/requestHead.test.ts
+++ b/packages/base/test/common/http/requestHead.test.ts
@@ -22,7 +22,16 @@
     const scanner = new HeadScanner()
     const head = '\r\n\r\nGET /a HTTP/1.1\r\nHost: a\r\nX:\r\n\r\n'
     assert.equal(scanner.read(Buffer.from(`${head}GET /b`), MAX_BYTES), HeadState.Complete)
-    assert.deepEqual({ start: scanner.start, end: scanner.end, fields: scanner.fields, framing: scanner.framing }, { start: 4, end: head.length, fields: 2, framing: BodyFraming.None })
+    assert.deepEqual({ start: scanner.start, end: scanner.end, framing: scanner.framing }, { start: 4, end: head.length, framing: BodyFraming.None })
+  })
+
+  it('takes memory by its lines as well as by its characters', () => {
+    const [few, many] = ['X: abcdefgh\r\n', 'X:\r\nX:\r\nX:\r\n'].map((fields) => {
+      const scanner = new HeadScanner()
+      scanner.read(Buffer.from(`GET /a HTTP/1.1\r\nHost: a\r\n${fields}\r\n`), MAX_BYTES)
+      return scanner.memoryBytes
+    })
+    assert.ok(many! > few!)
   })
 
   it('tells how its body is delimited', () => {
