Leave clients a tenth of a memory that is smaller than the runtime takes

Cause, by reading: with memoryMb of 75 or less in the settings, bodies and connections had no memory at all, so that no request would have been read.

Change: clients have at least a tenth of the memory.

--- a/packages/entry/src/node/front/bodyReader.ts
+++ b/packages/entry/src/node/front/bodyReader.ts
@@ -17,7 +17,9 @@
 }
 
 /** What the runtime and the records take of the memory. */
-export const RUNTIME_MEMORY_MB = 75
+const RUNTIME_MEMORY_MB = 75
+/** The part of a very small memory that clients have all the same. */
+const MIN_CLIENT_MEMORY_RATIO = 0.1
 /** The share of the remaining memory for request bodies; the rest is for connections and what is not collected yet. */
 const BODY_MEMORY_RATIO = 0.41
 /**
@@ -27,6 +29,14 @@
 const MAX_BODY_TO_FREE = 16
 const BYTES_PER_MB = 1_000_000
 
+/**
+ * @param memoryMb the memory of the process, in megabytes
+ * @returns what clients may take of it, in bytes
+ */
+export function computeClientMemory (memoryMb: number): number {
+  return Math.max(memoryMb - RUNTIME_MEMORY_MB, memoryMb * MIN_CLIENT_MEMORY_RATIO) * BYTES_PER_MB
+}
+
 /** Limits the total size of all bodies buffered by the process. */
 export class BodyMemoryBudget {
   private usedBytes = 0
@@ -36,7 +46,7 @@
    * @returns the budget for its request bodies
    */
   static create (memoryMb: number): BodyMemoryBudget {
-    return new BodyMemoryBudget(Math.max(0, memoryMb - RUNTIME_MEMORY_MB) * BYTES_PER_MB * BODY_MEMORY_RATIO)
+    return new BodyMemoryBudget(computeClientMemory(memoryMb) * BODY_MEMORY_RATIO)
   }
 
   /** @param maxBytes the limit on the total size */
--- a/packages/entry/src/node/front/connectionShares.ts
+++ b/packages/entry/src/node/front/connectionShares.ts
@@ -4,12 +4,11 @@
 import type { EntryView } from '@umberspar/steering/common/entry/entryView'
 import type { EntrySettings } from '../../common/entrySettings.js'
 import type { EntryMetrics } from '../telemetry/entryMetrics.js'
-import { RUNTIME_MEMORY_MB } from './bodyReader.js'
+import { computeClientMemory } from './bodyReader.js'
 import type { CallerLimits } from './callerConnection.js'
 
 /** Of the memory beside the runtime: for what waits to be parsed, heads of requests in flight and unsent responses; bodies have a budget of their own. */
 const CONNECTION_MEMORY_RATIO = 0.1
-const BYTES_PER_MB = 1_000_000
 /** The rest is for workers, other entry VMs, the store and files. */
 const CALLER_CONNECTION_RATIO = 0.6
 const ENDPOINT_CONNECTION_RATIO = 0.15
@@ -25,7 +24,7 @@
 export function createConnectionResources ({ memoryMb }: EntrySettings, clock: IClock, metrics: EntryMetrics): ConnectionResources {
   return new ConnectionResources({
     clock,
-    maxBytes: Math.max(0, memoryMb - RUNTIME_MEMORY_MB) * BYTES_PER_MB * CONNECTION_MEMORY_RATIO,
+    maxBytes: computeClientMemory(memoryMb) * CONNECTION_MEMORY_RATIO,
     onClose: (reason) => { metrics.countClosedConnection(reason) }
   })
 }
