Discard what follows the last accepted request of a caller

Cause, by reading: once a caller had sent 64 requests without a pause, or asked for the end of the connection, the requests behind were still parsed one by one, only to be recorded as unprocessed, for as long as its responses were not read.

Change: the next head isn't parsed; its bytes are discarded. The first request that a stopping process rejects is recorded as before. pipelining, pipelineFuzz, closing, stopping, hostileHeads and the tests of entry/front pass (54).

--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -149,11 +149,11 @@
     // The caller asked for the end of the connection, or is of HTTP/1.0.
     this.isInputClosed ||= !serverResponse.shouldKeepAlive
     this.isInputClosed ||= (this.input?.passedBehindOthers ?? 0) >= MAX_QUEUED_REQUESTS
-    if (this.isInputClosed && message.complete) this.input?.stop()
   }
 
   mayPassRequest (headBytes: number): boolean {
-    if (this.exchanges.length >= MAX_IN_FLIGHT_REQUESTS || this.countUnsentBytes() >= MAX_UNSENT_BYTES) return false
+    if (this.isInputClosed) this.input?.stop()
+    if (this.isInputClosed || this.exchanges.length >= MAX_IN_FLIGHT_REQUESTS || this.countUnsentBytes() >= MAX_UNSENT_BYTES) return false
     if (!this.limits!.resources.memory.mayAdd(this, headBytes)) return false
     this.nextHeadBytes = headBytes
     return true
