Announce the end of a connection in the last response, refused at once or not

Cause: the request was started before its connection was marked as closing, and a refusal writes the response at once. Change: the mark is set first. 48 tests of entry/front, pipelining, pipelineFuzz and closing pass.

--- a/packages/entry/src/node/front/callerConnection.ts
+++ b/packages/entry/src/node/front/callerConnection.ts
@@ -144,11 +144,10 @@
     this.exchanges.push(exchange)
     this.limits?.limit.setBusy(this, true)
     this.limits?.resources.timeouts.add(this)
+    // Before the request starts, as its response may be written at once. The caller may have asked for the end of the connection, too.
+    this.isInputClosed ||= !serverResponse.shouldKeepAlive || (this.input?.passedBehindOthers ?? 0) >= MAX_QUEUED_REQUESTS
     this.startQueued()
     this.isInputClosed ||= this.exchanges.length - this.countInFlight() >= MAX_QUEUED_REQUESTS
-    // The caller asked for the end of the connection, or is of HTTP/1.0.
-    this.isInputClosed ||= !serverResponse.shouldKeepAlive
-    this.isInputClosed ||= (this.input?.passedBehindOthers ?? 0) >= MAX_QUEUED_REQUESTS
   }
 
   mayPassRequest (headBytes: number): boolean {
--- a/packages/testing/test/node/clients/daemon.test.ts
+++ b/packages/testing/test/node/clients/daemon.test.ts
@@ -2,7 +2,7 @@
 import { DaemonTrial } from '../../../src/node/clients/daemonTrial.js'
 import type { CrowdOptions } from '../../../src/node/clients/hostileCrowd.js'
 import type { TrialMachine } from '../../../src/node/clients/trial.js'
-import { checkResult, CONNECTIONS } from './trialChecks.js'
+import { checkResult, CONNECTIONS } from '../usersPlatform/clients/trialChecks.js'
 
 const MACHINE: TrialMachine = { memoryMb: 200, maxDescriptors: 1_024 }
 const REQUEST = 'GET /v1/services/closeout-desk/items/1?size=10 HTTP/1.1\r\nHost: a\r\n\r\n'
--- a/packages/testing/test/node/clients/bodies.test.ts
+++ b/packages/testing/test/node/usersPlatform/clients/bodies.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EntryTrial } from '../../../src/node/clients/entryTrial.js'
-import type { TrialMachine } from '../../../src/node/clients/trial.js'
+import { EntryTrial } from '../../../../src/node/clients/entryTrial.js'
+import type { TrialMachine } from '../../../../src/node/clients/trial.js'
 import { checkCrowd, CHUNKED_HEAD, CONNECTIONS, MACHINE, MANY_CONNECTIONS, ORDINARY_HEAD, SMALL_MACHINE, UNROUTED_CHUNKED_HEAD } from './trialChecks.js'
 
 const ROUTES = { 'on a route': CHUNKED_HEAD, 'on no route': UNROUTED_CHUNKED_HEAD }
--- a/packages/testing/test/node/clients/connections.test.ts
+++ b/packages/testing/test/node/usersPlatform/clients/connections.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
-import type { EntryTrial } from '../../../src/node/clients/entryTrial.js'
-import type { TrialMachine } from '../../../src/node/clients/trial.js'
+import type { EntryTrial } from '../../../../src/node/clients/entryTrial.js'
+import type { TrialMachine } from '../../../../src/node/clients/trial.js'
 import { checkCrowd, ORDINARY_HEAD } from './trialChecks.js'
 
 /** Few descriptors, of which the crowd wants more than there are. */
--- a/packages/testing/test/node/clients/endpoints.test.ts
+++ b/packages/testing/test/node/usersPlatform/clients/endpoints.test.ts
@@ -2,7 +2,7 @@
 import { createSocket } from 'node:dgram'
 import { connect } from 'node:net'
 import { describe, it } from 'node:test'
-import { EntryTrial } from '../../../src/node/clients/entryTrial.js'
+import { EntryTrial } from '../../../../src/node/clients/entryTrial.js'
 import { checkCrowd, checkResult, MACHINE, MANY_CONNECTIONS, SMALL_MACHINE } from './trialChecks.js'
 
 const SEED = 20261205
--- a/packages/testing/test/node/clients/heads.test.ts
+++ b/packages/testing/test/node/usersPlatform/clients/heads.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EntryTrial } from '../../../src/node/clients/entryTrial.js'
+import { EntryTrial } from '../../../../src/node/clients/entryTrial.js'
 import { checkCrowd, CONNECTIONS, MACHINE, ORDINARY_HEAD } from './trialChecks.js'
 
 const MAX_HEAD_BYTES = 16_384
--- a/packages/testing/test/node/clients/requestFraming.test.ts
+++ b/packages/testing/test/node/usersPlatform/clients/requestFraming.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
-import { EntryTrial } from '../../../src/node/clients/entryTrial.js'
+import { EntryTrial } from '../../../../src/node/clients/entryTrial.js'
 import { MACHINE } from './trialChecks.js'
 
 const HOST = 'Host: shop.example\r\n'
--- a/packages/testing/test/node/clients/trialChecks.ts
+++ b/packages/testing/test/node/usersPlatform/clients/trialChecks.ts
@@ -1,9 +1,9 @@
 /** Checks of what a crowd of clients may do to an entry process. */
 import assert from 'node:assert/strict'
-import { EntryTrial } from '../../../src/node/clients/entryTrial.js'
-import type { TrialMachine, TrialResult } from '../../../src/node/clients/trial.js'
-import type { CrowdOptions } from '../../../src/node/clients/hostileCrowd.js'
-import type { CallerLimits } from '../../../src/node/standIns/usersPlatform/platformRecords.js'
+import { EntryTrial } from '../../../../src/node/clients/entryTrial.js'
+import type { TrialMachine, TrialResult } from '../../../../src/node/clients/trial.js'
+import type { CrowdOptions } from '../../../../src/node/clients/hostileCrowd.js'
+import type { CallerLimits } from '../../../../src/node/standIns/usersPlatform/platformRecords.js'
 
 /** A machine of the deployments, made smaller so that a small crowd shows a fault. */
 export const MACHINE: TrialMachine = { memoryMb: 200, maxDescriptors: 1_024 }
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -20,7 +20,7 @@
 /** The seeded runs of real processes under faults. */
 const SOAK_RUN = /^packages\/soak\/.*Run\.test\.js$/
 /** Trials that need the machine for themselves. */
-const TRIAL = /\/node\/clients\//
+const TRIAL = /\/clients\//
 const CONCURRENCY = 4
 const files = [
   ...globSync('packages/*/dist/test/**/*.test.js', { cwd: root }),
