--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -54,6 +54,9 @@
 export async function runCase (folder, play) {
   const run = new Run(folder)
   let exit = Exit.NotRun
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => { run.deployment.close().finally(() => process.exit(Exit.NotRun)) })
+  }
   const limit = sleep(LIMIT_MS).then(() => { throw new Error('the case took too long') })
   try {
     const { summary, breaks } = await Promise.race([play(run), limit])
