Show that requests on silent connections to workers are lost at a stop

A script of the review: open connections to workers fall silent, and 5 s later uploads come and a machine gets SIGTERM.

--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -23,9 +23,9 @@
   #timer
   #server = createServer((request, response) => { this.#accept(request, response) })
 
-  constructor (store, { id, service, zone, slots = 4, queue = 12, workMs = 50 }) {
+  constructor (store, { id, service, zone, slots = 4, queue = 12, workMs = 50, idleMs = 30_000 }) {
     Object.assign(this, { store, id, service, zone, slots, queue, workMs })
-    this.#server.keepAliveTimeout = 30_000
+    this.#server.keepAliveTimeout = idleMs
     this.#server.on('connection', (socket) => {
       socket.setNoDelay(true)
       this.#sockets.add(socket)
