--- a/review/lib-2/crowd.mjs
+++ b/review/lib-2/crowd.mjs
@@ -8,7 +8,7 @@
 
 const [, , host, port, connections, form] = process.argv
 const LEAVES = form === 'leaves'
-const LINES = 2_500
+const LINES = 2_650
 const HEAD = [
   'POST /nothing/here HTTP/1.1',
   'Host: sheets.example',
