Replace connections that may have fallen silent before they are reused

Cause: the pool reuses a connection until shortly before the worker closes it (8.5 s there), whether or not anything shows that it still works. Open connections can fall silent without an error; requests sent on them never arrive, and those that must run at most once can't be repeated.

Evidence: end-offer lines now carry idleMs and hasHead.

Change: IdleLimit is bounded by the new setting maxLinkSilence, which the deploy file sets to the time after which a silent link must not affect new requests. Workers and relays between entry VMs share it, and hasIdle follows it. Asking the health path on the old connection first was ruled out: it costs a round trip as a new connection does, and a probe. TCP keep-alive is too slow as Node.js sets it, and a proxy on the way answers it.

--- a/packages/entry/src/common/entrySettings.ts
+++ b/packages/entry/src/common/entrySettings.ts
@@ -39,6 +39,8 @@
   changeLimits: z._default(z.array(duration).check(z.minLength(1)), [2_000]),
   /** How long look-ups may still name a VM that crashed. */
   goneWithin: z._default(duration, 4_500),
+  /** Requests that arrive later than this after a connection fell silent must not be sent on it. */
+  maxLinkSilence: z._default(duration, 3_000),
   /** How long callers may cache a look-up at most. */
   longestLookupCache: duration,
   /** Time limit for a revoked key to stop working on all VMs, including partitioned ones. If omitted, there is no limit for VMs that don't receive changes. */
--- a/packages/entry/src/node/front/describeChoice.ts
+++ b/packages/entry/src/node/front/describeChoice.ts
@@ -1,7 +1,7 @@
 /** The log fields that describe the worker chosen for a request. */
 import type { Instant } from '@umberspar/base/common/clock'
 import type { UpstreamChoice } from '@umberspar/steering/common/entry/workers/chooseUpstream'
-import type { AttemptLogFields } from '../telemetry/entryTelemetry.js'
+import type { AttemptLogFields } from '../telemetry/attemptLogFields.js'
 
 type ChoiceLogFields = Pick<AttemptLogFields, 'worker' | 'domain' | 'rank' | 'hand' | 'handChance' | 'expectedMs' | 'waitMs' | 'value' | 'held' | 'failure' | 'slowness' | 'isCold' | 'reportAgeMs' | 'pace'>
 
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -284,7 +284,9 @@
       worker: this.tracker.registration.id,
       end: result.outcome,
       spanMs,
-      status: result.status
+      status: result.status,
+      idleMs: this.idleMs,
+      hasHead: this.collector?.hasHead === true
     })
     this.listener.onEnd(result)
   }
--- a/packages/entry/src/node/relay/relayPeers.ts
+++ b/packages/entry/src/node/relay/relayPeers.ts
@@ -25,13 +25,14 @@
 /** The other entry VMs as relays. */
 export class RelayPeers implements IClosable {
   private readonly peers = new Map<string, RelayPeer>()
-  private readonly idleLimit = new IdleLimit()
+  private readonly idleLimit: IdleLimit
 
   /**
    * @param self this VM's name
    * @param listNodes the registered entry VMs
    * @param rule how responses are matched to requests
    * @param clock for timeouts
+   * @param maxSilenceMs how long after a connection fell silent requests may still be sent on it, in milliseconds
    * @param listVmsWithout lists the VMs that have said that they don't reach a service's workers
    */
   constructor (
@@ -39,8 +40,11 @@
     private readonly listNodes: () => Iterable<EntryNode>,
     private readonly rule: EchoRule,
     private readonly clock: IClock,
+    maxSilenceMs: number,
     private readonly listVmsWithout: (service: string) => ReadonlySet<string> = () => new Set()
-  ) {}
+  ) {
+    this.idleLimit = new IdleLimit(maxSilenceMs)
+  }
 
   /** @returns the number of relayed requests that other VMs have not answered yet */
   get inFlightRequests (): number {
--- a/packages/entry/src/node/upstream/upstreamPool.ts
+++ b/packages/entry/src/node/upstream/upstreamPool.ts
@@ -95,7 +95,8 @@
 
   /** @returns whether a request can be sent without opening a connection */
   hasIdle (): boolean {
-    return this.idle.some(({ isUsable }) => isUsable)
+    const now = this.clock.now()
+    return this.idle.some((connection) => this.isReusable(connection, now))
   }
 
   /** @returns whether any connection is open, idle or in use */
@@ -120,13 +121,17 @@
   private takeIdle (): UpstreamConnection | undefined {
     const now = this.clock.now()
     for (let connection = this.idle.pop(); connection !== undefined; connection = this.idle.pop()) {
-      const idleMs = now - (connection.idleSince ?? now)
-      if (connection.isUsable && idleMs < Math.min(connection.maxIdleMs, this.idleLimit.getMs(now))) return connection
+      if (this.isReusable(connection, now)) return connection
       connection.close()
     }
     return undefined
   }
 
+  private isReusable (connection: UpstreamConnection, now: Instant): boolean {
+    const idleMs = now - (connection.idleSince ?? now)
+    return connection.isUsable && idleMs < Math.min(connection.maxIdleMs, this.idleLimit.getMs(now))
+  }
+
   private openNew (deadline: Deadline, onOpen: OpenListener): void {
     const startedAt = this.clock.now()
     const socket = this.openSocket(this.host, this.port)
--- a/packages/entry/src/node/upstream/upstreamPools.ts
+++ b/packages/entry/src/node/upstream/upstreamPools.ts
@@ -20,7 +20,7 @@
 /** One pool for each worker id and address. A new worker at the address of a previous one gets new connections. */
 export class UpstreamPools implements IClosable {
   /** Shared by all workers, as the workers of a service drop idle connections after the same time. */
-  readonly idleLimit = new IdleLimit()
+  readonly idleLimit: IdleLimit
   private readonly pools = new Map<string, UpstreamPool>()
 
   /**
@@ -28,13 +28,17 @@
    * @param clock for timeouts
    * @param observer receives the heads of responses
    * @param openSocket opens the connections
+   * @param maxSilenceMs how long after a connection fell silent requests may still be sent on it, in milliseconds
    */
   constructor (
     private readonly rule: EchoRule,
     private readonly clock: IClock,
     private readonly observer: IResponseObserver,
-    private readonly openSocket: SocketOpener
-  ) {}
+    private readonly openSocket: SocketOpener,
+    maxSilenceMs: number
+  ) {
+    this.idleLimit = new IdleLimit(maxSilenceMs)
+  }
 
   /**
    * @param entry a worker
--- a/packages/entry/test/node/front/attemptRounds.test.ts
+++ b/packages/entry/test/node/front/attemptRounds.test.ts
@@ -41,7 +41,7 @@
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     const address = server.address()
     const port = typeof address === 'object' ? address!.port : 0
-    pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(), clock, openSocket)
+    pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(Number.POSITIVE_INFINITY), clock, openSocket)
     const worker: UpstreamRegistration = { id: 'w-1', service: 'archive', address: `127.0.0.1:${port}`, domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }
     const roundTrips = new DomainRoundTrips('north-1', REGIONS)
     const view = new EntryView({ mayShare: () => true, node: 'vm-1', domain: 'north-1', regionByDomain: REGIONS, roundTrips, coldTolerance: { factor: 1, slack: 0 }, rateTolerance: { factor: 1, slack: 0 }, retryBudget: { ratio: 0.2, windowMs: 1_000, slack: 1 }, startedAt: 0 })
@@ -50,7 +50,7 @@
       clock,
       view,
       roundTrips,
-      pools: { getPool: () => pool, idleLimit: new IdleLimit() },
+      pools: { getPool: () => pool, idleLimit: new IdleLimit(Number.POSITIVE_INFINITY) },
       accessController: { decide: () => ({ outcome: AccessOutcome.Allowed }) },
       eventLoop: { runWhenCurrent: (callback: () => void) => { setImmediate(callback) }, isLate: () => false },
       links: new WorkerLinks(() => 1, () => {}),
--- a/packages/entry/test/node/upstream/advisoryRecorder.test.ts
+++ b/packages/entry/test/node/upstream/advisoryRecorder.test.ts
@@ -44,7 +44,7 @@
     worker = { id: 'w-1', service: 'archive', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'north-1', slots: 4, state: UpstreamState.Ready, coldMs: 0 }
     view.putUpstream(worker, clock.now())
     const telemetry = { logDrain: () => {}, logCoolDown: () => {} } as unknown as EntryTelemetry
-    pools = new UpstreamPools({ idHeader: 'id' }, clock, new AdvisoryRecorder({ clock, view, protocol: PROTOCOL, telemetry }), openSocket)
+    pools = new UpstreamPools({ idHeader: 'id' }, clock, new AdvisoryRecorder({ clock, view, protocol: PROTOCOL, telemetry }), openSocket, Number.POSITIVE_INFINITY)
   })
 
   afterEach(() => {
--- a/packages/entry/test/node/upstream/closeDelimitedReset.test.ts
+++ b/packages/entry/test/node/upstream/closeDelimitedReset.test.ts
@@ -19,7 +19,7 @@
   const server = new Worker(new URL('./resetServer.js', import.meta.url), { workerData: { isReset, ended } })
   const port = await new Promise<number>((resolve) => { server.once('message', resolve) })
   const clock = new SystemClock()
-  const pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(), clock, openSocket)
+  const pool = new UpstreamPool('127.0.0.1', port, { idHeader: 'x-id' }, () => {}, new IdleLimit(Number.POSITIVE_INFINITY), clock, openSocket)
   const connection = await new Promise<UpstreamConnection | OpenFailure>((resolve) => pool.open(1, clock.now() + OPEN_TIMEOUT_MS, resolve))
   assert.ok(connection instanceof UpstreamConnection)
   const result = await new Promise<ExchangeResult>((resolve) => {
--- a/packages/entry/test/node/upstream/idleLimit.test.ts
+++ b/packages/entry/test/node/upstream/idleLimit.test.ts
@@ -5,7 +5,7 @@
 it('the idle limit shrinks after a reset and recovers later', () => {
   // Guards against workers that silently drop idle connections after half a second: the next
   // request on each connection is reset, and requests that must not be retried fail one by one.
-  const limit = new IdleLimit()
+  const limit = new IdleLimit(Number.POSITIVE_INFINITY)
   assert.equal(limit.getMs(0), Number.POSITIVE_INFINITY)
   limit.recordReset(800, 1_000)
   assert.equal(limit.getMs(1_000), 400)
--- a/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformRecords.ts
@@ -162,6 +162,7 @@
       grace: 4_000,
       changeLimits: [2_000],
       goneWithin: 3_000,
+      maxLinkSilence: 3_000,
       longestLookupCache: 5_000,
       coldTolerance: { factor: 1.5, slack: 5 },
       rateTolerance: { factor: 1, slack: 0 },
