Resume a worker's connection when its exchange ends

Cause: a streamed response pauses its worker's connection when the caller doesn't take a piece at once, and the caller's drain resumes it by way of the current attempt. If the end of the response is in the same read, the attempt has ended before the drain. The pool keeps the paused connection, and the response to the next request on it is never read.

Evidence: a property test of any response, cut into any chunks and paused at any of them, fails with a response that arrives in one piece: the connection reports itself idle while its socket is paused, and the next response isn't read.

Change: the connection owns the pause.

--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -129,12 +129,12 @@
     this.fail(ExchangeFailure.Cancelled)
   }
 
-  /** Stops reading while the caller accepts no more data. */
+  /** Stops reading while the caller accepts no more data, until {@link UpstreamConnection.resume} or the end of the response. */
   pause (): void {
-    this.socket.pause()
+    if (this.exchange !== undefined) this.socket.pause()
   }
 
-  /** Continues reading after {@link UpstreamConnection.pause}. */
+  /** Continues reading. */
   resume (): void {
     this.socket.resume()
   }
@@ -193,6 +193,8 @@
     }
     const exchange = this.exchange
     this.exchange = undefined
+    // Nobody else resumes it: the caller's response may drain only after the exchange has ended.
+    this.socket.resume()
     // After one late response, the worker may send another one.
     if (this.skippedResponses > 0) this.isReusable = false
     exchange?.listener.onEnd()
--- a/packages/entry/test/node/upstream/upstreamConnection.test.ts
+++ b/packages/entry/test/node/upstream/upstreamConnection.test.ts
@@ -64,6 +64,40 @@
     })
   }
 
+  it('reads the next response, however the one before was paused', async () => {
+    // Guards against a connection that is kept for the next request while nothing reads it.
+    const input = fc.record({ text: fc.constantFrom('with a length', 'in chunks', 'behind an interim one'), positions: fc.array(fc.nat(1_000), { maxLength: 6 }), pausedParts: fc.array(fc.boolean(), { minLength: 8, maxLength: 8 }), isResumedLate: fc.boolean() })
+    await fc.assert(fc.asyncProperty(input, async ({ text, positions, pausedParts, isResumedLate }) => {
+      const bytes = Buffer.from(RESPONSES[text]!, 'latin1')
+      const socket = new Duplex({ read: () => {}, write: (_chunk, _encoding, callback) => { callback() } })
+      let idle = 0
+      const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, () => {}, () => { idle++ }, () => {})
+      const run = async (pauses: readonly boolean[], chunks: readonly Buffer[]): Promise<void> => {
+        let parts = 0
+        let isComplete = false
+        connection.send({ head: 'GET / HTTP/1.1\r\n\r\n', body: [], requestId: 'a', isHead: false }, {
+          onHead: () => {},
+          onBody: () => { if (pauses[parts++ % pauses.length] === true) connection.pause() },
+          onEnd: () => { isComplete = true },
+          onFailure: () => {}
+        })
+        for (const chunk of chunks) {
+          socket.push(chunk)
+          await new Promise((resolve) => { setImmediate(resolve) })
+          if (!isComplete && parts > 0) connection.resume()
+          await new Promise((resolve) => { setImmediate(resolve) })
+        }
+        if (isResumedLate) connection.resume()
+      }
+      await run(pausedParts, splitBytes(bytes, positions))
+      assert.equal(idle, 1)
+      assert.equal(connection.isUsable, true)
+      await run([false], [bytes])
+      assert.equal(idle, 2)
+      socket.destroy()
+    }), { seed: SEED })
+  })
+
   it('ends each exchange once, whatever bytes arrive and however the connection ends', async () => {
     // Guards against errors that escape a callback, and against callers that never get an answer.
     const change = fc.tuple(fc.nat(1_000), fc.integer({ min: 0, max: 255 }))
