End a streamed answer at its request's deadline

Cause: handleDeadline returned while an answer was streamed, and set no other timer, so that a streamed answer had no limit at all.

Evidence: a worker that stalls before the last bytes of a long answer leaves its caller without an end for 60 s (the limit of the test), with a time limit of 300 ms of the route.

Change: at its deadline a request ends in every state; a streamed answer is broken off by closing both connections, so that it can't be taken for complete.

--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -46,6 +46,11 @@
     return this.response.writableFinished
   }
 
+  /** @returns the status of a response that has started */
+  get status (): number {
+    return this.response.statusCode
+  }
+
   /** @returns how much of the response waits in memory, in bytes */
   get unsentBytes (): number {
     return this.response.writableLength
--- a/packages/entry/src/node/front/proxiedRequest.ts
+++ b/packages/entry/src/node/front/proxiedRequest.ts
@@ -187,9 +187,9 @@
   }
 
   /** Aborts a streamed response that the worker did not finish. */
-  cancelStream (status: number): void {
+  cancelStream (status: number, outcome = RequestOutcome.Failed, reason = EndReason.WorkerFailed): void {
     this.response.cancelStream()
-    this.finishRequest(RequestOutcome.Failed, EndReason.WorkerFailed, status)
+    this.finishRequest(outcome, reason, status)
   }
 
   /** Retries after an attempt that was not sent. */
@@ -274,11 +274,12 @@
   }
 
   private handleDeadline (): void {
-    if (this.isEnded || this.currentAttempt?.isStreaming === true) return
+    if (this.isEnded) return
+    const { currentAttempt } = this
+    currentAttempt?.cancel()
+    if (currentAttempt?.isStreaming === true) return this.cancelStream(this.response.status, RequestOutcome.TimedOut, EndReason.NoResponse)
     // An attempt that is still opening its connection has sent nothing.
-    const isSent = this.currentAttempt?.isSent === true
-    this.currentAttempt?.cancel()
-    this.mayHaveRun ||= isSent
+    this.mayHaveRun ||= currentAttempt?.isSent === true
     this.endWithoutResponse(this.mayHaveRun ? EndReason.NoResponse : EndReason.DeadlineUnreachable)
   }
 
--- a/packages/soak/src/node/faultLists.ts
+++ b/packages/soak/src/node/faultLists.ts
@@ -16,8 +16,10 @@
   WorkerFault.EndlessUnsealed,
   WorkerFault.EndlessLateExtra
 ]
+/** Later than the recorded seeds. */
+const ADDED_FAULTS: readonly WorkerFault[] = [WorkerFault.Stalled]
 /** All other faults of workers. */
-export const WORKER_FAULTS: readonly WorkerFault[] = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None && !INVALID_RESPONSES.includes(fault))
+export const WORKER_FAULTS: readonly WorkerFault[] = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.None && !INVALID_RESPONSES.includes(fault) && !ADDED_FAULTS.includes(fault))
 /** Texts that a foreign writer might store in place of a registration. */
 export const FOREIGN_REGISTRATIONS = ['', 'not JSON', '[]', 'null', '{"Service":"archive"}', '{"Service":7,"Addr":"127.0.0.1:1","Zone":"north-1","Slots":-1,"State":"ready"}']
 export const STORE_FAULTS = [StoreFault.Busy, StoreFault.TooMany, StoreFault.Reset, StoreFault.Silent, StoreFault.AnswerLost]
--- a/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerAnswers.ts
@@ -47,6 +47,7 @@
   },
   [WorkerFault.Rot]: (_worker, socket) => { socket.end('\u0001\u0002 no answer at all\r\n\r\n') },
   [WorkerFault.Short]: (worker, socket, requestId) => { socket.end(worker.format(200, requestId, worker.buildBody(requestId), []).slice(0, -3)) },
+  [WorkerFault.Stalled]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), []).slice(0, -3)) },
   [WorkerFault.InvalidField]: (worker, socket, requestId) => { socket.write(worker.format(200, requestId, worker.buildBody(requestId), ['X-Trace: a\u0001b'])) },
   [WorkerFault.InvalidFieldUnframed]: (worker, socket, requestId) => {
     socket.end(formatUnframedHead(worker, 200, requestId, ['X-Trace: a\u0001b']) + worker.buildBody(requestId))
--- a/packages/testing/src/node/standIns/usersPlatform/workerFault.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/workerFault.ts
@@ -17,6 +17,8 @@
   Rot = 'rot',
   /** Ends the answer too early. */
   Short = 'short',
+  /** Sends the answer but for its last bytes, and nothing more. */
+  Stalled = 'stalled',
   /** Sends a control character in the value of a header field. */
   InvalidField = 'invalid-field',
   /** The same, in a response that ends with its connection as it has no length. */
--- a/packages/testing/test/node/usersPlatform/closing.test.ts
+++ b/packages/testing/test/node/usersPlatform/closing.test.ts
@@ -6,7 +6,7 @@
 import { countOpenResources } from '../openResources.js'
 
 const ROUTES = [{ Name: 'lookups', Prefix: '/safe/', Service: 'archive' }]
-const FAULTS = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.Silent)
+const FAULTS = Object.values(WorkerFault).filter((fault) => fault !== WorkerFault.Silent && fault !== WorkerFault.Stalled)
 
 // Guards against connections and timers that outlive an entry process's graceful shutdown.
 it('an entry process leaves no connection and no timer open after its shutdown', { timeout: 60_000 }, async () => {
--- a/packages/testing/test/node/usersPlatform/longBodies.test.ts
+++ b/packages/testing/test/node/usersPlatform/longBodies.test.ts
@@ -44,6 +44,19 @@
     assert.equal(worker.runs.length, 1, 'nothing is repeated once the caller has a part')
   })
 
+  // Guards against callers that wait beyond the time limit of their route for the rest of an answer.
+  it('breaks a long answer off at the time limit of its route when its worker falls silent', async () => {
+    const worker = platform.workers.get('w-1')!
+    worker.body = LONG_ANSWER
+    worker.fault = WorkerFault.Stalled
+    platform.putConfiguration([{ ...ROUTES[0]!, Timeout: '300ms' }])
+    await platform.waitUntil(() => entry.lines.some(({ change, subject }) => change === 'document-adopted' && subject === '6'))
+    await assert.rejects(platform.call(entry, { path: '/a/1', id: 'stalls', deadlineMs: 600_000 }), /aborted|hang up|ECONNRESET/)
+    await platform.waitUntil(() => worker.openSockets === 0)
+    const end = entry.lines.find(({ step, requestId }) => step === 'end-request' && requestId === 'stalls')
+    assert.equal(end?.reason, 'no-answer')
+  })
+
   it('offers an upload to a worker only when it is there whole', async () => {
     const worker = platform.workers.get('w-1')!
     const [host, port] = entry.settings.listen.callers.split(':')
