Read the whole status line of a worker's response strictly

Callers saw: of the answers of a faulty worker whose status line was "HTTP/1.1 2000 OK", 8 of 12 arrived as a 200 (measured by the users).

Cause: http-parser-js matches a status of three digits at the beginning of the line and takes the rest for the reason phrase, so that a status of four digits, or one without a space behind it, is read as its first three digits.

Change: StrictParser checks the line against three digits followed by a space or the end of the line. A status line without a reason phrase stays valid.

Tests: responseParser.test.ts, "rejects a status of four digits" and "rejects a status without a space behind it", failed before, whole and byte by byte.

--- a/packages/entry/src/node/upstream/strictParser.ts
+++ b/packages/entry/src/node/upstream/strictParser.ts
@@ -1,7 +1,8 @@
 /**
  * Makes http-parser-js as strict as the server that forwards the responses. By itself, the library
- * skips malformed header fields, clears the highest bit of each byte in a head, takes an invalid
- * chunk size for the last chunk, and buffers lines and trailers of any length.
+ * takes a status of four digits for one of three, skips malformed header fields, clears the highest
+ * bit of each byte in a head, takes an invalid chunk size for the last chunk, and buffers lines and
+ * trailers of any length.
  */
 import { validateHeaderName, validateHeaderValue } from 'node:http'
 import { HTTPParser } from 'http-parser-js'
@@ -29,6 +30,8 @@
 /** Limit on the chunk extensions of a response together. */
 const MAX_CHUNK_EXTENSION_BYTES = 16_384
 
+/** A status of three digits, with or without a reason phrase. */
+const STATUS_LINE = /^HTTP\/\d\.\d \d{3}( .*)?$/
 /** A size in hexadecimal digits, with or without extensions. */
 const CHUNK_SIZE_LINE = /^([0-9a-f]{1,8})[ \t]*(;.*)?$/i
 const RADIX = 16
@@ -110,6 +113,8 @@
       const { offset, state } = internals
       const line = consumeLine.call(this.parser)
       counter.addLine(state, internals.offset - offset, line !== undefined)
+      // The library reads only the beginning of the line.
+      if (state === 'RESPONSE_LINE' && line !== undefined && line !== '' && !STATUS_LINE.test(line)) throw new Error('invalid status line')
       return line
     }
     internals.parseHeader = parseField
--- a/packages/entry/test/node/upstream/responseParser.test.ts
+++ b/packages/entry/test/node/upstream/responseParser.test.ts
@@ -47,6 +47,9 @@
   'a length in characters whose highest bit is set': 'HTTP/1.1 200 OK\r\nContent-Length: \u00b2\r\n\r\nok',
   'a chunk size in characters whose highest bit is set': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\u00b2\r\nok\r\n0\r\n\r\n',
   'a control character in the reason phrase': 'HTTP/1.1 200 O\u0001\r\nContent-Length: 0\r\n\r\n',
+  'a status of four digits': 'HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n',
+  'a status without a space behind it': 'HTTP/1.1 200OK\r\nContent-Length: 0\r\n\r\n',
+  'a version of two digits': 'HTTP/1.10 200 OK\r\nContent-Length: 0\r\n\r\n',
   'a status below 100': 'HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n',
   'a status above 599': 'HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n',
   'a switch to another protocol': 'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n',
@@ -100,6 +103,12 @@
     })
   }
 
+  it('accepts a status without a reason phrase', () => {
+    const { heads, ends } = parse('HTTP/1.1 200\r\nContent-Length: 0\r\n\r\nHTTP/1.0 204 \r\n\r\n')
+    assert.deepEqual(heads.map(({ status }) => status), [200, 204])
+    assert.equal(ends, 2)
+  })
+
   it('passes on values with characters beyond ASCII as received', () => {
     const { heads, error } = parse('HTTP/1.1 200 OK\r\nX-Id: \tcaf\u00e9 \u008d\u008a \r\nContent-Length: 0\r\n\r\n')
     assert.equal(error, undefined)
