Reject interim responses that announce a body

Callers saw: a worker's "100 Continue" with a Content-Length and a body led to a 504 at the time limit (measured by the users).

Cause: the parser skips the body of an interim response, since such a response has none (RFC 9110, section 8.6), and reads the bytes that follow as the next status line. Without a line break in them it waits for the rest of the line until the deadline.

Change: an interim response with Content-Length or Transfer-Encoding is invalid, so that the attempt ends at once as a malformed response.

Tests: responseParser.test.ts, "rejects an interim response with ... before its body arrives" for both fields, failed before.

--- a/packages/entry/src/node/upstream/responseParser.ts
+++ b/packages/entry/src/node/upstream/responseParser.ts
@@ -44,8 +44,8 @@
 const MAX_STATUS = 599
 const HTTP_MAJOR_VERSION = 1
 
-/** Throws if the header fields that delimit the body are invalid or contradict each other. */
-function checkFraming (rawHeaders: readonly string[]): void {
+/** Throws if the header fields that delimit the body are invalid or contradict each other, or if an interim response has one. */
+function checkFraming (rawHeaders: readonly string[], isInterim: boolean): void {
   let lengths = 0
   let transferCodings = 0
   for (let index = 0; index < rawHeaders.length; index += 2) {
@@ -60,6 +60,7 @@
       if (value.toLowerCase() !== 'chunked') throw new Error('unknown transfer coding')
     }
   }
+  if (lengths + transferCodings > 0 && isInterim) throw new Error('interim response with a body')
   if (lengths + transferCodings > 1) throw new Error('ambiguous body length')
 }
 
@@ -125,11 +126,12 @@
 
   private handleHead (info: StatusLine & { headers: string[], shouldKeepAlive: boolean }): number {
     checkStatusLine(info)
-    if (info.statusCode < MIN_FINAL_STATUS) {
+    const isInterim = info.statusCode < MIN_FINAL_STATUS
+    checkFraming(info.headers, isInterim)
+    if (isInterim) {
       this.isInterim = true
       return SKIP_BODY
     }
-    checkFraming(info.headers)
     const { internals } = this.strictParser
     const isCloseDelimited = internals.body_bytes === null && !internals.isChunked
     const head = { status: info.statusCode, rawHeaders: info.headers, isCloseDelimited, keepsAlive: info.shouldKeepAlive }
--- a/packages/entry/test/node/upstream/responseParser.test.ts
+++ b/packages/entry/test/node/upstream/responseParser.test.ts
@@ -103,6 +103,14 @@
     })
   }
 
+  for (const field of ['Content-Length: 2', 'Transfer-Encoding: chunked']) {
+    // Guards against a request that waits until its deadline for the rest of a line, as a body stands where the next response begins.
+    it(`rejects an interim response with ${field} before its body arrives`, () => {
+      const parser = new ResponseParser({ onHead: () => false, onBody: () => {}, onEnd: () => {} })
+      assert.ok(parser.read(Buffer.from(`HTTP/1.1 100 Continue\r\n${field}\r\n\r\n`)) !== undefined)
+    })
+  }
+
   it('accepts a status without a reason phrase', () => {
     const { heads, ends } = parse('HTTP/1.1 200\r\nContent-Length: 0\r\n\r\nHTTP/1.0 204 \r\n\r\n')
     assert.deepEqual(heads.map(({ status }) => status), [200, 204])
