Bound the memory of all responses that are being received

Operators of other systems saw: a faulty worker's bytes without end exhausted the memory of the machine that had called it.

Cause: a response is buffered up to 262,144 bytes before it is streamed, and nothing limits all of them together.

Beyond it a response of more than 16 kB is streamed from then on, or given up if it must not be.

Found beside it, open: connections to workers are not limited for the process as a whole (1,043 descriptors where 1,024 were set).

--- a/packages/entry/src/node/entry.ts
+++ b/packages/entry/src/node/entry.ts
@@ -23,6 +23,7 @@
 import { NodeRegistrar } from './replica/nodeRegistrar.js'
 import { RecordSynchronizer } from './replica/recordSynchronizer.js'
 import { BodyMemoryBudget } from './front/bodyReader.js'
+import { ResponseMemory } from './front/responseMemory.js'
 import { createCallerLimits, createConnectionResources } from './front/connectionShares.js'
 import type { EntryContext } from './front/entryContext.js'
 import { createFleetExchange } from './exchange/createFleetExchange.js'
@@ -239,6 +240,7 @@
       location: { domain: settings.domain, regionByDomain: this.regionByDomain },
       placeWaiter: this.placeWaiter,
       bodyMemoryBudget: BodyMemoryBudget.create(settings.memoryMb),
+      responseMemory: ResponseMemory.create(settings.memoryMb),
       callerLimits: createCallerLimits(settings, this.connectionResources, this.view),
       byteCosts: settings.byteCosts,
       telemetry: this.telemetry,
--- a/packages/entry/src/node/front/entryContext.ts
+++ b/packages/entry/src/node/front/entryContext.ts
@@ -26,6 +26,7 @@
 import type { CallerLimits } from './callerConnection.js'
 import type { HeaderRewriter } from './headerRewriter.js'
 import type { PlaceWaiter } from './placeWaiter.js'
+import type { ResponseMemory } from './responseMemory.js'
 
 /** Where this VM is. */
 export interface VmLocation {
@@ -67,6 +68,7 @@
   /** Holds requests back until a place is expected. */
   readonly placeWaiter: PlaceWaiter
   readonly bodyMemoryBudget: BodyMemoryBudget
+  readonly responseMemory: ResponseMemory
   /** What limits the connections of callers. */
   readonly callerLimits: CallerLimits
   readonly byteCosts: ByteCosts
--- a/packages/entry/src/node/front/responseCollector.ts
+++ b/packages/entry/src/node/front/responseCollector.ts
@@ -6,9 +6,12 @@
 import { ByteCollector } from '@umberspar/base/node/byteCollector'
 import type { ResponseHead } from '../upstream/responseParser.js'
 import { ExchangeFailure, type ExchangeListener } from '../upstream/upstreamConnection.js'
+import type { ResponseMemory } from './responseMemory.js'
 
 /** Longer responses are streamed. */
 const MAX_BUFFERED_BYTES = 262_144
+/** Responses of up to this length are buffered even when all responses together exceed their limit. */
+const MIN_BUFFERED_BYTES = 16_384
 
 /** A complete response. */
 export interface BufferedResponse {
@@ -43,9 +46,14 @@
   private readonly body = new ByteCollector()
   private length = 0
   private mode = CollectionMode.Buffering
+  /** What is counted of this response in the memory of all. */
+  private countedBytes = 0
 
-  /** @param listener receives the response */
-  constructor (private readonly listener: ResponseListener) {}
+  /**
+   * @param memory the memory of all responses that are being collected
+   * @param listener receives the response
+   */
+  constructor (private readonly memory: ResponseMemory, private readonly listener: ResponseListener) {}
 
   /** @returns whether the head of the response has arrived */
   get hasHead (): boolean {
@@ -61,11 +69,13 @@
     if (this.mode === CollectionMode.Streaming) this.listener.onStreamData(chunk)
     if (this.mode !== CollectionMode.Buffering) return
     this.body.add(chunk)
-    if (this.length > MAX_BUFFERED_BYTES) this.stopBuffering()
+    this.countedBytes += chunk.length
+    const hasRoom = this.memory.add(chunk.length)
+    if (this.length > MAX_BUFFERED_BYTES || (!hasRoom && this.length > MIN_BUFFERED_BYTES)) this.stopBuffering()
   }
 
   private stopBuffering (): void {
-    const buffered = this.body.take()
+    const buffered = this.takeBody()
     const isStreamed = this.listener.onStreamStart(this.head!)
     this.mode = isStreamed ? CollectionMode.Streaming : CollectionMode.Discarding
     if (isStreamed) for (const chunk of buffered) this.listener.onStreamData(chunk)
@@ -74,10 +84,17 @@
 
   onEnd (): void {
     if (this.mode === CollectionMode.Streaming) this.listener.onStreamEnd(this.head!, this.length)
-    else if (this.mode === CollectionMode.Buffering) this.listener.onComplete({ head: this.head!, body: this.body.take(), length: this.length })
+    else if (this.mode === CollectionMode.Buffering) this.listener.onComplete({ head: this.head!, body: this.takeBody(), length: this.length })
   }
 
   onFailure (failure: ExchangeFailure): void {
+    this.takeBody()
     this.listener.onFailure(failure, this.mode === CollectionMode.Streaming)
   }
+
+  private takeBody (): Buffer[] {
+    this.memory.remove(this.countedBytes)
+    this.countedBytes = 0
+    return this.body.take()
+  }
 }
--- a/packages/entry/src/node/front/upstreamAttempt.ts
+++ b/packages/entry/src/node/front/upstreamAttempt.ts
@@ -163,7 +163,7 @@
     // The worker behind a kept connection may have crashed before, together with those that are known to have.
     this.round = connection.idleSince === undefined ? this.context.quarantine.getNextRound(this.request.digest) : 1
     this.idleMs = connection.idleSince === undefined ? undefined : now - connection.idleSince
-    this.collector = new ResponseCollector({
+    this.collector = new ResponseCollector(this.context.responseMemory, {
       onComplete: (response) => { this.handleResponse(response) },
       onStreamStart: (head) => this.handleStreamStart(head),
       onStreamData: (chunk) => { this.listener.onStreamData(chunk) },
--- a/packages/entry/src/node/relay/relayAttempt.ts
+++ b/packages/entry/src/node/relay/relayAttempt.ts
@@ -106,7 +106,7 @@
       return
     }
     this.connection = connection
-    const collector = new ResponseCollector({
+    const collector = new ResponseCollector(this.context.responseMemory, {
       onComplete: (response) => { this.handleResponse(response) },
       onStreamStart: (head) => this.handleStreamStart(head),
       onStreamData: (chunk) => { this.listener.onStreamData(chunk) },
--- a/packages/entry/test/node/front/attemptRounds.test.ts
+++ b/packages/entry/test/node/front/attemptRounds.test.ts
@@ -11,6 +11,7 @@
 import type { BufferedRequest } from '../../../src/node/front/bufferedRequest.js'
 import type { EntryContext } from '../../../src/node/front/entryContext.js'
 import { OpenAttempts } from '../../../src/node/front/openAttempts.js'
+import { ResponseMemory } from '../../../src/node/front/responseMemory.js'
 import { UpstreamAttempt } from '../../../src/node/front/upstreamAttempt.js'
 import type { BrokenAttempt } from '../../../src/node/quarantine/requestQuarantine.js'
 import { IdleLimit } from '../../../src/node/upstream/idleLimit.js'
@@ -55,6 +56,7 @@
       eventLoop: { runWhenCurrent: (callback: () => void) => { setImmediate(callback) }, isLate: () => false },
       links: new WorkerLinks(() => 1, () => {}),
       openAttempts: new OpenAttempts(),
+      responseMemory: new ResponseMemory(Number.POSITIVE_INFINITY),
       headerRewriter: { formatRequestHead: () => 'GET / HTTP/1.1\r\n\r\n' },
       quarantine: { getNextRound: () => nextRound, handleBrokenConnection: (attempt: BrokenAttempt) => { broken.push(attempt) } },
       telemetry: { logAttemptEnd: () => {} }
--- a/packages/entry/test/node/front/upstreamAttemptLoad.test.ts
+++ b/packages/entry/test/node/front/upstreamAttemptLoad.test.ts
@@ -13,6 +13,7 @@
 import type { EntryContext } from '../../../src/node/front/entryContext.js'
 import { OpenAttempts } from '../../../src/node/front/openAttempts.js'
 import type { ResponseCollector } from '../../../src/node/front/responseCollector.js'
+import { ResponseMemory } from '../../../src/node/front/responseMemory.js'
 import { UpstreamAttempt } from '../../../src/node/front/upstreamAttempt.js'
 import { UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
 import type { OpenListener } from '../../../src/node/upstream/upstreamPool.js'
@@ -38,6 +39,7 @@
     eventLoop: { runWhenCurrent: (callback: () => void) => { callback() }, isLate: () => false },
     links: new WorkerLinks(() => 1, () => {}),
     openAttempts: new OpenAttempts(),
+    responseMemory: new ResponseMemory(Number.POSITIVE_INFINITY),
     telemetry: { logAttemptEnd: () => {} },
     quarantine: { getNextRound: () => 1 },
     headerRewriter: { formatRequestHead: () => '' },
--- a/packages/testing/src/node/clients/entryTrial.ts
+++ b/packages/testing/src/node/clients/entryTrial.ts
@@ -19,23 +19,29 @@
 /** A connection that is neither answered nor closed is given up. */
 const EXCHANGE_TIMEOUT_MS = 10_000
 
-/** One entry process, its store and its worker. */
+/** One entry process, its store and its workers. */
 export class EntryTrial extends ProcessTrial implements IClosable {
   private readonly closing = new CloseStack()
   private readonly folder = mkdtempSync(join(tmpdir(), 'umberspar-clients-'))
   readonly worker = new PlatformWorkerStandIn('w-1')
+  /** All workers. */
+  readonly workers = [this.worker]
   settings!: EntrySettings
 
   /**
    * Starts the process and waits until it is ready.
    * @param limits the limits of callers; those of the stand-in by default
+   * @param workers number of workers
    */
-  async start (limits?: CallerLimits): Promise<void> {
+  async start (limits?: CallerLimits, workers = 1): Promise<void> {
     const { memoryMb, maxDescriptors } = this.machine
     const records = new PlatformRecords({ [DOMAIN]: 'north' })
     this.closing.add(records.store)
-    this.closing.add(this.worker)
-    records.putWorker({ id: this.worker.id, service: SERVICE, domain: DOMAIN, address: await this.worker.listen() })
+    while (this.workers.length < workers) this.workers.push(new PlatformWorkerStandIn(`w-${this.workers.length + 1}`))
+    for (const worker of this.workers) {
+      this.closing.add(worker)
+      records.putWorker({ id: worker.id, service: SERVICE, domain: DOMAIN, address: await worker.listen() })
+    }
     if (limits !== undefined) records.callerLimits = limits
     records.putConfiguration([{ Name: 'lookups', Prefix: '/a/', Service: SERVICE, Sticky: false, Timeout: '10s' }, { Name: 'uploads', Prefix: '/up/', Service: SERVICE, Kind: 'upload', Sticky: false, Timeout: '10s' }])
     const store = await records.store.addListener().listen()
--- a/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
+++ b/packages/testing/src/node/standIns/usersPlatform/platformWorkerStandIn.ts
@@ -61,6 +61,8 @@
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
   fault = WorkerFault.None
+  /** The path of the requests to which the fault applies; undefined for all. */
+  faultPath: string | undefined
   /** Running a request for this path ends the worker. */
   crashPath: string | undefined
   /** How long a request takes, in milliseconds. */
@@ -182,7 +184,7 @@
       return
     }
     // The fault at the start of the run: if the worker begins to refuse meanwhile, it must not deny that this request ran.
-    const { fault } = this
+    const fault = this.faultPath === undefined || this.faultPath === run.path ? this.fault : WorkerFault.None
     if (this.workMs === 0) {
       this.answer(socket, requestId, fault)
       return
