Bound the responses of other VMs about quotas

Cause: HttpQuotaTransport collects a response without a limit. A response without end that comes fast enough throws "Invalid string length" in a callback, which ends the process; before that, only the client's own limit in time ends it.

Change: a response of more than 65,536 characters ends its connection, and the owner counts as one that didn't answer.

--- a/packages/entry/src/node/quota/quotaTransport.ts
+++ b/packages/entry/src/node/quota/quotaTransport.ts
@@ -3,6 +3,9 @@
 import type { IClosable } from '@umberspar/base/common/closing'
 import { splitAddress } from '../address.js'
 
+/** A longer response is invalid, in characters. */
+const MAX_RESPONSE_LENGTH = 65_536
+
 /** A response to a request for tokens. */
 export interface QuotaTransportResponse {
   readonly status: number
@@ -36,7 +39,10 @@
       request.on('response', (message) => {
         let text = ''
         message.setEncoding('utf8')
-        message.on('data', (chunk: string) => { text += chunk })
+        message.on('data', (chunk: string) => {
+          text += chunk
+          if (text.length > MAX_RESPONSE_LENGTH) request.destroy()
+        })
         message.on('end', () => { resolve({ status: message.statusCode ?? 0, text }) })
         message.on('error', () => { resolve(undefined) })
       })
