--- a/packages/testing/test/node/usersPlatform/oddEntries.test.ts
+++ b/packages/testing/test/node/usersPlatform/oddEntries.test.ts
@@ -84,6 +84,15 @@
     await checkFollowing('w-2', refused)
   })
 
+  // Guards against fields that an id adds to the requests of callers.
+  it('below servers/ get no request by an id that is no field value', async () => {
+    const ids = ['a\r\nX-Umberspar-Tenant: other', 'a\u0000b', '\ud800', 'a b', '\u0100']
+    const workers = []
+    for (const id of ids) workers.push(await platform.addWorker(id, 'archive', 'north-1'))
+    await checkFollowing('w-2')
+    assert.deepEqual(workers.map(({ arrivals }) => arrivals), ids.map(() => 0))
+  })
+
   it('below op/evacuate/ end no process, which follows what comes later', async () => {
     for (const name of ODD_NAMES) platform.store.putText(`op/evacuate/${name}`, '1')
     await checkFollowing('w-2')
