Show that relayed requests are answered beside a planned stop

Reported from other systems: requests that come late in the grace of a planned stop are cut at its end. Checked here for requests that another VM relays to the stopping one: what it has accepted is answered, what comes later is refused without a run or answered whole.

--- a/packages/testing/test/node/usersPlatform/stopping.test.ts
+++ b/packages/testing/test/node/usersPlatform/stopping.test.ts
@@ -3,6 +3,7 @@
 import { Worker } from 'node:worker_threads'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 import type { PlatformWorkerStandIn } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
+import { WorkerLinkFault } from '../../../src/node/standIns/usersPlatform/workerLink.js'
 import type { StoppingCallersInput } from './stoppingCallersThread.js'
 
 /** The grace period of the stand-in's entry processes is 4 s. */
@@ -77,3 +78,51 @@
     await thread.terminate()
   })
 })
+
+describe('a stopping entry process to which another one relays', { timeout: 60_000 }, () => {
+  const RELAYED_WORK_MS = 1_000
+  const PAUSE_MS = 200
+  let platform: LocalPlatform
+  let cut: LocalEntry
+  let stopping: LocalEntry
+  let worker: PlatformWorkerStandIn
+
+  beforeEach(async () => {
+    platform = new LocalPlatform({ 'north-1': 'north' })
+    worker = await platform.addWorker('w-1', 'ledger', 'north-1')
+    platform.putConfiguration([{ Name: 'closeouts', Prefix: '/unsafe/', Service: 'ledger', Kind: 'non_idempotent' }])
+    cut = await platform.startEntry('vm-1', 'north-1')
+    stopping = await platform.startEntry('vm-2', 'north-1')
+    for (const entry of [cut, stopping]) await platform.waitUntilReady(entry)
+    await platform.waitUntil(() => [cut, stopping].every(({ lines }) => lines.some(({ change }) => change === 'node-joined')))
+    cut.link.setFault(WorkerLinkFault.Hang)
+    await platform.waitUntil(async () => {
+      await platform.call(cut, { path: '/unsafe/1', method: 'POST', id: 'first', body: 'a' })
+      return cut.lines.some(({ step }) => step === 'disconnect-workers')
+    })
+    worker.workMs = RELAYED_WORK_MS
+  })
+
+  afterEach(async () => { await platform.close() })
+
+  // Guards against relayed requests that are cut as the VM that has them stops.
+  it('answers what it has accepted, and what comes later is answered by neither or whole', async () => {
+    const send = async (id: string): Promise<number> => (await platform.call(cut, { path: '/unsafe/1', method: 'POST', id, body: 'a' })).status
+    const early = send('early')
+    await platform.waitUntil(() => worker.runs.some(({ requestId }) => requestId === 'early'))
+    const stopped = new Promise<number>((resolve) => { stopping.entry.stop(resolve) })
+    const late: Array<Promise<number>> = []
+    for (let index = 0; index < 8; index++) {
+      late.push(send(`late-${index}`))
+      const at = platform.clock.now() + PAUSE_MS
+      await platform.waitUntil(() => platform.clock.now() >= at)
+    }
+    assert.equal(await early, 200)
+    assert.equal(await stopped, 0)
+    const statuses = await Promise.all(late)
+    for (const [index, status] of statuses.entries()) {
+      const runs = worker.runs.filter(({ requestId }) => requestId === `late-${index}`).length
+      assert.equal(status, runs === 0 ? 503 : 200, `late-${index} ran ${runs} times`)
+    }
+  })
+})
