Keep no connection whose worker may not have read the request

Cause: a connection is kept at the end of a response, whether or not the worker has read the body of the request. A worker that rejects a long upload early reads the rest seconds later; the next request waits behind it.

--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -51,6 +51,7 @@
 /** Connections are closed this long before the worker's own timeout, so that no request is sent while the worker closes. */
 const IDLE_MARGIN_MS = 1_500
 const MS_PER_SECOND = 1_000
+const MIN_ERROR_STATUS = 400
 const TIMEOUT_PARAMETER = /timeout\s*=\s*(\d+)/i
 /** The number of responses to other requests that are skipped before the connection is closed. */
 const MAX_SKIPPED_RESPONSES = 3
@@ -71,6 +72,8 @@
   writtenAt: Instant | undefined
   /** Whether the end of the connection delimits the response. */
   isCloseDelimited: boolean
+  /** Whether the worker rejected the request. */
+  isRejected: boolean
   /** Whether the response began before the worker had certainly received the whole request. */
   isEarly: boolean
 }
@@ -134,7 +137,7 @@
    * @param listener receives the response, and exactly one call of `onEnd` or `onFailure`
    */
   send (request: UpstreamRequest, listener: ExchangeListener): void {
-    const exchange: Exchange = { request, listener, writtenAt: undefined, isCloseDelimited: false, isEarly: false }
+    const exchange: Exchange = { request, listener, writtenAt: undefined, isCloseDelimited: false, isRejected: false, isEarly: false }
     this.exchange = exchange
     const onWritten = (error?: Error | null): void => { if (error === undefined || error === null) exchange.writtenAt = this.clock.now() }
     const { head, body } = request
@@ -191,6 +194,7 @@
     if (!this.isSkipping) {
       this.updateReuse(head)
       exchange.isCloseDelimited = head.isCloseDelimited
+      exchange.isRejected = head.status >= MIN_ERROR_STATUS
       exchange.isEarly = this.isEarlyResponse(exchange)
       exchange.listener.onHead(head)
     }
@@ -218,7 +222,7 @@
     // Nobody else resumes it: the caller's response may drain only after the exchange has ended.
     this.socket.resume()
     // After one late response, the worker may send another one.
-    if (this.skippedResponses > 0) this.isReusable = false
+    if (this.skippedResponses > 0 || (exchange !== undefined && this.mayBodyBeUnread(exchange))) this.isReusable = false
     exchange?.listener.onEnd()
   }
 
@@ -234,6 +238,11 @@
     else this.checkReset(() => { this.finishResponse() })
   }
 
+  /** A worker may respond before it has read the body. The next request would wait behind the rest of it. */
+  private mayBodyBeUnread ({ request, writtenAt, isEarly, isRejected }: Exchange): boolean {
+    return request.body.length > 0 && (writtenAt === undefined || (isEarly && isRejected))
+  }
+
   private isEarlyResponse ({ request, writtenAt }: Exchange): boolean {
     const bytes = request.body.reduce((sum, { length }) => sum + length, 0)
     if (bytes <= MAX_SINGLE_FLIGHT_BYTES) return false
--- a/packages/entry/test/node/upstream/upstreamConnection.test.ts
+++ b/packages/entry/test/node/upstream/upstreamConnection.test.ts
@@ -172,6 +172,39 @@
     })
   })
 
+  describe('after a response that came before a long request can have been read', () => {
+    const REJECTION = 'HTTP/1.1 503 Busy\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n'
+    const SUCCESS = RESPONSES['with a length']!
+    const LONG_BODY = 200_000
+
+    /** @returns whether the connection is kept for another request after a response */
+    async function isKept (response: string, bodyBytes: number, isWritten: boolean): Promise<boolean> {
+      let isIdle = false
+      let finishWrite = (): void => {}
+      const socket = new Duplex({ read: () => {}, write: (chunk: Buffer, _encoding, callback) => { if (chunk.length > MAX_HEAD_BYTES) finishWrite = callback; else callback() } })
+      const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => { isIdle = true }, () => {})
+      connection.send({ head: 'POST / HTTP/1.1\r\n\r\n', body: [Buffer.alloc(bodyBytes)], requestId: 'a', isHead: false }, { onHead: () => {}, onBody: () => {}, onEnd: () => {}, onFailure: () => {} })
+      if (isWritten) finishWrite()
+      for (let turn = 0; turn < 4; turn++) await new Promise((resolve) => { setImmediate(resolve) })
+      socket.push(response)
+      await new Promise((resolve) => { setImmediate(resolve) })
+      assert.equal(connection.isUsable, isIdle)
+      return isIdle
+    }
+
+    // Guards against requests that wait behind a body which their worker has not read.
+    it('is not kept if the request has not been written, or was rejected', async () => {
+      assert.equal(await isKept(SUCCESS, LONG_BODY, false), false)
+      assert.equal(await isKept(REJECTION, LONG_BODY, false), false)
+      assert.equal(await isKept(REJECTION, LONG_BODY, true), false)
+    })
+
+    it('is kept after a success, and after the rejection of a short request', async () => {
+      assert.equal(await isKept(SUCCESS, LONG_BODY, true), true)
+      assert.equal(await isKept(REJECTION, MAX_HEAD_BYTES, true), true)
+    })
+  })
+
   it('ends each exchange once, whatever bytes arrive and however the connection ends', async () => {
     // Guards against errors that escape a callback, and against callers that never get an answer.
     const change = fc.tuple(fc.nat(1_000), fc.integer({ min: 0, max: 255 }))
