Close the timer of a refused body with its connection

Cause: a request that is refused before its body is in gets a timer of 10 s, which nobody closes when the connection closes. It keeps the request, its fields and what the connection had read. Node.js doesn't report the end of the connection to a request whose response is sent, so that its own close is no sign.

Evidence: 40 callers that leave behind a 404 leave 39 more timers.

Change: the end of the connection or of the request closes the timer.

Tests: earlyRefusal.test.ts, "leaves no timer when its caller has left", failed before.

--- a/packages/entry/src/node/front/callerServer.ts
+++ b/packages/entry/src/node/front/callerServer.ts
@@ -278,9 +278,17 @@
   private endUnreadBody (request: IncomingMessage, response: CallerResponse): void {
     request.resume()
     this.connections.get(request.socket)?.stopBody()
-    this.context.timeoutClock.schedule(this.clock.now() + UNREAD_BODY_TIMEOUT_MS, () => {
-      if (!request.complete && response.isSent) request.socket.destroy()
+    const { socket } = request
+    const timer = this.context.timeoutClock.schedule(this.clock.now() + UNREAD_BODY_TIMEOUT_MS, () => {
+      if (!request.complete && response.isSent) socket.destroy()
     })
+    // The timer keeps the request and all that its connection had read. Node.js doesn't report the end of the connection to a request whose response is sent.
+    const closeTimer = (): void => {
+      timer.close()
+      socket.off('close', closeTimer)
+    }
+    request.once('close', closeTimer)
+    socket.once('close', closeTimer)
   }
 
   private logEnd (request: IncomingMessage, { isRelayed }: CallerResponse, { reason, arrivedAt, route, service, account, retryAfterMs, refusalInputs }: RefusalDetails, outcome: RequestOutcome, status: number): void {
--- a/packages/testing/test/node/usersPlatform/earlyRefusal.test.ts
+++ b/packages/testing/test/node/usersPlatform/earlyRefusal.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { setTimeout } from 'node:timers/promises'
 import { type LocalEntry, LocalPlatform } from '../../../src/node/standIns/usersPlatform/localPlatform.js'
 import { WorkerFault } from '../../../src/node/standIns/usersPlatform/platformWorkerStandIn.js'
+import { countOpenResources } from '../openResources.js'
 
 const ROUTES = [
   { Name: 'lookups', Prefix: '/a/', Service: 'archive' },
@@ -17,6 +19,8 @@
 const SMUGGLED = 'GET /a/smuggled HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: smuggled\r\nX-Umberspar-Deadline-Ms: 3000\r\n\r\n'
 const BODY = SMUGGLED.repeat(Math.ceil(UPLOAD_BYTES / SMUGGLED.length)).slice(0, UPLOAD_BYTES)
 const PAUSE_SECONDS = 50
+/** Many more than the timers of the process itself. */
+const LEAVING_CALLERS = 40
 /** At most this old is the saturation of a service that a decision uses. */
 const SATURATION_VALIDITY_MS = 150
 /** At most this old are the limits of priorities that a decision uses. */
@@ -51,6 +55,22 @@
     socket.write(`POST /up/1 HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: ${id}\r\nX-Umberspar-Deadline-Ms: ${deadlineMs}\r\nContent-Length: ${bytes}\r\n\r\n`)
   }
 
+  // Guards against refused requests that stay in memory although their connections have closed.
+  it('leaves no timer when its caller has left', async () => {
+    const [host, port] = entry.settings.listen.callers.split(':')
+    const before = countOpenResources()
+    for (let index = 0; index < LEAVING_CALLERS; index++) {
+      const caller = connect(Number(port), host)
+      caller.on('error', () => {})
+      caller.write(`POST /none/1 HTTP/1.1\r\nHost: shop.example\r\nX-Umberspar-Request-Id: leaves-${index}\r\nX-Umberspar-Deadline-Ms: 3000\r\nContent-Length: ${UPLOAD_BYTES}\r\n\r\nbeginning`)
+      await once(caller, 'data')
+      caller.destroy()
+    }
+    await platform.waitUntil(() => countOpenResources().connections <= before.connections)
+    // The wait's own timer is open as well.
+    assert.ok(countOpenResources().timers < before.timers + LEAVING_CALLERS / 2, `${countOpenResources().timers} timers, ${before.timers} before`)
+  })
+
   async function removeWorker (): Promise<void> {
     platform.putWorker({ id: 'w-2', service: 'ledger', domain: 'north-1', address: '127.0.0.1:1', isLeaving: true })
     await platform.waitUntil(() => entry.lines.some(({ change, subject }) => change === 'upstream-changed' && subject === 'w-2'))
