--- a/packages/entry/src/node/upstream/idleLimit.ts
+++ b/packages/entry/src/node/upstream/idleLimit.ts
@@ -1,9 +1,10 @@
 /**
  * Limits how long a connection to a worker may be idle before it is no longer reused.
  * An open connection may have fallen silent, so that nothing sent on it arrives; only what
- * was received on it lately shows that it works. Workers may also drop idle connections sooner than they announce. The next request on such
- * a connection is reset, and fails without a fault of its own if it must not be retried.
- * Each reset shortens the limit; without further resets the limit recovers.
+ * was received on it lately shows that it works. Workers may also drop idle connections
+ * sooner than they announce. The next request on such a connection is reset, and fails
+ * without a fault of its own if it must not be retried. Each reset shortens the limit;
+ * without further resets the limit recovers.
  */
 import type { Instant } from '@umberspar/base/common/clock'
 
@@ -13,7 +14,6 @@
 const MIN_LIMIT_MS = 100
 /** Without resets, the limit doubles in this time. */
 const DOUBLING_TIME_MS = 3_000
-
 /** What is read from a connection may have arrived this long before. */
 const READ_DELAY_MS = 250
 
