Reject responses to the daemon whose end can't be verified

Cause: undici takes any end of the connection for the end of such a response, a reset included, and doesn't tell its handler how the connection ended.

Change: a response with neither a length nor chunks, to a request that expects a body, is a failed attempt whose request may have run. Telling an ordered end from a reset as the entry process does isn't possible through undici's handler.

Tests: upstreamTransport.test.ts, "reports the request as possibly sent when the worker closes (resets) its connection in the middle of a response without a length", both failed before.

--- a/packages/adapters/src/node/upstream/attemptHandler.ts
+++ b/packages/adapters/src/node/upstream/attemptHandler.ts
@@ -26,6 +26,8 @@
 
 const INVALID_REQUEST_CODES: ReadonlySet<string> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED', 'UND_ERR_REQ_CONTENT_LENGTH_MISMATCH'])
 const MIN_FINAL_STATUS = 200
+/** Responses with these statuses have no body (RFC 9110, section 6.4.1). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 
 function classifyUnsentFailure (failure: Error): ErrorCode {
   const code = (failure as NodeJS.ErrnoException).code ?? ''
@@ -74,6 +76,10 @@
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
     if (status < MIN_FINAL_STATUS) return
+    if (!this.isFramed(status, headers)) {
+      controller.abort(this.createError(ErrorCode.EffectUnknown, 'the response has no length, so a truncated one would look complete'))
+      return
+    }
     this.phase = Phase.ReceivingResponse
     this.body = this.createBody(controller)
     this.resolve(Ok({ status, headers: removeHopByHopHeaders(headers), body: this.body }))
@@ -99,6 +105,11 @@
     this.settleFailure(this.createError(code, failure.message, failure))
   }
 
+  /** @returns whether the end of the response shows by itself; undici takes any end of the connection, even a reset, for the end of another one */
+  private isFramed (status: number, headers: Record<string, string | string[] | undefined>): boolean {
+    return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || BODILESS_STATUSES.has(status) || this.request.method === 'HEAD'
+  }
+
   private cancel (code: ErrorCode, message: string): void {
     if (this.phase === Phase.Finished) return
     const isDeadlinePassed = code === ErrorCode.DeadlinePassed
--- a/packages/adapters/test/node/upstream/upstreamTransport.test.ts
+++ b/packages/adapters/test/node/upstream/upstreamTransport.test.ts
@@ -96,6 +96,16 @@
     assert.deepEqual([sent.val.code, sent.val.mayHaveBeenSent, sent.val.hasHeaders], [ErrorCode.EffectUnknown, true, false])
   })
 
+  for (const [ending, end] of Object.entries({ 'closes its connection': (socket: Socket) => { socket.destroy() }, 'resets its connection': (socket: Socket) => { socket.resetAndDestroy() } })) {
+    it(`reports the request as possibly sent when the worker ${ending} in the middle of a response without a length`, async () => {
+      // Guards against a part of a response that reaches its caller as a complete one.
+      const address = await openRawServer((socket) => { socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart', () => { end(socket) }) })
+      const sent = await createTransport(address).send(createRequest(address))
+      assert.ok(sent.err)
+      assert.deepEqual([sent.val.code, sent.val.mayHaveBeenSent], [ErrorCode.EffectUnknown, true])
+    })
+  }
+
   it('rejects a request immediately if no connection is free, and sends one after the limit has been raised', async () => {
     const finishResponses: Array<() => void> = []
     const arrivals: Array<() => void> = []
