Pass no request on to a parser that the server has paused

Callers saw: a crowd that sends requests ahead ended the daemon's process; entry processes use the same class.

Cause: Node.js pauses the parser of a connection whose responses aren't read, and fails with ERR_INTERNAL_ASSERTION if data comes nevertheless. RequestInput noticed that by the paused socket, but not while it had paused the socket itself.

Change: RequestInput asks what Node.js notes on the socket before it passes anything on, and goes on when the server resumes.

--- a/packages/base/src/node/http/requestInput.ts
+++ b/packages/base/src/node/http/requestInput.ts
@@ -12,6 +12,7 @@
 import type { TimedConnection } from './connectionTimeouts.js'
 import { InputFault, type InputOwner, type InputTurns } from './inputOwner.js'
 import { MAX_READ_BYTES, type WaitingInput } from './inputScheduler.js'
+import { isParserPaused } from './serverSocket.js'
 
 /** Which part of a request is expected next. */
 enum InputPart {
@@ -164,7 +165,7 @@
   }
 
   private mayResume (): boolean {
-    if (this.waiting.length === 0 || this.part === InputPart.Discarded || this.isPausedByServer || !this.socket.writable) return false
+    if (this.waiting.length === 0 || this.part === InputPart.Discarded || this.isPausedByServer || isParserPaused(this.socket) || !this.socket.writable) return false
     if (this.turns.scheduler.mayParse()) return true
     this.waitingSince ??= this.owner.getArrival()
     this.turns.scheduler.add(this)
@@ -252,7 +253,7 @@
   private handleResume (): void {
     this.isPausedByServer = false
     if (this.isPaused) this.socket.pause()
-    else this.resume()
+    this.resume()
   }
 
   private refuse (fault: InputFault, isBody: boolean): void {
@@ -280,8 +281,7 @@
     this.owner.handleWaitingBytes()
   }
 
-  private releaseUnused (): void {
-    const { waiting } = this
+  private releaseUnused ({ waiting } = this): void {
     if (waiting.length === 0) this.waiting = NOTHING
     else if (waiting.length < waiting.buffer.byteLength * MIN_USED_PART) {
       this.waiting = Buffer.allocUnsafeSlow(waiting.length)
