--- a/packages/adapters/src/node/upstream/attemptHandler.ts
+++ b/packages/adapters/src/node/upstream/attemptHandler.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici'
 import type { IClock, ITimer } from '@umberspar/base/common/clock'
 import { ErrorCode } from '@umberspar/base/common/errors'
+import { BODILESS_STATUSES } from '@umberspar/base/common/http/bodilessStatuses'
 import type { Result } from '@umberspar/base/common/result'
 import { Err, Ok } from '@umberspar/base/common/result'
 import type { AttemptRequest, AttemptResponse } from './attempt.js'
@@ -26,8 +27,6 @@
 
 const INVALID_REQUEST_CODES: ReadonlySet<string> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED', 'UND_ERR_REQ_CONTENT_LENGTH_MISMATCH'])
 const MIN_FINAL_STATUS = 200
-/** Responses with these statuses have no body (RFC 9110, section 6.4.1). */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 
 function classifyUnsentFailure (failure: Error): ErrorCode {
   const code = (failure as NodeJS.ErrnoException).code ?? ''
--- a/packages/base/src/node/http/requestInput.ts
+++ b/packages/base/src/node/http/requestInput.ts
@@ -64,11 +64,10 @@
   private discardedBytes = 0
   private part = InputPart.Head
   private isResuming = false
-  /** Whether this object has paused the socket, and whether the server has. */
+  /** Whether this object has paused the socket; the server may have as well. */
   private isPaused = false
   /** Whether all connections together have read much lately. */
   private isPaced = false
-  private isPausedByServer = false
   private headDeadline: Deadline | undefined
   private lingerDeadline: Deadline | undefined
   /** When the oldest bytes that wait for requests before them may have arrived; undefined if none wait. */
@@ -165,7 +164,7 @@
   }
 
   private mayResume (): boolean {
-    if (this.waiting.length === 0 || this.part === InputPart.Discarded || this.isPausedByServer || isParserPaused(this.socket) || !this.socket.writable) return false
+    if (this.waiting.length === 0 || this.part === InputPart.Discarded || isParserPaused(this.socket) || !this.socket.writable) return false
     if (this.turns.scheduler.mayParse()) return true
     this.waitingSince ??= this.owner.getArrival()
     this.turns.scheduler.add(this)
@@ -246,12 +245,9 @@
 
   private write (bytes: Buffer): void {
     for (const listener of this.listeners) listener.call(this.socket, bytes)
-    // The server pauses the connection when the responses before the request are not read.
-    if (!this.isPaused && this.socket.isPaused()) this.isPausedByServer = true
   }
 
   private handleResume (): void {
-    this.isPausedByServer = false
     if (this.isPaused) this.socket.pause()
     this.resume()
   }
@@ -276,12 +272,13 @@
     if (shouldPause !== this.isPaused) {
       this.isPaused = shouldPause
       if (shouldPause) socket.pause()
-      else if (!this.isPausedByServer) socket.resume()
+      else if (!isParserPaused(socket)) socket.resume()
     }
     this.owner.handleWaitingBytes()
   }
 
-  private releaseUnused ({ waiting } = this): void {
+  private releaseUnused (): void {
+    const { waiting } = this
     if (waiting.length === 0) this.waiting = NOTHING
     else if (waiting.length < waiting.buffer.byteLength * MIN_USED_PART) {
       this.waiting = Buffer.allocUnsafeSlow(waiting.length)
--- a/packages/entry/src/node/front/callerResponse.ts
+++ b/packages/entry/src/node/front/callerResponse.ts
@@ -1,11 +1,10 @@
 /** Writes the response to one request and reports when the caller disconnects. */
 import type { ServerResponse } from 'node:http'
+import { BODILESS_STATUSES } from '@umberspar/base/common/http/bodilessStatuses'
 import { formatRelayResult, RELAY_FIELD, RelayOutcome, type WorkerAnnouncement } from '../../common/relayFields.js'
 import { getHeader } from '../upstream/rawHeaders.js'
 import type { ResponseHead } from '../upstream/responseParser.js'
 
-/** Responses with these statuses have neither a body nor a `Content-Length` (RFC 9110, section 8.6). */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 const MS_PER_SECOND = 1_000
 /** A response of this VM with one of these statuses means that the request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429, 503])
--- a/packages/entry/src/node/front/responseCollector.ts
+++ b/packages/entry/src/node/front/responseCollector.ts
@@ -46,8 +46,6 @@
   private readonly body = new ByteCollector()
   private length = 0
   private mode = CollectionMode.Buffering
-  /** What is counted of this response in the memory of all. */
-  private countedBytes = 0
 
   /**
    * @param memory the memory of all responses that are being collected
@@ -69,7 +67,6 @@
     if (this.mode === CollectionMode.Streaming) this.listener.onStreamData(chunk)
     if (this.mode !== CollectionMode.Buffering) return
     this.body.add(chunk)
-    this.countedBytes += chunk.length
     const hasRoom = this.memory.add(chunk.length)
     if (this.length > MAX_BUFFERED_BYTES || (!hasRoom && this.length > MIN_BUFFERED_BYTES)) this.stopBuffering()
   }
@@ -92,9 +89,9 @@
     this.listener.onFailure(failure, this.mode === CollectionMode.Streaming)
   }
 
+  /** @returns what has been buffered, which no longer counts in the memory of all responses */
   private takeBody (): Buffer[] {
-    this.memory.remove(this.countedBytes)
-    this.countedBytes = 0
+    this.memory.remove(this.body.length)
     return this.body.take()
   }
 }
--- a/packages/entry/src/node/upstream/upstreamConnection.ts
+++ b/packages/entry/src/node/upstream/upstreamConnection.ts
@@ -70,10 +70,8 @@
   readonly listener: ExchangeListener
   /** When the operating system had taken the whole request; undefined before that. */
   writtenAt: Instant | undefined
-  /** Whether the end of the connection delimits the response. */
-  isCloseDelimited: boolean
-  /** Whether the worker rejected the request. */
-  isRejected: boolean
+  /** The head of the response; undefined before it has arrived. */
+  head: ResponseHead | undefined
   /** Whether the response began before the worker had certainly received the whole request. */
   isEarly: boolean
 }
@@ -137,7 +135,7 @@
    * @param listener receives the response, and exactly one call of `onEnd` or `onFailure`
    */
   send (request: UpstreamRequest, listener: ExchangeListener): void {
-    const exchange: Exchange = { request, listener, writtenAt: undefined, isCloseDelimited: false, isRejected: false, isEarly: false }
+    const exchange: Exchange = { request, listener, writtenAt: undefined, head: undefined, isEarly: false }
     this.exchange = exchange
     const onWritten = (error?: Error | null): void => { if (error === undefined || error === null) exchange.writtenAt = this.clock.now() }
     const { head, body } = request
@@ -193,8 +191,7 @@
     if (this.isSkipping && ++this.skippedResponses > MAX_SKIPPED_RESPONSES) throw new Error('too many responses to other requests')
     if (!this.isSkipping) {
       this.updateReuse(head)
-      exchange.isCloseDelimited = head.isCloseDelimited
-      exchange.isRejected = head.status >= MIN_ERROR_STATUS
+      exchange.head = head
       exchange.isEarly = this.isEarlyResponse(exchange)
       exchange.listener.onHead(head)
     }
@@ -219,7 +216,7 @@
     }
     const exchange = this.exchange
     this.exchange = undefined
-    // Nobody else resumes it: the caller's response may drain only after the exchange has ended.
+    // Without an exchange, the caller's response no longer resumes the socket when it drains.
     this.socket.resume()
     // After one late response, the worker may send another one.
     if (this.skippedResponses > 0 || (exchange !== undefined && this.mayBodyBeUnread(exchange))) this.isReusable = false
@@ -233,20 +230,20 @@
       return
     }
     // A worker that ends before it has received the request has not ended its response.
-    if (!this.exchange.isCloseDelimited || this.exchange.writtenAt === undefined) this.fail(ExchangeFailure.Broken)
+    if (this.exchange.head?.isCloseDelimited !== true || this.exchange.writtenAt === undefined) this.fail(ExchangeFailure.Broken)
     else if (this.exchange.isEarly) this.waitForReset()
     else this.checkReset(() => { this.finishResponse() })
   }
 
   /** A worker may respond before it has read the body. The next request would wait behind the rest of it. */
-  private mayBodyBeUnread ({ request, writtenAt, isEarly, isRejected }: Exchange): boolean {
+  private mayBodyBeUnread ({ request, writtenAt, head, isEarly }: Exchange): boolean {
+    const isRejected = head !== undefined && head.status >= MIN_ERROR_STATUS
     return request.body.length > 0 && (writtenAt === undefined || (isEarly && isRejected))
   }
 
   private isEarlyResponse ({ request, writtenAt }: Exchange): boolean {
-    const bytes = request.body.reduce((sum, { length }) => sum + length, 0)
-    if (bytes <= MAX_SINGLE_FLIGHT_BYTES) return false
-    return writtenAt === undefined || this.clock.now() - writtenAt < EARLY_RESPONSE_MS
+    if (writtenAt !== undefined && this.clock.now() - writtenAt >= EARLY_RESPONSE_MS) return false
+    return request.body.reduce((sum, { length }) => sum + length, 0) > MAX_SINGLE_FLIGHT_BYTES
   }
 
   /**
--- a/packages/entry/test/node/upstream/upstreamConnection.test.ts
+++ b/packages/entry/test/node/upstream/upstreamConnection.test.ts
@@ -1,14 +1,12 @@
 import assert from 'node:assert/strict'
-import type { Socket } from 'node:net'
-import { Duplex } from 'node:stream'
 import { beforeEach, describe, it } from 'node:test'
 import fc from 'fast-check'
 import { ManualClock } from '@umberspar/base/common/manualClock'
 import { ExchangeFailure, UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
+import { FakeSocket, MAX_HEAD_BYTES, runTurns } from './fakeSocket.js'
 
 const SEED = 20261204
 const RUNS = 1_500
-const MAX_HEAD_BYTES = 1_024
 const BODY = 'the whole answer'
 const RESPONSES: Readonly<Record<string, string>> = {
   'with a length': `HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
@@ -31,10 +29,10 @@
 
 /** Sends one request on a connection of its own, on which the given chunks arrive. */
 async function exchange (chunks: readonly Buffer[], connectionEnd: ConnectionEnd): Promise<ExchangeResult> {
-  const socket = new Duplex({ read: () => {}, write: (_chunk, _encoding, callback) => { callback() } })
+  const socket = new FakeSocket()
   const results: Array<ExchangeFailure | 'complete'> = []
   let body = ''
-  const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => {}, () => {})
+  const connection = new UpstreamConnection(socket.asSocket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => {}, () => {})
   connection.send({ head: 'GET / HTTP/1.1\r\n\r\n', body: [], requestId: 'a', isHead: false }, {
     onHead: () => {},
     onBody: (chunk) => { body += chunk.toString('latin1') },
@@ -71,9 +69,9 @@
     const input = fc.record({ text: fc.constantFrom('with a length', 'in chunks', 'behind an interim one'), positions: fc.array(fc.nat(1_000), { maxLength: 6 }), pausedParts: fc.array(fc.boolean(), { minLength: 8, maxLength: 8 }), isResumedLate: fc.boolean() })
     await fc.assert(fc.asyncProperty(input, async ({ text, positions, pausedParts, isResumedLate }) => {
       const bytes = Buffer.from(RESPONSES[text]!, 'latin1')
-      const socket = new Duplex({ read: () => {}, write: (_chunk, _encoding, callback) => { callback() } })
+      const socket = new FakeSocket()
       let idle = 0
-      const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => { idle++ }, () => {})
+      const connection = new UpstreamConnection(socket.asSocket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => { idle++ }, () => {})
       const run = async (pauses: readonly boolean[], chunks: readonly Buffer[]): Promise<void> => {
         let parts = 0
         let isComplete = false
@@ -85,9 +83,9 @@
         })
         for (const chunk of chunks) {
           socket.push(chunk)
-          await new Promise((resolve) => { setImmediate(resolve) })
+          await runTurns()
           if (!isComplete && parts > 0) connection.resume()
-          await new Promise((resolve) => { setImmediate(resolve) })
+          await runTurns()
         }
         if (isResumedLate) connection.resume()
       }
@@ -104,16 +102,14 @@
     const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\n'
     const LONG_MS = 10_000
     let clock: ManualClock
-    let socket: Duplex
+    let socket: FakeSocket
     let results: Array<ExchangeFailure | 'complete'>
-    let finishWrite: () => void
 
     beforeEach(() => {
       clock = new ManualClock()
       results = []
-      finishWrite = () => {}
-      socket = new Duplex({ allowHalfOpen: true, read: () => {}, write: (chunk: Buffer, _encoding, callback) => { if (chunk.length > MAX_HEAD_BYTES) finishWrite = callback; else callback() } })
-      const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, clock, () => {}, () => {}, () => {})
+      socket = new FakeSocket(true)
+      const connection = new UpstreamConnection(socket.asSocket, { idHeader: 'x-id' }, clock, () => {}, () => {}, () => {})
       connection.send({ head: 'POST / HTTP/1.1\r\n\r\n', body: [Buffer.alloc(200_000)], requestId: 'a', isHead: false }, {
         onHead: () => {},
         onBody: () => {},
@@ -122,13 +118,9 @@
       })
     })
 
-    async function settle (): Promise<void> {
-      for (let turn = 0; turn < 4; turn++) await new Promise((resolve) => { setImmediate(resolve) })
-    }
-
     async function pushBytes (bytes: string | null): Promise<void> {
       socket.push(bytes)
-      await settle()
+      await runTurns()
     }
 
     // Guards against a part of a response that looks complete: a worker that ends while it receives the request closes its connection in order.
@@ -140,31 +132,31 @@
     })
 
     it('fails if the worker resets the connection behind the end of an early response', async () => {
-      finishWrite()
-      await settle()
+      socket.finishWrite()
+      await runTurns()
       await pushBytes(`${HEAD}part`)
       await pushBytes(null)
       assert.deepEqual(results, [])
       socket.destroy(new Error('reset'))
-      await settle()
+      await runTurns()
       clock.stepBy(LONG_MS)
-      await settle()
+      await runTurns()
       assert.deepEqual(results, [ExchangeFailure.Broken])
     })
 
     it('is complete if no reset follows an early response', async () => {
-      finishWrite()
-      await settle()
+      socket.finishWrite()
+      await runTurns()
       await pushBytes(`${HEAD}${BODY}`)
       await pushBytes(null)
       clock.stepBy(LONG_MS)
-      await settle()
+      await runTurns()
       assert.deepEqual(results, ['complete'])
     })
 
     it('is complete at once if the worker has had time to receive the request', async () => {
-      finishWrite()
-      await settle()
+      socket.finishWrite()
+      await runTurns()
       clock.stepBy(LONG_MS)
       await pushBytes(`${HEAD}${BODY}`)
       await pushBytes(null)
@@ -180,14 +172,13 @@
     /** @returns whether the connection is kept for another request after a response */
     async function isKept (response: string, bodyBytes: number, isWritten: boolean): Promise<boolean> {
       let isIdle = false
-      let finishWrite = (): void => {}
-      const socket = new Duplex({ read: () => {}, write: (chunk: Buffer, _encoding, callback) => { if (chunk.length > MAX_HEAD_BYTES) finishWrite = callback; else callback() } })
-      const connection = new UpstreamConnection(socket as unknown as Socket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => { isIdle = true }, () => {})
+      const socket = new FakeSocket(true)
+      const connection = new UpstreamConnection(socket.asSocket, { idHeader: 'x-id' }, new ManualClock(), () => {}, () => { isIdle = true }, () => {})
       connection.send({ head: 'POST / HTTP/1.1\r\n\r\n', body: [Buffer.alloc(bodyBytes)], requestId: 'a', isHead: false }, { onHead: () => {}, onBody: () => {}, onEnd: () => {}, onFailure: () => {} })
-      if (isWritten) finishWrite()
-      for (let turn = 0; turn < 4; turn++) await new Promise((resolve) => { setImmediate(resolve) })
+      if (isWritten) socket.finishWrite()
+      await runTurns()
       socket.push(response)
-      await new Promise((resolve) => { setImmediate(resolve) })
+      await runTurns()
       assert.equal(connection.isUsable, isIdle)
       return isIdle
     }
--- a/packages/entry/test/node/upstream/upstreamPool.test.ts
+++ b/packages/entry/test/node/upstream/upstreamPool.test.ts
@@ -1,11 +1,10 @@
 import assert from 'node:assert/strict'
-import type { Socket } from 'node:net'
-import { Duplex } from 'node:stream'
 import { beforeEach, describe, it } from 'node:test'
 import { ManualClock } from '@umberspar/base/common/manualClock'
 import { IdleLimit } from '../../../src/node/upstream/idleLimit.js'
 import { UpstreamConnection } from '../../../src/node/upstream/upstreamConnection.js'
 import { type OpenFailure, UpstreamPool } from '../../../src/node/upstream/upstreamPool.js'
+import { FakeSocket, runTurns } from './fakeSocket.js'
 
 const MAX_SILENCE_MS = 3_000
 const MAX_CONNECTIONS = 8
@@ -15,17 +14,17 @@
 
 describe('UpstreamPool', () => {
   let clock: ManualClock
-  let sockets: Duplex[]
+  let sockets: FakeSocket[]
   let pool: UpstreamPool
 
   beforeEach(() => {
     clock = new ManualClock()
     sockets = []
     pool = new UpstreamPool('127.0.0.1', 1, { idHeader: 'x-id' }, () => {}, new IdleLimit(MAX_SILENCE_MS), clock, () => {
-      const socket = new Duplex({ read: () => {}, write: (_chunk, _encoding, callback) => { callback() } })
+      const socket = new FakeSocket()
       sockets.push(socket)
       setImmediate(() => { socket.emit('connect') })
-      return socket as unknown as Socket
+      return socket.asSocket
     })
   })
 
@@ -42,7 +41,7 @@
       socket.push(RESPONSE)
     })
     // The connection is kept after its response has been handled.
-    await new Promise((resolve) => { setImmediate(resolve) })
+    await runTurns()
   }
 
   it('reuses a connection that has received something lately', async () => {
